client: end a request at its limit

Cause: send made a context with the limit, but the call was made with the one it was given, so a caller of a frozen entry hung for good. Ruled out: the entry (paused) and the transport (it obeys the context it is given).

--- a/client/client.go
+++ b/client/client.go
@@ -35,6 +35,8 @@
 type Config struct {
 	// Seeds are entries to ask for addresses first.
 	Seeds []netip.AddrPort
+	// Direct has the seeds themselves used, without asking for addresses.
+	Direct bool
 	// Key is the organisation's bearer key.
 	Key string
 	// DataCentre, where not empty, is preferred.
@@ -81,6 +83,9 @@
 // Addresses returns the entries to use, asking only when the last answer's
 // life is over.
 func (c *Client) Addresses(ctx context.Context) ([]api.EntryAddress, error) {
+	if c.config.Direct {
+		return c.seeds(), nil
+	}
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	if time.Now().Before(c.expires) && len(c.entries) > 0 {
@@ -106,6 +111,14 @@
 	return nil, fmt.Errorf("ask for addresses: %w", last)
 }
 
+func (c *Client) seeds() []api.EntryAddress {
+	out := make([]api.EntryAddress, len(c.config.Seeds))
+	for i, address := range c.config.Seeds {
+		out[i].Address = address
+	}
+	return out
+}
+
 func (c *Client) askAddresses(ctx context.Context, address netip.AddrPort) (api.Addresses, error) {
 	ctx, cancel := context.WithTimeout(ctx, addressTimeout)
 	defer cancel()
@@ -237,7 +250,7 @@
 	if err != nil {
 		return Result{}, fmt.Errorf("encode prompt: %w", err)
 	}
-	return c.send(ctx, o, func(entry netip.AddrPort, o Options) (Result, error) {
+	return c.send(ctx, o, func(ctx context.Context, entry netip.AddrPort, o Options) (Result, error) {
 		return c.completeOnce(ctx, entry, body, r.Stream, o, text)
 	})
 }
@@ -245,7 +258,7 @@
 // Call sends a call to a service.
 func (c *Client) Call(ctx context.Context, service, call string, body []byte, o Options) (Result, error) {
 	path := api.PathServices + service + "/" + call
-	return c.send(ctx, o, func(entry netip.AddrPort, o Options) (Result, error) {
+	return c.send(ctx, o, func(ctx context.Context, entry netip.AddrPort, o Options) (Result, error) {
 		start := time.Now()
 		response, err := c.post(ctx, entry, path, body, o)
 		if err != nil {
@@ -262,7 +275,7 @@
 
 // send tries until an answer is whole, or asking again is of no use. What may
 // have run is sent again only with its ticket, which can't be spent twice.
-func (c *Client) send(ctx context.Context, o Options, once func(netip.AddrPort, Options) (Result, error)) (Result, error) {
+func (c *Client) send(ctx context.Context, o Options, once func(context.Context, netip.AddrPort, Options) (Result, error)) (Result, error) {
 	if o.Timeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, o.Timeout)
@@ -283,7 +296,7 @@
 		if deadline, ok := ctx.Deadline(); ok {
 			o.Timeout = time.Until(deadline)
 		}
-		result, err := once(entry, o)
+		result, err := once(ctx, entry, o)
 		result.Entry, result.Tries, result.Ticket = entry, try, o.Ticket
 		if err == nil || try >= c.config.Tries {
 			return result, err
--- a/cmd/sapphireramp/ask.go
+++ b/cmd/sapphireramp/ask.go
@@ -24,12 +24,14 @@
 	dataCentre string
 	timeout    time.Duration
 	tries      int
+	direct     bool
 }
 
 func (t *target) attach(flags *flaggy.Subcommand) {
 	flags.String(&t.entries, "e", "entry", "entries to ask for addresses, IP:port, separated by commas")
 	flags.String(&t.key, "k", "key", "bearer key of the organisation")
 	flags.String(&t.dataCentre, "", "data-centre", "data centre whose entries are preferred")
+	flags.Bool(&t.direct, "", "direct", "use the entries named themselves, without asking for addresses")
 	flags.Duration(&t.timeout, "t", "timeout", "time limit of the request")
 	flags.Int(&t.tries, "", "tries", "how often the request is sent at most")
 }
@@ -64,7 +66,7 @@
 	if t.tries < 1 {
 		return nil, fmt.Errorf("--tries: %d: must be at least 1", t.tries)
 	}
-	return client.New(client.Config{Seeds: seeds, Key: t.key, DataCentre: t.dataCentre, Tries: t.tries, HTTP: &http.Client{}}), nil
+	return client.New(client.Config{Seeds: seeds, Direct: t.direct, Key: t.key, DataCentre: t.dataCentre, Tries: t.tries, HTTP: &http.Client{}}), nil
 }
 
 // filler is the text of which made-up prompts consist: 4 bytes, one token.
