server: learn the instance list from peers while the platform is down

Cause: an entry that started during an outage of the platform had a document from its peers but no list, so it refused every prompt as no_upstream. Heartbeats now say which list an entry has and how long ago the platform confirmed it; an entry without one, or with one that was not confirmed for a watch, takes a fresher one.

--- a/api/entry.go
+++ b/api/entry.go
@@ -111,6 +111,10 @@
 	Revision    uint64
 	Digest      string
 	Notices     []Notice
+	// ListDigest names the sender's instance list, and ListAge is how long
+	// ago the platform last confirmed it; negative when it never did.
+	ListDigest string
+	ListAge    time.Duration
 	// Loads are of the engines that the sender keeps.
 	Loads []LoadDigest
 }
@@ -118,8 +122,14 @@
 // FetchArgs asks a peer for its configuration document.
 type FetchArgs struct{ From string }
 
-// FetchReply is a configuration document as its publisher wrote it.
-type FetchReply struct{ Document []byte }
+// FetchReply is the configuration document as its publisher wrote it, and the
+// instance list as the platform gave it.
+type FetchReply struct {
+	Document []byte
+	List     []byte
+	// ListAge is how long ago the platform last confirmed the list.
+	ListAge time.Duration
+}
 
 // AskArgs asks the keeper of an engine for a grant.
 type AskArgs struct {
--- a/server/beat.go
+++ b/server/beat.go
@@ -78,13 +78,15 @@
 	return out
 }
 
-// heard takes in a heartbeat, and fetches the sender's document if it is
-// newer than the one in force.
+// heard takes in a heartbeat, and fetches what the sender has newer: its
+// document or its instance list.
 func (s *Server) heard(beat api.Heartbeat) {
 	wanted := false
 	s.do(func(c *control) {
-		c.heard(time.Now(), beat)
-		wanted = c.adopter.Wants(validator.Version{Revision: beat.Revision, Digest: beat.Digest})
+		now := time.Now()
+		c.heard(now, beat)
+		wanted = c.adopter.Wants(validator.Version{Revision: beat.Revision, Digest: beat.Digest}) ||
+			c.lister.Wants(now, beat.ListDigest, beat.ListAge)
 	})
 	if !wanted {
 		return
@@ -92,7 +94,7 @@
 	go s.fetch(beat.PeerAddress, beat.From)
 }
 
-// fetch asks a peer for its document and considers it.
+// fetch asks a peer for its document and list, and considers both.
 func (s *Server) fetch(address netip.AddrPort, source string) {
 	var reply api.FetchReply
 	err := s.peers.call(address, "Fetch", api.FetchArgs{From: s.settings.Name}, &reply, fetchTimeout)
@@ -100,10 +102,15 @@
 		s.logs.document.Warn("fetch_failed", zap.String("source", source), zap.Error(err))
 		return
 	}
-	if len(reply.Document) == 0 {
-		return
-	}
-	s.do(func(c *control) { c.offer(time.Now(), reply.Document, source) })
+	s.do(func(c *control) {
+		now := time.Now()
+		if len(reply.Document) > 0 {
+			c.offer(now, reply.Document, source)
+		}
+		if len(reply.List) > 0 {
+			c.offerList(now, reply.List, reply.ListAge)
+		}
+	})
 }
 
 // askPeers asks each peer in the settings for its document once, before this
--- a/server/control.go
+++ b/server/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/drainer"
 	"github.com/sapphireramp/sapphireramp/keeper"
+	"github.com/sapphireramp/sapphireramp/lister"
 	"github.com/sapphireramp/sapphireramp/planner"
 	"github.com/sapphireramp/sapphireramp/prober"
 	"github.com/sapphireramp/sapphireramp/router"
@@ -33,6 +35,10 @@
 	loadInterval = 500 * time.Millisecond
 )
 
+// listSlack is added to the length of a watch before a list that the platform
+// did not confirm counts as old.
+const listSlack = 2 * time.Second
+
 // sourcePlatform names the platform among the sources of documents.
 const sourcePlatform = "platform"
 
@@ -47,8 +53,9 @@
 	planner  *planner.Planner
 	// keepers are of the engines that this entry keeps, by engine name.
 	keepers map[string]*keeper.Keeper
-	// instances is the newest list, by name.
+	// instances is the newest list, by name; lister decides which that is.
 	instances map[string]api.Instance
+	lister    *lister.Lister
 	// loads outlive boards, by engine name.
 	loads map[string]*router.Load
 	// holds are this entry's holds on engines: engine name, hold id, and what
@@ -80,6 +87,7 @@
 		planner:   planner.New(planner.Config{Keeper: s.settings.Name, Settle: t.Lease, Retry: orderRetry, LoadInterval: loadInterval}),
 		keepers:   map[string]*keeper.Keeper{},
 		instances: map[string]api.Instance{},
+		lister:    lister.New(t.Watch + listSlack),
 		loads:     map[string]*router.Load{},
 		holds:     map[string]map[string]func(){},
 		lastTick:  now,
@@ -196,12 +204,21 @@
 // digest takes over what a keeper says of an engine.
 func (c *control) digest(now time.Time, l api.LoadDigest) {
 	c.load(l.Engine).Heard(now, l.QueuedTokens, l.FreeTokens)
-	c.drainer.Incarnation(l.Engine, l.Incarnation)
+	c.incarnation(l.Engine, l.Incarnation)
 	if l.Leaving && c.drainer.Leaving(l.Engine, l.Incarnation) {
 		c.leaving(l.Engine, drainer.FromPeer)
 	}
 }
 
+// incarnation takes in an engine's incarnation; a new one may be used again.
+func (c *control) incarnation(engine string, incarnation uint64) {
+	before := c.drainer.Usable(engine)
+	c.drainer.Incarnation(engine, incarnation)
+	if c.drainer.Usable(engine) != before {
+		c.dirty = true
+	}
+}
+
 // leaving logs and passes on that an upstream began to leave.
 func (c *control) leaving(name string, source drainer.Source) {
 	c.server.logs.keep.Info("upstream_leaving", zap.String("name", name), zap.String("source", string(source)))
@@ -214,6 +231,20 @@
 	c.dirty = true
 }
 
+// offerList considers an instance list; data is nil where the platform had no
+// news. Age is how long ago the platform confirmed the list.
+func (c *control) offerList(now time.Time, data []byte, age time.Duration) {
+	if !c.lister.Offer(now, data, age) {
+		return
+	}
+	var list api.InstanceList
+	if err := json.Unmarshal(data, &list); err != nil {
+		c.server.logs.entry.Error("instances", zap.Error(err))
+		return
+	}
+	c.list(now, list)
+}
+
 // list takes over an instance list.
 func (c *control) list(now time.Time, list api.InstanceList) {
 	c.prober.List(now, list.Instances)
@@ -249,6 +280,7 @@
 		PeerAddress: c.server.settings.PeerAddress, Address: c.server.settings.Address,
 		DataCentre: c.server.settings.DataCentre, Stopping: c.stopping, Ready: c.adopter.Ready(),
 		Revision: v.Revision, Digest: v.Digest, Notices: c.prober.Notices(),
+		ListDigest: c.lister.Digest(), ListAge: c.lister.Age(now),
 	}
 	for _, k := range c.keepers {
 		if !k.Heard().IsZero() {
--- a/server/keep.go
+++ b/server/keep.go
@@ -99,14 +99,10 @@
 	if !ok {
 		return nil, nil
 	}
-	before := c.drainer.Usable(name)
-	c.drainer.Incarnation(name, load.Incarnation)
+	c.incarnation(name, load.Incarnation)
 	if load.Leaving && c.drainer.Leaving(name, load.Incarnation) {
 		c.leaving(name, drainer.FromUpstream)
 	}
-	if c.drainer.Usable(name) != before {
-		c.dirty = true
-	}
 	var orphans []keeper.Orphan
 	if holds == nil {
 		k.ReportLoad(now, load)
--- a/server/peers.go
+++ b/server/peers.go
@@ -149,8 +149,12 @@
 	return nil
 }
 
-// Fetch answers with the configuration document in force.
+// Fetch answers with the configuration document in force and the instance
+// list.
 func (e *Entry) Fetch(_ api.FetchArgs, reply *api.FetchReply) error {
+	e.server.do(func(c *control) {
+		reply.List, reply.ListAge = c.lister.Current(), c.lister.Age(time.Now())
+	})
 	if v := e.server.current.Load(); v.accepted != nil {
 		reply.Document = v.accepted.Raw
 	}
--- a/server/watch.go
+++ b/server/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -40,15 +39,10 @@
 // watchInstances keeps a watch on the list of instances.
 func (s *Server) watchInstances(ctx context.Context) {
 	s.watch(ctx, api.PathInstances, func(data []byte, err error) {
-		if err != nil || data == nil {
-			return
-		}
-		var list api.InstanceList
-		if err := json.Unmarshal(data, &list); err != nil {
-			s.logs.entry.Error("instances", zap.Error(err))
+		if err != nil {
 			return
 		}
-		s.do(func(c *control) { c.list(time.Now(), list) })
+		s.do(func(c *control) { c.offerList(time.Now(), data, 0) })
 	})
 }
 
