--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -31,6 +31,15 @@
 	instance []api.Instance
 	options  map[string]string
 	centres  int
+	jobs     map[string]*job
+}
+
+// job is a command in the background.
+type job struct {
+	out     *strings.Builder
+	done    chan error
+	started time.Time
+	command *exec.Cmd
 }
 
 type process struct {
@@ -46,22 +55,15 @@
 	runs                int
 }
 
-// nextPort hands out ports outside the range that the system draws from.
+// nextPort hands out ports outside the range that the system draws from. They
+// are not tried first: a listener closed here may live on for a moment in a
+// process that is just being started.
 var nextPort atomic.Uint32
 
-func freeAddress(ip netip.Addr) netip.AddrPort {
+func newAddress(ip netip.Addr) netip.AddrPort {
 	const low, span = 10_000, 20_000
-	for {
-		n := nextPort.Add(1)
-		port := uint16(low + (uint32(os.Getpid())*37+n)%span)
-		address := netip.AddrPortFrom(ip, port)
-		l, err := net.Listen("tcp", address.String())
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		return address
-	}
+	n := nextPort.Add(1)
+	return netip.AddrPortFrom(ip, uint16(low+(uint32(os.Getpid())*37+n)%span))
 }
 
 const organisationKey = "scenario-key"
@@ -140,7 +142,7 @@
 // add lays out one process. Its address tells it apart from all others.
 func (f *fleet) add(name string, kind, number int, command func(*process) []string) *process {
 	ip := netip.AddrFrom4([4]byte{127, 0, byte(kind), byte(number)})
-	p := &process{name: name, front: freeAddress(ip), back: freeAddress(ip)}
+	p := &process{name: name, front: newAddress(ip), back: newAddress(ip)}
 	if command != nil {
 		p.command = command(p)
 	}
@@ -158,7 +160,7 @@
 
 func (f *fleet) addEntry(name string, number int) {
 	p := f.add(name, 1, number, nil)
-	p.peerFront, p.peerBack = freeAddress(p.front.Addr()), freeAddress(p.front.Addr())
+	p.peerFront, p.peerBack = newAddress(p.front.Addr()), newAddress(p.front.Addr())
 	f.instance[len(f.instance)-1].PeerAddress = p.peerFront.String()
 	path := filepath.Join(f.dir, name+".yaml")
 	p.command = []string{"sapphireramp", "entry", "--settings", path}
@@ -253,8 +255,24 @@
 	return fmt.Errorf("%s does not listen", p.name)
 }
 
+// violations names the entries that ended because an invariant was broken.
+func (f *fleet) violations() string {
+	const exitViolated = 70
+	for _, name := range f.order {
+		p := f.processes[name]
+		if p.running != nil && p.running.ProcessState.ExitCode() == exitViolated {
+			data, _ := os.ReadFile(filepath.Join(f.dir, fmt.Sprintf("%s.%d.log", name, p.runs-1)))
+			return name + " broke an invariant: " + string(data[max(0, len(data)-2000):])
+		}
+	}
+	return ""
+}
+
 // stop ends everything that the fleet started, by process.
 func (f *fleet) stop() {
+	for _, j := range f.jobs {
+		_ = j.command.Process.Kill()
+	}
 	for _, p := range f.processes {
 		if p.running != nil && p.running.ProcessState == nil {
 			_ = p.running.Process.Kill()
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/sapphireramp/sapphireramp/api"
 )
 
 const fleetKey = "fleet"
@@ -45,9 +47,14 @@
 	testscript.Run(t, testscript.Params{
 		Dir: filepath.Join("..", "_fixtures", "scenarios"),
 		Setup: func(e *testscript.Env) error {
-			f := &fleet{dir: e.WorkDir, binaries: binaries, processes: map[string]*process{}, options: defaultOptions()}
+			f := &fleet{dir: e.WorkDir, binaries: binaries, processes: map[string]*process{}, options: defaultOptions(), jobs: map[string]*job{}}
 			e.Values[fleetKey] = f
-			e.Defer(f.stop)
+			e.Defer(func() {
+				f.stop()
+				if broken := f.violations(); broken != "" {
+					e.T().Fatal(broken)
+				}
+			})
 			e.Setenv("PATH", binaries+string(os.PathListSeparator)+e.Getenv("PATH"))
 			e.Setenv("KEY", organisationKey)
 			return nil
@@ -55,7 +62,8 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"fleet": cmdFleet, "signal": cmdSignal, "restart": cmdRestart, "exited": cmdExited, "cut": cmdCut, "mend": cmdMend,
 			"platform": cmdPlatform, "instance": cmdInstance, "publish": cmdPublish, "until": cmdUntil, "get": cmdGet, "post": cmdPost,
-			"pause": cmdPause,
+			"pause": cmdPause, "background": cmdBackground, "join": cmdJoin,
+			"victim": cmdVictim, "unplug": cmdUnplug, "plug": cmdPlug, "ticket": cmdTicket, "executions": cmdExecutions, "same-document": cmdSameDocument,
 		},
 	})
 }
@@ -248,3 +256,103 @@
 func cmdPause(ts *testscript.TestScript, _ bool, args []string) {
 	time.Sleep(duration(ts, args[0]))
 }
+
+// cmdBackground runs the product in the background: background NAME ARGS...
+func cmdBackground(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	c := exec.Command(filepath.Join(binaries, "sapphireramp"), args[1:]...)
+	out := &strings.Builder{}
+	c.Stdout, c.Stderr = out, out
+	ts.Check(c.Start())
+	done := make(chan error, 1)
+	go func() { done <- c.Wait() }()
+	f.jobs[args[0]] = &job{out: out, done: done, started: time.Now(), command: c}
+}
+
+// cmdJoin waits for a background command to end with success, or with ! in
+// failure, and prints what it printed: join DURATION NAME.
+func cmdJoin(ts *testscript.TestScript, neg bool, args []string) {
+	j := fleetOf(ts).jobs[args[1]]
+	select {
+	case err := <-j.done:
+		_, _ = fmt.Fprint(ts.Stdout(), j.out.String())
+		ts.Logf("%s took %s: %v", args[1], time.Since(j.started).Round(time.Millisecond), err)
+		if (err != nil) != neg {
+			ts.Fatalf("%s: %v: %s", args[1], err, j.out.String())
+		}
+	case <-time.After(duration(ts, args[0])):
+		ts.Fatalf("%s is not done after %s", args[1], args[0])
+	}
+}
+
+// cmdTicket sets TICKET from what a post to /v1/tickets printed.
+func cmdTicket(ts *testscript.TestScript, _ bool, args []string) {
+	text := ts.ReadFile(args[0])
+	found := regexp.MustCompile(`"Ticket":"([^"]+)"`).FindStringSubmatch(text)
+	if found == nil {
+		ts.Fatalf("no ticket in %s", text)
+	}
+	ts.Setenv("TICKET", found[1])
+}
+
+// cmdExecutions checks how many calls all services ran: executions N.
+func cmdExecutions(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	ran := 0
+	for i := 1; i <= f.number("services"); i++ {
+		var list []struct{ RequestID, Call, Body string }
+		ts.Check(getJSON("http://"+f.processes[fmt.Sprintf("service-%d", i)].back.String()+"/control/executions", &list))
+		ran += len(list)
+	}
+	if fmt.Sprint(ran) != args[0] {
+		ts.Fatalf("%d executions, want %s", ran, args[0])
+	}
+}
+
+// cmdSameDocument checks that entries have one document in force.
+func cmdSameDocument(ts *testscript.TestScript, _ bool, args []string) {
+	digests := map[string]bool{}
+	for _, name := range args {
+		var status api.Status
+		ts.Check(getJSON("http://"+processOf(ts, name).back.String()+api.PathStatus, &status))
+		digests[status.Digest] = true
+	}
+	if len(digests) != 1 {
+		ts.Fatalf("%d documents in force: %v", len(digests), digests)
+	}
+}
+
+// cmdVictim waits for an engine that holds memory and sets VICTIM to it.
+func cmdVictim(ts *testscript.TestScript, _ bool, _ []string) {
+	f := fleetOf(ts)
+	for range 100 {
+		for i := 1; i <= f.number("engines"); i++ {
+			name := fmt.Sprintf("engine-%d", i)
+			var ran struct{ UsedTokens int }
+			err := getJSON("http://"+f.processes[name].back.String()+"/control/ran", &ran)
+			if err == nil && ran.UsedTokens > 0 {
+				ts.Setenv("VICTIM", name)
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ts.Fatalf("no engine holds memory")
+}
+
+// cmdUnplug closes the addresses of processes; cmdPlug opens them again.
+func cmdUnplug(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		p := processOf(ts, name)
+		for _, r := range p.relays {
+			r.close()
+		}
+		p.relays = nil
+	}
+}
+
+func cmdPlug(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		ts.Check(processOf(ts, name).addRelays())
+	}
+}
