server: bound calls between entries whatever the peer takes

Cause: net/rpc writes while it holds a lock, so one peer that takes nothing blocked every call to it past its time limit. Found by the random runs, which stood still as virtual time can't pass while anyone waits for a lock. Ruled out: the call's own timer (it was armed after the write).

--- a/Makefile
+++ b/Makefile
@@ -13,3 +13,11 @@
 
 test:
 	go test ./...
+
+# A longer random run: make soak RUNS=500 SEED=7. It prints the seed, and the
+# same seed draws the same schedules again.
+RUNS ?= 200
+SEED ?= $(shell date +%s)
+soak:
+	@echo "seed $(SEED)"
+	go test ./server -run TestSoak -timeout 60m -rapid.seed=$(SEED) -rapid.checks=$(RUNS) -v | grep -v -e '=== RUN' -e '--- PASS: TestSoak/'
--- /dev/null
+++ b/server/fleet_test.go
@@ -0,0 +1,283 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/client"
+	"github.com/sapphireramp/sapphireramp/loader"
+	"github.com/sapphireramp/sapphireramp/logger"
+	"github.com/sapphireramp/sapphireramp/standin/engine"
+	"github.com/sapphireramp/sapphireramp/standin/platform"
+	"github.com/sapphireramp/sapphireramp/standin/service"
+	"github.com/sapphireramp/sapphireramp/validator"
+)
+
+const testKey = "test-key"
+
+// testFleet is a whole system in one process and in virtual time.
+type testFleet struct {
+	t        testing.TB
+	net      *testNet
+	platform *platform.Server
+	entries  []*testEntry
+	engines  []*testEngine
+	service  *service.Server
+	list     api.InstanceList
+	log      *bytes.Buffer
+	epoch    uint64
+}
+
+type testEntry struct {
+	name     string
+	host     netip.Addr
+	settings loader.Settings
+	server   *Server
+	stop     context.CancelFunc
+	// done is closed when the entry's Run has returned.
+	done chan struct{}
+	// dead says that the entry was killed and not started anew.
+	dead bool
+}
+
+type testEngine struct {
+	name   string
+	host   netip.Addr
+	server *engine.Server
+	stop   context.CancelFunc
+	web    *http.Server
+	dead   bool
+}
+
+func host(kind, number int) netip.Addr {
+	return netip.AddrFrom4([4]byte{10, 0, byte(kind), byte(number)})
+}
+
+var callerHost = host(0, 1)
+
+// withTestFleet runs f in virtual time on a fleet that is ready.
+func withTestFleet(t *testing.T, entries, engines int, f func(*testFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newTestFleet(t, entries, engines)
+		defer fleet.close()
+		time.Sleep(3 * time.Second)
+		f(fleet)
+	})
+}
+
+func newTestFleet(t testing.TB, entries, engines int) *testFleet {
+	f := &testFleet{t: t, net: newTestNet(), platform: platform.New(0), log: &bytes.Buffer{}}
+	f.serve(host(9, 1), f.platform.Handler())
+	f.service = &service.Server{Name: "dispatch", Delay: 50 * time.Millisecond}
+	f.serve(host(3, 1), f.service.Handler())
+	f.addInstance("service-1", api.KindService, host(3, 1))
+	for i := 1; i <= engines; i++ {
+		e := &testEngine{name: fmt.Sprintf("engine-%d", i), host: host(2, i)}
+		f.engines = append(f.engines, e)
+		f.addInstance(e.name, api.KindEngine, e.host)
+		f.startEngine(e)
+	}
+	for i := 1; i <= entries; i++ {
+		e := &testEntry{name: fmt.Sprintf("entry-%d", i), host: host(1, i)}
+		f.entries = append(f.entries, e)
+		f.addInstance(e.name, api.KindEntry, e.host)
+	}
+	f.platform.Publish([]byte(testDocument(1, engines, "")), false)
+	f.publishList()
+	for _, e := range f.entries {
+		f.startEntry(e)
+	}
+	return f
+}
+
+func testDocument(revision, engines int, comment string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, `# %s
+Revision: %d
+Models: [{Name: model, Versions: ["1"]}]
+Organisations: [{Name: team, KeyDigest: %s, Models: [model], Services: [dispatch], MaxInFlight: 500}]
+Services: [{Name: dispatch, Instances: [service-1], Calls: [{Name: lookup, Repeatable: true}, {Name: truck, Repeatable: false}]}]
+Limits: {MaxPromptTokens: 50000, MaxNewTokens: 1000, MaxTimeout: 5m, DefaultTimeout: 30s, MaxGroup: %d, MaxInFlight: 500}
+Policy: {ShortTokens: 4000, ShortWeight: 5}
+Engines:
+`, comment, revision, validator.Digest([]byte(testKey)), engines)
+	for i := 1; i <= engines; i++ {
+		fmt.Fprintf(&b, "  - {Name: engine-%d, Model: model, Version: \"1\", Role: Mixed, MemoryTokens: 20000, PrefillRate: 20000, ChecksFences: true, ChecksOrders: false}\n", i)
+	}
+	return b.String()
+}
+
+func (f *testFleet) addInstance(name, kind string, h netip.Addr) {
+	i := api.Instance{Name: name, Kind: kind, Address: netip.AddrPortFrom(h, 80).String(), DataCentre: "dc", State: api.InstanceLive}
+	if kind == api.KindEntry {
+		i.PeerAddress = netip.AddrPortFrom(h, 81).String()
+	}
+	f.list.Instances = append(f.list.Instances, i)
+}
+
+func (f *testFleet) publishList() {
+	data, err := json.Marshal(f.list)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.platform.Publish(data, true)
+}
+
+func (f *testFleet) serve(h netip.Addr, handler http.Handler) *http.Server {
+	l, _ := f.net.listen(netip.AddrPortFrom(h, 80))
+	web := &http.Server{Handler: handler}
+	go func() { _ = web.Serve(l) }()
+	return web
+}
+
+func (f *testFleet) startEngine(e *testEngine) {
+	f.epoch++
+	ctx, stop := context.WithCancel(context.Background())
+	e.server = engine.NewServer(engine.Config{
+		Name: e.name, Incarnation: f.epoch, Model: "model", Version: "1", Role: "Mixed", MemoryTokens: 20_000,
+		PrefillRate: 20_000, TokenTime: 20 * time.Millisecond, ChecksFences: true, ReportLag: 300 * time.Millisecond,
+	}, false)
+	e.stop, e.dead = stop, false
+	go e.server.Run(ctx)
+	e.web = f.serve(e.host, e.server.Handler())
+}
+
+func (f *testFleet) killEngine(e *testEngine) {
+	e.dead = true
+	e.stop()
+	f.net.kill(e.host)
+	_ = e.web.Close()
+}
+
+func (f *testFleet) startEntry(e *testEntry) {
+	f.epoch++
+	s := loader.Defaults()
+	s.Name, s.DataCentre = e.name, "dc"
+	s.Address, s.PeerAddress = netip.AddrPortFrom(e.host, 80), netip.AddrPortFrom(e.host, 81)
+	s.Listen, s.PeerListen = s.Address, s.PeerAddress
+	s.Platform = netip.AddrPortFrom(host(9, 1), 80)
+	s.Timing.Silence = 2 * time.Second
+	s.Callers.AddressLife, s.Callers.DrainSlack = time.Second, 0
+	for _, o := range f.entries {
+		if o != e {
+			s.Peers = append(s.Peers, netip.AddrPortFrom(o.host, 81))
+		}
+	}
+	logs, err := logger.New(logger.Config{Level: "error", Output: io.Discard})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	e.settings = s
+	e.server, err = New(Config{
+		Settings: s, Incarnation: f.epoch, Logs: logs, Scope: tally.NoopScope, Metrics: http.NotFoundHandler(),
+		Dial: f.net.dialer(e.host), Listen: f.net.listen,
+		Violated: func(name, detail string) { f.t.Errorf("invariant %s: %s", name, detail) },
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	e.stop, e.done, e.dead = stop, done, false
+	go func(s *Server) {
+		defer close(done)
+		_ = s.Run(ctx)
+	}(e.server)
+}
+
+// killEntry cuts an entry off for good; what it was doing ends unheard.
+func (f *testFleet) killEntry(e *testEntry) {
+	e.dead = true
+	f.net.kill(e.host)
+	for _, o := range f.hosts() {
+		f.net.cut(e.host, o)
+	}
+	e.stop()
+	<-e.done
+	for _, o := range f.hosts() {
+		f.net.mend(e.host, o)
+	}
+}
+
+func (f *testFleet) hosts() []netip.Addr {
+	out := []netip.Addr{callerHost, host(9, 1), host(3, 1)}
+	for _, e := range f.entries {
+		out = append(out, e.host)
+	}
+	for _, e := range f.engines {
+		out = append(out, e.host)
+	}
+	return out
+}
+
+// client returns a caller of the fleet.
+func (f *testFleet) client(tries int) *client.Client {
+	c := client.Config{Key: testKey, Tries: tries, HTTP: f.web()}
+	for _, e := range f.entries {
+		c.Seeds = append(c.Seeds, e.settings.Address)
+	}
+	return client.New(c)
+}
+
+func (f *testFleet) web() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: f.net.dialer(callerHost), DisableKeepAlives: true}}
+}
+
+// ran is what an engine says it did.
+type ran struct {
+	Requests         map[string]int
+	LateAfterLeaving int
+	UsedTokens       int
+}
+
+func (f *testFleet) ran(e *testEngine) ran {
+	var out ran
+	w := &memoryWriter{header: http.Header{}}
+	r, _ := http.NewRequest(http.MethodGet, "/control/ran", nil)
+	e.server.Handler().ServeHTTP(w, r)
+	if err := json.Unmarshal(w.body.Bytes(), &out); err != nil {
+		f.t.Fatal(err)
+	}
+	return out
+}
+
+type memoryWriter struct {
+	header http.Header
+	body   bytes.Buffer
+}
+
+func (w *memoryWriter) Header() http.Header         { return w.header }
+func (w *memoryWriter) Write(p []byte) (int, error) { return w.body.Write(p) }
+func (w *memoryWriter) WriteHeader(int)             {}
+
+// close stops everything, so that the bubble can end.
+func (f *testFleet) close() {
+	for _, e := range f.entries {
+		e.stop()
+	}
+	for _, e := range f.entries {
+		<-e.done
+		f.net.kill(e.host)
+	}
+	for _, e := range f.engines {
+		e.stop()
+		_ = e.web.Close()
+		f.net.kill(e.host)
+	}
+	f.net.kill(host(9, 1))
+	f.net.kill(host(3, 1))
+	f.net.kill(callerHost)
+}
--- a/server/peers.go
+++ b/server/peers.go
@@ -34,14 +34,14 @@
 
 // peers holds a connection to each entry that was called.
 type peers struct {
-	dialer  *net.Dialer
+	dial    dialFunc
 	lock    sync.Mutex
 	clients map[netip.AddrPort]*rpc.Client
 	closed  bool
 }
 
-func newPeers(dialer *net.Dialer) *peers {
-	return &peers{dialer: dialer, clients: map[netip.AddrPort]*rpc.Client{}}
+func newPeers(dial dialFunc) *peers {
+	return &peers{dial: dial, clients: map[netip.AddrPort]*rpc.Client{}}
 }
 
 // call makes a call bounded in time. A connection that failed or was silent
@@ -77,13 +77,13 @@
 	if ok {
 		return client, nil
 	}
-	dialer := *p.dialer
-	dialer.Timeout = timeout
-	connection, err := dialer.Dial("tcp", address.String())
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	connection, err := p.dial(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, err
 	}
-	client = rpc.NewClient(connection)
+	client = rpc.NewClient(newQueuedConn(connection))
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	if other, raced := p.clients[address]; raced || p.closed {
@@ -138,7 +138,7 @@
 			continue
 		}
 		context.AfterFunc(ctx, func() { _ = connection.Close() })
-		go calls.ServeConn(connection)
+		go calls.ServeConn(newQueuedConn(connection))
 	}
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -24,7 +24,7 @@
 	"github.com/sapphireramp/sapphireramp/logger"
 )
 
-// Config of an entry. Every field is needed.
+// Config of an entry. Every field is needed but for Dial and Listen.
 type Config struct {
 	Settings loader.Settings
 	// Incarnation is greater than that of any earlier run under this name.
@@ -32,6 +32,9 @@
 	Logs        *logger.Logs
 	Scope       tally.Scope
 	Metrics     http.Handler
+	// Dial and Listen stand in for the network; nil means TCP.
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	Listen func(address netip.AddrPort) (net.Listener, error)
 	// Violated is called when an invariant is broken; tests make it fatal.
 	Violated func(name, detail string)
 }
@@ -92,7 +95,14 @@
 
 // New returns an entry that listens but does not serve yet.
 func New(c Config) (*Server, error) {
-	dial := newDialer(c.Settings.Listen.Addr())
+	dial := c.Dial
+	if dial == nil {
+		dial = newDialer(c.Settings.Listen.Addr()).DialContext
+	}
+	listen := c.Listen
+	if listen == nil {
+		listen = listenTCP
+	}
 	s := &Server{
 		config:   c,
 		settings: c.Settings,
@@ -123,7 +133,7 @@
 	return s, nil
 }
 
-func listen(address netip.AddrPort) (net.Listener, error) {
+func listenTCP(address netip.AddrPort) (net.Listener, error) {
 	return net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 }
 
@@ -153,9 +163,11 @@
 	return d
 }
 
-func newTransport(d *net.Dialer, single bool) *http.Transport {
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func newTransport(dial dialFunc, single bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         d.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
--- /dev/null
+++ b/server/soak_test.go
@@ -0,0 +1,294 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/client"
+	"github.com/sapphireramp/sapphireramp/standin/engine"
+	"github.com/sapphireramp/sapphireramp/standin/platform"
+)
+
+// TestMain fixes what rapid draws, so that every run gives one verdict, unless
+// the command line says otherwise.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "15", "rapid.nofailfile": "true"} {
+		if !given[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var soakSeconds = flag.Int("soak.seconds", 20, "virtual seconds of failures in each random run")
+
+// soak is one random run: callers ask while a drawn schedule of failures goes
+// on, and the promises are checked on every answer and at rest.
+type soak struct {
+	*testFleet
+	lock sync.Mutex
+	sent int
+	// ending is held while processes are ended or started. A channel, since
+	// virtual time stands still while anyone waits for a mutex.
+	ending chan struct{}
+	tally  map[api.Outcome]int
+	once   []string
+	wait   sync.WaitGroup
+}
+
+// callerSlack is how long after its limit a caller may learn the outcome.
+const callerSlack = deadlineSlack
+
+func (s *soak) ask(n int) {
+	defer s.wait.Done()
+	r := api.CompletionRequest{
+		Model: "model", Stream: n%3 != 0, MaxTokens: 5 + n%40,
+		Prompt: strings.Repeat(fmt.Sprintf("%07d ", n), 100+(n%7)*500+(n%11/10)*14_000),
+	}
+	limit := time.Duration(2+n%8) * time.Second
+	start := time.Now()
+	result, err := s.client(2).Complete(context.Background(), r, client.Options{Timeout: limit}, nil)
+	if took := time.Since(start); took > limit+callerSlack {
+		s.t.Errorf("request %d took %s with a limit of %s", n, took, limit)
+	}
+	if err == nil {
+		s.checkWhole(n, r, result)
+	}
+	s.count(err)
+}
+
+// checkWhole checks that an answer is the request's own, each token once.
+func (s *soak) checkWhole(n int, r api.CompletionRequest, result client.Result) {
+	var want strings.Builder
+	tag := engine.Tag(r)
+	for i := range r.MaxTokens {
+		want.WriteString(engine.Token(tag, i))
+	}
+	if result.Text != want.String() {
+		s.t.Errorf("request %d: got %q", n, result.Text)
+	}
+}
+
+func (s *soak) count(err error) {
+	outcome := api.Answered
+	var refused *client.OutcomeError
+	switch {
+	case errors.As(err, &refused):
+		outcome = refused.Detail.Outcome
+	case err != nil:
+		outcome = api.Unknown
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.tally[outcome]++
+	s.sent++
+}
+
+// truck sends a call that may run at most once, again and again.
+func (s *soak) truck(n int) {
+	defer s.wait.Done()
+	body := fmt.Sprintf(`{"truck":%d}`, n)
+	c := s.client(4)
+	result, err := c.Call(context.Background(), "dispatch", "truck", []byte(body), client.Options{Timeout: 5 * time.Second, Once: true})
+	if err != nil && result.Ticket != "" {
+		_, err = s.client(3).Call(context.Background(), "dispatch", "truck", []byte(body), client.Options{Timeout: 5 * time.Second, Ticket: result.Ticket})
+	}
+	s.count(err)
+	var refused *client.OutcomeError
+	notRun := errors.As(err, &refused) && refused.Detail.Outcome == api.NotRun
+	time.Sleep(10 * time.Second)
+	ran := 0
+	for _, e := range s.service.Executions() {
+		if e.Body == body {
+			ran++
+		}
+	}
+	if ran > 1 {
+		s.t.Errorf("truck %d ran %d times", n, ran)
+	}
+	if err == nil && ran != 1 {
+		s.t.Errorf("truck %d was answered and ran %d times", n, ran)
+	}
+	if notRun && ran != 0 {
+		s.t.Errorf("truck %d was said not to have run, and ran", n)
+	}
+}
+
+// fault is one drawn failure.
+type fault struct {
+	After  time.Duration
+	Kind   int
+	A, B   int
+	Length time.Duration
+}
+
+func drawFaults(t *rapid.T, seconds int) []fault {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
+		return fault{
+			After:  time.Duration(rapid.IntRange(0, seconds*1000).Draw(t, "after")) * time.Millisecond,
+			Kind:   rapid.IntRange(0, 10).Draw(t, "kind"),
+			A:      rapid.IntRange(0, 100).Draw(t, "a"),
+			B:      rapid.IntRange(0, 100).Draw(t, "b"),
+			Length: time.Duration(rapid.IntRange(100, 8000).Draw(t, "length")) * time.Millisecond,
+		}
+	}), 1, 8).Draw(t, "faults")
+}
+
+func (s *soak) inject(f fault) {
+	defer s.wait.Done()
+	time.Sleep(f.After)
+	entry := s.entries[f.A%len(s.entries)]
+	victim := s.engines[f.B%len(s.engines)]
+	switch f.Kind {
+	case 0:
+		s.guard(func() bool { return s.liveEntries() > 1 && !entry.dead }, func() { s.killEntry(entry) }, f.Length, func() { s.startEntry(entry) })
+	case 1:
+		s.guard(func() bool { return !victim.dead }, func() { s.killEngine(victim) }, f.Length, func() { s.startEngine(victim) })
+	case 2:
+		s.cutFor(entry.host, victim.host, f.Length)
+	case 3:
+		s.cutFor(entry.host, s.entries[f.B%len(s.entries)].host, f.Length)
+	case 4:
+		s.cutFor(entry.host, host(9, 1), f.Length)
+	case 5:
+		s.cutFor(callerHost, entry.host, f.Length)
+	case 6:
+		s.cutFor(entry.host, host(3, 1), f.Length)
+	case 7, 8, 9:
+		s.platform.SetMode([]string{platform.Down, platform.Stale, platform.Back}[f.Kind-7])
+		time.Sleep(f.Length)
+		s.platform.SetMode(platform.Up)
+	case 10:
+		s.guard(func() bool { return !victim.dead }, func() { s.leaveEngine(victim) }, f.Length, func() { s.startEngine(victim) })
+	}
+}
+
+// leaveEngine has an engine leave while callers go on, and then end.
+func (s *soak) leaveEngine(e *testEngine) {
+	e.server.Drain(context.Background())
+	time.Sleep(5 * time.Second)
+	if n := s.ran(e).LateAfterLeaving; n != 0 {
+		s.t.Errorf("%s was given %d streams late after it began to leave", e.name, n)
+	}
+	s.killEngine(e)
+}
+
+func (s *soak) liveEntries() int {
+	n := 0
+	for _, e := range s.entries {
+		if !e.dead {
+			n++
+		}
+	}
+	return n
+}
+
+// guard ends something if that is allowed now, and starts it again later.
+func (s *soak) guard(allowed func() bool, end func(), length time.Duration, start func()) {
+	s.ending <- struct{}{}
+	ok := allowed()
+	if ok {
+		end()
+	}
+	<-s.ending
+	if !ok {
+		return
+	}
+	time.Sleep(length)
+	s.ending <- struct{}{}
+	start()
+	<-s.ending
+}
+
+func (s *soak) cutFor(a, b netip.Addr, length time.Duration) {
+	if a == b {
+		return
+	}
+	s.net.cut(a, b)
+	time.Sleep(length)
+	s.net.mend(a, b)
+}
+
+// atRest checks what holds once failures and callers are gone.
+func (s *soak) atRest() {
+	lease := s.entries[0].settings.Timing.Lease
+	time.Sleep(3*lease + 5*time.Second)
+	for _, e := range s.engines {
+		if used := s.ran(e).UsedTokens; used != 0 {
+			s.t.Errorf("%s still holds %d tokens", e.name, used)
+		}
+	}
+	revisions := map[string]bool{}
+	for _, e := range s.entries {
+		if n := e.server.inFlight(); n != 0 {
+			s.t.Errorf("%s still has %d requests in flight", e.name, n)
+		}
+		revisions[e.server.current.Load().accepted.Version.Digest] = true
+	}
+	if len(revisions) != 1 {
+		s.t.Errorf("%d documents in force", len(revisions))
+	}
+}
+
+func (s *soak) run(faults []fault, seconds int) {
+	for _, f := range faults {
+		s.wait.Add(1)
+		go s.inject(f)
+	}
+	for n := range seconds * 5 {
+		s.wait.Add(1)
+		go s.ask(n)
+		if n%10 == 0 {
+			s.wait.Add(1)
+			go s.truck(n)
+		}
+		if n == seconds {
+			s.platform.Publish([]byte(testDocument(2, len(s.engines), "one")), false)
+		}
+		if n == seconds+1 {
+			s.platform.Publish([]byte(testDocument(2, len(s.engines), "two")), false)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	s.wait.Wait()
+	s.atRest()
+}
+
+// TestSoak runs random schedules of failures in virtual time. It draws the
+// same schedules every time, unless -rapid.seed or -rapid.checks say more.
+func TestSoak(t *testing.T) {
+	total := map[api.Outcome]int{}
+	runs := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := drawFaults(rt, *soakSeconds)
+		s := &soak{tally: map[api.Outcome]int{}}
+		runs++
+		ok := t.Run(fmt.Sprintf("run%d", runs), func(t *testing.T) {
+			withTestFleet(t, 3, 3, func(f *testFleet) {
+				s.testFleet, s.ending = f, make(chan struct{}, 1)
+				s.run(faults, *soakSeconds)
+			})
+		})
+		for o, n := range s.tally {
+			total[o] += n
+		}
+		if !ok {
+			rt.Fatalf("promises broken under %+v", faults)
+		}
+	})
+	t.Logf("runs %d, answered %d, not run %d, unknown %d", runs, total[api.Answered], total[api.NotRun], total[api.Unknown])
+}
--- a/standin/engine/batcher.go
+++ b/standin/engine/batcher.go
@@ -46,6 +46,10 @@
 // eventBuffer is how many chunks wait for a slow reader before decoding does.
 const eventBuffer = 256
 
+// leavingGrace is the time within which new work may still reach an engine
+// that has begun to leave.
+const leavingGrace = 3 * time.Second
+
 // stream is one attempt on the engine.
 type stream struct {
 	id        string
@@ -87,11 +91,13 @@
 	pending *api.EngineOrder
 	cache   []string
 	events  []api.EngineCacheEvent
-	// Ran counts the streams started, by request.
+	// ran counts the streams started, by request.
 	ran map[string]int
-	// afterLeaving counts streams started after the engine was leaving.
-	afterLeaving int
-	leavingAt    time.Time
+	// afterLeaving counts streams started after the engine was leaving, and
+	// lateAfterLeaving those more than leavingGrace after.
+	afterLeaving     int
+	lateAfterLeaving int
+	leavingAt        time.Time
 }
 
 type report struct {
@@ -220,6 +226,9 @@
 	if b.load.Leaving {
 		b.afterLeaving++
 	}
+	if b.load.Leaving && now.Sub(b.leavingAt) > leavingGrace {
+		b.lateAfterLeaving++
+	}
 	return s, nil
 }
 
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -301,16 +301,18 @@
 // ran tells tests what the engine did.
 func (s *Server) ran(w http.ResponseWriter, _ *http.Request) {
 	var out struct {
-		Requests     map[string]int
-		AfterLeaving int
-		UsedTokens   int
+		Requests         map[string]int
+		AfterLeaving     int
+		LateAfterLeaving int
+		UsedTokens       int
 	}
 	s.with(func(b *Batcher) {
 		out.Requests = map[string]int{}
 		for id, n := range b.ran {
 			out.Requests[id] = n
 		}
-		out.AfterLeaving, out.UsedTokens = b.afterLeaving, b.Used()
+		out.AfterLeaving, out.LateAfterLeaving = b.afterLeaving, b.lateAfterLeaving
+		out.UsedTokens = b.Used()
 	})
 	reply(w, out)
 }
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -55,6 +55,13 @@
 	}{e.RequestID, e.Call})
 }
 
+// Executions lists what was run.
+func (s *Server) Executions() []Execution {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return append([]Execution(nil), s.executions...)
+}
+
 func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
