--- /dev/null
+++ b/_scripts/red.sh
@@ -0,0 +1,60 @@
+#!/usr/bin/env bash
+# Shows that each proof fails without the mechanism it proves: takes one
+# mechanism at a time out of a scratch copy and expects the named test to fail.
+# Usage: _scripts/red.sh [NAME...]
+set -uo pipefail
+cd "$(dirname "$0")/.."
+root=$PWD
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+wrong=0
+
+# red NAME "FILE..." PERL-EXPRESSION PACKAGE TEST
+red() {
+  local name=$1 files=$2 edit=$3 package=$4 test=$5 file
+  if [ "${#only[@]}" -gt 0 ] && [[ ! " ${only[*]} " == *" $name "* ]]; then return; fi
+  rm -rf "$scratch/copy"
+  mkdir "$scratch/copy"
+  git -C "$root" ls-files -z | (cd "$root" && xargs -0 cp --parents -t "$scratch/copy")
+  for file in $files; do
+    perl -0pi -e "$edit" "$scratch/copy/$file"
+    if cmp -s "$file" "$scratch/copy/$file"; then
+      echo "STALE $name: the edit changes nothing in $file"
+      wrong=1
+      return
+    fi
+  done
+  local out
+  if out=$(cd "$scratch/copy" && go test "$package" -timeout 120s -run "$test" 2>&1); then
+    echo "GREEN $name: $test passes without the mechanism"
+    wrong=1
+  elif grep -qE '^# github.com|build failed' <<<"$out"; then
+    echo "BROKEN $name: the copy does not build"
+    wrong=1
+  else
+    echo "red   $name: $(grep -m1 -oE -e 'FAIL: .*txtar.*' -e 'soak_test.go.*' -e 'no match for .*' -e 'panic: .*' -e 'unexpected command .*' -e '_test.go:[0-9]*: .*' <<<"$out" | cut -c1-160)"
+  fi
+}
+only=("$@")
+
+s=./scenario
+red deadline server/filters.go 's/context\.WithDeadline\(ctx, x\.deadline\)/context.WithDeadline(ctx, x.deadline.Add(time.Hour))/' $s TestScenarios/finish-slow-engine
+red silence server/stream.go 's/cancel\(errSilent\)/_ = errSilent/g' $s TestScenarios/memory-cut-engine
+red orphans server/keep.go 's/s\.freeOrphan\(k, o\)/_ = o/' $s TestScenarios/memory-killed-entry
+red renewal server/renew.go 's/go s\.renewHolds\(engine, ids\)/_, _ = engine, ids/' $s TestScenarios/memory-renewed
+red foreign relayer/relayer.go 's/if c\.ID != r\.requestID/if false/; s/if c\.AttemptID != r\.attemptID \|\| r\.whole/if r.whole/' $s TestScenarios/answer-crossed
+red resume server/complete.go 's/return x\.repeatable \|\| x\.pending == 0/return false/' $s TestScenarios/answer-killed-engine
+red honest server/call.go 's/if !\*connected/if true || !*connected/' $s TestScenarios/notrun-refused
+red spent spender/spender.go 's/if !s\.isSpent\(t\.number\)/if true/' $s TestScenarios/once-resend
+red forward server/once.go 's/return s\.forward\(x\)/return s.runOnce(x, next)/' $s TestScenarios/once-resend
+red incarnation server/once.go 's/ticket\.Owner != s\.settings\.Name \|\| ticket\.Incarnation != s\.config\.Incarnation/false/' $s TestScenarios/once-killed-entry
+red leaving "server/keep.go server/control.go server/peers.go keeper/keeper.go" 's/\b(k\.load|load|l)\.Leaving\b/false/g' $s TestScenarios/leaving-engine
+red leaving-list drainer/drainer.go 's/u\.listLeaving = state\[name\] != api\.InstanceLive/u.listLeaving = false/' $s TestScenarios/leaving-list
+red drain server/server.go 's/for s\.inFlight\(\) > 0/for false/; s/web\.Shutdown\(context\.Background\(\)\)/web.Close()/' $s TestScenarios/stop-entry
+red newcomers server/filters.go 's/if x\.view\.stopping && !own/if x.view.stopping \&\& !own \&\& false/' $s TestScenarios/stop-entry
+red spread server/beat.go 's/go s\.fetch\(beat\.PeerAddress, beat\.From\)/_ = wanted/' $s TestScenarios/config-spread
+red order adopter/adopter.go 's/case old\.Less\(offered\.Version\):/case old != offered.Version:/' $s TestScenarios/config-spread
+red tie validator/document.go 's/return v\.Digest < o\.Digest/return false/' $s TestScenarios/config-operators
+red list server/control.go 's/if !c\.lister\.Offer\(now, data, age\)/if age > 0 || !c.lister.Offer(now, data, age)/' $s TestScenarios/platform-down
+red fence planner/planner.go 's/next := seen>>keeperBits \+ 1/next := uint64(1)/' $s TestScenarios/orders-version
+exit $wrong
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -63,7 +63,7 @@
 			"fleet": cmdFleet, "signal": cmdSignal, "restart": cmdRestart, "exited": cmdExited, "cut": cmdCut, "mend": cmdMend,
 			"platform": cmdPlatform, "instance": cmdInstance, "publish": cmdPublish, "until": cmdUntil, "get": cmdGet, "post": cmdPost,
 			"pause": cmdPause, "background": cmdBackground, "join": cmdJoin,
-			"victim": cmdVictim, "unplug": cmdUnplug, "plug": cmdPlug, "ticket": cmdTicket, "executions": cmdExecutions, "same-document": cmdSameDocument,
+			"victim": cmdVictim, "unplug": cmdUnplug, "plug": cmdPlug, "ticket": cmdTicket, "executions": cmdExecutions, "same-document": cmdSameDocument, "superseded": cmdSuperseded,
 		},
 	})
 }
@@ -356,3 +356,20 @@
 		ts.Check(processOf(ts, name).addRelays())
 	}
 }
+
+// cmdSuperseded waits until some entry tells of a document that lost a tie:
+// superseded DURATION NAME...
+func cmdSuperseded(ts *testscript.TestScript, _ bool, args []string) {
+	deadline := time.Now().Add(duration(ts, args[0]))
+	for time.Now().Before(deadline) {
+		for _, name := range args[1:] {
+			var status api.Status
+			ts.Check(getJSON("http://"+processOf(ts, name).back.String()+api.PathStatus, &status))
+			if len(status.Superseded) > 0 {
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ts.Fatalf("no entry tells of a superseded document")
+}
