--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,8 @@
 soak:
 	@echo "seed $(SEED)"
 	go test ./server -run TestSoak -timeout 60m -rapid.seed=$(SEED) -rapid.checks=$(RUNS) -v | grep -v -e '=== RUN' -e '--- PASS: TestSoak/'
+
+# The slopes that docs/CAPACITY.md is worked out from. Takes some minutes.
+slopes:
+	go test ./router ./validator ./server -run XXX -bench . -benchtime 500ms | grep -E '^(Benchmark|FAIL)'
+	go test ./scenario -run XXX -bench . -benchtime 1x -timeout 20m | grep -E '^(Benchmark|FAIL)'
--- a/adopter/adopter.go
+++ b/adopter/adopter.go
@@ -5,6 +5,7 @@
 package adopter
 
 import (
+	"strings"
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/validator"
@@ -97,34 +98,48 @@
 	return append([]string(nil), a.superseded...)
 }
 
-// Wants reports whether a peer's version is worth fetching.
+// Wants reports whether a peer's version, whose digest may be shortened, is
+// worth fetching.
 func (a *Adopter) Wants(v validator.Version) bool {
-	if _, bad := a.refused[v.Digest]; bad {
-		return false
+	for digest := range a.refused {
+		if v.Digest != "" && strings.HasPrefix(digest, v.Digest) {
+			return false
+		}
 	}
-	return a.Version().Less(v)
+	own := a.Version()
+	own.Digest = own.Digest[:min(len(own.Digest), len(v.Digest))]
+	return own.Less(v)
 }
 
 // Offer considers a document's bytes.
 func (a *Adopter) Offer(now time.Time, data []byte) Result {
 	digest := validator.Digest(data)
+	if result, seen := a.Seen(digest); seen {
+		return result
+	}
+	offered, err := validator.Parse(data)
+	return a.Parsed(now, digest, offered, err)
+}
+
+// Seen answers for a document that is in force or was refused before, so that
+// it need not be parsed again.
+func (a *Adopter) Seen(digest string) (Result, bool) {
 	if a.current != nil && digest == a.current.Version.Digest {
-		return Result{Verdict: Same, Version: a.current.Version, AdoptedAt: a.adoptedAt}
+		return Result{Verdict: Same, Version: a.current.Version, AdoptedAt: a.adoptedAt}, true
 	}
 	if err, bad := a.refused[digest]; bad {
-		return Result{Verdict: Refused, Version: validator.Version{Digest: digest}, Err: err}
+		return Result{Verdict: Refused, Version: validator.Version{Digest: digest}, Err: err}, true
 	}
-	offered, err := validator.Parse(data)
+	return Result{}, false
+}
+
+// Parsed considers a document that was parsed already, away from the goroutine
+// that owns the adopter; err is why it is not valid, or nil.
+func (a *Adopter) Parsed(now time.Time, digest string, offered *validator.Accepted, err error) Result {
 	if err != nil {
 		a.refuse(digest, err)
 		return Result{Verdict: Refused, Version: validator.Version{Digest: digest}, Err: err}
 	}
-	return a.OfferAccepted(now, offered)
-}
-
-// OfferAccepted considers a document that was parsed already, away from the
-// goroutine that owns the adopter.
-func (a *Adopter) OfferAccepted(now time.Time, offered *validator.Accepted) Result {
 	old := a.Version()
 	tied := a.current != nil && old.Revision == offered.Version.Revision && old.Digest != offered.Version.Digest
 	result := Result{Version: offered.Version, AdoptedAt: a.adoptedAt}
--- a/api/entry.go
+++ b/api/entry.go
@@ -108,10 +108,12 @@
 	DataCentre  string
 	Stopping    bool
 	Ready       bool
-	Revision    uint64
-	Digest      string
-	Notices     []Notice
-	// ListDigest names the sender's instance list, and ListAge is how long
+	// Revision and Digest name the document in force; the digest is
+	// shortened.
+	Revision uint64
+	Digest   string
+	Notices  []Notice
+	// ListDigest names the sender's instance list, shortened, and ListAge is how long
 	// ago the platform last confirmed it; negative when it never did.
 	ListDigest string
 	ListAge    time.Duration
@@ -133,10 +135,8 @@
 
 // AskArgs asks the keeper of an engine for a grant.
 type AskArgs struct {
-	From        string
-	Incarnation uint64
-	Engine      string
-	Model       string
+	Engine string
+	Model  string
 	// AttemptID is the id the grant is for; the engine lists its hold under
 	// the same id.
 	AttemptID     string
@@ -155,8 +155,8 @@
 	Reason  string
 	// Wait is how long the prompt would queue before its prefill starts.
 	Wait time.Duration
-	// Loads are the keeper's reckoning of the engine asked for.
-	Loads []LoadDigest
+	// Load is the keeper's reckoning of the engine asked for.
+	Load LoadDigest
 }
 
 // LoadDigest is the load of one engine as its keeper reckons it.
--- a/cmd/sapphireramp/load.go
+++ b/cmd/sapphireramp/load.go
@@ -37,6 +37,9 @@
 	{"128k-1M", 128_000, 1_000_000, 2},
 }
 
+// bounds of the prompts sent, in tokens.
+type bounds struct{ shortest, longest int }
+
 // classTally is what was measured of one class.
 type classTally struct {
 	firstToken *hdrhistogram.Histogram
@@ -57,12 +60,13 @@
 	flags := newCommand("load", "drive a running system and print a table")
 	t := newTarget()
 	t.attach(flags)
-	rate, duration, seed, longest := 10.0, 10*time.Second, uint64(1), 1_000_000
+	rate, duration, seed, lengths := 10.0, 10*time.Second, uint64(1), bounds{shortest: 1000, longest: 1_000_000}
 	r := api.CompletionRequest{Stream: true, MaxTokens: 16}
 	flags.Float64(&rate, "r", "rate", "requests a second")
 	flags.Duration(&duration, "d", "duration", "how long to send")
 	flags.UInt64(&seed, "", "seed", "seed of lengths and times")
-	flags.Int(&longest, "", "longest", "longest prompt in tokens")
+	flags.Int(&lengths.shortest, "", "shortest", "shortest prompt in tokens")
+	flags.Int(&lengths.longest, "", "longest", "longest prompt in tokens")
 	flags.String(&r.Model, "m", "model", "model to ask")
 	flags.Int(&r.MaxTokens, "n", "max-tokens", "tokens of each answer")
 	return command{flags: flags, run: func(ctx context.Context) error {
@@ -76,8 +80,11 @@
 		if duration <= 0 || duration > time.Hour {
 			return fmt.Errorf("--duration: %s: must be over 0 and at most 1h", duration)
 		}
+		if lengths.shortest < 1 || lengths.longest < lengths.shortest || lengths.longest > 100_000_000 {
+			return fmt.Errorf("--shortest, --longest: %d, %d: must be from 1 to 100000000, the shortest first", lengths.shortest, lengths.longest)
+		}
 		l := newLoad(c, r, t.timeout)
-		l.run(ctx, rand.New(rand.NewPCG(seed, seed)), rate, duration, longest)
+		l.run(ctx, rand.New(rand.NewPCG(seed, seed)), rate, duration, lengths)
 		l.print()
 		return nil
 	}}
@@ -103,12 +110,12 @@
 
 // run sends requests at random times of the given mean rate, and waits for
 // all answers.
-func (l *load) run(ctx context.Context, random *rand.Rand, rate float64, duration time.Duration, longest int) {
+func (l *load) run(ctx context.Context, random *rand.Rand, rate float64, duration time.Duration, lengths bounds) {
 	var sent sync.WaitGroup
 	start := time.Now()
 	shown := start
 	for n := 1; time.Since(start) < duration && ctx.Err() == nil; n++ {
-		class, tokens := drawLength(random, longest)
+		class, tokens := drawLength(random, lengths)
 		sent.Add(1)
 		go func() {
 			defer sent.Done()
@@ -123,11 +130,11 @@
 	sent.Wait()
 }
 
-func drawLength(random *rand.Rand, longest int) (class, tokens int) {
+func drawLength(random *rand.Rand, lengths bounds) (class, tokens int) {
 	draw := random.IntN(100)
 	for i, c := range lengthClasses {
 		if draw < c.share || i == len(lengthClasses)-1 {
-			return i, min(longest, c.low+random.IntN(c.high-c.low))
+			return i, min(lengths.longest, max(lengths.shortest, c.low+random.IntN(c.high-c.low)))
 		}
 		draw -= c.share
 	}
--- /dev/null
+++ b/router/bench_test.go
@@ -0,0 +1,38 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func benchBoard(engines int) *Board {
+	var list []*Engine
+	for i := range engines {
+		list = append(list, &Engine{
+			Name: fmt.Sprintf("engine-%d", i), Model: fmt.Sprintf("model-%d", i%4), Version: "1",
+			MemoryTokens: 400_000, PrefillRate: 20_000, Load: &Load{},
+		})
+	}
+	return NewBoard(list)
+}
+
+// BenchmarkChoose is the cost of routing one request; goroutines choose at
+// once, as traffic does.
+func BenchmarkChoose(b *testing.B) {
+	for _, engines := range []int{14, 150, 600, 1200} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			board := benchBoard(engines)
+			now := time.Now()
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				random := rand.New(rand.NewPCG(1, 2))
+				w := Wish{Model: "model-1", PrefillTokens: 1000, MemoryTokens: 1100}
+				for pb.Next() {
+					board.Choose(now, Predicted, w, 3, random)
+				}
+			})
+		})
+	}
+}
--- a/scenario/relay_test.go
+++ b/scenario/relay_test.go
@@ -118,6 +118,7 @@
 			time.Sleep(5 * time.Millisecond)
 		}
 		if n > 0 {
+			countBytes(source, n)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
--- a/server/beat.go
+++ b/server/beat.go
@@ -102,15 +102,12 @@
 		s.logs.document.Warn("fetch_failed", zap.String("source", source), zap.Error(err))
 		return
 	}
-	s.do(func(c *control) {
-		now := time.Now()
-		if len(reply.Document) > 0 {
-			c.offer(now, reply.Document, source)
-		}
-		if len(reply.List) > 0 {
-			c.offerList(now, reply.List, reply.ListAge)
-		}
-	})
+	if len(reply.Document) > 0 {
+		s.consider(reply.Document, source)
+	}
+	if len(reply.List) > 0 {
+		s.do(func(c *control) { c.offerList(time.Now(), reply.List, reply.ListAge) })
+	}
 }
 
 // askPeers asks each peer in the settings for its document once, before this
--- a/server/complete.go
+++ b/server/complete.go
@@ -173,7 +173,7 @@
 	for _, choice := range choices {
 		attemptID := newID()
 		answer := x.server.ask(x.ctx, choice.Engine, api.AskArgs{
-			From: x.server.settings.Name, Incarnation: x.server.config.Incarnation, Engine: choice.Engine.Name, Model: w.Model,
+			Engine: choice.Engine.Name, Model: w.Model,
 			AttemptID: attemptID, PrefillTokens: w.PrefillTokens, MemoryTokens: w.MemoryTokens, Remaining: x.left(),
 		})
 		x.logRoute(choice, answer, w)
--- a/server/control.go
+++ b/server/control.go
@@ -20,6 +20,7 @@
 	"github.com/sapphireramp/sapphireramp/prober"
 	"github.com/sapphireramp/sapphireramp/router"
 	"github.com/sapphireramp/sapphireramp/spender"
+	"github.com/sapphireramp/sapphireramp/validator"
 )
 
 const (
@@ -147,10 +148,10 @@
 	}
 }
 
-// offer considers a document and logs what became of it.
-func (c *control) offer(now time.Time, data []byte, source string) adopter.Result {
+// offer considers a document that was parsed, and logs what became of it.
+func (c *control) offer(now time.Time, digest string, offered *validator.Accepted, err error, source string) {
 	before := c.adopter.Version()
-	result := c.adopter.Offer(now, data)
+	result := c.adopter.Parsed(now, digest, offered, err)
 	c.server.asserter.Check(!c.adopter.Version().Less(before), asserter.RevisionWentBack, "revision %d after %d", c.adopter.Version().Revision, before.Revision)
 	fields := []zap.Field{
 		zap.String("verdict", result.Verdict.String()), zap.Uint64("revision", result.Version.Revision),
@@ -171,7 +172,19 @@
 		c.server.metrics.revision.Update(float64(result.Version.Revision))
 		c.dirty = true
 	}
-	return result
+}
+
+// consider takes in a document's bytes. It is parsed on the goroutine that
+// read it: a large one takes longer than control may stand still.
+func (s *Server) consider(data []byte, source string) {
+	digest := validator.Digest(data)
+	seen := false
+	s.do(func(c *control) { _, seen = c.adopter.Seen(digest) })
+	if seen {
+		return
+	}
+	offered, err := validator.Parse(data)
+	s.do(func(c *control) { c.offer(time.Now(), digest, offered, err, source) })
 }
 
 // asked notes that a source of documents was asked.
@@ -279,8 +292,8 @@
 		From: c.server.settings.Name, Incarnation: c.server.config.Incarnation,
 		PeerAddress: c.server.settings.PeerAddress, Address: c.server.settings.Address,
 		DataCentre: c.server.settings.DataCentre, Stopping: c.stopping, Ready: c.adopter.Ready(),
-		Revision: v.Revision, Digest: v.Digest, Notices: c.prober.Notices(),
-		ListDigest: c.lister.Digest(), ListAge: c.lister.Age(now),
+		Revision: v.Revision, Digest: validator.Shorten(v.Digest), Notices: c.prober.Notices(),
+		ListDigest: validator.Shorten(c.lister.Digest()), ListAge: c.lister.Age(now),
 	}
 	for _, k := range c.keepers {
 		if !k.Heard().IsZero() {
--- a/server/peers.go
+++ b/server/peers.go
@@ -183,7 +183,7 @@
 		MemoryTokens: args.MemoryTokens, Remaining: args.Remaining,
 	})
 	reply.Granted, reply.Wait, reply.Reason = answer.Granted, answer.Wait, string(answer.Reason)
-	reply.Loads = []api.LoadDigest{k.Digest(now)}
+	reply.Load = k.Digest(now)
 	return reply
 }
 
@@ -205,8 +205,8 @@
 	if !reply.Keeper || reply.Reason == string(keeper.NotHeard) {
 		return s.askEngine(ctx, engine, args)
 	}
-	for _, l := range reply.Loads {
-		engine.Load.Heard(now, l.QueuedTokens, l.FreeTokens)
+	if reply.Load.Engine == engine.Name {
+		engine.Load.Heard(now, reply.Load.QueuedTokens, reply.Load.FreeTokens)
 	}
 	if reply.Reason == string(keeper.Leaving) {
 		s.noteLeaving(engine.Name, 0)
--- /dev/null
+++ b/server/slopes_test.go
@@ -0,0 +1,233 @@
+package server
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/rpc"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/keeper"
+	"github.com/sapphireramp/sapphireramp/loader"
+	"github.com/sapphireramp/sapphireramp/logger"
+	"github.com/sapphireramp/sapphireramp/spender"
+	"github.com/sapphireramp/sapphireramp/validator"
+)
+
+// benchControl is an entry's control state at a size, without the network.
+func benchControl(b *testing.B, entries, engines int) *control {
+	b.Helper()
+	logs, err := logger.New(logger.Config{Level: "error", Output: io.Discard})
+	if err != nil {
+		b.Fatal(err)
+	}
+	settings := loader.Defaults()
+	settings.Name, settings.DataCentre = "entry-0", "dc-0"
+	s, err := New(Config{
+		Settings: settings, Incarnation: 1, Logs: logs, Scope: tally.NoopScope, Metrics: http.NotFoundHandler(),
+		Listen: func(netip.AddrPort) (net.Listener, error) { return nil, nil },
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	c := newControl(s, make([]byte, 32))
+	now := time.Now()
+	accepted, err := validator.Parse([]byte(testDocument(1, engines, "")))
+	if err != nil {
+		b.Fatal(err)
+	}
+	c.offer(now, accepted.Version.Digest, accepted, nil, "bench")
+	var list api.InstanceList
+	for i := range entries {
+		list.Instances = append(list.Instances, api.Instance{
+			Name: fmt.Sprintf("entry-%d", i), Kind: api.KindEntry, Address: "10.0.0.1:80", PeerAddress: "10.0.0.1:81",
+			DataCentre: fmt.Sprintf("dc-%d", i%8), State: api.InstanceLive,
+		})
+	}
+	for i := range engines {
+		list.Instances = append(list.Instances, api.Instance{
+			Name: fmt.Sprintf("engine-%d", i+1), Kind: api.KindEngine, Address: "10.0.0.2:80",
+			DataCentre: fmt.Sprintf("dc-%d", i%8), State: api.InstanceLive,
+		})
+	}
+	c.list(now, list)
+	c.asked(sourcePlatform)
+	c.publish()
+	return c
+}
+
+// BenchmarkPublish is the cost of making the view anew, once for every change
+// that an entry hears of, and the memory of members, engines and view.
+func BenchmarkPublish(b *testing.B) {
+	for _, size := range [][2]int{{7, 14}, {100, 150}, {380, 150}, {380, 600}} {
+		b.Run(fmt.Sprintf("entries=%d/engines=%d", size[0], size[1]), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			c := benchControl(b, size[0], size[1])
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			kept := 0
+			for range c.keepers {
+				kept++
+			}
+			for b.Loop() {
+				c.publish()
+			}
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "kept-bytes")
+			b.ReportMetric(float64(kept), "kept-engines")
+		})
+	}
+}
+
+// BenchmarkTick is the cost of the control goroutine's own clock.
+func BenchmarkTick(b *testing.B) {
+	for _, entries := range []int{7, 100, 380} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			c := benchControl(b, entries, 14)
+			for b.Loop() {
+				c.tick(time.Now())
+			}
+		})
+	}
+}
+
+// BenchmarkBeatBytes is the size of a heartbeat on a connection that has
+// carried one before, against what it carries.
+func BenchmarkBeatBytes(b *testing.B) {
+	for _, size := range [][2]int{{0, 0}, {4, 0}, {16, 0}, {0, 2}, {0, 6}} {
+		b.Run(fmt.Sprintf("notices=%d/loads=%d", size[0], size[1]), func(b *testing.B) {
+			beat := api.Heartbeat{
+				From: "entry-17", Incarnation: 1 << 60, PeerAddress: netip.MustParseAddrPort("10.20.30.40:7000"),
+				Address: netip.MustParseAddrPort("10.20.30.40:8000"), DataCentre: "region-1-dc-3", Ready: true,
+				Revision: 4711, Digest: "0123456789abcdef", ListDigest: "0123456789abcdef", ListAge: time.Second,
+			}
+			for i := range size[0] {
+				beat.Notices = append(beat.Notices, api.Notice{Kind: api.KindEntry, Name: fmt.Sprintf("entry-%d", i), Incarnation: 1 << 60, State: api.NoticeDead, Sequence: 2})
+			}
+			for i := range size[1] {
+				beat.Loads = append(beat.Loads, api.LoadDigest{Engine: fmt.Sprintf("engine-%d", i), Incarnation: 1 << 60, QueuedTokens: 10_000, FreeTokens: 300_000})
+			}
+			var wire bytes.Buffer
+			e := gob.NewEncoder(&wire)
+			_ = e.Encode(beat)
+			for b.Loop() {
+				wire.Reset()
+				if err := e.Encode(beat); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(wire.Len()), "bytes")
+		})
+	}
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	c.bytes.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+// BenchmarkAsk is a question to a keeper at another entry: time and bytes both
+// ways over loopback, on a connection that was used before.
+func BenchmarkAsk(b *testing.B) {
+	c := benchControl(b, 1, 4)
+	k := c.keepers["engine-1"]
+	now := time.Now()
+	k.Report(now, api.EngineLoad{Name: "engine-1", Model: "model", Version: "1"}, nil)
+	calls := rpc.NewServer()
+	_ = calls.RegisterName(rpcName, &benchEntry{c: c})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	var sent atomic.Int64
+	go func() {
+		connection, err := l.Accept()
+		if err == nil {
+			calls.ServeConn(newQueuedConn(countingConn{connection, &sent}))
+		}
+	}()
+	connection, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	client := rpc.NewClient(newQueuedConn(countingConn{connection, &sent}))
+	defer func() { _ = client.Close() }()
+	args := api.AskArgs{Engine: "engine-1", Model: "model", AttemptID: newID(), PrefillTokens: 1, MemoryTokens: 1, Remaining: time.Minute}
+	var reply api.AskReply
+	_ = client.Call("Entry.Ask", args, &reply)
+	sent.Store(0)
+	n := 0
+	for b.Loop() {
+		if err := client.Call("Entry.Ask", args, &reply); err != nil {
+			b.Fatal(err)
+		}
+		n++
+	}
+	b.ReportMetric(float64(sent.Load())/float64(n), "bytes/op")
+}
+
+// benchEntry answers asks without a control goroutine.
+type benchEntry struct{ c *control }
+
+func (e *benchEntry) Ask(args api.AskArgs, reply *api.AskReply) error {
+	*reply = e.c.ask(time.Now(), args)
+	return nil
+}
+
+// BenchmarkReport is the cost of one listing of a kept engine's holds.
+func BenchmarkReport(b *testing.B) {
+	for _, holds := range []int{10, 50, 200} {
+		b.Run(fmt.Sprintf("holds=%d", holds), func(b *testing.B) {
+			k := keeper.New(keeper.Config{Engine: "engine-1", Lease: time.Minute, GrantLife: time.Minute, MemoryTokens: 1 << 30, PrefillRate: 1})
+			var list []api.EngineHold
+			for range holds {
+				list = append(list, api.EngineHold{ID: newID(), Owner: "entry-1", Tokens: 100})
+			}
+			for b.Loop() {
+				k.Report(time.Now(), api.EngineLoad{}, list)
+			}
+		})
+	}
+}
+
+// BenchmarkTicket is the cost of a ticket issued, spent and finished, and the
+// memory of one that is kept with an answer of 200 bytes.
+func BenchmarkTicket(b *testing.B) {
+	now := time.Now()
+	s := spender.New(now, spender.Config{Name: "entry-1", Incarnation: 1, Life: time.Hour, MaxAnswerBytes: 1 << 30, Secret: make([]byte, 32)})
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	n := 0
+	for b.Loop() {
+		text, err := s.Issue(now)
+		if err != nil {
+			b.Fatal(err)
+		}
+		t, _ := spender.Parse(text)
+		_, _, _ = s.Spend(now, t, [32]byte{})
+		s.Finish(now, t, &spender.Answer{Body: make([]byte, 200)})
+		n++
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/float64(n), "kept-bytes/ticket")
+	runtime.KeepAlive(s)
+}
--- a/server/watch.go
+++ b/server/watch.go
@@ -27,12 +27,10 @@
 // watchConfig keeps a watch on the configuration document.
 func (s *Server) watchConfig(ctx context.Context) {
 	s.watch(ctx, api.PathConfig, func(data []byte, err error) {
-		s.do(func(c *control) {
-			if err == nil && data != nil {
-				c.offer(time.Now(), data, sourcePlatform)
-			}
-			c.asked(sourcePlatform)
-		})
+		if err == nil && data != nil {
+			s.consider(data, sourcePlatform)
+		}
+		s.do(func(c *control) { c.asked(sourcePlatform) })
 	})
 }
 
--- a/validator/document.go
+++ b/validator/document.go
@@ -121,6 +121,15 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// shortDigest is the length of a shortened digest, 64 bits in hex.
+const shortDigest = 16
+
+// Shorten cuts a digest to what is enough to tell documents apart between
+// entries, which fetch and check the whole where two differ.
+func Shorten(digest string) string {
+	return digest[:min(len(digest), shortDigest)]
+}
+
 // Version places a document in the one total order of documents. The order
 // depends on the documents alone, so all entries agree on it whatever each
 // has seen.
