--- a/server/control.go
+++ b/server/control.go
@@ -67,9 +67,8 @@
 	lister    *lister.Lister
 	// loads outlive boards, by engine name.
 	loads map[string]*router.Load
-	// holds are this entry's holds on engines: engine name, hold id, and what
-	// to call when the engine no longer has it.
-	holds    map[string]map[string]func()
+	// holds are this entry's holds on engines, by engine name and hold id.
+	holds    map[string]map[string]*holding
 	stopping bool
 	lastTick time.Time
 	// dirty says that the view is out of date.
@@ -98,7 +97,7 @@
 		instances: map[string]api.Instance{},
 		lister:    lister.New(t.Watch + listSlack),
 		loads:     map[string]*router.Load{},
-		holds:     map[string]map[string]func(){},
+		holds:     map[string]map[string]*holding{},
 		lastTick:  now,
 	}
 }
--- a/server/renew.go
+++ b/server/renew.go
@@ -10,17 +10,30 @@
 	"github.com/sapphireramp/sapphireramp/api"
 )
 
-// renewParts is how often a hold is renewed within its lease.
-const renewParts = 3
+const (
+	// renewParts is how often a hold is renewed within its lease, and
+	// lookParts how often the holds are looked through for that. A hold that
+	// lives shorter than a part of its lease is never renewed at all.
+	renewParts = 3
+	lookParts  = 9
+)
+
+// holding is one hold of this entry's on an engine.
+type holding struct {
+	// renewed is when it was made or last renewed.
+	renewed time.Time
+	// lost is called when the engine turns out not to have it.
+	lost func()
+}
 
 // holdOn notes a hold that is to be renewed until letGo; lost is called when
 // the engine turns out not to have it.
 func (s *Server) holdOn(engine, id string, lost func()) {
 	s.do(func(c *control) {
 		if c.holds[engine] == nil {
-			c.holds[engine] = map[string]func(){}
+			c.holds[engine] = map[string]*holding{}
 		}
-		c.holds[engine][id] = lost
+		c.holds[engine][id] = &holding{renewed: time.Now(), lost: lost}
 	})
 }
 
@@ -35,7 +48,7 @@
 
 // renew renews this entry's holds until the context ends.
 func (s *Server) renew(ctx context.Context) {
-	tick := time.NewTicker(s.settings.Timing.Lease / renewParts)
+	tick := time.NewTicker(s.settings.Timing.Lease / lookParts)
 	defer tick.Stop()
 	for {
 		select {
@@ -43,20 +56,30 @@
 			return
 		case <-tick.C:
 		}
-		held := map[string][]string{}
-		s.do(func(c *control) {
-			for engine, ids := range c.holds {
-				for id := range ids {
-					held[engine] = append(held[engine], id)
-				}
-			}
-		})
-		for engine, ids := range held {
+		var due map[string][]string
+		s.do(func(c *control) { due = c.dueHolds(time.Now()) })
+		for engine, ids := range due {
 			go s.renewHolds(engine, ids)
 		}
 	}
 }
 
+// dueHolds returns the holds to renew now, by engine, and counts them as
+// renewed: one that can't be reached is tried again a part of a lease later.
+func (c *control) dueHolds(now time.Time) map[string][]string {
+	due := map[string][]string{}
+	for engine, holds := range c.holds {
+		for id, h := range holds {
+			if now.Sub(h.renewed) < c.server.settings.Timing.Lease/renewParts {
+				continue
+			}
+			h.renewed = now
+			due[engine] = append(due[engine], id)
+		}
+	}
+	return due
+}
+
 func (s *Server) renewHolds(engine string, ids []string) {
 	u, ok := s.current.Load().engines[engine]
 	if !ok {
@@ -87,9 +110,9 @@
 	}
 	s.do(func(c *control) {
 		for _, id := range gone.IDs {
-			if lost, held := c.holds[engine][id]; held {
+			if h, held := c.holds[engine][id]; held {
 				s.logs.keep.Warn("hold_lost", zap.String("engine", engine), zap.String("hold", id))
-				lost()
+				h.lost()
 			}
 		}
 	})
