prober: draw half of the neighbours anew for every round

Cause: with all neighbours next to each other on the ring, word travelled round it a few places a round: at 380 entries with 3 neighbours a death was known to all after 28 rounds, and a document would have needed as many, past the 17 s that a change may take. A member counts as dead only after two unanswered heartbeats, as one may be lost. Ruled out: more neighbours, which cost bytes in proportion.

--- /dev/null
+++ b/assigner/example_test.go
@@ -0,0 +1,34 @@
+package assigner_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/sapphireramp/sapphireramp/assigner"
+)
+
+func Example() {
+	members := []assigner.Candidate{{Name: "a", DataCentre: "x"}, {Name: "b", DataCentre: "x"}, {Name: "c", DataCentre: "y"}}
+	fmt.Println(assigner.Owner(members, "engine-1", "y"))
+	fmt.Println(assigner.Owner(members[:2], "engine-1", "y") != "")
+	// Output:
+	// c
+	// true
+}
+
+// The going of a member moves only what it had.
+func TestOwnerMovesLittle(t *testing.T) {
+	is := is.New(t)
+	var members []assigner.Candidate
+	for i := range 20 {
+		members = append(members, assigner.Candidate{Name: fmt.Sprint("m", i), DataCentre: "x"})
+	}
+	for i := range 500 {
+		thing := fmt.Sprint("engine-", i)
+		before := assigner.Owner(members, thing, "x")
+		after := assigner.Owner(members[1:], thing, "x")
+		is.True(before == after || before == members[0].Name)
+	}
+}
--- /dev/null
+++ b/prober/example_test.go
@@ -0,0 +1,133 @@
+package prober_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/prober"
+)
+
+func Example() {
+	now := time.Now()
+	p := prober.New(prober.Config{Name: "a", Incarnation: 1, Neighbours: 2, Suspect: time.Second})
+	p.Heard(now, api.Heartbeat{From: "b", Incarnation: 1, Ready: true, PeerAddress: netip.MustParseAddrPort("10.0.0.2:81")})
+	p.Targets(now)
+	p.Targets(now)
+	fmt.Println(p.Tick(now.Add(500 * time.Millisecond)))
+	fmt.Println(p.Tick(now.Add(2 * time.Second)))
+	// Output:
+	// []
+	// [{b live dead silence}]
+}
+
+// testRing is many probers that exchange heartbeats.
+type testRing struct {
+	now     time.Time
+	probers []*prober.Prober
+	silent  map[int]bool
+}
+
+func newTestRing(size, neighbours int) *testRing {
+	r := &testRing{now: time.Now(), silent: map[int]bool{}}
+	var list []api.Instance
+	for i := range size {
+		list = append(list, api.Instance{Name: name(i), Kind: api.KindEntry, Address: address(i).String(), PeerAddress: address(i).String(), State: api.InstanceLive})
+	}
+	for i := range size {
+		p := prober.New(prober.Config{Name: name(i), Incarnation: 1, Neighbours: neighbours, Suspect: 3 * time.Second})
+		p.List(r.now, list)
+		r.probers = append(r.probers, p)
+	}
+	return r
+}
+
+func name(i int) string { return fmt.Sprintf("entry-%d", i) }
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 81)
+}
+
+func (r *testRing) beat(i int) api.Heartbeat {
+	return api.Heartbeat{From: name(i), Incarnation: 1, Ready: true, PeerAddress: address(i), Notices: r.probers[i].Notices()}
+}
+
+// round lets a second pass in which everyone who is not silent sends its
+// heartbeats.
+func (r *testRing) round() {
+	r.now = r.now.Add(time.Second)
+	for i, p := range r.probers {
+		if r.silent[i] {
+			continue
+		}
+		p.Tick(r.now)
+		for _, t := range p.Targets(r.now) {
+			var to int
+			_, _ = fmt.Sscanf(t.Name, "entry-%d", &to)
+			if r.silent[to] {
+				continue
+			}
+			r.probers[to].Heard(r.now, r.beat(i))
+			p.Heard(r.now, r.beat(to))
+		}
+	}
+}
+
+func (r *testRing) believe(member int, state prober.State) int {
+	n := 0
+	for i, p := range r.probers {
+		if m, ok := p.Find(name(member)); i != member && !r.silent[i] && ok && m.State == state {
+			n++
+		}
+	}
+	return n
+}
+
+// At the target's size and with three neighbours each, word of a death
+// reaches everyone in a few rounds, and so does word of a return.
+func TestDeathSpreads(t *testing.T) {
+	is := is.New(t)
+	const size = 380
+	r := newTestRing(size, 3)
+	for range 3 {
+		r.round()
+	}
+	r.silent[7] = true
+	rounds := 0
+	for r.believe(7, prober.Dead) < size-1 {
+		r.round()
+		rounds++
+		if rounds > 60 {
+			t.Fatalf("%d of %d believe it after %d rounds", r.believe(7, prober.Dead), size-1, rounds)
+		}
+	}
+	t.Logf("death known to all after %d rounds", rounds)
+	r.silent[7] = false
+	rounds = 0
+	for r.believe(7, prober.Dead) > 0 {
+		r.round()
+		rounds++
+		if rounds > 60 {
+			t.Fatalf("%d still believe it dead after %d rounds", r.believe(7, prober.Dead), rounds)
+		}
+	}
+	t.Logf("return known to all after %d rounds", rounds)
+	is.Equal(r.believe(7, prober.Dead), 0)
+}
+
+// Nobody is taken for dead while all speak.
+func TestNoFalseDeath(t *testing.T) {
+	r := newTestRing(60, 3)
+	for range 40 {
+		r.round()
+	}
+	for i := range r.probers {
+		if n := r.believe(i, prober.Dead); n > 0 {
+			t.Errorf("%d believe %s dead", n, name(i))
+		}
+	}
+}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -1,7 +1,10 @@
 // Package prober keeps one entry's belief about which other entries are
-// alive. Each entry exchanges heartbeats with a few neighbours on a ring of
-// hashed names, so its traffic does not grow with the fleet; word of a death
-// or a leaving rides on the heartbeats and reaches all in a few rounds.
+// alive. Each entry sends heartbeats to a few others, so its traffic does not
+// grow with the fleet: half go to its successors on a ring of hashed names, so
+// that everyone is watched by somebody, and half to members drawn anew for
+// every round, so that word of a death or a leaving, which rides on the
+// heartbeats, reaches all in a number of rounds that grows with the logarithm
+// of the fleet.
 //
 // A belief may be wrong during a partition: nothing that must always hold
 // depends on it. It decides who keeps which engine and which addresses
@@ -11,6 +14,7 @@
 import (
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -36,6 +40,9 @@
 	maxNotices = 16
 	// noticeRounds is how many heartbeats to each neighbour carry a notice.
 	noticeRounds = 4
+	// leastUnanswered is how many heartbeats go unanswered before silence
+	// counts: one may be lost.
+	leastUnanswered = 2
 	// noticeLife is how long a repeated notice is recognised as old.
 	noticeLife = 5 * time.Minute
 )
@@ -55,8 +62,10 @@
 
 	position uint64
 	listed   bool
-	// firstBeat is when this entry first counted the member a neighbour.
-	firstBeat time.Time
+	// unanswered is how many heartbeats were sent since the member was last
+	// heard, and unansweredSince when the first of them was.
+	unanswered      int
+	unansweredSince time.Time
 	// sequence is that of the newest notice about this incarnation.
 	sequence uint64
 }
@@ -65,9 +74,10 @@
 type Config struct {
 	Name        string
 	Incarnation uint64
-	// Neighbours is how many live members are sent heartbeats.
+	// Neighbours is how many live members are sent heartbeats in a round.
 	Neighbours int
-	// Suspect is the silence after which a neighbour counts as dead.
+	// Suspect is how long after an unanswered heartbeat a silent member
+	// counts as dead.
 	Suspect time.Duration
 }
 
@@ -92,6 +102,8 @@
 	// ring is all members by position after this entry's own.
 	ring    []*Member
 	rumours map[api.Notice]*rumour
+	// round counts the calls of Targets.
+	round uint64
 }
 
 // New returns a prober that knows no other entry.
@@ -171,6 +183,7 @@
 	m.Address, m.PeerAddress, m.DataCentre = beat.Address, beat.PeerAddress, beat.DataCentre
 	m.Ready = beat.Ready && !beat.Stopping
 	m.Heard = now
+	m.unanswered = 0
 	state := Live
 	if beat.Stopping {
 		state = Stopping
@@ -268,43 +281,58 @@
 	return out
 }
 
-// Targets returns the members to send a heartbeat: the next live ones on the
-// ring, and the dead ones among them, so that a healed partition is noticed.
+// Targets begins a round and returns the members to send a heartbeat. Dead
+// ones are among them, so that a healed partition is noticed.
 func (p *Prober) Targets(now time.Time) []Member {
-	var out []Member
+	p.round++
+	watched := (p.config.Neighbours + 1) / 2
+	chosen := p.take(0, watched, nil)
+	if rest := len(p.ring) - len(chosen); rest > 0 {
+		start := assigner.Weight(p.config.Name, strconv.FormatUint(p.round, 10)) % uint64(rest)
+		chosen = p.take(len(chosen)+int(start), p.config.Neighbours, chosen)
+	}
+	out := make([]Member, len(chosen))
+	for i, m := range chosen {
+		if m.unanswered == 0 {
+			m.unansweredSince = now
+		}
+		m.unanswered++
+		out[i] = *m
+	}
+	return out
+}
+
+// take adds members to those chosen, from a place on the ring on, until
+// enough of them are not dead, or twice as many were looked at.
+func (p *Prober) take(from, enough int, chosen []*Member) []*Member {
 	live := 0
-	for _, m := range p.ring {
-		if live == p.config.Neighbours || len(out) == 2*p.config.Neighbours {
+	for _, m := range chosen {
+		if m.State != Dead {
+			live++
+		}
+	}
+	for i := range p.ring {
+		m := p.ring[(from+i)%len(p.ring)]
+		if live >= enough || len(chosen) >= 2*enough {
 			break
 		}
-		if !m.PeerAddress.IsValid() {
+		if !m.PeerAddress.IsValid() || slices.Contains(chosen, m) {
 			continue
 		}
-		if m.firstBeat.IsZero() {
-			m.firstBeat = now
-		}
-		if m.State == Live || m.State == Stopping {
+		if m.State != Dead {
 			live++
 		}
-		out = append(out, *m)
+		chosen = append(chosen, m)
 	}
-	return out
+	return chosen
 }
 
-// Tick notices silence. Only members this entry exchanges heartbeats with
-// are judged; of the others it relies on notices.
+// Tick notices silence: of members that were sent heartbeats and did not
+// answer. Of the others this entry relies on notices.
 func (p *Prober) Tick(now time.Time) []Change {
 	var changes []Change
-	for _, t := range p.Targets(now) {
-		m := p.members[t.Name]
-		if m.State == Dead {
-			continue
-		}
-		since := m.Heard
-		if since.Before(m.firstBeat) {
-			since = m.firstBeat
-		}
-		if now.Sub(since) <= p.config.Suspect {
+	for _, m := range p.ring {
+		if m.State == Dead || m.unanswered < leastUnanswered || now.Sub(m.unansweredSince) <= p.config.Suspect {
 			continue
 		}
 		m.Ready = false
@@ -323,9 +351,9 @@
 // during that time is no sign of death.
 func (p *Prober) Woke(now time.Time) {
 	for _, m := range p.members {
-		m.firstBeat = time.Time{}
+		m.unanswered = 0
 		if m.State == Live || m.State == Stopping {
-			m.firstBeat = now
+			m.Heard = now
 		}
 	}
 }
