decoder: name the field of a value of the wrong type

Cause: the YAML library names a line; a document with Revision: -1 was refused without naming the field.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	go tool staticcheck ./...
 
 test:
-	go test ./...
+	go test -count=1 ./...
 
 # A longer random run: make soak RUNS=500 SEED=7. It prints the seed, and the
 # same seed draws the same schedules again.
@@ -26,3 +26,11 @@
 slopes:
 	go test ./router ./validator ./server -run XXX -bench . -benchtime 500ms | grep -E '^(Benchmark|FAIL)'
 	go test ./scenario -run XXX -bench . -benchtime 1x -timeout 20m | grep -E '^(Benchmark|FAIL)'
+
+# Looks for input that the decoders can't take, for a while each.
+FUZZTIME ?= 30s
+fuzz:
+	go test ./validator -run XXX -fuzz FuzzParse -fuzztime $(FUZZTIME)
+	go test ./loader -run XXX -fuzz FuzzParse -fuzztime $(FUZZTIME)
+	go test ./spender -run XXX -fuzz FuzzParse -fuzztime $(FUZZTIME)
+	go test ./server -run XXX -fuzz FuzzDecodePrompt -fuzztime $(FUZZTIME)
--- a/decoder/decoder.go
+++ b/decoder/decoder.go
@@ -77,7 +77,7 @@
 		return fmt.Errorf("input: empty: must be a YAML document")
 	}
 	if err != nil {
-		return fmt.Errorf("read yaml: %w", err)
+		return fmt.Errorf("read yaml: %w", named(data, err))
 	}
 	if d.Decode(&yaml.Node{}) != io.EOF {
 		return errSecondDocument
--- /dev/null
+++ b/decoder/decoder_test.go
@@ -0,0 +1,43 @@
+package decoder_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sapphireramp/sapphireramp/decoder"
+)
+
+type target struct {
+	Count uint64        `yaml:"Count"`
+	Wait  time.Duration `yaml:"Wait"`
+	Items []struct {
+		Size  int  `yaml:"Size"`
+		Ready bool `yaml:"Ready"`
+	} `yaml:"Items"`
+}
+
+// A value of the wrong type is named by its field, not by a line alone.
+func TestTypeFaultsNameFields(t *testing.T) {
+	is := is.New(t)
+	text := "Count: -1\nWait: soon\nItems:\n  - {Size: 1, Ready: true}\n  - {Size: many, Ready: perhaps}\n"
+	err := decoder.Decode([]byte(text), 1000, &target{})
+	var faults decoder.FieldErrors
+	is.True(errors.As(err, &faults))
+	var fields []string
+	for _, f := range faults {
+		fields = append(fields, f.Field)
+	}
+	is.Equal(fields, []string{"Count", "Wait", "Items[1].Size", "Items[1].Ready"})
+	is.Equal(faults[0].Error(), `Count: "-1": must be a whole number of at least 0`)
+}
+
+func TestRefusesWhatIsNotOneDocument(t *testing.T) {
+	is := is.New(t)
+	for _, text := range []string{"", "Count: 1\n---\nCount: 2\n", "Count: 1\nCount: 2\n", "Other: 1\n", "Count: ["} {
+		is.True(decoder.Decode([]byte(text), 1000, &target{}) != nil)
+	}
+	is.Equal(decoder.Decode(make([]byte, 11), 10, &target{}), decoder.TooLargeError{Size: 11, Limit: 10})
+}
--- /dev/null
+++ b/drainer/example_test.go
@@ -0,0 +1,29 @@
+package drainer_test
+
+import (
+	"fmt"
+
+	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/drainer"
+)
+
+func Example() {
+	list := []api.Instance{{Name: "engine-1", Kind: api.KindEngine, State: api.InstanceLive}}
+	d := drainer.New()
+	fmt.Println(d.Usable("engine-1"))
+	d.List(list)
+	d.Incarnation("engine-1", 7)
+	fmt.Println(d.Usable("engine-1"))
+	// A peer says that it is leaving; the list, which lags, still shows it.
+	fmt.Println(d.Leaving("engine-1", 7), d.Leaving("engine-1", 7))
+	d.List(list)
+	fmt.Println(d.Usable("engine-1"))
+	d.Incarnation("engine-1", 8)
+	fmt.Println(d.Usable("engine-1"))
+	// Output:
+	// false
+	// true
+	// true false
+	// false
+	// true
+}
--- /dev/null
+++ b/loader/loader_test.go
@@ -0,0 +1,55 @@
+package loader_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/sapphireramp/sapphireramp/loader"
+)
+
+const sample = "../_fixtures/settings.yaml"
+
+func readSample(t testing.TB) string {
+	t.Helper()
+	data, err := os.ReadFile(sample)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+func TestSampleIsValid(t *testing.T) {
+	is := is.New(t)
+	s, err := loader.Load(sample)
+	is.NoErr(err)
+	is.Equal(s.Name, "entry-1")
+	is.Equal(s.Listen, s.Address)
+}
+
+// All faults are reported at once, each with field, value and limit.
+func TestFaults(t *testing.T) {
+	is := is.New(t)
+	text := readSample(t)
+	for _, change := range [][2]string{{"Name: entry-1", "Name: ''"}, {"Heartbeat: 500ms", "Heartbeat: 1ns"}, {"MaxBody: 8388608", "MaxBody: -1"}, {"Level: info", "Level: loud"}} {
+		is.True(strings.Contains(text, change[0]))
+		text = strings.Replace(text, change[0], change[1], 1)
+	}
+	_, err := loader.Parse([]byte(text))
+	is.True(err != nil)
+	for _, want := range []string{"Name: \"\"", "Timing.Heartbeat: \"1ns\": must be 10ms to 1m0s", "Callers.MaxBody: \"-1\"", "Log.Level: \"loud\""} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is not in:\n%s", want, err)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(readSample(f)))
+	f.Add([]byte("Name: x"))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = loader.Parse(data)
+	})
+}
--- /dev/null
+++ b/relayer/example_test.go
@@ -0,0 +1,86 @@
+package relayer_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/relayer"
+)
+
+func chunk(request, attempt string, offset int, text string) api.CompletionChunk {
+	return api.CompletionChunk{ID: request, AttemptID: attempt, Offset: offset, Choices: []api.CompletionChoice{{Text: text, Tokens: 1}}}
+}
+
+func end(request, attempt string, offset int) api.CompletionChunk {
+	c := chunk(request, attempt, offset, "")
+	c.Choices[0].Tokens, c.Choices[0].FinishReason = 0, "stop"
+	c.Usage = &api.CompletionUsage{CompletionTokens: offset}
+	return c
+}
+
+func Example() {
+	r := relayer.New("request")
+	r.Begin("first")
+	fmt.Println(r.Accept(chunk("request", "first", 0, "a")))
+	fmt.Println(r.Accept(chunk("other", "first", 1, "x")))
+	// The engine dies; another goes on from the offset reached.
+	fmt.Println(r.Begin("second"))
+	fmt.Println(r.Accept(chunk("request", "first", 1, "late")))
+	fmt.Println(r.Accept(chunk("request", "second", 1, "b")))
+	fmt.Println(r.Accept(end("request", "second", 2)))
+	fmt.Println(r.IsWhole())
+	// Output:
+	// a Deliver
+	//  Drop
+	// 1
+	//  Drop
+	// b Deliver
+	//  Whole
+	// true
+}
+
+// Whatever chunks come, in whatever order, what is delivered is the start of
+// the right answer, and it is whole only when all of it is.
+func TestAnyChunks(t *testing.T) {
+	const length = 6
+	rapid.Check(t, func(t *rapid.T) {
+		r := relayer.New("request")
+		var got strings.Builder
+		attempt := 0
+		r.Begin("attempt-0")
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				attempt++
+				r.Begin(fmt.Sprint("attempt-", attempt))
+			}
+			from := fmt.Sprint("attempt-", rapid.IntRange(0, attempt).Draw(t, "attempt"))
+			request := rapid.SampledFrom([]string{"request", "request", "request", "other"}).Draw(t, "request")
+			offset := rapid.IntRange(-1, length).Draw(t, "offset")
+			if rapid.Bool().Draw(t, "next") {
+				offset = r.Delivered()
+			}
+			c := chunk(request, from, offset, fmt.Sprint(offset))
+			if offset >= length {
+				c = end(request, from, length)
+			}
+			if request != "request" {
+				c.Choices[0].Text = "foreign"
+			}
+			text, verdict := r.Accept(c)
+			if verdict == relayer.Deliver || verdict == relayer.Whole {
+				got.WriteString(text)
+			}
+		}
+		want := "012345"[:r.Delivered()]
+		if got.String() != want {
+			t.Fatalf("delivered %q, want %q", got.String(), want)
+		}
+		if r.IsWhole() && r.Delivered() != length {
+			t.Fatalf("whole after %d tokens", r.Delivered())
+		}
+	})
+}
--- /dev/null
+++ b/reserver/example_test.go
@@ -0,0 +1,106 @@
+package reserver_test
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/sapphireramp/sapphireramp/reserver"
+)
+
+func counter() func() string {
+	n := 0
+	return func() string { n++; return strconv.Itoa(n) }
+}
+
+var engines = []reserver.Candidate{
+	{Name: "c", DataCentre: "x", FreeTokens: 100, MemoryTokens: 100},
+	{Name: "a", DataCentre: "x", FreeTokens: 100, MemoryTokens: 100},
+	{Name: "b", DataCentre: "x", FreeTokens: 20, MemoryTokens: 100},
+}
+
+func Example() {
+	shares, err := reserver.Plan(engines, 150, 3, counter())
+	fmt.Println(shares, err)
+	r := reserver.New(shares)
+	fmt.Println(r.Next().Reserve.Engine)
+	r.Reserved()
+	r.Refused(false)
+	fmt.Println(r.Next().Release.Engine)
+	r.Released()
+	fmt.Println(r.Next().Failed)
+	// Output:
+	// [{a 1 75} {c 2 75}] <nil>
+	// a
+	// a
+	// true
+}
+
+func TestPlanSaysWhyNot(t *testing.T) {
+	is := is.New(t)
+	_, err := reserver.Plan(engines, 1000, 3, counter())
+	var tooLong reserver.TooLongError
+	is.True(errors.As(err, &tooLong))
+	_, err = reserver.Plan(engines, 250, 3, counter())
+	var busy reserver.BusyError
+	is.True(errors.As(err, &busy))
+}
+
+// Whatever the engines answer, in the end all shares are held or none is.
+func TestAllOrNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var candidates []reserver.Candidate
+		for i := range rapid.IntRange(1, 8).Draw(t, "engines") {
+			free := rapid.IntRange(0, 100).Draw(t, "free")
+			candidates = append(candidates, reserver.Candidate{Name: fmt.Sprint(i), DataCentre: "x", FreeTokens: free, MemoryTokens: 100})
+		}
+		tokens := rapid.IntRange(1, 500).Draw(t, "tokens")
+		shares, err := reserver.Plan(candidates, tokens, 4, counter())
+		if err != nil {
+			return
+		}
+		sum := 0
+		for _, s := range shares {
+			sum += s.Tokens
+		}
+		if sum != tokens {
+			t.Fatalf("shares of %d add up to %d", tokens, sum)
+		}
+		drive(t, reserver.New(shares), len(shares))
+	})
+}
+
+func drive(t *rapid.T, r *reserver.Reserver, want int) {
+	held := map[string]bool{}
+	for {
+		e := r.Next()
+		switch {
+		case e.Held:
+			if len(held) != want {
+				t.Fatalf("held %d of %d", len(held), want)
+			}
+			return
+		case e.Failed:
+			if len(held) != 0 {
+				t.Fatalf("failed with %v held", held)
+			}
+			return
+		case e.Release != nil:
+			delete(held, e.Release.HoldID)
+			r.Released()
+		case rapid.IntRange(0, 3).Draw(t, "answer") > 0:
+			held[e.Reserve.HoldID] = true
+			r.Reserved()
+		default:
+			maybe := rapid.Bool().Draw(t, "maybe")
+			if maybe {
+				held[e.Reserve.HoldID] = true
+			}
+			r.Refused(maybe)
+		}
+	}
+}
--- /dev/null
+++ b/router/example_test.go
@@ -0,0 +1,45 @@
+package router_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sapphireramp/sapphireramp/router"
+)
+
+func Example() {
+	now := time.Now()
+	busy := &router.Engine{Name: "busy", Model: "m", MemoryTokens: 1000, PrefillRate: 100, Load: &router.Load{}}
+	idle := &router.Engine{Name: "idle", Model: "m", MemoryTokens: 1000, PrefillRate: 100, Load: &router.Load{}}
+	busy.Load.Heard(now, 500, 500)
+	board := router.NewBoard([]*router.Engine{busy, idle})
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, c := range board.Choose(now, router.Predicted, router.Wish{Model: "m", PrefillTokens: 100, MemoryTokens: 100}, 2, random) {
+		fmt.Println(c.Engine.Name, c.Predicted)
+	}
+	// Output:
+	// idle 1s
+	// busy 6s
+}
+
+func TestChooseFits(t *testing.T) {
+	is := is.New(t)
+	small := &router.Engine{Name: "small", Model: "m", Version: "1", MemoryTokens: 10, Load: &router.Load{}}
+	large := &router.Engine{Name: "large", Model: "m", Version: "2", Adapters: []string{"x"}, MemoryTokens: 100, Load: &router.Load{}}
+	board := router.NewBoard([]*router.Engine{small, large})
+	for _, policy := range []router.Policy{router.Predicted, router.PowerOfTwo, router.FewestOwn, router.RoundRobin, router.RandomOrder} {
+		choose := func(w router.Wish) int {
+			w.Model = "m"
+			return len(board.Choose(time.Now(), policy, w, 3, rand.New(rand.NewPCG(1, 1))))
+		}
+		is.Equal(choose(router.Wish{}), 2)
+		is.Equal(choose(router.Wish{MemoryTokens: 50}), 1)
+		is.Equal(choose(router.Wish{Version: "1"}), 1)
+		is.Equal(choose(router.Wish{Adapter: "x"}), 1)
+		is.Equal(choose(router.Wish{Avoid: []string{"small", "large"}}), 0)
+	}
+}
--- a/server/soak_test.go
+++ b/server/soak_test.go
@@ -46,7 +46,6 @@
 	// virtual time stands still while anyone waits for a mutex.
 	ending chan struct{}
 	tally  map[api.Outcome]int
-	once   []string
 	wait   sync.WaitGroup
 }
 
--- /dev/null
+++ b/spender/example_test.go
@@ -0,0 +1,116 @@
+package spender_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sapphireramp/sapphireramp/spender"
+)
+
+var (
+	start   = time.Now()
+	request = [32]byte{1}
+)
+
+func newSpender(incarnation uint64) *spender.Spender {
+	return spender.New(start, spender.Config{Name: "entry-1", Incarnation: incarnation, Life: time.Minute, MaxAnswerBytes: 100, Secret: []byte("secret")})
+}
+
+func issue(t testing.TB, s *spender.Spender) spender.Ticket {
+	text, err := s.Issue(start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ticket, err := spender.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ticket
+}
+
+func Example() {
+	s := newSpender(1)
+	text, _ := s.Issue(start)
+	ticket, _ := spender.Parse(text)
+	for range 2 {
+		fate, _, _ := s.Spend(start, ticket, request)
+		fmt.Println(fate)
+	}
+	s.Finish(start, ticket, &spender.Answer{Body: []byte("done")})
+	fate, answer, _ := s.Spend(start, ticket, request)
+	fmt.Println(fate, string(answer.Body))
+	// Output:
+	// Spent
+	// InProgress
+	// Repeat done
+}
+
+func TestFates(t *testing.T) {
+	is := is.New(t)
+	s := newSpender(1)
+	fateOf := func(s *spender.Spender, after time.Duration, ticket spender.Ticket) spender.Fate {
+		fate, _, _ := s.Spend(start.Add(after), ticket, request)
+		return fate
+	}
+	// Another incarnation can't spend it, nor can one with another secret.
+	is.Equal(fateOf(newSpender(2), 0, issue(t, s)), spender.Forged)
+	// Past its life it is refused, and truly was not run.
+	is.Equal(fateOf(s, 2*time.Minute, issue(t, s)), spender.Expired)
+	// What ran is known to have run for as long as the incarnation lives.
+	ran := issue(t, s)
+	is.Equal(fateOf(s, 0, ran), spender.Spent)
+	s.Finish(start, ran, &spender.Answer{Body: []byte("x")})
+	is.Equal(fateOf(s, time.Hour, ran), spender.Ran)
+	// What did not run may be spent again.
+	again := issue(t, s)
+	is.Equal(fateOf(s, 0, again), spender.Spent)
+	s.Unspend(again)
+	is.Equal(fateOf(s, 0, again), spender.Spent)
+	// For another request it is no good.
+	s.Finish(start, again, nil)
+	_, _, err := s.Spend(start, again, [32]byte{2})
+	is.True(err != nil)
+}
+
+// Answers are kept in bounded memory; that they ran is not forgotten.
+func TestMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	s := newSpender(1)
+	var first spender.Ticket
+	for i := range 50 {
+		ticket := issue(t, s)
+		if i == 0 {
+			first = ticket
+		}
+		_, _, _ = s.Spend(start, ticket, request)
+		s.Finish(start, ticket, &spender.Answer{Body: make([]byte, 10)})
+	}
+	_, bytes := s.Kept()
+	is.True(bytes <= 100)
+	fate, _, _ := s.Spend(start, first, request)
+	is.Equal(fate, spender.Ran)
+	_, _, _ = s.Spend(start.Add(time.Hour), first, request)
+	records, bytes := s.Kept()
+	is.Equal(records, 0)
+	is.Equal(bytes, 0)
+}
+
+func FuzzParse(f *testing.F) {
+	text, _ := newSpender(1).Issue(start)
+	f.Add(text)
+	f.Add("entry-1.")
+	f.Add("")
+	f.Fuzz(func(t *testing.T, text string) {
+		ticket, err := spender.Parse(text)
+		if err != nil {
+			return
+		}
+		fate, _, _ := newSpender(9).Spend(start, ticket, request)
+		if fate != spender.Forged {
+			t.Fatalf("%q was taken for a ticket: %s", text, fate)
+		}
+	})
+}
