--- a/server/control.go
+++ b/server/control.go
@@ -183,7 +183,11 @@
 
 // consider takes in a document's bytes. It is parsed on the goroutine that
 // read it: a large one takes longer than control may stand still.
+// One document is parsed at a time, since platform and peers often bring the
+// same one at once.
 func (s *Server) consider(data []byte, source string) {
+	s.parsing <- struct{}{}
+	defer func() { <-s.parsing }()
 	digest := validator.Digest(data)
 	seen := false
 	s.do(func(c *control) { _, seen = c.adopter.Seen(digest) })
--- a/server/server.go
+++ b/server/server.go
@@ -50,6 +50,8 @@
 	// commands reach the control goroutine, the only one that touches its
 	// state.
 	commands chan func(*control)
+	// parsing is held while a document is parsed.
+	parsing chan struct{}
 	// stopped is closed once the control goroutine has ended.
 	stopped chan struct{}
 	// current is the view in force; it is replaced, never changed.
@@ -107,6 +109,7 @@
 		config:   c,
 		settings: c.Settings,
 		commands: make(chan func(*control)),
+		parsing:  make(chan struct{}, 1),
 		stopped:  make(chan struct{}),
 		peers:    newPeers(dial),
 		engines:  &http.Client{Transport: newTransport(dial, false), Timeout: engineCallTimeout},
