measurer: measure the policy in virtual time

The decision cores run against stand-in engines on both deployments; the loop that places a prompt is now a core of its own, placer, which server and measurer share. Prompts of a group are prefilled by all its engines, each its share; before, the members' work was free.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -79,6 +79,9 @@
 	platformCommand.String(&listFile, "", "instances", "file with the first instance list")
 	platformCommand.Duration(&lag, "", "list-lag", "age of the instance list")
 	flaggy.AttachSubcommand(platformCommand, 1)
+
+	measure := newMeasure()
+	flaggy.AttachSubcommand(measure.command, 1)
 	flaggy.Parse()
 
 	switch {
@@ -90,8 +93,10 @@
 		return serve(address, program{handler: serviceServer.Handler()})
 	case platformCommand.Used:
 		return servePlatform(address, lag, configFile, listFile)
+	case measure.command.Used:
+		return measure.run()
 	}
-	return fmt.Errorf("command: one of engine, service, platform is needed")
+	return fmt.Errorf("command: one of engine, service, platform, measure is needed")
 }
 
 func split(text string) []string {
--- /dev/null
+++ b/cmd/standin/measure.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/sapphireramp/sapphireramp/router"
+	"github.com/sapphireramp/sapphireramp/standin/measurer"
+)
+
+// measure is the command that prints the policy's figures.
+type measure struct {
+	command     *flaggy.Subcommand
+	deployments string
+	policies    string
+	loads       string
+	fault       string
+	seed        uint64
+	full        bool
+}
+
+func newMeasure() *measure {
+	m := &measure{command: flaggy.NewSubcommand("measure"), deployments: "condor,zeekant", loads: "0.8", seed: 1}
+	m.command.Description = "measure the routing policy in virtual time"
+	m.command.String(&m.deployments, "d", "deployments", "condor, zeekant, separated by commas")
+	m.command.String(&m.policies, "p", "policies", "names of policies, separated by commas; none means all")
+	m.command.String(&m.loads, "l", "loads", "parts of what the engines can prefill, separated by commas")
+	m.command.String(&m.fault, "f", "fault", "dead-engine, slow-engine, lagged-load, cut-centre, or none")
+	m.command.UInt64(&m.seed, "s", "seed", "seed of the requests")
+	m.command.Bool(&m.full, "", "full", "print all classes")
+	return m
+}
+
+func (m *measure) run() error {
+	for name := range strings.SplitSeq(m.deployments, ",") {
+		d, ok := measurer.Deployments[name]
+		if !ok {
+			return fmt.Errorf("--deployments: %q: must be condor or zeekant", name)
+		}
+		for text := range strings.SplitSeq(m.loads, ",") {
+			load, err := strconv.ParseFloat(text, 64)
+			if err != nil || load <= 0 || load > 10 {
+				return fmt.Errorf("--loads: %q: must be a number over 0 and at most 10", text)
+			}
+			m.compare(d, load)
+		}
+	}
+	return nil
+}
+
+// compare prints a line, or a table, for each policy.
+func (m *measure) compare(d measurer.Deployment, load float64) {
+	fmt.Printf("deployment=%s load=%.2f fault=%q seed=%d\n", d.Name, load, m.fault, m.seed)
+	if !m.full {
+		fmt.Printf("  %-30s %9s %9s %9s %9s %9s %8s %8s %8s %9s\n", "policy", "short_p95", "alone_p95", "slowdown", "long_p95", "1M_p95", "answered", "refused", "late", "goodput")
+	}
+	for _, p := range measurer.Policies {
+		if m.policies != "" && !contains(m.policies, p.Name) {
+			continue
+		}
+		o := p.Options
+		o.Fault = measurer.Fault(m.fault)
+		r := measurer.Run(d, o, load, true, m.seed)
+		if m.full {
+			r.Print(os.Stdout, p.Name)
+			continue
+		}
+		alone := measurer.Run(d, o, load, false, m.seed).Quantile(router.Short, 95)
+		short := r.Quantile(router.Short, 95)
+		answered, refused, late := 0, 0, 0
+		for _, c := range r.Classes {
+			answered, refused, late = answered+c.Answered, refused+c.Refused, late+c.Late
+		}
+		fmt.Printf("  %-30s %9.0f %9.0f %9.2f %9.0f %9.0f %8d %8d %8d %9.0f\n", p.Name, short, alone, short/alone,
+			r.Quantile(router.Long, 95), r.Quantile(router.Longest, 95), answered, refused, late, r.Goodput)
+	}
+}
+
+func contains(list, name string) bool {
+	for item := range strings.SplitSeq(list, ",") {
+		if item == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,109 @@
+// Package placer drives the placement of one prompt: which keeper is asked
+// next, when the search pauses, and when the prompt is given up. It gives up
+// at once when every engine that could take the prompt would be too late, and
+// after a part of the remaining time when they have no room.
+package placer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/sapphireramp/sapphireramp/keeper"
+	"github.com/sapphireramp/sapphireramp/router"
+)
+
+const (
+	// patiencePart is the part of a prompt's remaining time that it may wait
+	// for room.
+	patiencePart = 4
+	// leastPause and mostPause are between rounds.
+	leastPause = 20 * time.Millisecond
+	mostPause  = 80 * time.Millisecond
+)
+
+// Kind of a step.
+type Kind int
+
+// The kinds.
+const (
+	// Ask: ask the keeper of Choice's engine, then call Answered.
+	Ask Kind = iota
+	// Choose: choose engines anew, then call Round.
+	Choose
+	// Pause: wait for Pause, then go on with Next.
+	Pause
+	// Placed: the keeper granted Choice's engine.
+	Placed
+	// NoEngine: nothing serves the prompt now.
+	NoEngine
+	// TooLate: no engine can answer in time.
+	TooLate
+	// NoRoom: patience is at its end.
+	NoRoom
+)
+
+var kindNames = [...]string{"Ask", "Choose", "Pause", "Placed", "NoEngine", "TooLate", "NoRoom"}
+
+func (k Kind) String() string { return kindNames[k] }
+
+// Step is what is to be done next.
+type Step struct {
+	Kind   Kind
+	Choice router.Choice
+	Pause  time.Duration
+}
+
+// Placer drives one placement. It is not safe for concurrent use.
+type Placer struct {
+	random *rand.Rand
+	// patience is when waiting for room ends.
+	patience time.Time
+	choices  []router.Choice
+	// asked is how many of choices were asked, of which late were too late.
+	asked, late int
+	chosen      bool
+	granted     bool
+}
+
+// New returns a placement for a prompt that has some time left.
+func New(now time.Time, left time.Duration, random *rand.Rand) *Placer {
+	return &Placer{random: random, patience: now.Add(left / patiencePart)}
+}
+
+// Round takes the engines chosen for a round, best first.
+func (p *Placer) Round(choices []router.Choice) {
+	p.choices, p.asked, p.late = choices, 0, 0
+	p.chosen = true
+}
+
+// Answered takes the answer to the last Ask.
+func (p *Placer) Answered(a keeper.Answer) {
+	p.granted = a.Granted
+	if a.Granted {
+		return
+	}
+	if a.Reason == keeper.TooLate {
+		p.late++
+	}
+	p.asked++
+}
+
+// Next returns what to do.
+func (p *Placer) Next(now time.Time) Step {
+	switch {
+	case p.granted:
+		return Step{Kind: Placed, Choice: p.choices[p.asked]}
+	case !p.chosen:
+		return Step{Kind: Choose}
+	case len(p.choices) == 0:
+		return Step{Kind: NoEngine}
+	case p.asked < len(p.choices):
+		return Step{Kind: Ask, Choice: p.choices[p.asked]}
+	case p.late == len(p.choices):
+		return Step{Kind: TooLate}
+	case !now.Before(p.patience):
+		return Step{Kind: NoRoom}
+	}
+	p.chosen = false
+	return Step{Kind: Pause, Pause: leastPause + time.Duration(p.random.Int64N(int64(mostPause-leastPause)))}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -23,6 +23,42 @@
 	RandomOrder Policy = "RandomOrder"
 )
 
+// Class of a prompt's length.
+type Class int
+
+// The classes, and the longest prompt of each in multiples of the longest of
+// the short class.
+const (
+	Short Class = iota
+	Medium
+	Long
+	Longest
+)
+
+const (
+	mediumFactor = 8
+	longFactor   = 32
+)
+
+// ClassOf is the class of a prompt, given the longest prompt of the short one.
+func ClassOf(tokens, shortTokens int) Class {
+	switch {
+	case tokens <= shortTokens:
+		return Short
+	case tokens <= mediumFactor*shortTokens:
+		return Medium
+	case tokens <= longFactor*shortTokens:
+		return Long
+	}
+	return Longest
+}
+
+// Priority is what engines schedule a prompt by: the shorter, the higher, up
+// to the weight that the document gives the short class.
+func Priority(tokens, shortTokens, shortWeight int) int {
+	return shortWeight * int(Longest-ClassOf(tokens, shortTokens)) / int(Longest)
+}
+
 // sampled is how many engines Predicted weighs where there are more: looking
 // at all of many on old figures sends every entry to the same one.
 const sampled = 8
--- a/server/complete.go
+++ b/server/complete.go
@@ -11,6 +11,7 @@
 
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/keeper"
+	"github.com/sapphireramp/sapphireramp/placer"
 	"github.com/sapphireramp/sapphireramp/relayer"
 	"github.com/sapphireramp/sapphireramp/router"
 )
@@ -20,12 +21,11 @@
 	maxAttempts = 4
 	// maxAsked is how many keepers are asked in one round of placement.
 	maxAsked = 3
-	// patiencePart is the part of a request's remaining time that it may
-	// wait for an engine: past it, it is given up and refused at once.
-	patiencePart = 4
-	// leastPause and mostPause are between rounds of placement.
-	leastPause = 20 * time.Millisecond
-	mostPause  = 80 * time.Millisecond
+	// groupPatience is the part of a request's remaining time that it may
+	// wait for a group of engines, and groupPause the least pause between
+	// tries. Past it the request is given up and refused at once.
+	groupPatience = 4
+	groupPause    = 80 * time.Millisecond
 )
 
 // completion is the work on one prompt.
@@ -122,22 +122,26 @@
 	return true
 }
 
-// place finds an engine whose keeper grants the attempt. It waits a part of
-// the remaining time for one, and then gives up at once.
+// place finds an engine whose keeper grants the attempt.
 func (c *completion) place(w router.Wish) (*router.Engine, string, *failure) {
 	x := c.x
-	patience := time.Now().Add(x.left() / patiencePart)
+	p := placer.New(time.Now(), x.left(), c.random)
+	attemptID := newID()
 	for {
-		engine, attemptID, f := c.placeOnce(w)
-		if f == nil {
-			return engine, attemptID, nil
-		}
-		if f.code != api.CodeOverloaded || time.Now().After(patience) {
-			return nil, "", f
-		}
-		pause := leastPause + time.Duration(c.random.Int64N(int64(mostPause-leastPause)))
-		if !sleep(x.ctx, pause) {
-			return nil, "", fail(api.CodeOverloaded, "no engine was free in time")
+		step := p.Next(time.Now())
+		switch step.Kind {
+		case placer.Choose:
+			p.Round(c.choose(&w))
+		case placer.Ask:
+			p.Answered(c.ask(step.Choice, w, attemptID))
+		case placer.Pause:
+			if !sleep(x.ctx, step.Pause) {
+				return nil, "", fail(api.CodeOverloaded, "no engine was free in time")
+			}
+		case placer.Placed:
+			return step.Choice.Engine, attemptID, nil
+		default:
+			return nil, "", c.notPlaced(step.Kind, w)
 		}
 	}
 }
@@ -154,43 +158,39 @@
 	}
 }
 
-// placeOnce asks the keepers of the best engines in turn.
-func (c *completion) placeOnce(w router.Wish) (*router.Engine, string, *failure) {
-	x := c.x
-	board := x.server.current.Load().board
-	choices := board.Choose(time.Now(), router.Predicted, w, maxAsked, c.random)
+// choose orders the engines to ask. When every engine failed the request
+// once, all are tried again, as one may be back.
+func (c *completion) choose(w *router.Wish) []router.Choice {
+	board := c.x.server.current.Load().board
+	choices := board.Choose(time.Now(), router.Predicted, *w, maxAsked, c.random)
 	if len(choices) == 0 && len(c.tried) > 0 {
-		// Every engine failed once; one may be back.
 		w.Avoid, c.tried = nil, nil
-		choices = board.Choose(time.Now(), router.Predicted, w, maxAsked, c.random)
-	}
-	if len(choices) == 0 {
-		f := fail(api.CodeNoUpstream, "no engine serves model %s now", w.Model)
-		f.retryAfter = x.server.retryAfter()
-		return nil, "", f
-	}
-	late := 0
-	for _, choice := range choices {
-		attemptID := newID()
-		answer := x.server.ask(x.ctx, choice.Engine, api.AskArgs{
-			Engine: choice.Engine.Name, Model: w.Model,
-			AttemptID: attemptID, PrefillTokens: w.PrefillTokens, MemoryTokens: w.MemoryTokens, Remaining: x.left(),
-		})
-		x.logRoute(choice, answer, w)
-		if answer.Granted {
-			return choice.Engine, attemptID, nil
-		}
-		if answer.Reason == keeper.TooLate {
-			late++
-		}
+		choices = board.Choose(time.Now(), router.Predicted, *w, maxAsked, c.random)
 	}
-	f := fail(api.CodeOverloaded, "no engine of model %s can take the prompt now", w.Model)
-	f.retryAfter = x.server.retryAfter()
-	if late == len(choices) {
-		f.code = api.CodeNoUpstream
-		f.message = "no engine of model " + w.Model + " can answer within the time limit now"
+	return choices
+}
+
+func (c *completion) ask(choice router.Choice, w router.Wish, attemptID string) keeper.Answer {
+	x := c.x
+	answer := x.server.ask(x.ctx, choice.Engine, api.AskArgs{
+		Engine: choice.Engine.Name, Model: w.Model, AttemptID: attemptID,
+		PrefillTokens: w.PrefillTokens, MemoryTokens: w.MemoryTokens, Remaining: x.left(),
+	})
+	x.logRoute(choice, answer, w)
+	return answer
+}
+
+// notPlaced is the refusal of a prompt that was given up.
+func (c *completion) notPlaced(kind placer.Kind, w router.Wish) *failure {
+	f := fail(api.CodeNoUpstream, "no engine serves model %s now", w.Model)
+	switch kind {
+	case placer.NoRoom:
+		f = fail(api.CodeOverloaded, "no engine of model %s can take the prompt now", w.Model)
+	case placer.TooLate:
+		f = fail(api.CodeNoUpstream, "no engine of model %s can answer within the time limit now", w.Model)
 	}
-	return nil, "", f
+	f.retryAfter = c.x.server.retryAfter()
+	return f
 }
 
 func (x *exchange) logRoute(choice router.Choice, answer keeper.Answer, w router.Wish) {
--- a/server/group.go
+++ b/server/group.go
@@ -21,7 +21,7 @@
 // attemptGroup runs a prompt that no single engine holds on a group.
 func (c *completion) attemptGroup(w router.Wish) *failure {
 	x := c.x
-	patience := time.Now().Add(x.left() / patiencePart)
+	patience := time.Now().Add(x.left() / groupPatience)
 	for {
 		group, f := c.reserve(w)
 		if f == nil {
@@ -30,7 +30,7 @@
 		if f.code != api.CodeOverloaded || time.Now().After(patience) {
 			return f
 		}
-		if !sleep(x.ctx, mostPause+time.Duration(c.random.Int64N(int64(mostPause)))) {
+		if !sleep(x.ctx, groupPause+time.Duration(c.random.Int64N(int64(groupPause)))) {
 			return fail(api.CodeOverloaded, "no group of engines was free in time")
 		}
 	}
--- a/server/stream.go
+++ b/server/stream.go
@@ -167,13 +167,10 @@
 	return request, nil
 }
 
-// priority is higher for the short class, as the document weighs it.
+// priority is higher for shorter prompts, as the document weighs it.
 func (c *completion) priority() int {
 	policy := c.x.view.accepted.Document.Policy
-	if api.PromptTokens(len(c.x.completion.Prompt)) <= policy.ShortTokens {
-		return policy.ShortWeight
-	}
-	return 0
+	return router.Priority(api.PromptTokens(len(c.x.completion.Prompt)), policy.ShortTokens, policy.ShortWeight)
 }
 
 // read relays an attempt's chunks until the answer is whole or the attempt
--- a/standin/engine/batcher.go
+++ b/standin/engine/batcher.go
@@ -57,15 +57,13 @@
 	request   api.CompletionRequest
 	priority  int
 	arrived   time.Time
-	// prefill is prompt tokens left; speed is how many engines prefill.
+	// prefill is prompt tokens left for this engine to do.
 	prefill float64
-	speed   int
 	prompt  int
 	// next is the offset of the next answer token.
 	next int
 	// lastToken is when a token was last made.
 	lastToken time.Time
-	group     []string
 	// tag marks the answer as that of this prompt.
 	tag    string
 	events chan api.CompletionChunk
@@ -76,6 +74,8 @@
 type hold struct {
 	api.EngineHold
 	touched time.Time
+	// share is the part of a group's prefill that this engine does.
+	share *stream
 }
 
 // Batcher is the engine's scheduler: continuous batching with a budget for
@@ -143,7 +143,11 @@
 	if b.Used()+h.Tokens > b.config.MemoryTokens {
 		return RefusedError{503, fmt.Sprintf("memory: %d of %d tokens held, %d more asked", b.Used(), b.config.MemoryTokens, h.Tokens)}
 	}
-	b.holds[h.ID] = &hold{EngineHold: h, touched: now}
+	made := &hold{EngineHold: h, touched: now}
+	if h.Kind == api.HoldGroup {
+		made.share = &stream{id: h.ID, arrived: now, prefill: float64(h.Tokens)}
+	}
+	b.holds[h.ID] = made
 	return nil
 }
 
@@ -215,11 +219,11 @@
 	}
 	s := &stream{
 		id: st.attemptID, requestID: st.requestID, request: st.request, priority: st.priority,
-		arrived: now, prefill: float64(prompt + st.resumeFrom), speed: max(1, len(st.group)), prompt: prompt,
-		next: st.resumeFrom, group: st.group,
+		arrived: now, prefill: float64(prompt + st.resumeFrom), prompt: prompt, next: st.resumeFrom,
 		tag:    Tag(st.request),
 		events: make(chan api.CompletionChunk, eventBuffer), done: make(chan struct{}),
 	}
+	b.takeShare(s, st.group)
 	b.useCache(s)
 	b.streams[s.id] = s
 	b.ran[s.requestID]++
@@ -232,6 +236,16 @@
 	return s, nil
 }
 
+// takeShare leaves the stream of a group only this engine's part of the
+// prefill; the others do theirs under their own holds.
+func (b *Batcher) takeShare(s *stream, group []string) {
+	for _, id := range group {
+		if h, ok := b.holds[id]; ok && h.share != nil {
+			s.prefill, h.share = h.share.prefill, nil
+		}
+	}
+}
+
 func (b *Batcher) useCache(s *stream) {
 	if b.config.CachePrefixes == 0 || len(s.request.Prompt) < PrefixBytes {
 		return
@@ -269,14 +283,16 @@
 			budget = s.takePrefill(budget, now)
 			continue
 		}
-		b.decode(now, s)
+		if s.events != nil {
+			b.decode(now, s)
+		}
 	}
 	b.record(now)
 }
 
 func (s *stream) takePrefill(budget float64, now time.Time) float64 {
-	work := min(budget, s.prefill/float64(s.speed))
-	s.prefill -= work * float64(s.speed)
+	work := min(budget, s.prefill)
+	s.prefill -= work
 	if s.prefill < 0.5 {
 		s.prefill = 0
 		s.lastToken = now
@@ -289,6 +305,11 @@
 	for _, s := range b.streams {
 		out = append(out, s)
 	}
+	for _, h := range b.holds {
+		if h.share != nil && h.share.prefill > 0 {
+			out = append(out, h.share)
+		}
+	}
 	slices.SortFunc(out, func(x, y *stream) int {
 		return cmp.Or(cmp.Compare(y.priority, x.priority), x.arrived.Compare(y.arrived), cmp.Compare(x.id, y.id))
 	})
@@ -336,7 +357,7 @@
 
 func (b *Batcher) record(now time.Time) {
 	b.load.UsedTokens, b.load.QueuedTokens, b.load.Streams = b.Used(), 0, len(b.streams)
-	for _, s := range b.streams {
+	for _, s := range b.byPriority() {
 		b.load.QueuedTokens += int(s.prefill)
 	}
 	b.reports = append(b.reports, report{at: now, load: b.load})
--- /dev/null
+++ b/standin/measurer/measurer.go
@@ -0,0 +1,115 @@
+package measurer
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/sapphireramp/sapphireramp/router"
+)
+
+const (
+	// warmUp is left out of the figures; runTime is measured; coolDown lets
+	// the last requests end.
+	warmUp   = 30 * time.Second
+	runTime  = 5 * time.Minute
+	coolDown = 5 * time.Minute
+)
+
+// classes in the order of the table.
+var classes = []router.Class{router.Short, router.Medium, router.Long, router.Longest}
+
+var classNames = map[router.Class]string{router.Short: "1k-4k", router.Medium: "4k-32k", router.Long: "32k-128k", router.Longest: "128k-1M"}
+
+// ClassResult is what was measured of one class.
+type ClassResult struct {
+	Sent, Answered, Refused, Late int
+	// FirstToken holds times to first token of answered requests, in
+	// microseconds.
+	FirstToken *hdrhistogram.Histogram
+}
+
+// Result of a run.
+type Result struct {
+	Classes map[router.Class]*ClassResult
+	// Goodput is prompt tokens a second of requests answered in time.
+	Goodput float64
+}
+
+// Run measures a policy on a deployment at a load, the part of what engines
+// can prefill that is asked for. Where longs is false the two longest classes
+// are left out; all else is the same.
+func Run(d Deployment, o Options, load float64, longs bool, seed uint64) Result {
+	f := newFleet(d, o, seed)
+	f.start()
+	for _, dm := range draw(d, load, warmUp+runTime, seed) {
+		if longs || dm.class <= router.Medium {
+			f.after(dm.at, func() { f.arrive(dm) })
+		}
+	}
+	start := f.now
+	f.run(warmUp + runTime + coolDown)
+	return f.result(start)
+}
+
+func (f *fleet) result(start time.Time) Result {
+	const mostMicros, digits = 600_000_000, 3
+	out := Result{Classes: map[router.Class]*ClassResult{}}
+	for _, c := range classes {
+		out.Classes[c] = &ClassResult{FirstToken: hdrhistogram.New(1, mostMicros, digits)}
+	}
+	tokens := 0
+	for _, r := range f.requests {
+		if r.arrived.Sub(start) < warmUp {
+			continue
+		}
+		c := out.Classes[r.class]
+		c.Sent++
+		switch r.outcome {
+		case answered:
+			c.Answered++
+			tokens += r.tokens
+			_ = c.FirstToken.RecordValue(r.first.Sub(r.arrived).Microseconds())
+		case refused:
+			c.Refused++
+		default:
+			c.Late++
+		}
+	}
+	out.Goodput = float64(tokens) / runTime.Seconds()
+	return out
+}
+
+// Quantile is a quantile of a class's time to first token, in milliseconds.
+func (r Result) Quantile(c router.Class, percent float64) float64 {
+	return float64(r.Classes[c].FirstToken.ValueAtQuantile(percent)) / 1000
+}
+
+// Print writes a result as a table.
+func (r Result) Print(w io.Writer, title string) {
+	_, _ = fmt.Fprintf(w, "%s goodput=%.0f tokens/s\n", title, r.Goodput)
+	_, _ = fmt.Fprintf(w, "  %-9s %6s %8s %7s %5s %9s %9s %9s\n", "tokens", "sent", "answered", "refused", "late", "p50_ms", "p95_ms", "p99_ms")
+	for _, c := range classes {
+		t := r.Classes[c]
+		_, _ = fmt.Fprintf(w, "  %-9s %6d %8d %7d %5d %9.0f %9.0f %9.0f\n", classNames[c], t.Sent, t.Answered, t.Refused, t.Late,
+			r.Quantile(c, 50), r.Quantile(c, 95), r.Quantile(c, 99))
+	}
+}
+
+// Policies are those compared, by name: the baselines, and the product's with
+// its parts switched on one at a time.
+var Policies = []struct {
+	Name    string
+	Options Options
+}{
+	{"random", Options{Policy: router.RandomOrder}},
+	{"round-robin", Options{Policy: router.RoundRobin}},
+	{"fewest-own", Options{Policy: router.FewestOwn}},
+	{"power-of-two", Options{Policy: router.PowerOfTwo}},
+	{"predicted", Options{Policy: router.Predicted}},
+	{"predicted+ask", Options{Policy: router.Predicted, Ask: true}},
+	{"predicted+ask+refuse", Options{Policy: router.Predicted, Ask: true, Refuse: true}},
+	{"predicted+ask+refuse+priority", Options{Policy: router.Predicted, Ask: true, Refuse: true, Priority: true}},
+}
