keeper: reckon memory by the engine's load report between listings

Cause: memory was counted from the last listing of holds, so attempts that had ended held memory in the ledger until the next one, and listings could not be made rarer, although at the target's size one holds 117 lines of 150 bytes. Now the load report's figure counts, plus grants younger than it lags.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -1,8 +1,9 @@
 // Package keeper decides for one engine: which attempts may start on it, how
 // long a prompt would queue there, and which of its holds are orphans.
 //
-// The engine is the truth. The ledger is the engine's own listing plus the
-// grants it does not list yet, so a new keeper is right after one listing.
+// The engine is the truth. The ledger is the memory that the engine says is
+// held plus the grants that it can't have counted yet, so a new keeper is right
+// after one listing.
 // Two keepers in a partition may grant the same memory twice; the engine
 // then refuses one attempt before it starts, and nothing else happens.
 package keeper
@@ -19,7 +20,7 @@
 	// Lease is the age at which an unrenewed hold is an orphan.
 	Lease time.Duration
 	// GrantLife is how long a grant counts while the engine does not list
-	// it; longer than the period of listings.
+	// it; longer than the load report lags, which counts it afterwards.
 	GrantLife time.Duration
 	// MemoryTokens and PrefillRate are as the document states them.
 	MemoryTokens int
@@ -71,8 +72,10 @@
 	load   api.EngineLoad
 	// heard is when the engine last answered; zero when it never did.
 	heard time.Time
-	// holds is the engine's listing at heard.
+	// holds is the engine's last listing.
 	holds map[string]api.EngineHold
+	// used is the engine's memory held, as the last listing or report says.
+	used int
 	// grants are given and not yet listed. No id is in both grants and holds.
 	grants map[string]grant
 	// backlog is the reckoned prompt tokens not yet prefilled, at backlogAt.
@@ -113,8 +116,10 @@
 	}
 	clear(k.holds)
 	var orphans []Orphan
+	used := 0
 	for _, h := range holds {
 		k.holds[h.ID] = h
+		used += h.Tokens
 		delete(k.grants, h.ID)
 		if h.AgeSeconds > k.config.Lease.Seconds() {
 			orphans = append(orphans, Orphan{Hold: h, OlderThan: k.config.Lease})
@@ -122,6 +127,7 @@
 	}
 	k.listed = true
 	k.ReportLoad(now, load)
+	k.used = used // a listing does not lag
 	return orphans
 }
 
@@ -138,6 +144,7 @@
 		return
 	}
 	k.heard = now
+	k.used = load.UsedTokens
 	k.expire(now)
 	if now.Sub(k.lastGrant) > k.config.GrantLife {
 		k.backlog = float64(load.QueuedTokens)
@@ -217,6 +224,9 @@
 		k.backlog = max(0, k.backlog-float64(g.prefill))
 	}
 	delete(k.grants, attemptID)
+	if h, ok := k.holds[attemptID]; ok {
+		k.used -= h.Tokens
+	}
 	delete(k.holds, attemptID)
 }
 
@@ -226,9 +236,7 @@
 	if k.load.MemoryTokens > 0 {
 		free = min(free, k.load.MemoryTokens)
 	}
-	for _, h := range k.holds {
-		free -= h.Tokens
-	}
+	free -= k.used
 	for _, g := range k.grants {
 		free -= g.memory
 	}
--- a/server/view.go
+++ b/server/view.go
@@ -167,10 +167,11 @@
 	}
 }
 
-// listsPerGrant is how many listings a grant waits for the engine to list it.
-const listsPerGrant = 2
+// grantLife is how long a grant counts beside what its engine reports: longer
+// than load reports lag.
+const grantLife = 2 * time.Second
 
 func (s *Server) keeperConfig(engine string, memory, rate int) keeper.Config {
 	t := s.settings.Timing
-	return keeper.Config{Engine: engine, Lease: t.Lease, GrantLife: listsPerGrant * t.List, MemoryTokens: memory, PrefillRate: rate}
+	return keeper.Config{Engine: engine, Lease: t.Lease, GrantLife: grantLife, MemoryTokens: memory, PrefillRate: rate}
 }
