--- a/prober/example_test.go
+++ b/prober/example_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"testing"
 	"time"
@@ -62,6 +63,7 @@
 // heartbeats.
 func (r *testRing) round() {
 	r.now = r.now.Add(time.Second)
+	knew := maps.Clone(r.knows) // word goes one step a round
 	for i, p := range r.probers {
 		if r.silent[i] {
 			continue
@@ -73,8 +75,9 @@
 			if r.silent[to] {
 				continue
 			}
-			both := r.knows[i] || r.knows[to]
-			r.knows[i], r.knows[to] = both, both
+			if knew[i] || knew[to] {
+				r.knows[i], r.knows[to] = true, true
+			}
 			r.probers[to].Heard(r.now, r.beat(i))
 			p.Heard(r.now, r.beat(to))
 		}
