keeper: reckon queues by class of length

Cause: engines go by priority, but keepers and entries reckoned a short prompt's wait by all tokens queued, so short prompts were sent round engines on which long ones queue that would have let them pass. Ruled out: the view's age (ask answers are fresh) and memory (no refusals).

--- a/api/entry.go
+++ b/api/entry.go
@@ -139,7 +139,9 @@
 	Model  string
 	// AttemptID is the id the grant is for; the engine lists its hold under
 	// the same id.
-	AttemptID     string
+	AttemptID string
+	// Class numbers the classes of length, the shortest 0.
+	Class         int
 	PrefillTokens int
 	MemoryTokens  int
 	// Remaining is the time left to the request. A duration, because the
@@ -161,9 +163,10 @@
 
 // LoadDigest is the load of one engine as its keeper reckons it.
 type LoadDigest struct {
-	Engine       string
-	Incarnation  uint64
-	Leaving      bool
-	QueuedTokens int
+	Engine      string
+	Incarnation uint64
+	Leaving     bool
+	// QueuedTokens is by class of length, the shortest first.
+	QueuedTokens []int
 	FreeTokens   int
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/router"
 )
 
 // Config of a keeper.
@@ -31,7 +32,9 @@
 type Ask struct {
 	AttemptID string
 	// Model is the one that the attempt needs loaded.
-	Model         string
+	Model string
+	// Class is what the engine schedules the prompt by.
+	Class         router.Class
 	PrefillTokens int
 	MemoryTokens  int
 	// Remaining is the time left to the request.
@@ -63,6 +66,7 @@
 type grant struct {
 	memory  int
 	prefill int
+	class   router.Class
 	expires time.Time
 }
 
@@ -78,8 +82,9 @@
 	used int
 	// grants are given and not yet listed. No id is in both grants and holds.
 	grants map[string]grant
-	// backlog is the reckoned prompt tokens not yet prefilled, at backlogAt.
-	backlog   float64
+	// backlog is the reckoned prompt tokens not yet prefilled, by class, at
+	// backlogAt. None is negative.
+	backlog   [router.Classes]float64
 	backlogAt time.Time
 	// lastGrant is when a grant was last given.
 	lastGrant time.Time
@@ -147,7 +152,7 @@
 	k.used = load.UsedTokens
 	k.expire(now)
 	if now.Sub(k.lastGrant) > k.config.GrantLife {
-		k.backlog = float64(load.QueuedTokens)
+		k.correct(load.QueuedTokens)
 	}
 }
 
@@ -155,13 +160,35 @@
 func (k *Keeper) forget() {
 	clear(k.grants)
 	clear(k.holds)
-	k.listed, k.backlog, k.heard = false, 0, time.Time{}
+	k.listed, k.heard = false, time.Time{}
+	k.backlog = [router.Classes]float64{}
 }
 
-// drain reckons how far the engine has come with its backlog.
+// correct takes the engine's word for how much is queued; of which classes
+// it does not say, so they keep their parts.
+func (k *Keeper) correct(queued int) {
+	sum := 0.0
+	for _, tokens := range k.backlog {
+		sum += tokens
+	}
+	if sum == 0 {
+		k.backlog[router.Longest] = float64(queued)
+		return
+	}
+	for c := range k.backlog {
+		k.backlog[c] *= float64(queued) / sum
+	}
+}
+
+// drain reckons how far the engine has come with its backlog, the shorter
+// classes first.
 func (k *Keeper) drain(now time.Time) {
-	done := now.Sub(k.backlogAt).Seconds() * float64(k.config.PrefillRate)
-	k.backlog = max(0, k.backlog-max(0, done))
+	done := max(0, now.Sub(k.backlogAt).Seconds()*float64(k.config.PrefillRate))
+	for c := range k.backlog {
+		part := min(done, k.backlog[c])
+		k.backlog[c] -= part
+		done -= part
+	}
 	k.backlogAt = now
 }
 
@@ -177,7 +204,7 @@
 func (k *Keeper) Ask(now time.Time, a Ask) Answer {
 	k.drain(now)
 	k.expire(now)
-	wait := k.Wait(now)
+	wait := k.Wait(now, a.Class)
 	if reason := k.closed(now, a); reason != "" {
 		return Answer{Wait: wait, Reason: reason}
 	}
@@ -188,8 +215,8 @@
 	if wait+prefill > a.Remaining {
 		return Answer{Wait: wait, Reason: TooLate}
 	}
-	k.grants[a.AttemptID] = grant{memory: a.MemoryTokens, prefill: a.PrefillTokens, expires: now.Add(k.config.GrantLife)}
-	k.backlog += float64(a.PrefillTokens)
+	k.grants[a.AttemptID] = grant{memory: a.MemoryTokens, prefill: a.PrefillTokens, class: a.Class, expires: now.Add(k.config.GrantLife)}
+	k.backlog[a.Class] += float64(a.PrefillTokens)
 	k.lastGrant = now
 	return Answer{Granted: true, Wait: wait, Reason: Free}
 }
@@ -212,16 +239,24 @@
 	return ""
 }
 
-// Wait reckons how long a prompt would queue.
-func (k *Keeper) Wait(now time.Time) time.Duration {
+// Wait reckons how long a prompt of the class would queue.
+func (k *Keeper) Wait(now time.Time, class router.Class) time.Duration {
 	k.drain(now)
-	return rateTime(k.backlog, k.config.PrefillRate)
+	return rateTime(float64(k.queue().Before(class)), k.config.PrefillRate)
+}
+
+func (k *Keeper) queue() router.Queue {
+	var q router.Queue
+	for c, tokens := range k.backlog {
+		q[c] = int(tokens)
+	}
+	return q
 }
 
 // Done takes in word that an attempt has ended, or never began.
 func (k *Keeper) Done(attemptID string) {
 	if g, ok := k.grants[attemptID]; ok {
-		k.backlog = max(0, k.backlog-float64(g.prefill))
+		k.backlog[g.class] = max(0, k.backlog[g.class]-float64(g.prefill))
 	}
 	delete(k.grants, attemptID)
 	if h, ok := k.holds[attemptID]; ok {
@@ -255,14 +290,23 @@
 // Grants is how many grants the engine does not list yet.
 func (k *Keeper) Grants() int { return len(k.grants) }
 
+// Digest is an engine's load as its keeper reckons it.
+type Digest struct {
+	Engine      string
+	Incarnation uint64
+	Leaving     bool
+	Queued      router.Queue
+	FreeTokens  int
+}
+
 // Digest is the engine's load as reckoned now.
-func (k *Keeper) Digest(now time.Time) api.LoadDigest {
+func (k *Keeper) Digest(now time.Time) Digest {
 	k.drain(now)
-	return api.LoadDigest{
-		Engine:       k.config.Engine,
-		Incarnation:  k.load.Incarnation,
-		Leaving:      k.load.Leaving,
-		QueuedTokens: int(k.backlog),
-		FreeTokens:   k.FreeTokens(),
+	return Digest{
+		Engine:      k.config.Engine,
+		Incarnation: k.load.Incarnation,
+		Leaving:     k.load.Leaving,
+		Queued:      k.queue(),
+		FreeTokens:  k.FreeTokens(),
 	}
 }
--- a/router/example_test.go
+++ b/router/example_test.go
@@ -15,7 +15,7 @@
 	now := time.Now()
 	busy := &router.Engine{Name: "busy", Model: "m", MemoryTokens: 1000, PrefillRate: 100, Load: &router.Load{}}
 	idle := &router.Engine{Name: "idle", Model: "m", MemoryTokens: 1000, PrefillRate: 100, Load: &router.Load{}}
-	busy.Load.Heard(now, 500, 500)
+	busy.Load.Heard(now, router.Queue{500}, 500)
 	board := router.NewBoard([]*router.Engine{busy, idle})
 	random := rand.New(rand.NewPCG(1, 1))
 	for _, c := range board.Choose(now, router.Predicted, router.Wish{Model: "m", PrefillTokens: 100, MemoryTokens: 100}, 2, random) {
--- a/router/router.go
+++ b/router/router.go
@@ -40,6 +40,21 @@
 	longFactor   = 32
 )
 
+// Classes is how many classes there are.
+const Classes = int(Longest) + 1
+
+// Queue is prompt tokens waiting, by class.
+type Queue [Classes]int
+
+// Before is how many tokens engines prefill before a prompt of the class.
+func (q Queue) Before(c Class) int {
+	sum := 0
+	for _, tokens := range q[:c+1] {
+		sum += tokens
+	}
+	return sum
+}
+
 // ClassOf is the class of a prompt, given the longest prompt of the short one.
 func ClassOf(tokens, shortTokens int) Class {
 	switch {
@@ -54,9 +69,10 @@
 }
 
 // Priority is what engines schedule a prompt by: the shorter, the higher, up
-// to the weight that the document gives the short class.
-func Priority(tokens, shortTokens, shortWeight int) int {
-	return shortWeight * int(Longest-ClassOf(tokens, shortTokens)) / int(Longest)
+// to the weight that the document gives the short class. The weight is 0, or
+// at least 3, so that no two classes have one priority.
+func Priority(class Class, shortWeight int) int {
+	return shortWeight * int(Longest-class) / int(Longest)
 }
 
 // sampled is how many engines Predicted weighs where there are more: looking
@@ -66,12 +82,13 @@
 // Load is what an entry knows of an engine's load. Fields are written by any
 // goroutine; a reader may see them one update apart.
 type Load struct {
-	// OwnTokens is prompt tokens this entry sent and saw no first token of.
-	OwnTokens atomic.Int64
+	// OwnTokens is prompt tokens this entry sent and saw no first token of,
+	// by class.
+	OwnTokens [Classes]atomic.Int64
 	// OwnFlight is this entry's attempts in progress.
 	OwnFlight atomic.Int64
-	// Queued and Free are as the keeper last said.
-	Queued atomic.Int64
+	// Queued, by class, and Free are as the keeper last said.
+	Queued [Classes]atomic.Int64
 	Free   atomic.Int64
 	// SaidAt is when the keeper said so, in nanoseconds since the epoch of
 	// the entry's clock; 0 when it never did.
@@ -130,6 +147,8 @@
 	// Version, where not empty, is the only one that will do: an answer is
 	// not continued by another version.
 	Version string
+	// Class is what the engines schedule the prompt by.
+	Class Class
 	// PrefillTokens are to be prefilled; MemoryTokens is the memory needed.
 	PrefillTokens int
 	MemoryTokens  int
@@ -162,7 +181,7 @@
 		if !e.fits(w) {
 			continue
 		}
-		choices = append(choices, Choice{Engine: e, Predicted: e.Predict(now, w.PrefillTokens)})
+		choices = append(choices, Choice{Engine: e, Predicted: e.Predict(now, w.Class, w.PrefillTokens)})
 		if len(choices) == limit {
 			break
 		}
@@ -182,19 +201,27 @@
 }
 
 // Predict reckons the time to first token of a prompt on the engine: what the
-// keeper said was queued, less what was prefilled since, plus what this entry
-// sent.
-func (e *Engine) Predict(now time.Time, prefill int) time.Duration {
+// keeper said was queued before it, less what was prefilled since, or what
+// this entry sent, whichever is more.
+func (e *Engine) Predict(now time.Time, class Class, prefill int) time.Duration {
 	rate := float64(max(1, e.PrefillRate))
-	queued := float64(e.Load.Queued.Load())
+	queued := float64(before(&e.Load.Queued, class))
 	if said := e.Load.SaidAt.Load(); said != 0 {
 		queued = max(0, queued-rate*now.Sub(time.Unix(0, said)).Seconds())
 	}
-	queued = max(queued, float64(e.Load.OwnTokens.Load()))
+	queued = max(queued, float64(before(&e.Load.OwnTokens, class)))
 	seconds := (queued + float64(prefill)) / rate
 	return 2*e.Distance + time.Duration(seconds*float64(time.Second))
 }
 
+func before(tokens *[Classes]atomic.Int64, class Class) int64 {
+	sum := int64(0)
+	for c := range class + 1 {
+		sum += tokens[c].Load()
+	}
+	return sum
+}
+
 func (b *Board) order(policy Policy, choices []Choice, random *rand.Rand) {
 	switch policy {
 	case Predicted:
@@ -248,8 +275,10 @@
 }
 
 // Heard takes over what a keeper said of the engine.
-func (l *Load) Heard(now time.Time, queued, free int) {
-	l.Queued.Store(int64(queued))
+func (l *Load) Heard(now time.Time, queued Queue, free int) {
+	for c, tokens := range queued {
+		l.Queued[c].Store(int64(tokens))
+	}
 	l.Free.Store(int64(free))
 	l.SaidAt.Store(now.UnixNano())
 }
--- a/server/complete.go
+++ b/server/complete.go
@@ -107,11 +107,20 @@
 	r := c.x.completion
 	prompt := api.PromptTokens(len(r.Prompt))
 	return router.Wish{
-		Model: r.Model, Adapter: r.Adapter, Version: c.version,
+		Model: r.Model, Adapter: r.Adapter, Version: c.version, Class: c.class(),
 		PrefillTokens: prompt + c.relayer.Delivered(), MemoryTokens: prompt + r.MaxTokens, Avoid: c.tried,
 	}
 }
 
+// class is what the engines schedule the prompt by.
+func (c *completion) class() router.Class {
+	policy := c.x.view.accepted.Document.Policy
+	if policy.ShortWeight == 0 {
+		return router.Longest
+	}
+	return router.ClassOf(api.PromptTokens(len(c.x.completion.Prompt)), policy.ShortTokens)
+}
+
 // needsGroup reports whether no single engine of the model holds the prompt.
 func (c *completion) needsGroup(w router.Wish) bool {
 	for _, e := range c.x.view.accepted.Document.Engines {
@@ -173,7 +182,7 @@
 func (c *completion) ask(choice router.Choice, w router.Wish, attemptID string) keeper.Answer {
 	x := c.x
 	answer := x.server.ask(x.ctx, choice.Engine, api.AskArgs{
-		Engine: choice.Engine.Name, Model: w.Model, AttemptID: attemptID,
+		Engine: choice.Engine.Name, Model: w.Model, AttemptID: attemptID, Class: int(w.Class),
 		PrefillTokens: w.PrefillTokens, MemoryTokens: w.MemoryTokens, Remaining: x.left(),
 	})
 	x.logRoute(choice, answer, w)
--- a/server/control.go
+++ b/server/control.go
@@ -233,7 +233,7 @@
 
 // digest takes over what a keeper says of an engine.
 func (c *control) digest(now time.Time, l api.LoadDigest) {
-	c.load(l.Engine).Heard(now, l.QueuedTokens, l.FreeTokens)
+	c.load(l.Engine).Heard(now, queueOf(l.QueuedTokens), l.FreeTokens)
 	c.incarnation(l.Engine, l.Incarnation)
 	if l.Leaving && c.drainer.Leaving(l.Engine, l.Incarnation) {
 		c.leaving(l.Engine, drainer.FromPeer)
@@ -314,7 +314,7 @@
 	}
 	for _, k := range c.keepers {
 		if !k.Heard().IsZero() {
-			beat.Loads = append(beat.Loads, k.Digest(now))
+			beat.Loads = append(beat.Loads, wireDigest(k.Digest(now)))
 		}
 	}
 	return beat
--- a/server/keep.go
+++ b/server/keep.go
@@ -110,7 +110,7 @@
 		orphans = k.Report(now, load, holds.Holds)
 	}
 	digest := k.Digest(now)
-	c.load(name).Heard(now, digest.QueuedTokens, digest.FreeTokens)
+	c.load(name).Heard(now, digest.Queued, digest.FreeTokens)
 	return orphans, c.plan(now, name, k, load)
 }
 
--- a/server/peers.go
+++ b/server/peers.go
@@ -179,11 +179,11 @@
 		return reply
 	}
 	answer := k.Ask(now, keeper.Ask{
-		AttemptID: args.AttemptID, Model: args.Model, PrefillTokens: args.PrefillTokens,
+		AttemptID: args.AttemptID, Model: args.Model, Class: classOf(args.Class), PrefillTokens: args.PrefillTokens,
 		MemoryTokens: args.MemoryTokens, Remaining: args.Remaining,
 	})
 	reply.Granted, reply.Wait, reply.Reason = answer.Granted, answer.Wait, string(answer.Reason)
-	reply.Load = k.Digest(now)
+	reply.Load = wireDigest(k.Digest(now))
 	return reply
 }
 
@@ -206,7 +206,7 @@
 		return s.askEngine(ctx, engine, args)
 	}
 	if reply.Load.Engine == engine.Name {
-		engine.Load.Heard(now, reply.Load.QueuedTokens, reply.Load.FreeTokens)
+		engine.Load.Heard(now, queueOf(reply.Load.QueuedTokens), reply.Load.FreeTokens)
 	}
 	if reply.Reason == string(keeper.Leaving) {
 		s.noteLeaving(engine.Name, 0)
@@ -240,9 +240,9 @@
 	k := keeper.New(s.keeperConfig(engine.Name, engine.MemoryTokens, engine.PrefillRate))
 	now := time.Now()
 	k.Report(now, load, []api.EngineHold{{Tokens: load.UsedTokens}})
-	engine.Load.Heard(now, load.QueuedTokens, k.FreeTokens())
+	engine.Load.Heard(now, k.Digest(now).Queued, k.FreeTokens())
 	return k.Ask(now, keeper.Ask{
-		AttemptID: args.AttemptID, Model: args.Model, PrefillTokens: args.PrefillTokens,
+		AttemptID: args.AttemptID, Model: args.Model, Class: classOf(args.Class), PrefillTokens: args.PrefillTokens,
 		MemoryTokens: args.MemoryTokens, Remaining: args.Remaining,
 	})
 }
--- a/server/slopes_test.go
+++ b/server/slopes_test.go
@@ -116,7 +116,7 @@
 				beat.Notices = append(beat.Notices, api.Notice{Kind: api.KindEntry, Name: fmt.Sprintf("entry-%d", i), Incarnation: 1 << 60, State: api.NoticeDead, Sequence: 2})
 			}
 			for i := range size[1] {
-				beat.Loads = append(beat.Loads, api.LoadDigest{Engine: fmt.Sprintf("engine-%d", i), Incarnation: 1 << 60, QueuedTokens: 10_000, FreeTokens: 300_000})
+				beat.Loads = append(beat.Loads, api.LoadDigest{Engine: fmt.Sprintf("engine-%d", i), Incarnation: 1 << 60, QueuedTokens: []int{10_000}, FreeTokens: 300_000})
 			}
 			var wire bytes.Buffer
 			e := gob.NewEncoder(&wire)
--- a/server/status.go
+++ b/server/status.go
@@ -78,7 +78,9 @@
 	}
 	load := c.load(name)
 	line.InFlight = int(load.OwnFlight.Load())
-	line.QueuedTokens = int(load.Queued.Load())
+	for class := range load.Queued {
+		line.QueuedTokens += int(load.Queued[class].Load())
+	}
 	if k, kept := c.keepers[name]; kept {
 		report := k.Load()
 		line.Model, line.Version, line.Fence = report.Model, report.Version, report.Fence
--- a/server/stream.go
+++ b/server/stream.go
@@ -56,12 +56,13 @@
 	load := r.engine.Load
 	prefill := int64(api.PromptTokens(len(x.completion.Prompt)))
 	load.OwnFlight.Add(1)
-	load.OwnTokens.Add(prefill)
+	class := c.class()
+	load.OwnTokens[class].Add(prefill)
 	defer load.OwnFlight.Add(-1)
 	waiting := true
 	first := func() {
 		if waiting {
-			load.OwnTokens.Add(-prefill)
+			load.OwnTokens[class].Add(-prefill)
 			waiting = false
 		}
 	}
@@ -170,7 +171,7 @@
 // priority is higher for shorter prompts, as the document weighs it.
 func (c *completion) priority() int {
 	policy := c.x.view.accepted.Document.Policy
-	return router.Priority(api.PromptTokens(len(c.x.completion.Prompt)), policy.ShortTokens, policy.ShortWeight)
+	return router.Priority(c.class(), policy.ShortWeight)
 }
 
 // read relays an attempt's chunks until the answer is whole or the attempt
@@ -178,7 +179,8 @@
 func (c *completion) read(ctx context.Context, cancel context.CancelCauseFunc, r run, body io.Reader, first func()) *failure {
 	silence := c.x.server.settings.Timing.Silence
 	prefill := router.Engine{PrefillRate: r.engine.PrefillRate * max(1, r.speed), Load: &router.Load{}}
-	reckoned := prefill.Predict(time.Now(), api.PromptTokens(len(c.x.completion.Prompt))) + r.engine.Predict(time.Now(), 0)
+	reckoned := prefill.Predict(time.Now(), router.Longest, api.PromptTokens(len(c.x.completion.Prompt))) +
+		r.engine.Predict(time.Now(), router.Longest, 0)
 	quiet := time.AfterFunc(silence+prefillSlack*reckoned, func() { cancel(errSilent) })
 	defer quiet.Stop()
 	scanner := bufio.NewScanner(body)
--- a/standin/measurer/fleet.go
+++ b/standin/measurer/fleet.go
@@ -33,6 +33,11 @@
 	Ask bool
 	// Priority has engines schedule shorter prompts first.
 	Priority bool
+	// Classes has queues reckoned by class.
+	Classes bool
+	// Levels is how many levels of priority there are, the longest classes
+	// sharing the last; 0 means one for each class.
+	Levels int
 	// Refuse has keepers refuse what would be too late.
 	Refuse bool
 	Fault  Fault
@@ -270,7 +275,7 @@
 		d := s.keeper.Digest(f.now)
 		for _, e := range f.entries {
 			if f.reach(e, s) {
-				e.loads[s.name].Heard(f.now, d.QueuedTokens, d.FreeTokens)
+				e.loads[s.name].Heard(f.now, d.Queued, d.FreeTokens)
 			}
 		}
 	}
--- a/standin/measurer/measurer.go
+++ b/standin/measurer/measurer.go
@@ -112,4 +112,7 @@
 	{"predicted+ask", Options{Policy: router.Predicted, Ask: true}},
 	{"predicted+ask+refuse", Options{Policy: router.Predicted, Ask: true, Refuse: true}},
 	{"predicted+ask+refuse+priority", Options{Policy: router.Predicted, Ask: true, Refuse: true, Priority: true}},
+	{"classes-2", Options{Policy: router.Predicted, Ask: true, Refuse: true, Priority: true, Classes: true, Levels: 2}},
+	{"classes-3", Options{Policy: router.Predicted, Ask: true, Refuse: true, Priority: true, Classes: true, Levels: 3}},
+	{"classes-4", Options{Policy: router.Predicted, Ask: true, Refuse: true, Priority: true, Classes: true}},
 }
--- a/standin/measurer/request.go
+++ b/standin/measurer/request.go
@@ -75,7 +75,7 @@
 	step := r.placer.Next(f.now)
 	switch step.Kind {
 	case placer.Choose:
-		w := router.Wish{Model: "model", PrefillTokens: r.tokens, MemoryTokens: r.tokens + r.answer, Avoid: r.tried}
+		w := router.Wish{Model: "model", Class: f.class(r), PrefillTokens: r.tokens, MemoryTokens: r.tokens + r.answer, Avoid: r.tried}
 		r.placer.Round(r.entry.board.Choose(f.now, f.options.Policy, w, maxAsked, f.random))
 		f.place(r)
 	case placer.Ask:
@@ -107,13 +107,13 @@
 			left = time.Hour
 		}
 		answer := s.keeper.Ask(f.now, keeper.Ask{
-			AttemptID: r.attempt, Model: "model", PrefillTokens: r.tokens, MemoryTokens: r.tokens + r.answer, Remaining: left,
+			AttemptID: r.attempt, Model: "model", Class: f.class(r), PrefillTokens: r.tokens, MemoryTokens: r.tokens + r.answer, Remaining: left,
 		})
 		if !f.reach(r.entry, s) {
 			answer = keeper.Answer{Reason: keeper.NotHeard}
 		}
 		d := s.keeper.Digest(f.now)
-		r.entry.loads[s.name].Heard(f.now, d.QueuedTokens, d.FreeTokens)
+		r.entry.loads[s.name].Heard(f.now, d.Queued, d.FreeTokens)
 		r.placer.Answered(answer)
 		f.place(r)
 	})
@@ -123,13 +123,29 @@
 	if !f.options.Priority {
 		return 0
 	}
-	return router.Priority(r.tokens, ShortTokens, shortWeight)
+	return router.Priority(f.level(r), shortWeight)
+}
+
+// class is what the queue is reckoned by: all one where engines go by order
+// of arrival.
+func (f *fleet) class(r *request) router.Class {
+	if !f.options.Classes {
+		return router.Longest
+	}
+	return f.level(r)
+}
+
+func (f *fleet) level(r *request) router.Class {
+	if f.options.Levels > 0 && int(r.class) >= f.options.Levels-1 {
+		return router.Longest
+	}
+	return r.class
 }
 
 func (f *fleet) dispatch(r *request, s *simEngine) {
 	load := r.entry.loads[s.name]
 	load.OwnFlight.Add(1)
-	load.OwnTokens.Add(int64(r.tokens))
+	load.OwnTokens[f.class(r)].Add(int64(r.tokens))
 	r.counted, r.engine = true, s
 	f.after(f.deployment.Distance, func() { f.give(r, s) })
 }
@@ -177,7 +193,7 @@
 	load := r.entry.loads[r.engine.name]
 	load.OwnFlight.Add(-1)
 	if r.counted {
-		load.OwnTokens.Add(-int64(r.tokens))
+		load.OwnTokens[f.class(r)].Add(-int64(r.tokens))
 		r.counted = false
 	}
 	r.engine = nil
@@ -186,7 +202,7 @@
 func (f *fleet) firstToken(r *request) {
 	r.first = f.now.Add(f.deployment.Distance + f.deployment.CallerDistance)
 	if r.counted {
-		r.entry.loads[r.engine.name].OwnTokens.Add(-int64(r.tokens))
+		r.entry.loads[r.engine.name].OwnTokens[f.class(r)].Add(-int64(r.tokens))
 		r.counted = false
 	}
 }
--- a/validator/check.go
+++ b/validator/check.go
@@ -15,6 +15,7 @@
 	maxNameLength   = 64
 	maxTokens       = 100_000_000
 	maxGroup        = 64
+	minShortWeight  = 3
 	maxShortWeight  = 10
 	maxInFlight     = 1_000_000
 	maxTimeoutLimit = 24 * time.Hour
@@ -173,7 +174,8 @@
 
 func (c *checker) checkPolicy(p Policy, l Limits) {
 	c.between("Policy.ShortTokens", p.ShortTokens, 1, max(1, l.MaxPromptTokens))
-	c.between("Policy.ShortWeight", p.ShortWeight, 0, maxShortWeight)
+	weighs := p.ShortWeight >= minShortWeight && p.ShortWeight <= maxShortWeight
+	c.faults.Require(p.ShortWeight == 0 || weighs, "Policy.ShortWeight", p.ShortWeight, fmt.Sprintf("0, or %d to %d", minShortWeight, maxShortWeight))
 }
 
 // crossCheck finds faults that no single field shows.
--- a/validator/document.go
+++ b/validator/document.go
@@ -111,7 +111,9 @@
 type Policy struct {
 	// ShortTokens is the longest prompt of the short class.
 	ShortTokens int `yaml:"ShortTokens"`
-	// ShortWeight raises the priority of the short class, 0 to 10.
+	// ShortWeight is the priority of the short class at the engines; longer
+	// classes have less. 0 means that engines go by order of arrival; else
+	// it is 3 to 10.
 	ShortWeight int `yaml:"ShortWeight"`
 }
 
