router: ask engines last that work slowly

Cause: an engine that answers all questions in time and works at a quarter of its speed was given its full part of the prompts, as its queue was reckoned by the speed that the document states. Entries now remember the time between tokens that they saw, for two minutes, and add what an answer would lose. Ruled out: correcting the queue by reports alone, as the tokens are late, not the first of them.

--- a/router/example_test.go
+++ b/router/example_test.go
@@ -43,3 +43,21 @@
 		is.Equal(choose(router.Wish{Avoid: []string{"small", "large"}}), 0)
 	}
 }
+
+// An engine that works slowly is asked last, until what was seen of it is old.
+func TestSlowEngineIsAskedLast(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	slow := &router.Engine{Name: "slow", Model: "m", MemoryTokens: 1000, PrefillRate: 1000, Load: &router.Load{}}
+	fast := &router.Engine{Name: "fast", Model: "m", MemoryTokens: 1000, PrefillRate: 100, Load: &router.Load{}}
+	board := router.NewBoard([]*router.Engine{slow, fast})
+	first := func(now time.Time) string {
+		w := router.Wish{Model: "m", PrefillTokens: 100, MemoryTokens: 100, AnswerTokens: 100}
+		return board.Choose(now, router.Predicted, w, 2, rand.New(rand.NewPCG(1, 1)))[0].Engine.Name
+	}
+	is.Equal(first(now), "slow")
+	slow.Load.Paced(now, 120*time.Millisecond)
+	fast.Load.Paced(now, 30*time.Millisecond)
+	is.Equal(first(now), "fast")
+	is.Equal(first(now.Add(10*time.Minute)), "slow")
+}
--- a/router/router.go
+++ b/router/router.go
@@ -90,6 +90,10 @@
 	// Queued, by class, and Free are as the keeper last said.
 	Queued [Classes]atomic.Int64
 	Free   atomic.Int64
+	// pace is the time between answer tokens that this entry saw last, and
+	// pacedAt when, in nanoseconds; both 0 before the first.
+	pace    atomic.Int64
+	pacedAt atomic.Int64
 	// SaidAt is when the keeper said so, in nanoseconds since the epoch of
 	// the entry's clock; 0 when it never did.
 	SaidAt atomic.Int64
@@ -152,6 +156,8 @@
 	// PrefillTokens are to be prefilled; MemoryTokens is the memory needed.
 	PrefillTokens int
 	MemoryTokens  int
+	// AnswerTokens is the longest that the answer may be.
+	AnswerTokens int
 	// Avoid names engines that failed the request already.
 	Avoid []string
 }
@@ -159,7 +165,8 @@
 // Choice is one engine to ask, in order of preference.
 type Choice struct {
 	Engine *Engine
-	// Predicted is the reckoned time to first token.
+	// Predicted is the reckoned time to first token and, for an engine much
+	// slower than others at the tokens that follow, the time lost by that.
 	Predicted time.Duration
 }
 
@@ -186,6 +193,9 @@
 			break
 		}
 	}
+	if policy == Predicted {
+		addSlowness(now, choices, w.AnswerTokens)
+	}
 	b.order(policy, choices, random)
 	return choices[:min(most, len(choices))]
 }
@@ -274,6 +284,52 @@
 	copy(choices, rotated)
 }
 
+const (
+	// paceWeight is the part of the pace that a new sight of it makes up.
+	paceWeight = 0.5
+	// paceLife is how long a pace is believed; then the engine is tried again.
+	paceLife = 2 * time.Minute
+	// slowFactor is how much slower than the fastest an engine may be before
+	// that counts.
+	slowFactor = 2
+)
+
+// Paced takes in the time between answer tokens of an attempt.
+func (l *Load) Paced(now time.Time, pace time.Duration) {
+	if before := l.freshPace(now); before > 0 {
+		pace = before + time.Duration(paceWeight*float64(pace-before))
+	}
+	l.pace.Store(int64(pace))
+	l.pacedAt.Store(now.UnixNano())
+}
+
+// freshPace is the pace, or 0 where none was seen lately.
+func (l *Load) freshPace(now time.Time) time.Duration {
+	at := l.pacedAt.Load()
+	if at == 0 || now.Sub(time.Unix(0, at)) > paceLife {
+		return 0
+	}
+	return time.Duration(l.pace.Load())
+}
+
+// addSlowness adds what the answer would lose on engines that answer all
+// questions in time and work slowly, as a gray failure does.
+func addSlowness(now time.Time, choices []Choice, answer int) {
+	fastest := time.Duration(0)
+	for _, c := range choices {
+		pace := c.Engine.Load.freshPace(now)
+		if pace > 0 && (fastest == 0 || pace < fastest) {
+			fastest = pace
+		}
+	}
+	for i, c := range choices {
+		pace := c.Engine.Load.freshPace(now)
+		if pace > slowFactor*fastest {
+			choices[i].Predicted += time.Duration(answer) * (pace - fastest)
+		}
+	}
+}
+
 // Heard takes over what a keeper said of the engine.
 func (l *Load) Heard(now time.Time, queued Queue, free int) {
 	for c, tokens := range queued {
--- a/server/complete.go
+++ b/server/complete.go
@@ -108,7 +108,7 @@
 	prompt := api.PromptTokens(len(r.Prompt))
 	return router.Wish{
 		Model: r.Model, Adapter: r.Adapter, Version: c.version, Class: c.class(),
-		PrefillTokens: prompt + c.relayer.Delivered(), MemoryTokens: prompt + r.MaxTokens, Avoid: c.tried,
+		PrefillTokens: prompt + c.relayer.Delivered(), MemoryTokens: prompt + r.MaxTokens, AnswerTokens: r.MaxTokens, Avoid: c.tried,
 	}
 }
 
--- a/server/stream.go
+++ b/server/stream.go
@@ -183,6 +183,8 @@
 		r.engine.Predict(time.Now(), router.Longest, 0)
 	quiet := time.AfterFunc(silence+prefillSlack*reckoned, func() { cancel(errSilent) })
 	defer quiet.Stop()
+	pace := pace{from: c.relayer.Delivered()}
+	defer func() { pace.note(r.engine.Load, c.relayer.Delivered()) }()
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 4096), maxEvent)
 	for scanner.Scan() {
@@ -205,6 +207,7 @@
 		c.x.server.asserter.Check(chunk.ID == c.x.id, asserter.ForeignChunk, "request %s got a chunk of %s", c.x.id, chunk.ID)
 		quiet.Reset(silence)
 		first()
+		pace.begin()
 		c.version = r.engine.Version
 		c.pass(offset, text, chunk.Usage)
 		if verdict == relayer.Whole {
@@ -215,6 +218,31 @@
 	return c.broken(r, cause(ctx, scanner.Err()))
 }
 
+// leastPaced is how many tokens show an engine's pace.
+const leastPaced = 8
+
+// pace measures the time between the tokens of one attempt.
+type pace struct {
+	from  int
+	first time.Time
+}
+
+// begin marks the first token.
+func (p *pace) begin() {
+	if p.first.IsZero() {
+		p.first = time.Now()
+	}
+}
+
+// note tells the router how fast the engine was, when enough tokens came.
+func (p *pace) note(load *router.Load, delivered int) {
+	tokens := delivered - p.from
+	if p.first.IsZero() || tokens < leastPaced {
+		return
+	}
+	load.Paced(time.Now(), time.Since(p.first)/time.Duration(tokens))
+}
+
 // broken ends an attempt that may have done work.
 func (c *completion) broken(r run, err error) *failure {
 	f := fail(api.CodeUpstreamFailed, "engine %s broke off", r.engine.Name)
--- a/standin/measurer/fleet.go
+++ b/standin/measurer/fleet.go
@@ -35,6 +35,8 @@
 	Priority bool
 	// Classes has queues reckoned by class.
 	Classes bool
+	// Pace has entries go by how fast engines were.
+	Pace bool
 	// Levels is how many levels of priority there are, the longest classes
 	// sharing the last; 0 means one for each class.
 	Levels int
@@ -240,6 +242,7 @@
 		s.batcher.Step(f.now)
 		for r, running := range s.running {
 			made, ended := running.Tokens()
+			r.made += made
 			if made > 0 && r.first.IsZero() {
 				f.firstToken(r)
 			}
--- a/standin/measurer/measurer.go
+++ b/standin/measurer/measurer.go
@@ -115,4 +115,5 @@
 	{"classes-2", Options{Policy: router.Predicted, Ask: true, Refuse: true, Priority: true, Classes: true, Levels: 2}},
 	{"classes-3", Options{Policy: router.Predicted, Ask: true, Refuse: true, Priority: true, Classes: true, Levels: 3}},
 	{"classes-4", Options{Policy: router.Predicted, Ask: true, Refuse: true, Priority: true, Classes: true}},
+	{"classes-4+pace", Options{Policy: router.Predicted, Ask: true, Refuse: true, Priority: true, Classes: true, Pace: true}},
 }
--- a/standin/measurer/request.go
+++ b/standin/measurer/request.go
@@ -45,6 +45,8 @@
 	attempt  string
 	group    []reserver.Share
 	tried    []string
+	// made is how many tokens of the answer were made.
+	made int
 	// counted says that the engine's first token is still owed.
 	counted bool
 }
@@ -75,7 +77,7 @@
 	step := r.placer.Next(f.now)
 	switch step.Kind {
 	case placer.Choose:
-		w := router.Wish{Model: "model", Class: f.class(r), PrefillTokens: r.tokens, MemoryTokens: r.tokens + r.answer, Avoid: r.tried}
+		w := router.Wish{Model: "model", Class: f.class(r), PrefillTokens: r.tokens, MemoryTokens: r.tokens + r.answer, AnswerTokens: r.answer, Avoid: r.tried}
 		r.placer.Round(r.entry.board.Choose(f.now, f.options.Policy, w, maxAsked, f.random))
 		f.place(r)
 	case placer.Ask:
@@ -190,6 +192,7 @@
 	if r.engine == nil {
 		return
 	}
+	f.pace(r)
 	load := r.entry.loads[r.engine.name]
 	load.OwnFlight.Add(-1)
 	if r.counted {
@@ -199,6 +202,14 @@
 	r.engine = nil
 }
 
+// pace notes how fast the engine was.
+func (f *fleet) pace(r *request) {
+	const leastPaced = 8
+	if f.options.Pace && r.made >= leastPaced {
+		r.entry.loads[r.engine.name].Paced(f.now, f.now.Sub(r.first)/time.Duration(r.made))
+	}
+}
+
 func (f *fleet) firstToken(r *request) {
 	r.first = f.now.Add(f.deployment.Distance + f.deployment.CallerDistance)
 	if r.counted {
