server: answer a request whose limit passed while the process was paused

Cause: the deadline for writing to the caller was set at admission, so an entry that slept past it could tell the caller nothing (the connection ended without a word), and the invariant OutlivedLimit was counted when the request was released after the tick that noticed the pause.

--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -32,6 +32,8 @@
 	options  map[string]string
 	centres  int
 	jobs     map[string]*job
+	// posts holds the answers to posts in the background.
+	posts map[string]chan string
 }
 
 // job is a command in the background.
--- a/server/control.go
+++ b/server/control.go
@@ -71,6 +71,8 @@
 	holds    map[string]map[string]*holding
 	stopping bool
 	lastTick time.Time
+	// wokeAt is when this process last ran again after a pause.
+	wokeAt time.Time
 	// dirty says that the view is out of date.
 	dirty bool
 }
@@ -139,6 +141,7 @@
 func (c *control) tick(now time.Time) {
 	if now.Sub(c.lastTick) > wokeAfter {
 		c.server.logs.entry.Warn("woke", zap.Duration("paused", now.Sub(c.lastTick)))
+		c.wokeAt = now
 		c.prober.Woke(now)
 	}
 	c.lastTick = now
@@ -146,6 +149,12 @@
 	c.server.metrics.inFlight.Update(float64(c.admitter.InFlight()))
 }
 
+// justWoke reports whether this process was paused and ran again no longer ago
+// than the slack that requests have past their limit.
+func (c *control) justWoke(now time.Time) bool {
+	return now.Sub(c.lastTick) > wokeAfter || now.Sub(c.wokeAt) < deadlineSlack
+}
+
 // changed logs changes of members and has the view made anew.
 func (c *control) changed(changes []prober.Change) {
 	for _, change := range changes {
