client: bound retries by a budget

Retries of what was not run are a tenth of the requests in the long run and 10 in a burst, so that callers can't keep an overloaded fleet overloaded. A resend with a ticket asks for an answer and is not counted. TestRetriesAreBounded: 100 refused requests with 5 tries each were sent 500 times before, 120 at most now.

--- a/client/client.go
+++ b/client/client.go
@@ -63,6 +63,7 @@
 // Client sends requests. It is safe for concurrent use.
 type Client struct {
 	config Config
+	budget budget
 
 	lock    sync.Mutex
 	entries []api.EntryAddress
@@ -288,6 +289,7 @@
 		}
 		o.Ticket = ticket
 	}
+	c.budget.request()
 	for try := 1; ; try++ {
 		entry, err := c.pick(ctx)
 		if err != nil {
@@ -302,6 +304,8 @@
 			return result, err
 		}
 		wait, again := retry(err, o)
+		// A resend with a ticket asks for an answer; any other is new load.
+		again = again && (o.Ticket != "" || c.budget.retry())
 		if !again || !sleep(ctx, wait) {
 			return result, err
 		}
--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,99 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sapphireramp/sapphireramp/api"
+)
+
+// fakeEntries answers every request with what answer returns.
+type fakeEntries func(r *http.Request) (status int, body string)
+
+func (f fakeEntries) RoundTrip(r *http.Request) (*http.Response, error) {
+	status, body := f(r)
+	return &http.Response{StatusCode: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), Request: r}, nil
+}
+
+func withTestClient(tries int, answer fakeEntries) *Client {
+	return New(Config{
+		Seeds: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:80")}, Direct: true, Tries: tries,
+		HTTP: &http.Client{Transport: answer},
+	})
+}
+
+const (
+	chunkOne = `data: {"id":"r","offset":0,"choices":[{"text":"a ","tokens":1}]}` + "\n\n"
+	chunkEnd = `data: {"id":"r","offset":1,"choices":[{"text":"","tokens":0,"finish_reason":"stop"}],"usage":{"completion_tokens":1}}` + "\n\n"
+	done     = "data: [DONE]\n\n"
+)
+
+// Only an answer with the right count and the end marker is whole.
+func TestWholeAnswer(t *testing.T) {
+	cases := map[string]struct {
+		stream string
+		whole  bool
+	}{
+		"whole":     {chunkOne + chunkEnd + done, true},
+		"no marker": {chunkOne + chunkEnd, false},
+		"no end":    {chunkOne + done, false},
+		"a gap":     {chunkEnd + done, false},
+		"twice":     {chunkOne + chunkOne + chunkEnd + done, false},
+		"empty":     {"", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			client := withTestClient(1, func(*http.Request) (int, string) { return http.StatusOK, c.stream })
+			result, err := client.Complete(context.Background(), api.CompletionRequest{Stream: true}, Options{}, nil)
+			is.Equal(err == nil, c.whole)
+			if c.whole {
+				is.Equal(result.Text, "a ")
+			}
+		})
+	}
+}
+
+const refusal = `{"error":{"code":"overloaded","outcome":"not_run","retry_after_seconds":0.001}}`
+
+// Retries of an overloaded fleet are at most a burst and a tenth of requests.
+func TestRetriesAreBounded(t *testing.T) {
+	is := is.New(t)
+	sent := 0
+	client := withTestClient(5, func(*http.Request) (int, string) {
+		sent++
+		return http.StatusServiceUnavailable, refusal
+	})
+	const requests = 100
+	for range requests {
+		_, err := client.Complete(context.Background(), api.CompletionRequest{}, Options{Timeout: time.Minute}, nil)
+		var refused *OutcomeError
+		is.True(errors.As(err, &refused))
+	}
+	is.True(sent <= requests+requests/10+budgetMost)
+	is.True(sent > requests)
+}
+
+// What may have run is sent again only with its ticket.
+func TestUnknownIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	sent := 0
+	client := withTestClient(5, func(*http.Request) (int, string) {
+		sent++
+		return http.StatusBadGateway, `{"error":{"code":"upstream_failed","outcome":"unknown","retry_after_seconds":0.001}}`
+	})
+	_, err := client.Complete(context.Background(), api.CompletionRequest{}, Options{}, nil)
+	is.True(err != nil)
+	is.Equal(sent, 1)
+	_, err = client.Complete(context.Background(), api.CompletionRequest{}, Options{Ticket: "t"}, nil)
+	is.True(err != nil)
+	is.Equal(sent, 6)
+}
