--- a/cmd/standin/measure.go
+++ b/cmd/standin/measure.go
@@ -21,6 +21,7 @@
 	fault       string
 	seed        uint64
 	full        bool
+	burst       bool
 }
 
 func newMeasure() *measure {
@@ -32,6 +33,7 @@
 	m.command.String(&m.fault, "f", "fault", "dead-engine, slow-engine, lagged-load, cut-centre, or none")
 	m.command.UInt64(&m.seed, "s", "seed", "seed of the requests")
 	m.command.Bool(&m.full, "", "full", "print all classes")
+	m.command.Bool(&m.burst, "", "burst", "measure recovery from a minute at twice what the engines can do")
 	return m
 }
 
@@ -55,6 +57,10 @@
 // compare prints a line, or a table, for each policy.
 func (m *measure) compare(d measurer.Deployment, load float64) {
 	fmt.Printf("deployment=%s load=%.2f fault=%q seed=%d\n", d.Name, load, m.fault, m.seed)
+	if m.burst {
+		m.recover(d)
+		return
+	}
 	if !m.full {
 		fmt.Printf("  %-30s %9s %9s %9s %9s %9s %8s %8s %8s %9s\n", "policy", "short_p95", "alone_p95", "slowdown", "long_p95", "1M_p95", "answered", "refused", "late", "goodput")
 	}
@@ -80,6 +86,23 @@
 	}
 }
 
+// recover prints how the policies come through a burst, with callers that send
+// again what failed.
+func (m *measure) recover(d measurer.Deployment) {
+	const base, peak, retries = 0.7, 2.0, 5
+	for _, p := range measurer.Policies {
+		if m.policies != "" && !contains(m.policies, p.Name) {
+			continue
+		}
+		o := p.Options
+		o.Retries, o.Budget = retries, p.Options.Refuse
+		fmt.Printf("  %s: base %.1f, peak %.1f from 60 s to 120 s, up to %d retries, budget %t\n", p.Name, base, peak, retries, o.Budget)
+		for _, w := range measurer.Burst(d, o, base, peak, m.seed) {
+			fmt.Printf("    from_s=%d sent=%d answered=%d refused=%d late=%d goodput=%.0f\n", int(w.From.Seconds()), w.Sent, w.Answered, w.Refused, w.Late, w.Goodput)
+		}
+	}
+}
+
 func contains(list, name string) bool {
 	for item := range strings.SplitSeq(list, ",") {
 		if item == name {
--- a/standin/measurer/fleet.go
+++ b/standin/measurer/fleet.go
@@ -37,6 +37,10 @@
 	Classes bool
 	// Pace has entries go by how fast engines were.
 	Pace bool
+	// Retries is how often callers send again what was refused or late, and
+	// Budget bounds that to a tenth of the requests.
+	Retries int
+	Budget  bool
 	// Levels is how many levels of priority there are, the longest classes
 	// sharing the last; 0 means one for each class.
 	Levels int
@@ -104,6 +108,8 @@
 	// filler is cut into prompts, so that none is copied.
 	filler string
 	ids    int
+	// spent is the retries taken from the callers' budget, all together.
+	spent float64
 }
 
 type simEngine struct {
--- a/standin/measurer/measurer.go
+++ b/standin/measurer/measurer.go
@@ -87,6 +87,59 @@
 	return float64(r.Classes[c].FirstToken.ValueAtQuantile(percent)) / 1000
 }
 
+// Window is what became of the requests sent in a part of a run.
+type Window struct {
+	From                          time.Duration
+	Sent, Answered, Refused, Late int
+	// Goodput is prompt tokens a second of those answered in time.
+	Goodput float64
+}
+
+// Burst measures recovery: load is base but for a minute after the first, when
+// it is peak. It returns a window for every half minute.
+func Burst(d Deployment, o Options, base, peak float64, seed uint64) []Window {
+	const (
+		width = 30 * time.Second
+		begin = time.Minute
+		end   = 2 * time.Minute
+		whole = 6 * time.Minute
+	)
+	f := newFleet(d, o, seed)
+	f.start()
+	start := f.now
+	for _, dm := range draw(d, base, whole, seed) {
+		f.after(dm.at, func() { f.arrive(dm) })
+	}
+	for _, dm := range draw(d, peak-base, end-begin, seed+1) {
+		f.after(begin+dm.at, func() { f.arrive(dm) })
+	}
+	f.run(whole + coolDown)
+	windows := make([]Window, whole/width)
+	for _, r := range f.requests {
+		n := int(r.arrived.Sub(start) / width)
+		if n >= len(windows) {
+			continue
+		}
+		w := &windows[n]
+		w.From = time.Duration(n) * width
+		w.count(r, width)
+	}
+	return windows
+}
+
+func (w *Window) count(r *request, width time.Duration) {
+	w.Sent++
+	switch r.outcome {
+	case answered:
+		w.Answered++
+		w.Goodput += float64(r.tokens) / width.Seconds()
+	case refused:
+		w.Refused++
+	default:
+		w.Late++
+	}
+}
+
 // Print writes a result as a table.
 func (r Result) Print(w io.Writer, title string) {
 	_, _ = fmt.Fprintf(w, "%s goodput=%.0f tokens/s\n", title, r.Goodput)
--- a/standin/measurer/request.go
+++ b/standin/measurer/request.go
@@ -45,6 +45,8 @@
 	attempt  string
 	group    []reserver.Share
 	tried    []string
+	// sends is how often its caller sent it before.
+	sends int
 	// made is how many tokens of the answer were made.
 	made int
 	// counted says that the engine's first token is still owed.
@@ -53,7 +55,12 @@
 
 // arrive begins a request at its entry.
 func (f *fleet) arrive(d demand) {
-	r := &request{demand: d, entry: f.entries[d.entry], arrived: f.now}
+	f.spent = max(0, f.spent-0.1)
+	f.send(d, 0)
+}
+
+func (f *fleet) send(d demand, sends int) {
+	r := &request{demand: d, entry: f.entries[d.entry], arrived: f.now, sends: sends}
 	r.deadline = f.now.Add(lengths[d.class].limit)
 	f.requests = append(f.requests, r)
 	f.after(lengths[d.class].limit, func() { f.expire(r) })
@@ -87,8 +94,28 @@
 	case placer.Placed:
 		f.dispatch(r, f.byName[step.Choice.Engine.Name])
 	default:
-		r.outcome = refused
+		f.refuse(r)
+	}
+}
+
+// refuse gives a request up; its caller may come back.
+func (f *fleet) refuse(r *request) {
+	r.outcome = refused
+	f.comeBack(r)
+}
+
+// comeBack has a caller send a request again, as a new one, after a while.
+func (f *fleet) comeBack(r *request) {
+	const leastWait, mostWait, budget = 500, 3000, 10.0
+	if r.sends >= f.options.Retries {
+		return
+	}
+	if f.options.Budget && f.spent > budget*float64(f.deployment.Entries)-1 {
+		return
 	}
+	f.spent++
+	wait := time.Duration(leastWait+f.random.IntN(mostWait-leastWait)) * time.Millisecond
+	f.after(wait, func() { f.send(r.demand, r.sends+1) })
 }
 
 // ask asks the engine's keeper, where the policy does, or takes the engine.
@@ -238,6 +265,7 @@
 	}
 	f.settle(r)
 	f.freeGroup(r)
+	f.comeBack(r)
 }
 
 // reserveGroup reserves a group, or tries again until patience ends.
@@ -246,7 +274,7 @@
 		return
 	}
 	if f.now.After(patience) {
-		r.outcome = refused
+		f.refuse(r)
 		return
 	}
 	var candidates []reserver.Candidate
