console: edit, check and seal documents by forms

The console shows the platform's document as a form, judges edits with the entries' validator, shows difference and effects, and gives back the document with an Ed25519 seal; entries with SealKeys refuse any other. It keeps and writes nothing and needs no scripts. Weighed: a list of accepted digests (a second thing to publish), a shared secret (every entry could seal).

--- a/loader/loader.go
+++ b/loader/loader.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/decoder"
+	"github.com/sapphireramp/sapphireramp/sealer"
 )
 
 // maxSettings is the largest settings file in bytes.
@@ -32,6 +33,10 @@
 	// list is known or while it is down.
 	Peers []netip.AddrPort `yaml:"Peers"`
 
+	// SealKeys are the public keys, in hex, of consoles whose seals this
+	// entry accepts. Without one it accepts documents without a seal.
+	SealKeys []string `yaml:"SealKeys"`
+
 	Log     Log     `yaml:"Log"`
 	Timing  Timing  `yaml:"Timing"`
 	Callers Callers `yaml:"Callers"`
@@ -140,6 +145,10 @@
 	faults.Require(s.Address != s.PeerAddress, "PeerAddress", s.PeerAddress, "other than Address")
 	faults.Require(s.Listen != s.PeerListen, "PeerListen", s.PeerListen, "other than Listen")
 	faults.Require(s.Platform.IsValid() && s.Platform.Port() != 0, "Platform", s.Platform, "IP:port")
+	for i, k := range s.SealKeys {
+		_, err := sealer.ParsePublic(k)
+		faults.Require(err == nil, fmt.Sprintf("SealKeys[%d]", i), k, "32 bytes in hex")
+	}
 	known := false
 	for _, l := range levels {
 		known = known || l == s.Log.Level
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -4,11 +4,13 @@
 package scenario
 
 import (
+	"crypto/ed25519"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,6 +20,7 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/sealer"
 	"github.com/sapphireramp/sapphireramp/validator"
 )
 
@@ -34,6 +37,8 @@
 	jobs     map[string]*job
 	// posts holds the answers to posts in the background.
 	posts map[string]chan string
+	// forms holds what operators are editing in the console.
+	forms map[string]url.Values
 }
 
 // job is a command in the background.
@@ -76,7 +81,7 @@
 		"entries": "3", "engines": "3", "services": "1", "centres": "1",
 		"memory": "100000", "prefill": "200000", "token": "5ms", "lag": "100ms", "list-lag": "0s", "delay": "10ms",
 		"fences": "true", "crossed": "false", "platform": "true", "strict": "true",
-		"lease": "2s", "life": "1s", "ticket-life": "10m", "silence": "1s", "in-flight": "100", "watch": "1s", "timing": "fast",
+		"lease": "2s", "life": "1s", "ticket-life": "10m", "silence": "1s", "in-flight": "100", "watch": "1s", "timing": "fast", "seal": "false",
 	}
 }
 
@@ -201,11 +206,12 @@
 PeerListen: %s
 Platform: %s
 Peers: [%s]
+SealKeys: %s
 Log: {Level: %s}
 Timing: {%s, Lease: %s, Watch: %s, Silence: %s}
 Callers: {AddressLife: %s, DrainSlack: 100ms, TicketLife: %s}
 `, p.name, centre, p.front, p.peerFront, p.back, p.peerBack, f.processes["platform"].front,
-		strings.Join(peers, ", "), timings[o["timing"]].level, timings[o["timing"]].periods, o["lease"], o["watch"], o["silence"], o["life"], o["ticket-life"])
+		strings.Join(peers, ", "), f.sealKeys(), timings[o["timing"]].level, timings[o["timing"]].periods, o["lease"], o["watch"], o["silence"], o["life"], o["ticket-life"])
 	return os.WriteFile(filepath.Join(f.dir, p.name+".yaml"), []byte(text), 0o644)
 }
 
@@ -310,7 +316,24 @@
 	return nil
 }
 
-func (f *fleet) publish(document, path string) error { return f.put(path, document) }
+// publish puts a document, sealed where the fleet wants seals.
+func (f *fleet) publish(document, path string) error {
+	if f.options["seal"] == "true" {
+		document = string(sealer.Seal([]byte(document), sealKey))
+	}
+	return f.put(path, document)
+}
+
+// sealKey is the key of the scenarios' console.
+var sealKey = ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
+
+// sealKeys is the line of settings that accepts sealKey.
+func (f *fleet) sealKeys() string {
+	if f.options["seal"] != "true" {
+		return "[]"
+	}
+	return "[" + sealer.FormatPublic(sealKey) + "]"
+}
 
 func (f *fleet) publishList() error {
 	data, err := json.Marshal(api.InstanceList{Instances: f.instance})
--- a/scenario/http_test.go
+++ b/scenario/http_test.go
@@ -1,11 +1,19 @@
 package scenario
 
 import (
+	"encoding/hex"
 	"fmt"
+	"html"
 	"io"
 	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
 )
 
 func httpGet(url string) (string, error) {
@@ -41,3 +49,56 @@
 	data, err := io.ReadAll(response.Body)
 	return fmt.Sprintf("status=%d\n%s", response.StatusCode, data), err
 }
+
+// consoleAddress is where the scenario's console listens.
+const consoleAddress = "127.0.8.1:9999"
+
+// cmdConsole starts a console in the background.
+func cmdConsole(ts *testscript.TestScript, _ bool, _ []string) {
+	f := fleetOf(ts)
+	settings := fmt.Sprintf("Address: %s\nPlatform: %s\nSealSeed: %s\n", consoleAddress, f.processes["platform"].back, hex.EncodeToString(sealKey.Seed()))
+	path := filepath.Join(f.dir, "console.yaml")
+	ts.Check(os.WriteFile(path, []byte(settings), 0o600))
+	cmdBackground(ts, false, []string{"console", "console", "--settings", path})
+	for range 100 {
+		if _, err := httpGet("http://" + consoleAddress + "/"); err == nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ts.Fatalf("console does not answer: %s", f.jobs["console"].out.String())
+}
+
+var (
+	formInput = regexp.MustCompile(`<input type="(hidden|text|checkbox)"[^>]*name="([^"]+)" value="([^"]*)"( checked)?`)
+	formText  = regexp.MustCompile(`(?s)<textarea[^>]*>(.*)</textarea>`)
+)
+
+// formOf reads a page's form as a browser would send it back.
+func formOf(page string) url.Values {
+	form := url.Values{}
+	for _, m := range formInput.FindAllStringSubmatch(page, -1) {
+		if m[1] != "checkbox" || m[4] != "" {
+			form.Set(m[2], html.UnescapeString(m[3]))
+		}
+	}
+	return form
+}
+
+// sealForm has the console seal a form and returns the document.
+func sealForm(form url.Values) (string, error) {
+	response, err := http.PostForm("http://"+consoleAddress+"/seal", form)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	page, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "", err
+	}
+	m := formText.FindStringSubmatch(string(page))
+	if m == nil {
+		return "", fmt.Errorf("not sealed: %s", page)
+	}
+	return html.UnescapeString(m[1]), nil
+}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"net/netip"
+	"net/url"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -47,7 +49,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir: filepath.Join("..", "_fixtures", "scenarios"),
 		Setup: func(e *testscript.Env) error {
-			f := &fleet{dir: e.WorkDir, binaries: binaries, processes: map[string]*process{}, options: defaultOptions(), jobs: map[string]*job{}, posts: map[string]chan string{}}
+			f := &fleet{dir: e.WorkDir, binaries: binaries, processes: map[string]*process{}, options: defaultOptions(), jobs: map[string]*job{}, posts: map[string]chan string{}, forms: map[string]url.Values{}}
 			e.Values[fleetKey] = f
 			e.Defer(func() {
 				f.stop()
@@ -63,7 +65,7 @@
 			"fleet": cmdFleet, "signal": cmdSignal, "restart": cmdRestart, "exited": cmdExited, "cut": cmdCut, "mend": cmdMend,
 			"platform": cmdPlatform, "instance": cmdInstance, "publish": cmdPublish, "until": cmdUntil, "get": cmdGet, "post": cmdPost,
 			"pause": cmdPause, "background": cmdBackground, "join": cmdJoin, "post-background": cmdPostBackground, "post-join": cmdPostJoin,
-			"victim": cmdVictim, "unplug": cmdUnplug, "plug": cmdPlug, "ticket": cmdTicket, "executions": cmdExecutions, "same-document": cmdSameDocument, "superseded": cmdSuperseded,
+			"victim": cmdVictim, "unplug": cmdUnplug, "plug": cmdPlug, "ticket": cmdTicket, "publish-raw": cmdPublishRaw, "operator": cmdOperator, "console": cmdConsole, "executions": cmdExecutions, "same-document": cmdSameDocument, "superseded": cmdSuperseded,
 		},
 	})
 }
@@ -194,7 +196,34 @@
 	if len(args) > 3 {
 		document = strings.ReplaceAll(document, args[2], args[3])
 	}
-	ts.Check(fleetOf(ts).put("/control/config", document))
+	ts.Check(fleetOf(ts).publish(document, "/control/config"))
+}
+
+// cmdPublishRaw publishes a document without a seal: publish-raw REVISION.
+func cmdPublishRaw(ts *testscript.TestScript, _ bool, args []string) {
+	revision, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	ts.Check(fleetOf(ts).put("/control/config", fleetOf(ts).document(revision, "raw")))
+}
+
+// cmdOperator edits the document in force in the console's form and publishes
+// what it sealed: operator load|publish NAME [FIELD=VALUE].
+func cmdOperator(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	if args[0] == "load" {
+		page, err := httpGet("http://" + consoleAddress + "/")
+		ts.Check(err)
+		f.forms[args[1]] = formOf(page)
+		return
+	}
+	form := f.forms[args[1]]
+	for _, change := range args[2:] {
+		name, value, _ := strings.Cut(change, "=")
+		form.Set(name, value)
+	}
+	document, err := sealForm(form)
+	ts.Check(err)
+	ts.Check(f.put("/control/config", document))
 }
 
 // cmdUntil runs a command until its output matches: until DURATION REGEXP
--- /dev/null
+++ b/sealer/sealer.go
@@ -0,0 +1,107 @@
+// Package sealer puts a seal on a configuration document that passed the
+// check, and verifies it. The seal is the document's last line and signs all
+// that stands before it, revision and base among it, so a document that was
+// changed after the check carries no valid seal.
+package sealer
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"strings"
+)
+
+// prefix begins the seal's line. It is a field of the document.
+const prefix = "Seal: "
+
+// domain keeps a signature from being taken for one of something else.
+const domain = "sapphireramp document\n"
+
+// MissingError says that a document has no seal as its last line.
+type MissingError struct{}
+
+func (MissingError) Error() string { return "Seal: missing: must be the document's last line" }
+
+// InvalidError says that no accepted key made a document's seal.
+type InvalidError struct{ Reason string }
+
+func (e InvalidError) Error() string { return "Seal: not valid: " + e.Reason }
+
+// Seal returns the document with a seal by the key; one that it has already
+// is replaced.
+func Seal(document []byte, key ed25519.PrivateKey) []byte {
+	text := Strip(document)
+	signature := ed25519.Sign(key, message(text))
+	return fmt.Appendf(text, "%s%s\n", prefix, base64.RawStdEncoding.EncodeToString(signature))
+}
+
+func message(text []byte) []byte {
+	return append([]byte(domain), text...)
+}
+
+// Strip returns a copy of the document without its seal, ending with a line
+// break.
+func Strip(document []byte) []byte {
+	text, _ := split(document)
+	return text
+}
+
+// split parts a document from its seal, which is empty where there is none.
+func split(document []byte) (text []byte, seal string) {
+	text = append(bytes.TrimRight(bytes.Clone(document), "\n"), '\n')
+	start := bytes.LastIndexByte(text[:len(text)-1], '\n') + 1
+	last := string(text[start : len(text)-1])
+	if !strings.HasPrefix(last, prefix) {
+		return text, ""
+	}
+	return text[:start], strings.TrimPrefix(last, prefix)
+}
+
+// Verify reports why a document is not sealed by any of the keys, nil if it
+// is by one.
+func Verify(document []byte, keys []ed25519.PublicKey) error {
+	text, seal := split(document)
+	if seal == "" {
+		return MissingError{}
+	}
+	signature, err := base64.RawStdEncoding.DecodeString(seal)
+	if err != nil {
+		return InvalidError{Reason: "not base64"}
+	}
+	for _, k := range keys {
+		if ed25519.Verify(k, message(text), signature) {
+			return nil
+		}
+	}
+	return InvalidError{Reason: "no accepted key made it, or the document was changed since"}
+}
+
+// KeyError says that a text is no key.
+type KeyError struct{ Want int }
+
+func (e KeyError) Error() string { return fmt.Sprintf("must be %d bytes in hex", e.Want) }
+
+// ParsePublic reads a public key in hex.
+func ParsePublic(text string) (ed25519.PublicKey, error) {
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != ed25519.PublicKeySize {
+		return nil, KeyError{Want: ed25519.PublicKeySize}
+	}
+	return raw, nil
+}
+
+// ParseSeed reads the seed of a private key in hex.
+func ParseSeed(text string) (ed25519.PrivateKey, error) {
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != ed25519.SeedSize {
+		return nil, KeyError{Want: ed25519.SeedSize}
+	}
+	return ed25519.NewKeyFromSeed(raw), nil
+}
+
+// FormatPublic is a key's public part in hex.
+func FormatPublic(key ed25519.PrivateKey) string {
+	return hex.EncodeToString(key.Public().(ed25519.PublicKey))
+}
--- a/server/control.go
+++ b/server/control.go
@@ -20,6 +20,7 @@
 	"github.com/sapphireramp/sapphireramp/planner"
 	"github.com/sapphireramp/sapphireramp/prober"
 	"github.com/sapphireramp/sapphireramp/router"
+	"github.com/sapphireramp/sapphireramp/sealer"
 	"github.com/sapphireramp/sapphireramp/spender"
 	"github.com/sapphireramp/sapphireramp/validator"
 )
@@ -210,6 +211,9 @@
 		defer debug.SetGCPercent(debug.SetGCPercent(parsePercent))
 	}
 	offered, err := validator.Parse(data)
+	if err == nil && len(s.sealKeys) > 0 {
+		err = sealer.Verify(data, s.sealKeys)
+	}
 	s.do(func(c *control) { c.offer(time.Now(), digest, offered, err, source) })
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/ed25519"
 	"crypto/rand"
 	"errors"
 	"fmt"
@@ -22,6 +23,7 @@
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/loader"
 	"github.com/sapphireramp/sapphireramp/logger"
+	"github.com/sapphireramp/sapphireramp/sealer"
 )
 
 // Config of an entry. Every field is needed but for Dial and Listen.
@@ -57,6 +59,10 @@
 	// current is the view in force; it is replaced, never changed.
 	current atomic.Pointer[view]
 
+	// sealKeys are of the consoles whose seals are accepted; none means that
+	// documents need no seal.
+	sealKeys []ed25519.PublicKey
+
 	peers *peers
 	// engines is the client for short calls to engines, traffic for streams,
 	// and single for calls that may run at most once.
@@ -120,6 +126,13 @@
 			members: c.Logs.Layer(logger.Members), document: c.Logs.Layer(logger.Document),
 		},
 	}
+	for _, text := range c.Settings.SealKeys {
+		key, err := sealer.ParsePublic(text)
+		if err != nil {
+			return nil, fmt.Errorf("seal key: %w", err)
+		}
+		s.sealKeys = append(s.sealKeys, key)
+	}
 	s.metrics = newMetrics(c.Scope)
 	s.asserter = asserter.New(s.violated)
 	s.current.Store(emptyView())
--- a/validator/document.go
+++ b/validator/document.go
@@ -28,6 +28,8 @@
 	Services      []Service      `yaml:"Services"`
 	Limits        Limits         `yaml:"Limits"`
 	Policy        Policy         `yaml:"Policy"`
+	// Seal is put on by the console after the check; see package sealer.
+	Seal string `yaml:"Seal,omitempty"`
 }
 
 // Model is a model that engines can load.
