server: admit before the body is read, and end a group that lost a share

Cause: a caller that sent half a body was not admitted yet and had no limit, so it hung for good, and any number of bodies were read at once; an engine of a group that came back empty was not noticed, as its share had nothing to call. Admission now comes before the body, which is read within the limit; a share that is gone ends the attempt, which is resumed on another group.

--- a/client/client.go
+++ b/client/client.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/sleeper"
 )
 
 const (
@@ -306,7 +307,7 @@
 		wait, again := retry(err, o)
 		// A resend with a ticket asks for an answer; any other is new load.
 		again = again && (o.Ticket != "" || c.budget.retry())
-		if !again || !sleep(ctx, wait) {
+		if !again || !sleeper.Sleep(ctx, wait) {
 			return result, err
 		}
 	}
@@ -329,17 +330,6 @@
 	return time.Duration(d.RetryAfterSeconds * float64(time.Second)), true
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // CutError is an answer that ended before it was whole.
 type CutError struct{ Tokens int }
 
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -276,13 +276,19 @@
 	for _, name := range f.order {
 		p := f.processes[name]
 		if p.running != nil && p.running.ProcessState.ExitCode() == exitViolated {
-			data, _ := os.ReadFile(filepath.Join(f.dir, fmt.Sprintf("%s.%d.log", name, p.runs-1)))
-			return name + " broke an invariant: " + string(data[max(0, len(data)-2000):])
+			log := f.logOf(name)
+			return name + " broke an invariant: " + log[max(0, len(log)-2000):]
 		}
 	}
 	return ""
 }
 
+// logOf is what the running process of that name has logged.
+func (f *fleet) logOf(name string) string {
+	data, _ := os.ReadFile(filepath.Join(f.dir, fmt.Sprintf("%s.%d.log", name, f.processes[name].runs-1)))
+	return string(data)
+}
+
 // stop ends everything that the fleet started, by process.
 func (f *fleet) stop() {
 	for _, j := range f.jobs {
--- a/scenario/http_test.go
+++ b/scenario/http_test.go
@@ -31,7 +31,11 @@
 }
 
 func httpPost(url, body string, headers []string) (string, error) {
-	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	return httpPostFrom(url, strings.NewReader(body), headers)
+}
+
+func httpPostFrom(url string, body io.Reader, headers []string) (string, error) {
+	r, err := http.NewRequest(http.MethodPost, url, body)
 	if err != nil {
 		return "", err
 	}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/netip"
 	"net/url"
 	"os"
@@ -64,7 +65,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"fleet": cmdFleet, "signal": cmdSignal, "restart": cmdRestart, "exited": cmdExited, "cut": cmdCut, "mend": cmdMend,
 			"platform": cmdPlatform, "instance": cmdInstance, "publish": cmdPublish, "until": cmdUntil, "get": cmdGet, "post": cmdPost,
-			"pause": cmdPause, "background": cmdBackground, "join": cmdJoin, "post-background": cmdPostBackground, "post-join": cmdPostJoin,
+			"pause": cmdPause, "background": cmdBackground, "join": cmdJoin, "post-background": cmdPostBackground, "post-join": cmdPostJoin, "post-slowly": cmdPostSlowly,
 			"victim": cmdVictim, "unplug": cmdUnplug, "plug": cmdPlug, "ticket": cmdTicket, "publish-raw": cmdPublishRaw, "operator": cmdOperator, "console": cmdConsole, "executions": cmdExecutions, "same-document": cmdSameDocument, "superseded": cmdSuperseded,
 		},
 	})
@@ -245,6 +246,9 @@
 }
 
 func runQuietly(ts *testscript.TestScript, command []string) string {
+	if command[0] == "entry-log" {
+		return fleetOf(ts).logOf(command[1])
+	}
 	if command[0] == "get" {
 		out, err := fetch(ts, command[1], command[2])
 		if err != nil {
@@ -428,3 +432,14 @@
 		ts.Fatalf("%s was not answered", args[1])
 	}
 }
+
+// cmdPostSlowly posts a body that never ends and prints the answer:
+// post-slowly NAME PATH [HEADER=VALUE ...].
+func cmdPostSlowly(ts *testscript.TestScript, _ bool, args []string) {
+	body, end := io.Pipe()
+	defer func() { _ = end.Close() }()
+	go func() { _, _ = io.WriteString(end, `{"model":`) }()
+	out, err := httpPostFrom("http://"+processOf(ts, args[0]).back.String()+args[1], body, args[2:])
+	ts.Check(err)
+	_, _ = fmt.Fprint(ts.Stdout(), out)
+}
--- a/server/complete.go
+++ b/server/complete.go
@@ -14,6 +14,7 @@
 	"github.com/sapphireramp/sapphireramp/placer"
 	"github.com/sapphireramp/sapphireramp/relayer"
 	"github.com/sapphireramp/sapphireramp/router"
+	"github.com/sapphireramp/sapphireramp/sleeper"
 )
 
 const (
@@ -43,6 +44,7 @@
 // complete places a prompt and relays its answer, resuming it elsewhere where
 // an engine fails.
 func (s *Server) complete(x *exchange) *failure {
+	x.body = nil // the decoded prompt is enough from here on
 	c := &completion{x: x, relayer: relayer.New(x.id), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	if x.completion.Seed == 0 {
 		x.completion.Seed = c.random.Uint64()>>1 | 1
@@ -100,7 +102,7 @@
 	if f != nil {
 		return f
 	}
-	return c.run(run{engine: engine, attemptID: attemptID})
+	return c.run(c.x.ctx, run{engine: engine, attemptID: attemptID})
 }
 
 func (c *completion) wish() router.Wish {
@@ -144,7 +146,7 @@
 		case placer.Ask:
 			p.Answered(c.ask(step.Choice, w, attemptID))
 		case placer.Pause:
-			if !sleep(x.ctx, step.Pause) {
+			if !sleeper.Sleep(x.ctx, step.Pause) {
 				return nil, "", fail(api.CodeOverloaded, "no engine was free in time")
 			}
 		case placer.Placed:
@@ -155,18 +157,6 @@
 	}
 }
 
-// sleep pauses, and reports whether the context is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // choose orders the engines to ask. When every engine failed the request
 // once, all are tried again, as one may be back.
 func (c *completion) choose(w *router.Wish) []router.Choice {
--- a/server/filters.go
+++ b/server/filters.go
@@ -28,8 +28,8 @@
 
 // handler returns the entry's HTTP interface.
 func (s *Server) handler() http.Handler {
-	complete := chain(s.complete, s.answer, s.recoverPanic, s.open, s.identify, s.limit, s.decodePrompt, s.once, s.admit)
-	call := chain(s.callService, s.answer, s.recoverPanic, s.open, s.identify, s.limit, s.decodeCall, s.once, s.admit)
+	complete := chain(s.complete, s.answer, s.recoverPanic, s.open, s.identify, s.limit, s.admit, s.decodePrompt, s.once)
+	call := chain(s.callService, s.answer, s.recoverPanic, s.open, s.identify, s.limit, s.findCall, s.admit, s.readCall, s.once)
 	ticket := chain(s.issueTicket, s.answer, s.recoverPanic, s.open, s.identify)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+api.PathCompletions, s.serve(complete))
@@ -200,13 +200,21 @@
 	return f
 }
 
+// readBody reads the body within the request's limit. A caller that sends
+// nothing more does not hold the request.
 func (x *exchange) readBody() *failure {
 	limit := x.server.settings.Callers.MaxBody
+	connection := http.NewResponseController(x.writer)
+	_ = connection.SetReadDeadline(x.deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
+	_ = connection.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return fail(api.CodeBodyTooLarge, "body: must be at most %d bytes", limit)
 	}
+	if err != nil && x.left() <= 0 {
+		return fail(api.CodeDeadline, "the time limit passed before the body was read")
+	}
 	if err != nil {
 		f := fail(api.CodeBadRequest, "body: could not be read whole")
 		f.err = err
@@ -279,8 +287,8 @@
 	return nil
 }
 
-// decodeCall reads a service call and checks it against the document.
-func (s *Server) decodeCall(next handler) handler {
+// findCall finds the service and call in the document.
+func (s *Server) findCall(next handler) handler {
 	return func(x *exchange) *failure {
 		name, call := x.request.PathValue("service"), x.request.PathValue("call")
 		service, ok := x.view.accepted.Service(name)
@@ -293,6 +301,13 @@
 		}
 		x.service, x.call = service, call
 		x.repeatable = x.repeatable && repeatable
+		return next(x)
+	}
+}
+
+// readCall reads the body of a service call.
+func (s *Server) readCall(next handler) handler {
+	return func(x *exchange) *failure {
 		if f := x.readBody(); f != nil {
 			return f
 		}
@@ -301,7 +316,8 @@
 }
 
 // admit takes the request into the table of those in flight, and sees that
-// it leaves in time.
+// it leaves in time. It comes before the body is read, so that bodies in
+// memory are bounded too.
 func (s *Server) admit(next handler) handler {
 	return func(x *exchange) *failure {
 		limits := x.view.accepted.Document.Limits
--- a/server/group.go
+++ b/server/group.go
@@ -16,28 +16,32 @@
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/reserver"
 	"github.com/sapphireramp/sapphireramp/router"
+	"github.com/sapphireramp/sapphireramp/sleeper"
 )
 
 // attemptGroup runs a prompt that no single engine holds on a group.
 func (c *completion) attemptGroup(w router.Wish) *failure {
 	x := c.x
 	patience := time.Now().Add(x.left() / groupPatience)
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	defer cancel(nil)
 	for {
-		group, f := c.reserve(w)
+		group, f := c.reserve(ctx, w, func() { cancel(errHoldLost) })
 		if f == nil {
-			return c.runGroup(group)
+			return c.runGroup(ctx, group)
 		}
 		if f.code != api.CodeOverloaded || time.Now().After(patience) {
 			return f
 		}
-		if !sleep(x.ctx, groupPause+time.Duration(c.random.Int64N(int64(groupPause)))) {
+		if !sleeper.Sleep(x.ctx, groupPause+time.Duration(c.random.Int64N(int64(groupPause)))) {
 			return fail(api.CodeOverloaded, "no group of engines was free in time")
 		}
 	}
 }
 
-// reserve takes every share of a group, or none.
-func (c *completion) reserve(w router.Wish) (*reserver.Reserver, *failure) {
+// reserve takes every share of a group, or none. Lost is called when an
+// engine turns out to have lost its share later.
+func (c *completion) reserve(ctx context.Context, w router.Wish, lost func()) (*reserver.Reserver, *failure) {
 	x := c.x
 	s := x.server
 	shares, err := reserver.Plan(c.candidates(w), w.MemoryTokens, x.view.accepted.Document.Limits.MaxGroup, newID)
@@ -53,7 +57,7 @@
 		return nil, f
 	}
 	group := reserver.New(shares)
-	if s.driveGroup(x.ctx, group) {
+	if s.driveGroup(ctx, group, lost) {
 		s.logs.route.Info("group", zap.String("request", x.id), zap.Int("tokens", w.MemoryTokens), zap.Strings("engines", engineNames(shares)))
 		return group, nil
 	}
@@ -90,7 +94,7 @@
 }
 
 // driveGroup does what a reservation asks for until all or nothing is held.
-func (s *Server) driveGroup(ctx context.Context, group *reserver.Reserver) bool {
+func (s *Server) driveGroup(ctx context.Context, group *reserver.Reserver, lost func()) bool {
 	for {
 		effect := group.Next()
 		switch {
@@ -102,7 +106,7 @@
 			s.releaseShare(*effect.Release)
 			group.Released()
 		default:
-			held, maybe := s.reserveShare(ctx, *effect.Reserve)
+			held, maybe := s.reserveShare(ctx, *effect.Reserve, lost)
 			if held {
 				group.Reserved()
 			} else {
@@ -114,12 +118,12 @@
 
 // reserveShare asks an engine for memory. When it is not held, maybe says
 // that the engine may have made the hold all the same.
-func (s *Server) reserveShare(ctx context.Context, share reserver.Share) (held, maybe bool) {
+func (s *Server) reserveShare(ctx context.Context, share reserver.Share, lost func()) (held, maybe bool) {
 	engine, ok := s.current.Load().board.Engine(share.Engine)
 	if !ok {
 		return false, false
 	}
-	s.holdOn(share.Engine, share.HoldID, func() {})
+	s.holdOn(share.Engine, share.HoldID, lost)
 	data, err := json.Marshal(api.EngineHold{
 		ID: share.HoldID, Owner: s.settings.Name, Incarnation: s.config.Incarnation, Kind: api.HoldGroup, Tokens: share.Tokens,
 	})
@@ -172,11 +176,11 @@
 
 // runGroup streams the answer from the group's first engine, and gives all
 // shares back afterwards.
-func (c *completion) runGroup(group *reserver.Reserver) *failure {
+func (c *completion) runGroup(ctx context.Context, group *reserver.Reserver) *failure {
 	s := c.x.server
 	defer func() {
 		group.Release()
-		s.driveGroup(context.Background(), group)
+		s.driveGroup(context.Background(), group, nil)
 	}()
 	shares := group.Shares()
 	engine, ok := s.current.Load().board.Engine(shares[0].Engine)
@@ -187,5 +191,5 @@
 	for _, share := range shares {
 		ids = append(ids, share.HoldID)
 	}
-	return c.run(run{engine: engine, attemptID: newID(), group: ids, speed: len(shares)})
+	return c.run(ctx, run{engine: engine, attemptID: newID(), group: ids, speed: len(shares)})
 }
--- a/server/once.go
+++ b/server/once.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"crypto/sha256"
 	"errors"
 	"fmt"
@@ -202,20 +201,14 @@
 		return ownerGone("the ticket was issued before its entry restarted")
 	}
 	s.logs.route.Info("forward", zap.String("request", x.id), zap.String("entry", owner.Name), zap.String("reason", "ticket"))
-	timeout := x.timeout
-	if !x.timeoutGiven {
-		timeout = x.view.accepted.Document.Limits.DefaultTimeout
-	}
-	timeout -= time.Since(x.arrived)
+	timeout := x.left()
 	if timeout <= 0 {
-		return fail(api.CodeDeadlinePast, "%s: must be more than 0", api.HeaderTimeout)
+		return fail(api.CodeDeadline, "the time limit has passed")
 	}
-	ctx, cancel := context.WithTimeout(x.request.Context(), timeout+deadlineSlack)
-	defer cancel()
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	url := "http://" + owner.Address.String() + x.request.URL.Path
-	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, bytes.NewReader(x.body))
+	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(x.ctx, trace), http.MethodPost, url, bytes.NewReader(x.body))
 	if err != nil {
 		return &failure{code: api.CodeBadRequest, message: "the request could not be passed on", err: err}
 	}
--- a/server/peers.go
+++ b/server/peers.go
@@ -16,6 +16,7 @@
 	"github.com/sapphireramp/sapphireramp/drainer"
 	"github.com/sapphireramp/sapphireramp/keeper"
 	"github.com/sapphireramp/sapphireramp/router"
+	"github.com/sapphireramp/sapphireramp/sleeper"
 )
 
 const (
@@ -132,7 +133,7 @@
 		}
 		if err != nil {
 			s.logs.members.Warn("accept_peer", zap.Error(err))
-			if !sleep(ctx, tickTime) {
+			if !sleeper.Sleep(ctx, tickTime) {
 				return
 			}
 			continue
--- a/server/stream.go
+++ b/server/stream.go
@@ -44,12 +44,12 @@
 var errHoldLost = errors.New("engine no longer has the hold")
 
 // run sends an attempt and relays its answer.
-func (c *completion) run(r run) *failure {
+func (c *completion) run(ctx context.Context, r run) *failure {
 	x := c.x
 	s := x.server
 	c.attempts++
 	c.tried = append(c.tried, r.engine.Name)
-	ctx, cancel := context.WithCancelCause(x.ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s.holdOn(r.engine.Name, r.attemptID, func() { cancel(errHoldLost) })
 	defer s.letGo(r.engine.Name, r.attemptID)
--- a/server/watch.go
+++ b/server/watch.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/sleeper"
 	"github.com/sapphireramp/sapphireramp/validator"
 )
 
@@ -62,7 +63,7 @@
 			etag, backoff = tag, leastBackoff
 		}
 		// Jitter keeps entries that failed together from reading together.
-		if !sleep(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff)))) {
+		if !sleeper.Sleep(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff)))) {
 			return
 		}
 	}
