server: log placement, and who keeps which engine

A line for every change of what is due for an engine and of its keeper, and a warning where documents need no seal. make test runs the random runs under the race detector too: it found the test's own restart of an entry writing settings that callers read; none in the product.

--- a/server/control.go
+++ b/server/control.go
@@ -63,6 +63,8 @@
 	planner  *planner.Planner
 	// keepers are of the engines that this entry keeps, by engine name.
 	keepers map[string]*keeper.Keeper
+	// steps are what the planner last decided, by engine name.
+	steps map[string]planner.Step
 	// instances is the newest list, by name; lister decides which that is.
 	instances map[string]api.Instance
 	lister    *lister.Lister
@@ -97,6 +99,7 @@
 		}),
 		planner:   planner.New(planner.Config{Keeper: s.settings.Name, Settle: t.Lease, Retry: orderRetry, LoadInterval: loadInterval}),
 		keepers:   map[string]*keeper.Keeper{},
+		steps:     map[string]planner.Step{},
 		instances: map[string]api.Instance{},
 		lister:    lister.New(t.Watch + listSlack),
 		loads:     map[string]*router.Load{},
--- a/server/fleet_test.go
+++ b/server/fleet_test.go
@@ -97,6 +97,9 @@
 	}
 	f.platform.Publish([]byte(testDocument(1, engines, "")), false)
 	f.publishList()
+	for _, e := range f.entries {
+		e.settings = f.settingsOf(e)
+	}
 	for _, e := range f.entries {
 		f.startEntry(e)
 	}
@@ -162,8 +165,8 @@
 	_ = e.web.Close()
 }
 
-func (f *testFleet) startEntry(e *testEntry) {
-	f.epoch++
+// settingsOf are the settings of an entry, the same in every incarnation.
+func (f *testFleet) settingsOf(e *testEntry) loader.Settings {
 	s := loader.Defaults()
 	s.Name, s.DataCentre = e.name, "dc"
 	s.Address, s.PeerAddress = netip.AddrPortFrom(e.host, 80), netip.AddrPortFrom(e.host, 81)
@@ -176,13 +179,17 @@
 			s.Peers = append(s.Peers, netip.AddrPortFrom(o.host, 81))
 		}
 	}
+	return s
+}
+
+func (f *testFleet) startEntry(e *testEntry) {
+	f.epoch++
 	logs, err := logger.New(logger.Config{Level: "error", Output: io.Discard})
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	e.settings = s
 	e.server, err = New(Config{
-		Settings: s, Incarnation: f.epoch, Logs: logs, Scope: tally.NoopScope, Metrics: http.NotFoundHandler(),
+		Settings: e.settings, Incarnation: f.epoch, Logs: logs, Scope: tally.NoopScope, Metrics: http.NotFoundHandler(),
 		Dial: f.net.dialer(e.host), Listen: f.net.listen,
 		Violated: func(name, detail string) { f.t.Errorf("invariant %s: %s", name, detail) },
 	})
--- a/server/keep.go
+++ b/server/keep.go
@@ -127,6 +127,10 @@
 	entries := 1 + len(c.prober.Members())
 	decision := c.planner.Plan(now, planner.Wanted(*e), load, k.Holds()+k.Grants(), entries)
 	k.Changing(decision.Step != planner.Nothing)
+	if decision.Step != c.steps[name] {
+		c.steps[name] = decision.Step
+		c.server.logs.keep.Info("placement", zap.String("engine", name), zap.String("step", decision.Step.String()), zap.String("reason", decision.Reason))
+	}
 	if decision.Step != planner.Send {
 		return nil
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -229,6 +229,9 @@
 	go func() { failed <- web.Serve(s.callerListener) }()
 	s.logs.entry.Info("started", zap.String("name", s.settings.Name), zap.Stringer("address", s.settings.Address),
 		zap.Stringer("peer_address", s.settings.PeerAddress), zap.Uint64("incarnation", s.config.Incarnation))
+	if len(s.sealKeys) == 0 {
+		s.logs.document.Warn("seals_not_required", zap.String("reason", "SealKeys is empty"))
+	}
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve callers: %w", err)
--- a/server/view.go
+++ b/server/view.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/assigner"
 	"github.com/sapphireramp/sapphireramp/keeper"
@@ -150,7 +152,9 @@
 	for name := range c.keepers {
 		if u, ok := v.engines[name]; !ok || u.Keeper != c.server.settings.Name {
 			delete(c.keepers, name)
+			delete(c.steps, name)
 			c.planner.Forget(name)
+			c.server.logs.keep.Info("keep_ends", zap.String("engine", name), zap.String("keeper", v.engines[name].Keeper))
 		}
 	}
 	for name, u := range v.engines {
@@ -164,6 +168,7 @@
 			continue
 		}
 		c.keepers[name] = keeper.New(config)
+		c.server.logs.keep.Info("keep_begins", zap.String("engine", name), zap.String("data_centre", u.DataCentre))
 	}
 }
 
--- a/standin/measurer/fleet.go
+++ b/standin/measurer/fleet.go
@@ -172,14 +172,14 @@
 		}
 	}
 	if i == 0 {
-		f.break1(e)
+		f.breakLater(e)
 	}
 	f.engines = append(f.engines, e)
 	f.byName[e.name] = e
 }
 
-// break1 breaks the one engine that the fault is about.
-func (f *fleet) break1(e *simEngine) {
+// breakLater breaks the one engine that the fault is about, after warming up.
+func (f *fleet) breakLater(e *simEngine) {
 	switch f.options.Fault {
 	case DeadEngine:
 		f.after(warmUp, func() { e.dead = true })
