--- a/cmd/sapphireramp/load.go
+++ b/cmd/sapphireramp/load.go
@@ -61,7 +61,9 @@
 	t := newTarget()
 	t.attach(flags)
 	rate, duration, seed, lengths := 10.0, 10*time.Second, uint64(1), bounds{shortest: 1000, longest: 1_000_000}
+	plotFile := ""
 	r := api.CompletionRequest{Stream: true, MaxTokens: 16}
+	flags.String(&plotFile, "", "plot", "file to write a plot to (SVG)")
 	flags.Float64(&rate, "r", "rate", "requests a second")
 	flags.Duration(&duration, "d", "duration", "how long to send")
 	flags.UInt64(&seed, "", "seed", "seed of lengths and times")
@@ -86,10 +88,29 @@
 		l := newLoad(c, r, t.timeout)
 		l.run(ctx, rand.New(rand.NewPCG(seed, seed)), rate, duration, lengths)
 		l.print()
-		return nil
+		return l.savePlot(plotFile)
 	}}
 }
 
+// savePlot writes the plot to a file, if one was named.
+func (l *load) savePlot(path string) error {
+	if path == "" {
+		return nil
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("--plot: %w", err)
+	}
+	err = l.plot(f)
+	if closed := f.Close(); err == nil {
+		err = closed
+	}
+	if err != nil {
+		return fmt.Errorf("write plot: %w", err)
+	}
+	return nil
+}
+
 // histogram bounds, in microseconds.
 const (
 	leastMicros = 1
