--- a/Makefile
+++ b/Makefile
@@ -34,4 +34,5 @@
 	go test ./validator -run XXX -fuzz FuzzParse -fuzztime $(FUZZTIME)
 	go test ./loader -run XXX -fuzz FuzzParse -fuzztime $(FUZZTIME)
 	go test ./spender -run XXX -fuzz FuzzParse -fuzztime $(FUZZTIME)
+	go test ./sealer -run XXX -fuzz FuzzVerify -fuzztime $(FUZZTIME)
 	go test ./server -run XXX -fuzz FuzzDecodePrompt -fuzztime $(FUZZTIME)
