--- a/server/filters.go
+++ b/server/filters.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -200,16 +199,21 @@
 	return f
 }
 
+// mostDropped is how much of a body over the limit is read and dropped.
+const mostDropped = 64 << 20
+
 // readBody reads the body within the request's limit. A caller that sends
 // nothing more does not hold the request.
 func (x *exchange) readBody() *failure {
 	limit := x.server.settings.Callers.MaxBody
 	connection := http.NewResponseController(x.writer)
 	_ = connection.SetReadDeadline(x.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
-	_ = connection.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	defer func() { _ = connection.SetReadDeadline(time.Time{}) }()
+	body, err := io.ReadAll(io.LimitReader(x.request.Body, limit+1))
+	if int64(len(body)) > limit {
+		// A caller that still sends when the connection closes may never
+		// see the refusal, so some more of the body is read and dropped.
+		_, _ = io.CopyN(io.Discard, x.request.Body, mostDropped)
 		return fail(api.CodeBodyTooLarge, "body: must be at most %d bytes", limit)
 	}
 	if err != nil && x.left() <= 0 {
