server: let callers see refusals made before the body is read

Cause: a refusal written while the caller still sends (no such organisation, overloaded, stopping) closed the connection on unread bytes; the reset took the refusal with it, so a caller with a long prompt could not know that it was not run.

--- a/server/exchange.go
+++ b/server/exchange.go
@@ -23,6 +23,8 @@
 	view         *view
 	organisation *validator.Organisation
 	body         []byte
+	// bodyRead says that nothing of the body is left on the connection.
+	bodyRead bool
 	// completion is set for prompts, service and call for service calls.
 	completion *api.CompletionRequest
 	service    *validator.Service
--- a/server/filters.go
+++ b/server/filters.go
@@ -88,12 +88,17 @@
 	x.refused = true
 	// After a pause the limit may be long past; the caller is told all the
 	// same, within the slack from now.
-	_ = http.NewResponseController(x.writer).SetWriteDeadline(time.Now().Add(deadlineSlack))
+	connection := http.NewResponseController(x.writer)
+	_ = connection.SetWriteDeadline(time.Now().Add(deadlineSlack))
 	detail := x.detail(f)
 	if x.begun {
 		x.sendEvent(api.CompletionChunk{ID: x.id, Choices: []api.CompletionChoice{}, Error: &detail})
 		return
 	}
+	if !x.bodyRead {
+		_ = connection.EnableFullDuplex()
+		defer x.dropBody(connection)
+	}
 	h := x.writer.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(api.HeaderOutcome, string(detail.Outcome))
@@ -105,6 +110,22 @@
 	_ = json.NewEncoder(x.writer).Encode(api.Error{Error: detail})
 }
 
+const (
+	// mostDropped is how much of an unread body is read after a refusal, and
+	// dropTime for how long.
+	mostDropped = 64 << 20
+	dropTime    = 2 * time.Second
+)
+
+// dropBody sends a refusal off and reads what the caller is still sending: a
+// connection closed on unread bytes is reset, and the refusal lost with it.
+func (x *exchange) dropBody(connection *http.ResponseController) {
+	_ = connection.Flush()
+	_ = connection.SetReadDeadline(time.Now().Add(dropTime))
+	_, _ = io.CopyN(io.Discard, x.request.Body, mostDropped)
+	_ = connection.SetReadDeadline(time.Time{})
+}
+
 func (s *Server) recoverPanic(next handler) handler {
 	return func(x *exchange) (f *failure) {
 		defer func() {
@@ -199,9 +220,6 @@
 	return f
 }
 
-// mostDropped is how much of a body over the limit is read and dropped.
-const mostDropped = 64 << 20
-
 // readBody reads the body within the request's limit. A caller that sends
 // nothing more does not hold the request.
 func (x *exchange) readBody() *failure {
@@ -211,9 +229,6 @@
 	defer func() { _ = connection.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(io.LimitReader(x.request.Body, limit+1))
 	if int64(len(body)) > limit {
-		// A caller that still sends when the connection closes may never
-		// see the refusal, so some more of the body is read and dropped.
-		_, _ = io.CopyN(io.Discard, x.request.Body, mostDropped)
 		return fail(api.CodeBodyTooLarge, "body: must be at most %d bytes", limit)
 	}
 	if err != nil && x.left() <= 0 {
@@ -224,7 +239,7 @@
 		f.err = err
 		return f
 	}
-	x.body = body
+	x.body, x.bodyRead = body, true
 	return nil
 }
 
