--- a/server/queue.go
+++ b/connector/queue.go
@@ -1,4 +1,4 @@
-package server
+package connector
 
 import (
 	"errors"
@@ -23,7 +23,8 @@
 	once   sync.Once
 }
 
-func newQueuedConn(c net.Conn) *queuedConn {
+// NewQueued returns a connection whose writes never block.
+func NewQueued(c net.Conn) net.Conn {
 	q := &queuedConn{Conn: c, queue: make(chan []byte, maxQueued), closed: make(chan struct{})}
 	go q.drain()
 	return q
--- a/server/queue_test.go
+++ b/connector/queue_test.go
@@ -1,4 +1,4 @@
-package server
+package connector
 
 import (
 	"net"
@@ -15,7 +15,7 @@
 		is := is.New(t)
 		near, far := net.Pipe()
 		defer func() { _ = far.Close() }()
-		q := newQueuedConn(near)
+		q := NewQueued(near)
 		var err error
 		for range 2 * maxQueued {
 			if _, err = q.Write([]byte("message")); err != nil {
--- a/server/beat.go
+++ b/server/beat.go
@@ -42,7 +42,7 @@
 		go func() {
 			defer calls.Done()
 			var reply api.Heartbeat
-			err := s.peers.call(address, "Beat", beat, &reply, min(beatTimeout, s.settings.Timing.Suspect/2))
+			err := s.peers.Call(address, rpcName+".Beat", beat, &reply, min(beatTimeout, s.settings.Timing.Suspect/2))
 			if err != nil {
 				s.logs.members.Debug("beat_failed", zap.Stringer("peer", address), zap.Error(err))
 				return
@@ -97,7 +97,7 @@
 // fetch asks a peer for its document and list, and considers both.
 func (s *Server) fetch(address netip.AddrPort, source string) {
 	var reply api.FetchReply
-	err := s.peers.call(address, "Fetch", api.FetchArgs{From: s.settings.Name}, &reply, fetchTimeout)
+	err := s.peers.Call(address, rpcName+".Fetch", api.FetchArgs{From: s.settings.Name}, &reply, fetchTimeout)
 	if err != nil {
 		s.logs.document.Warn("fetch_failed", zap.String("source", source), zap.Error(err))
 		return
--- a/server/network_test.go
+++ b/server/network_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/netip"
 	"sync"
+
+	"github.com/sapphireramp/sapphireramp/connector"
 )
 
 // testNet is a network in memory whose cables can be cut, for runs in virtual
@@ -64,7 +66,7 @@
 func (l *testListener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.address) }
 
 // dialer returns the way to connect from a host.
-func (n *testNet) dialer(from netip.Addr) dialFunc {
+func (n *testNet) dialer(from netip.Addr) connector.DialFunc {
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		to := netip.MustParseAddrPort(address)
 		n.lock.Lock()
--- a/server/peers.go
+++ b/server/peers.go
@@ -3,16 +3,14 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
-	"net/netip"
 	"net/rpc"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/drainer"
 	"github.com/sapphireramp/sapphireramp/keeper"
 	"github.com/sapphireramp/sapphireramp/router"
@@ -30,92 +28,6 @@
 	soloTimeout = 300 * time.Millisecond
 )
 
-// errTimeout is a call to a peer that took too long.
-var errTimeout = errors.New("peer did not answer in time")
-
-// peers holds a connection to each entry that was called.
-type peers struct {
-	dial    dialFunc
-	lock    sync.Mutex
-	clients map[netip.AddrPort]*rpc.Client
-	closed  bool
-}
-
-func newPeers(dial dialFunc) *peers {
-	return &peers{dial: dial, clients: map[netip.AddrPort]*rpc.Client{}}
-}
-
-// call makes a call bounded in time. A connection that failed or was silent
-// is not used again.
-func (p *peers) call(address netip.AddrPort, method string, args, reply any, timeout time.Duration) error {
-	client, err := p.client(address, timeout)
-	if err != nil {
-		return fmt.Errorf("connect to peer: %w", err)
-	}
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	call := client.Go(rpcName+"."+method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		err = call.Error
-	case <-timer.C:
-		err = errTimeout
-	}
-	var refused rpc.ServerError
-	if err != nil && !errors.As(err, &refused) {
-		p.drop(address, client)
-	}
-	if err != nil {
-		return fmt.Errorf("call peer: %w", err)
-	}
-	return nil
-}
-
-func (p *peers) client(address netip.AddrPort, timeout time.Duration) (*rpc.Client, error) {
-	p.lock.Lock()
-	client, ok := p.clients[address]
-	p.lock.Unlock()
-	if ok {
-		return client, nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	connection, err := p.dial(ctx, "tcp", address.String())
-	if err != nil {
-		return nil, err
-	}
-	client = rpc.NewClient(newQueuedConn(connection))
-	p.lock.Lock()
-	defer p.lock.Unlock()
-	if other, raced := p.clients[address]; raced || p.closed {
-		_ = client.Close()
-		if raced {
-			return other, nil
-		}
-		return nil, net.ErrClosed
-	}
-	p.clients[address] = client
-	return client, nil
-}
-
-func (p *peers) drop(address netip.AddrPort, client *rpc.Client) {
-	p.lock.Lock()
-	if p.clients[address] == client {
-		delete(p.clients, address)
-	}
-	p.lock.Unlock()
-	_ = client.Close()
-}
-
-func (p *peers) close() {
-	p.lock.Lock()
-	defer p.lock.Unlock()
-	p.closed = true
-	for _, c := range p.clients {
-		_ = c.Close()
-	}
-}
-
 // Entry is what one entry serves to others over net/rpc.
 type Entry struct{ server *Server }
 
@@ -139,7 +51,7 @@
 			continue
 		}
 		context.AfterFunc(ctx, func() { _ = connection.Close() })
-		go calls.ServeConn(newQueuedConn(connection))
+		go calls.ServeConn(connector.NewQueued(connection))
 	}
 }
 
@@ -196,7 +108,7 @@
 	if engine.Keeper == s.settings.Name {
 		s.do(func(c *control) { reply = c.ask(now, args) })
 	} else if member, ok := s.current.Load().members[engine.Keeper]; ok {
-		err := s.peers.call(member.PeerAddress, "Ask", args, &reply, askTimeout)
+		err := s.peers.Call(member.PeerAddress, rpcName+".Ask", args, &reply, askTimeout)
 		if err != nil {
 			s.metrics.askFailures.Inc(1)
 			s.logs.route.Debug("ask_failed", zap.String("keeper", engine.Keeper), zap.Error(err))
--- a/server/server.go
+++ b/server/server.go
@@ -21,6 +21,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/asserter"
+	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/loader"
 	"github.com/sapphireramp/sapphireramp/logger"
 	"github.com/sapphireramp/sapphireramp/sealer"
@@ -63,7 +64,7 @@
 	// documents need no seal.
 	sealKeys []ed25519.PublicKey
 
-	peers *peers
+	peers *connector.Pool
 	// engines is the client for short calls to engines, traffic for streams,
 	// and single for calls that may run at most once.
 	engines *http.Client
@@ -117,7 +118,7 @@
 		commands: make(chan func(*control)),
 		parsing:  make(chan struct{}, 1),
 		stopped:  make(chan struct{}),
-		peers:    newPeers(dial),
+		peers:    connector.New(dial),
 		engines:  &http.Client{Transport: newTransport(dial, false), Timeout: engineCallTimeout},
 		traffic:  &http.Client{Transport: newTransport(dial, false)},
 		single:   &http.Client{Transport: newTransport(dial, true)},
@@ -179,9 +180,7 @@
 	return d
 }
 
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
-func newTransport(dial dialFunc, single bool) *http.Transport {
+func newTransport(dial connector.DialFunc, single bool) *http.Transport {
 	return &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: idleConnections,
@@ -240,7 +239,7 @@
 	s.drain(web)
 	cancel()
 	_ = s.peerListener.Close()
-	s.peers.close()
+	s.peers.Close()
 	s.work.Wait()
 	<-s.stopped
 	s.logs.entry.Info("stopped", zap.String("name", s.settings.Name))
--- a/server/slopes_test.go
+++ b/server/slopes_test.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/keeper"
 	"github.com/sapphireramp/sapphireramp/loader"
 	"github.com/sapphireramp/sapphireramp/logger"
@@ -160,14 +161,14 @@
 	go func() {
 		connection, err := l.Accept()
 		if err == nil {
-			calls.ServeConn(newQueuedConn(countingConn{connection, &sent}))
+			calls.ServeConn(connector.NewQueued(countingConn{connection, &sent}))
 		}
 	}()
 	connection, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		b.Fatal(err)
 	}
-	client := rpc.NewClient(newQueuedConn(countingConn{connection, &sent}))
+	client := rpc.NewClient(connector.NewQueued(countingConn{connection, &sent}))
 	defer func() { _ = client.Close() }()
 	args := api.AskArgs{Engine: "engine-1", Model: "model", AttemptID: newID(), PrefillTokens: 1, MemoryTokens: 1, Remaining: time.Minute}
 	var reply api.AskReply
