forwarder: end no answer for silence alone

Ruled out: a cut by the engine (its run ended after ours). Now there is a watchdog only where another attempt is left, and it waits while the engine is expected to read.

--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -302,6 +302,27 @@
 	}
 }
 
+// Busy is how long the request's upstream may say nothing because of what it
+// is expected to read.
+func (p *Placement) Busy() time.Duration {
+	p.board.lock.Lock()
+	defer p.board.lock.Unlock()
+	w := p.worker()
+	if w == nil || w.engine == nil {
+		return 0
+	}
+	now := time.Now()
+	l := w.all(now)
+	reading := l.Reading
+	for o, t := range p.parts {
+		if !t.begun {
+			reading = max(reading, o.all(now).Reading)
+		}
+	}
+	pace := w.health.pace(now)
+	return time.Duration(float64(reading+predictor.Writing(w.engine, l.Running, l.Tokens)) * pace)
+}
+
 // paceSlack is added to an expected time before a real one is measured
 // against it: network, scheduling and half a pass.
 const paceSlack = 60 * time.Millisecond
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -13,7 +13,6 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/dispatcher"
-	"github.com/sapphireramp/sapphireramp/matcher"
 )
 
 // verdict is what is known of an attempt after it.
@@ -49,7 +48,7 @@
 	// cancel ends the attempt with a cause.
 	cancel context.CancelCauseFunc
 	// watchdog cancels the attempt when the upstream is silent; nil if unused.
-	watchdog *time.Timer
+	watchdog *watchdog
 }
 
 // send makes one attempt up to the header of the answer. The caller of send
@@ -57,9 +56,7 @@
 func (f *Forwarder) send(x *exchange, p *dispatcher.Placement, lastEvent string) *attempt {
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	a := &attempt{placement: p, cancel: cancel}
-	if silence := silenceLimit(x, p.Expected); silence > 0 {
-		a.watchdog = time.AfterFunc(silence, func() { cancel(errSilent) })
-	}
+	a.watchdog = f.watch(x, p, func() { cancel(errSilent) })
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
 	request, err := f.build(ctx, x, p, lastEvent)
@@ -181,9 +178,7 @@
 
 // close ends an attempt and tells the board.
 func (f *Forwarder) close(x *exchange, a *attempt) {
-	if a.watchdog != nil {
-		a.watchdog.Stop()
-	}
+	a.watchdog.stop()
 	if a.response != nil {
 		_ = a.response.Body.Close()
 	}
@@ -211,38 +206,3 @@
 	}
 	return dispatcher.Answered
 }
-
-// Limits of silence, beyond which an upstream counts as gone where the request
-// may be sent elsewhere.
-const (
-	// streamPatience, aimPatience and pausePatience are when the platform's
-	// callers abandon a stream after a gap: the longest of two seconds, four
-	// times the aim and eight times the pause.
-	streamPatience = 2 * time.Second
-	aimPatience    = 4
-	pausePatience  = 8
-	// silentPart is the part of a caller's patience that is spent on one
-	// upstream's silence; what is left is for the next.
-	silentPart = 0.45
-	// plainSilence is the silence of a plain service in aims: work takes a
-	// fifth of the aim as a rule, and one answer in a hundred five times that.
-	plainSilence = 2
-)
-
-// abandonAfter is the gap after which the caller leaves a stream.
-func abandonAfter(r *matcher.Route) time.Duration {
-	return max(streamPatience, aimPatience*r.FirstByteAim, pausePatience*r.PauseAim)
-}
-
-// silenceLimit is how long an upstream may say nothing; 0 means that only the
-// deadline bounds it.
-func silenceLimit(x *exchange, expected time.Duration) time.Duration {
-	if !x.route.Repeatable() {
-		return 0
-	}
-	if x.route.Kind == matcher.Stream {
-		limit := time.Duration(silentPart * float64(abandonAfter(x.route)))
-		return max(limit, min(2*expected, 2*limit))
-	}
-	return plainSilence * x.route.FirstByteAim
-}
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -139,9 +139,7 @@
 		a.verdict, a.err = verdictBroken, err
 		return nil
 	}
-	if a.watchdog != nil {
-		a.watchdog.Stop()
-	}
+	a.watchdog.stop()
 	a.placement.Began(time.Now())
 	if len(body) > maxBuffered {
 		return &plainAnswer{body: body, rest: a.response.Body}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -95,8 +95,8 @@
 	any := false
 	for {
 		n, err := a.response.Body.Read(buffer)
-		if n > 0 && a.watchdog != nil {
-			a.watchdog.Reset(silenceLimit(x, 0))
+		if n > 0 {
+			a.watchdog.hear()
 		}
 		whole, gap := events.Feed(buffer[:n])
 		for _, e := range whole {
--- /dev/null
+++ b/forwarder/watchdog.go
@@ -0,0 +1,98 @@
+package forwarder
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sapphireramp/sapphireramp/dispatcher"
+	"github.com/sapphireramp/sapphireramp/matcher"
+)
+
+// Limits of silence, beyond which an upstream counts as gone where the request
+// may be sent elsewhere.
+const (
+	// streamPatience, aimPatience and pausePatience are when the platform's
+	// callers abandon a stream after a gap: the longest of two seconds, four
+	// times the aim and eight times the pause.
+	streamPatience = 2 * time.Second
+	aimPatience    = 4
+	pausePatience  = 8
+	// silentPart is the part of a caller's patience that is spent on one
+	// upstream's silence; what is left is for the next.
+	silentPart = 0.45
+	// busyPart is the part that is spent on an upstream that is expected to be
+	// silent because it reads.
+	busyPart = 0.8
+	// busyFactor is how much longer than expected reading may take.
+	busyFactor = 1.5
+	// plainSilence is the silence of a plain service in aims: work takes a
+	// fifth of the aim as a rule, and one answer in a hundred five times that.
+	plainSilence = 2
+)
+
+// abandonAfter is the gap after which the caller leaves a stream.
+func abandonAfter(r *matcher.Route) time.Duration {
+	return max(streamPatience, aimPatience*r.FirstByteAim, pausePatience*r.PauseAim)
+}
+
+// watchdog ends an attempt whose upstream is silent for too long. All methods
+// may be called on nil.
+type watchdog struct {
+	lock  sync.Mutex
+	timer *time.Timer
+	// heard is when the upstream last said something.
+	heard time.Time
+	// limit is the silence allowed at any time, most that allowed while busy
+	// says that the upstream has reading to do.
+	limit, most time.Duration
+	busy        func() time.Duration
+	expire      func()
+}
+
+// watch starts a watchdog for an attempt. Where the request could not be sent
+// elsewhere there is none: silence is no reason to end an answer sooner.
+func (f *Forwarder) watch(x *exchange, p *dispatcher.Placement, expire func()) *watchdog {
+	if !x.route.Repeatable() || x.sent+1 >= x.route.MaxAttempts {
+		return nil
+	}
+	w := &watchdog{heard: time.Now(), expire: expire, busy: func() time.Duration { return 0 }}
+	w.limit = plainSilence * x.route.FirstByteAim
+	w.most = w.limit
+	if x.route.Kind == matcher.Stream {
+		abandon := float64(abandonAfter(x.route))
+		w.limit = time.Duration(silentPart * abandon)
+		w.most = time.Duration(busyPart * abandon)
+		w.busy = p.Busy
+	}
+	w.timer = time.AfterFunc(w.limit, w.check)
+	return w
+}
+
+// check expires the watchdog, unless the upstream was heard or is busy.
+func (w *watchdog) check() {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	allowed := min(w.most, max(w.limit, time.Duration(busyFactor*float64(w.busy()))))
+	if left := allowed - time.Since(w.heard); left > 0 {
+		w.timer.Reset(left)
+		return
+	}
+	w.expire()
+}
+
+// hear notes that the upstream said something.
+func (w *watchdog) hear() {
+	if w == nil {
+		return
+	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.heard = time.Now()
+}
+
+func (w *watchdog) stop() {
+	if w == nil {
+		return
+	}
+	w.timer.Stop()
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -83,7 +83,7 @@
 
 // New returns an entry that does not listen yet.
 func New(c Config) *Launcher {
-	dialer := &net.Dialer{}
+	dialer := newDialer()
 	board := dispatcher.New(c.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	l := &Launcher{config: c, settings: c.Settings, budget: budgeter.New(c.Settings.Budget)}
 	l.controller = controller.New(controller.Config{
