dispatcher: pack light prompts, and count what waits behind parts that help

Cause: light prompts spread over all engines (equal cost, the emptiest first), so every part of a long prompt met some of them; and an engine reads the parts that help others before its own, so a prompt could wait there ten seconds. Ruled out: a wrong model of reading; on an idle engine the expected first event is within 10% of the real one.

--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -63,8 +63,10 @@
 	writes bool
 	begun  bool
 	tokens int
-	pause  time.Duration
-	value  float64
+	placed time.Time
+	// aim and pause are those of the route; pause is 0 for plain requests.
+	aim, pause time.Duration
+	value      float64
 }
 
 // Writers are answers being written that bear the same pauses.
@@ -82,15 +84,29 @@
 	Running int
 	// Reading is how long the upstream has yet to read.
 	Reading time.Duration
+	// Ahead is the part of Reading that helps other engines: engines read that
+	// before anything else.
+	Ahead time.Duration
 	// Tokens is the memory used.
 	Tokens  int
 	Writers []Writers
+	// Waits are the requests that wait for their first event.
+	Waits []Wait
+}
+
+// Wait is a request that waits for its first event.
+type Wait struct {
+	// Expected is the whole of its wait, Aim the longest that is on time.
+	Expected, Aim time.Duration
+	Value         float64
 }
 
 func (l *Load) add(o Load) {
 	l.Running += o.Running
 	l.Reading += o.Reading
+	l.Ahead += o.Ahead
 	l.Tokens += o.Tokens
+	l.Waits = append(l.Waits, o.Waits...)
 	for _, w := range o.Writers {
 		l.addWriters(w)
 	}
@@ -107,14 +123,34 @@
 	l.Writers = append(l.Writers, w)
 }
 
+// overduePart is what is left of a reading that should be done by now and is
+// not known to be. Parts that help others are read first and seldom late; an
+// engine's own reading waits for all of those that come meanwhile.
+const (
+	overduePart = 0.1
+	overdueOwn  = 0.7
+)
+
+// left is how long the upstream has yet to read for a part.
+func (p *part) left(now time.Time) time.Duration {
+	if p.begun {
+		return 0
+	}
+	overdue := overduePart
+	if p.writes {
+		overdue = overdueOwn
+	}
+	return min(p.reading, max(time.Duration(overdue*float64(p.reading)), p.finish.Sub(now)))
+}
+
 // own is the load that this entry's requests make.
 func (w *worker) own(now time.Time) Load {
 	var l Load
 	for p := range w.parts {
-		if !p.begun {
-			l.Reading += min(p.reading, max(0, p.finish.Sub(now)))
-		}
+		left := p.left(now)
+		l.Reading += left
 		if !p.writes {
+			l.Ahead += left
 			continue
 		}
 		l.Running++
@@ -126,9 +162,26 @@
 	return l
 }
 
+// waits adds this entry's requests that wait for their first event; reading is
+// that of all entries.
+func (w *worker) waits(now time.Time, l *Load, reading time.Duration) {
+	for p := range w.parts {
+		if p.writes && !p.begun && p.pause > 0 {
+			l.Waits = append(l.Waits, Wait{Expected: now.Sub(p.placed) + reading, Aim: p.aim, Value: p.value})
+		}
+	}
+}
+
 // all is the load that the requests of all entries make, as far as known.
 func (w *worker) all(now time.Time) Load {
 	l := w.own(now)
+	w.addPeers(now, &l)
+	w.waits(now, &l, l.Reading)
+	return l
+}
+
+// addPeers adds what peers said of their load lately.
+func (w *worker) addPeers(now time.Time, l *Load) {
 	for peer, p := range w.peers {
 		age := now.Sub(p.at)
 		if age > loadLife {
@@ -137,9 +190,9 @@
 		}
 		load := p.load
 		load.Reading = max(0, load.Reading-age)
+		load.Ahead = max(0, load.Ahead-age)
 		l.add(load)
 	}
-	return l
 }
 
 // Update takes in the services of a configuration and the upstreams that may
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -55,7 +55,8 @@
 	// helperCost is what each helper adds to the risk that one is gone.
 	helperCost = 0.02
 	// openCost is what it costs to place a light prompt where no answer with
-	// as short a pause is written: that engine is then lost to long prompts.
+	// as short a pause is written, and the less the more there are: light
+	// prompts are packed on few engines, and the others left to long ones.
 	openCost = 0.3
 	// lightPart is the part of its own longest pause up to which the reading
 	// of a prompt counts as light.
@@ -63,7 +64,7 @@
 	// mostHelpers is how many engines the first may list.
 	mostHelpers = 16
 	// spareSlots are kept free of what other entries may not have told yet.
-	spareSlots = 1
+	spareSlots = 2
 	// queuedCost is the part of a request's worth lost by each request that
 	// waits for a slot before it, in engines' slots.
 	queuedCost = 4
@@ -143,6 +144,31 @@
 	return min(1, max(0, x))
 }
 
+// Callers abandon a stream after the longest of a gap of two seconds and eight
+// times the pause that is on time, or four times the aim of the first event.
+const (
+	leastAbandon = 2 * time.Second
+	pauseAbandon = 8
+	aimAbandon   = 4
+	// abandonLoss is the part of an answer's worth that is lost beside its
+	// lateness where the caller leaves: what late answers are paid, and as
+	// much again for an answer not had at all.
+	abandonLoss = 0.5
+)
+
+// pauseLoss is the part of an answer's worth that a pause loses.
+func pauseLoss(pause, aim time.Duration) float64 {
+	return lateLoss*lateness(pause, aim) + abandonLoss*lateness(pause, max(leastAbandon, pauseAbandon*aim))
+}
+
+// waitLoss is the part of an answer's worth that a wait for its first event
+// loses.
+func waitLoss(wait time.Duration, d Demand) float64 {
+	abandon := max(leastAbandon, aimAbandon*d.FirstByteAim, pauseAbandon*d.PauseAim)
+	loss := lateLoss*lateness(wait, d.FirstByteAim) + abandonLoss*lateness(wait, abandon)
+	return loss + slope*float64(wait)/float64(max(1, d.FirstByteAim))
+}
+
 // offer is what one engine would make of a part of a prompt.
 type offer struct {
 	worker *worker
@@ -181,8 +207,10 @@
 		demand: d, placed: now, parts: map[*worker]*part{}, reading: best[0].part,
 	}
 	for i, o := range best {
-		t := &part{reading: o.part, finish: now.Add(o.finish), tokens: d.Prompt + d.Answer, pause: d.PauseAim, value: value(d), writes: i == 0}
-		b.add(p, o.worker, t)
+		b.add(p, o.worker, &part{
+			reading: o.part, finish: now.Add(o.finish), tokens: d.Prompt + d.Answer, placed: now,
+			aim: d.FirstByteAim, pause: d.PauseAim, value: value(d), writes: i == 0,
+		})
 		if i > 0 {
 			p.Helpers = append(p.Helpers, o.worker.instance)
 		}
@@ -211,7 +239,7 @@
 	for i, o := range loads {
 		o = o.bid(now, d, k)
 		offers[i] = o
-		ranked[i] = o.cost + worth*lateLoss*lateness(o.finish, d.FirstByteAim) + worth*slope*float64(o.finish)/float64(max(1, d.FirstByteAim))
+		ranked[i] = o.cost + worth*waitLoss(o.finish, d)
 	}
 	order := make([]int, len(offers))
 	for i := range order {
@@ -244,7 +272,7 @@
 		cost += o.cost
 		finish = max(finish, o.finish)
 	}
-	cost += worth*lateLoss*lateness(finish, d.FirstByteAim) + worth*slope*float64(finish)/float64(max(1, d.FirstByteAim))
+	cost += worth * waitLoss(finish, d)
 	return chosen, cost, finish
 }
 
@@ -254,20 +282,25 @@
 	pace := w.health.pace(now)
 	o.part = time.Duration(float64(predictor.Part(e, d.Prompt, k)) * pace)
 	writers := 0
-	similar := false
+	similar := 0
 	for _, g := range o.load.Writers {
 		writers += g.Count
-		similar = similar || g.Pause <= d.PauseAim
+		if g.Pause <= d.PauseAim {
+			similar += g.Count
+		}
 	}
 	pass := time.Duration(float64(predictor.Writing(e, writers, o.load.Tokens)) * pace)
 	// On average a prompt arrives in the middle of a pass, and its first event
 	// follows at the end of the one that has read it.
 	own := time.Duration(float64(predictor.Writing(e, writers+1, o.load.Tokens+d.Prompt)) * pace)
 	o.finish = pass/2 + o.load.Reading + o.part + own
+	if k > 1 {
+		o.cost += delayCost(o.load, o.part)
+	}
 	for _, g := range o.load.Writers {
-		before := lateness(pass+o.load.Reading, g.Pause)
-		after := lateness(pass+o.load.Reading+o.part, g.Pause)
-		o.cost += g.Value * lateLoss * (after - before)
+		before := pauseLoss(pass+o.load.Reading, g.Pause)
+		after := pauseLoss(pass+o.load.Reading+o.part, g.Pause)
+		o.cost += g.Value * (after - before)
 	}
 	worth := value(d)
 	o.cost += worth * 1.5 * w.health.rate(now)
@@ -275,8 +308,8 @@
 	if waiting := o.load.Running + 1 - slots; waiting > 0 {
 		o.cost += worth * queuedCost * float64(waiting) / float64(max(1, e.Slots))
 	}
-	if k == 1 && !similar && float64(predictor.Reading(e, d.Prompt)) <= lightPart*float64(d.PauseAim) {
-		o.cost += openCost
+	if k == 1 && float64(predictor.Reading(e, d.Prompt)) <= lightPart*float64(d.PauseAim) {
+		o.cost += openCost * (1 - float64(min(similar, slots))/float64(max(1, slots)))
 	}
 	o.writes = d.Prompt+d.Answer <= e.MemoryTokens
 	if free := e.MemoryTokens - o.load.Tokens; o.writes && d.Prompt+d.Answer > free {
@@ -285,6 +318,17 @@
 	return o
 }
 
+// delayCost is what the requests that wait at an engine lose by a part that is
+// read before them.
+func delayCost(l Load, part time.Duration) float64 {
+	cost := 0.0
+	for _, w := range l.Waits {
+		d := Demand{FirstByteAim: w.Aim}
+		cost += w.Value * (waitLoss(w.Expected+part, d) - waitLoss(w.Expected, d))
+	}
+	return cost
+}
+
 // Began reports that the first byte of the answer was seen.
 func (p *Placement) Began(now time.Time) {
 	p.board.lock.Lock()
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -15,7 +15,7 @@
 
 const (
 	// shareFormat is the first byte of a message of shares.
-	shareFormat = 1
+	shareFormat = 2
 	// maxShare bounds a message, so that it fits one datagram of a usual link.
 	maxShare = 1300
 	// valueUnit is what values are rounded to on the wire.
@@ -33,7 +33,9 @@
 	var out []Share
 	for id, w := range b.workers {
 		if b.changed[id] || (all && len(w.parts) > 0) {
-			out = append(out, Share{ID: id, Load: w.own(now)})
+			load := w.own(now)
+			w.waits(now, &load, w.all(now).Reading)
+			out = append(out, Share{ID: id, Load: load})
 		}
 	}
 	clear(b.changed)
@@ -86,6 +88,7 @@
 	to = appendText(to, s.ID)
 	to = binary.AppendUvarint(to, uint64(s.Load.Running))
 	to = binary.AppendUvarint(to, uint64(s.Load.Reading/time.Millisecond))
+	to = binary.AppendUvarint(to, uint64(s.Load.Ahead/time.Millisecond))
 	to = binary.AppendUvarint(to, uint64(s.Load.Tokens))
 	to = binary.AppendUvarint(to, uint64(len(s.Load.Writers)))
 	for _, w := range s.Load.Writers {
@@ -93,6 +96,12 @@
 		to = binary.AppendUvarint(to, uint64(w.Count))
 		to = binary.AppendUvarint(to, uint64(w.Value/valueUnit))
 	}
+	to = binary.AppendUvarint(to, uint64(len(s.Load.Waits)))
+	for _, w := range s.Load.Waits {
+		to = binary.AppendUvarint(to, uint64(w.Expected/time.Millisecond))
+		to = binary.AppendUvarint(to, uint64(w.Aim/time.Millisecond))
+		to = binary.AppendUvarint(to, uint64(w.Value/valueUnit))
+	}
 	return to
 }
 
@@ -135,12 +144,19 @@
 		s := Share{ID: r.text()}
 		s.Load.Running = r.number()
 		s.Load.Reading = time.Duration(r.number()) * time.Millisecond
+		s.Load.Ahead = time.Duration(r.number()) * time.Millisecond
 		s.Load.Tokens = r.number()
 		for range min(r.number(), len(r.rest)) {
 			s.Load.Writers = append(s.Load.Writers, Writers{
 				Pause: time.Duration(r.number()) * time.Millisecond, Count: r.number(), Value: float64(r.number()) * valueUnit,
 			})
 		}
+		for range min(r.number(), len(r.rest)) {
+			s.Load.Waits = append(s.Load.Waits, Wait{
+				Expected: time.Duration(r.number()) * time.Millisecond, Aim: time.Duration(r.number()) * time.Millisecond,
+				Value: float64(r.number()) * valueUnit,
+			})
+		}
 		shares = append(shares, s)
 	}
 	if r.fault {
