forwarder: give an engine three quarters of the caller's patience; dispatcher: don't pack blindly

Now an entry that hears nobody keeps to an order of its own and packs nothing, heartbeats begin at once, what is overdue counts as backlog, and silence may last three quarters of what the caller waits.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -97,6 +97,7 @@
 	seeds      []netip.AddrPort
 	stopping   bool
 	stopBy     time.Time
+	started    time.Time
 	lastTick   time.Time
 	lastBoot   time.Duration
 	// storeLost says that the last call to the store failed.
@@ -113,6 +114,9 @@
 	// confirmedShown is by how much the confirmation that views show may be
 	// older than the newest.
 	confirmedShown = 300 * time.Millisecond
+	// acquaintTime is how long after its start an entry may not know all others
+	// and their load: two heartbeats, and one round of shares.
+	acquaintTime = 2*beatTime + shareAll
 	// beatTime is the period of heartbeats: five in the time after which a
 	// silent entry is suspected.
 	beatTime = 200 * time.Millisecond
@@ -139,7 +143,7 @@
 func (c *Controller) Run(ctx context.Context, seeds []netip.AddrPort, beats net.Listener, shares net.PacketConn) {
 	now := time.Now()
 	s := &state{
-		controller: c, follower: follower.New(), contacts: map[string]contact{}, seeds: seeds, lastTick: now, lastBoot: sinceBoot(),
+		controller: c, follower: follower.New(), contacts: map[string]contact{}, seeds: seeds, started: now, lastTick: now, lastBoot: sinceBoot(),
 		prober: prober.New(prober.Config{Name: c.config.Name, Incarnation: c.config.Incarnation, Neighbours: neighbours, Suspect: suspectTime}),
 	}
 	c.goRun(func() { c.follow(ctx) })
@@ -215,7 +219,7 @@
 	s.membersChanged(s.prober.Tick(now))
 	s.logStore(s.follower.Tick(now), "hold_ended")
 	shown := s.controller.current.Load().ConfirmedAt
-	if s.follower.ConfirmedAt().Sub(shown) > confirmedShown {
+	if s.follower.ConfirmedAt().Sub(shown) > confirmedShown || now.Sub(s.started) < 2*acquaintTime {
 		s.dirty = true
 	}
 }
@@ -243,12 +247,22 @@
 			v.peers = append(v.peers, peer{name: m.Name, beats: m.PeerAddress, shares: netip.AddrPortFrom(m.PeerAddress.Addr(), c.config.Shares.Port())})
 		}
 	}
+	c.config.Board.Blind(s.blind(len(v.peers)))
 	if s.table != nil {
 		c.config.Board.Update(s.table, s.follower.Usable())
 	}
 	c.current.Store(v)
 }
 
+// blind reports whether this entry may not know what others place: it has
+// just started, or hears nobody though there are others.
+func (s *state) blind(peers int) bool {
+	if peers == 0 {
+		return len(s.seeds) > 1
+	}
+	return time.Since(s.started) < acquaintTime
+}
+
 // View is what requests are served by.
 func (c *Controller) View() *forwarder.View { return &c.current.Load().View }
 
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -118,6 +118,7 @@
 func (c *Controller) beat(ctx context.Context) {
 	tick := time.NewTicker(beatTime)
 	defer tick.Stop()
+	c.beatTo(false)
 	for {
 		all := false
 		select {
--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -7,6 +7,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -25,6 +26,10 @@
 	lock     sync.Mutex
 	workers  map[string]*worker
 	services map[string][]*worker
+	// blind is true while this entry does not hear what others place.
+	blind bool
+	// rankSalt orders engines alike at all entries, but for blind ones.
+	rankSalt string
 	// changed names the workers whose own load changed since the last Export.
 	changed map[string]bool
 	// Changed has an element while changed has any.
@@ -35,7 +40,7 @@
 func New(dataCentre string, random *rand.Rand) *Board {
 	return &Board{
 		dataCentre: dataCentre, random: random, workers: map[string]*worker{}, services: map[string][]*worker{},
-		changed: map[string]bool{}, Changed: make(chan struct{}, 1),
+		rankSalt: sharedRank, changed: map[string]bool{}, Changed: make(chan struct{}, 1),
 	}
 }
 
@@ -87,6 +92,9 @@
 	// Ahead is the part of Reading that helps other engines: engines read that
 	// before anything else.
 	Ahead time.Duration
+	// Late is how long the most overdue request waits beyond what was expected.
+	// An engine that is that late has at least as much to do that nobody told.
+	Late time.Duration
 	// Tokens is the memory used.
 	Tokens  int
 	Writers []Writers
@@ -105,6 +113,7 @@
 	l.Running += o.Running
 	l.Reading += o.Reading
 	l.Ahead += o.Ahead
+	l.Late = max(l.Late, o.Late)
 	l.Tokens += o.Tokens
 	l.Waits = append(l.Waits, o.Waits...)
 	for _, w := range o.Writers {
@@ -155,6 +164,9 @@
 		}
 		l.Running++
 		l.Tokens += p.tokens
+		if !p.begun && p.pause > 0 {
+			l.Late = max(l.Late, now.Sub(p.finish)-paceSlack)
+		}
 		if p.pause > 0 {
 			l.addWriters(Writers{Pause: p.pause, Count: 1, Value: p.value})
 		}
@@ -176,6 +188,7 @@
 func (w *worker) all(now time.Time) Load {
 	l := w.own(now)
 	w.addPeers(now, &l)
+	l.Reading += max(0, l.Late)
 	w.waits(now, &l, l.Reading)
 	return l
 }
@@ -223,6 +236,24 @@
 	}
 }
 
+// sharedRank is the order in which entries that hear each other fill engines.
+const sharedRank = "placement"
+
+// Blind tells the board whether this entry hears what other entries place.
+// While it does not, it keeps to an order of its own and packs nothing: all
+// entries would fill the same engines.
+func (b *Board) Blind(blind bool) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	if blind && !b.blind {
+		b.rankSalt = strconv.FormatUint(b.random.Uint64(), 16)
+	}
+	if !blind {
+		b.rankSalt = sharedRank
+	}
+	b.blind = blind
+}
+
 // touch notes that this entry's load at a worker changed.
 func (b *Board) touch(w *worker) {
 	b.changed[w.instance.ID] = true
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -179,14 +179,16 @@
 	part   time.Duration
 	// writes is false where the engine could only help.
 	writes bool
-	// rank orders engines alike at all entries, where costs are equal.
+	// rank orders engines where costs are equal.
 	rank uint64
+	// blind offers are made without knowing what other entries place.
+	blind bool
 }
 
 func (b *Board) placePrompt(now time.Time, d Demand, workers []*worker) (*Placement, *Refusal) {
 	loads := make([]offer, len(workers))
 	for i, w := range workers {
-		loads[i] = offer{worker: w, load: w.all(now), rank: assigner.Weight("placement", w.instance.ID)}
+		loads[i] = offer{worker: w, load: w.all(now), rank: assigner.Weight(b.rankSalt, w.instance.ID), blind: b.blind}
 	}
 	var best []offer
 	least, expected := 0.0, time.Duration(0)
@@ -308,7 +310,7 @@
 	if waiting := o.load.Running + 1 - slots; waiting > 0 {
 		o.cost += worth * queuedCost * float64(waiting) / float64(max(1, e.Slots))
 	}
-	if k == 1 && float64(predictor.Reading(e, d.Prompt)) <= lightPart*float64(d.PauseAim) {
+	if k == 1 && !o.blind && float64(predictor.Reading(e, d.Prompt)) <= lightPart*float64(d.PauseAim) {
 		o.cost += openCost * (1 - float64(min(similar, slots))/float64(max(1, slots)))
 	}
 	o.writes = d.Prompt+d.Answer <= e.MemoryTokens
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -15,7 +15,7 @@
 
 const (
 	// shareFormat is the first byte of a message of shares.
-	shareFormat = 2
+	shareFormat = 3
 	// maxShare bounds a message, so that it fits one datagram of a usual link.
 	maxShare = 1300
 	// valueUnit is what values are rounded to on the wire.
@@ -89,6 +89,7 @@
 	to = binary.AppendUvarint(to, uint64(s.Load.Running))
 	to = binary.AppendUvarint(to, uint64(s.Load.Reading/time.Millisecond))
 	to = binary.AppendUvarint(to, uint64(s.Load.Ahead/time.Millisecond))
+	to = binary.AppendUvarint(to, uint64(max(0, s.Load.Late/time.Millisecond)))
 	to = binary.AppendUvarint(to, uint64(s.Load.Tokens))
 	to = binary.AppendUvarint(to, uint64(len(s.Load.Writers)))
 	for _, w := range s.Load.Writers {
@@ -145,6 +146,7 @@
 		s.Load.Running = r.number()
 		s.Load.Reading = time.Duration(r.number()) * time.Millisecond
 		s.Load.Ahead = time.Duration(r.number()) * time.Millisecond
+		s.Load.Late = time.Duration(r.number()) * time.Millisecond
 		s.Load.Tokens = r.number()
 		for range min(r.number(), len(r.rest)) {
 			s.Load.Writers = append(s.Load.Writers, Writers{
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -18,11 +18,13 @@
 	aimPatience    = 4
 	pausePatience  = 8
 	// silentPart is the part of a caller's patience that is spent on one
-	// upstream's silence; what is left is for the next.
-	silentPart = 0.45
+	// upstream's silence. What is left is for the next, which takes a fifth of
+	// a second for a short prompt. Less would send many prompts twice whose
+	// engine only reads, just when engines have most to do.
+	silentPart = 0.75
 	// busyPart is the part that is spent on an upstream that is expected to be
 	// silent because it reads.
-	busyPart = 0.8
+	busyPart = 0.85
 	// busyFactor is how much longer than expected reading may take.
 	busyFactor = 1.5
 	// plainSilence is the silence of a plain service in aims: work takes a
