--- a/cmd/sapphireramp/gateway.go
+++ b/cmd/sapphireramp/gateway.go
@@ -26,6 +26,10 @@
 // that an answer takes.
 const addressLife = time.Second
 
+// holdPart is the lease of reserved memory, in percent of the time for which
+// it may stay set aside unused: a process that dies can't give it back.
+const holdPart = 80
+
 func gatewayCommand() command {
 	flags := newCommand("gateway", "run an entry on the users' platform; "+platform.SettingsVariable+" names its settings file")
 	metricsPort := uint16(0)
@@ -64,7 +68,9 @@
 			return changeable(s), err
 		},
 		Store:    controller.Store{Read: store.Read, Watch: store.Watch, Decode: platform.DecodeConfig},
-		Protocol: platform.Protocol(), DirectoryHandler: platform.Directory, ReadyHandler: platform.Readiness,
+		Protocol: platform.Protocol(), Orders: platform.Orders(&http.Client{}),
+		HoldTime:         min(settings.MaxHold, settings.MaxUnused*holdPart/100),
+		DirectoryHandler: platform.Directory, ReadyHandler: platform.Readiness,
 		Log: log, Scope: metrics.Scope, MetricsPage: metrics.Page, Asserter: invariants,
 	}
 	if metricsPort > 0 {
--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -160,6 +160,7 @@
 		l.Reading += left
 		if !p.writes {
 			l.Ahead += left
+			l.Tokens += p.tokens
 			continue
 		}
 		l.Running++
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -24,6 +24,9 @@
 	Avoid []string
 	// Alone forbids helpers: a group has failed the request before.
 	Alone bool
+	// Returned requests were refused before; they are not refused again for
+	// what they cost others.
+	Returned bool
 }
 
 // Refusal says that no upstream can serve a request now.
@@ -79,15 +82,17 @@
 	// First answers the request; Helpers read parts of the prompt.
 	First   Instance
 	Helpers []Instance
+	// Shares are the memory that helpers are to hold of a prompt that is too
+	// long for the first engine, by their IDs; empty for others.
+	Shares map[string]int
 	// Expected is how long the first byte is expected to take.
 	Expected time.Duration
 	// Load is the first upstream's before this request, for the log.
 	Load Load
 
-	demand  Demand
-	placed  time.Time
-	parts   map[*worker]*part
-	reading time.Duration
+	demand Demand
+	placed time.Time
+	parts  map[*worker]*part
 }
 
 // Place finds a place for a request and notes it on the board.
@@ -204,13 +209,24 @@
 	if d.Patience > 0 && expected > d.Patience {
 		return nil, &Refusal{Reason: "overloaded", Expected: expected, RetryAfter: min(mostRetry, max(leastRetry, expected-d.Patience/2))}
 	}
+	held, fits := memoryShares(d, best)
+	if !fits {
+		return nil, &Refusal{Reason: "no_memory", Expected: expected, RetryAfter: leastRetry}
+	}
+	if r := dear(d, workers[0].engine, loads, least); r != nil {
+		r.Expected = expected
+		return nil, r
+	}
 	p := &Placement{
 		board: b, First: best[0].worker.instance, Load: best[0].load, Expected: expected,
-		demand: d, placed: now, parts: map[*worker]*part{}, reading: best[0].part,
+		demand: d, placed: now, parts: map[*worker]*part{}, Shares: map[string]int{},
 	}
 	for i, o := range best {
+		if i > 0 && held[i] > 0 {
+			p.Shares[o.worker.instance.ID] = held[i]
+		}
 		b.add(p, o.worker, &part{
-			reading: o.part, finish: now.Add(o.finish), tokens: d.Prompt + d.Answer, placed: now,
+			reading: o.part, finish: now.Add(o.finish), tokens: held[i], placed: now,
 			aim: d.FirstByteAim, pause: d.PauseAim, value: value(d), writes: i == 0,
 		})
 		if i > 0 {
@@ -220,6 +236,39 @@
 	return p, nil
 }
 
+const (
+	// timePrice is what a second of an engine's time is worth to other callers
+	// for each second that engines have yet to read on average, in requests a
+	// second squared. At 0.25 s of backlog nothing is refused that would be on
+	// time; at 1 s prompts that take over seven seconds to read are, which
+	// would displace several times their worth of others.
+	timePrice = 4.0
+	// heavyReading is the reading from which a prompt is heavy enough to be
+	// refused for what it costs others.
+	heavyReading = time.Second
+	// drainFactor is in how many backlogs a refused caller is asked to return.
+	drainFactor = 2
+)
+
+// dear refuses a prompt that would lose others more than it is worth. Cost is
+// what its place would lose, its own lateness included.
+func dear(d Demand, e *matcher.Engine, loads []offer, cost float64) *Refusal {
+	reading := predictor.Reading(e, d.Prompt)
+	if d.Returned || reading < heavyReading {
+		return nil
+	}
+	backlog := time.Duration(0)
+	for _, o := range loads {
+		backlog += o.load.Reading
+	}
+	backlog /= time.Duration(len(loads))
+	price := timePrice * backlog.Seconds() * reading.Seconds()
+	if value(d)-cost-price > 0 {
+		return nil
+	}
+	return &Refusal{Reason: "too_dear", RetryAfter: min(mostRetry, max(leastRetry, drainFactor*backlog))}
+}
+
 // groupSizes lists how many engines may read a prompt.
 func groupSizes(d Demand, e *matcher.Engine, engines int) []int {
 	if d.Alone || predictor.Reading(e, d.Prompt) < d.PauseAim/4 {
@@ -313,13 +362,47 @@
 	if k == 1 && !o.blind && float64(predictor.Reading(e, d.Prompt)) <= lightPart*float64(d.PauseAim) {
 		o.cost += openCost * (1 - float64(min(similar, slots))/float64(max(1, slots)))
 	}
-	o.writes = d.Prompt+d.Answer <= e.MemoryTokens
-	if free := e.MemoryTokens - o.load.Tokens; o.writes && d.Prompt+d.Answer > free {
+	o.writes = k > 1 || d.Prompt+d.Answer <= e.MemoryTokens
+	if free := e.MemoryTokens - o.load.Tokens; k == 1 && d.Prompt+d.Answer > free {
 		o.cost += worth
 	}
 	return o
 }
 
+// memoryPart is the part of an engine's free memory that one prompt is given:
+// the rest is for what other entries have not told yet.
+const memoryPart = 0.85
+
+// free is the memory of an engine that one prompt may have.
+func (o offer) free() int {
+	return int(memoryPart * float64(max(0, o.worker.engine.MemoryTokens-o.load.Tokens)))
+}
+
+// memoryShares says how much of a prompt and its answer each of the chosen
+// engines holds, the first of them first. A prompt that fits there is held by
+// the first alone; what doesn't fit is held by few of the others.
+func memoryShares(d Demand, chosen []offer) ([]int, bool) {
+	shares := make([]int, len(chosen))
+	need := d.Prompt + d.Answer
+	first := chosen[0]
+	if need <= first.worker.engine.MemoryTokens && (need <= first.free() || len(chosen) == 1) {
+		shares[0] = need
+		return shares, true
+	}
+	shares[0] = min(need, first.free())
+	need -= shares[0]
+	order := make([]int, 0, len(chosen))
+	for i := 1; i < len(chosen); i++ {
+		order = append(order, i)
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(chosen[b].free(), chosen[a].free()) })
+	for _, i := range order {
+		shares[i] = min(need, chosen[i].free())
+		need -= shares[i]
+	}
+	return shares, need == 0
+}
+
 // delayCost is what the requests that wait at an engine lose by a part that is
 // read before them.
 func delayCost(l Load, part time.Duration) float64 {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -45,6 +45,8 @@
 	verdict   verdict
 	err       error
 	response  *http.Response
+	// group is the memory reserved for the attempt; nil where it needs none.
+	group *group
 	// cancel ends the attempt with a cause.
 	cancel context.CancelCauseFunc
 	// watchdog cancels the attempt when the upstream is silent; nil if unused.
@@ -57,9 +59,15 @@
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	a := &attempt{placement: p, cancel: cancel}
 	a.watchdog = f.watch(x, p, func() { cancel(errSilent) })
+	var err error
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
-	request, err := f.build(ctx, x, p, lastEvent)
+	a.group, err = f.reserve(ctx, x, p)
+	if err != nil {
+		a.verdict, a.err = verdictUnsent, err
+		return a
+	}
+	request, err := f.build(ctx, x, a, lastEvent)
 	if err != nil {
 		a.verdict, a.err = verdictUnsent, err
 		return a
@@ -88,7 +96,8 @@
 }
 
 // build makes the request to the upstream of a placement.
-func (f *Forwarder) build(ctx context.Context, x *exchange, p *dispatcher.Placement, lastEvent string) (*http.Request, error) {
+func (f *Forwarder) build(ctx context.Context, x *exchange, a *attempt, lastEvent string) (*http.Request, error) {
+	p := a.placement
 	address := p.First.Address.String()
 	request := &http.Request{
 		Method: x.request.Method, URL: target(x.request, address), Host: x.request.Host, Header: http.Header{},
@@ -114,19 +123,11 @@
 	}
 	f.protocol.WriteAttempt(request.Header, Attempt{
 		Instance: p.First.ID, Left: left, Organisation: x.organisation, LastEvent: lastEvent,
-		Helpers: addresses(p.Helpers), Priority: urgency(x),
+		Helpers: a.group.helpers(p.Helpers), Priority: urgency(x),
 	})
 	return request, nil
 }
 
-func addresses(instances []dispatcher.Instance) []netip.AddrPort {
-	var out []netip.AddrPort
-	for _, i := range instances {
-		out = append(out, i.Address)
-	}
-	return out
-}
-
 // urgency orders what waits at an engine: the shorter the aim, the sooner.
 func urgency(x *exchange) int {
 	switch aim := x.route.FirstByteAim; {
@@ -183,6 +184,7 @@
 		_ = a.response.Body.Close()
 	}
 	a.cancel(nil)
+	f.release(a.group)
 	f.metrics.attempted(a.verdict)
 	a.placement.End(time.Now(), resultOf(x, a))
 	if a.verdict == verdictAnswered {
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"net/http"
 	"net/netip"
 	"time"
@@ -37,11 +38,28 @@
 	// LastEvent is the event after which a stream goes on; empty for all.
 	LastEvent string
 	// Helpers read parts of the prompt.
-	Helpers []netip.AddrPort
+	Helpers []Helper
 	// Priority among what waits at the engine, 0 first.
 	Priority int
 }
 
+// Helper is an engine that reads a part of a prompt.
+type Helper struct {
+	Address netip.AddrPort
+	// Ticket is the id of memory reserved there for the prompt; empty where
+	// the helper only reads.
+	Ticket string
+}
+
+// Orders are what engines are told besides requests. A failure means that the
+// order may or may not have been carried out, now or later.
+type Orders struct {
+	// Reserve sets memory aside under an id for a time, or renews it.
+	Reserve func(ctx context.Context, engine netip.AddrPort, id string, tokens int, hold time.Duration) error
+	// Release gives it back.
+	Release func(ctx context.Context, engine netip.AddrPort, id string) error
+}
+
 // Reply is what an upstream says beside status and body.
 type Reply struct {
 	// Call is the ID of the request that this answers; empty where the
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -47,17 +48,36 @@
 func (f *Forwarder) place(x *exchange, d dispatcher.Demand) (*dispatcher.Placement, *failure) {
 	d.Service, d.Avoid, d.Alone = x.service, x.avoid, x.alone
 	d.FirstByteAim, d.PauseAim = x.route.FirstByteAim, x.route.PauseAim
+	d.Returned = x.sent > 0 || returned(x)
 	p, refusal := f.board.Place(time.Now(), d)
 	if refusal != nil {
 		return nil, notRun(refusal.Reason, refusal.RetryAfter, refusal)
 	}
 	f.log.Info("place", zap.String("request", x.call.ID), zap.String("service", x.service), zap.String("upstream", p.First.ID),
-		zap.String("data_centre", p.First.DataCentre), zap.Int("helpers", len(p.Helpers)), zap.Duration("expected_ms", p.Expected),
+		zap.String("data_centre", p.First.DataCentre), zap.Int("helpers", len(p.Helpers)), zap.String("helper_ids", ids(p.Helpers)), zap.Duration("expected_ms", p.Expected),
 		zap.Int("running", p.Load.Running), zap.Duration("reading_ms", p.Load.Reading), zap.Int("attempt", x.sent+1),
 		zap.Int64("config_revision", x.view.ConfigRevision), zap.Duration("list_age_ms", time.Since(x.view.ConfirmedAt)))
 	return p, nil
 }
 
+// ids joins the IDs of instances, for the log.
+func ids(instances []dispatcher.Instance) string {
+	names := make([]string, len(instances))
+	for i, h := range instances {
+		names[i] = h.ID
+	}
+	return strings.Join(names, ",")
+}
+
+// returnedPart is the part of a route's time below which a caller's patience
+// shows that it has asked before.
+const returnedPart = 0.95
+
+// returned reports whether the caller seems to come back after a refusal.
+func returned(x *exchange) bool {
+	return x.call.Patience > 0 && x.call.Patience < time.Duration(returnedPart*float64(x.route.Timeout))
+}
+
 // mayRepeat reports whether the request may be sent once more after an
 // attempt, and takes that out of the budget where it counts.
 func (f *Forwarder) mayRepeat(x *exchange, a *attempt, unsent int) bool {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -35,6 +35,10 @@
 // Config of a forwarder. Every field is needed.
 type Config struct {
 	Protocol Protocol
+	Orders   Orders
+	// HoldTime is the lease of memory reserved at engines: shorter than memory
+	// may stay set aside after the end of its request.
+	HoldTime time.Duration
 	View     func() *View
 	Board    *dispatcher.Board
 	Budget   *budgeter.Budgeter
@@ -47,6 +51,8 @@
 // Forwarder is the handler of callers' requests.
 type Forwarder struct {
 	protocol  Protocol
+	orders    Orders
+	holdTime  time.Duration
 	view      func() *View
 	board     *dispatcher.Board
 	budget    *budgeter.Budgeter
@@ -61,7 +67,7 @@
 // New returns a forwarder.
 func New(c Config) *Forwarder {
 	f := &Forwarder{
-		protocol: c.Protocol, view: c.View, board: c.Board, budget: c.Budget, log: c.Log,
+		protocol: c.Protocol, orders: c.Orders, holdTime: c.HoldTime, view: c.View, board: c.Board, budget: c.Budget, log: c.Log,
 		metrics: newMetrics(c.Scope), asserter: c.Asserter, upstreams: newTransport(c.Dial),
 	}
 	f.chain = chain(f.forward, f.respond, f.recoverPanic, f.open, f.match, f.readBody)
--- /dev/null
+++ b/forwarder/group.go
@@ -0,0 +1,138 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/sapphireramp/sapphireramp/dispatcher"
+	"github.com/sapphireramp/sapphireramp/sleeper"
+)
+
+const (
+	// orderTimeout bounds an order to an engine: many times what an answer
+	// takes, and short beside the aims of prompts that need reservations.
+	orderTimeout = 300 * time.Millisecond
+	// renewals is how often memory is renewed in the time of its lease, so
+	// that one lost order does not end it.
+	renewals = 3
+)
+
+// group is the memory reserved at several engines for one attempt. All methods
+// may be called on nil, which holds none.
+type group struct {
+	request string
+	shares  []share
+	// stop ends the renewals, which have ended when renewed is done.
+	stop    context.CancelFunc
+	renewed sync.WaitGroup
+}
+
+type share struct {
+	engine netip.AddrPort
+	ticket string
+	tokens int
+}
+
+// reserve sets aside the memory that an attempt needs at its helpers: all of
+// it or none.
+func (f *Forwarder) reserve(ctx context.Context, x *exchange, p *dispatcher.Placement) (*group, error) {
+	if len(p.Shares) == 0 {
+		return nil, nil
+	}
+	g := &group{request: x.call.ID}
+	for _, h := range p.Helpers {
+		if tokens := p.Shares[h.ID]; tokens > 0 {
+			g.shares = append(g.shares, share{engine: h.Address, ticket: uuid.NewString(), tokens: tokens})
+		}
+	}
+	failures := make(chan error, len(g.shares))
+	for _, s := range g.shares {
+		go func() { failures <- f.reserveShare(ctx, s) }()
+	}
+	var failed error
+	for range g.shares {
+		if err := <-failures; err != nil {
+			failed = err
+		}
+	}
+	if failed != nil {
+		f.release(g)
+		return nil, failed
+	}
+	f.log.Info("reserved", zap.String("request", x.call.ID), zap.Int("engines", len(g.shares)), zap.Duration("lease_ms", f.holdTime))
+	renewing, stop := context.WithCancel(context.WithoutCancel(ctx))
+	g.stop = stop
+	g.renewed.Add(1)
+	go func() {
+		defer g.renewed.Done()
+		f.renew(renewing, g)
+	}()
+	return g, nil
+}
+
+func (f *Forwarder) reserveShare(ctx context.Context, s share) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if err := f.orders.Reserve(ctx, s.engine, s.ticket, s.tokens, f.holdTime); err != nil {
+		return fmt.Errorf("reserve %d tokens at %s: %w", s.tokens, s.engine, err)
+	}
+	return nil
+}
+
+// renew keeps the leases alive until the group is released.
+func (f *Forwarder) renew(ctx context.Context, g *group) {
+	for sleeper.Sleep(ctx, f.holdTime/renewals) {
+		for _, s := range g.shares {
+			if err := f.reserveShare(ctx, s); err != nil && ctx.Err() == nil {
+				f.log.Warn("renewal_failed", zap.String("request", g.request), zap.Error(err))
+			}
+		}
+	}
+}
+
+// release gives the memory of a group back, without making the request wait.
+// What can't be released ends with its lease.
+func (f *Forwarder) release(g *group) {
+	if g == nil {
+		return
+	}
+	if g.stop != nil {
+		g.stop()
+	}
+	go func() {
+		g.renewed.Wait()
+		for _, s := range g.shares {
+			ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+			err := f.orders.Release(ctx, s.engine, s.ticket)
+			cancel()
+			if err != nil {
+				f.log.Warn("release_failed", zap.String("request", g.request), zap.Stringer("engine", s.engine),
+					zap.Duration("lease_ms", f.holdTime), zap.Error(err))
+			}
+		}
+	}()
+}
+
+// helpers lists the engines that help, with the memory that each holds.
+// Tickets are filled in the order of the list.
+func (g *group) helpers(instances []dispatcher.Instance) []Helper {
+	var out []Helper
+	for _, i := range instances {
+		h := Helper{Address: i.Address}
+		if g != nil {
+			for _, s := range g.shares {
+				if s.engine == i.Address {
+					h.Ticket = s.ticket
+				}
+			}
+		}
+		out = append(out, h)
+	}
+	return out
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -45,6 +45,9 @@
 	Reload   func() (Settings, error)
 	Store    controller.Store
 	Protocol forwarder.Protocol
+	Orders   forwarder.Orders
+	// HoldTime is the lease of memory reserved at engines.
+	HoldTime time.Duration
 	// DirectoryHandler and ReadyHandler answer in the platform's words.
 	DirectoryHandler func(life time.Duration, addresses func(dataCentre string) []netip.AddrPort) http.Handler
 	ReadyHandler     func(ready func() bool) http.Handler
@@ -92,7 +95,7 @@
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	l.forwarder = forwarder.New(forwarder.Config{
-		Protocol: c.Protocol, View: l.controller.View, Board: board, Budget: l.budget, Dial: dialer.DialContext,
+		Protocol: c.Protocol, Orders: c.Orders, HoldTime: c.HoldTime, View: l.controller.View, Board: board, Budget: l.budget, Dial: dialer.DialContext,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	return l
