--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -66,9 +66,10 @@
 	finish  time.Time
 	// writes is true where the upstream writes the answer, false at helpers.
 	writes bool
-	begun  bool
 	tokens int
-	placed time.Time
+	// placement is that of the request.
+	placement *Placement
+	placed    time.Time
 	// aim and pause are those of the route; pause is 0 for plain requests.
 	aim, pause time.Duration
 	value      float64
@@ -89,30 +90,29 @@
 	Running int
 	// Reading is how long the upstream has yet to read.
 	Reading time.Duration
-	// Ahead is the part of Reading that helps other engines: engines read that
-	// before anything else.
-	Ahead time.Duration
 	// Late is how long the most overdue request waits beyond what was expected.
 	// An engine that is that late has at least as much to do that nobody told.
 	Late time.Duration
 	// Tokens is the memory used.
 	Tokens  int
 	Writers []Writers
-	// Waits are the requests that wait for their first event.
+	// Waits are requests that wait for their first event and have something to
+	// be read here.
 	Waits []Wait
 }
 
 // Wait is a request that waits for its first event.
 type Wait struct {
-	// Expected is the whole of its wait, Aim the longest that is on time.
-	Expected, Aim time.Duration
-	Value         float64
+	// Expected is the whole of its wait, Here what this upstream makes of it.
+	Expected, Here time.Duration
+	// Aim is the longest wait that is on time.
+	Aim   time.Duration
+	Value float64
 }
 
 func (l *Load) add(o Load) {
 	l.Running += o.Running
 	l.Reading += o.Reading
-	l.Ahead += o.Ahead
 	l.Late = max(l.Late, o.Late)
 	l.Tokens += o.Tokens
 	l.Waits = append(l.Waits, o.Waits...)
@@ -133,40 +133,32 @@
 }
 
 // overduePart is what is left of a reading that should be done by now and is
-// not known to be. Parts that help others are read first and seldom late; an
-// engine's own reading waits for all of those that come meanwhile.
-const (
-	overduePart = 0.1
-	overdueOwn  = 0.7
-)
+// not known to be.
+const overduePart = 0.1
 
 // left is how long the upstream has yet to read for a part.
 func (p *part) left(now time.Time) time.Duration {
-	if p.begun {
+	if p.placement.begun {
 		return 0
 	}
-	overdue := overduePart
-	if p.writes {
-		overdue = overdueOwn
-	}
-	return min(p.reading, max(time.Duration(overdue*float64(p.reading)), p.finish.Sub(now)))
+	return min(p.reading, max(time.Duration(overduePart*float64(p.reading)), p.finish.Sub(now)))
 }
 
 // own is the load that this entry's requests make.
 func (w *worker) own(now time.Time) Load {
 	var l Load
 	for p := range w.parts {
-		left := p.left(now)
-		l.Reading += left
+		l.Reading += p.left(now)
+		l.Tokens += p.tokens
+		if !p.placement.begun && p.pause > 0 {
+			l.Waits = append(l.Waits, p.wait(now))
+		}
 		if !p.writes {
-			l.Ahead += left
-			l.Tokens += p.tokens
 			continue
 		}
 		l.Running++
-		l.Tokens += p.tokens
-		if !p.begun && p.pause > 0 {
-			l.Late = max(l.Late, now.Sub(p.finish)-paceSlack)
+		if !p.placement.begun && p.pause > 0 {
+			l.Late = max(l.Late, now.Sub(p.placement.finish())-paceSlack)
 		}
 		if p.pause > 0 {
 			l.addWriters(Writers{Pause: p.pause, Count: 1, Value: p.value})
@@ -175,14 +167,17 @@
 	return l
 }
 
-// waits adds this entry's requests that wait for their first event; reading is
-// that of all entries.
-func (w *worker) waits(now time.Time, l *Load, reading time.Duration) {
-	for p := range w.parts {
-		if p.writes && !p.begun && p.pause > 0 {
-			l.Waits = append(l.Waits, Wait{Expected: now.Sub(p.placed) + reading, Aim: p.aim, Value: p.value})
-		}
+// wait is what a part means for the wait of its request.
+func (p *part) wait(now time.Time) Wait {
+	here := p.finish
+	if here.Before(now) {
+		here = now
+	}
+	expected := p.placement.finish()
+	if expected.Before(now) {
+		expected = now
 	}
+	return Wait{Expected: expected.Sub(p.placed), Here: here.Sub(p.placed), Aim: p.aim, Value: p.value}
 }
 
 // all is the load that the requests of all entries make, as far as known.
@@ -190,10 +185,18 @@
 	l := w.own(now)
 	w.addPeers(now, &l)
 	l.Reading += max(0, l.Late)
-	w.waits(now, &l, l.Reading)
 	return l
 }
 
+// delay notes that something new is read before all that waits here.
+func (w *worker) delay(now time.Time, reading time.Duration) {
+	for p := range w.parts {
+		if !p.placement.begun && p.finish.After(now) {
+			p.finish = p.finish.Add(reading)
+		}
+	}
+}
+
 // addPeers adds what peers said of their load lately.
 func (w *worker) addPeers(now time.Time, l *Load) {
 	for peer, p := range w.peers {
@@ -204,7 +207,6 @@
 		}
 		load := p.load
 		load.Reading = max(0, load.Reading-age)
-		load.Ahead = max(0, load.Ahead-age)
 		l.add(load)
 	}
 }
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -92,7 +92,9 @@
 
 	demand Demand
 	placed time.Time
-	parts  map[*worker]*part
+	// begun is true once the first byte of the answer was seen.
+	begun bool
+	parts map[*worker]*part
 }
 
 // Place finds a place for a request and notes it on the board.
@@ -123,7 +125,7 @@
 		}
 	}
 	p := &Placement{board: b, First: best.instance, Load: best.all(now), demand: d, placed: now, parts: map[*worker]*part{}}
-	b.add(p, best, &part{writes: true, value: 1})
+	b.add(p, best, &part{writes: true, value: 1, placement: p})
 	return p
 }
 
@@ -225,8 +227,11 @@
 		if i > 0 && held[i] > 0 {
 			p.Shares[o.worker.instance.ID] = held[i]
 		}
+		if len(best) > 1 {
+			o.worker.delay(now, o.part)
+		}
 		b.add(p, o.worker, &part{
-			reading: o.part, finish: now.Add(o.finish), tokens: held[i], placed: now,
+			placement: p, reading: o.part, finish: now.Add(o.finish), tokens: held[i], placed: now,
 			aim: d.FirstByteAim, pause: d.PauseAim, value: value(d), writes: i == 0,
 		})
 		if i > 0 {
@@ -342,11 +347,15 @@
 	}
 	pass := time.Duration(float64(predictor.Writing(e, writers, o.load.Tokens)) * pace)
 	// On average a prompt arrives in the middle of a pass, and its first event
-	// follows at the end of the one that has read it.
+	// follows at the end of the one that has read it. Of prompts that several
+	// engines read the newest goes first, so that it waits for nothing but
+	// holds up all that is being read; others wait for all of that.
 	own := time.Duration(float64(predictor.Writing(e, writers+1, o.load.Tokens+d.Prompt)) * pace)
-	o.finish = pass/2 + o.load.Reading + o.part + own
+	o.finish = pass/2 + o.part + own
 	if k > 1 {
 		o.cost += delayCost(o.load, o.part)
+	} else {
+		o.finish += o.load.Reading
 	}
 	for _, g := range o.load.Writers {
 		before := pauseLoss(pass+o.load.Reading, g.Pause)
@@ -409,7 +418,7 @@
 	cost := 0.0
 	for _, w := range l.Waits {
 		d := Demand{FirstByteAim: w.Aim}
-		cost += w.Value * (waitLoss(w.Expected+part, d) - waitLoss(w.Expected, d))
+		cost += w.Value * (waitLoss(max(w.Expected, w.Here+part), d) - waitLoss(w.Expected, d))
 	}
 	return cost
 }
@@ -418,11 +427,9 @@
 func (p *Placement) Began(now time.Time) {
 	p.board.lock.Lock()
 	defer p.board.lock.Unlock()
-	for w, t := range p.parts {
-		if !t.begun {
-			t.begun = true
-			p.board.touch(w)
-		}
+	p.begun = true
+	for w := range p.parts {
+		p.board.touch(w)
 	}
 	w := p.worker()
 	w.health.succeeded(now)
@@ -443,8 +450,8 @@
 	now := time.Now()
 	l := w.all(now)
 	reading := l.Reading
-	for o, t := range p.parts {
-		if !t.begun {
+	for o := range p.parts {
+		if !p.begun {
 			reading = max(reading, o.all(now).Reading)
 		}
 	}
@@ -452,6 +459,17 @@
 	return time.Duration(float64(reading+predictor.Writing(w.engine, l.Running, l.Tokens)) * pace)
 }
 
+// finish is when the last part is expected to be read.
+func (p *Placement) finish() time.Time {
+	last := p.placed
+	for _, t := range p.parts {
+		if t.finish.After(last) {
+			last = t.finish
+		}
+	}
+	return last
+}
+
 // paceSlack is added to an expected time before a real one is measured
 // against it: network, scheduling and half a pass.
 const paceSlack = 60 * time.Millisecond
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -15,7 +15,7 @@
 
 const (
 	// shareFormat is the first byte of a message of shares.
-	shareFormat = 3
+	shareFormat = 4
 	// maxShare bounds a message, so that it fits one datagram of a usual link.
 	maxShare = 1300
 	// valueUnit is what values are rounded to on the wire.
@@ -33,15 +33,17 @@
 	var out []Share
 	for id, w := range b.workers {
 		if b.changed[id] || (all && len(w.parts) > 0) {
-			load := w.own(now)
-			w.waits(now, &load, w.all(now).Reading)
-			out = append(out, Share{ID: id, Load: load})
+			out = append(out, Share{ID: id, Load: w.own(now)})
 		}
 	}
 	clear(b.changed)
 	return out
 }
 
+// leastDelay is the growth of a peer's reading from which something new counts
+// as read there; less is rounding and the age of what the peer said.
+const leastDelay = 10 * time.Millisecond
+
 // Import takes in a peer's shares.
 func (b *Board) Import(now time.Time, peer string, shares []Share) {
 	b.lock.Lock()
@@ -51,6 +53,10 @@
 		if !ok {
 			continue
 		}
+		before := max(0, w.peers[peer].load.Reading-now.Sub(w.peers[peer].at))
+		if more := s.Load.Reading - before; more > leastDelay {
+			w.delay(now, more)
+		}
 		if s.Load.Running == 0 && s.Load.Reading == 0 {
 			delete(w.peers, peer)
 			continue
@@ -88,7 +94,6 @@
 	to = appendText(to, s.ID)
 	to = binary.AppendUvarint(to, uint64(s.Load.Running))
 	to = binary.AppendUvarint(to, uint64(s.Load.Reading/time.Millisecond))
-	to = binary.AppendUvarint(to, uint64(s.Load.Ahead/time.Millisecond))
 	to = binary.AppendUvarint(to, uint64(max(0, s.Load.Late/time.Millisecond)))
 	to = binary.AppendUvarint(to, uint64(s.Load.Tokens))
 	to = binary.AppendUvarint(to, uint64(len(s.Load.Writers)))
@@ -100,6 +105,7 @@
 	to = binary.AppendUvarint(to, uint64(len(s.Load.Waits)))
 	for _, w := range s.Load.Waits {
 		to = binary.AppendUvarint(to, uint64(w.Expected/time.Millisecond))
+		to = binary.AppendUvarint(to, uint64(w.Here/time.Millisecond))
 		to = binary.AppendUvarint(to, uint64(w.Aim/time.Millisecond))
 		to = binary.AppendUvarint(to, uint64(w.Value/valueUnit))
 	}
@@ -145,7 +151,6 @@
 		s := Share{ID: r.text()}
 		s.Load.Running = r.number()
 		s.Load.Reading = time.Duration(r.number()) * time.Millisecond
-		s.Load.Ahead = time.Duration(r.number()) * time.Millisecond
 		s.Load.Late = time.Duration(r.number()) * time.Millisecond
 		s.Load.Tokens = r.number()
 		for range min(r.number(), len(r.rest)) {
@@ -155,7 +160,7 @@
 		}
 		for range min(r.number(), len(r.rest)) {
 			s.Load.Waits = append(s.Load.Waits, Wait{
-				Expected: time.Duration(r.number()) * time.Millisecond, Aim: time.Duration(r.number()) * time.Millisecond,
+				Expected: time.Duration(r.number()) * time.Millisecond, Here: time.Duration(r.number()) * time.Millisecond, Aim: time.Duration(r.number()) * time.Millisecond,
 				Value: float64(r.number()) * valueUnit,
 			})
 		}
