dispatcher: refuse a prompt that costs others more than it is worth, also when it returns

Cause: prompts refused for their cost came back and were then placed anywhere, seven seconds of reading on one engine, which the next burst of short prompts found blocked.

--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -24,9 +24,6 @@
 	Avoid []string
 	// Alone forbids helpers: a group has failed the request before.
 	Alone bool
-	// Returned requests were refused before; they are not refused again for
-	// what they cost others.
-	Returned bool
 }
 
 // Refusal says that no upstream can serve a request now.
@@ -259,7 +256,7 @@
 // what its place would lose, its own lateness included.
 func dear(d Demand, e *matcher.Engine, loads []offer, cost float64) *Refusal {
 	reading := predictor.Reading(e, d.Prompt)
-	if d.Returned || reading < heavyReading {
+	if reading < heavyReading {
 		return nil
 	}
 	backlog := time.Duration(0)
