--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -40,7 +40,6 @@
 	client  *http.Client
 	plain   []*worker.Worker
 	engines []*worker.Worker
-	stop    func()
 }
 
 var engineModel = &matcher.Engine{
