--- /dev/null
+++ b/controller/fleet_test.go
@@ -0,0 +1,312 @@
+package controller_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/sapphireramp/sapphireramp/asserter"
+	"github.com/sapphireramp/sapphireramp/controller"
+	"github.com/sapphireramp/sapphireramp/dispatcher"
+	"github.com/sapphireramp/sapphireramp/platform"
+	"github.com/sapphireramp/sapphireramp/standin/network"
+	"github.com/sapphireramp/sapphireramp/standin/store"
+)
+
+var storeAddress = netip.MustParseAddrPort("10.200.0.1:80")
+
+// entry is one controller of a fleet.
+type entry struct {
+	*controller.Controller
+	board *dispatcher.Board
+	host  netip.Addr
+	stop  context.CancelFunc
+	ended chan struct{}
+}
+
+// fleet is controllers before one store, in virtual time.
+type fleet struct {
+	t       *testing.T
+	is      *is.I
+	net     *network.Network
+	store   *store.Store
+	server  *http.Server
+	entries []*entry
+	started int
+}
+
+func withFleet(t *testing.T, size int, test func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, is: is.New(t), net: network.New(), store: store.New()}
+		listener, err := f.net.Listen(storeAddress)
+		f.is.NoErr(err)
+		f.server = &http.Server{Handler: f.store}
+		go func() { _ = f.server.Serve(listener) }()
+		f.configure(1)
+		for i := range 3 {
+			f.list(fmt.Sprintf("i-%d", i), "ready")
+		}
+		for i := range size {
+			f.entries = append(f.entries, f.start(i))
+		}
+		defer f.end()
+		time.Sleep(2 * time.Second)
+		test(f)
+	})
+}
+
+func (f *fleet) end() {
+	for _, e := range f.entries {
+		e.end()
+	}
+	_ = f.server.Close()
+	for _, e := range f.entries {
+		f.net.Kill(e.host)
+	}
+	f.net.Kill(storeAddress.Addr())
+	time.Sleep(2 * time.Second)
+	synctest.Wait()
+}
+
+func (e *entry) end() {
+	e.stop()
+	<-e.ended
+}
+
+func hostOf(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, byte(1 + i%3), 0, byte(10 + i)}) }
+
+func (f *fleet) start(i int) *entry {
+	host := hostOf(i)
+	f.started++
+	board := dispatcher.New(fmt.Sprintf("dc-%d", i%3), rand.New(rand.NewPCG(1, uint64(i))))
+	client := &http.Client{Transport: &http.Transport{DialContext: f.net.Dialer(host), DisableKeepAlives: true}}
+	reader := platform.NewStore(client, storeAddress)
+	e := &entry{board: board, host: host, ended: make(chan struct{})}
+	e.Controller = controller.New(controller.Config{
+		Name: fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3), Incarnation: uint64(f.started),
+		Callers: netip.AddrPortFrom(host, 80), Peers: netip.AddrPortFrom(host, 81), Shares: netip.AddrPortFrom(host, 82),
+		Store: controller.Store{Read: reader.Read, Watch: reader.Watch, Decode: platform.DecodeConfig},
+		Board: board, Dial: f.net.Dialer(host), Log: zap.NewNop(), Scope: tally.NoopScope,
+		Asserter: asserter.New(func(name, detail string) { f.t.Errorf("%s: %s", name, detail) }),
+	})
+	beats, err := f.net.Listen(netip.AddrPortFrom(host, 81))
+	f.is.NoErr(err)
+	shares, err := f.net.ListenPacket(netip.AddrPortFrom(host, 82))
+	f.is.NoErr(err)
+	var ctx context.Context
+	ctx, e.stop = context.WithCancel(context.Background())
+	seeds := []netip.AddrPort{netip.AddrPortFrom(hostOf(0), 81), netip.AddrPortFrom(hostOf(1), 81)}
+	go func() {
+		defer close(e.ended)
+		e.Run(ctx, seeds, beats, shares)
+	}()
+	return e
+}
+
+func (f *fleet) configure(version int) {
+	f.store.Put("op/config", map[string]any{
+		"version":  version,
+		"routes":   []any{map[string]any{"name": "r", "host": "h", "prefix": "/", "kind": "idempotent", "timeout-ms": 1000, "service": "app", "max-attempts": 2}},
+		"services": []any{map[string]any{"name": "app"}},
+	})
+}
+
+func (f *fleet) list(id, state string) {
+	f.store.Put("servers/"+id, map[string]any{"service": "app", "address": "10.1.0.200:80", "zone": "dc-0", "slots": 4, "state": state})
+}
+
+// within waits until a condition holds, and fails after a time.
+func (f *fleet) within(limit time.Duration, what string, holds func(*entry) bool) {
+	f.t.Helper()
+	began := time.Now()
+	for {
+		missing := 0
+		for _, e := range f.entries {
+			if !holds(e) {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return
+		}
+		if time.Since(began) > limit {
+			f.t.Errorf("%s: %d of %d entries still lack it after %s", what, missing, len(f.entries), limit)
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func version(v int) func(*entry) bool {
+	return func(e *entry) bool {
+		t := e.View().Table
+		return t != nil && t.Config.Version == int64(v)
+	}
+}
+
+func usable(n int) func(*entry) bool {
+	return func(e *entry) bool { return e.board.Count("app") == n }
+}
+
+// All entries know each other and the store soon after their start.
+func TestFleetForms(t *testing.T) {
+	withFleet(t, 7, func(f *fleet) {
+		for _, e := range f.entries {
+			f.is.True(e.Ready())
+			f.is.Equal(len(e.Addresses("dc-0")), 7)
+			f.is.Equal(e.board.Count("app"), 3)
+		}
+	})
+}
+
+// A change of the configuration and an upstream's leaving are in force
+// everywhere well within two seconds, though most entries read no store.
+func TestChangesSpread(t *testing.T) {
+	withFleet(t, 7, func(f *fleet) {
+		f.configure(2)
+		f.within(time.Second, "version 2", version(2))
+		f.list("i-1", "draining")
+		f.within(time.Second, "i-1 leaving", usable(2))
+		f.store.Delete("servers/i-2")
+		f.within(time.Second, "i-2 gone", usable(1))
+	})
+}
+
+// Two entries read the store for all: calls don't grow with the fleet.
+func TestFewEntriesReadTheStore(t *testing.T) {
+	withFleet(t, 12, func(f *fleet) {
+		before := f.store.Calls()
+		time.Sleep(10 * time.Second)
+		calls := f.store.Calls() - before
+		if calls > 40 {
+			t.Errorf("%d calls in ten seconds", calls)
+		}
+	})
+}
+
+// An entry that the store turns away, in each of its ways, learns from the
+// others.
+func TestEntryCutOffFromStore(t *testing.T) {
+	withFleet(t, 5, func(f *fleet) {
+		for i := range f.entries[1:] {
+			f.net.Cut(f.entries[i].host, storeAddress.Addr())
+		}
+		f.configure(2)
+		f.within(1900*time.Millisecond, "version 2", version(2))
+	})
+}
+
+// Entries that hear nobody read for themselves.
+func TestPartedEntriesReadForThemselves(t *testing.T) {
+	withFleet(t, 5, func(f *fleet) {
+		for i := range f.entries {
+			for j := range f.entries {
+				if i != j {
+					f.net.Cut(f.entries[i].host, f.entries[j].host)
+				}
+			}
+		}
+		time.Sleep(3 * time.Second)
+		f.configure(2)
+		f.within(1900*time.Millisecond, "version 2", version(2))
+	})
+}
+
+// While the store is down nothing is forgotten; when it is back, changes made
+// meanwhile are in force within the bound, and entries that lapsed are kept
+// until their upstreams are back.
+func TestStoreOutage(t *testing.T) {
+	for _, mode := range []store.Mode{store.Busy, store.Many, store.Silent, store.Reset} {
+		t.Run(fmt.Sprint(mode), func(t *testing.T) {
+			withFleet(t, 5, func(f *fleet) {
+				f.store.SetMode(mode)
+				time.Sleep(4 * time.Second)
+				f.within(0, "upstreams kept", usable(3))
+				f.store.Delete("servers/i-0")
+				f.store.Delete("servers/i-1")
+				f.store.Compact()
+				f.configure(2)
+				f.store.SetMode(store.Up)
+				f.within(1900*time.Millisecond, "version 2", version(2))
+				f.within(0, "lapsed upstreams held", usable(3))
+				f.list("i-0", "ready")
+				time.Sleep(3 * time.Second)
+				f.within(0, "lapsed upstream gone", usable(2))
+			})
+		})
+	}
+}
+
+// A store that is slow still brings changes within the bound, and history that
+// it drops loses nothing.
+func TestSlowStoreWithoutHistory(t *testing.T) {
+	withFleet(t, 5, func(f *fleet) {
+		f.store.SetMode(store.Late)
+		f.configure(2)
+		f.store.Compact()
+		f.within(1900*time.Millisecond, "version 2", version(2))
+		f.list("i-1", "draining")
+		f.store.Compact()
+		f.within(1900*time.Millisecond, "i-1 leaving", usable(2))
+	})
+}
+
+// A configuration that can't be read leaves the one in force, and the next one
+// is taken.
+func TestUnreadableConfiguration(t *testing.T) {
+	withFleet(t, 3, func(f *fleet) {
+		f.store.Put("op/config", json.RawMessage(`{"version":2,"routes":[{"name":"r","kind":"odd"}]}`))
+		time.Sleep(time.Second)
+		f.within(0, "version 1 kept", version(1))
+		f.configure(3)
+		f.within(time.Second, "version 3", version(3))
+	})
+}
+
+// A dead entry leaves the directory, and returns to it as a new incarnation.
+func TestDeadEntryLeavesDirectory(t *testing.T) {
+	withFleet(t, 5, func(f *fleet) {
+		dead := f.entries[4]
+		f.net.Kill(dead.host)
+		dead.end()
+		f.entries = f.entries[:4]
+		f.within(2500*time.Millisecond, "dead entry left out", func(e *entry) bool { return len(e.Addresses("dc-0")) == 4 })
+		f.entries = append(f.entries, f.start(4))
+		f.within(2*time.Second, "new incarnation listed", func(e *entry) bool { return len(e.Addresses("dc-0")) == 5 })
+	})
+}
+
+// A stopping entry is left out at once.
+func TestStoppingEntryLeavesDirectory(t *testing.T) {
+	withFleet(t, 5, func(f *fleet) {
+		f.entries[0].Stop(time.Now().Add(5 * time.Second))
+		f.is.True(!f.entries[0].Ready())
+		f.within(300*time.Millisecond, "stopping entry left out", func(e *entry) bool { return len(e.Addresses("dc-0")) == 4 })
+	})
+}
+
+// What one entry places, the others know within milliseconds.
+func TestLoadIsShared(t *testing.T) {
+	withFleet(t, 3, func(f *fleet) {
+		p, refusal := f.entries[0].board.Place(time.Now(), dispatcher.Demand{Service: "app"})
+		f.is.True(refusal == nil)
+		time.Sleep(20 * time.Millisecond)
+		for range 3 {
+			q, refusal := f.entries[1].board.Place(time.Now(), dispatcher.Demand{Service: "app"})
+			f.is.True(refusal == nil)
+			if q.First.ID == p.First.ID {
+				f.is.Equal(q.Load.Running, 1)
+			}
+		}
+	})
+}
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -196,10 +196,11 @@
 	}
 	var best []offer
 	least, expected := 0.0, time.Duration(0)
-	for _, k := range groupSizes(d, workers[0].engine, len(workers)) {
-		chosen, cost, finish := bid(now, d, loads, k)
+	scratch := newAuction(len(loads))
+	for _, k := range groupSizes(d, workers[0].engine, loads) {
+		chosen, cost, finish := scratch.bid(now, d, loads, k)
 		if chosen != nil && (best == nil || cost < least) {
-			best, least, expected = chosen, cost, finish
+			best, least, expected = append(best[:0], chosen...), cost, finish
 		}
 	}
 	if best == nil {
@@ -271,35 +272,57 @@
 	return &Refusal{Reason: "too_dear", RetryAfter: min(mostRetry, max(leastRetry, drainFactor*backlog))}
 }
 
-// groupSizes lists how many engines may read a prompt.
-func groupSizes(d Demand, e *matcher.Engine, engines int) []int {
-	if d.Alone || predictor.Reading(e, d.Prompt) < d.PauseAim/4 {
-		return []int{1}
+// groupSizes lists how many engines may read a prompt. A short one is read by
+// one, unless all engines have something to read: with a helper it goes first.
+func groupSizes(d Demand, e *matcher.Engine, loads []offer) []int {
+	most := min(len(loads), mostHelpers+1)
+	if predictor.Reading(e, d.Prompt) < d.PauseAim/4 {
+		idle := slices.ContainsFunc(loads, func(o offer) bool { return o.load.Reading < d.FirstByteAim/2 })
+		most = min(most, 2)
+		if idle {
+			most = 1
+		}
+	}
+	if d.Alone {
+		most = 1
 	}
 	var sizes []int
-	for k := 1; k <= min(engines, mostHelpers+1); k++ {
+	for k := 1; k <= most; k++ {
 		sizes = append(sizes, k)
 	}
 	return sizes
 }
 
+// auction holds what is worked out for one number of engines, to be used again
+// for the next.
+type auction struct {
+	offers, chosen []offer
+	// ranked is what each offer would cost by itself, order the offers from
+	// the cheapest on.
+	ranked []float64
+	order  []int
+}
+
+func newAuction(engines int) *auction {
+	return &auction{
+		offers: make([]offer, engines), chosen: make([]offer, 0, engines), ranked: make([]float64, engines), order: make([]int, engines),
+	}
+}
+
 // bid finds the k engines that lose least by reading a prompt together. The
-// first of them writes the answer. It returns nil where no engine could.
-func bid(now time.Time, d Demand, loads []offer, k int) ([]offer, float64, time.Duration) {
-	offers := make([]offer, len(loads))
+// first of them writes the answer. It returns nil where no engine could. What
+// it returns is valid until the next call.
+func (a *auction) bid(now time.Time, d Demand, loads []offer, k int) ([]offer, float64, time.Duration) {
+	offers, ranked, order := a.offers, a.ranked, a.order
 	worth := value(d)
-	ranked := make([]float64, len(loads))
 	for i, o := range loads {
 		o = o.bid(now, d, k)
 		offers[i] = o
 		ranked[i] = o.cost + worth*waitLoss(o.finish, d)
-	}
-	order := make([]int, len(offers))
-	for i := range order {
 		order[i] = i
 	}
-	slices.SortFunc(order, func(a, c int) int {
-		return cmp.Or(cmp.Compare(ranked[a], ranked[c]), cmp.Compare(offers[a].rank, offers[c].rank))
+	slices.SortFunc(order, func(i, j int) int {
+		return cmp.Or(cmp.Compare(ranked[i], ranked[j]), cmp.Compare(offers[i].rank, offers[j].rank))
 	})
 	writer := -1
 	for _, i := range order {
@@ -311,7 +334,7 @@
 	if writer < 0 {
 		return nil, 0, 0
 	}
-	chosen := []offer{offers[writer]}
+	chosen := append(a.chosen[:0], offers[writer])
 	for _, i := range order {
 		if len(chosen) < k && i != writer {
 			chosen = append(chosen, offers[i])
--- /dev/null
+++ b/dispatcher/place_test.go
@@ -0,0 +1,291 @@
+package dispatcher
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sapphireramp/sapphireramp/matcher"
+)
+
+// The figures of the first deployments' engines, and their three kinds of
+// prompt: tower queries, span reviews and corridor audits.
+var (
+	testEngine = matcher.Engine{
+		Slots: 16, MemoryTokens: 315000, Stride: 51, Step: 850 * time.Microsecond, PerSequence: 4250 * time.Nanosecond,
+		PerThousand: 2850 * time.Nanosecond, ReadPerSecond: 177000, PerMillionPairs: 184 * time.Microsecond, Chunk: 2048,
+	}
+	tower = Demand{Service: "lm", Prompt: 5000, Answer: 1650, FirstByteAim: 300 * time.Millisecond, PauseAim: 250 * time.Millisecond, Patience: 2 * time.Second}
+	span  = Demand{Service: "lm", Prompt: 45000, Answer: 1000, FirstByteAim: 1500 * time.Millisecond, PauseAim: 600 * time.Millisecond, Patience: 6 * time.Second}
+	audit = Demand{Service: "lm", Prompt: 154000, Answer: 800, FirstByteAim: 3 * time.Second, PauseAim: time.Second, Patience: 12 * time.Second}
+)
+
+// withPrompt is a demand of another length.
+func withPrompt(d Demand, tokens int) Demand {
+	d.Prompt = tokens
+	return d
+}
+
+func testBoard(t *testing.T, engines int) *Board {
+	t.Helper()
+	table, err := matcher.New(matcher.Config{
+		Services: []matcher.Service{{Name: "lm", Engine: &testEngine}, {Name: "app"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := New("a", rand.New(rand.NewPCG(1, 2)))
+	var instances []Instance
+	for i := range engines {
+		instances = append(instances, Instance{ID: fmt.Sprintf("e%02d", i), Service: "lm", DataCentre: "a", Slots: 16})
+	}
+	for i := range 3 {
+		instances = append(instances, Instance{ID: fmt.Sprintf("s%d", i), Service: "app", DataCentre: string(rune('a' + i)), Slots: 6})
+	}
+	b.Update(table, instances)
+	return b
+}
+
+func place(t *testing.T, b *Board, now time.Time, d Demand) *Placement {
+	t.Helper()
+	p, refusal := b.Place(now, d)
+	if refusal != nil {
+		t.Fatalf("refused: %v", refusal)
+	}
+	return p
+}
+
+// engines is the set of engines that placements use.
+func engines(placements ...*Placement) map[string]int {
+	used := map[string]int{}
+	for _, p := range placements {
+		used[p.First.ID]++
+		for _, h := range p.Helpers {
+			used[h.ID]++
+		}
+	}
+	return used
+}
+
+// writing places n prompts that are being answered.
+func writing(t *testing.T, b *Board, now time.Time, d Demand, n int) []*Placement {
+	t.Helper()
+	var out []*Placement
+	for range n {
+		p := place(t, b, now, d)
+		p.Began(now)
+		out = append(out, p)
+	}
+	return out
+}
+
+var start = time.Unix(1000, 0)
+
+// An audit alone on a free fleet is on time by a wide margin: one engine would
+// take 3.05 s of the 3 s that it has.
+func TestAuditIsReadByManyEngines(t *testing.T) {
+	is := is.New(t)
+	p := place(t, testBoard(t, 14), start, audit)
+	is.True(len(p.Helpers) >= 3)
+	is.True(p.Expected < 1500*time.Millisecond)
+}
+
+// The pattern of the users' bursts: many tower queries, then many audits. Two
+// seconds of tower queries at their usual rate, 28 a second of which each
+// takes over two seconds, fit four of 14 engines; spread over all of them
+// every part of an audit would hold up some.
+func TestTowerQueriesLeaveEnginesToAudits(t *testing.T) {
+	is := is.New(t)
+	b := testBoard(t, 14)
+	towers := engines(writing(t, b, start, tower, 56)...)
+	is.True(len(towers) <= 6)
+	p := place(t, b, start, audit)
+	for id := range engines(p) {
+		is.Equal(towers[id], 0) // an audit keeps off the engines that write for others
+	}
+}
+
+// In a burst of 68 tower queries a second none waits for a slot while another
+// engine has one free: 150 are written at once, of 224 slots.
+func TestTowerBurstFillsNoEngineBeyondItsSlots(t *testing.T) {
+	is := is.New(t)
+	b := testBoard(t, 14)
+	for id, n := range engines(writing(t, b, start, tower, 150)...) {
+		is.True(n <= testEngine.Slots) // slots of each engine
+		_ = id
+	}
+}
+
+// Engines read the newest part first. A prompt placed later delays what waits
+// at the same engines, and counts that; the board's expectation of the first
+// moves by what was put before it.
+func TestNewestPartDelaysOthers(t *testing.T) {
+	is := is.New(t)
+	b := testBoard(t, 4)
+	first := place(t, b, start, withPrompt(audit, 250000))
+	before := first.finish()
+	second := place(t, b, start.Add(100*time.Millisecond), withPrompt(audit, 60000))
+	shared := 0
+	for id := range engines(second) {
+		shared += engines(first)[id]
+	}
+	if shared > 0 {
+		is.True(first.finish().After(before))
+	}
+	is.True(second.Expected < time.Second) // it waits for nothing
+}
+
+// A prompt that would be late by others' work, and would delay theirs, is
+// refused at once with a time at which it may be taken: on scale days of
+// condor-sapphire long prompts taken at any cost left seven seconds of reading
+// to the burst of tower queries that followed.
+func TestDearPromptIsRefusedUnderBacklog(t *testing.T) {
+	is := is.New(t)
+	b := testBoard(t, 4)
+	refused := (*Refusal)(nil)
+	for range 10 {
+		_, refused = b.Place(start, withPrompt(audit, 280000))
+		if refused != nil {
+			break
+		}
+	}
+	is.True(refused != nil)
+	is.Equal(refused.Reason, "too_dear")
+	is.True(refused.RetryAfter >= leastRetry && refused.RetryAfter <= mostRetry)
+	_, refused = b.Place(start, tower)
+	is.True(refused == nil) // short questions are still taken
+}
+
+// After all entries were killed at once, each of them would pack its prompts
+// on the same engines, as none knows what the others place (scale-1 of
+// condor-sapphire, seed 11).
+func TestBlindEntriesSpread(t *testing.T) {
+	is := is.New(t)
+	used := map[string]int{}
+	for seed := range 7 {
+		b := testBoard(t, 14)
+		b.random = rand.New(rand.NewPCG(uint64(seed), 9))
+		b.Blind(true)
+		for id, n := range engines(writing(t, b, start, tower, 10)...) {
+			used[id] += n
+		}
+	}
+	for id, n := range used {
+		if n > testEngine.Slots {
+			t.Errorf("engine %s has %d requests for its %d slots", id, n, testEngine.Slots)
+		}
+	}
+	is.True(len(used) >= 10)
+}
+
+// What peers say of their load counts as one's own, until it is old.
+func TestPeersLoadCounts(t *testing.T) {
+	is := is.New(t)
+	near, far := testBoard(t, 2), testBoard(t, 2)
+	writing(t, far, start, tower, 14)
+	near.Import(start, "far", far.Export(start, false))
+	loads := map[string]int{}
+	for id, w := range near.workers {
+		loads[id] = w.all(start).Running
+	}
+	is.Equal(loads["e00"]+loads["e01"], 14)
+	late := start.Add(loadLife + time.Second)
+	is.Equal(near.workers["e00"].all(late).Running+near.workers["e01"].all(late).Running, 0)
+}
+
+// An upstream that takes no connection is left alone for a while, and one that
+// fails is the last choice until it has been sound again.
+func TestFailingUpstreamsAreAvoided(t *testing.T) {
+	is := is.New(t)
+	b := testBoard(t, 2)
+	d := Demand{Service: "app"}
+	down := place(t, b, start, d)
+	down.End(start, Unreachable)
+	for range 20 {
+		p := place(t, b, start.Add(100*time.Millisecond), d)
+		is.True(p.First.ID != down.First.ID)
+		p.End(start, Answered)
+	}
+	failing := place(t, b, start, d)
+	for range 4 {
+		p := *failing
+		_ = p
+		failing.board.workers[failing.First.ID].health.failed(start)
+	}
+	failing.End(start, Failed)
+	for range 20 {
+		p := place(t, b, start, d)
+		is.True(p.First.ID != failing.First.ID)
+		p.End(start, Answered)
+	}
+	tried := false
+	for range 50 { // half a minute on it is tried again
+		p := place(t, b, start.Add(30*time.Second), d)
+		tried = tried || p.First.ID == failing.First.ID
+	}
+	is.True(tried)
+}
+
+// A prompt longer than one engine's memory is shared out so that all of it is
+// held, and none of them more than it has.
+func TestMemoryShares(t *testing.T) {
+	is := is.New(t)
+	b := testBoard(t, 14)
+	p := place(t, b, start, withPrompt(audit, 600000))
+	held := 0
+	for _, tokens := range p.Shares {
+		is.True(tokens <= testEngine.MemoryTokens)
+		held += tokens
+	}
+	is.True(held >= 600000+audit.Answer-testEngine.MemoryTokens)
+	is.True(len(p.Shares) <= 3) // orders to engines are dear
+}
+
+// At rest the board is empty.
+func TestBoardIsEmptyAtRest(t *testing.T) {
+	is := is.New(t)
+	b := testBoard(t, 14)
+	var all []*Placement
+	for i := range 60 {
+		all = append(all, place(t, b, start, []Demand{tower, span}[i%2]))
+	}
+	for i, p := range all {
+		if i%3 > 0 {
+			p.Began(start)
+		}
+		p.End(start, Result(i%4))
+	}
+	for _, w := range b.workers {
+		is.Equal(len(w.parts), 0)
+		l := w.all(start)
+		is.Equal(l.Running, 0)
+		is.Equal(l.Reading, time.Duration(0))
+	}
+}
+
+func BenchmarkPlaceTower(b *testing.B) { benchmarkPlace(b, tower) }
+func BenchmarkPlaceAudit(b *testing.B) { benchmarkPlace(b, audit) }
+
+func benchmarkPlace(b *testing.B, d Demand) {
+	board := New("a", rand.New(rand.NewPCG(1, 2)))
+	table, err := matcher.New(matcher.Config{Services: []matcher.Service{{Name: "lm", Engine: &testEngine}}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	var instances []Instance
+	for i := range 54 {
+		instances = append(instances, Instance{ID: fmt.Sprintf("e%02d", i), Service: "lm", Slots: 16})
+	}
+	board.Update(table, instances)
+	b.ReportAllocs()
+	for b.Loop() {
+		p, refusal := board.Place(start, d)
+		if refusal != nil {
+			b.Fatal(refusal)
+		}
+		p.End(start, Answered)
+	}
+}
