dispatcher, controller: smaller messages between entries

Shares now carry hashes, the end of a short reading is not told, and heartbeats name one other entry, or sixteen to one that knows fewer.

--- a/controller/peers.go
+++ b/controller/peers.go
@@ -23,8 +23,11 @@
 	// beatTimeout and fetchTimeout bound calls between entries.
 	beatTimeout  = 400 * time.Millisecond
 	fetchTimeout = time.Second
-	// mostContacts is how many other entries a heartbeat names.
-	mostContacts = 8
+	// mostContacts is how many other entries a heartbeat names to one that
+	// knows fewer, fewContacts to one that knows as many: the latter is there
+	// for entries that each know others.
+	mostContacts = 16
+	fewContacts  = 1
 	// mostPushed is how many entries are told at once of a change; more learn
 	// of it by the usual heartbeats.
 	mostPushed = 16
@@ -47,7 +50,10 @@
 // Beat is the heartbeat between entries, sent and answered.
 type Beat struct {
 	api.Heartbeat
+	// Contacts are some of the entries that the sender knows, Knows is of how
+	// many it knows.
 	Contacts []Contact
+	Knows    int
 	// Known is true where the sender knows a state of the store; Content is
 	// the revision of the newest change in it, Confirmed its age.
 	Known     bool
@@ -74,7 +80,13 @@
 // Beat takes in another entry's heartbeat and answers with this one's.
 func (p *Peer) Beat(beat Beat, reply *Beat) error {
 	p.controller.heard(beat)
-	p.controller.do(func(s *state) { *reply = s.beat(time.Now()) })
+	p.controller.do(func(s *state) {
+		contacts := fewContacts
+		if beat.Knows < len(s.contacts) {
+			contacts = mostContacts
+		}
+		*reply = s.beat(time.Now(), contacts)
+	})
 	return nil
 }
 
@@ -139,7 +151,7 @@
 	c.do(func(s *state) {
 		now := time.Now()
 		targets = s.targets(now, all)
-		beat = s.beat(now)
+		beat = s.beat(now, fewContacts)
 	})
 	for _, address := range targets {
 		go func() {
@@ -184,8 +196,8 @@
 	return out
 }
 
-// beat is what this entry says of itself.
-func (s *state) beat(now time.Time) Beat {
+// beat is what this entry says of itself, and of some other entries.
+func (s *state) beat(now time.Time, contacts int) Beat {
 	c := s.controller.config
 	_, revision := s.follower.Config()
 	age, ok := s.follower.ConfirmedAge(now)
@@ -194,11 +206,11 @@
 			From: c.Name, Incarnation: c.Incarnation, PeerAddress: c.Peers, Address: c.Callers, DataCentre: c.DataCentre,
 			Stopping: s.stopping, Ready: s.table != nil, Revision: uint64(revision), Notices: s.prober.Notices(),
 		},
-		Known: ok && s.follower.Known(), Content: s.follower.Content(), Confirmed: age,
+		Knows: len(s.contacts), Known: ok && s.follower.Known(), Content: s.follower.Content(), Confirmed: age,
 	}
 	for _, k := range s.contacts {
-		if len(b.Contacts) == mostContacts {
-			break
+		if len(b.Contacts) == contacts {
+			break // the order of a map is drawn anew each time
 		}
 		b.Contacts = append(b.Contacts, Contact{Name: k.name, Callers: k.callers, Peers: k.peers, DataCentre: k.dataCentre})
 	}
--- a/controller/shares.go
+++ b/controller/shares.go
@@ -42,7 +42,7 @@
 		if len(shares) == 0 {
 			continue
 		}
-		messages := dispatcher.EncodeShares(c.config.Name, shares)
+		messages := dispatcher.EncodeShares(dispatcher.TokenOf(c.config.Name), shares)
 		for _, p := range c.current.Load().peers {
 			for _, m := range messages {
 				if _, err := socket.WriteTo(m, net.UDPAddrFromAddrPort(p.shares)); err != nil {
@@ -66,11 +66,11 @@
 			time.Sleep(shareTime)
 			continue
 		}
-		name, shares, err := dispatcher.DecodeShares(buffer[:n])
+		peer, shares, err := dispatcher.DecodeShares(buffer[:n])
 		if err != nil {
 			c.config.Log.Warn("share_malformed", zap.Stringer("from", from), zap.Error(err))
 			continue
 		}
-		c.config.Board.Import(time.Now(), name, shares)
+		c.config.Board.Import(time.Now(), peer, shares)
 	}
 }
--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -23,8 +23,10 @@
 	dataCentre string
 	random     *rand.Rand
 
-	lock     sync.Mutex
-	workers  map[string]*worker
+	lock    sync.Mutex
+	workers map[string]*worker
+	// tokens holds the workers by the token of their ID.
+	tokens   map[Token]*worker
 	services map[string][]*worker
 	// blind is true while this entry does not hear what others place.
 	blind bool
@@ -39,7 +41,7 @@
 // New returns a board without upstreams, for an entry in a data centre.
 func New(dataCentre string, random *rand.Rand) *Board {
 	return &Board{
-		dataCentre: dataCentre, random: random, workers: map[string]*worker{}, services: map[string][]*worker{},
+		dataCentre: dataCentre, random: random, workers: map[string]*worker{}, tokens: map[Token]*worker{}, services: map[string][]*worker{},
 		rankSalt: sharedRank, changed: map[string]bool{}, Changed: make(chan struct{}, 1),
 	}
 }
@@ -49,7 +51,7 @@
 	instance Instance
 	engine   *matcher.Engine
 	parts    map[*part]bool
-	peers    map[string]peerLoad
+	peers    map[Token]peerLoad
 	health   health
 }
 
@@ -221,8 +223,9 @@
 	for _, i := range instances {
 		w, ok := b.workers[i.ID]
 		if !ok {
-			w = &worker{parts: map[*part]bool{}, peers: map[string]peerLoad{}}
+			w = &worker{parts: map[*part]bool{}, peers: map[Token]peerLoad{}}
 			b.workers[i.ID] = w
+			b.tokens[TokenOf(i.ID)] = w
 		}
 		w.instance = i
 		w.engine = nil
@@ -235,6 +238,7 @@
 	for id, w := range b.workers {
 		if !listed[id] && len(w.parts) == 0 {
 			delete(b.workers, id)
+			delete(b.tokens, TokenOf(id))
 		}
 	}
 }
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -456,8 +456,10 @@
 	p.board.lock.Lock()
 	defer p.board.lock.Unlock()
 	p.begun = true
-	for w := range p.parts {
-		p.board.touch(w)
+	for w, t := range p.parts {
+		if t.reading > toldReading {
+			p.board.touch(w)
+		}
 	}
 	w := p.worker()
 	w.health.succeeded(now)
@@ -466,6 +468,10 @@
 	}
 }
 
+// toldReading is the reading whose end is worth a message to peers: what is
+// shorter they expect to be done by the time it reaches them.
+const toldReading = 100 * time.Millisecond
+
 // Busy is how long the request's upstream may say nothing because of what it
 // is expected to read.
 func (p *Placement) Busy() time.Duration {
--- a/dispatcher/place_test.go
+++ b/dispatcher/place_test.go
@@ -186,7 +186,7 @@
 	is := is.New(t)
 	near, far := testBoard(t, 2), testBoard(t, 2)
 	writing(t, far, start, tower, 14)
-	near.Import(start, "far", far.Export(start, false))
+	near.Import(start, TokenOf("far"), far.Export(start, false))
 	loads := map[string]int{}
 	for id, w := range near.workers {
 		loads[id] = w.all(start).Running
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -5,19 +5,30 @@
 	"errors"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
+// Token names an entry or an upstream in messages of shares: a hash of its name,
+// since names would make up most of a message.
+type Token uint32
+
+// TokenOf is the token of a name.
+func TokenOf(name string) Token { return Token(xxhash.Sum64String(name)) }
+
 // Share is what one entry says of its load at one upstream.
 type Share struct {
-	ID   string
-	Load Load
+	Upstream Token
+	Load     Load
 }
 
 const (
 	// shareFormat is the first byte of a message of shares.
-	shareFormat = 4
+	shareFormat = 5
 	// maxShare bounds a message, so that it fits one datagram of a usual link.
 	maxShare = 1300
+	// tokenSize is the size of a token in bytes.
+	tokenSize = 4
 	// valueUnit is what values are rounded to on the wire.
 	valueUnit = 0.1
 )
@@ -33,7 +44,7 @@
 	var out []Share
 	for id, w := range b.workers {
 		if b.changed[id] || (all && len(w.parts) > 0) {
-			out = append(out, Share{ID: id, Load: w.own(now)})
+			out = append(out, Share{Upstream: TokenOf(id), Load: w.own(now)})
 		}
 	}
 	clear(b.changed)
@@ -45,11 +56,11 @@
 const leastDelay = 10 * time.Millisecond
 
 // Import takes in a peer's shares.
-func (b *Board) Import(now time.Time, peer string, shares []Share) {
+func (b *Board) Import(now time.Time, peer Token, shares []Share) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	for _, s := range shares {
-		w, ok := b.workers[s.ID]
+		w, ok := b.tokens[s.Upstream]
 		if !ok {
 			continue
 		}
@@ -67,9 +78,9 @@
 
 // EncodeShares writes shares as messages that fit a datagram each, from the
 // named entry.
-func EncodeShares(from string, shares []Share) [][]byte {
+func EncodeShares(from Token, shares []Share) [][]byte {
 	var messages [][]byte
-	head := appendText([]byte{shareFormat}, from)
+	head := binary.LittleEndian.AppendUint32([]byte{shareFormat}, uint32(from))
 	message := slices.Clone(head)
 	for _, s := range shares {
 		one := appendShare(nil, s)
@@ -85,13 +96,8 @@
 	return messages
 }
 
-func appendText(to []byte, text string) []byte {
-	to = binary.AppendUvarint(to, uint64(len(text)))
-	return append(to, text...)
-}
-
 func appendShare(to []byte, s Share) []byte {
-	to = appendText(to, s.ID)
+	to = binary.LittleEndian.AppendUint32(to, uint32(s.Upstream))
 	to = binary.AppendUvarint(to, uint64(s.Load.Running))
 	to = binary.AppendUvarint(to, uint64(s.Load.Reading/time.Millisecond))
 	to = binary.AppendUvarint(to, uint64(max(0, s.Load.Late/time.Millisecond)))
@@ -128,27 +134,26 @@
 	return int(n)
 }
 
-func (r *shareReader) text() string {
-	n := r.number()
-	if n > len(r.rest) {
+func (r *shareReader) token() Token {
+	if len(r.rest) < tokenSize {
 		r.fault, r.rest = true, nil
-		return ""
+		return 0
 	}
-	text := string(r.rest[:n])
-	r.rest = r.rest[n:]
-	return text
+	t := Token(binary.LittleEndian.Uint32(r.rest))
+	r.rest = r.rest[tokenSize:]
+	return t
 }
 
 // DecodeShares reads a message.
-func DecodeShares(message []byte) (string, []Share, error) {
+func DecodeShares(message []byte) (Token, []Share, error) {
 	if len(message) == 0 || message[0] != shareFormat {
-		return "", nil, ErrShare
+		return 0, nil, ErrShare
 	}
 	r := shareReader{rest: message[1:]}
-	from := r.text()
+	from := r.token()
 	var shares []Share
 	for len(r.rest) > 0 {
-		s := Share{ID: r.text()}
+		s := Share{Upstream: r.token()}
 		s.Load.Running = r.number()
 		s.Load.Reading = time.Duration(r.number()) * time.Millisecond
 		s.Load.Late = time.Duration(r.number()) * time.Millisecond
@@ -167,7 +172,7 @@
 		shares = append(shares, s)
 	}
 	if r.fault {
-		return "", nil, ErrShare
+		return 0, nil, ErrShare
 	}
 	return from, shares, nil
 }
--- a/dispatcher/share_test.go
+++ b/dispatcher/share_test.go
@@ -13,7 +13,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var shares []Share
 		for range rapid.IntRange(0, 40).Draw(t, "shares") {
-			s := Share{ID: rapid.StringN(1, 12, 12).Draw(t, "id")}
+			s := Share{Upstream: TokenOf(rapid.String().Draw(t, "id"))}
 			s.Load.Running = rapid.IntRange(0, 100).Draw(t, "running")
 			s.Load.Reading = time.Duration(rapid.IntRange(0, 60000).Draw(t, "reading")) * time.Millisecond
 			s.Load.Tokens = rapid.IntRange(0, 1<<20).Draw(t, "tokens")
@@ -26,13 +26,13 @@
 			shares = append(shares, s)
 		}
 		var got []Share
-		for _, m := range EncodeShares("entry-1", shares) {
+		for _, m := range EncodeShares(TokenOf("entry-1"), shares) {
 			if len(m) > maxShare {
 				t.Fatalf("message of %d bytes", len(m))
 			}
 			from, part, err := DecodeShares(m)
-			if err != nil || from != "entry-1" {
-				t.Fatalf("from %q: %v", from, err)
+			if err != nil || from != TokenOf("entry-1") {
+				t.Fatalf("from %d: %v", from, err)
 			}
 			got = append(got, part...)
 		}
@@ -40,7 +40,7 @@
 			t.Fatalf("%d shares of %d", len(got), len(shares))
 		}
 		for i, s := range shares {
-			if got[i].ID != s.ID || got[i].Load.Running != s.Load.Running || got[i].Load.Reading != s.Load.Reading ||
+			if got[i].Upstream != s.Upstream || got[i].Load.Running != s.Load.Running || got[i].Load.Reading != s.Load.Reading ||
 				len(got[i].Load.Writers) != len(s.Load.Writers) || len(got[i].Load.Waits) != len(s.Load.Waits) {
 				t.Fatalf("got %+v, want %+v", got[i], s)
 			}
@@ -50,13 +50,13 @@
 
 func TestMalformedShares(t *testing.T) {
 	is := is.New(t)
-	for _, m := range [][]byte{nil, {0}, {shareFormat}, {shareFormat, 200}, {shareFormat, 1, 'a', 9}} {
+	for _, m := range [][]byte{nil, {0}, {shareFormat}, {shareFormat, 200}, {shareFormat, 1, 0, 0, 0, 9}} {
 		_, _, err := DecodeShares(m)
 		is.Equal(err, ErrShare)
 	}
 }
 
 func FuzzDecodeShares(f *testing.F) {
-	f.Add(EncodeShares("a", []Share{{ID: "e1", Load: Load{Running: 1, Writers: []Writers{{Count: 1}}}}})[0])
+	f.Add(EncodeShares(1, []Share{{Upstream: 2, Load: Load{Running: 1, Writers: []Writers{{Count: 1}}}}})[0])
 	f.Fuzz(func(_ *testing.T, m []byte) { _, _, _ = DecodeShares(m) })
 }
