launcher: tests of the whole path in virtual time; controller: a stopped entry answers no heartbeat

Cause: a heartbeat that met a controller after its end was answered with an empty one, which made a member without a name or address. Found by TestAllEntriesKilled, which failed first.

--- a/controller/peers.go
+++ b/controller/peers.go
@@ -74,6 +74,10 @@
 	Disturbed time.Duration
 }
 
+// errStopped is the answer of an entry that has stopped and whose connections
+// are not closed yet.
+var errStopped = errors.New("this entry has stopped")
+
 // Peer is what one entry serves to others over net/rpc.
 type Peer struct{ controller *Controller }
 
@@ -87,6 +91,9 @@
 		}
 		*reply = s.beat(time.Now(), contacts)
 	})
+	if reply.From == "" {
+		return errStopped
+	}
 	return nil
 }
 
--- /dev/null
+++ b/launcher/fleet_test.go
@@ -0,0 +1,314 @@
+package launcher_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/sapphireramp/sapphireramp/asserter"
+	"github.com/sapphireramp/sapphireramp/budgeter"
+	"github.com/sapphireramp/sapphireramp/controller"
+	"github.com/sapphireramp/sapphireramp/launcher"
+	"github.com/sapphireramp/sapphireramp/platform"
+	"github.com/sapphireramp/sapphireramp/standin/network"
+	"github.com/sapphireramp/sapphireramp/standin/store"
+	"github.com/sapphireramp/sapphireramp/standin/worker"
+)
+
+var (
+	storeHost  = netip.MustParseAddr("10.200.0.1")
+	callerHost = netip.MustParseAddr("10.9.0.1")
+)
+
+const (
+	entryPort, readyPort, directoryPort, peerPort, sharePort = 80, 81, 82, 83, 84
+	// streamEvents is how many events an answer has.
+	streamEvents = 8
+	// grace is the time between the order to stop and the end by force.
+	grace = 8 * time.Second
+)
+
+// entry is one run of an entry.
+type entry struct {
+	host    netip.Addr
+	stop    context.CancelFunc
+	reload  chan struct{}
+	ended   chan struct{}
+	stopped bool
+}
+
+// fleet is the whole system before stand-ins, in virtual time.
+type fleet struct {
+	t       *testing.T
+	net     *network.Network
+	store   *store.Store
+	servers []*http.Server
+	entries []*entry
+	workers map[string]*worker.Worker
+	hosts   map[string]netip.Addr
+	lock    sync.Mutex
+	next    int
+}
+
+func hostOf(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, byte(1 + i%3), 0, byte(10 + i)}) }
+
+func newFleet(t *testing.T, entries int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, net: network.New(), store: store.New(), workers: map[string]*worker.Worker{}, hosts: map[string]netip.Addr{}}
+	f.serve(netip.AddrPortFrom(storeHost, 80), f.store)
+	f.configure(1, "key-1", "key-2")
+	for range 3 {
+		f.addWorker("app")
+		f.addWorker("lm")
+	}
+	for i := range entries {
+		f.entries = append(f.entries, f.start(i))
+	}
+	time.Sleep(2 * time.Second)
+	return f
+}
+
+func (f *fleet) serve(address netip.AddrPort, h http.Handler) {
+	listener, err := f.net.Listen(address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	server := &http.Server{Handler: h}
+	f.servers = append(f.servers, server)
+	go func() { _ = server.Serve(listener) }()
+}
+
+// addWorker starts an upstream and lists it.
+func (f *fleet) addWorker(service string) string {
+	f.next++
+	id := fmt.Sprintf("i-%s-%d", service, f.next)
+	host := netip.AddrFrom4([4]byte{10, 100, byte(f.next >> 8), byte(f.next)})
+	w := worker.New(id, 20*time.Millisecond, streamEvents, 60*time.Millisecond)
+	f.workers[id], f.hosts[id] = w, host
+	f.serve(netip.AddrPortFrom(host, 80), w)
+	f.list(id, service, "ready")
+	return id
+}
+
+func (f *fleet) list(id, service, state string) {
+	f.store.Put("servers/"+id, map[string]any{"service": service, "address": netip.AddrPortFrom(f.hosts[id], 80), "zone": "dc-0", "slots": 16, "state": state})
+}
+
+func (f *fleet) configure(version int, keys ...string) {
+	route := func(name, prefix, kind, service string, extra map[string]any) map[string]any {
+		r := map[string]any{"name": name, "host": "h", "prefix": prefix, "kind": kind, "service": service, "timeout-ms": 3000, "target-latency-ms": 300, "max-attempts": 1}
+		for k, v := range extra {
+			r[k] = v
+		}
+		return r
+	}
+	f.store.Put("op/config", map[string]any{
+		"version": version,
+		"routes": []any{
+			route("once", "/once/", "non_idempotent", "app", nil),
+			route("safe", "/safe/", "idempotent", "app", map[string]any{"max-attempts": 2}),
+			route("stream", "/stream/", "streaming", "lm", map[string]any{"max-attempts": 2, "stream-resume": true, "sticky": true, "gap-aim-ms": 250, "timeout-ms": 8000}),
+			route("fixed", "/fixed/", "streaming", "lm", map[string]any{"sticky": true, "gap-aim-ms": 250, "timeout-ms": 8000}),
+		},
+		"services": []any{
+			map[string]any{"name": "app"},
+			map[string]any{"name": "lm", "engine": json.RawMessage(`{"slots":16,"kv-capacity-tokens":315000,"stride":51,"step_ms":0.85,"per_seq_ms":0.004,"context_per_k":0.003,"read_per_s":177000,"pairs_per_m":0.18,"chunk":2048}`)},
+		},
+		"limits":  map[string]any{"max-body-bytes": 100000, "idle-timeout-ms": 15000},
+		"tenants": []any{map[string]any{"name": "crew", "api-keys": keys}},
+	})
+}
+
+func (f *fleet) start(i int) *entry {
+	host := hostOf(i)
+	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(host, port) }
+	client := &http.Client{Transport: &http.Transport{DialContext: f.net.Dialer(host), DisableKeepAlives: true}}
+	reader := platform.NewStore(client, netip.AddrPortFrom(storeHost, 80))
+	settings := launcher.Settings{
+		Seeds:  []netip.AddrPort{netip.AddrPortFrom(hostOf(0), peerPort), netip.AddrPortFrom(hostOf(1), peerPort)},
+		Budget: budgeter.Config{Ratio: 0.2, Window: 10 * time.Second, Slack: 100}, Grace: grace,
+	}
+	e := &entry{host: host, reload: make(chan struct{}, 1), ended: make(chan struct{})}
+	l := launcher.New(launcher.Config{
+		Name: fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3), Callers: at(entryPort), Ready: at(readyPort),
+		Peers: at(peerPort), Directory: at(directoryPort), Shares: at(sharePort), AddressLife: time.Second, Settings: settings,
+		Reload:   func() (launcher.Settings, error) { return settings, nil },
+		Store:    controller.Store{Read: reader.Read, Watch: reader.Watch, Decode: platform.DecodeConfig},
+		Protocol: platform.Protocol(), Orders: platform.Orders(client), HoldTime: 3 * time.Second,
+		DirectoryHandler: platform.Directory, ReadyHandler: platform.Readiness,
+		Log: zap.NewNop(), Scope: tally.NoopScope, MetricsPage: http.NotFoundHandler(),
+		Asserter: asserter.New(func(name, detail string) { f.t.Errorf("%s: %s", name, detail) }),
+		Dial:     f.net.Dialer(host), Listen: f.net.Listen, ListenPacket: f.net.ListenPacket,
+	})
+	var ctx context.Context
+	ctx, e.stop = context.WithCancel(context.Background())
+	go func() {
+		defer close(e.ended)
+		if err := l.Run(ctx, e.reload); err != nil && !e.stopped {
+			f.t.Errorf("entry-%d: %v", i, err)
+		}
+	}()
+	return e
+}
+
+// kill ends an entry as a loss of power does: all its connections break. Its
+// goroutines end when they have waited out their own stop.
+func (f *fleet) kill(e *entry) {
+	e.stopped = true
+	f.net.Kill(e.host)
+	e.stop()
+}
+
+func (f *fleet) end() {
+	for _, e := range f.entries {
+		f.kill(e)
+	}
+	for _, e := range f.entries {
+		<-e.ended
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	for _, h := range f.hosts {
+		f.net.Kill(h)
+	}
+	f.net.Kill(storeHost)
+	f.net.Kill(callerHost)
+	time.Sleep(20 * time.Second)
+}
+
+// result is how one request of a caller ended.
+type result struct {
+	id, path string
+	status   int
+	body     string
+	err      error
+	took     time.Duration
+}
+
+// caller asks the directory for an address, connects there and sends requests,
+// like the platform's callers.
+type caller struct {
+	fleet     *fleet
+	random    *rand.Rand
+	client    *http.Client
+	addresses []netip.AddrPort
+	asked     time.Time
+}
+
+func (f *fleet) newCaller(seed uint64) *caller {
+	transport := &http.Transport{DialContext: f.net.Dialer(callerHost), MaxIdleConnsPerHost: 4}
+	return &caller{fleet: f, random: rand.New(rand.NewPCG(seed, 1)), client: &http.Client{Transport: transport}}
+}
+
+// resolve asks up to three entries for addresses, and keeps the answer.
+func (c *caller) resolve() {
+	if time.Since(c.asked) < time.Second {
+		return
+	}
+	for _, i := range c.random.Perm(len(c.fleet.entries))[:min(3, len(c.fleet.entries))] {
+		var answer struct {
+			Addresses []netip.AddrPort `json:"addresses"`
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		url := fmt.Sprintf("http://%s/resolve?name=h&region=r&zone=dc-0", netip.AddrPortFrom(hostOf(i), directoryPort))
+		q, _ := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		response, err := c.client.Do(q)
+		if err == nil {
+			err = json.NewDecoder(response.Body).Decode(&answer)
+			_ = response.Body.Close()
+		}
+		cancel()
+		if err == nil && len(answer.Addresses) > 0 {
+			c.addresses, c.asked = answer.Addresses, time.Now()
+			return
+		}
+	}
+}
+
+// ask sends one request.
+func (c *caller) ask(path, id, key string, patience time.Duration) result {
+	c.resolve()
+	if len(c.addresses) == 0 {
+		return result{id: id, path: path, err: fmt.Errorf("no address")}
+	}
+	address := c.addresses[c.random.IntN(len(c.addresses))]
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	method := http.MethodPost
+	if strings.HasPrefix(path, "/safe/") {
+		method = http.MethodGet
+	}
+	q, _ := http.NewRequestWithContext(ctx, method, "http://"+address.String()+path, nil)
+	q.Host = "h"
+	q.Header.Set("Authorization", "Bearer "+key)
+	q.Header.Set("X-Attempt-Id", id)
+	q.Header.Set("X-Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
+	if strings.Contains(path, "stream") || strings.Contains(path, "fixed") {
+		q.Header.Set("X-Token-Usage", "2000,200")
+	}
+	began := time.Now()
+	r := result{id: id, path: path}
+	response, err := c.client.Do(q)
+	if err != nil {
+		r.err, r.took = err, time.Since(began)
+		return r
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	r.status, r.body, r.err, r.took = response.StatusCode, string(body), err, time.Since(began)
+	return r
+}
+
+// runs is how often a request ran, at all workers.
+func (f *fleet) runs(id string) int {
+	n := 0
+	for _, w := range f.workers {
+		for _, r := range w.Runs() {
+			if r.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// check holds one result against the promises.
+func (f *fleet) check(r result) {
+	ran := f.runs(r.id)
+	repeatable := strings.HasPrefix(r.path, "/safe/") || strings.HasPrefix(r.path, "/stream/")
+	if !repeatable && ran > 1 {
+		f.t.Errorf("%s %s ran %d times", r.path, r.id, ran)
+	}
+	if ran > 2 {
+		f.t.Errorf("%s %s ran at %d upstreams of two allowed", r.path, r.id, ran)
+	}
+	if r.err == nil && r.status == http.StatusServiceUnavailable && !repeatable && ran > 0 {
+		f.t.Errorf("%s %s was called not run and ran", r.path, r.id)
+	}
+	if r.err == nil && r.status == http.StatusOK && r.body != wholeAnswer(r) {
+		f.t.Errorf("%s %s: answer %q is not the whole one", r.path, r.id, r.body)
+	}
+}
+
+func wholeAnswer(r result) string {
+	if strings.HasPrefix(r.path, "/once/") || strings.HasPrefix(r.path, "/safe/") {
+		return worker.Body(r.id)
+	}
+	text := ""
+	for n := 1; n <= streamEvents; n++ {
+		text += worker.Event(r.id, n)
+	}
+	return text
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -18,6 +18,7 @@
 
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/budgeter"
+	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/controller"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/forwarder"
@@ -31,7 +32,8 @@
 	Grace time.Duration
 }
 
-// Config of a launcher. Every field is needed but Metrics.
+// Config of a launcher. Every field is needed but Metrics and the
+// network's.
 type Config struct {
 	Name       string
 	DataCentre string
@@ -55,6 +57,11 @@
 	Scope            tally.Scope
 	MetricsPage      http.Handler
 	Asserter         *asserter.Asserter
+	// Dial, Listen and ListenPacket stand in for the network; nil means that
+	// of the instance.
+	Dial         connector.DialFunc
+	Listen       func(netip.AddrPort) (net.Listener, error)
+	ListenPacket func(netip.AddrPort) (net.PacketConn, error)
 }
 
 const (
@@ -86,31 +93,47 @@
 
 // New returns an entry that does not listen yet.
 func New(c Config) *Launcher {
-	dialer := newDialer()
+	c = c.withNetwork()
 	board := dispatcher.New(c.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	l := &Launcher{config: c, settings: c.Settings, budget: budgeter.New(c.Settings.Budget)}
 	l.controller = controller.New(controller.Config{
 		Name: c.Name, DataCentre: c.DataCentre, Incarnation: uint64(time.Now().UnixNano()),
-		Callers: c.Callers, Peers: c.Peers, Shares: c.Shares, Store: c.Store, Board: board, Dial: dialer.DialContext,
+		Callers: c.Callers, Peers: c.Peers, Shares: c.Shares, Store: c.Store, Board: board, Dial: c.Dial,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	l.forwarder = forwarder.New(forwarder.Config{
-		Protocol: c.Protocol, Orders: c.Orders, HoldTime: c.HoldTime, View: l.controller.View, Board: board, Budget: l.budget, Dial: dialer.DialContext,
+		Protocol: c.Protocol, Orders: c.Orders, HoldTime: c.HoldTime, View: l.controller.View, Board: board, Budget: l.budget, Dial: c.Dial,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	return l
 }
 
+// withNetwork fills in the network of the instance.
+func (c Config) withNetwork() Config {
+	if c.Dial == nil {
+		c.Dial = newDialer().DialContext
+	}
+	if c.Listen == nil {
+		c.Listen = func(a netip.AddrPort) (net.Listener, error) { return net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a)) }
+	}
+	if c.ListenPacket == nil {
+		c.ListenPacket = func(a netip.AddrPort) (net.PacketConn, error) {
+			return net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
+		}
+	}
+	return c
+}
+
 // Run serves until stop ends, then stops gracefully. Each value on reload has
 // the settings read again.
 func (l *Launcher) Run(stop context.Context, reload <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	beats, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(l.config.Peers))
+	beats, err := l.config.Listen(l.config.Peers)
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	shares, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(l.config.Shares))
+	shares, err := l.config.ListenPacket(l.config.Shares)
 	if err != nil {
 		return fmt.Errorf("listen for shares: %w", err)
 	}
@@ -154,7 +177,7 @@
 		if !s.address.IsValid() {
 			continue
 		}
-		listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(s.address))
+		listener, err := c.Listen(s.address)
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", s.address, err)
 		}
--- /dev/null
+++ b/launcher/launcher_test.go
@@ -0,0 +1,212 @@
+package launcher_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sapphireramp/sapphireramp/standin/store"
+	"github.com/sapphireramp/sapphireramp/standin/worker"
+)
+
+// paths are one of each kind of request.
+var paths = []string{"/once/x", "/safe/x", "/stream/x", "/fixed/x"}
+
+// traffic is callers that ask steadily until they are told to stop.
+type traffic struct {
+	fleet   *fleet
+	stop    chan struct{}
+	work    sync.WaitGroup
+	lock    sync.Mutex
+	results []result
+}
+
+func (f *fleet) traffic(callers int) *traffic {
+	x := &traffic{fleet: f, stop: make(chan struct{})}
+	for n := range callers {
+		x.work.Add(1)
+		go x.ask(n)
+	}
+	return x
+}
+
+func (x *traffic) ask(n int) {
+	defer x.work.Done()
+	c := x.fleet.newCaller(uint64(n))
+	defer c.client.CloseIdleConnections()
+	for i := 0; ; i++ {
+		select {
+		case <-x.stop:
+			return
+		case <-time.After(time.Duration(20+n) * time.Millisecond):
+		}
+		r := c.ask(paths[(n+i)%len(paths)], fmt.Sprintf("c%d-%d", n, i), "key-1", 4*time.Second)
+		x.lock.Lock()
+		x.results = append(x.results, r)
+		x.lock.Unlock()
+	}
+}
+
+// end stops the callers, checks the promises on every answer, and returns how
+// many were served.
+func (x *traffic) end() (served, asked int) {
+	close(x.stop)
+	x.work.Wait()
+	for _, r := range x.results {
+		x.fleet.check(r)
+		if r.err == nil && r.status == http.StatusOK {
+			served++
+		}
+	}
+	return served, len(x.results)
+}
+
+func withFleet(t *testing.T, entries int, test func(is *is.I, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, entries)
+		defer f.end()
+		test(is.New(t), f)
+	})
+}
+
+// A calm day: everything is served.
+func TestCalmDay(t *testing.T) {
+	withFleet(t, 3, func(is *is.I, f *fleet) {
+		x := f.traffic(8)
+		time.Sleep(10 * time.Second)
+		served, asked := x.end()
+		is.True(asked > 100)
+		is.Equal(served, asked)
+	})
+}
+
+// Entries that are stopped and started in turn, while busy, cut off nothing.
+func TestRollingStopCutsOffNothing(t *testing.T) {
+	withFleet(t, 3, func(is *is.I, f *fleet) {
+		x := f.traffic(8)
+		for i := range f.entries {
+			time.Sleep(time.Second)
+			began := time.Now()
+			f.entries[i].stop()
+			<-f.entries[i].ended
+			is.True(time.Since(began) < grace)
+			f.entries[i] = f.start(i)
+			time.Sleep(2 * time.Second)
+		}
+		served, asked := x.end()
+		is.Equal(served, asked)
+	})
+}
+
+// A stopping entry says at once that it is not ready.
+func TestStoppingEntryIsNotReady(t *testing.T) {
+	withFleet(t, 3, func(is *is.I, f *fleet) {
+		c := f.newCaller(1)
+		ready := func() int {
+			response, err := c.client.Get("http://" + netip.AddrPortFrom(hostOf(0), readyPort).String() + "/ready")
+			is.NoErr(err)
+			defer func() { _ = response.Body.Close() }()
+			return response.StatusCode
+		}
+		is.Equal(ready(), http.StatusOK)
+		f.entries[0].stop()
+		time.Sleep(50 * time.Millisecond)
+		is.Equal(ready(), http.StatusServiceUnavailable)
+		c.client.CloseIdleConnections()
+	})
+}
+
+// SIGHUP has the settings read again and changes nothing else.
+func TestReload(t *testing.T) {
+	withFleet(t, 2, func(is *is.I, f *fleet) {
+		x := f.traffic(4)
+		for range 5 {
+			for _, e := range f.entries {
+				e.reload <- struct{}{}
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		served, asked := x.end()
+		is.Equal(served, asked)
+	})
+}
+
+// A key that is taken away is refused everywhere within two seconds, also
+// while the store turns entries away.
+func TestRevokedKey(t *testing.T) {
+	withFleet(t, 4, func(is *is.I, f *fleet) {
+		c := f.newCaller(1)
+		is.Equal(c.ask("/safe/x", "r1", "key-2", time.Second).status, http.StatusOK)
+		f.net.Cut(hostOf(2), storeHost)
+		f.net.Cut(hostOf(3), storeHost)
+		f.configure(2, "key-1")
+		time.Sleep(2 * time.Second)
+		for i := range 20 {
+			is.Equal(c.ask("/safe/x", fmt.Sprintf("r2-%d", i), "key-2", time.Second).status, http.StatusUnauthorized)
+		}
+		c.client.CloseIdleConnections()
+	})
+}
+
+// An upstream that leaves gets no new work after two seconds; its address then
+// belongs to another, which runs nothing that was meant for the first.
+func TestLeavingUpstreamGetsNoWork(t *testing.T) {
+	withFleet(t, 3, func(is *is.I, f *fleet) {
+		x := f.traffic(8)
+		f.list("i-app-1", "app", "draining")
+		f.store.Delete("servers/i-lm-2")
+		time.Sleep(2 * time.Second)
+		before := len(f.workers["i-app-1"].Runs()) + len(f.workers["i-lm-2"].Runs())
+		time.Sleep(5 * time.Second)
+		is.Equal(len(f.workers["i-app-1"].Runs())+len(f.workers["i-lm-2"].Runs()), before)
+		served, asked := x.end()
+		is.Equal(served, asked)
+	})
+}
+
+// All entries are killed at once and come back with no memory: they serve
+// again within seconds, also where the store is away at first.
+func TestAllEntriesKilled(t *testing.T) {
+	withFleet(t, 4, func(is *is.I, f *fleet) {
+		f.store.SetMode(store.Reset)
+		for _, e := range f.entries {
+			f.kill(e)
+		}
+		for _, e := range f.entries {
+			<-e.ended
+		}
+		for i := range f.entries {
+			f.entries[i] = f.start(i)
+		}
+		time.Sleep(2 * time.Second)
+		f.store.SetMode(store.Up)
+		time.Sleep(time.Second)
+		x := f.traffic(4)
+		time.Sleep(3 * time.Second)
+		served, asked := x.end()
+		is.Equal(served, asked)
+	})
+}
+
+// One upstream of each kind fails in each way: what may be repeated is served
+// nevertheless, and the promises hold for the rest.
+func TestFaultyUpstreams(t *testing.T) {
+	for _, fault := range worker.Faults {
+		t.Run(fmt.Sprint(fault), func(t *testing.T) {
+			withFleet(t, 3, func(is *is.I, f *fleet) {
+				f.workers["i-app-1"].SetFault(fault)
+				f.workers["i-lm-2"].SetFault(fault)
+				x := f.traffic(8)
+				time.Sleep(6 * time.Second)
+				served, asked := x.end()
+				is.True(float64(served) > 0.75*float64(asked))
+			})
+		})
+	}
+}
