--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -59,6 +59,7 @@
 	hosts   map[string]netip.Addr
 	lock    sync.Mutex
 	next    int
+	rounds  int
 }
 
 func hostOf(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, byte(1 + i%3), 0, byte(10 + i)}) }
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -21,6 +21,7 @@
 // traffic is callers that ask steadily until they are told to stop.
 type traffic struct {
 	fleet   *fleet
+	round   int
 	stop    chan struct{}
 	work    sync.WaitGroup
 	lock    sync.Mutex
@@ -28,7 +29,8 @@
 }
 
 func (f *fleet) traffic(callers int) *traffic {
-	x := &traffic{fleet: f, stop: make(chan struct{})}
+	f.rounds++
+	x := &traffic{fleet: f, round: f.rounds, stop: make(chan struct{})}
 	for n := range callers {
 		x.work.Add(1)
 		go x.ask(n)
@@ -46,7 +48,7 @@
 			return
 		case <-time.After(time.Duration(20+n) * time.Millisecond):
 		}
-		r := c.ask(paths[(n+i)%len(paths)], fmt.Sprintf("c%d-%d", n, i), "key-1", 4*time.Second)
+		r := c.ask(paths[(n+i)%len(paths)], fmt.Sprintf("t%d-c%d-%d", x.round, n, i), "key-1", 4*time.Second)
 		x.lock.Lock()
 		x.results = append(x.results, r)
 		x.lock.Unlock()
