--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -22,8 +22,6 @@
 	Patience time.Duration
 	// Avoid lists the IDs of upstreams that failed the request.
 	Avoid []string
-	// Returned requests were refused before.
-	Returned bool
 	// Alone forbids helpers: a group has failed the request before.
 	Alone bool
 }
@@ -251,9 +249,6 @@
 	// heavyReading is the reading from which a prompt is heavy enough to be
 	// refused for what it costs others.
 	heavyReading = time.Second
-	// returnedPrice is the part of that price which counts for a request that
-	// was refused before: its caller won't come a third time.
-	returnedPrice = 1.0
 	// drainFactor is in how many backlogs a refused caller is asked to return.
 	drainFactor = 2
 )
@@ -271,9 +266,6 @@
 	}
 	backlog /= time.Duration(len(loads))
 	price := timePrice * backlog.Seconds() * reading.Seconds()
-	if d.Returned {
-		price *= returnedPrice
-	}
 	if value(d)-cost-price > 0 {
 		return nil
 	}
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -48,7 +48,6 @@
 func (f *Forwarder) place(x *exchange, d dispatcher.Demand) (*dispatcher.Placement, *failure) {
 	d.Service, d.Avoid, d.Alone = x.service, x.avoid, x.alone
 	d.FirstByteAim, d.PauseAim = x.route.FirstByteAim, x.route.PauseAim
-	d.Returned = x.sent > 0 || returned(x)
 	p, refusal := f.board.Place(time.Now(), d)
 	if refusal != nil {
 		return nil, notRun(refusal.Reason, refusal.RetryAfter, refusal)
@@ -69,15 +68,6 @@
 	return strings.Join(names, ",")
 }
 
-// returnedPart is the part of a route's time below which a caller's patience
-// shows that it has asked before.
-const returnedPart = 0.95
-
-// returned reports whether the caller seems to come back after a refusal.
-func returned(x *exchange) bool {
-	return x.call.Patience > 0 && x.call.Patience < time.Duration(returnedPart*float64(x.route.Timeout))
-}
-
 // mayRepeat reports whether the request may be sent once more after an
 // attempt, and takes that out of the budget where it counts.
 func (f *Forwarder) mayRepeat(x *exchange, a *attempt, unsent int) bool {
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/netip"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -57,7 +56,6 @@
 	entries []*entry
 	workers map[string]*worker.Worker
 	hosts   map[string]netip.Addr
-	lock    sync.Mutex
 	next    int
 	rounds  int
 }
