forwarder: cut a silent attempt only where another engine takes the request

Now the watchdog asks the board first, and what was admitted once is not refused for cost or waiting when its engine fails. TestSilenceEndsNothingThatNobodyElseTakes fails without it (2 runs, not 1).

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -86,15 +86,25 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	w := b.window(now, service)
-	requests, repeats := sum(w.requests), sum(w.repeats)
-	budget := b.config.Ratio*float64(requests) + float64(b.config.Slack)/float64(max(1, entries))
-	if float64(repeats+1) > margin*budget {
+	if !b.left(w, entries) {
 		return false
 	}
 	w.repeats[w.newest%buckets]++
 	return true
 }
 
+// Left reports whether there is a repeat to spend.
+func (b *Budgeter) Left(now time.Time, service string, entries int) bool {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.left(b.window(now, service), entries)
+}
+
+func (b *Budgeter) left(w *window, entries int) bool {
+	budget := b.config.Ratio*float64(sum(w.requests)) + float64(b.config.Slack)/float64(max(1, entries))
+	return float64(sum(w.repeats)+1) <= margin*budget
+}
+
 func sum(counts [buckets]int) int {
 	total := 0
 	for _, n := range counts {
--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -62,6 +62,7 @@
 
 // part is what one request does at one upstream.
 type part struct {
+	worker *worker
 	// reading is how long the upstream reads for it, finish when it is
 	// expected to be done with that.
 	reading time.Duration
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -22,6 +22,9 @@
 	Patience time.Duration
 	// Avoid lists the IDs of upstreams that failed the request.
 	Avoid []string
+	// Admitted requests were placed before and are not refused for what they
+	// cost or how long they wait.
+	Admitted bool
 	// Alone forbids helpers: a group has failed the request before.
 	Alone bool
 }
@@ -98,17 +101,45 @@
 func (b *Board) Place(now time.Time, d Demand) (*Placement, *Refusal) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
+	p, parts, refusal := b.find(now, d)
+	if refusal != nil {
+		return nil, refusal
+	}
+	for _, t := range parts {
+		if len(parts) > 1 {
+			t.worker.delay(now, t.reading)
+		}
+	}
+	for _, t := range parts {
+		p.parts[t.worker] = t
+		t.worker.parts[t] = true
+		b.touch(t.worker)
+	}
+	return p, nil
+}
+
+// Takes reports whether a request would be placed.
+func (b *Board) Takes(now time.Time, d Demand) bool {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	_, _, refusal := b.find(now, d)
+	return refusal == nil
+}
+
+// find finds a place for a request, with its parts, the first upstream's first.
+func (b *Board) find(now time.Time, d Demand) (*Placement, []*part, *Refusal) {
 	workers := b.usable(now, d)
 	if len(workers) == 0 {
-		return nil, &Refusal{Reason: "no_upstream", RetryAfter: leastRetry}
+		return nil, nil, &Refusal{Reason: "no_upstream", RetryAfter: leastRetry}
 	}
 	if workers[0].engine == nil || d.Prompt == 0 {
-		return b.placePlain(now, d, workers), nil
+		p, parts := b.placePlain(now, d, workers)
+		return p, parts, nil
 	}
 	return b.placePrompt(now, d, workers)
 }
 
-func (b *Board) placePlain(now time.Time, d Demand, workers []*worker) *Placement {
+func (b *Board) placePlain(now time.Time, d Demand, workers []*worker) (*Placement, []*part) {
 	best, least := workers[0], 0.0
 	for i, w := range workers {
 		l := w.all(now)
@@ -122,20 +153,13 @@
 		}
 	}
 	p := &Placement{board: b, First: best.instance, Load: best.all(now), demand: d, placed: now, parts: map[*worker]*part{}}
-	b.add(p, best, &part{writes: true, value: 1, placement: p})
-	return p
+	return p, []*part{{worker: best, writes: true, value: 1, placement: p}}
 }
 
 // farCost is what a plain request loses in another data centre, in loads of
 // one upstream: a round trip there is a tenth of the usual work.
 const farCost = 0.1
 
-func (b *Board) add(p *Placement, w *worker, t *part) {
-	p.parts[w] = t
-	w.parts[t] = true
-	b.touch(w)
-}
-
 // value is what a caller loses with an answer, in requests.
 func value(d Demand) float64 { return 1 + float64(d.Prompt)/valueTokens }
 
@@ -189,7 +213,7 @@
 	blind bool
 }
 
-func (b *Board) placePrompt(now time.Time, d Demand, workers []*worker) (*Placement, *Refusal) {
+func (b *Board) placePrompt(now time.Time, d Demand, workers []*worker) (*Placement, []*part, *Refusal) {
 	loads := make([]offer, len(workers))
 	for i, w := range workers {
 		loads[i] = offer{worker: w, load: w.all(now), rank: assigner.Weight(b.rankSalt, w.instance.ID), blind: b.blind}
@@ -204,39 +228,37 @@
 		}
 	}
 	if best == nil {
-		return nil, &Refusal{Reason: "no_memory", RetryAfter: leastRetry}
+		return nil, nil, &Refusal{Reason: "no_memory", RetryAfter: leastRetry}
 	}
-	if d.Patience > 0 && expected > d.Patience {
-		return nil, &Refusal{Reason: "overloaded", Expected: expected, RetryAfter: min(mostRetry, max(leastRetry, expected-d.Patience/2))}
+	if !d.Admitted && d.Patience > 0 && expected > d.Patience {
+		return nil, nil, &Refusal{Reason: "overloaded", Expected: expected, RetryAfter: min(mostRetry, max(leastRetry, expected-d.Patience/2))}
 	}
 	held, fits := memoryShares(d, best)
 	if !fits {
-		return nil, &Refusal{Reason: "no_memory", Expected: expected, RetryAfter: leastRetry}
+		return nil, nil, &Refusal{Reason: "no_memory", Expected: expected, RetryAfter: leastRetry}
 	}
 	if r := dear(d, workers[0].engine, loads, least); r != nil {
 		r.Expected = expected
-		return nil, r
+		return nil, nil, r
 	}
 	p := &Placement{
 		board: b, First: best[0].worker.instance, Load: best[0].load, Expected: expected,
 		demand: d, placed: now, parts: map[*worker]*part{}, Shares: map[string]int{},
 	}
+	var parts []*part
 	for i, o := range best {
+		if i > 0 {
+			p.Helpers = append(p.Helpers, o.worker.instance)
+		}
 		if i > 0 && held[i] > 0 {
 			p.Shares[o.worker.instance.ID] = held[i]
 		}
-		if len(best) > 1 {
-			o.worker.delay(now, o.part)
-		}
-		b.add(p, o.worker, &part{
-			placement: p, reading: o.part, finish: now.Add(o.finish), tokens: held[i], placed: now,
+		parts = append(parts, &part{
+			worker: o.worker, placement: p, reading: o.part, finish: now.Add(o.finish), tokens: held[i], placed: now,
 			aim: d.FirstByteAim, pause: d.PauseAim, value: value(d), writes: i == 0,
 		})
-		if i > 0 {
-			p.Helpers = append(p.Helpers, o.worker.instance)
-		}
 	}
-	return p, nil
+	return p, parts, nil
 }
 
 const (
@@ -257,7 +279,7 @@
 // what its place would lose, its own lateness included.
 func dear(d Demand, e *matcher.Engine, loads []offer, cost float64) *Refusal {
 	reading := predictor.Reading(e, d.Prompt)
-	if reading < heavyReading {
+	if d.Admitted || reading < heavyReading {
 		return nil
 	}
 	backlog := time.Duration(0)
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -48,6 +48,8 @@
 func (f *Forwarder) place(x *exchange, d dispatcher.Demand) (*dispatcher.Placement, *failure) {
 	d.Service, d.Avoid, d.Alone = x.service, x.avoid, x.alone
 	d.FirstByteAim, d.PauseAim = x.route.FirstByteAim, x.route.PauseAim
+	d.Admitted = x.sent > 0
+	x.demand = d
 	p, refusal := f.board.Place(time.Now(), d)
 	if refusal != nil {
 		return nil, notRun(refusal.Reason, refusal.RetryAfter, refusal)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -100,6 +100,8 @@
 	// them that have not stated that it did not run.
 	sent, pending int
 	avoid         []string
+	// demand is that of the last placement.
+	demand dispatcher.Demand
 	// alone is set once a group of engines has failed the request.
 	alone bool
 	// begun is true once a part of the answer was written to the caller.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -353,6 +353,33 @@
 	})
 }
 
+// A silent engine is not given up while no other would take the request: odd
+// day 10 of condor-sapphire broke LOST by that beside a SIGTERM.
+func TestSilenceEndsNothingThatNobodyElseTakes(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		f.engines[0].SetFault(worker.Slow)
+		f.engines[1].SetFault(worker.Slow)
+		block := func(id string) {
+			_, refusal := f.board.Place(time.Now(), dispatcher.Demand{
+				Service: "lm", Prompt: 250000, Avoid: []string{id}, FirstByteAim: time.Hour, PauseAim: time.Hour, Alone: true, Admitted: true,
+			})
+			f.is.True(refusal == nil)
+		}
+		done := make(chan answer)
+		go func() { done <- f.ask(request{path: "/stream/x", id: "s1", usage: "1000,100"}) }()
+		time.Sleep(50 * time.Millisecond)
+		for i, e := range f.engines {
+			if len(e.Runs()) > 0 {
+				block(fmt.Sprintf("i-%d", 2+i))
+			}
+		}
+		a := <-done
+		f.is.NoErr(a.err)
+		f.is.Equal(a.body, whole("s1", 1))
+		f.is.Equal(runs(f.engines, "s1"), 1)
+	})
+}
+
 // At the route's time the caller has its final answer.
 func TestDeadlineIsKept(t *testing.T) {
 	withForwarder(t, func(f *fixture) {
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,9 @@
 	busyPart = 0.85
 	// busyFactor is how much longer than expected reading may take.
 	busyFactor = 1.5
+	// recheckTime is after what time a request that nobody else would take is
+	// offered to others again.
+	recheckTime = 100 * time.Millisecond
 	// plainSilence is the silence of a plain service in aims: work takes a
 	// fifth of the aim as a rule, and one answer in a hundred five times that.
 	plainSilence = 2
@@ -48,7 +52,9 @@
 	// says that the upstream has reading to do.
 	limit, most time.Duration
 	busy        func() time.Duration
-	expire      func()
+	// elsewhere reports whether another upstream would take the request.
+	elsewhere func() bool
+	expire    func()
 }
 
 // watch starts a watchdog for an attempt. Where the request could not be sent
@@ -58,6 +64,7 @@
 		return nil
 	}
 	w := &watchdog{heard: time.Now(), expire: expire, busy: func() time.Duration { return 0 }}
+	w.elsewhere = func() bool { return f.takenElsewhere(x, p) }
 	w.limit = plainSilence * x.route.FirstByteAim
 	w.most = w.limit
 	if x.route.Kind == matcher.Stream {
@@ -79,9 +86,23 @@
 		w.timer.Reset(left)
 		return
 	}
+	if !w.elsewhere() {
+		w.timer.Reset(recheckTime)
+		return
+	}
 	w.expire()
 }
 
+// takenElsewhere reports whether another upstream would take the request in
+// the time that its caller still waits, and the budget allows that.
+func (f *Forwarder) takenElsewhere(x *exchange, p *dispatcher.Placement) bool {
+	d := x.demand
+	d.Avoid = append(slices.Clone(d.Avoid), p.First.ID)
+	d.Admitted = false
+	now := time.Now()
+	return f.board.Takes(now, d) && f.budget.Left(now, x.service, f.view().Entries)
+}
+
 // hear notes that the upstream said something.
 func (w *watchdog) hear() {
 	if w == nil {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -40,10 +40,15 @@
 	Unsigned
 	// Unframed ends its answer with the connection.
 	Unframed
+	// Slow takes SlowWork before it answers.
+	Slow
 )
 
+// SlowWork is how long a worker that is Slow takes.
+const SlowWork = 1900 * time.Millisecond
+
 // Faults lists all faults.
-var Faults = []Fault{Sound, Full, Failing, Lost, Mute, Torn, Short, Foreign, Extra, Unsigned, Unframed}
+var Faults = []Fault{Sound, Full, Failing, Lost, Mute, Torn, Short, Foreign, Extra, Unsigned, Unframed, Slow}
 
 // Run is one request that a worker began to work on.
 type Run struct {
@@ -144,7 +149,11 @@
 	if fault != Unsigned {
 		out.Header().Set("X-Engine-Stamp", w.id)
 	}
-	if !sleep(r, w.work) {
+	work := w.work
+	if fault == Slow {
+		work = SlowWork
+	}
+	if !sleep(r, work) {
 		return
 	}
 	switch fault {
