forwarder: wait a moment for the first configuration; explain and events on the command line

Now they wait up to 0.15 s, and are told two seconds where the store can't be read. TestEntryJustStarted failed first.

--- a/cmd/sapphireramp/entry.go
+++ b/cmd/sapphireramp/entry.go
@@ -9,6 +9,7 @@
 	"github.com/sapphireramp/sapphireramp/loader"
 	"github.com/sapphireramp/sapphireramp/logger"
 	"github.com/sapphireramp/sapphireramp/meter"
+	"github.com/sapphireramp/sapphireramp/platform"
 	"github.com/sapphireramp/sapphireramp/server"
 	"github.com/sapphireramp/sapphireramp/validator"
 )
@@ -58,14 +59,46 @@
 // was broken.
 const exitViolated = 70
 
+// checkPlatform checks files of the users' platform; an empty name is no file.
+func checkPlatform(settingsFile, configFile string) error {
+	if settingsFile != "" {
+		data, err := os.ReadFile(settingsFile)
+		if err != nil {
+			return fmt.Errorf("read settings: %w", err)
+		}
+		if _, err := platform.ParseSettings(data); err != nil {
+			return fmt.Errorf("%s: %w", settingsFile, err)
+		}
+		_, _ = fmt.Printf("%s: settings are valid\n", settingsFile)
+	}
+	if configFile == "" {
+		return nil
+	}
+	data, err := os.ReadFile(configFile)
+	if err != nil {
+		return fmt.Errorf("read configuration: %w", err)
+	}
+	table, err := platform.DecodeConfig(data)
+	if err != nil {
+		return fmt.Errorf("%s: %w", configFile, err)
+	}
+	_, err = fmt.Printf("%s: configuration is valid: version %d, %d routes\n", configFile, table.Config.Version, len(table.Config.Routes))
+	return err
+}
+
 func checkCommand() command {
 	flags := newCommand("check", "check a configuration document or settings")
-	document, settingsFile := "", ""
+	document, settingsFile, platformSettings, platformConfig := "", "", "", ""
 	flags.AddPositionalValue(&document, "FILE", 1, false, "configuration document (YAML)")
 	flags.String(&settingsFile, "s", "settings", "settings file to check (YAML)")
+	flags.String(&platformSettings, "p", "platform-settings", "settings file of the users' platform to check")
+	flags.String(&platformConfig, "c", "platform-config", "configuration of the users' platform to check (JSON)")
 	return command{flags: flags, run: func(context.Context) error {
-		if document == "" && settingsFile == "" {
-			return fmt.Errorf("check: a document, or --settings with a file, is needed")
+		if document == "" && settingsFile == "" && platformSettings == "" && platformConfig == "" {
+			return fmt.Errorf("check: a document, or --settings, --platform-settings or --platform-config with a file, is needed")
+		}
+		if err := checkPlatform(platformSettings, platformConfig); err != nil {
+			return err
 		}
 		if settingsFile != "" {
 			if _, err := loader.Load(settingsFile); err != nil {
--- /dev/null
+++ b/cmd/sapphireramp/explain.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/sapphireramp/sapphireramp/explainer"
+	"github.com/sapphireramp/sapphireramp/logger"
+)
+
+func explainCommand() command {
+	flags := newCommand("explain", "tell a request's story from logs: sapphireramp explain 9c41d07be2a35f68 --log all.log")
+	request, file := "", ""
+	flags.AddPositionalValue(&request, "REQUEST", 1, true, "the request's id")
+	flags.String(&file, "f", "log", "file with the lines of all entries; standard input where none is named")
+	return command{flags: flags, run: func(context.Context) error {
+		logs := io.Reader(os.Stdin)
+		if file != "" {
+			opened, err := os.Open(file)
+			if err != nil {
+				return fmt.Errorf("open log: %w", err)
+			}
+			defer func() { _ = opened.Close() }()
+			logs = opened
+		}
+		story, err := explainer.Explain(logs, request)
+		if err != nil {
+			return fmt.Errorf("explain %s: %w", request, err)
+		}
+		for _, l := range story.Lines {
+			_, _ = fmt.Println(l)
+		}
+		for _, m := range story.Missing {
+			_, _ = fmt.Println("missing:", m)
+		}
+		_, err = fmt.Println("cause:", story.Cause)
+		return err
+	}}
+}
+
+func eventsCommand() command {
+	flags := newCommand("events", "list the events that an entry on the platform logs")
+	return command{flags: flags, run: func(context.Context) error {
+		for _, e := range logger.Events {
+			if _, err := fmt.Printf("%s\n    %s\n    fields: %s\n", e.Name, e.Meaning, strings.Join(e.Fields, " ")); err != nil {
+				return fmt.Errorf("print events: %w", err)
+			}
+		}
+		return nil
+	}}
+}
--- a/cmd/sapphireramp/main.go
+++ b/cmd/sapphireramp/main.go
@@ -25,7 +25,7 @@
 }
 
 // errNoCommand is returned when no subcommand was named.
-var errNoCommand = eris.New("command: one of entry, gateway, check, ask, call, addresses, status, load, console, version is needed; see --help")
+var errNoCommand = eris.New("command: one of entry, gateway, check, ask, call, addresses, status, load, console, explain, events, version is needed; see --help")
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
@@ -46,7 +46,7 @@
 	parser.ShowHelpWithHFlag = true
 	commands := []command{
 		entryCommand(), gatewayCommand(), checkCommand(), askCommand(), callCommand(),
-		addressesCommand(), statusCommand(), loadCommand(), consoleCommand(), versionCommand(),
+		addressesCommand(), statusCommand(), loadCommand(), consoleCommand(), explainCommand(), eventsCommand(), versionCommand(),
 	}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.flags, 1)
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -232,7 +232,7 @@
 	v := &view{
 		View: forwarder.View{
 			Table: s.table, ConfigRevision: configRevision, ConfirmedAt: s.follower.ConfirmedAt(),
-			Entries: max(len(s.contacts)+1, 2*len(s.seeds)), Stopping: s.stopping, StopBy: s.stopBy,
+			StoreLost: s.storeLost, Entries: max(len(s.contacts)+1, 2*len(s.seeds)), Stopping: s.stopping, StopBy: s.stopBy,
 		},
 		ready: s.table != nil && !s.stopping,
 	}
--- a/controller/follow.go
+++ b/controller/follow.go
@@ -123,7 +123,7 @@
 	if s.storeLost {
 		return
 	}
-	s.storeLost = true
+	s.storeLost, s.dirty = true, true
 	s.controller.config.Log.Warn("store_lost", zap.Error(err), zap.Int64("revision", s.follower.Revision()))
 }
 
--- /dev/null
+++ b/explainer/explainer_test.go
@@ -0,0 +1,53 @@
+package explainer_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/sapphireramp/sapphireramp/explainer"
+)
+
+const logs = `   2.0 entry-1 time=2026-03-06T08:11:27Z level=info layer=entry event=place request=r1 upstream=i-1
+time=2026-03-06T08:11:29Z level=warn layer=entry event=request request=r1 outcome=stream_broken status=200 took_ms=2000 attempts=2 config_revision=7 error="read \"x\": reset"
+time=2026-03-06T08:11:28Z level=warn layer=entry event=attempt request=r1 verdict=broken upstream=i-1 error="read stream: reset"
+time=2026-03-06T08:11:28Z level=info layer=entry event=request request=r12 outcome=answered status=200
+time=2026-03-06T08:11:28Z level=warn layer=entry event=request request=r3 outcome=too_dear status=503 took_ms=0 attempts=0 config_revision=7
+time=2026-03-06T08:11:28Z level=info layer=entry event=request request=r4 outcome=answered attempts=1 status=200
+broken line request=r1
+`
+
+func TestExplain(t *testing.T) {
+	is := is.New(t)
+	s, err := explainer.Explain(strings.NewReader(logs), "r1")
+	is.NoErr(err)
+	is.Equal(len(s.Lines), 3)
+	is.True(strings.Contains(s.Lines[1], "event=attempt")) // in order of time
+	is.True(strings.HasPrefix(s.Cause, "failed: the stream broke"))
+	is.True(strings.Contains(s.Cause, `(read "x": reset)`))
+	is.True(strings.Contains(s.Cause, "at i-1: broken"))
+	is.Equal(len(s.Missing), 0)
+}
+
+func TestExplainRefusal(t *testing.T) {
+	is := is.New(t)
+	s, err := explainer.Explain(strings.NewReader(logs), "r3")
+	is.NoErr(err)
+	is.True(strings.HasPrefix(s.Cause, "refused, not run: it would have cost"))
+}
+
+func TestMissingLinesAreNamed(t *testing.T) {
+	is := is.New(t)
+	s, err := explainer.Explain(strings.NewReader(logs), "r4")
+	is.NoErr(err)
+	is.Equal(len(s.Missing), 1)
+	_, err = explainer.Explain(strings.NewReader(logs), "r9")
+	is.True(errors.Is(err, explainer.ErrNoLines))
+}
+
+func FuzzExplain(f *testing.F) {
+	f.Add(logs)
+	f.Fuzz(func(_ *testing.T, text string) { _, _ = explainer.Explain(strings.NewReader(text), "r1") })
+}
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -90,6 +90,8 @@
 	// ConfigRevision and ConfirmedAt say how old the belief is, for the log.
 	ConfigRevision int64
 	ConfirmedAt    time.Time
+	// StoreLost is true while the last call to the store failed.
+	StoreLost bool
 	// Entries is the most entries that may share the retry budget.
 	Entries int
 	// Stopping entries take what still comes, and ask callers to leave.
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -38,6 +38,9 @@
 	fullRetry = 150 * time.Millisecond
 	// configRetry is how long an entry takes to learn its configuration.
 	configRetry = 300 * time.Millisecond
+	// lostRetry is for an entry that has no configuration and can't read one:
+	// outages of the store last seconds, and callers seldom ask a third time.
+	lostRetry = 2 * time.Second
 )
 
 // failure is why a request gets no upstream's answer.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -27,6 +27,7 @@
 	"github.com/sapphireramp/sapphireramp/budgeter"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/matcher"
+	"github.com/sapphireramp/sapphireramp/sleeper"
 )
 
 // defaultPatience stands in where neither caller nor route names a time.
@@ -150,7 +151,10 @@
 // before it could answer.
 func (f *Forwarder) open(next handler) handler {
 	return func(x *exchange) *failure {
-		x.view = f.view()
+		x.view = f.awaitConfig(x)
+		if x.view.Table == nil && x.view.StoreLost {
+			return notRun(reasonNoConfig, lostRetry, nil)
+		}
 		if x.view.Table == nil {
 			return notRun(reasonNoConfig, configRetry, nil)
 		}
@@ -161,6 +165,24 @@
 	}
 }
 
+const (
+	// startWait is how long a request that meets an entry just after its start
+	// waits for the configuration, which one read brings in a few milliseconds.
+	startWait = 150 * time.Millisecond
+	// startPoll is how often it looks.
+	startPoll = 5 * time.Millisecond
+)
+
+// awaitConfig is the view in force, or the first one with a configuration
+// where that comes soon.
+func (f *Forwarder) awaitConfig(x *exchange) *View {
+	v := f.view()
+	for v.Table == nil && !v.StoreLost && time.Since(x.arrived) < startWait && sleeper.Sleep(x.ctx, startPoll) {
+		v = f.view()
+	}
+	return v
+}
+
 // match finds the route and the organisation of a request.
 func (f *Forwarder) match(next handler) handler {
 	return func(x *exchange) *failure {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,7 +36,7 @@
 type fixture struct {
 	is      *is.I
 	net     *network.Network
-	view    *forwarder.View
+	view    atomic.Pointer[forwarder.View]
 	board   *dispatcher.Board
 	client  *http.Client
 	plain   []*worker.Worker
@@ -70,7 +71,7 @@
 		f := &fixture{is: is.New(t), net: network.New()}
 		table, err := matcher.New(testConfig())
 		f.is.NoErr(err)
-		f.view = &forwarder.View{Table: table, Entries: 1, ConfirmedAt: time.Now()}
+		f.view.Store(&forwarder.View{Table: table, Entries: 1, ConfirmedAt: time.Now()})
 		f.board = dispatcher.New("a", rand.New(rand.NewPCG(1, 2)))
 		var instances []dispatcher.Instance
 		var servers []*http.Server
@@ -91,7 +92,7 @@
 		invariants := asserter.New(func(name, detail string) { t.Errorf("%s: %s", name, detail) })
 		handler := forwarder.New(forwarder.Config{
 			Protocol: platform.Protocol(), Orders: platform.Orders(&http.Client{Transport: &http.Transport{DialContext: f.net.Dialer(entryHost), DisableKeepAlives: true}}),
-			HoldTime: 3 * time.Second, View: func() *forwarder.View { return f.view }, Board: f.board,
+			HoldTime: 3 * time.Second, View: f.view.Load, Board: f.board,
 			Budget: budgeter.New(budgeter.Config{Ratio: 0.2, Window: 10 * time.Second, Slack: 100}),
 			Dial:   f.net.Dialer(entryHost), Log: zap.NewNop(), Scope: tally.NoopScope, Asserter: invariants,
 		})
@@ -236,13 +237,31 @@
 			f.is.Equal(a.header.Get("X-Attempt-Id"), c.request.id)
 			f.is.Equal(runs(f.plain, c.request.id), 0)
 		}
-		f.view = &forwarder.View{}
+		f.view.Store(&forwarder.View{})
 		a := f.ask(request{path: "/once/", id: "r4"})
 		f.is.Equal(a.status, 503) // a process that knows no configuration yet
 		f.is.True(a.header.Get("Retry-After") != "")
 	})
 }
 
+// A request that meets an entry in its first milliseconds waits for the
+// configuration; one whose entry can't read the store is refused at once, with
+// a time at which the store may be back.
+func TestEntryJustStarted(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		table := f.view.Load().Table
+		f.view.Store(&forwarder.View{})
+		time.AfterFunc(40*time.Millisecond, func() { f.view.Store(&forwarder.View{Table: table, Entries: 1}) })
+		a := f.ask(request{path: "/once/x", id: "r1"})
+		f.is.Equal(a.status, 200)
+		f.view.Store(&forwarder.View{StoreLost: true})
+		a = f.ask(request{path: "/once/x", id: "r2"})
+		f.is.Equal(a.status, 503)
+		f.is.Equal(a.header.Get("Retry-After"), "2.000")
+		f.is.True(a.took < 10*time.Millisecond)
+	})
+}
+
 // A request that may run at most once never runs twice, whatever the upstream
 // does, and is called not run only where it did not.
 func TestAtMostOnceUnderEveryFault(t *testing.T) {
@@ -447,9 +466,9 @@
 // finish.
 func TestStoppingEntry(t *testing.T) {
 	withForwarder(t, func(f *fixture) {
-		stopping := *f.view
+		stopping := *f.view.Load()
 		stopping.Stopping, stopping.StopBy = true, time.Now().Add(2*time.Second)
-		f.view = &stopping
+		f.view.Store(&stopping)
 		a := f.ask(request{path: "/once/x", id: "r1"})
 		f.is.Equal(a.status, 200)
 		f.is.True(a.closes)
--- /dev/null
+++ b/logger/events.go
@@ -0,0 +1,45 @@
+package logger
+
+// Event is one kind of log line of an entry on the platform.
+type Event struct {
+	Name string
+	// Meaning says when the line is written and what follows from it.
+	Meaning string
+	// Fields are the keys of the line, beside time, level, layer and event.
+	Fields []string
+}
+
+// Events lists every event of an entry on the platform, by name.
+var Events = []Event{
+	{"accept_peer", "A connection of another entry could not be accepted; heartbeats are lost until it can.", []string{"error"}},
+	{"attempt", "A send to an upstream did not end in a whole answer. Verdict: unsent (no connection), not_run (the upstream says so), broken (may have run), failed (ran and failed).", []string{"request", "verdict", "upstream", "address", "helpers", "left_ms", "error"}},
+	{"beat_failed", "A heartbeat was not answered (debug); after a second of silence the member counts as dead.", []string{"peer", "error"}},
+	{"configuration", "A newer configuration is in force.", []string{"id", "change", "revision", "source"}},
+	{"configuration_unreadable", "A newer configuration can't be read; the one in force stays.", []string{"revision", "source", "error"}},
+	{"fetch_failed", "Another entry knows more of the store and did not tell in time; the next heartbeat asks again.", []string{"source", "error"}},
+	{"invariant_violated", "A promise was about to be broken or was; the request concerned fails. Report it.", []string{"invariant", "detail"}},
+	{"log_lines_dropped", "The reader of the log was slow; that many lines are missing before this one.", []string{"count"}},
+	{"member", "The belief about another entry changed.", []string{"name", "from", "to", "reason"}},
+	{"panic", "A fault of the program; the request concerned fails.", []string{"request", "value", "stack"}},
+	{"place", "An upstream was chosen. List_age_ms is how long ago the store confirmed the list.", []string{"request", "service", "upstream", "data_centre", "helpers", "helper_ids", "expected_ms", "running", "reading_ms", "attempt", "config_revision", "list_age_ms"}},
+	{"release_failed", "Memory at an engine could not be given back; it ends with its lease.", []string{"request", "engine", "lease_ms", "error"}},
+	{"reload", "The settings were read again, by SIGHUP or because they changed.", []string{"signalled", "changed", "seeds"}},
+	{"renewal_failed", "Reserved memory could not be renewed; it lapses after two more failures.", []string{"request", "error"}},
+	{"request", "A request ended. Outcome is answered or the reason; see explain.", []string{"request", "outcome", "status", "took_ms", "attempts", "prompt", "route", "kind", "config_revision", "first_ms", "longest_pause_ms", "error", "retry_after_ms"}},
+	{"requests_cut_off", "The time to stop was over before all requests were done.", []string{"in_flight", "error"}},
+	{"reserved", "Memory was set aside at several engines for one prompt.", []string{"request", "engines", "lease_ms"}},
+	{"retry_budget_used_up", "A request was not sent once more because the shared budget had nothing left.", []string{"request", "service"}},
+	{"serve_peers", "Other entries can't be served; a fault of the program.", []string{"error"}},
+	{"settings_unreadable", "The settings could not be read again; the ones in force stay.", []string{"error"}},
+	{"share_malformed", "Another entry's load could not be read; versions may differ.", []string{"from", "error"}},
+	{"share_not_read", "Another entry's load was not received (debug).", []string{"error"}},
+	{"share_not_sent", "This entry's load was not sent to one other (debug).", []string{"peer", "error"}},
+	{"started", "The entry listens.", []string{"name", "data_centre", "callers", "peers"}},
+	{"stopped", "The entry ends.", []string{"name"}},
+	{"stopping", "SIGTERM came; no new callers are sent here.", []string{"in_flight", "grace_ms"}},
+	{"store_history_gone", "The store dropped changes that were not read; the whole state is read.", []string{"revision"}},
+	{"store_lost", "The store did not answer; what is believed stays in force, and other entries are listened to.", []string{"error", "revision"}},
+	{"store_regained", "The store answers again.", []string{"revision"}},
+	{"upstream", "The belief about an upstream changed: appeared, leaving, gone, held_after_outage or unreadable.", []string{"id", "change", "revision", "source"}},
+	{"woke", "This process or its instance stood still; what it believed counts as unconfirmed.", []string{"paused_ms"}},
+}
