forwarder: guard the watchdog's timer

Cause: the race detector found the timer of an attempt read by its own callback while it was being set. The packages of the platform's path are now run under the race detector by make test.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 test:
 	go test -count=1 ./...
-	go test -race -count=1 ./server ./client ./console
+	go test -race -count=1 ./server ./client ./console ./forwarder ./controller ./launcher ./dispatcher
 
 # A longer random run: make soak RUNS=500 SEED=7. It prints the seed, and the
 # same seed draws the same schedules again.
@@ -22,6 +22,7 @@
 soak:
 	@echo "seed $(SEED)"
 	go test ./server -run TestSoak -timeout 60m -rapid.seed=$(SEED) -rapid.checks=$(RUNS) -v | grep -v -e '=== RUN' -e '--- PASS: TestSoak/'
+	go test ./launcher -run TestSoak -timeout 60m -rapid.seed=$(SEED) -rapid.checks=$(RUNS)
 
 # The slopes that docs/CAPACITY.md is worked out from. Takes some minutes.
 slopes:
@@ -36,3 +37,8 @@
 	go test ./spender -run XXX -fuzz FuzzParse -fuzztime $(FUZZTIME)
 	go test ./sealer -run XXX -fuzz FuzzVerify -fuzztime $(FUZZTIME)
 	go test ./server -run XXX -fuzz FuzzDecodePrompt -fuzztime $(FUZZTIME)
+	go test ./platform -run XXX -fuzz FuzzDecodeConfig -fuzztime $(FUZZTIME)
+	go test ./platform -run XXX -fuzz FuzzParseSettings -fuzztime $(FUZZTIME)
+	go test ./dispatcher -run XXX -fuzz FuzzDecodeShares -fuzztime $(FUZZTIME)
+	go test ./splitter -run XXX -fuzz FuzzFeed -fuzztime $(FUZZTIME)
+	go test ./explainer -run XXX -fuzz FuzzExplain -fuzztime $(FUZZTIME)
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -73,6 +73,8 @@
 		w.most = time.Duration(busyPart * abandon)
 		w.busy = p.Busy
 	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
 	w.timer = time.AfterFunc(w.limit, w.check)
 	return w
 }
