--- a/controller/follow.go
+++ b/controller/follow.go
@@ -34,13 +34,17 @@
 	// readTimeout bounds a read of the whole state; the store's usual answers
 	// take milliseconds, slow ones hundreds.
 	readTimeout = 1500 * time.Millisecond
-	// failurePause is after a failed call.
-	failurePause = 150 * time.Millisecond
+	// leastFailurePause and mostFailurePause are after the first failed call and
+	// after several in a row. In an outage every entry calls, and each call is
+	// paid for.
+	leastFailurePause = 150 * time.Millisecond
+	mostFailurePause  = 500 * time.Millisecond
 )
 
 // follow reads the store while this entry is to.
 func (c *Controller) follow(ctx context.Context) {
 	whole := true
+	failures := 0
 	for ctx.Err() == nil {
 		read, after := false, int64(0)
 		c.do(func(s *state) { read, after = s.reads(time.Now()), s.follower.Revision() })
@@ -54,8 +58,12 @@
 		err := c.readStore(ctx, whole, after)
 		whole = errors.Is(err, follower.ErrHistoryGone)
 		pause := watchPause
-		if err != nil {
-			pause = failurePause
+		failures++
+		if err == nil {
+			failures = 0
+		}
+		if failures > 0 {
+			pause = min(mostFailurePause, time.Duration(failures)*leastFailurePause)
 		}
 		if whole {
 			pause = 0
