--- a/controller/controller.go
+++ b/controller/controller.go
@@ -84,7 +84,20 @@
 	pushes chan struct{}
 	work   sync.WaitGroup
 
-	storeCalls, storeFailures tally.Counter
+	metrics metrics
+}
+
+type metrics struct {
+	storeCalls, storeFailures            tally.Counter
+	revision, listAge, members, upstream tally.Gauge
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	return metrics{
+		storeCalls: scope.Counter("store_calls"), storeFailures: scope.Counter("store_failures"),
+		revision: scope.Gauge("configuration_revision"), listAge: scope.Gauge("list_age_seconds"),
+		members: scope.Gauge("members_live"), upstream: scope.Gauge("upstreams"),
+	}
 }
 
 // state is all control state. Only the control goroutine touches it.
@@ -131,8 +144,7 @@
 func New(c Config) *Controller {
 	ctl := &Controller{
 		config: c, commands: make(chan func(*state)), stopped: make(chan struct{}), pool: connector.New(c.Dial),
-		pushes:     make(chan struct{}, 1),
-		storeCalls: c.Scope.Counter("store_calls"), storeFailures: c.Scope.Counter("store_failures"),
+		pushes: make(chan struct{}, 1), metrics: newMetrics(c.Scope),
 	}
 	ctl.current.Store(&view{View: forwarder.View{Entries: 1}})
 	return ctl
@@ -218,6 +230,9 @@
 	}
 	s.membersChanged(s.prober.Tick(now))
 	s.logStore(s.follower.Tick(now), "hold_ended")
+	if age, ok := s.follower.ConfirmedAge(now); ok {
+		s.controller.metrics.listAge.Update(age.Seconds())
+	}
 	shown := s.controller.current.Load().ConfirmedAt
 	if s.follower.ConfirmedAt().Sub(shown) > confirmedShown || now.Sub(s.started) < 2*acquaintTime {
 		s.dirty = true
@@ -248,9 +263,13 @@
 		}
 	}
 	c.config.Board.Blind(s.blind(len(v.peers)))
+	usable := s.follower.Usable()
 	if s.table != nil {
-		c.config.Board.Update(s.table, s.follower.Usable())
+		c.config.Board.Update(s.table, usable)
 	}
+	c.metrics.revision.Update(float64(configRevision))
+	c.metrics.members.Update(float64(len(v.peers)))
+	c.metrics.upstream.Update(float64(len(usable)))
 	c.current.Store(v)
 }
 
--- a/controller/follow.go
+++ b/controller/follow.go
@@ -95,7 +95,7 @@
 
 // readStore makes one call to the store and takes in what it says.
 func (c *Controller) readStore(ctx context.Context, whole bool, after int64) error {
-	c.storeCalls.Inc(1)
+	c.metrics.storeCalls.Inc(1)
 	var got follower.State
 	var err error
 	if whole {
@@ -109,7 +109,7 @@
 		return ctx.Err()
 	}
 	if err != nil {
-		c.storeFailures.Inc(1)
+		c.metrics.storeFailures.Inc(1)
 		c.do(func(s *state) { s.storeFailed(time.Now(), err) })
 		return err
 	}
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -408,6 +408,7 @@
 	o.cost += worth * 1.5 * w.health.rate(now)
 	slots := e.Slots - spareSlots
 	if waiting := o.load.Running + 1 - slots; waiting > 0 {
+		o.finish += time.Duration(waiting) * slotTime(e, pass)
 		o.cost += worth * queuedCost * float64(waiting) / float64(max(1, e.Slots))
 	}
 	if k == 1 && !o.blind && float64(predictor.Reading(e, d.Prompt)) <= lightPart*float64(d.PauseAim) {
@@ -420,6 +421,13 @@
 	return o
 }
 
+// slotTime is how soon a slot of a full engine is free: answers are written in
+// UsualAnswer / Stride passes, and end evenly.
+func slotTime(e *matcher.Engine, pass time.Duration) time.Duration {
+	passes := float64(e.UsualAnswer) / float64(max(1, e.Stride))
+	return time.Duration(passes * float64(pass) / float64(max(1, e.Slots)))
+}
+
 // memoryPart is the part of an engine's free memory that one prompt is given:
 // the rest is for what other entries have not told yet.
 const memoryPart = 0.85
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -135,6 +135,7 @@
 		fields = append(fields, zap.Int64("config_revision", x.view.ConfigRevision))
 	}
 	if !x.firstAt.IsZero() {
+		f.metrics.streamed(x.call.Prompt, x.firstAt.Sub(x.arrived), x.longestPause)
 		fields = append(fields, zap.Duration("first_ms", x.firstAt.Sub(x.arrived)), zap.Duration("longest_pause_ms", x.longestPause))
 	}
 	if fail == nil {
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -86,6 +86,7 @@
 		return false
 	}
 	if !f.budget.Spend(time.Now(), x.service, f.view().Entries) {
+		f.metrics.denied.Inc(1)
 		f.log.Warn("retry_budget_used_up", zap.String("request", x.call.ID), zap.String("service", x.service))
 		return false
 	}
--- a/forwarder/group.go
+++ b/forwarder/group.go
@@ -65,6 +65,7 @@
 		f.release(g)
 		return nil, failed
 	}
+	f.metrics.reservations.Inc(1)
 	f.log.Info("reserved", zap.String("request", x.call.ID), zap.Int("engines", len(g.shares)), zap.Duration("lease_ms", f.holdTime))
 	renewing, stop := context.WithCancel(context.WithoutCancel(ctx))
 	g.stop = stop
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -140,7 +140,6 @@
 		copyHeaders(x.writer.Header(), a.response.Header)
 		x.writer.Header().Del("Content-Length")
 		x.begin(a.response.StatusCode)
-		f.metrics.firstByte.RecordDuration(x.firstAt.Sub(x.arrived))
 	}
 	x.longestPause = max(x.longestPause, now.Sub(x.eventAt))
 	x.eventAt = now
