--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -4,11 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"strings"
 	"testing"
 	"time"
 
@@ -20,6 +17,7 @@
 	"github.com/sapphireramp/sapphireramp/controller"
 	"github.com/sapphireramp/sapphireramp/launcher"
 	"github.com/sapphireramp/sapphireramp/platform"
+	"github.com/sapphireramp/sapphireramp/standin/caller"
 	"github.com/sapphireramp/sapphireramp/standin/network"
 	"github.com/sapphireramp/sapphireramp/standin/store"
 	"github.com/sapphireramp/sapphireramp/standin/worker"
@@ -187,87 +185,13 @@
 	time.Sleep(20 * time.Second)
 }
 
-// result is how one request of a caller ended.
-type result struct {
-	id, path string
-	status   int
-	body     string
-	err      error
-	took     time.Duration
-}
-
-// caller asks the directory for an address, connects there and sends requests,
-// like the platform's callers.
-type caller struct {
-	fleet     *fleet
-	random    *rand.Rand
-	client    *http.Client
-	addresses []netip.AddrPort
-	asked     time.Time
-}
-
-func (f *fleet) newCaller(seed uint64) *caller {
-	transport := &http.Transport{DialContext: f.net.Dialer(callerHost), MaxIdleConnsPerHost: 4}
-	return &caller{fleet: f, random: rand.New(rand.NewPCG(seed, 1)), client: &http.Client{Transport: transport}}
-}
-
-// resolve asks up to three entries for addresses, and keeps the answer.
-func (c *caller) resolve() {
-	if time.Since(c.asked) < time.Second {
-		return
-	}
-	for _, i := range c.random.Perm(len(c.fleet.entries))[:min(3, len(c.fleet.entries))] {
-		var answer struct {
-			Addresses []netip.AddrPort `json:"addresses"`
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		url := fmt.Sprintf("http://%s/resolve?name=h&region=r&zone=dc-0", netip.AddrPortFrom(hostOf(i), directoryPort))
-		q, _ := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-		response, err := c.client.Do(q)
-		if err == nil {
-			err = json.NewDecoder(response.Body).Decode(&answer)
-			_ = response.Body.Close()
-		}
-		cancel()
-		if err == nil && len(answer.Addresses) > 0 {
-			c.addresses, c.asked = answer.Addresses, time.Now()
-			return
-		}
+// newCaller returns a caller that knows all directories.
+func (f *fleet) newCaller(seed uint64) *caller.Caller {
+	var directories []netip.AddrPort
+	for i := range f.entries {
+		directories = append(directories, netip.AddrPortFrom(hostOf(i), directoryPort))
 	}
-}
-
-// ask sends one request.
-func (c *caller) ask(path, id, key string, patience time.Duration) result {
-	c.resolve()
-	if len(c.addresses) == 0 {
-		return result{id: id, path: path, err: fmt.Errorf("no address")}
-	}
-	address := c.addresses[c.random.IntN(len(c.addresses))]
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
-	defer cancel()
-	method := http.MethodPost
-	if strings.HasPrefix(path, "/safe/") {
-		method = http.MethodGet
-	}
-	q, _ := http.NewRequestWithContext(ctx, method, "http://"+address.String()+path, nil)
-	q.Host = "h"
-	q.Header.Set("Authorization", "Bearer "+key)
-	q.Header.Set("X-Attempt-Id", id)
-	q.Header.Set("X-Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
-	if strings.Contains(path, "stream") || strings.Contains(path, "fixed") {
-		q.Header.Set("X-Token-Usage", "2000,200")
-	}
-	began := time.Now()
-	r := result{id: id, path: path}
-	response, err := c.client.Do(q)
-	if err != nil {
-		r.err, r.took = err, time.Since(began)
-		return r
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	r.status, r.body, r.err, r.took = response.StatusCode, string(body), err, time.Since(began)
-	return r
+	return caller.New(directories, seed, f.net.Dialer(callerHost))
 }
 
 // runs is how often a request ran, at all workers.
@@ -284,30 +208,8 @@
 }
 
 // check holds one result against the promises.
-func (f *fleet) check(r result) {
-	ran := f.runs(r.id)
-	repeatable := strings.HasPrefix(r.path, "/safe/") || strings.HasPrefix(r.path, "/stream/")
-	if !repeatable && ran > 1 {
-		f.t.Errorf("%s %s ran %d times", r.path, r.id, ran)
-	}
-	if ran > 2 {
-		f.t.Errorf("%s %s ran at %d upstreams of two allowed", r.path, r.id, ran)
-	}
-	if r.err == nil && r.status == http.StatusServiceUnavailable && !repeatable && ran > 0 {
-		f.t.Errorf("%s %s was called not run and ran", r.path, r.id)
-	}
-	if r.err == nil && r.status == http.StatusOK && r.body != wholeAnswer(r) {
-		f.t.Errorf("%s %s: answer %q is not the whole one", r.path, r.id, r.body)
-	}
-}
-
-func wholeAnswer(r result) string {
-	if strings.HasPrefix(r.path, "/once/") || strings.HasPrefix(r.path, "/safe/") {
-		return worker.Body(r.id)
-	}
-	text := ""
-	for n := 1; n <= streamEvents; n++ {
-		text += worker.Event(r.id, n)
+func (f *fleet) check(r caller.Result) {
+	for _, broken := range r.Broken(f.runs(r.ID), streamEvents) {
+		f.t.Error(broken)
 	}
-	return text
 }
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/sapphireramp/sapphireramp/standin/caller"
 	"github.com/sapphireramp/sapphireramp/standin/store"
 	"github.com/sapphireramp/sapphireramp/standin/worker"
 )
@@ -25,7 +26,7 @@
 	stop    chan struct{}
 	work    sync.WaitGroup
 	lock    sync.Mutex
-	results []result
+	results []caller.Result
 }
 
 func (f *fleet) traffic(callers int) *traffic {
@@ -41,14 +42,14 @@
 func (x *traffic) ask(n int) {
 	defer x.work.Done()
 	c := x.fleet.newCaller(uint64(n))
-	defer c.client.CloseIdleConnections()
+	defer c.Close()
 	for i := 0; ; i++ {
 		select {
 		case <-x.stop:
 			return
 		case <-time.After(time.Duration(20+n) * time.Millisecond):
 		}
-		r := c.ask(paths[(n+i)%len(paths)], fmt.Sprintf("t%d-c%d-%d", x.round, n, i), "key-1", 4*time.Second)
+		r := c.Ask(paths[(n+i)%len(paths)], fmt.Sprintf("t%d-c%d-%d", x.round, n, i), "key-1", 4*time.Second)
 		x.lock.Lock()
 		x.results = append(x.results, r)
 		x.lock.Unlock()
@@ -62,7 +63,7 @@
 	x.work.Wait()
 	for _, r := range x.results {
 		x.fleet.check(r)
-		if r.err == nil && r.status == http.StatusOK {
+		if r.Served() {
 			served++
 		}
 	}
@@ -109,9 +110,9 @@
 // A stopping entry says at once that it is not ready.
 func TestStoppingEntryIsNotReady(t *testing.T) {
 	withFleet(t, 3, func(is *is.I, f *fleet) {
-		c := f.newCaller(1)
+		client := &http.Client{Transport: &http.Transport{DialContext: f.net.Dialer(callerHost), DisableKeepAlives: true}}
 		ready := func() int {
-			response, err := c.client.Get("http://" + netip.AddrPortFrom(hostOf(0), readyPort).String() + "/ready")
+			response, err := client.Get("http://" + netip.AddrPortFrom(hostOf(0), readyPort).String() + "/ready")
 			is.NoErr(err)
 			defer func() { _ = response.Body.Close() }()
 			return response.StatusCode
@@ -120,7 +121,6 @@
 		f.entries[0].stop()
 		time.Sleep(50 * time.Millisecond)
 		is.Equal(ready(), http.StatusServiceUnavailable)
-		c.client.CloseIdleConnections()
 	})
 }
 
@@ -144,15 +144,15 @@
 func TestRevokedKey(t *testing.T) {
 	withFleet(t, 4, func(is *is.I, f *fleet) {
 		c := f.newCaller(1)
-		is.Equal(c.ask("/safe/x", "r1", "key-2", time.Second).status, http.StatusOK)
+		is.Equal(c.Ask("/safe/x", "r1", "key-2", time.Second).Status, http.StatusOK)
 		f.net.Cut(hostOf(2), storeHost)
 		f.net.Cut(hostOf(3), storeHost)
 		f.configure(2, "key-1")
 		time.Sleep(2 * time.Second)
 		for i := range 20 {
-			is.Equal(c.ask("/safe/x", fmt.Sprintf("r2-%d", i), "key-2", time.Second).status, http.StatusUnauthorized)
+			is.Equal(c.Ask("/safe/x", fmt.Sprintf("r2-%d", i), "key-2", time.Second).Status, http.StatusUnauthorized)
 		}
-		c.client.CloseIdleConnections()
+		c.Close()
 	})
 }
 
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/sealer"
+	"github.com/sapphireramp/sapphireramp/standin/relay"
 	"github.com/sapphireramp/sapphireramp/validator"
 )
 
@@ -56,7 +57,7 @@
 	back    netip.AddrPort
 	// peerFront and peerBack are of entries only.
 	peerFront, peerBack netip.AddrPort
-	relays              []*relay
+	relays              []*relay.Relay
 	running             *exec.Cmd
 	exited              chan error
 	runs                int
@@ -250,10 +251,11 @@
 		pairs = append(pairs, [2]netip.AddrPort{p.peerFront, p.peerBack})
 	}
 	for _, pair := range pairs {
-		r, err := newRelay(pair[0], pair[1])
+		r, err := relay.New(pair[0], pair[1])
 		if err != nil {
 			return err
 		}
+		r.Count = countBytes
 		p.relays = append(p.relays, r)
 	}
 	return nil
@@ -300,7 +302,7 @@
 			<-p.exited
 		}
 		for _, r := range p.relays {
-			r.close()
+			r.Close()
 		}
 	}
 }
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -169,7 +169,7 @@
 		address = processOf(ts, from).front.Addr()
 	}
 	for _, r := range processOf(ts, to).relays {
-		r.set(address, way)
+		r.Set(address, way)
 	}
 }
 
@@ -378,7 +378,7 @@
 	for _, name := range args {
 		p := processOf(ts, name)
 		for _, r := range p.relays {
-			r.close()
+			r.Close()
 		}
 		p.relays = nil
 	}
--- a/scenario/slopes_test.go
+++ b/scenario/slopes_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/standin/relay"
 	"github.com/sapphireramp/sapphireramp/validator"
 )
 
@@ -297,7 +298,7 @@
 	if way == "one-reaches" {
 		for i, p := range f.entryProcesses() {
 			if i > 0 {
-				f.processes["platform"].relays[0].set(p.front.Addr(), cutStall)
+				f.processes["platform"].relays[0].Set(p.front.Addr(), relay.Stall)
 			}
 		}
 	}
--- /dev/null
+++ b/standin/caller/caller.go
@@ -0,0 +1,185 @@
+// Package caller is a stand-in for the callers of the users' platform: it asks
+// the directory for addresses, keeps the answer for its life, connects to one
+// of them, and holds every answer against the product's promises.
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/sapphireramp/sapphireramp/standin/worker"
+)
+
+const (
+	// addressLife is how long an answer of the directory is kept.
+	addressLife = time.Second
+	// directoryTime is how long one entry's directory is waited for.
+	directoryTime = time.Second
+	// idleConnections are kept to each entry.
+	idleConnections = 4
+)
+
+// ErrNoAddress says that no directory named an address.
+var ErrNoAddress = errors.New("no directory named an address")
+
+// Caller is one caller. It is not safe for concurrent use.
+type Caller struct {
+	// Directories are where entries say which addresses to use.
+	Directories []netip.AddrPort
+	client      *http.Client
+	random      *rand.Rand
+	addresses   []netip.AddrPort
+	asked       time.Time
+}
+
+// New returns a caller that connects by dial.
+func New(directories []netip.AddrPort, seed uint64, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Caller {
+	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idleConnections}
+	return &Caller{Directories: directories, random: rand.New(rand.NewPCG(seed, 1)), client: &http.Client{Transport: transport}}
+}
+
+// Close closes idle connections.
+func (c *Caller) Close() { c.client.CloseIdleConnections() }
+
+// Result is how one request ended.
+type Result struct {
+	ID, Path string
+	// Entry is the address that was asked.
+	Entry  netip.AddrPort
+	Status int
+	Body   string
+	// Err is a connection that ended before a whole answer.
+	Err  error
+	At   time.Time
+	Took time.Duration
+}
+
+// Served reports whether a whole answer came.
+func (r Result) Served() bool { return r.Err == nil && r.Status == http.StatusOK }
+
+// resolve asks up to three entries for addresses.
+func (c *Caller) resolve() {
+	if time.Since(c.asked) < addressLife {
+		return
+	}
+	order := c.random.Perm(len(c.Directories))
+	for _, i := range order[:min(3, len(order))] {
+		if list, err := c.directory(c.Directories[i]); err == nil && len(list) > 0 {
+			c.addresses, c.asked = list, time.Now()
+			return
+		}
+	}
+}
+
+func (c *Caller) directory(address netip.AddrPort) ([]netip.AddrPort, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), directoryTime)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/resolve?name=h&region=r&zone=dc-0", nil)
+	if err != nil {
+		return nil, fmt.Errorf("build question: %w", err)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("ask directory: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct {
+		Addresses []netip.AddrPort `json:"addresses"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return nil, fmt.Errorf("decode answer: %w", err)
+	}
+	return answer.Addresses, nil
+}
+
+// Ask sends one request; patience is how long it waits.
+func (c *Caller) Ask(path, id, key string, patience time.Duration) Result {
+	c.resolve()
+	r := Result{ID: id, Path: path, At: time.Now()}
+	if len(c.addresses) == 0 {
+		r.Err = ErrNoAddress
+		return r
+	}
+	r.Entry = c.addresses[c.random.IntN(len(c.addresses))]
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	r.Status, r.Body, r.Err = c.send(ctx, r, key, patience)
+	r.Took = time.Since(r.At)
+	return r
+}
+
+func (c *Caller) send(ctx context.Context, r Result, key string, patience time.Duration) (int, string, error) {
+	method := http.MethodPost
+	if strings.HasPrefix(r.Path, "/safe/") {
+		method = http.MethodGet
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+r.Entry.String()+r.Path, nil)
+	if err != nil {
+		return 0, "", fmt.Errorf("build request: %w", err)
+	}
+	request.Host = "h"
+	request.Header.Set("Authorization", "Bearer "+key)
+	request.Header.Set("X-Attempt-Id", r.ID)
+	request.Header.Set("X-Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
+	if !plain(r.Path) {
+		request.Header.Set("X-Token-Usage", "2000,200")
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return 0, "", fmt.Errorf("send: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		err = fmt.Errorf("read answer: %w", err)
+	}
+	return response.StatusCode, string(body), err
+}
+
+func plain(path string) bool {
+	return strings.HasPrefix(path, "/once/") || strings.HasPrefix(path, "/safe/")
+}
+
+// repeatable reports whether requests of a path may run more than once.
+func repeatable(path string) bool {
+	return strings.HasPrefix(path, "/safe/") || strings.HasPrefix(path, "/stream/")
+}
+
+// Broken says which promises a result breaks, given how often the request ran
+// and how many events a stream has.
+func (r Result) Broken(ran, events int) []string {
+	var out []string
+	if !repeatable(r.Path) && ran > 1 {
+		out = append(out, fmt.Sprintf("%s %s ran %d times", r.Path, r.ID, ran))
+	}
+	if ran > 2 {
+		out = append(out, fmt.Sprintf("%s %s ran at %d upstreams of two allowed", r.Path, r.ID, ran))
+	}
+	if r.Err == nil && r.Status == http.StatusServiceUnavailable && !repeatable(r.Path) && ran > 0 {
+		out = append(out, fmt.Sprintf("%s %s was called not run and ran", r.Path, r.ID))
+	}
+	if r.Served() && r.Body != whole(r, events) {
+		out = append(out, fmt.Sprintf("%s %s: answer %q is not the whole one", r.Path, r.ID, r.Body))
+	}
+	return out
+}
+
+func whole(r Result, events int) string {
+	if plain(r.Path) {
+		return worker.Body(r.ID)
+	}
+	text := ""
+	for n := 1; n <= events; n++ {
+		text += worker.Event(r.ID, n)
+	}
+	return text
+}
--- a/scenario/relay_test.go
+++ b/standin/relay/relay.go
@@ -1,4 +1,6 @@
-package scenario
+// Package relay stands before a process on a real network and breaks its
+// connections as tests order.
+package relay
 
 import (
 	"net"
@@ -9,41 +11,52 @@
 
 // Ways to cut the cable between two processes.
 const (
-	// cutRefuse resets connections and refuses new ones.
-	cutRefuse = "refuse"
-	// cutStall carries nothing either way, and says nothing.
-	cutStall = "stall"
-	// cutAnswers carries what the caller sends and none of the answers.
-	cutAnswers = "answers"
+	// Refuse resets connections and refuses new ones.
+	Refuse = "refuse"
+	// Stall carries nothing either way, and says nothing.
+	Stall = "stall"
+	// Answers carries what the caller sends and none of the answers.
+	Answers = "answers"
+	// Late carries everything, each read after LateTime.
+	Late = "late"
 )
 
-// relay stands before one process. It tells who connects by the address that
+// LateTime is by how much a late cable delays each read.
+const LateTime = 150 * time.Millisecond
+
+// Relay stands before one process. It tells who connects by the address that
 // the connection comes from, and treats each as the cable to it is set.
-type relay struct {
+type Relay struct {
 	listener net.Listener
 	back     netip.AddrPort
+	// Count, where not nil, is told of all bytes carried; it is set before the
+	// first connection.
+	Count func(from netip.Addr, n int)
 
 	lock sync.Mutex
 	cuts map[netip.Addr]string
 	open map[net.Conn]netip.Addr
 }
 
-func newRelay(front, back netip.AddrPort) (*relay, error) {
+// New returns a relay that listens at front and connects to back.
+func New(front, back netip.AddrPort) (*Relay, error) {
 	l, err := net.Listen("tcp", front.String())
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{listener: l, back: back, cuts: map[netip.Addr]string{}, open: map[net.Conn]netip.Addr{}}
+	r := &Relay{listener: l, back: back, cuts: map[netip.Addr]string{}, open: map[net.Conn]netip.Addr{}}
 	go r.serve()
 	return r, nil
 }
 
-func (r *relay) close() {
+// Close ends the relay and all its connections.
+func (r *Relay) Close() {
 	_ = r.listener.Close()
-	r.reset(func(netip.Addr) bool { return true })
+	r.Reset(func(netip.Addr) bool { return true })
 }
 
-func (r *relay) reset(which func(netip.Addr) bool) {
+// Reset closes the connections of the callers that which names.
+func (r *Relay) Reset(which func(netip.Addr) bool) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	for c, from := range r.open {
@@ -53,25 +66,25 @@
 	}
 }
 
-// set cuts or, with an empty way, mends the cable to an address. Mending
+// Set cuts or, with an empty way, mends the cable to an address. Mending
 // resets what was stalled, as a real break outlasts any connection.
-func (r *relay) set(from netip.Addr, way string) {
+func (r *Relay) Set(from netip.Addr, way string) {
 	r.lock.Lock()
 	before := r.cuts[from]
 	r.cuts[from] = way
 	r.lock.Unlock()
-	if way == cutRefuse || way == "" && before != "" {
-		r.reset(func(a netip.Addr) bool { return a == from })
+	if way == Refuse || way == "" && before != "" {
+		r.Reset(func(a netip.Addr) bool { return a == from })
 	}
 }
 
-func (r *relay) way(from netip.Addr) string {
+func (r *Relay) way(from netip.Addr) string {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	return r.cuts[from]
 }
 
-func (r *relay) serve() {
+func (r *Relay) serve() {
 	for {
 		c, err := r.listener.Accept()
 		if err != nil {
@@ -81,10 +94,10 @@
 	}
 }
 
-func (r *relay) carry(c net.Conn) {
+func (r *Relay) carry(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	from := c.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
-	if r.way(from) == cutRefuse {
+	if r.way(from) == Refuse {
 		_ = c.(*net.TCPConn).SetLinger(0)
 		return
 	}
@@ -103,22 +116,27 @@
 		r.lock.Unlock()
 	}()
 	done := make(chan struct{}, 2)
-	go r.pipe(c, back, from, func(way string) bool { return way == cutStall }, done)
-	go r.pipe(back, c, from, func(way string) bool { return way == cutStall || way == cutAnswers }, done)
+	go r.pipe(c, back, from, func(way string) bool { return way == Stall }, done)
+	go r.pipe(back, c, from, func(way string) bool { return way == Stall || way == Answers }, done)
 	<-done
 }
 
 // pipe carries bytes until either end closes; while stalled it holds them.
-func (r *relay) pipe(from, to net.Conn, source netip.Addr, stalled func(string) bool, done chan<- struct{}) {
+func (r *Relay) pipe(from, to net.Conn, source netip.Addr, stalled func(string) bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buffer)
+		if r.way(source) == Late {
+			time.Sleep(LateTime)
+		}
 		for stalled(r.way(source)) {
 			time.Sleep(5 * time.Millisecond)
 		}
 		if n > 0 {
-			countBytes(source, n)
+			if r.Count != nil {
+				r.Count(source, n)
+			}
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
