--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test build lint slopes soak fuzz
+.PHONY: demo test build lint slopes soak processes fuzz
 
 build:
 	go build -o bin/ ./cmd/...
@@ -24,6 +24,13 @@
 	go test ./server -run TestSoak -timeout 60m -rapid.seed=$(SEED) -rapid.checks=$(RUNS) -v | grep -v -e '=== RUN' -e '--- PASS: TestSoak/'
 	go test ./launcher -run TestSoak -timeout 60m -rapid.seed=$(SEED) -rapid.checks=$(RUNS)
 
+# Random faults against real processes on loopback addresses, four runs at a
+# time: make processes SEEDS=100 SEED=7.
+SEEDS ?= 52
+processes:
+	@echo "seeds $(SEED) and on"
+	go test ./soak -timeout 60m -soak.seeds=$(SEEDS) -soak.seed=$$(( $(SEED) % 100000 ))
+
 # The slopes that docs/CAPACITY.md is worked out from. Takes some minutes.
 slopes:
 	go test ./router ./validator ./server -run XXX -bench . -benchtime 500ms | grep -E '^(Benchmark|FAIL)'
