--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -36,6 +36,8 @@
 	RetryAfter time.Duration
 	// Expected is how long the first byte would have taken, 0 if unknown.
 	Expected time.Duration
+	// Passing refusals may be other in a moment, as engines read on.
+	Passing bool
 }
 
 func (r *Refusal) Error() string {
@@ -231,7 +233,7 @@
 		return nil, nil, &Refusal{Reason: "no_memory", RetryAfter: leastRetry}
 	}
 	if !d.Admitted && d.Patience > 0 && expected > d.Patience {
-		return nil, nil, &Refusal{Reason: "overloaded", Expected: expected, RetryAfter: min(mostRetry, max(leastRetry, expected-d.Patience/2))}
+		return nil, nil, &Refusal{Reason: "overloaded", Passing: true, Expected: expected, RetryAfter: min(mostRetry, max(leastRetry, expected-d.Patience/2))}
 	}
 	held, fits := memoryShares(d, best)
 	if !fits {
@@ -272,7 +274,7 @@
 	// refused for what it costs others.
 	heavyReading = time.Second
 	// drainFactor is in how many backlogs a refused caller is asked to return.
-	drainFactor = 2
+	drainFactor = 4
 )
 
 // dear refuses a prompt that would lose others more than it is worth. Cost is
@@ -291,7 +293,7 @@
 	if value(d)-cost-price > 0 {
 		return nil
 	}
-	return &Refusal{Reason: "too_dear", RetryAfter: min(mostRetry, max(leastRetry, drainFactor*backlog))}
+	return &Refusal{Reason: "too_dear", Passing: true, RetryAfter: min(mostRetry, max(leastRetry, drainFactor*backlog))}
 }
 
 // groupSizes lists how many engines may read a prompt. A short one is read by
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -13,6 +13,7 @@
 
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/matcher"
+	"github.com/sapphireramp/sapphireramp/sleeper"
 )
 
 // maxBuffered is the largest plain answer in bytes that is read whole before
@@ -44,6 +45,15 @@
 	return fail
 }
 
+const (
+	// waitPart is the part of its aim for which a request waits for a place
+	// before it is refused: a backlog falls that much in the time, and the
+	// caller, who seldom asks a third time, keeps its second try.
+	waitPart = 8
+	// waitPoll is how often it looks.
+	waitPoll = 25 * time.Millisecond
+)
+
 // place finds the next upstream for a request.
 func (f *Forwarder) place(x *exchange, d dispatcher.Demand) (*dispatcher.Placement, *failure) {
 	d.Service, d.Avoid, d.Alone = x.service, x.avoid, x.alone
@@ -51,6 +61,9 @@
 	d.Admitted = x.sent > 0
 	x.demand = d
 	p, refusal := f.board.Place(time.Now(), d)
+	for refusal != nil && refusal.Passing && time.Since(x.arrived) < x.route.FirstByteAim/waitPart && sleeper.Sleep(x.ctx, waitPoll) {
+		p, refusal = f.board.Place(time.Now(), d)
+	}
 	if refusal != nil {
 		return nil, notRun(refusal.Reason, refusal.RetryAfter, refusal)
 	}
