--- a/controller/controller.go
+++ b/controller/controller.go
@@ -23,6 +23,7 @@
 	"github.com/sapphireramp/sapphireramp/forwarder"
 	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/prober"
+	"github.com/sapphireramp/sapphireramp/sequencer"
 )
 
 // Store reads the platform's store. The functions fail where it can't be
@@ -75,11 +76,10 @@
 
 // Controller is the control side of an entry.
 type Controller struct {
-	config   Config
-	commands chan func(*state)
-	stopped  chan struct{}
-	current  atomic.Pointer[view]
-	pool     *connector.Pool
+	config  Config
+	control *sequencer.Sequencer[*state]
+	current atomic.Pointer[view]
+	pool    *connector.Pool
 	// pushes asks for heartbeats to all peers at once.
 	pushes chan struct{}
 	work   sync.WaitGroup
@@ -143,7 +143,7 @@
 // New returns a controller that knows nothing yet.
 func New(c Config) *Controller {
 	ctl := &Controller{
-		config: c, commands: make(chan func(*state)), stopped: make(chan struct{}), pool: connector.New(c.Dial),
+		config: c, control: sequencer.New[*state](), pool: connector.New(c.Dial),
 		pushes: make(chan struct{}, 1), metrics: newMetrics(c.Scope),
 	}
 	ctl.current.Store(&view{View: forwarder.View{Entries: 1}})
@@ -168,7 +168,7 @@
 		_ = shares.Close()
 		c.pool.Close()
 	})
-	c.runControl(ctx, s)
+	c.control.Run(ctx, s, tickTime, s.tick, s.publishDirty)
 	c.work.Wait()
 }
 
@@ -180,37 +180,13 @@
 	}()
 }
 
-func (c *Controller) runControl(ctx context.Context, s *state) {
-	defer close(c.stopped)
-	tick := time.NewTicker(tickTime)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case command := <-c.commands:
-			command(s)
-		case <-tick.C:
-			s.tick(time.Now())
-		}
-		if s.dirty {
-			s.publish()
-		}
-	}
-}
+// do runs a command on the control goroutine and waits for it.
+func (c *Controller) do(command func(*state)) { c.control.Do(command) }
 
-// do runs a command on the control goroutine and waits for it. After the
-// control goroutine has ended it does nothing.
-func (c *Controller) do(command func(*state)) {
-	done := make(chan struct{})
-	wrapped := func(s *state) {
-		defer close(done)
-		command(s)
-	}
-	select {
-	case c.commands <- wrapped:
-		<-done
-	case <-c.stopped:
+// publishDirty makes a new view where something changed.
+func (s *state) publishDirty() {
+	if s.dirty {
+		s.publish()
 	}
 }
 
--- /dev/null
+++ b/dispatcher/demand.go
@@ -0,0 +1,45 @@
+package dispatcher
+
+import (
+	"fmt"
+	"time"
+)
+
+// Demand is what a request needs.
+type Demand struct {
+	Service string
+	// Prompt and Answer are token counts; Prompt is 0 for plain services.
+	Prompt, Answer int
+	// FirstByteAim and PauseAim are those of the route.
+	FirstByteAim, PauseAim time.Duration
+	// Patience is how long the caller waits for the first byte.
+	Patience time.Duration
+	// Avoid lists the IDs of upstreams that failed the request.
+	Avoid []string
+	// Admitted requests were placed before and are not refused for what they
+	// cost or how long they wait.
+	Admitted bool
+	// Alone forbids helpers: a group has failed the request before.
+	Alone bool
+}
+
+// Refusal says that no upstream can serve a request now.
+type Refusal struct {
+	Reason string
+	// RetryAfter is when one is expected to.
+	RetryAfter time.Duration
+	// Expected is how long the first byte would have taken, 0 if unknown.
+	Expected time.Duration
+	// Passing refusals may be other in a moment, as engines read on.
+	Passing bool
+}
+
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s, expected %s, retry after %s", r.Reason, r.Expected, r.RetryAfter)
+}
+
+const (
+	// leastRetry and mostRetry bound what a refused caller is told.
+	leastRetry = 200 * time.Millisecond
+	mostRetry  = 3 * time.Second
+)
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -12,12 +12,6 @@
 // Limits of silence, beyond which an upstream counts as gone where the request
 // may be sent elsewhere.
 const (
-	// streamPatience, aimPatience and pausePatience are when the platform's
-	// callers abandon a stream after a gap: the longest of two seconds, four
-	// times the aim and eight times the pause.
-	streamPatience = 2 * time.Second
-	aimPatience    = 4
-	pausePatience  = 8
 	// silentPart is the part of a caller's patience that is spent on one
 	// upstream's silence. What is left is for the next, which takes a fifth of
 	// a second for a short prompt. Less would send many prompts twice whose
@@ -36,11 +30,6 @@
 	plainSilence = 2
 )
 
-// abandonAfter is the gap after which the caller leaves a stream.
-func abandonAfter(r *matcher.Route) time.Duration {
-	return max(streamPatience, aimPatience*r.FirstByteAim, pausePatience*r.PauseAim)
-}
-
 // watchdog ends an attempt whose upstream is silent for too long. All methods
 // may be called on nil.
 type watchdog struct {
@@ -68,7 +57,7 @@
 	w.limit = plainSilence * x.route.FirstByteAim
 	w.most = w.limit
 	if x.route.Kind == matcher.Stream {
-		abandon := float64(abandonAfter(x.route))
+		abandon := float64(matcher.AbandonAfter(x.route.FirstByteAim, x.route.PauseAim))
 		w.limit = time.Duration(silentPart * abandon)
 		w.most = time.Duration(busyPart * abandon)
 		w.busy = p.Busy
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -206,10 +206,3 @@
 	}
 	return n
 }
-
-// check holds one result against the promises.
-func (f *fleet) check(r caller.Result) {
-	for _, broken := range r.Broken(f.runs(r.ID), streamEvents) {
-		f.t.Error(broken)
-	}
-}
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"net/netip"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,58 +15,24 @@
 	"github.com/sapphireramp/sapphireramp/standin/worker"
 )
 
-// paths are one of each kind of request.
-var paths = []string{"/once/x", "/safe/x", "/stream/x", "/fixed/x"}
-
 // traffic is callers that ask steadily until they are told to stop.
 type traffic struct {
-	fleet   *fleet
-	round   int
-	stop    chan struct{}
-	work    sync.WaitGroup
-	lock    sync.Mutex
-	results []caller.Result
+	*caller.Traffic
+	fleet *fleet
 }
 
 func (f *fleet) traffic(callers int) *traffic {
 	f.rounds++
-	x := &traffic{fleet: f, round: f.rounds, stop: make(chan struct{})}
-	for n := range callers {
-		x.work.Add(1)
-		go x.ask(n)
-	}
-	return x
+	return &traffic{fleet: f, Traffic: caller.NewTraffic(fmt.Sprintf("t%d", f.rounds), callers, func(n int) *caller.Caller { return f.newCaller(uint64(n)) })}
 }
 
-func (x *traffic) ask(n int) {
-	defer x.work.Done()
-	c := x.fleet.newCaller(uint64(n))
-	defer c.Close()
-	for i := 0; ; i++ {
-		select {
-		case <-x.stop:
-			return
-		case <-time.After(time.Duration(20+n) * time.Millisecond):
-		}
-		r := c.Ask(paths[(n+i)%len(paths)], fmt.Sprintf("t%d-c%d-%d", x.round, n, i), "key-1", 4*time.Second)
-		x.lock.Lock()
-		x.results = append(x.results, r)
-		x.lock.Unlock()
-	}
-}
-
-// end stops the callers, checks the promises on every answer, and returns how
-// many were served.
+// end stops the callers, and fails the test for every broken promise.
 func (x *traffic) end() (served, asked int) {
-	close(x.stop)
-	x.work.Wait()
-	for _, r := range x.results {
-		x.fleet.check(r)
-		if r.Served() {
-			served++
-		}
+	served, asked, broken := x.End(x.fleet.runs, streamEvents)
+	for _, b := range broken {
+		x.fleet.t.Error(b)
 	}
-	return served, len(x.results)
+	return served, asked
 }
 
 func withFleet(t *testing.T, entries int, test func(is *is.I, f *fleet)) {
--- a/matcher/config.go
+++ b/matcher/config.go
@@ -69,6 +69,21 @@
 	return r.Kind == Idempotent || (r.Kind == Stream && r.Resumable)
 }
 
+// Callers of the platform abandon a stream after the longest of leastAbandon,
+// aimAbandon times the aim of its first event and pauseAbandon times the pause
+// that is on time, as the platform's pages say.
+const (
+	leastAbandon = 2 * time.Second
+	aimAbandon   = 4
+	pauseAbandon = 8
+)
+
+// AbandonAfter is the gap after which callers abandon a stream with an aim of
+// its first event, 0 once that has come, and an aim of its pauses.
+func AbandonAfter(firstByteAim, pauseAim time.Duration) time.Duration {
+	return max(leastAbandon, aimAbandon*firstByteAim, pauseAbandon*pauseAim)
+}
+
 // Engine is how the model engines of a service work. All of its figures come
 // from the configuration.
 type Engine struct {
--- a/server/control.go
+++ b/server/control.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
@@ -110,35 +109,12 @@
 
 // do runs a command on the control goroutine and waits for it. After the
 // control goroutine has ended it does nothing.
-func (s *Server) do(command func(*control)) {
-	done := make(chan struct{})
-	wrapped := func(c *control) {
-		defer close(done)
-		command(c)
-	}
-	select {
-	case s.commands <- wrapped:
-		<-done
-	case <-s.stopped:
-	}
-}
+func (s *Server) do(command func(*control)) { s.control.Do(command) }
 
-func (s *Server) runControl(ctx context.Context, c *control) {
-	defer close(s.stopped)
-	tick := time.NewTicker(tickTime)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case command := <-s.commands:
-			command(c)
-		case <-tick.C:
-			c.tick(time.Now())
-		}
-		if c.dirty {
-			c.publish()
-		}
+// publishDirty makes a new view where something changed.
+func (c *control) publishDirty() {
+	if c.dirty {
+		c.publish()
 	}
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -25,6 +25,7 @@
 	"github.com/sapphireramp/sapphireramp/loader"
 	"github.com/sapphireramp/sapphireramp/logger"
 	"github.com/sapphireramp/sapphireramp/sealer"
+	"github.com/sapphireramp/sapphireramp/sequencer"
 )
 
 // Config of an entry. Every field is needed but for Dial and Listen.
@@ -50,13 +51,11 @@
 	metrics  metrics
 	logs     logs
 
-	// commands reach the control goroutine, the only one that touches its
-	// state.
-	commands chan func(*control)
+	// control runs commands on the control goroutine, the only one that
+	// touches its state.
+	control *sequencer.Sequencer[*control]
 	// parsing is held while a document is parsed.
 	parsing chan struct{}
-	// stopped is closed once the control goroutine has ended.
-	stopped chan struct{}
 	// current is the view in force; it is replaced, never changed.
 	current atomic.Pointer[view]
 
@@ -115,9 +114,8 @@
 	s := &Server{
 		config:   c,
 		settings: c.Settings,
-		commands: make(chan func(*control)),
+		control:  sequencer.New[*control](),
 		parsing:  make(chan struct{}, 1),
-		stopped:  make(chan struct{}),
 		peers:    connector.New(dial),
 		engines:  &http.Client{Transport: newTransport(dial, false), Timeout: engineCallTimeout},
 		traffic:  &http.Client{Transport: newTransport(dial, false)},
@@ -213,7 +211,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c := newControl(s, secret)
-	go s.runControl(ctx, c)
+	go s.control.Run(ctx, c, tickTime, c.tick, c.publishDirty)
 
 	s.goRun(ctx, s.servePeers)
 	s.goRun(ctx, s.beat)
@@ -241,7 +239,7 @@
 	_ = s.peerListener.Close()
 	s.peers.Close()
 	s.work.Wait()
-	<-s.stopped
+	<-s.control.Stopped()
 	s.logs.entry.Info("stopped", zap.String("name", s.settings.Name))
 	return nil
 }
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -291,59 +291,23 @@
 	return n
 }
 
-// traffic is callers that ask steadily until they are told to stop.
-type traffic struct {
-	fleet   *fleet
-	name    string
-	stop    chan struct{}
-	work    sync.WaitGroup
-	lock    sync.Mutex
-	results []caller.Result
-}
-
-func (f *fleet) traffic(name string, callers int) *traffic {
-	x := &traffic{fleet: f, name: name, stop: make(chan struct{})}
-	for n := range callers {
-		x.work.Add(1)
-		go x.ask(n)
-	}
-	return x
-}
-
-func (x *traffic) ask(n int) {
-	defer x.work.Done()
+// traffic starts callers that ask steadily until they are told to stop.
+func (f *fleet) traffic(name string, callers int) *caller.Traffic {
 	var directories []netip.AddrPort
-	for _, e := range x.fleet.entries {
+	for _, e := range f.entries {
 		directories = append(directories, netip.AddrPortFrom(e.host, directoryPort))
 	}
 	dialer := net.Dialer{Timeout: time.Second}
-	c := caller.New(directories, uint64(x.fleet.seed*100+n), dialer.DialContext)
-	defer c.Close()
-	paths := []string{"/once/x", "/safe/x", "/stream/x", "/fixed/x"}
-	for i := 0; ; i++ {
-		select {
-		case <-x.stop:
-			return
-		case <-time.After(time.Duration(20+n) * time.Millisecond):
-		}
-		r := c.Ask(paths[(n+i)%len(paths)], fmt.Sprintf("%s-%d-%d", x.name, n, i), "key-1", 5*time.Second)
-		x.lock.Lock()
-		x.results = append(x.results, r)
-		x.lock.Unlock()
-	}
+	return caller.NewTraffic(name, callers, func(n int) *caller.Caller {
+		return caller.New(directories, uint64(f.seed*100+n), dialer.DialContext)
+	})
 }
 
-// end stops the callers and holds every answer against the promises.
-func (x *traffic) end() (served, asked int) {
-	close(x.stop)
-	x.work.Wait()
-	for _, r := range x.results {
-		for _, broken := range r.Broken(x.fleet.runs(r.ID), streamEvents) {
-			x.fleet.t.Errorf("seed %d: %s", x.fleet.seed, broken)
-		}
-		if r.Served() {
-			served++
-		}
+// endTraffic stops the callers, and fails the test for every broken promise.
+func (f *fleet) endTraffic(x *caller.Traffic) (served, asked int) {
+	served, asked, broken := x.End(f.runs, streamEvents)
+	for _, b := range broken {
+		f.t.Errorf("seed %d: %s", f.seed, b)
 	}
-	return served, len(x.results)
+	return served, asked
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -162,13 +162,13 @@
 	for _, end := range ends {
 		end()
 	}
-	served, asked := x.end()
+	served, asked := f.endTraffic(x)
 	t.Logf("seed %d: %d of %d served under faults", seed, served, asked)
 	f.awaitReady(5 * time.Second)
 	time.Sleep(5 * time.Second) // what was avoided for its failures is tried again
 	calm := f.traffic("calm", 4)
 	time.Sleep(2 * time.Second)
-	served, asked = calm.end()
+	served, asked = f.endTraffic(calm)
 	if served < asked || asked == 0 {
 		t.Errorf("seed %d: after the faults %d of %d are served", seed, served, asked)
 	}
