--- a/api/entry.go
+++ b/api/entry.go
@@ -81,7 +81,7 @@
 	Heard bool
 }
 
-// Notice is word of an instance's state, passed between entries. A notice
+// Notice is news of an instance's state, passed between entries. A notice
 // about an incarnation never applies to a later one.
 type Notice struct {
 	Kind        string
@@ -157,11 +157,11 @@
 	Reason  string
 	// Wait is how long the prompt would queue before its prefill starts.
 	Wait time.Duration
-	// Load is the keeper's reckoning of the engine asked for.
+	// Load is the keeper's estimate of the engine asked for.
 	Load LoadDigest
 }
 
-// LoadDigest is the load of one engine as its keeper reckons it.
+// LoadDigest is the load of one engine as its keeper estimates it.
 type LoadDigest struct {
 	Engine      string
 	Incarnation uint64
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -6,7 +6,7 @@
 
 import "github.com/sapphireramp/sapphireramp/api"
 
-// Source of the word that an upstream is leaving.
+// Source of the notice that an upstream is leaving.
 type Source string
 
 // The sources.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -28,7 +28,7 @@
 	PrefillRate  int
 }
 
-// Ask is a wish to start an attempt.
+// Ask is a request to start an attempt.
 type Ask struct {
 	AttemptID string
 	// Model is the one that the attempt needs loaded.
@@ -82,7 +82,7 @@
 	used int
 	// grants are given and not yet listed. No id is in both grants and holds.
 	grants map[string]grant
-	// backlog is the reckoned prompt tokens not yet prefilled, by class, at
+	// backlog is the estimated prompt tokens not yet prefilled, by class, at
 	// backlogAt. None is negative.
 	backlog   [router.Classes]float64
 	backlogAt time.Time
@@ -180,7 +180,7 @@
 	}
 }
 
-// drain reckons how far the engine has come with its backlog, the shorter
+// drain estimates how far the engine has come with its backlog, the shorter
 // classes first.
 func (k *Keeper) drain(now time.Time) {
 	done := max(0, now.Sub(k.backlogAt).Seconds()*float64(k.config.PrefillRate))
@@ -239,7 +239,7 @@
 	return ""
 }
 
-// Wait reckons how long a prompt of the class would queue.
+// Wait estimates how long a prompt of the class would queue.
 func (k *Keeper) Wait(now time.Time, class router.Class) time.Duration {
 	k.drain(now)
 	return rateTime(float64(k.queue().Before(class)), k.config.PrefillRate)
@@ -290,7 +290,7 @@
 // Grants is how many grants the engine does not list yet.
 func (k *Keeper) Grants() int { return len(k.grants) }
 
-// Digest is an engine's load as its keeper reckons it.
+// Digest is an engine's load as its keeper estimates it.
 type Digest struct {
 	Engine      string
 	Incarnation uint64
@@ -299,7 +299,7 @@
 	FreeTokens  int
 }
 
-// Digest is the engine's load as reckoned now.
+// Digest is the engine's load as estimated now.
 func (k *Keeper) Digest(now time.Time) Digest {
 	k.drain(now)
 	return Digest{
--- a/predictor/predictor.go
+++ b/predictor/predictor.go
@@ -1,4 +1,4 @@
-// Package predictor reckons with how a model engine works, from the figures in
+// Package predictor models how an engine works, from the figures in
 // the configuration: how long a prompt takes to read, how long a pass takes
 // while answers are written, and what reading more does to those answers. It
 // keeps nothing and does no I/O.
--- a/prober/example_test.go
+++ b/prober/example_test.go
@@ -94,8 +94,8 @@
 	return n
 }
 
-// At the target's size and with three neighbours each, word of a death
-// reaches everyone in a few rounds, and so does word of a return.
+// At the target's size and with three neighbours each, news of a death
+// reaches everyone in a few rounds, and so does news of a return.
 func TestDeathSpreads(t *testing.T) {
 	is := is.New(t)
 	const size = 380
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -2,7 +2,7 @@
 // alive. Each entry sends heartbeats to a few others, so its traffic does not
 // grow with the fleet: half go to its successors on a ring of hashed names, so
 // that everyone is watched by somebody, and half to members drawn anew for
-// every round, so that word of a death or a leaving, which rides on the
+// every round, so that news of a death or a leaving, which rides on the
 // heartbeats, reaches all in a number of rounds that grows with the logarithm
 // of the fleet.
 //
@@ -204,7 +204,7 @@
 	return []Change{c}
 }
 
-// Notice takes in word of an instance. New word is passed on.
+// Notice takes in news of an instance. News is passed on.
 func (p *Prober) Notice(now time.Time, n api.Notice) []Change {
 	if r, known := p.rumours[n]; known {
 		r.heard = now
@@ -268,7 +268,7 @@
 	return ok
 }
 
-// Notices returns the word to send with the next heartbeat.
+// Notices returns the notices to send with the next heartbeat.
 func (p *Prober) Notices() []api.Notice {
 	var out []api.Notice
 	for _, r := range p.rumours {
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -13,7 +13,7 @@
 type Candidate struct {
 	Name       string
 	DataCentre string
-	// FreeTokens is the memory reckoned to be free.
+	// FreeTokens is the memory estimated to be free.
 	FreeTokens int
 	// MemoryTokens is all the engine's memory.
 	MemoryTokens int
--- a/router/bench_test.go
+++ b/router/bench_test.go
@@ -28,7 +28,7 @@
 			b.ReportAllocs()
 			b.RunParallel(func(pb *testing.PB) {
 				random := rand.New(rand.NewPCG(1, 2))
-				w := Wish{Model: "model-1", PrefillTokens: 1000, MemoryTokens: 1100}
+				w := Requirements{Model: "model-1", PrefillTokens: 1000, MemoryTokens: 1100}
 				for pb.Next() {
 					board.Choose(now, Predicted, w, 3, random)
 				}
--- a/router/example_test.go
+++ b/router/example_test.go
@@ -18,7 +18,7 @@
 	busy.Load.Heard(now, router.Queue{500}, 500)
 	board := router.NewBoard([]*router.Engine{busy, idle})
 	random := rand.New(rand.NewPCG(1, 1))
-	for _, c := range board.Choose(now, router.Predicted, router.Wish{Model: "m", PrefillTokens: 100, MemoryTokens: 100}, 2, random) {
+	for _, c := range board.Choose(now, router.Predicted, router.Requirements{Model: "m", PrefillTokens: 100, MemoryTokens: 100}, 2, random) {
 		fmt.Println(c.Engine.Name, c.Predicted)
 	}
 	// Output:
@@ -32,15 +32,15 @@
 	large := &router.Engine{Name: "large", Model: "m", Version: "2", Adapters: []string{"x"}, MemoryTokens: 100, Load: &router.Load{}}
 	board := router.NewBoard([]*router.Engine{small, large})
 	for _, policy := range []router.Policy{router.Predicted, router.PowerOfTwo, router.FewestOwn, router.RoundRobin, router.RandomOrder} {
-		choose := func(w router.Wish) int {
+		choose := func(w router.Requirements) int {
 			w.Model = "m"
 			return len(board.Choose(time.Now(), policy, w, 3, rand.New(rand.NewPCG(1, 1))))
 		}
-		is.Equal(choose(router.Wish{}), 2)
-		is.Equal(choose(router.Wish{MemoryTokens: 50}), 1)
-		is.Equal(choose(router.Wish{Version: "1"}), 1)
-		is.Equal(choose(router.Wish{Adapter: "x"}), 1)
-		is.Equal(choose(router.Wish{Avoid: []string{"small", "large"}}), 0)
+		is.Equal(choose(router.Requirements{}), 2)
+		is.Equal(choose(router.Requirements{MemoryTokens: 50}), 1)
+		is.Equal(choose(router.Requirements{Version: "1"}), 1)
+		is.Equal(choose(router.Requirements{Adapter: "x"}), 1)
+		is.Equal(choose(router.Requirements{Avoid: []string{"small", "large"}}), 0)
 	}
 }
 
@@ -52,7 +52,7 @@
 	fast := &router.Engine{Name: "fast", Model: "m", MemoryTokens: 1000, PrefillRate: 100, Load: &router.Load{}}
 	board := router.NewBoard([]*router.Engine{slow, fast})
 	first := func(now time.Time) string {
-		w := router.Wish{Model: "m", PrefillTokens: 100, MemoryTokens: 100, AnswerTokens: 100}
+		w := router.Requirements{Model: "m", PrefillTokens: 100, MemoryTokens: 100, AnswerTokens: 100}
 		return board.Choose(now, router.Predicted, w, 2, rand.New(rand.NewPCG(1, 1)))[0].Engine.Name
 	}
 	is.Equal(first(now), "slow")
--- a/router/router.go
+++ b/router/router.go
@@ -144,8 +144,8 @@
 // changed.
 func (b *Board) Serving(model string) []*Engine { return b.engines[model] }
 
-// Wish is what a prompt needs.
-type Wish struct {
+// Requirements is what a prompt needs.
+type Requirements struct {
 	Model   string
 	Adapter string
 	// Version, where not empty, is the only one that will do: an answer is
@@ -165,14 +165,14 @@
 // Choice is one engine to ask, in order of preference.
 type Choice struct {
 	Engine *Engine
-	// Predicted is the reckoned time to first token and, for an engine much
+	// Predicted is the estimated time to first token and, for an engine much
 	// slower than others at the tokens that follow, the time lost by that.
 	Predicted time.Duration
 }
 
 // Choose returns at most most engines to ask, best first. It returns none
 // when no engine fits.
-func (b *Board) Choose(now time.Time, policy Policy, w Wish, most int, random *rand.Rand) []Choice {
+func (b *Board) Choose(now time.Time, policy Policy, w Requirements, most int, random *rand.Rand) []Choice {
 	serving := b.engines[w.Model]
 	choices := make([]Choice, 0, min(len(serving), sampled))
 	start := 0
@@ -200,7 +200,7 @@
 	return choices[:min(most, len(choices))]
 }
 
-func (e *Engine) fits(w Wish) bool {
+func (e *Engine) fits(w Requirements) bool {
 	if w.MemoryTokens > e.MemoryTokens || slices.Contains(w.Avoid, e.Name) {
 		return false
 	}
@@ -210,7 +210,7 @@
 	return w.Adapter == "" || slices.Contains(e.Adapters, w.Adapter)
 }
 
-// Predict reckons the time to first token of a prompt on the engine: what the
+// Predict estimates the time to first token of a prompt on the engine: what the
 // keeper said was queued before it, less what was prefilled since, or what
 // this entry sent, whichever is more.
 func (e *Engine) Predict(now time.Time, class Class, prefill int) time.Duration {
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -178,7 +178,7 @@
 }
 
 // timings are the periods that a scenario may choose: fast ones, so that it
-// need not wait, and those that docs/CAPACITY.md reckons with.
+// need not wait, and those that docs/CAPACITY.md takes into account.
 var timings = map[string]struct{ level, periods string }{
 	"fast":   {"debug", "Heartbeat: 100ms, Suspect: 800ms, Poll: 100ms, List: 200ms"},
 	"target": {"info", "Heartbeat: 2s, Neighbours: 3, Suspect: 6s, Poll: 1s, List: 10s"},
--- a/server/complete.go
+++ b/server/complete.go
@@ -94,7 +94,7 @@
 // attempt places the prompt once and relays what comes. It returns nil when
 // the answer is whole.
 func (c *completion) attempt() *failure {
-	w := c.wish()
+	w := c.requirements()
 	if c.needsGroup(w) {
 		return c.attemptGroup(w)
 	}
@@ -105,10 +105,10 @@
 	return c.run(c.x.ctx, run{engine: engine, attemptID: attemptID})
 }
 
-func (c *completion) wish() router.Wish {
+func (c *completion) requirements() router.Requirements {
 	r := c.x.completion
 	prompt := api.PromptTokens(len(r.Prompt))
-	return router.Wish{
+	return router.Requirements{
 		Model: r.Model, Adapter: r.Adapter, Version: c.version, Class: c.class(),
 		PrefillTokens: prompt + c.relayer.Delivered(), MemoryTokens: prompt + r.MaxTokens, AnswerTokens: r.MaxTokens, Avoid: c.tried,
 	}
@@ -124,7 +124,7 @@
 }
 
 // needsGroup reports whether no single engine of the model holds the prompt.
-func (c *completion) needsGroup(w router.Wish) bool {
+func (c *completion) needsGroup(w router.Requirements) bool {
 	for _, e := range c.x.view.accepted.Document.Engines {
 		if e.Model == w.Model && e.MemoryTokens >= w.MemoryTokens {
 			return false
@@ -134,7 +134,7 @@
 }
 
 // place finds an engine whose keeper grants the attempt.
-func (c *completion) place(w router.Wish) (*router.Engine, string, *failure) {
+func (c *completion) place(w router.Requirements) (*router.Engine, string, *failure) {
 	x := c.x
 	p := placer.New(time.Now(), x.left(), c.random)
 	attemptID := newID()
@@ -159,7 +159,7 @@
 
 // choose orders the engines to ask. When every engine failed the request
 // once, all are tried again, as one may be back.
-func (c *completion) choose(w *router.Wish) []router.Choice {
+func (c *completion) choose(w *router.Requirements) []router.Choice {
 	board := c.x.server.current.Load().board
 	choices := board.Choose(time.Now(), router.Predicted, *w, maxAsked, c.random)
 	if len(choices) == 0 && len(c.tried) > 0 {
@@ -169,7 +169,7 @@
 	return choices
 }
 
-func (c *completion) ask(choice router.Choice, w router.Wish, attemptID string) keeper.Answer {
+func (c *completion) ask(choice router.Choice, w router.Requirements, attemptID string) keeper.Answer {
 	x := c.x
 	answer := x.server.ask(x.ctx, choice.Engine, api.AskArgs{
 		Engine: choice.Engine.Name, Model: w.Model, AttemptID: attemptID, Class: int(w.Class),
@@ -180,7 +180,7 @@
 }
 
 // notPlaced is the refusal of a prompt that was given up.
-func (c *completion) notPlaced(kind placer.Kind, w router.Wish) *failure {
+func (c *completion) notPlaced(kind placer.Kind, w router.Requirements) *failure {
 	f := fail(api.CodeNoUpstream, "no engine serves model %s now", w.Model)
 	switch kind {
 	case placer.NoRoom:
@@ -192,7 +192,7 @@
 	return f
 }
 
-func (x *exchange) logRoute(choice router.Choice, answer keeper.Answer, w router.Wish) {
+func (x *exchange) logRoute(choice router.Choice, answer keeper.Answer, w router.Requirements) {
 	x.server.logs.route.Info("route", zap.String("request", x.id), zap.String("organisation", x.organisation.Name),
 		zap.String("model", w.Model), zap.Int("tokens", w.PrefillTokens), zap.String("engine", choice.Engine.Name),
 		zap.String("keeper", choice.Engine.Keeper), zap.Bool("granted", answer.Granted), zap.String("reason", string(answer.Reason)),
--- a/server/filters.go
+++ b/server/filters.go
@@ -34,10 +34,10 @@
 	mux.HandleFunc("POST "+api.PathCompletions, s.serve(complete))
 	mux.HandleFunc("POST "+api.PathServices+"{service}/{call}", s.serve(call))
 	mux.HandleFunc("POST "+api.PathTickets, s.serve(ticket))
-	mux.HandleFunc("GET "+api.PathAddresses, s.giveAddresses)
-	mux.HandleFunc("GET "+api.PathStatus, s.giveStatus)
-	mux.HandleFunc("GET "+api.PathHealth, s.giveHealth)
-	mux.HandleFunc("GET "+api.PathReady, s.giveReady)
+	mux.HandleFunc("GET "+api.PathAddresses, s.handleAddresses)
+	mux.HandleFunc("GET "+api.PathStatus, s.handleStatus)
+	mux.HandleFunc("GET "+api.PathHealth, s.handleHealth)
+	mux.HandleFunc("GET "+api.PathReady, s.handleReady)
 	mux.Handle("GET "+api.PathMetrics, s.config.Metrics)
 	return mux
 }
--- a/server/group.go
+++ b/server/group.go
@@ -20,7 +20,7 @@
 )
 
 // attemptGroup runs a prompt that no single engine holds on a group.
-func (c *completion) attemptGroup(w router.Wish) *failure {
+func (c *completion) attemptGroup(w router.Requirements) *failure {
 	x := c.x
 	patience := time.Now().Add(x.left() / groupPatience)
 	ctx, cancel := context.WithCancelCause(x.ctx)
@@ -41,7 +41,7 @@
 
 // reserve takes every share of a group, or none. Lost is called when an
 // engine turns out to have lost its share later.
-func (c *completion) reserve(ctx context.Context, w router.Wish, lost func()) (*reserver.Reserver, *failure) {
+func (c *completion) reserve(ctx context.Context, w router.Requirements, lost func()) (*reserver.Reserver, *failure) {
 	x := c.x
 	s := x.server
 	shares, err := reserver.Plan(c.candidates(w), w.MemoryTokens, x.view.accepted.Document.Limits.MaxGroup, newID)
@@ -75,7 +75,7 @@
 	return names
 }
 
-func (c *completion) candidates(w router.Wish) []reserver.Candidate {
+func (c *completion) candidates(w router.Requirements) []reserver.Candidate {
 	var out []reserver.Candidate
 	for _, e := range c.x.server.current.Load().board.Serving(w.Model) {
 		if slices.Contains(w.Avoid, e.Name) || (w.Version != "" && e.Version != w.Version) {
@@ -123,7 +123,7 @@
 	if !ok {
 		return false, false
 	}
-	s.holdOn(share.Engine, share.HoldID, lost)
+	s.registerHold(share.Engine, share.HoldID, lost)
 	data, err := json.Marshal(api.EngineHold{
 		ID: share.HoldID, Owner: s.settings.Name, Incarnation: s.config.Incarnation, Kind: api.HoldGroup, Tokens: share.Tokens,
 	})
@@ -143,14 +143,14 @@
 		return true, false
 	}
 	engine.Load.Free.Store(0)
-	s.letGo(share.Engine, share.HoldID)
+	s.releaseHold(share.Engine, share.HoldID)
 	return false, false
 }
 
 // releaseShare gives memory back. One that can't be reached is left to the
 // engine's keeper, since nobody renews it any more.
 func (s *Server) releaseShare(share reserver.Share) {
-	s.letGo(share.Engine, share.HoldID)
+	s.releaseHold(share.Engine, share.HoldID)
 	u, ok := s.current.Load().engines[share.Engine]
 	if !ok {
 		return
--- a/server/peers.go
+++ b/server/peers.go
@@ -74,13 +74,13 @@
 	return nil
 }
 
-// Ask answers a wish to start an attempt on an engine that this entry keeps.
+// Ask answers a request to start an attempt on an engine that this entry keeps.
 func (e *Entry) Ask(args api.AskArgs, reply *api.AskReply) error {
 	e.server.do(func(c *control) { *reply = c.ask(time.Now(), args) })
 	return nil
 }
 
-// ask decides on a wish for an engine that this entry keeps.
+// ask decides on a request for an engine that this entry keeps.
 func (c *control) ask(now time.Time, args api.AskArgs) api.AskReply {
 	k, ok := c.keepers[args.Engine]
 	if !ok {
--- a/server/renew.go
+++ b/server/renew.go
@@ -26,9 +26,9 @@
 	lost func()
 }
 
-// holdOn notes a hold that is to be renewed until letGo; lost is called when
+// registerHold notes a hold that is to be renewed until releaseHold; lost is called when
 // the engine turns out not to have it.
-func (s *Server) holdOn(engine, id string, lost func()) {
+func (s *Server) registerHold(engine, id string, lost func()) {
 	s.do(func(c *control) {
 		if c.holds[engine] == nil {
 			c.holds[engine] = map[string]*holding{}
@@ -37,7 +37,7 @@
 	})
 }
 
-func (s *Server) letGo(engine, id string) {
+func (s *Server) releaseHold(engine, id string) {
 	s.do(func(c *control) {
 		delete(c.holds[engine], id)
 		if len(c.holds[engine]) == 0 {
--- a/server/status.go
+++ b/server/status.go
@@ -15,18 +15,18 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// giveAddresses answers a caller that asks which entries to use.
-func (s *Server) giveAddresses(w http.ResponseWriter, _ *http.Request) {
+// handleAddresses answers a caller that asks which entries to use.
+func (s *Server) handleAddresses(w http.ResponseWriter, _ *http.Request) {
 	v := s.current.Load()
 	writeJSON(w, api.Addresses{Entries: v.takers, LifeSeconds: s.settings.Callers.AddressLife.Seconds()})
 }
 
-func (s *Server) giveHealth(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) handleHealth(w http.ResponseWriter, _ *http.Request) {
 	s.do(func(*control) {}) // a control goroutine that hangs shows here
 	_, _ = w.Write([]byte("ok\n"))
 }
 
-func (s *Server) giveReady(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) handleReady(w http.ResponseWriter, _ *http.Request) {
 	v := s.current.Load()
 	if !v.ready || v.stopping {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -36,8 +36,8 @@
 	_, _ = w.Write([]byte("ready\n"))
 }
 
-// giveStatus tells an operator what this entry believes.
-func (s *Server) giveStatus(w http.ResponseWriter, _ *http.Request) {
+// handleStatus tells an operator what this entry believes.
+func (s *Server) handleStatus(w http.ResponseWriter, _ *http.Request) {
 	var status api.Status
 	s.do(func(c *control) { status = c.status(time.Now()) })
 	status.Violations = s.asserter.Violations()
--- a/server/stream.go
+++ b/server/stream.go
@@ -23,8 +23,8 @@
 // maxEvent bounds one server-sent event of an engine.
 const maxEvent = 1 << 20
 
-// prefillSlack multiplies the reckoned prefill time in waiting for a first
-// token, as the reckoning may be off.
+// prefillSlack multiplies the estimated prefill time in waiting for a first
+// token, as the estimate may be off.
 const prefillSlack = 3
 
 // run is one attempt on an engine.
@@ -51,8 +51,8 @@
 	c.tried = append(c.tried, r.engine.Name)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.holdOn(r.engine.Name, r.attemptID, func() { cancel(errHoldLost) })
-	defer s.letGo(r.engine.Name, r.attemptID)
+	s.registerHold(r.engine.Name, r.attemptID, func() { cancel(errHoldLost) })
+	defer s.releaseHold(r.engine.Name, r.attemptID)
 	load := r.engine.Load
 	prefill := int64(api.PromptTokens(len(x.completion.Prompt)))
 	load.OwnFlight.Add(1)
@@ -179,9 +179,9 @@
 func (c *completion) read(ctx context.Context, cancel context.CancelCauseFunc, r run, body io.Reader, first func()) *failure {
 	silence := c.x.server.settings.Timing.Silence
 	prefill := router.Engine{PrefillRate: r.engine.PrefillRate * max(1, r.speed), Load: &router.Load{}}
-	reckoned := prefill.Predict(time.Now(), router.Longest, api.PromptTokens(len(c.x.completion.Prompt))) +
+	estimated := prefill.Predict(time.Now(), router.Longest, api.PromptTokens(len(c.x.completion.Prompt))) +
 		r.engine.Predict(time.Now(), router.Longest, 0)
-	quiet := time.AfterFunc(silence+prefillSlack*reckoned, func() { cancel(errSilent) })
+	quiet := time.AfterFunc(silence+prefillSlack*estimated, func() { cancel(errSilent) })
 	defer quiet.Stop()
 	pace := pace{from: c.relayer.Delivered()}
 	defer func() { pace.note(r.engine.Load, c.relayer.Delivered()) }()
--- a/standin/measurer/fleet.go
+++ b/standin/measurer/fleet.go
@@ -33,7 +33,7 @@
 	Ask bool
 	// Priority has engines schedule shorter prompts first.
 	Priority bool
-	// Classes has queues reckoned by class.
+	// Classes has queues estimated by class.
 	Classes bool
 	// Pace has entries go by how fast engines were.
 	Pace bool
--- a/standin/measurer/request.go
+++ b/standin/measurer/request.go
@@ -84,7 +84,7 @@
 	step := r.placer.Next(f.now)
 	switch step.Kind {
 	case placer.Choose:
-		w := router.Wish{Model: "model", Class: f.class(r), PrefillTokens: r.tokens, MemoryTokens: r.tokens + r.answer, AnswerTokens: r.answer, Avoid: r.tried}
+		w := router.Requirements{Model: "model", Class: f.class(r), PrefillTokens: r.tokens, MemoryTokens: r.tokens + r.answer, AnswerTokens: r.answer, Avoid: r.tried}
 		r.placer.Round(r.entry.board.Choose(f.now, f.options.Policy, w, maxAsked, f.random))
 		f.place(r)
 	case placer.Ask:
@@ -155,7 +155,7 @@
 	return router.Priority(f.level(r), shortWeight)
 }
 
-// class is what the queue is reckoned by: all one where engines go by order
+// class is what the queue is estimated by: all one where engines go by order
 // of arrival.
 func (f *fleet) class(r *request) router.Class {
 	if !f.options.Classes {
