--- a/api/entry.go
+++ b/api/entry.go
@@ -44,6 +44,9 @@
 	Stopping    bool
 	Revision    uint64
 	Digest      string
+	// Confirmed is how long ago the platform last confirmed what is believed of
+	// it; negative where it never did. Entries on the users' platform only.
+	Confirmed time.Duration `json:",omitempty"`
 	// Superseded lists digests that lost to another document of the same
 	// revision.
 	Superseded []string
@@ -77,6 +80,10 @@
 	Holds        int
 	Grants       int
 	InFlight     int
+	// Service and Failures are of upstreams on the users' platform: the part of
+	// requests that is expected to fail there, from 0 to 1.
+	Service  string  `json:",omitempty"`
+	Failures float64 `json:",omitempty"`
 	// Heard says that the entry asked keeps the engine and has listed it.
 	Heard bool
 }
--- /dev/null
+++ b/controller/status.go
@@ -0,0 +1,42 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/sapphireramp/sapphireramp/api"
+)
+
+// Status is what this entry believes, for operators.
+func (c *Controller) Status() api.Status {
+	var status api.Status
+	c.do(func(s *state) { status = s.status(time.Now()) })
+	for _, row := range c.config.Board.Rows(time.Now()) {
+		status.Engines = append(status.Engines, api.EngineStatus{
+			Name: row.Instance.ID, Service: row.Instance.Service, Address: row.Instance.Address, DataCentre: row.Instance.DataCentre,
+			State: api.InstanceLive, MemoryTokens: row.MemoryTokens, UsedTokens: row.Load.Tokens, InFlight: row.Load.Running,
+			Failures: row.Failures,
+		})
+	}
+	status.Violations = c.config.Asserter.Violations()
+	return status
+}
+
+func (s *state) status(now time.Time) api.Status {
+	c := s.controller.config
+	_, revision := s.follower.Config()
+	status := api.Status{
+		Name: c.Name, DataCentre: c.DataCentre, Incarnation: c.Incarnation, Ready: s.table != nil && !s.stopping,
+		Stopping: s.stopping, Revision: uint64(revision), Confirmed: -1,
+	}
+	if age, ok := s.follower.ConfirmedAge(now); ok {
+		status.Confirmed = age
+	}
+	for _, m := range s.prober.Members() {
+		line := api.MemberStatus{Name: m.Name, State: string(m.State), Incarnation: m.Incarnation}
+		if !m.Heard.IsZero() {
+			line.Heard = now.Sub(m.Heard)
+		}
+		status.Members = append(status.Members, line)
+	}
+	return status
+}
--- /dev/null
+++ b/dispatcher/status.go
@@ -0,0 +1,41 @@
+package dispatcher
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Row is what the board holds of one upstream.
+type Row struct {
+	Instance Instance
+	// Load is that of all entries, as far as this one knows.
+	Load Load
+	// MemoryTokens is an engine's memory; 0 for plain services.
+	MemoryTokens int
+	// Failures is the part of requests that is expected to fail.
+	Failures float64
+}
+
+// Rows returns all upstreams that may get work, by service and ID.
+func (b *Board) Rows(now time.Time) []Row {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	var rows []Row
+	for _, workers := range b.services {
+		for _, w := range workers {
+			row := Row{Instance: w.instance, Load: w.all(now), Failures: w.health.rate(now)}
+			if w.engine != nil {
+				row.MemoryTokens = w.engine.MemoryTokens
+			}
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(x, y Row) int {
+		if c := strings.Compare(x.Instance.Service, y.Instance.Service); c != 0 {
+			return c
+		}
+		return strings.Compare(x.Instance.ID, y.Instance.ID)
+	})
+	return rows
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -16,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/budgeter"
 	"github.com/sapphireramp/sapphireramp/connector"
@@ -171,7 +173,7 @@
 		{c.Callers, l.callers},
 		{c.Ready, &http.Server{Handler: c.ReadyHandler(l.controller.Ready), ReadHeaderTimeout: headerTimeout}},
 		{c.Directory, &http.Server{Handler: c.DirectoryHandler(c.AddressLife, l.controller.Addresses), ReadHeaderTimeout: headerTimeout}},
-		{c.Metrics, &http.Server{Handler: c.MetricsPage, ReadHeaderTimeout: headerTimeout}},
+		{c.Metrics, &http.Server{Handler: l.operatorPages(), ReadHeaderTimeout: headerTimeout}},
 	}
 	for _, s := range servers {
 		if !s.address.IsValid() {
@@ -191,6 +193,21 @@
 	return nil
 }
 
+// operatorPages are the metrics, and what the entry believes.
+func (l *Launcher) operatorPages() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+api.PathMetrics, l.config.MetricsPage)
+	mux.HandleFunc("GET "+api.PathStatus, func(w http.ResponseWriter, _ *http.Request) {
+		status := l.controller.Status()
+		status.InFlight = l.forwarder.InFlight()
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(status); err != nil {
+			l.config.Log.Debug("status_not_sent", zap.Error(err))
+		}
+	})
+	return mux
+}
+
 // stop takes the entry out of the directory, serves callers that still have
 // its address, and returns when nothing is in progress or time is up.
 func (l *Launcher) stop() {
--- a/logger/events.go
+++ b/logger/events.go
@@ -35,6 +35,7 @@
 	{"share_not_read", "Another entry's load was not received (debug).", []string{"error"}},
 	{"share_not_sent", "This entry's load was not sent to one other (debug).", []string{"peer", "error"}},
 	{"started", "The entry listens.", []string{"name", "data_centre", "callers", "peers"}},
+	{"status_not_sent", "An operator asked what the entry believes and left before the answer (debug).", []string{"error"}},
 	{"stopped", "The entry ends.", []string{"name"}},
 	{"stopping", "SIGTERM came; no new callers are sent here.", []string{"in_flight", "grace_ms"}},
 	{"store_history_gone", "The store dropped changes that were not read; the whole state is read.", []string{"revision"}},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,8 +3,12 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
+	"os/exec"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -173,6 +177,29 @@
 		t.Errorf("seed %d: after the faults %d of %d are served", seed, served, asked)
 	}
 	f.atRest()
+	f.operatorPages()
+}
+
+// operatorPages checks that metrics and status are served by every process.
+func (f *fleet) operatorPages() {
+	for _, e := range f.entries {
+		status, err := exec.Command(binary, "status", "--entry", fmt.Sprintf("%s:%d", e.host, metricsPort)).CombinedOutput()
+		if err != nil || !strings.Contains(string(status), `"Ready": true`) {
+			f.t.Errorf("seed %d: status of entry-%d: %v: %s", f.seed, e.index, err, status)
+		}
+		response, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", e.host, metricsPort))
+		if err != nil {
+			f.t.Errorf("seed %d: metrics of entry-%d: %v", f.seed, e.index, err)
+			continue
+		}
+		page, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		for _, name := range []string{"sapphireramp_requests", "sapphireramp_first_byte_seconds", "sapphireramp_store_calls", "sapphireramp_members_live"} {
+			if !strings.Contains(string(page), name) {
+				f.t.Errorf("seed %d: entry-%d has no metric %s", f.seed, e.index, name)
+			}
+		}
+	}
 }
 
 // atRest checks that nothing is left at the upstreams.
