--- a/dispatcher/memory.go
+++ b/dispatcher/memory.go
@@ -36,5 +36,12 @@
 		shares[i] = min(need, chosen[i].free())
 		need -= shares[i]
 	}
+	if need > 0 && d.Prompt+d.Answer <= first.worker.engine.MemoryTokens {
+		// It fits one engine, whose memory is merely taken for now: the first
+		// holds all of it as soon as it has room.
+		clear(shares)
+		shares[0] = d.Prompt + d.Answer
+		return shares, true
+	}
 	return shares, need == 0
 }
--- a/dispatcher/offer.go
+++ b/dispatcher/offer.go
@@ -8,6 +8,9 @@
 )
 
 const (
+	// failedLoss is the part of an answer's worth that an upstream's failure
+	// loses: all of it, and half as much again for the time until it is known.
+	failedLoss = 1.5
 	// openCost is what it costs to place a light prompt where no answer with
 	// as short a pause is written, and the less the more there are: light
 	// prompts are packed on few engines, and the others left to long ones.
@@ -69,7 +72,7 @@
 		o.cost += g.Value * (after - before)
 	}
 	worth := value(d)
-	o.cost += worth * 1.5 * w.health.rate(now)
+	o.cost += worth * failedLoss * w.health.rate(now)
 	slots := e.Slots - spareSlots
 	if waiting := o.load.Running + 1 - slots; waiting > 0 {
 		o.finish += time.Duration(waiting) * slotTime(e, pass)
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -52,8 +52,8 @@
 	best, least := workers[0], 0.0
 	for i, w := range workers {
 		l := w.all(now)
-		cost := float64(l.Running)/float64(max(1, w.instance.Slots)) + 4*w.health.rate(now) + 0.5*(w.health.pace(now)-1)
-		cost += 0.1 * b.random.Float64()
+		cost := float64(l.Running)/float64(max(1, w.instance.Slots)) + failingCost*w.health.rate(now) + slowCost*(w.health.pace(now)-1)
+		cost += spread * b.random.Float64()
 		if w.instance.DataCentre != b.dataCentre {
 			cost += farCost
 		}
@@ -65,9 +65,19 @@
 	return p, []*part{{worker: best, writes: true, value: 1, placement: p}}
 }
 
-// farCost is what a plain request loses in another data centre, in loads of
-// one upstream: a round trip there is a tenth of the usual work.
-const farCost = 0.1
+// What weighs on the choice of a plain upstream, in loads of a full one.
+const (
+	// farCost is of another data centre: a round trip there is a tenth of the
+	// usual work.
+	farCost = 0.1
+	// failingCost is of an upstream that fails every request: it is asked last,
+	// also where all others are full and have as much waiting again.
+	failingCost = 4
+	// slowCost is of one that works twice as long.
+	slowCost = 0.5
+	// spread keeps entries with the same picture from choosing alike.
+	spread = 0.1
+)
 
 func (b *Board) placePrompt(now time.Time, d Demand, workers []*worker) (*Placement, []*part, *Refusal) {
 	loads := make([]offer, len(workers))
--- a/dispatcher/place_test.go
+++ b/dispatcher/place_test.go
@@ -113,9 +113,8 @@
 func TestTowerBurstFillsNoEngineBeyondItsSlots(t *testing.T) {
 	is := is.New(t)
 	b := testBoard(t, 14)
-	for id, n := range engines(writing(t, b, start, tower, 150)...) {
+	for _, n := range engines(writing(t, b, start, tower, 150)...) {
 		is.True(n <= testEngine.Slots) // slots of each engine
-		_ = id
 	}
 }
 
@@ -211,9 +210,7 @@
 	}
 	failing := place(t, b, start, d)
 	for range 4 {
-		p := *failing
-		_ = p
-		failing.board.workers[failing.First.ID].health.failed(start)
+		b.workers[failing.First.ID].health.failed(start)
 	}
 	failing.End(start, Failed)
 	for range 20 {
@@ -244,6 +241,27 @@
 	is.True(len(p.Shares) <= 3) // orders to engines are dear
 }
 
+// A prompt that fits one engine is not refused for want of memory while all of
+// them are full for a moment: engines give memory back within a second or two
+// (incident inc-230e refused five such prompts).
+func TestPromptThatFitsIsNotRefusedForMemory(t *testing.T) {
+	is := is.New(t)
+	b := testBoard(t, 2)
+	for _, w := range b.workers {
+		if w.engine != nil {
+			w.parts[&part{worker: w, writes: true, tokens: testEngine.MemoryTokens, placement: &Placement{begun: true}}] = true
+		}
+	}
+	for _, tokens := range []int{5000, 15000, 45000} {
+		_, refusal := b.Place(start, withPrompt(tower, tokens))
+		if refusal != nil {
+			t.Errorf("%d tokens: %v", tokens, refusal)
+		}
+	}
+	_, refusal := b.Place(start, withPrompt(audit, 400000))
+	is.True(refusal != nil) // this one has nowhere to go
+}
+
 // At rest the board is empty.
 func TestBoardIsEmptyAtRest(t *testing.T) {
 	is := is.New(t)
