controller: a large configuration reaches entries that the store turns away

Answers shared a connection with heartbeats, which then timed out and broke it: 3,837 fetch_failed in 26 s. Ruled out: an entry going back (its revision only rose), the store's rate.

A fetch carries the configuration deflated once for all that ask, has its own connections, and two run at once at most. The stand-in network limits what a host sends.

Before: TestLargeConfigurationSpreadsOverSlowLinks: 22 of 24 entries lack each version after two seconds. After: all have it.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -79,7 +79,10 @@
 	config  Config
 	control *sequencer.Sequencer[*state]
 	current atomic.Pointer[view]
-	pool    *connector.Pool
+	// pool carries heartbeats, fetches carries states: a heartbeat behind a
+	// large answer would be late.
+	pool, fetches *connector.Pool
+	packed        packedConfig
 	// pushes asks for heartbeats to all peers at once.
 	pushes chan struct{}
 	work   sync.WaitGroup
@@ -115,7 +118,9 @@
 	lastBoot   time.Duration
 	// storeLost says that the last call to the store failed.
 	storeLost bool
-	dirty     bool
+	// fetching is how many fetches from peers are in progress.
+	fetching int
+	dirty    bool
 }
 
 const (
@@ -143,7 +148,7 @@
 // New returns a controller that knows nothing yet.
 func New(c Config) *Controller {
 	ctl := &Controller{
-		config: c, control: sequencer.New[*state](), pool: connector.New(c.Dial),
+		config: c, control: sequencer.New[*state](), pool: connector.New(c.Dial), fetches: connector.New(c.Dial),
 		pushes: make(chan struct{}, 1), metrics: newMetrics(c.Scope),
 	}
 	ctl.current.Store(&view{View: forwarder.View{Entries: 1}})
@@ -167,6 +172,7 @@
 		_ = beats.Close()
 		_ = shares.Close()
 		c.pool.Close()
+		c.fetches.Close()
 	})
 	c.control.Run(ctx, s, tickTime, s.tick, s.publishDirty)
 	c.work.Wait()
--- /dev/null
+++ b/controller/fetch.go
@@ -0,0 +1,129 @@
+package controller
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sapphireramp/sapphireramp/follower"
+)
+
+const (
+	// fetchTimeout bounds a fetch from a peer: half of the shortest time in
+	// which a change has to be in force, so that another peer can be asked.
+	fetchTimeout = time.Second
+	// mostFetches is how many peers are asked at once: one more than is needed,
+	// so that one that is gone does not hold up the news.
+	mostFetches = 2
+	// maxConfig is the largest configuration that is unpacked, in bytes; a
+	// value of the platform's store is a megabyte at most.
+	maxConfig = 8 << 20
+)
+
+// FetchArgs asks for what a peer believes of the store.
+type FetchArgs struct{ HaveConfig int64 }
+
+// FetchReply is what an entry believes of the store.
+type FetchReply struct {
+	// State is without the configuration, which Config holds deflated; empty
+	// where the asking entry has that revision.
+	State     follower.State
+	Config    []byte
+	Known     bool
+	Confirmed time.Duration
+	// Disturbed is how long ago the store failed the entry; negative where it
+	// never did.
+	Disturbed time.Duration
+}
+
+// Fetch answers with what this entry believes of the store.
+func (p *Peer) Fetch(args FetchArgs, reply *FetchReply) error {
+	p.controller.do(func(s *state) {
+		now := time.Now()
+		age, ok := s.follower.ConfirmedAge(now)
+		reply.Known = ok && s.follower.Known()
+		reply.Confirmed = age
+		reply.State = s.follower.State(args.HaveConfig)
+		reply.Disturbed = -1
+		if disturbed, ever := s.follower.DisturbedAge(now); ever {
+			reply.Disturbed = disturbed
+		}
+	})
+	if reply.State.Config == nil {
+		return nil
+	}
+	var err error
+	reply.Config, err = p.controller.packed.pack(reply.State.ConfigRevision, reply.State.Config)
+	reply.State.Config = nil
+	return err
+}
+
+// packedConfig is the newest configuration that was asked for, deflated once
+// for all that ask: many routes are much alike and shrink to a tenth.
+type packedConfig struct {
+	lock     sync.Mutex
+	revision int64
+	data     []byte
+}
+
+func (p *packedConfig) pack(revision int64, config []byte) ([]byte, error) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if p.revision == revision {
+		return p.data, nil
+	}
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("pack configuration: %w", err)
+	}
+	if _, err := w.Write(config); err != nil {
+		return nil, fmt.Errorf("pack configuration: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("pack configuration: %w", err)
+	}
+	p.revision, p.data = revision, out.Bytes()
+	return p.data, nil
+}
+
+// unpack inflates a configuration.
+func unpack(data []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(data))
+	config, err := io.ReadAll(io.LimitReader(r, maxConfig+1))
+	if err != nil {
+		return nil, fmt.Errorf("unpack configuration: %w", err)
+	}
+	if len(config) > maxConfig {
+		return nil, fmt.Errorf("unpack configuration: over %d bytes", maxConfig)
+	}
+	return config, nil
+}
+
+// fetch asks a peer for what it believes of the store.
+func (c *Controller) fetch(address netip.AddrPort, source string, haveConfig int64) {
+	defer c.do(func(s *state) { s.fetching-- })
+	var reply FetchReply
+	err := c.fetches.Call(address, rpcName+".Fetch", FetchArgs{HaveConfig: haveConfig}, &reply, fetchTimeout)
+	if err == nil && len(reply.Config) > 0 {
+		reply.State.Config, err = unpack(reply.Config)
+	}
+	if err != nil {
+		c.config.Log.Warn("fetch_failed", zap.String("source", source), zap.Error(err))
+		return
+	}
+	if !reply.Known {
+		return
+	}
+	now := time.Now()
+	if reply.Disturbed >= 0 {
+		c.do(func(s *state) { s.follower.Disturbed(now.Add(-reply.Disturbed)) })
+	}
+	c.take(reply.State, true, now.Add(-reply.Confirmed), source)
+}
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -113,12 +114,19 @@
 	return e
 }
 
-func (f *fleet) configure(version int) {
-	f.store.Put("op/config", map[string]any{
-		"version":  version,
-		"routes":   []any{map[string]any{"name": "r", "host": "h", "prefix": "/", "kind": "idempotent", "timeout-ms": 1000, "service": "app", "max-attempts": 2}},
-		"services": []any{map[string]any{"name": "app"}},
-	})
+func (f *fleet) configure(version int) { f.configureRoutes(version, 1) }
+
+// configureRoutes writes a configuration with a number of routes.
+func (f *fleet) configureRoutes(version, count int) {
+	var routes []any
+	for i := range count {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("r-%d", i), "host": "h", "prefix": strings.Repeat(fmt.Sprintf("/%d", i), min(i, 1)) + "/", "kind": "idempotent",
+			"timeout-ms": 1000, "target-latency-ms": 300, "priority": 1, "service": "app", "max-attempts": 2, "public": false, "sticky": false,
+			"stream-resume": false, "gap-aim-ms": 0,
+		})
+	}
+	f.store.Put("op/config", map[string]any{"version": version, "routes": routes, "services": []any{map[string]any{"name": "app"}}})
 }
 
 func (f *fleet) list(id, state string) {
@@ -273,6 +281,26 @@
 	})
 }
 
+// A configuration of 1,400 routes, a third of a megabyte, is in force in two
+// seconds at entries that the store turns away, over links of 20 Mbit/s. That
+// is the load of the platform's largest changes on its smallest instances,
+// with most of them cut off from the store.
+func TestLargeConfigurationSpreadsOverSlowLinks(t *testing.T) {
+	withFleet(t, 24, func(f *fleet) {
+		for i, e := range f.entries {
+			f.net.Limit(e.host, 20e6/8)
+			if i >= 2 {
+				f.net.Cut(e.host, storeAddress.Addr())
+			}
+		}
+		time.Sleep(2 * time.Second)
+		for v := 2; v < 5; v++ {
+			f.configureRoutes(v, 1400)
+			f.within(2*time.Second, fmt.Sprintf("version %d", v), version(v))
+		}
+	})
+}
+
 // A dead entry leaves the directory, and returns to it as a new incarnation.
 func TestDeadEntryLeavesDirectory(t *testing.T) {
 	withFleet(t, 5, func(f *fleet) {
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -13,16 +13,14 @@
 
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/connector"
-	"github.com/sapphireramp/sapphireramp/follower"
 	"github.com/sapphireramp/sapphireramp/prober"
 )
 
 const (
 	// rpcName is the name of the service between entries.
 	rpcName = "Peer"
-	// beatTimeout and fetchTimeout bound calls between entries.
-	beatTimeout  = 400 * time.Millisecond
-	fetchTimeout = time.Second
+	// beatTimeout bounds a heartbeat: two periods.
+	beatTimeout = 400 * time.Millisecond
 	// mostContacts is how many other entries a heartbeat names to one that
 	// knows fewer, fewContacts to one that knows as many: the latter is there
 	// for entries that each know others.
@@ -61,19 +59,6 @@
 	Confirmed time.Duration
 }
 
-// FetchArgs asks for what a peer believes of the store.
-type FetchArgs struct{ HaveConfig int64 }
-
-// FetchReply is what an entry believes of the store.
-type FetchReply struct {
-	State     follower.State
-	Known     bool
-	Confirmed time.Duration
-	// Disturbed is how long ago the store failed the entry; negative where it
-	// never did.
-	Disturbed time.Duration
-}
-
 // errStopped is the answer of an entry that has stopped and whose connections
 // are not closed yet.
 var errStopped = errors.New("this entry has stopped")
@@ -97,22 +82,6 @@
 	return nil
 }
 
-// Fetch answers with what this entry believes of the store.
-func (p *Peer) Fetch(args FetchArgs, reply *FetchReply) error {
-	p.controller.do(func(s *state) {
-		now := time.Now()
-		age, ok := s.follower.ConfirmedAge(now)
-		reply.Known = ok && s.follower.Known()
-		reply.Confirmed = age
-		reply.State = s.follower.State(args.HaveConfig)
-		reply.Disturbed = -1
-		if disturbed, ever := s.follower.DisturbedAge(now); ever {
-			reply.Disturbed = disturbed
-		}
-	})
-	return nil
-}
-
 func (c *Controller) servePeers(listener net.Listener) {
 	calls := rpc.NewServer()
 	if err := calls.RegisterName(rpcName, &Peer{controller: c}); err != nil {
@@ -232,7 +201,10 @@
 		now := time.Now()
 		s.heard(now, b)
 		_, have = s.follower.Config()
-		fetch = b.Known && (b.Content > s.follower.Content() || !s.follower.Known())
+		fetch = b.Known && (b.Content > s.follower.Content() || !s.follower.Known()) && s.fetching < mostFetches
+		if fetch {
+			s.fetching++
+		}
 		if b.Known && b.Content == s.follower.Content() {
 			s.follower.Confirmed(now.Add(-b.Confirmed))
 		}
@@ -273,21 +245,3 @@
 	}
 	s.prober.List(now, list)
 }
-
-// fetch asks a peer for what it believes of the store.
-func (c *Controller) fetch(address netip.AddrPort, source string, haveConfig int64) {
-	var reply FetchReply
-	err := c.pool.Call(address, rpcName+".Fetch", FetchArgs{HaveConfig: haveConfig}, &reply, fetchTimeout)
-	if err != nil {
-		c.config.Log.Warn("fetch_failed", zap.String("source", source), zap.Error(err))
-		return
-	}
-	if !reply.Known {
-		return
-	}
-	now := time.Now()
-	if reply.Disturbed >= 0 {
-		c.do(func(s *state) { s.follower.Disturbed(now.Add(-reply.Disturbed)) })
-	}
-	c.take(reply.State, true, now.Add(-reply.Confirmed), source)
-}
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -25,6 +25,10 @@
 	cuts      map[[2]netip.Addr]bool
 	open      map[*link]bool
 	packets   map[netip.AddrPort]*packetConn
+	// rates are what hosts send at most, in bytes a second; freeAt is when a
+	// host has sent what it was given.
+	rates  map[netip.Addr]int
+	freeAt map[netip.Addr]time.Time
 }
 
 type link struct {
@@ -46,7 +50,7 @@
 func New() *Network {
 	n := &Network{
 		listeners: map[netip.AddrPort]*listener{}, cuts: map[[2]netip.Addr]bool{}, open: map[*link]bool{},
-		packets: map[netip.AddrPort]*packetConn{},
+		packets: map[netip.AddrPort]*packetConn{}, rates: map[netip.Addr]int{}, freeAt: map[netip.Addr]time.Time{},
 	}
 	n.moved = sync.NewCond(&n.lock)
 	return n
@@ -106,14 +110,37 @@
 		n.lock.Lock()
 		n.open[joined] = true
 		n.lock.Unlock()
-		go n.carry(joined, nearEnd, farEnd)
-		go n.carry(joined, farEnd, nearEnd)
+		go n.carry(joined, joined.from, nearEnd, farEnd)
+		go n.carry(joined, joined.to, farEnd, nearEnd)
 		return near, nil
 	}
 }
 
+// Limit bounds what a host sends over connections, in bytes a second.
+func (n *Network) Limit(host netip.Addr, rate int) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	n.rates[host] = rate
+}
+
+// sending is how long a host takes until it has sent so many bytes more.
+func (n *Network) sending(host netip.Addr, size int) time.Duration {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	rate, ok := n.rates[host]
+	if !ok {
+		return 0
+	}
+	now := time.Now()
+	if n.freeAt[host].Before(now) {
+		n.freeAt[host] = now
+	}
+	n.freeAt[host] = n.freeAt[host].Add(time.Duration(size) * time.Second / time.Duration(rate))
+	return n.freeAt[host].Sub(now)
+}
+
 // carry moves bytes one way; while the cable is cut it holds them.
-func (n *Network) carry(l *link, from, to net.Conn) {
+func (n *Network) carry(l *link, sender netip.Addr, from, to net.Conn) {
 	defer n.drop(l)
 	buffer := make([]byte, 64<<10)
 	for {
@@ -123,6 +150,9 @@
 			n.moved.Wait()
 		}
 		n.lock.Unlock()
+		if wait := n.sending(sender, size); wait > 0 {
+			time.Sleep(wait)
+		}
 		if size > 0 {
 			if _, err := to.Write(buffer[:size]); err != nil {
 				return
