forwarder: an entry that may have missed a change denies nothing

An entry cut off or just awake can't know; another entry may. It now answers 503, not run, and says how old its belief is.

Test: TestUnconfirmedEntryDeniesNothing (404 and 401 before, 503 after).

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -47,11 +47,13 @@
 	// other entries reach this one.
 	Callers, Peers, Shares netip.AddrPort
 	Store                  Store
-	Board                  *dispatcher.Board
-	Dial                   connector.DialFunc
-	Log                    *zap.Logger
-	Scope                  tally.Scope
-	Asserter               *asserter.Asserter
+	// InForce is how soon a change in the store has to be in force here.
+	InForce  time.Duration
+	Board    *dispatcher.Board
+	Dial     connector.DialFunc
+	Log      *zap.Logger
+	Scope    tally.Scope
+	Asserter *asserter.Asserter
 }
 
 // view is what the control goroutine publishes. It is never changed.
@@ -228,7 +230,7 @@
 	_, configRevision := s.follower.Config()
 	v := &view{
 		View: forwarder.View{
-			Table: s.table, ConfigRevision: configRevision, ConfirmedAt: s.follower.ConfirmedAt(),
+			Table: s.table, ConfigRevision: configRevision, ConfirmedAt: s.follower.ConfirmedAt(), TrustTime: part(c.config.InForce, trustPart),
 			StoreLost: s.storeLost, Entries: max(len(s.contacts)+1, 2*len(s.seeds)), Stopping: s.stopping, StopBy: s.stopBy,
 		},
 		ready: s.table != nil && !s.stopping,
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -96,7 +96,7 @@
 	e.Controller = controller.New(controller.Config{
 		Name: fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3), Incarnation: uint64(f.started),
 		Callers: netip.AddrPortFrom(host, 80), Peers: netip.AddrPortFrom(host, 81), Shares: netip.AddrPortFrom(host, 82),
-		Store: controller.Store{Read: reader.Read, Watch: reader.Watch, Decode: platform.DecodeConfig},
+		Store: controller.Store{Read: reader.Read, Watch: reader.Watch, Decode: platform.DecodeConfig}, InForce: 2 * time.Second,
 		Board: board, Dial: f.net.Dialer(host), Log: zap.NewNop(), Scope: tally.NoopScope,
 		Asserter: asserter.New(func(name, detail string) { f.t.Errorf("%s: %s", name, detail) }),
 	})
--- a/controller/follow.go
+++ b/controller/follow.go
@@ -25,10 +25,14 @@
 	watchTime = 400 * time.Millisecond
 	// watchPause is between two watches, so that many changes cost few calls.
 	watchPause = 250 * time.Millisecond
-	// confirmedLife is how old a confirmation may be before an entry reads for
-	// itself: a change has to be in force within two seconds, of which a
-	// first read takes up to half of one.
-	confirmedLife = 1200 * time.Millisecond
+	// confirmedPart is the part of the time in which a change has to be in
+	// force that a confirmation may be old before an entry reads for itself; the
+	// read takes up to a quarter of it.
+	confirmedPart = 0.6
+	// trustPart is the part of that time up to which a confirmation rules out
+	// that this entry missed a change that has to be in force: the rest is for
+	// slow answers, which are older than they seem.
+	trustPart = 0.75
 	// readPause is how often an entry looks whether it has to read.
 	readPause = 50 * time.Millisecond
 	// readTimeout bounds a read of the whole state; the store's usual answers
@@ -78,7 +82,7 @@
 // or what it was told is old.
 func (s *state) reads(now time.Time) bool {
 	age, ok := s.follower.ConfirmedAge(now)
-	if !ok || age > confirmedLife {
+	if !ok || age > part(s.controller.config.InForce, confirmedPart) {
 		return true
 	}
 	names := []string{s.controller.config.Name}
@@ -93,6 +97,8 @@
 	return slices.Contains(names[:min(readers, len(names))], s.controller.config.Name)
 }
 
+func part(d time.Duration, p float64) time.Duration { return time.Duration(p * float64(d)) }
+
 // readStore makes one call to the store and takes in what it says.
 func (c *Controller) readStore(ctx context.Context, whole bool, after int64) error {
 	c.metrics.storeCalls.Inc(1)
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -90,6 +90,9 @@
 	// ConfigRevision and ConfirmedAt say how old the belief is, for the log.
 	ConfigRevision int64
 	ConfirmedAt    time.Time
+	// TrustTime is how long after ConfirmedAt no change that this entry does
+	// not know can have to be in force.
+	TrustTime time.Duration
 	// StoreLost is true while the last call to the store failed.
 	StoreLost bool
 	// Entries is the most entries that may share the retry budget.
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -17,6 +17,7 @@
 	reasonNoConfig     = "no_configuration"
 	reasonNoRoute      = "no_route"
 	reasonUnknownKey   = "unknown_key"
+	reasonUnconfirmed  = "configuration_unconfirmed"
 	reasonBodyTooLarge = "body_too_large"
 	reasonBodyUnread   = "body_not_read"
 	reasonStopping     = "stopping"
@@ -38,6 +39,9 @@
 	fullRetry = 150 * time.Millisecond
 	// configRetry is how long an entry takes to learn its configuration.
 	configRetry = 300 * time.Millisecond
+	// unconfirmedRetry is for an entry that may have missed a change, where
+	// another may know better.
+	unconfirmedRetry = 100 * time.Millisecond
 	// lostRetry is for an entry that has no configuration and can't read one:
 	// outages of the store last seconds, and callers seldom ask a third time.
 	lostRetry = 2 * time.Second
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -189,11 +189,11 @@
 		table := x.view.Table
 		route, err := table.Route(x.request.Host, x.request.URL.EscapedPath())
 		if err != nil {
-			return &failure{status: http.StatusNotFound, reason: reasonNoRoute, cause: err}
+			return x.denied(http.StatusNotFound, reasonNoRoute, err)
 		}
 		organisation, err := table.Organisation(route, x.call.Key)
 		if err != nil {
-			return &failure{status: http.StatusUnauthorized, reason: reasonUnknownKey, cause: err}
+			return x.denied(http.StatusUnauthorized, reasonUnknownKey, err)
 		}
 		x.route = route
 		if organisation != nil {
@@ -208,6 +208,17 @@
 	}
 }
 
+// denied refuses a request that the configuration does not allow. An entry
+// that may have missed a change says so, rather than that there is no such
+// route or key.
+func (x *exchange) denied(status int, reason string, cause error) *failure {
+	age := time.Since(x.view.ConfirmedAt)
+	if age > x.view.TrustTime {
+		return notRun(reasonUnconfirmed, unconfirmedRetry, fmt.Errorf("%w, confirmed %s ago", cause, age.Round(time.Millisecond)))
+	}
+	return &failure{status: status, reason: reason, cause: cause}
+}
+
 // patience is how long a request may be kept waiting.
 func patience(x *exchange) time.Duration {
 	d := defaultPatience
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -75,7 +75,7 @@
 		table, err := matcher.New(testConfig())
 		f.is.NoErr(err)
 		f.table = table
-		f.view.Store(&forwarder.View{Table: table, Entries: 1, ConfirmedAt: time.Now()})
+		f.view.Store(&forwarder.View{Table: table, Entries: 1, ConfirmedAt: time.Now(), TrustTime: 1500 * time.Millisecond})
 		f.board = dispatcher.New("a", rand.New(rand.NewPCG(1, 2)))
 		var servers []*http.Server
 		for i := range 5 {
@@ -247,6 +247,24 @@
 	})
 }
 
+// An entry that may have missed a change of the configuration does not say
+// that a route or a key doesn't exist: cut off from the store and from others,
+// or just awake after a pause.
+func TestUnconfirmedEntryDeniesNothing(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		time.Sleep(1600 * time.Millisecond)
+		for i, c := range []request{{path: "/none/"}, {path: "/once/", key: "wrong"}} {
+			c.id = fmt.Sprintf("r%d", i)
+			a := f.ask(c)
+			f.is.NoErr(a.err)
+			f.is.Equal(a.status, 503)
+			f.is.Equal(a.header.Get("Retry-After"), "0.100")
+			f.is.Equal(runs(f.plain, c.id), 0)
+		}
+		f.is.Equal(f.ask(request{path: "/once/x", id: "r2"}).status, 200) // what it knows it serves
+	})
+}
+
 // A request that meets an entry in its first milliseconds waits for the
 // configuration; one whose entry can't read the store is refused at once, with
 // a time at which the store may be back.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -46,8 +46,10 @@
 	AddressLife time.Duration
 	Settings    Settings
 	// Reload reads the settings again.
-	Reload   func() (Settings, error)
-	Store    controller.Store
+	Reload func() (Settings, error)
+	Store  controller.Store
+	// InForce is how soon a change in the store has to be in force.
+	InForce  time.Duration
 	Protocol forwarder.Protocol
 	Orders   forwarder.Orders
 	// HoldTime is the lease of memory reserved at engines.
@@ -100,7 +102,7 @@
 	l := &Launcher{config: c, settings: c.Settings, budget: budgeter.New(c.Settings.Budget)}
 	l.controller = controller.New(controller.Config{
 		Name: c.Name, DataCentre: c.DataCentre, Incarnation: uint64(time.Now().UnixNano()),
-		Callers: c.Callers, Peers: c.Peers, Shares: c.Shares, Store: c.Store, Board: board, Dial: c.Dial,
+		Callers: c.Callers, Peers: c.Peers, Shares: c.Shares, Store: c.Store, InForce: c.InForce, Board: board, Dial: c.Dial,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	l.forwarder = forwarder.New(forwarder.Config{
