--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -128,15 +128,29 @@
 	return request, nil
 }
 
-// urgency orders what waits at an engine: the shorter the aim, the sooner.
+const (
+	// ranks is how many ranks of organisations and routes are told apart; a
+	// lower one counts as the last of them.
+	ranks = 3
+	// aimClasses is how many classes of aim are told apart within a rank.
+	aimClasses = 3
+	// shortAim and mediumAim are the longest aims of the first two.
+	shortAim  = 500 * time.Millisecond
+	mediumAim = 2 * time.Second
+)
+
+// urgency orders what waits at an engine, 0 first: by the rank of the
+// organisation, which goes before the route's, and within it the shorter the
+// aim, the sooner.
 func urgency(x *exchange) int {
+	class := aimClasses - 1
 	switch aim := x.route.FirstByteAim; {
-	case aim <= 500*time.Millisecond:
-		return 2
-	case aim <= 2*time.Second:
-		return 4
+	case aim <= shortAim:
+		class = 0
+	case aim <= mediumAim:
+		class = 1
 	}
-	return 5
+	return min(max(x.rank, 0), ranks-1)*aimClasses + class
 }
 
 // readCloser is a body that can't be rewound, so that the library never sends
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -92,10 +92,13 @@
 	view         *View
 	route        *matcher.Route
 	organisation string
-	service      string
-	deadline     time.Time
-	body         []byte
-	bodyRead     bool
+	// rank is the organisation's, or the route's where none is known; 0 is the
+	// most urgent.
+	rank     int
+	service  string
+	deadline time.Time
+	body     []byte
+	bodyRead bool
 
 	// sent counts upstreams that the request was sent to, pending those of
 	// them that have not stated that it did not run.
@@ -195,9 +198,9 @@
 		if err != nil {
 			return x.denied(http.StatusUnauthorized, reasonUnknownKey, err)
 		}
-		x.route = route
+		x.route, x.rank = route, route.Priority
 		if organisation != nil {
-			x.organisation = organisation.Name
+			x.organisation, x.rank = organisation.Name, organisation.Priority
 		}
 		x.deadline = x.arrived.Add(patience(x))
 		x.service = route.Pick(rand.Float64())
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -64,7 +64,7 @@
 		},
 		Services:      []matcher.Service{{Name: "app"}, {Name: "lm", Engine: engineModel}},
 		Limits:        matcher.Limits{BodyBytes: 1000},
-		Organisations: []matcher.Organisation{{Name: "crew", Keys: []string{"key"}}},
+		Organisations: []matcher.Organisation{{Name: "crew", Keys: []string{"key"}, Priority: 1}, {Name: "desk", Keys: []string{"urgent"}}},
 	}
 }
 
@@ -224,6 +224,28 @@
 	})
 }
 
+// What waits at an engine is ordered by the organisation first, then by how
+// soon the route wants its first event.
+func TestOrganisationGoesBeforeAim(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		var order []string
+		for _, c := range []request{
+			{id: "r1", path: "/stream/", key: "urgent"}, {id: "r2", path: "/long/", key: "urgent"}, {id: "r3", path: "/stream/"}, {id: "r4", path: "/long/"},
+		} {
+			c.usage = "5000,100"
+			f.is.Equal(f.ask(c).status, 200)
+			for _, w := range f.engines {
+				for _, r := range w.Runs() {
+					if r.ID == c.id {
+						order = append(order, r.Priority)
+					}
+				}
+			}
+		}
+		f.is.Equal(order, []string{"0", "2", "3", "5"})
+	})
+}
+
 func TestRefusalsOfOurOwn(t *testing.T) {
 	withForwarder(t, func(f *fixture) {
 		for _, c := range []struct {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -57,6 +57,7 @@
 	Path      string
 	LastEvent string
 	Helpers   string
+	Priority  string
 	Body      string
 	Left      time.Duration
 }
@@ -175,7 +176,7 @@
 	w.working++
 	w.runs = append(w.runs, Run{
 		ID: id, Tenant: r.Header.Get("X-Tenant"), Path: r.RequestURI, LastEvent: r.Header.Get("Last-Event-Id"),
-		Helpers: r.Header.Get("X-Helpers"), Body: body, Left: time.Duration(left) * time.Millisecond,
+		Helpers: r.Header.Get("X-Helpers"), Priority: r.Header.Get("X-Request-Priority"), Body: body, Left: time.Duration(left) * time.Millisecond,
 	})
 }
 
