--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -28,6 +28,8 @@
 	// tokens holds the workers by the token of their ID.
 	tokens   map[Token]*worker
 	services map[string][]*worker
+	// peers is how many other entries place, as far as known.
+	peers int
 	// blind is true while this entry does not hear what others place.
 	blind bool
 	// rankSalt orders engines alike at all entries, but for blind ones.
@@ -247,12 +249,13 @@
 // sharedRank is the order in which entries that hear each other fill engines.
 const sharedRank = "placement"
 
-// Blind tells the board whether this entry hears what other entries place.
-// While it does not, it keeps to an order of its own and packs nothing: all
-// entries would fill the same engines.
-func (b *Board) Blind(blind bool) {
+// Peers tells the board how many other entries place, and whether this entry
+// hears what they do. While it is blind to that, it keeps to an order of its own
+// and packs nothing: all entries would fill the same engines.
+func (b *Board) Peers(peers int, blind bool) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
+	b.peers = peers
 	if blind && !b.blind {
 		b.rankSalt = strconv.FormatUint(b.random.Uint64(), 16)
 	}
--- a/dispatcher/offer.go
+++ b/dispatcher/offer.go
@@ -19,11 +19,15 @@
 	// more answers there make it no better, so that what arrives everywhere at
 	// the same moment finds several engines that are as good.
 	packedPart = 0.5
-	// lightDraw is how much costs of light prompts are drawn apart: by as much
-	// as four answers more or less on an engine that is not yet packed. Entries
-	// hear of each other's choice only milliseconds later, and would meet at the
-	// one best engine.
+	// lightDraw is how much costs of light prompts are drawn apart where many
+	// entries choose: by as much as four answers more or less on an engine that is
+	// not yet packed. Entries hear of each other's choice only milliseconds later,
+	// and would meet at the one best engine.
 	lightDraw = 0.2
+	// manyEntries is the number of other entries with which half of that is
+	// drawn: with six the first deployments gain nothing by it, with 57 and 70
+	// the grown ones do.
+	manyEntries = 20
 	// lightPart is the part of its own longest pause up to which the reading
 	// of a prompt counts as light.
 	lightPart = 0.5
@@ -52,6 +56,10 @@
 	blind bool
 }
 
+// drawn is how much costs of light prompts are drawn apart beside a number of
+// other entries.
+func drawn(peers int) float64 { return lightDraw * float64(peers) / float64(peers+manyEntries) }
+
 // bid fills in what the engine would make of one of k parts.
 func (o offer) bid(now time.Time, d Demand, k int) offer {
 	e, w := o.worker.engine, o.worker
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -83,7 +83,7 @@
 	loads := make([]offer, len(workers))
 	for i, w := range workers {
 		loads[i] = offer{
-			worker: w, load: w.all(now), rank: assigner.Weight(b.rankSalt, w.instance.ID), blind: b.blind, draw: lightDraw * b.random.Float64(),
+			worker: w, load: w.all(now), rank: assigner.Weight(b.rankSalt, w.instance.ID), blind: b.blind, draw: drawn(b.peers) * b.random.Float64(),
 		}
 	}
 	var best []offer
