--- a/cmd/sapphireramp/gateway.go
+++ b/cmd/sapphireramp/gateway.go
@@ -58,6 +58,9 @@
 	invariants := asserter.New(func(name, detail string) {
 		log.Error("invariant_violated", zap.String("invariant", name), zap.String("detail", detail))
 	})
+	// Engines may drop idle connections without notice, and an order that meets
+	// that can't be told from one that was refused.
+	orders := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	store := platform.NewStore(&http.Client{}, settings.Store)
 	config := launcher.Config{
 		Name: settings.Name, DataCentre: settings.DataCentre, Callers: settings.Callers, Ready: settings.Ready,
@@ -68,7 +71,7 @@
 			return changeable(s), err
 		},
 		Store:    controller.Store{Read: store.Read, Watch: store.Watch, Decode: platform.DecodeConfig},
-		Protocol: platform.Protocol(), Orders: platform.Orders(&http.Client{}),
+		Protocol: platform.Protocol(), Orders: platform.Orders(orders),
 		InForce:          settings.InForce,
 		HoldTime:         min(settings.MaxHold, settings.MaxUnused*holdPart/100),
 		DirectoryHandler: platform.Directory, ReadyHandler: platform.Readiness,
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -45,6 +45,9 @@
 	verdict   verdict
 	err       error
 	response  *http.Response
+	// helperAtFault is true where a helper, and not the first engine, is why the
+	// attempt failed.
+	helperAtFault bool
 	// group is the memory reserved for the attempt; nil where it needs none.
 	group *group
 	// cancel ends the attempt with a cause.
@@ -65,6 +68,7 @@
 	a.group, err = f.reserve(ctx, x, p)
 	if err != nil {
 		a.verdict, a.err = verdictUnsent, err
+		f.blameForMemory(x, a)
 		return a
 	}
 	request, err := f.build(ctx, x, a, lastEvent)
@@ -170,7 +174,7 @@
 		x.pending--
 		a.verdict, a.err = verdictNotRun, fmt.Errorf("status %d", status)
 		if reply.At.IsValid() && reply.At != a.placement.First.Address {
-			f.blame(x, a.placement, reply.At)
+			f.blame(x, a, reply.At)
 		}
 	case status >= 500:
 		a.verdict, a.err = verdictFailed, fmt.Errorf("status %d", status)
@@ -182,15 +186,30 @@
 }
 
 // blame notes a helper's fault.
-func (f *Forwarder) blame(x *exchange, p *dispatcher.Placement, at netip.AddrPort) {
-	for _, h := range p.Helpers {
+func (f *Forwarder) blame(x *exchange, a *attempt, at netip.AddrPort) {
+	for _, h := range a.placement.Helpers {
 		if h.Address == at {
 			f.board.Blame(time.Now(), h.ID)
 			x.avoid = append(x.avoid, h.ID)
+			a.helperAtFault = true
 		}
 	}
 }
 
+// blameForMemory notes the helpers that set no memory aside.
+func (f *Forwarder) blameForMemory(x *exchange, a *attempt) {
+	for _, s := range failedShares(a.err) {
+		f.blame(x, a, s.Engine)
+	}
+}
+
+// avoidFailed keeps the request from the upstream that failed an attempt.
+func avoidFailed(x *exchange, a *attempt) {
+	if !a.helperAtFault {
+		x.avoid = append(x.avoid, a.placement.First.ID)
+	}
+}
+
 // close ends an attempt and tells the board.
 func (f *Forwarder) close(x *exchange, a *attempt) {
 	a.watchdog.stop()
@@ -211,7 +230,7 @@
 
 func resultOf(x *exchange, a *attempt) dispatcher.Result {
 	switch {
-	case x.callerLeft():
+	case x.callerLeft(), a.helperAtFault:
 		return dispatcher.Answered
 	case a.verdict == verdictUnsent:
 		return dispatcher.Unreachable
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -143,7 +143,7 @@
 		if a.verdict == verdictUnsent {
 			unsent++
 		}
-		x.avoid = append(x.avoid, p.First.ID)
+		avoidFailed(x, a)
 	}
 }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -509,6 +509,36 @@
 	})
 }
 
+// A helper that sets nothing aside is at fault, not the engine that would have
+// answered: the prompt goes on there with another helper.
+func TestHelperWithoutRoomIsReplaced(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		long := request{path: "/long/x", id: "s1", usage: "400000,100"}
+		f.is.Equal(f.ask(long).status, 200)
+		var first, helper int
+		for i, e := range f.engines {
+			if runs := e.Runs(); len(runs) > 0 && runs[0].Helpers != "" {
+				first = i
+				ticket, _, _ := strings.Cut(runs[0].Helpers, "/")
+				for j := range f.engines {
+					if f.instances[2+j].Address.String() == ticket {
+						helper = j
+					}
+				}
+			}
+		}
+		f.is.True(first != helper)
+		f.engines[helper].SetFault(worker.Full)
+		long.id = "s2"
+		a := f.ask(long)
+		f.is.Equal(a.status, 200)
+		f.is.Equal(runs(f.engines[first:first+1], "s2"), 1)
+		for _, row := range f.board.Rows(time.Now()) {
+			f.is.Equal(row.Failures > 0, row.Instance.ID == f.instances[2+helper].ID)
+		}
+	})
+}
+
 // A stopping entry asks callers to leave, and begins nothing that it can't
 // finish.
 func TestStoppingEntry(t *testing.T) {
--- a/forwarder/group.go
+++ b/forwarder/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -33,6 +34,19 @@
 	renewed sync.WaitGroup
 }
 
+// ReserveError is an engine that set no memory aside.
+type ReserveError struct {
+	Engine netip.AddrPort
+	Tokens int
+	Cause  error
+}
+
+func (e ReserveError) Error() string {
+	return fmt.Sprintf("reserve %d tokens at %s: %v", e.Tokens, e.Engine, e.Cause)
+}
+
+func (e ReserveError) Unwrap() error { return e.Cause }
+
 type share struct {
 	engine netip.AddrPort
 	ticket string
@@ -57,9 +71,7 @@
 	}
 	var failed error
 	for range g.shares {
-		if err := <-failures; err != nil {
-			failed = err
-		}
+		failed = errors.Join(failed, <-failures)
 	}
 	if failed != nil {
 		f.release(g)
@@ -77,11 +89,27 @@
 	return g, nil
 }
 
+// failedShares are the engines that set no memory aside, of an error of reserve.
+func failedShares(err error) []ReserveError {
+	joined, ok := err.(interface{ Unwrap() []error })
+	if !ok {
+		return nil
+	}
+	var out []ReserveError
+	for _, one := range joined.Unwrap() {
+		var failed ReserveError
+		if errors.As(one, &failed) {
+			out = append(out, failed)
+		}
+	}
+	return out
+}
+
 func (f *Forwarder) reserveShare(ctx context.Context, s share) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	if err := f.orders.Reserve(ctx, s.engine, s.ticket, s.tokens, f.holdTime); err != nil {
-		return fmt.Errorf("reserve %d tokens at %s: %w", s.tokens, s.engine, err)
+		return ReserveError{Engine: s.engine, Tokens: s.tokens, Cause: err}
 	}
 	return nil
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -64,7 +64,7 @@
 			unsent++
 		}
 		x.alone = x.alone || len(p.Helpers) > 0 && a.verdict != verdictUnsent
-		x.avoid = append(x.avoid, p.First.ID)
+		avoidFailed(x, a)
 		events.Break()
 	}
 }
