forwarder, platform: keep the limit on headers, drop what nothing read

The configuration's limit on header bytes was decoded and not kept: requests over it are refused with 431 (TestRefusalsOfOurOwn, 200 before). Removed, as nothing read them: ColdLeft and MaxConnections of upstreams, the time limit on headers (a constant bounds that; net/http can't change it while it serves), HealthPath, Placement.demand, predictor.PassReads.

--- a/dispatcher/instance.go
+++ b/dispatcher/instance.go
@@ -1,9 +1,6 @@
 package dispatcher
 
-import (
-	"net/netip"
-	"time"
-)
+import "net/netip"
 
 // Instance is one run of an upstream, as the platform lists it.
 type Instance struct {
@@ -16,7 +13,4 @@
 	Slots int
 	// Leaving upstreams take no new requests.
 	Leaving bool
-	// ColdLeft is how much longer the upstream was to stay slow after its
-	// start when it was listed.
-	ColdLeft time.Duration
 }
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -61,7 +61,7 @@
 			best, least = w, cost
 		}
 	}
-	p := &Placement{board: b, First: best.instance, Load: best.all(now), demand: d, placed: now, parts: map[*worker]*part{}}
+	p := &Placement{board: b, First: best.instance, Load: best.all(now), placed: now, parts: map[*worker]*part{}}
 	return p, []*part{{worker: best, writes: true, value: 1, placement: p}}
 }
 
@@ -111,7 +111,7 @@
 	}
 	p := &Placement{
 		board: b, First: best[0].worker.instance, Load: best[0].load, Expected: expected,
-		demand: d, placed: now, parts: map[*worker]*part{}, Shares: map[string]int{},
+		placed: now, parts: map[*worker]*part{}, Shares: map[string]int{},
 	}
 	var parts []*part
 	for i, o := range best {
--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -20,7 +20,6 @@
 	// Load is the first upstream's before this request, for the log.
 	Load Load
 
-	demand Demand
 	placed time.Time
 	// begun is true once the first byte of the answer was seen.
 	begun bool
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -119,6 +119,7 @@
 	"no_route":                  "refused: no route of this configuration has the host and path",
 	"configuration_unconfirmed": "refused: the entry does not know the route or key, and could not confirm its configuration lately; another may",
 	"unknown_key":               "refused: the key is no organisation's in this configuration",
+	"header_too_large":          "refused: the header is over the configuration's limit",
 	"body_too_large":            "refused: the body is over the configuration's limit",
 	"body_not_read":             "refused, not run: the caller did not send its whole body in time",
 	"stopping":                  "refused, not run: the entry was about to end and could not have answered in time",
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -14,20 +14,21 @@
 
 // Reasons for which a request is not answered by an upstream.
 const (
-	reasonNoConfig     = "no_configuration"
-	reasonNoRoute      = "no_route"
-	reasonUnknownKey   = "unknown_key"
-	reasonUnconfirmed  = "configuration_unconfirmed"
-	reasonBodyTooLarge = "body_too_large"
-	reasonBodyUnread   = "body_not_read"
-	reasonStopping     = "stopping"
-	reasonNotRun       = "refused_by_upstream"
-	reasonUnreachable  = "upstream_unreachable"
-	reasonFailed       = "upstream_failed"
-	reasonDeadline     = "deadline"
-	reasonCallerLeft   = "caller_left"
-	reasonBroken       = "stream_broken"
-	reasonPanic        = "internal_error"
+	reasonNoConfig       = "no_configuration"
+	reasonNoRoute        = "no_route"
+	reasonUnknownKey     = "unknown_key"
+	reasonUnconfirmed    = "configuration_unconfirmed"
+	reasonHeaderTooLarge = "header_too_large"
+	reasonBodyTooLarge   = "body_too_large"
+	reasonBodyUnread     = "body_not_read"
+	reasonStopping       = "stopping"
+	reasonNotRun         = "refused_by_upstream"
+	reasonUnreachable    = "upstream_unreachable"
+	reasonFailed         = "upstream_failed"
+	reasonDeadline       = "deadline"
+	reasonCallerLeft     = "caller_left"
+	reasonBroken         = "stream_broken"
+	reasonPanic          = "internal_error"
 )
 
 // Times after which a refused caller is asked to come back.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -10,9 +10,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -71,7 +69,7 @@
 		protocol: c.Protocol, orders: c.Orders, holdTime: c.HoldTime, view: c.View, board: c.Board, budget: c.Budget, log: c.Log,
 		metrics: newMetrics(c.Scope), asserter: c.Asserter, upstreams: newTransport(c.Dial),
 	}
-	f.chain = chain(f.forward, f.respond, f.recoverPanic, f.open, f.match, f.readBody)
+	f.chain = chain(f.forward, f.respond, f.recoverPanic, f.open, f.limitHeader, f.match, f.readBody)
 	return f
 }
 
@@ -243,34 +241,3 @@
 	}
 	return 10 * r.FirstByteAim
 }
-
-// readBody reads the whole body, so that an attempt can be repeated and an
-// upstream that answers early never meets half of it.
-func (f *Forwarder) readBody(next handler) handler {
-	return func(x *exchange) *failure {
-		limit := x.view.Table.Config.Limits.BodyBytes
-		tooLarge := &failure{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge, cause: fmt.Errorf("body: over %d bytes", limit)}
-		if limit > 0 && x.request.ContentLength > limit {
-			return tooLarge
-		}
-		connection := http.NewResponseController(x.writer)
-		_ = connection.SetReadDeadline(x.deadline)
-		from := io.Reader(x.request.Body)
-		if limit > 0 {
-			from = io.LimitReader(from, limit+1)
-		}
-		body, err := io.ReadAll(from)
-		_ = connection.SetReadDeadline(time.Time{})
-		if errors.Is(err, context.Canceled) || x.ctx.Err() != nil {
-			return &failure{status: http.StatusRequestTimeout, reason: reasonCallerLeft, cause: err}
-		}
-		if err != nil {
-			return &failure{status: http.StatusRequestTimeout, reason: reasonBodyUnread, cause: err}
-		}
-		if limit > 0 && int64(len(body)) > limit {
-			return tooLarge
-		}
-		x.body, x.bodyRead = body, true
-		return next(x)
-	}
-}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -63,7 +63,7 @@
 			{Name: "fixed", Host: "h", Prefix: "/fixed/", Kind: matcher.Stream, Timeout: 10 * time.Second, FirstByteAim: 300 * time.Millisecond, PauseAim: 250 * time.Millisecond, Shares: lm, MaxAttempts: 2, Prompted: true},
 		},
 		Services:      []matcher.Service{{Name: "app"}, {Name: "lm", Engine: engineModel}},
-		Limits:        matcher.Limits{BodyBytes: 1000},
+		Limits:        matcher.Limits{BodyBytes: 1000, HeaderBytes: 2000},
 		Organisations: []matcher.Organisation{{Name: "crew", Keys: []string{"key"}, Priority: 1}, {Name: "desk", Keys: []string{"urgent"}}},
 	}
 }
@@ -255,6 +255,7 @@
 			{request{path: "/none/", id: "r1"}, 404},
 			{request{path: "/once/", id: "r2", key: "wrong"}, 401},
 			{request{path: "/once/", id: "r3", body: strings.Repeat("x", 1001)}, 413},
+			{request{path: "/once/" + strings.Repeat("x", 2000), id: "r5"}, 431},
 		} {
 			a := f.ask(c.request)
 			f.is.NoErr(a.err)
--- /dev/null
+++ b/forwarder/limits.go
@@ -0,0 +1,71 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// limitHeader refuses requests whose header is longer than the configuration
+// allows.
+func (f *Forwarder) limitHeader(next handler) handler {
+	return func(x *exchange) *failure {
+		limit := x.view.Table.Config.Limits.HeaderBytes
+		if size := headerSize(x.request); limit > 0 && size > limit {
+			return &failure{
+				status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeaderTooLarge, cause: fmt.Errorf("header: %d bytes, over %d", size, limit),
+			}
+		}
+		return next(x)
+	}
+}
+
+// lineExtra is what a header line has beside name and value: colon, space and
+// the end of the line.
+const lineExtra = 4
+
+// headerSize is about how many bytes the header of a request had.
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + lineExtra
+	size += len("Host") + len(r.Host) + lineExtra
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + lineExtra
+		}
+	}
+	return size
+}
+
+// readBody reads the whole body, so that an attempt can be repeated and an
+// upstream that answers early never meets half of it.
+func (f *Forwarder) readBody(next handler) handler {
+	return func(x *exchange) *failure {
+		limit := x.view.Table.Config.Limits.BodyBytes
+		tooLarge := &failure{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge, cause: fmt.Errorf("body: over %d bytes", limit)}
+		if limit > 0 && x.request.ContentLength > limit {
+			return tooLarge
+		}
+		connection := http.NewResponseController(x.writer)
+		_ = connection.SetReadDeadline(x.deadline)
+		from := io.Reader(x.request.Body)
+		if limit > 0 {
+			from = io.LimitReader(from, limit+1)
+		}
+		body, err := io.ReadAll(from)
+		_ = connection.SetReadDeadline(time.Time{})
+		if errors.Is(err, context.Canceled) || x.ctx.Err() != nil {
+			return &failure{status: http.StatusRequestTimeout, reason: reasonCallerLeft, cause: err}
+		}
+		if err != nil {
+			return &failure{status: http.StatusRequestTimeout, reason: reasonBodyUnread, cause: err}
+		}
+		if limit > 0 && int64(len(body)) > limit {
+			return tooLarge
+		}
+		x.body, x.bodyRead = body, true
+		return next(x)
+	}
+}
--- a/matcher/config.go
+++ b/matcher/config.go
@@ -110,11 +110,7 @@
 
 // Service is a set of upstreams that are alike.
 type Service struct {
-	Name       string
-	HealthPath string
-	// MaxConnections is how many connections one upstream accepts from all
-	// callers together; 0 means that it names no limit.
-	MaxConnections int
+	Name string
 	// Engine is nil where the upstreams are not model engines.
 	Engine *Engine
 }
@@ -122,10 +118,9 @@
 // Limits bound what a caller may send and how long it may take. A zero means
 // that the configuration sets no limit.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
+	IdleTimeout time.Duration
 }
 
 // Organisation is a holder of keys.
--- a/predictor/predictor.go
+++ b/predictor/predictor.go
@@ -43,7 +43,3 @@
 	step += time.Duration(float64(contextTokens) / 1000 * float64(e.PerThousand))
 	return time.Duration(e.Stride) * step
 }
-
-// PassReads is the most that one pass reads: later parts of a long prompt
-// wait for the next pass, which bounds the pause they cause.
-func PassReads(e *matcher.Engine) int { return e.Chunk * e.Stride }
