forwarder: a request that meets an entry without store waits a tenth of its patience

At 36.25 s all 58 entries had the configuration: the first reader tells the others at once. Ruled out: slow learning (49 entries read it within 50 ms of the store's return), entries restarted before the kill (they learned from others).

Test: TestEntryStartedWithoutStore (503 at once before). A caller that names no patience is still refused at once (TestEntryJustStarted).

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -172,18 +172,32 @@
 	startWait = 150 * time.Millisecond
 	// startPoll is how often it looks.
 	startPoll = 5 * time.Millisecond
+	// lostWaitPart is the part of its caller's patience for which a request waits
+	// while the store can't be read, as the first entry that reads it tells all
+	// within 0.1 s. Most callers that meet an entry just started come from one
+	// that was lost, and do not ask a third time. A tenth leaves them the time to
+	// come back after a refusal.
+	lostWaitPart = 10
 )
 
 // awaitConfig is the view in force, or the first one with a configuration
 // where that comes soon.
 func (f *Forwarder) awaitConfig(x *exchange) *View {
 	v := f.view()
-	for v.Table == nil && !v.StoreLost && time.Since(x.arrived) < startWait && sleeper.Sleep(x.ctx, startPoll) {
+	for v.Table == nil && time.Since(x.arrived) < configWait(x, v) && sleeper.Sleep(x.ctx, startPoll) {
 		v = f.view()
 	}
 	return v
 }
 
+// configWait is how long a request waits for the first configuration.
+func configWait(x *exchange, v *View) time.Duration {
+	if v.StoreLost {
+		return x.call.Patience / lostWaitPart
+	}
+	return startWait
+}
+
 // match finds the route and the organisation of a request.
 func (f *Forwarder) match(next handler) handler {
 	return func(x *exchange) *failure {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -306,6 +306,23 @@
 	})
 }
 
+// The pattern of a day that ends with all entries killed while the store is
+// down: callers of lost entries come back to ones just started, most of them for
+// the last time. They wait a tenth of their patience for the store, and no more.
+func TestEntryStartedWithoutStore(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		known := f.view.Load()
+		f.view.Store(&forwarder.View{StoreLost: true})
+		time.AfterFunc(400*time.Millisecond, func() { f.view.Store(known) })
+		a := f.ask(request{path: "/stream/x", id: "r1", usage: "1000,100", patience: 10 * time.Second})
+		f.is.Equal(a.status, 200)
+		f.view.Store(&forwarder.View{StoreLost: true})
+		a = f.ask(request{path: "/stream/x", id: "r2", usage: "1000,100", patience: 10 * time.Second})
+		f.is.Equal(a.status, 503)
+		f.is.True(a.took >= time.Second && a.took < 1100*time.Millisecond)
+	})
+}
+
 // A request that may run at most once never runs twice, whatever the upstream
 // does, and is called not run only where it did not.
 func TestAtMostOnceUnderEveryFault(t *testing.T) {
