logger: beside a slow reader the lines of failed requests are dropped last

Cause: the queue dropped whatever came when it was full, so that on a slow reader the lines that explain a failure were lost as often as those of answered requests. A quarter of the queue is kept for warnings and errors. Test: TestFailuresAreDroppedLast (did not compile before: there was no writer for urgent lines).

--- a/cmd/sapphireramp/gateway.go
+++ b/cmd/sapphireramp/gateway.go
@@ -48,7 +48,7 @@
 func runGateway(ctx context.Context, settings platform.Settings, metricsPort uint16, level string) error {
 	output := logger.NewQueue(os.Stdout)
 	defer func() { _ = output.Close() }()
-	logs, err := logger.New(logger.Config{Level: level, Output: output})
+	logs, err := logger.New(logger.Config{Level: level, Output: output, Urgent: output.Urgent()})
 	if err != nil {
 		return fmt.Errorf("make loggers: %w", err)
 	}
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -32,6 +32,8 @@
 	// Layers that log; empty means all.
 	Layers []string
 	Output io.Writer
+	// Urgent takes warnings and errors; nil means Output.
+	Urgent io.Writer
 }
 
 // Logs holds a logger for each layer.
@@ -68,7 +70,15 @@
 		EncodeDuration: zapcore.MillisDurationEncoder,
 		EncodeName:     zapcore.FullNameEncoder,
 	}
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoding), zapcore.Lock(zapcore.AddSync(c.Output)), level)
+	if c.Urgent == nil {
+		c.Urgent = c.Output
+	}
+	ordinary := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= level && l < zapcore.WarnLevel })
+	urgent := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= level && l >= zapcore.WarnLevel })
+	core := zapcore.NewTee(
+		zapcore.NewCore(zaplogfmt.NewEncoder(encoding), zapcore.Lock(zapcore.AddSync(c.Output)), ordinary),
+		zapcore.NewCore(zaplogfmt.NewEncoder(encoding), zapcore.Lock(zapcore.AddSync(c.Urgent)), urgent),
+	)
 	return &Logs{root: zap.New(core), layers: c.Layers}, nil
 }
 
--- a/logger/queue.go
+++ b/logger/queue.go
@@ -6,9 +6,14 @@
 	"sync/atomic"
 )
 
-// queuedLines is how many lines wait for a slow reader of the log; at 300
-// bytes a line they take about 300 KB.
-const queuedLines = 1024
+const (
+	// queuedLines is how many lines wait for a slow reader of the log; at 300
+	// bytes a line they take about 300 KB.
+	queuedLines = 1024
+	// ordinaryLines is how many of them may be ordinary: the rest is kept for
+	// warnings and errors, of which a failed request has two or three.
+	ordinaryLines = queuedLines * 3 / 4
+)
 
 // Queue is a writer that never blocks: lines wait in a bounded queue for a
 // slow output, and those beyond it are dropped and counted.
@@ -26,8 +31,23 @@
 	return q
 }
 
-// Write queues a copy of one line.
+// Write queues a copy of one ordinary line.
 func (q *Queue) Write(line []byte) (int, error) {
+	if len(q.lines) >= ordinaryLines {
+		q.dropped.Add(1)
+		return len(line), nil
+	}
+	return q.urgent(line)
+}
+
+// Urgent returns a writer whose lines are dropped last.
+func (q *Queue) Urgent() io.Writer { return urgentWriter{q} }
+
+type urgentWriter struct{ queue *Queue }
+
+func (u urgentWriter) Write(line []byte) (int, error) { return u.queue.urgent(line) }
+
+func (q *Queue) urgent(line []byte) (int, error) {
 	select {
 	case q.lines <- append([]byte(nil), line...):
 	default:
--- a/logger/queue_test.go
+++ b/logger/queue_test.go
@@ -45,3 +45,28 @@
 		is.True(strings.Count(text, "event=x\n") < lines)
 	})
 }
+
+// Beside a slow reader the lines of failed requests are kept, and those of
+// answered ones dropped.
+func TestFailuresAreDroppedLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		output := &stuck{release: make(chan struct{})}
+		q := logger.NewQueue(output)
+		logs, err := logger.New(logger.Config{Level: "info", Output: q, Urgent: q.Urgent()})
+		is.NoErr(err)
+		const lines, failures = 5000, 200
+		for i := range lines {
+			logs.Layer(logger.Entry).Info("answered")
+			if i%(lines/failures) == 0 {
+				logs.Layer(logger.Entry).Warn("failed")
+			}
+		}
+		close(output.release)
+		is.NoErr(q.Close())
+		text := output.text.String()
+		is.Equal(strings.Count(text, "event=failed"), failures)
+		is.True(strings.Count(text, "event=answered") < lines)
+		is.True(strings.Contains(text, "event=log_lines_dropped count="))
+	})
+}
