--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -187,15 +188,7 @@
 }
 
 func runs(workers []*worker.Worker, id string) int {
-	n := 0
-	for _, w := range workers {
-		for _, r := range w.Runs() {
-			if r.ID == id {
-				n++
-			}
-		}
-	}
-	return n
+	return worker.TimesRun(slices.Values(workers), id)
 }
 
 func setAll(workers []*worker.Worker, fault worker.Fault) {
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -195,14 +196,4 @@
 }
 
 // runs is how often a request ran, at all workers.
-func (f *fleet) runs(id string) int {
-	n := 0
-	for _, w := range f.workers {
-		for _, r := range w.Runs() {
-			if r.ID == id {
-				n++
-			}
-		}
-	}
-	return n
-}
+func (f *fleet) runs(id string) int { return worker.TimesRun(maps.Values(f.workers), id) }
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -279,17 +280,7 @@
 }
 
 // runs is how often a request ran, at all workers.
-func (f *fleet) runs(id string) int {
-	n := 0
-	for _, w := range f.workers {
-		for _, r := range w.Runs() {
-			if r.ID == id {
-				n++
-			}
-		}
-	}
-	return n
-}
+func (f *fleet) runs(id string) int { return worker.TimesRun(maps.Values(f.workers), id) }
 
 // traffic starts callers that ask steadily until they are told to stop.
 func (f *fleet) traffic(name string, callers int) *caller.Traffic {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"io"
+	"iter"
 	"maps"
 	"net/http"
 	"strconv"
@@ -104,6 +105,19 @@
 	return w.working
 }
 
+// TimesRun is how often a request ran at all of the workers.
+func TimesRun(workers iter.Seq[*Worker], id string) int {
+	n := 0
+	for w := range workers {
+		for _, r := range w.Runs() {
+			if r.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Held returns the memory set aside, by ticket.
 func (w *Worker) Held() map[string]int {
 	w.lock.Lock()
