follower, controller: entries pass on only what changed

A fetch now names the revision up to which the entry knows all changes, and gets what is newer.

Test: TestChangesSinceARevisionMissNothing, against a store in random order; red without the bound on removals.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -82,5 +82,6 @@
 red helper-fault forwarder/attempt.go 's/a\.helperAtFault = true//' $p TestHelperWithoutRoomIsReplaced
 red drawn dispatcher/offer.go 's/o\.cost \+= o\.draw \+ /o.cost += /' ./dispatcher TestEntriesThatChooseAtOnceSpread
 red urgent-lines logger/queue.go 's/len\(q\.lines\) >= ordinaryLines/false/' ./logger TestFailuresAreDroppedLast
+red since follower/follower.go 's/whole = have < f\.base/whole = have == 0/' ./follower TestChangesSinceARevisionMissNothing
 red linger launcher/launcher.go 's/earlier\(forget, by\)/earlier(began, earlier(forget, by))/' ./launcher TestRollingStopCutsOffNothing
 exit $wrong
--- a/controller/fetch.go
+++ b/controller/fetch.go
@@ -27,14 +27,21 @@
 )
 
 // FetchArgs asks for what a peer believes of the store.
-type FetchArgs struct{ HaveConfig int64 }
+type FetchArgs struct {
+	// Have is the revision up to which the asking entry knows all changes,
+	// HaveConfig that of its configuration.
+	Have, HaveConfig int64
+}
 
 // FetchReply is what an entry believes of the store.
 type FetchReply struct {
 	// State is without the configuration, which Config holds deflated; empty
 	// where the asking entry has that revision.
-	State     follower.State
-	Config    []byte
+	State  follower.State
+	Config []byte
+	// Whole is true where State is all that there is, not only what changed
+	// since the revision that the asking entry has.
+	Whole     bool
 	Known     bool
 	Confirmed time.Duration
 	// Disturbed is how long ago the store failed the entry; negative where it
@@ -49,7 +56,7 @@
 		age, ok := s.follower.ConfirmedAge(now)
 		reply.Known = ok && s.follower.Known()
 		reply.Confirmed = age
-		reply.State = s.follower.State(args.HaveConfig)
+		reply.State, reply.Whole = s.follower.Since(args.Have, args.HaveConfig)
 		reply.Disturbed = -1
 		if disturbed, ever := s.follower.DisturbedAge(now); ever {
 			reply.Disturbed = disturbed
@@ -107,10 +114,10 @@
 }
 
 // fetch asks a peer for what it believes of the store.
-func (c *Controller) fetch(address netip.AddrPort, source string, haveConfig int64) {
+func (c *Controller) fetch(address netip.AddrPort, source string, have FetchArgs) {
 	defer c.do(func(s *state) { s.fetching-- })
 	var reply FetchReply
-	err := c.fetches.Call(address, rpcName+".Fetch", FetchArgs{HaveConfig: haveConfig}, &reply, fetchTimeout)
+	err := c.fetches.Call(address, rpcName+".Fetch", have, &reply, fetchTimeout)
 	if err == nil && len(reply.Config) > 0 {
 		reply.State.Config, err = unpack(reply.Config)
 	}
@@ -125,5 +132,5 @@
 	if reply.Disturbed >= 0 {
 		c.do(func(s *state) { s.follower.Disturbed(now.Add(-reply.Disturbed)) })
 	}
-	c.take(reply.State, true, now.Add(-reply.Confirmed), source)
+	c.take(reply.State, reply.Whole, now.Add(-reply.Confirmed), source)
 }
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -196,11 +196,12 @@
 // heard takes in a heartbeat, and fetches what the sender has newer.
 func (c *Controller) heard(b Beat) {
 	fetch := false
-	have := int64(0)
+	var have FetchArgs
 	c.do(func(s *state) {
 		now := time.Now()
 		s.heard(now, b)
-		_, have = s.follower.Config()
+		have.Have = s.follower.Revision()
+		_, have.HaveConfig = s.follower.Config()
 		fetch = b.Known && (b.Content > s.follower.Content() || !s.follower.Known()) && s.fetching < mostFetches
 		if fetch {
 			s.fetching++
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -79,7 +79,10 @@
 
 // Follower holds the beliefs. It is not safe for concurrent use.
 type Follower struct {
-	revision       int64
+	revision int64
+	// base is the revision from which on every removal is remembered: what came
+	// and went before the newest whole state was never known.
+	base           int64
 	content        int64
 	config         []byte
 	configRevision int64
@@ -100,6 +103,9 @@
 	if s.Revision < f.revision {
 		return nil
 	}
+	if s.Revision > f.revision {
+		f.base = s.Revision
+	}
 	changes := f.Apply(now, s)
 	listed := make(map[string]bool, len(s.Instances))
 	for _, l := range s.Instances {
@@ -229,6 +235,7 @@
 			changes = append(changes, Change{ID: id, What: Gone, Revision: k.listed.Revision})
 		}
 		if now.Sub(k.goneAt) > goneLife {
+			f.base = max(f.base, k.listed.Revision)
 			delete(f.instances, id)
 		}
 	}
@@ -262,17 +269,22 @@
 // Known reports whether a whole state was ever taken in.
 func (f *Follower) Known() bool { return f.configRevision > 0 }
 
-// State returns all that is believed, for another entry. The configuration is
-// left out where the other has that revision.
-func (f *Follower) State(haveConfig int64) State {
-	s := State{Revision: f.revision}
+// Since returns what an entry that knows all changes up to a revision lacks, and
+// whether that is the whole state, as it is where a removal since then may be
+// forgotten. The configuration is left out where the entry has that revision.
+func (f *Follower) Since(have, haveConfig int64) (s State, whole bool) {
+	s.Revision = f.revision
 	if f.configRevision > haveConfig {
 		s.Config, s.ConfigRevision = f.config, f.configRevision
 	}
+	whole = have < f.base
 	for _, id := range slices.Sorted(maps.Keys(f.instances)) {
 		l := f.instances[id].listed
+		if !whole && l.Revision <= have {
+			continue
+		}
 		l.Fault = nil
 		s.Instances = append(s.Instances, l)
 	}
-	return s
+	return s, whole
 }
