--- a/controller/controller.go
+++ b/controller/controller.go
@@ -246,7 +246,7 @@
 			v.peers = append(v.peers, peer{name: m.Name, beats: m.PeerAddress, shares: netip.AddrPortFrom(m.PeerAddress.Addr(), c.config.Shares.Port())})
 		}
 	}
-	c.config.Board.Peers(len(v.peers), s.blind(len(v.peers)))
+	c.config.Board.SetPeers(len(v.peers), s.blind(len(v.peers)))
 	usable := s.follower.Usable()
 	if s.table != nil {
 		c.config.Board.Update(s.table, usable)
--- a/controller/fetch.go
+++ b/controller/fetch.go
@@ -79,6 +79,8 @@
 	data     []byte
 }
 
+// pack returns a configuration deflated. The lock is held meanwhile, so that
+// entries that ask at the same time wait for one.
 func (p *packedConfig) pack(revision int64, config []byte) ([]byte, error) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
--- a/controller/follow.go
+++ b/controller/follow.go
@@ -97,6 +97,7 @@
 	return slices.Contains(names[:min(readers, len(names))], s.controller.config.Name)
 }
 
+// part is a part of a time.
 func part(d time.Duration, p float64) time.Duration { return time.Duration(p * float64(d)) }
 
 // readStore makes one call to the store and takes in what it says.
--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -249,10 +249,10 @@
 // sharedRank is the order in which entries that hear each other fill engines.
 const sharedRank = "placement"
 
-// Peers tells the board how many other entries place, and whether this entry
+// SetPeers tells the board how many other entries place, and whether this entry
 // hears what they do. While it is blind to that, it keeps to an order of its own
 // and packs nothing: all entries would fill the same engines.
-func (b *Board) Peers(peers int, blind bool) {
+func (b *Board) SetPeers(peers int, blind bool) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	b.peers = peers
--- a/dispatcher/place_test.go
+++ b/dispatcher/place_test.go
@@ -167,7 +167,7 @@
 	for seed := range 7 {
 		b := testBoard(t, 14)
 		b.random = rand.New(rand.NewPCG(uint64(seed), 9))
-		b.Peers(6, true)
+		b.SetPeers(6, true)
 		for id, n := range engines(writing(t, b, start, tower, 10)...) {
 			used[id] += n
 		}
@@ -187,7 +187,7 @@
 func TestEntriesThatChooseAtOnceSpread(t *testing.T) {
 	is := is.New(t)
 	b := testBoard(t, 54)
-	b.Peers(70, false)
+	b.SetPeers(70, false)
 	random := rand.New(rand.NewPCG(3, 4))
 	for _, p := range writing(t, b, start, tower, 400) {
 		if random.Float64() < 0.2 {
