--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -69,18 +69,18 @@
 red other-answer forwarder/attempt.go 's/reply\.Call != "" && reply\.Call != x\.call\.ID/false/' $p TestAtMostOnceUnderEveryFault
 red release forwarder/attempt.go 's/f\.release\(a\.group\)//' $p TestMemoryOfGroupIsGivenBack
 red first-config forwarder/forwarder.go 's/f\.awaitConfig\(x\)$/f.view()/m' $p TestEntryJustStarted
-red newest-first dispatcher/board.go 's/p\.finish = p\.finish\.Add\(reading\)/_ = reading/' ./dispatcher TestNewestPartDelaysOthers
-red packing dispatcher/offer.go 's/openCost\*\(/0*(/' ./dispatcher TestTowerQueriesLeaveEnginesToAudits
-red blind dispatcher/offer.go 's/&& !o\.blind //' ./dispatcher TestBlindEntriesSpread
-red dear dispatcher/admit.go 's/if value\(d\)-cost-price > 0/if price >= 0/' ./dispatcher TestDearPromptIsRefusedUnderBacklog
+red newest-first dispatcher/board.go 's/p\.finish = p\.finish\.Add\(prefill\)/_ = prefill/' ./dispatcher TestNewestPartDelaysOthers
+red packing dispatcher/candidate.go 's/openCost\*\(/0*(/' ./dispatcher TestTowerQueriesLeaveEnginesToAudits
+red blind dispatcher/candidate.go 's/&& !c\.blind //' ./dispatcher TestBlindEntriesSpread
+red costly dispatcher/admit.go 's/if value\(d\)-cost-price > 0/if price >= 0/' ./dispatcher TestCostlyPromptIsRefusedUnderBacklog
 red held follower/follower.go 's/ok && !k\.listed\.Instance\.Leaving && f\.lapsing\(now\)/false/' ./follower TestLapsedInstancesAreHeld
 red older-state follower/follower.go 's/if s\.Revision < f\.revision \{\n\t\treturn nil\n\t\}//' ./follower TestOlderStateChangesNothing
 red fallback controller/follow.go 's/!ok \|\| age > part\(/!ok || age < -part(/' ./controller 'TestPartedEntriesReadForThemselves|TestEntryCutOffFromStore'
-red packed-config controller/fetch.go 's/flate\.BestSpeed/flate.NoCompression/' ./controller TestLargeConfigurationSpreadsOverSlowLinks
+red compressed-config controller/fetch.go 's/flate\.BestSpeed/flate.NoCompression/' ./controller TestLargeConfigurationSpreadsOverSlowLinks
 red unconfirmed forwarder/forwarder.go 's/age > x\.view\.TrustTime/false/' $p TestUnconfirmedEntryDeniesNothing
 red last-try forwarder/forwarder.go 's/return x\.call\.Patience \/ lostWaitPart/return 0/' $p TestEntryStartedWithoutStore
 red helper-fault forwarder/attempt.go 's/a\.helperAtFault = true//' $p TestHelperWithoutRoomIsReplaced
-red drawn dispatcher/offer.go 's/o\.cost \+= o\.draw \+ /o.cost += /' ./dispatcher TestEntriesThatChooseAtOnceSpread
+red jitter dispatcher/candidate.go 's/c\.cost \+= c\.jitter \+ /c.cost += /' ./dispatcher TestEntriesThatChooseAtOnceSpread
 red urgent-lines logger/queue.go 's/len\(q\.lines\) >= ordinaryLines/false/' ./logger TestFailuresAreDroppedLast
 red since follower/follower.go 's/whole = have < f\.base/whole = have == 0/' ./follower TestChangesSinceARevisionMissNothing
 red linger launcher/launcher.go 's/earlier\(forget, by\)/earlier(began, earlier(forget, by))/' ./launcher TestRollingStopCutsOffNothing
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -84,7 +84,7 @@
 	// pool carries heartbeats, fetches carries states: a heartbeat behind a
 	// large answer would be late.
 	pool, fetches *connector.Pool
-	packed        packedConfig
+	compressed    compressedConfig
 	// pushes asks for heartbeats to all peers at once.
 	pushes chan struct{}
 	work   sync.WaitGroup
--- a/controller/fetch.go
+++ b/controller/fetch.go
@@ -21,7 +21,7 @@
 	// mostFetches is how many peers are asked at once: one more than is needed,
 	// so that one that is gone does not hold up the news.
 	mostFetches = 2
-	// maxConfig is the largest configuration that is unpacked, in bytes; a
+	// maxConfig is the largest configuration that is decompressed, in bytes; a
 	// value of the platform's store is a megabyte at most.
 	maxConfig = 8 << 20
 )
@@ -35,7 +35,7 @@
 
 // FetchReply is what an entry believes of the store.
 type FetchReply struct {
-	// State is without the configuration, which Config holds deflated; empty
+	// State is without the configuration, which Config holds compressed; empty
 	// where the asking entry has that revision.
 	State  follower.State
 	Config []byte
@@ -66,22 +66,22 @@
 		return nil
 	}
 	var err error
-	reply.Config, err = p.controller.packed.pack(reply.State.ConfigRevision, reply.State.Config)
+	reply.Config, err = p.controller.compressed.compress(reply.State.ConfigRevision, reply.State.Config)
 	reply.State.Config = nil
 	return err
 }
 
-// packedConfig is the newest configuration that was asked for, deflated once
+// compressedConfig is the newest configuration that was asked for, compressed once
 // for all that ask: many routes are much alike and shrink to a tenth.
-type packedConfig struct {
+type compressedConfig struct {
 	lock     sync.Mutex
 	revision int64
 	data     []byte
 }
 
-// pack returns a configuration deflated. The lock is held meanwhile, so that
+// compress returns a configuration compressed. The lock is held meanwhile, so that
 // entries that ask at the same time wait for one.
-func (p *packedConfig) pack(revision int64, config []byte) ([]byte, error) {
+func (p *compressedConfig) compress(revision int64, config []byte) ([]byte, error) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	if p.revision == revision {
@@ -90,27 +90,27 @@
 	var out bytes.Buffer
 	w, err := flate.NewWriter(&out, flate.BestSpeed)
 	if err != nil {
-		return nil, fmt.Errorf("pack configuration: %w", err)
+		return nil, fmt.Errorf("compress configuration: %w", err)
 	}
 	if _, err := w.Write(config); err != nil {
-		return nil, fmt.Errorf("pack configuration: %w", err)
+		return nil, fmt.Errorf("compress configuration: %w", err)
 	}
 	if err := w.Close(); err != nil {
-		return nil, fmt.Errorf("pack configuration: %w", err)
+		return nil, fmt.Errorf("compress configuration: %w", err)
 	}
 	p.revision, p.data = revision, out.Bytes()
 	return p.data, nil
 }
 
-// unpack inflates a configuration.
-func unpack(data []byte) ([]byte, error) {
+// decompress inflates a configuration.
+func decompress(data []byte) ([]byte, error) {
 	r := flate.NewReader(bytes.NewReader(data))
 	config, err := io.ReadAll(io.LimitReader(r, maxConfig+1))
 	if err != nil {
-		return nil, fmt.Errorf("unpack configuration: %w", err)
+		return nil, fmt.Errorf("decompress configuration: %w", err)
 	}
 	if len(config) > maxConfig {
-		return nil, fmt.Errorf("unpack configuration: over %d bytes", maxConfig)
+		return nil, fmt.Errorf("decompress configuration: over %d bytes", maxConfig)
 	}
 	return config, nil
 }
@@ -121,7 +121,7 @@
 	var reply FetchReply
 	err := c.fetches.Call(address, rpcName+".Fetch", have, &reply, fetchTimeout)
 	if err == nil && len(reply.Config) > 0 {
-		reply.State.Config, err = unpack(reply.Config)
+		reply.State.Config, err = decompress(reply.Config)
 	}
 	if err != nil {
 		c.config.Log.Warn("fetch_failed", zap.String("source", source), zap.Error(err))
--- a/dispatcher/admit.go
+++ b/dispatcher/admit.go
@@ -9,33 +9,33 @@
 
 const (
 	// timePrice is what a second of an engine's time is worth to other callers
-	// for each second that engines have yet to read on average, in requests a
+	// for each second that engines have yet to prefill on average, in requests a
 	// second squared. At 0.25 s of backlog nothing is refused that would be on
-	// time; at 1 s prompts that take over seven seconds to read are, which
+	// time; at 1 s prompts that take over seven seconds to prefill are, which
 	// would displace several times their worth of others.
 	timePrice = 4.0
-	// heavyReading is the reading from which a prompt is heavy enough to be
+	// heavyPrefill is the time to prefill from which a prompt is heavy enough to be
 	// refused for what it costs others.
-	heavyReading = time.Second
+	heavyPrefill = time.Second
 	// drainFactor is in how many backlogs a refused caller is asked to return.
 	drainFactor = 4
 )
 
-// dear refuses a prompt that would lose others more than it is worth. Cost is
+// tooCostly refuses a prompt that would lose others more than it is worth. Cost is
 // what its place would lose, its own lateness included.
-func dear(d Demand, e *matcher.Engine, loads []offer, cost float64) *Refusal {
-	reading := predictor.Reading(e, d.Prompt)
-	if d.Admitted || reading < heavyReading {
+func tooCostly(d Demand, e *matcher.Engine, loads []candidate, cost float64) *Refusal {
+	prefill := predictor.Prefill(e, d.Prompt)
+	if d.Admitted || prefill < heavyPrefill {
 		return nil
 	}
 	backlog := time.Duration(0)
 	for _, o := range loads {
-		backlog += o.load.Reading
+		backlog += o.load.Prefill
 	}
 	backlog /= time.Duration(len(loads))
-	price := timePrice * backlog.Seconds() * reading.Seconds()
+	price := timePrice * backlog.Seconds() * prefill.Seconds()
 	if value(d)-cost-price > 0 {
 		return nil
 	}
-	return &Refusal{Reason: "too_dear", Passing: true, RetryAfter: min(mostRetry, max(leastRetry, drainFactor*backlog))}
+	return &Refusal{Reason: "too_costly", Passing: true, RetryAfter: min(mostRetry, max(leastRetry, drainFactor*backlog))}
 }
--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -1,5 +1,5 @@
 // Package dispatcher decides which upstream takes a request, and which engines
-// help to read a long prompt. Its board holds what this entry has sent where
+// help to prefill a long prompt. Its board holds what this entry has sent where
 // and has not seen the end of, beside what other entries say of theirs. It
 // does no I/O.
 package dispatcher
@@ -65,23 +65,23 @@
 // part is what one request does at one upstream.
 type part struct {
 	worker *worker
-	// reading is how long the upstream reads for it, finish when it is
+	// prefill is how long the upstream prefills for it, finish when it is
 	// expected to be done with that.
-	reading time.Duration
+	prefill time.Duration
 	finish  time.Time
-	// writes is true where the upstream writes the answer, false at helpers.
-	writes bool
-	tokens int
+	// decodes is true where the upstream decodes the answer, false at helpers.
+	decodes bool
+	tokens  int
 	// placement is that of the request.
 	placement *Placement
 	placed    time.Time
-	// aim and pause are those of the route; pause is 0 for plain requests.
-	aim, pause time.Duration
-	value      float64
+	// target and pause are those of the route; pause is 0 for plain requests.
+	target, pause time.Duration
+	value         float64
 }
 
-// Writers are answers being written that bear the same pauses.
-type Writers struct {
+// Streams are answers being decoded that bear the same pauses.
+type Streams struct {
 	// Pause is the longest pause at which they are on time.
 	Pause time.Duration
 	Count int
@@ -93,16 +93,16 @@
 type Load struct {
 	// Running is how many requests the upstream answers.
 	Running int
-	// Reading is how long the upstream has yet to read.
-	Reading time.Duration
+	// Prefill is how long the upstream has yet to prefill.
+	Prefill time.Duration
 	// Late is how long the most overdue request waits beyond what was expected.
 	// An engine that is that late has at least as much to do that nobody told.
 	Late time.Duration
 	// Tokens is the memory used.
 	Tokens  int
-	Writers []Writers
+	Streams []Streams
 	// Waits are requests that wait for their first event and have something to
-	// be read here.
+	// be prefilled here.
 	Waits []Wait
 }
 
@@ -110,55 +110,55 @@
 type Wait struct {
 	// Expected is the whole of its wait, Here what this upstream makes of it.
 	Expected, Here time.Duration
-	// Aim is the longest wait that is on time.
-	Aim   time.Duration
-	Value float64
+	// Target is the longest wait that is on time.
+	Target time.Duration
+	Value  float64
 }
 
 func (l *Load) add(o Load) {
 	l.Running += o.Running
-	l.Reading += o.Reading
+	l.Prefill += o.Prefill
 	l.Late = max(l.Late, o.Late)
 	l.Tokens += o.Tokens
 	l.Waits = append(l.Waits, o.Waits...)
-	for _, w := range o.Writers {
-		l.addWriters(w)
+	for _, w := range o.Streams {
+		l.addStreams(w)
 	}
 }
 
-func (l *Load) addWriters(w Writers) {
-	for i := range l.Writers {
-		if l.Writers[i].Pause == w.Pause {
-			l.Writers[i].Count += w.Count
-			l.Writers[i].Value += w.Value
+func (l *Load) addStreams(w Streams) {
+	for i := range l.Streams {
+		if l.Streams[i].Pause == w.Pause {
+			l.Streams[i].Count += w.Count
+			l.Streams[i].Value += w.Value
 			return
 		}
 	}
-	l.Writers = append(l.Writers, w)
+	l.Streams = append(l.Streams, w)
 }
 
-// overduePart is what is left of a reading that should be done by now and is
+// overduePart is what is left of a prefill that should be done by now and is
 // not known to be.
 const overduePart = 0.1
 
-// left is how long the upstream has yet to read for a part.
+// left is how long the upstream has yet to prefill for a part.
 func (p *part) left(now time.Time) time.Duration {
 	if p.placement.begun {
 		return 0
 	}
-	return min(p.reading, max(time.Duration(overduePart*float64(p.reading)), p.finish.Sub(now)))
+	return min(p.prefill, max(time.Duration(overduePart*float64(p.prefill)), p.finish.Sub(now)))
 }
 
 // own is the load that this entry's requests make.
 func (w *worker) own(now time.Time) Load {
 	var l Load
 	for p := range w.parts {
-		l.Reading += p.left(now)
+		l.Prefill += p.left(now)
 		l.Tokens += p.tokens
 		if !p.placement.begun && p.pause > 0 {
 			l.Waits = append(l.Waits, p.wait(now))
 		}
-		if !p.writes {
+		if !p.decodes {
 			continue
 		}
 		l.Running++
@@ -166,7 +166,7 @@
 			l.Late = max(l.Late, now.Sub(p.placement.finish())-paceSlack)
 		}
 		if p.pause > 0 {
-			l.addWriters(Writers{Pause: p.pause, Count: 1, Value: p.value})
+			l.addStreams(Streams{Pause: p.pause, Count: 1, Value: p.value})
 		}
 	}
 	return l
@@ -182,22 +182,22 @@
 	if expected.Before(now) {
 		expected = now
 	}
-	return Wait{Expected: expected.Sub(p.placed), Here: here.Sub(p.placed), Aim: p.aim, Value: p.value}
+	return Wait{Expected: expected.Sub(p.placed), Here: here.Sub(p.placed), Target: p.target, Value: p.value}
 }
 
 // all is the load that the requests of all entries make, as far as known.
 func (w *worker) all(now time.Time) Load {
 	l := w.own(now)
 	w.addPeers(now, &l)
-	l.Reading += max(0, l.Late)
+	l.Prefill += max(0, l.Late)
 	return l
 }
 
-// delay notes that something new is read before all that waits here.
-func (w *worker) delay(now time.Time, reading time.Duration) {
+// delay notes that something new is prefilled before all that waits here.
+func (w *worker) delay(now time.Time, prefill time.Duration) {
 	for p := range w.parts {
 		if !p.placement.begun && p.finish.After(now) {
-			p.finish = p.finish.Add(reading)
+			p.finish = p.finish.Add(prefill)
 		}
 	}
 }
@@ -211,7 +211,7 @@
 			continue
 		}
 		load := p.load
-		load.Reading = max(0, load.Reading-age)
+		load.Prefill = max(0, load.Prefill-age)
 		l.add(load)
 	}
 }
--- a/dispatcher/demand.go
+++ b/dispatcher/demand.go
@@ -10,8 +10,8 @@
 	Service string
 	// Prompt and Answer are token counts; Prompt is 0 for plain services.
 	Prompt, Answer int
-	// FirstByteAim and PauseAim are those of the route.
-	FirstByteAim, PauseAim time.Duration
+	// FirstByteTarget and PauseTarget are those of the route.
+	FirstByteTarget, PauseTarget time.Duration
 	// Patience is how long the caller waits for the first byte.
 	Patience time.Duration
 	// Avoid lists the IDs of upstreams that failed the request.
@@ -30,7 +30,7 @@
 	RetryAfter time.Duration
 	// Expected is how long the first byte would have taken, 0 if unknown.
 	Expected time.Duration
-	// Passing refusals may be other in a moment, as engines read on.
+	// Passing refusals may be other in a moment, as engines work on.
 	Passing bool
 }
 
--- a/dispatcher/memory.go
+++ b/dispatcher/memory.go
@@ -10,14 +10,14 @@
 const memoryPart = 0.85
 
 // free is the memory of an engine that one prompt may have.
-func (o offer) free() int {
+func (o candidate) free() int {
 	return int(memoryPart * float64(max(0, o.worker.engine.MemoryTokens-o.load.Tokens)))
 }
 
 // memoryShares says how much of a prompt and its answer each of the chosen
 // engines holds, the first of them first. A prompt that fits there is held by
 // the first alone; what doesn't fit is held by few of the others.
-func memoryShares(d Demand, chosen []offer) ([]int, bool) {
+func memoryShares(d Demand, chosen []candidate) ([]int, bool) {
 	shares := make([]int, len(chosen))
 	need := d.Prompt + d.Answer
 	first := chosen[0]
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -16,7 +16,7 @@
 	}
 	for _, t := range parts {
 		if len(parts) > 1 {
-			t.worker.delay(now, t.reading)
+			t.worker.delay(now, t.prefill)
 		}
 	}
 	for _, t := range parts {
@@ -62,7 +62,7 @@
 		}
 	}
 	p := &Placement{board: b, First: best.instance, Load: best.all(now), placed: now, parts: map[*worker]*part{}}
-	return p, []*part{{worker: best, writes: true, value: 1, placement: p}}
+	return p, []*part{{worker: best, decodes: true, value: 1, placement: p}}
 }
 
 // What weighs on the choice of a plain upstream, in loads of a full one.
@@ -80,17 +80,17 @@
 )
 
 func (b *Board) placePrompt(now time.Time, d Demand, workers []*worker) (*Placement, []*part, *Refusal) {
-	loads := make([]offer, len(workers))
+	loads := make([]candidate, len(workers))
 	for i, w := range workers {
-		loads[i] = offer{
-			worker: w, load: w.all(now), rank: assigner.Weight(b.rankSalt, w.instance.ID), blind: b.blind, draw: drawn(b.peers) * b.random.Float64(),
+		loads[i] = candidate{
+			worker: w, load: w.all(now), rank: assigner.Weight(b.rankSalt, w.instance.ID), blind: b.blind, jitter: jitter(b.peers) * b.random.Float64(),
 		}
 	}
-	var best []offer
+	var best []candidate
 	least, expected := 0.0, time.Duration(0)
-	scratch := newAuction(len(loads))
+	scratch := newSearch(len(loads))
 	for _, k := range groupSizes(d, workers[0].engine, loads) {
-		chosen, cost, finish := scratch.bid(now, d, loads, k)
+		chosen, cost, finish := scratch.cheapest(now, d, loads, k)
 		if chosen != nil && (best == nil || cost < least) {
 			best, least, expected = append(best[:0], chosen...), cost, finish
 		}
@@ -105,7 +105,7 @@
 	if !fits {
 		return nil, nil, &Refusal{Reason: "no_memory", Expected: expected, RetryAfter: leastRetry}
 	}
-	if r := dear(d, workers[0].engine, loads, least); r != nil {
+	if r := tooCostly(d, workers[0].engine, loads, least); r != nil {
 		r.Expected = expected
 		return nil, nil, r
 	}
@@ -122,8 +122,8 @@
 			p.Shares[o.worker.instance.ID] = held[i]
 		}
 		parts = append(parts, &part{
-			worker: o.worker, placement: p, reading: o.part, finish: now.Add(o.finish), tokens: held[i], placed: now,
-			aim: d.FirstByteAim, pause: d.PauseAim, value: value(d), writes: i == 0,
+			worker: o.worker, placement: p, prefill: o.part, finish: now.Add(o.finish), tokens: held[i], placed: now,
+			target: d.FirstByteTarget, pause: d.PauseTarget, value: value(d), decodes: i == 0,
 		})
 	}
 	return p, parts, nil
--- a/dispatcher/place_test.go
+++ b/dispatcher/place_test.go
@@ -16,11 +16,11 @@
 var (
 	testEngine = matcher.Engine{
 		Slots: 16, MemoryTokens: 315000, Stride: 51, Step: 850 * time.Microsecond, PerSequence: 4250 * time.Nanosecond,
-		PerThousand: 2850 * time.Nanosecond, ReadPerSecond: 177000, PerMillionPairs: 184 * time.Microsecond, Chunk: 2048,
+		PerThousand: 2850 * time.Nanosecond, PrefillPerSecond: 177000, PerMillionPairs: 184 * time.Microsecond, Chunk: 2048,
 	}
-	tower = Demand{Service: "lm", Prompt: 5000, Answer: 1650, FirstByteAim: 300 * time.Millisecond, PauseAim: 250 * time.Millisecond, Patience: 2 * time.Second}
-	span  = Demand{Service: "lm", Prompt: 45000, Answer: 1000, FirstByteAim: 1500 * time.Millisecond, PauseAim: 600 * time.Millisecond, Patience: 6 * time.Second}
-	audit = Demand{Service: "lm", Prompt: 154000, Answer: 800, FirstByteAim: 3 * time.Second, PauseAim: time.Second, Patience: 12 * time.Second}
+	tower = Demand{Service: "lm", Prompt: 5000, Answer: 1650, FirstByteTarget: 300 * time.Millisecond, PauseTarget: 250 * time.Millisecond, Patience: 2 * time.Second}
+	span  = Demand{Service: "lm", Prompt: 45000, Answer: 1000, FirstByteTarget: 1500 * time.Millisecond, PauseTarget: 600 * time.Millisecond, Patience: 6 * time.Second}
+	audit = Demand{Service: "lm", Prompt: 154000, Answer: 800, FirstByteTarget: 3 * time.Second, PauseTarget: time.Second, Patience: 12 * time.Second}
 )
 
 // withPrompt is a demand of another length.
@@ -70,8 +70,8 @@
 	return used
 }
 
-// writing places n prompts that are being answered.
-func writing(t *testing.T, b *Board, now time.Time, d Demand, n int) []*Placement {
+// streaming places n prompts that are being answered.
+func streaming(t *testing.T, b *Board, now time.Time, d Demand, n int) []*Placement {
 	t.Helper()
 	var out []*Placement
 	for range n {
@@ -86,7 +86,7 @@
 
 // An audit alone on a free fleet is on time by a wide margin: one engine would
 // take 3.05 s of the 3 s that it has.
-func TestAuditIsReadByManyEngines(t *testing.T) {
+func TestAuditIsPrefilledByManyEngines(t *testing.T) {
 	is := is.New(t)
 	p := place(t, testBoard(t, 14), start, audit)
 	is.True(len(p.Helpers) >= 3)
@@ -100,7 +100,7 @@
 func TestTowerQueriesLeaveEnginesToAudits(t *testing.T) {
 	is := is.New(t)
 	b := testBoard(t, 14)
-	towers := engines(writing(t, b, start, tower, 56)...)
+	towers := engines(streaming(t, b, start, tower, 56)...)
 	is.True(len(towers) <= 6)
 	p := place(t, b, start, audit)
 	for id := range engines(p) {
@@ -113,7 +113,7 @@
 func TestTowerBurstFillsNoEngineBeyondItsSlots(t *testing.T) {
 	is := is.New(t)
 	b := testBoard(t, 14)
-	for _, n := range engines(writing(t, b, start, tower, 150)...) {
+	for _, n := range engines(streaming(t, b, start, tower, 150)...) {
 		is.True(n <= testEngine.Slots) // slots of each engine
 	}
 }
@@ -141,7 +141,7 @@
 // refused at once with a time at which it may be taken: on scale days of
 // condor-sapphire long prompts taken at any cost left seven seconds of reading
 // to the burst of tower queries that followed.
-func TestDearPromptIsRefusedUnderBacklog(t *testing.T) {
+func TestCostlyPromptIsRefusedUnderBacklog(t *testing.T) {
 	is := is.New(t)
 	b := testBoard(t, 4)
 	refused := (*Refusal)(nil)
@@ -152,7 +152,7 @@
 		}
 	}
 	is.True(refused != nil)
-	is.Equal(refused.Reason, "too_dear")
+	is.Equal(refused.Reason, "too_costly")
 	is.True(refused.RetryAfter >= leastRetry && refused.RetryAfter <= mostRetry)
 	_, refused = b.Place(start, tower)
 	is.True(refused == nil) // short questions are still taken
@@ -168,7 +168,7 @@
 		b := testBoard(t, 14)
 		b.random = rand.New(rand.NewPCG(uint64(seed), 9))
 		b.SetPeers(6, true)
-		for id, n := range engines(writing(t, b, start, tower, 10)...) {
+		for id, n := range engines(streaming(t, b, start, tower, 10)...) {
 			used[id] += n
 		}
 	}
@@ -189,7 +189,7 @@
 	b := testBoard(t, 54)
 	b.SetPeers(70, false)
 	random := rand.New(rand.NewPCG(3, 4))
-	for _, p := range writing(t, b, start, tower, 400) {
+	for _, p := range streaming(t, b, start, tower, 400) {
 		if random.Float64() < 0.2 {
 			p.End(start, Answered)
 		}
@@ -215,7 +215,7 @@
 func TestPeersLoadCounts(t *testing.T) {
 	is := is.New(t)
 	near, far := testBoard(t, 2), testBoard(t, 2)
-	writing(t, far, start, tower, 14)
+	streaming(t, far, start, tower, 14)
 	near.Import(start, TokenOf("far"), far.Export(start, false))
 	loads := map[string]int{}
 	for id, w := range near.workers {
@@ -269,7 +269,7 @@
 		held += tokens
 	}
 	is.True(held >= 600000+audit.Answer-testEngine.MemoryTokens)
-	is.True(len(p.Shares) <= 3) // orders to engines are dear
+	is.True(len(p.Shares) <= 3) // orders to engines cost
 }
 
 // A prompt that fits one engine is not refused for want of memory while all of
@@ -280,7 +280,7 @@
 	b := testBoard(t, 2)
 	for _, w := range b.workers {
 		if w.engine != nil {
-			w.parts[&part{worker: w, writes: true, tokens: testEngine.MemoryTokens, placement: &Placement{begun: true}}] = true
+			w.parts[&part{worker: w, decodes: true, tokens: testEngine.MemoryTokens, placement: &Placement{begun: true}}] = true
 		}
 	}
 	for _, tokens := range []int{5000, 15000, 45000} {
@@ -311,7 +311,7 @@
 		is.Equal(len(w.parts), 0)
 		l := w.all(start)
 		is.Equal(l.Running, 0)
-		is.Equal(l.Reading, time.Duration(0))
+		is.Equal(l.Prefill, time.Duration(0))
 	}
 }
 
--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -9,7 +9,7 @@
 // Placement is a request's place. Its owner reports what becomes of it.
 type Placement struct {
 	board *Board
-	// First answers the request; Helpers read parts of the prompt.
+	// First answers the request; Helpers prefill parts of the prompt.
 	First   Instance
 	Helpers []Instance
 	// Shares are the memory that helpers are to hold of a prompt that is too
@@ -32,7 +32,7 @@
 	defer p.board.lock.Unlock()
 	p.begun = true
 	for w, t := range p.parts {
-		if t.reading > toldReading {
+		if t.prefill > toldPrefill {
 			p.board.touch(w)
 		}
 	}
@@ -43,12 +43,12 @@
 	}
 }
 
-// toldReading is the reading whose end is worth a message to peers: what is
+// toldPrefill is the prefill whose end is worth a message to peers: what is
 // shorter they expect to be done by the time it reaches them.
-const toldReading = 100 * time.Millisecond
+const toldPrefill = 100 * time.Millisecond
 
 // Busy is how long the request's upstream may say nothing because of what it
-// is expected to read.
+// is expected to prefill.
 func (p *Placement) Busy() time.Duration {
 	p.board.lock.Lock()
 	defer p.board.lock.Unlock()
@@ -58,17 +58,17 @@
 	}
 	now := time.Now()
 	l := w.all(now)
-	reading := l.Reading
+	prefill := l.Prefill
 	for o := range p.parts {
 		if !p.begun {
-			reading = max(reading, o.all(now).Reading)
+			prefill = max(prefill, o.all(now).Prefill)
 		}
 	}
 	pace := w.health.pace(now)
-	return time.Duration(float64(reading+predictor.Writing(w.engine, l.Running, l.Tokens)) * pace)
+	return time.Duration(float64(prefill+predictor.DecodePass(w.engine, l.Running, l.Tokens)) * pace)
 }
 
-// finish is when the last part is expected to be read.
+// finish is when the last part is expected to be prefilled.
 func (p *Placement) finish() time.Time {
 	last := p.placed
 	for _, t := range p.parts {
@@ -85,7 +85,7 @@
 
 func (p *Placement) worker() *worker {
 	for w, t := range p.parts {
-		if t.writes {
+		if t.decodes {
 			return w
 		}
 	}
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -51,8 +51,8 @@
 	return out
 }
 
-// leastDelay is the growth of a peer's reading from which something new counts
-// as read there; less is rounding and the age of what the peer said.
+// leastDelay is the growth of a peer's prefill from which something new counts
+// as prefilled there; less is rounding and the age of what the peer said.
 const leastDelay = 10 * time.Millisecond
 
 // Import takes in a peer's shares.
@@ -64,11 +64,11 @@
 		if !ok {
 			continue
 		}
-		before := max(0, w.peers[peer].load.Reading-now.Sub(w.peers[peer].at))
-		if more := s.Load.Reading - before; more > leastDelay {
+		before := max(0, w.peers[peer].load.Prefill-now.Sub(w.peers[peer].at))
+		if more := s.Load.Prefill - before; more > leastDelay {
 			w.delay(now, more)
 		}
-		if s.Load.Running == 0 && s.Load.Reading == 0 {
+		if s.Load.Running == 0 && s.Load.Prefill == 0 {
 			delete(w.peers, peer)
 			continue
 		}
@@ -99,11 +99,11 @@
 func appendShare(to []byte, s Share) []byte {
 	to = binary.LittleEndian.AppendUint32(to, uint32(s.Upstream))
 	to = binary.AppendUvarint(to, uint64(s.Load.Running))
-	to = binary.AppendUvarint(to, uint64(s.Load.Reading/time.Millisecond))
+	to = binary.AppendUvarint(to, uint64(s.Load.Prefill/time.Millisecond))
 	to = binary.AppendUvarint(to, uint64(max(0, s.Load.Late/time.Millisecond)))
 	to = binary.AppendUvarint(to, uint64(s.Load.Tokens))
-	to = binary.AppendUvarint(to, uint64(len(s.Load.Writers)))
-	for _, w := range s.Load.Writers {
+	to = binary.AppendUvarint(to, uint64(len(s.Load.Streams)))
+	for _, w := range s.Load.Streams {
 		to = binary.AppendUvarint(to, uint64(w.Pause/time.Millisecond))
 		to = binary.AppendUvarint(to, uint64(w.Count))
 		to = binary.AppendUvarint(to, uint64(w.Value/valueUnit))
@@ -112,7 +112,7 @@
 	for _, w := range s.Load.Waits {
 		to = binary.AppendUvarint(to, uint64(w.Expected/time.Millisecond))
 		to = binary.AppendUvarint(to, uint64(w.Here/time.Millisecond))
-		to = binary.AppendUvarint(to, uint64(w.Aim/time.Millisecond))
+		to = binary.AppendUvarint(to, uint64(w.Target/time.Millisecond))
 		to = binary.AppendUvarint(to, uint64(w.Value/valueUnit))
 	}
 	return to
@@ -155,17 +155,17 @@
 	for len(r.rest) > 0 {
 		s := Share{Upstream: r.token()}
 		s.Load.Running = r.number()
-		s.Load.Reading = time.Duration(r.number()) * time.Millisecond
+		s.Load.Prefill = time.Duration(r.number()) * time.Millisecond
 		s.Load.Late = time.Duration(r.number()) * time.Millisecond
 		s.Load.Tokens = r.number()
 		for range min(r.number(), len(r.rest)) {
-			s.Load.Writers = append(s.Load.Writers, Writers{
+			s.Load.Streams = append(s.Load.Streams, Streams{
 				Pause: time.Duration(r.number()) * time.Millisecond, Count: r.number(), Value: float64(r.number()) * valueUnit,
 			})
 		}
 		for range min(r.number(), len(r.rest)) {
 			s.Load.Waits = append(s.Load.Waits, Wait{
-				Expected: time.Duration(r.number()) * time.Millisecond, Here: time.Duration(r.number()) * time.Millisecond, Aim: time.Duration(r.number()) * time.Millisecond,
+				Expected: time.Duration(r.number()) * time.Millisecond, Here: time.Duration(r.number()) * time.Millisecond, Target: time.Duration(r.number()) * time.Millisecond,
 				Value: float64(r.number()) * valueUnit,
 			})
 		}
--- a/dispatcher/share_test.go
+++ b/dispatcher/share_test.go
@@ -15,13 +15,13 @@
 		for range rapid.IntRange(0, 40).Draw(t, "shares") {
 			s := Share{Upstream: TokenOf(rapid.String().Draw(t, "id"))}
 			s.Load.Running = rapid.IntRange(0, 100).Draw(t, "running")
-			s.Load.Reading = time.Duration(rapid.IntRange(0, 60000).Draw(t, "reading")) * time.Millisecond
+			s.Load.Prefill = time.Duration(rapid.IntRange(0, 60000).Draw(t, "reading")) * time.Millisecond
 			s.Load.Tokens = rapid.IntRange(0, 1<<20).Draw(t, "tokens")
-			for range rapid.IntRange(0, 3).Draw(t, "writers") {
-				s.Load.Writers = append(s.Load.Writers, Writers{Pause: time.Duration(rapid.IntRange(1, 5000).Draw(t, "pause")) * time.Millisecond, Count: rapid.IntRange(1, 16).Draw(t, "count")})
+			for range rapid.IntRange(0, 3).Draw(t, "streams") {
+				s.Load.Streams = append(s.Load.Streams, Streams{Pause: time.Duration(rapid.IntRange(1, 5000).Draw(t, "pause")) * time.Millisecond, Count: rapid.IntRange(1, 16).Draw(t, "count")})
 			}
 			for range rapid.IntRange(0, 3).Draw(t, "waits") {
-				s.Load.Waits = append(s.Load.Waits, Wait{Expected: time.Duration(rapid.IntRange(0, 9000).Draw(t, "expected")) * time.Millisecond, Aim: time.Second})
+				s.Load.Waits = append(s.Load.Waits, Wait{Expected: time.Duration(rapid.IntRange(0, 9000).Draw(t, "expected")) * time.Millisecond, Target: time.Second})
 			}
 			shares = append(shares, s)
 		}
@@ -40,8 +40,8 @@
 			t.Fatalf("%d shares of %d", len(got), len(shares))
 		}
 		for i, s := range shares {
-			if got[i].Upstream != s.Upstream || got[i].Load.Running != s.Load.Running || got[i].Load.Reading != s.Load.Reading ||
-				len(got[i].Load.Writers) != len(s.Load.Writers) || len(got[i].Load.Waits) != len(s.Load.Waits) {
+			if got[i].Upstream != s.Upstream || got[i].Load.Running != s.Load.Running || got[i].Load.Prefill != s.Load.Prefill ||
+				len(got[i].Load.Streams) != len(s.Load.Streams) || len(got[i].Load.Waits) != len(s.Load.Waits) {
 				t.Fatalf("got %+v, want %+v", got[i], s)
 			}
 		}
@@ -57,6 +57,6 @@
 }
 
 func FuzzDecodeShares(f *testing.F) {
-	f.Add(EncodeShares(1, []Share{{Upstream: 2, Load: Load{Running: 1, Writers: []Writers{{Count: 1}}}}})[0])
+	f.Add(EncodeShares(1, []Share{{Upstream: 2, Load: Load{Running: 1, Streams: []Streams{{Count: 1}}}}})[0])
 	f.Fuzz(func(_ *testing.T, m []byte) { _, _, _ = DecodeShares(m) })
 }
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -126,7 +126,7 @@
 	"no_upstream":               "refused, not run: the list had no upstream of the service that could be used",
 	"no_memory":                 "refused, not run: no engines together had the memory for this prompt",
 	"overloaded":                "refused, not run: the first event would have come after the caller had left",
-	"too_dear":                  "refused, not run: it would have cost requests in progress more than it was worth",
+	"too_costly":                "refused, not run: it would have cost requests in progress more than it was worth",
 	"refused_by_upstream":       "refused, not run: every upstream that was asked stated that it did not run it",
 	"upstream_unreachable":      "refused, not run: no connection to an upstream was had",
 	"upstream_failed":           "failed: an upstream broke off or answered with a failure, and no other could be asked",
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -14,7 +14,7 @@
 time=2026-03-06T08:11:29Z level=warn layer=entry event=request request=r1 outcome=stream_broken status=200 took_ms=2000 attempts=2 config_revision=7 error="read \"x\": reset"
 time=2026-03-06T08:11:28Z level=warn layer=entry event=attempt request=r1 verdict=broken upstream=i-1 error="read stream: reset"
 time=2026-03-06T08:11:28Z level=info layer=entry event=request request=r12 outcome=answered status=200
-time=2026-03-06T08:11:28Z level=warn layer=entry event=request request=r3 outcome=too_dear status=503 took_ms=0 attempts=0 config_revision=7
+time=2026-03-06T08:11:28Z level=warn layer=entry event=request request=r3 outcome=too_costly status=503 took_ms=0 attempts=0 config_revision=7
 time=2026-03-06T08:11:28Z level=info layer=entry event=request request=r4 outcome=answered attempts=1 status=200
 broken line request=r1
 `
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -104,7 +104,7 @@
 	p := a.placement
 	address := p.First.Address.String()
 	request := &http.Request{
-		Method: x.request.Method, URL: target(x.request, address), Host: x.request.Host, Header: http.Header{},
+		Method: x.request.Method, URL: upstreamURL(x.request, address), Host: x.request.Host, Header: http.Header{},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	request = request.WithContext(ctx)
@@ -136,25 +136,25 @@
 	// ranks is how many ranks of organisations and routes are told apart; a
 	// lower one counts as the last of them.
 	ranks = 3
-	// aimClasses is how many classes of aim are told apart within a rank.
-	aimClasses = 3
-	// shortAim and mediumAim are the longest aims of the first two.
-	shortAim  = 500 * time.Millisecond
-	mediumAim = 2 * time.Second
+	// targetClasses is how many classes of target are told apart within a rank.
+	targetClasses = 3
+	// shortTarget and mediumTarget are the longest targets of the first two.
+	shortTarget  = 500 * time.Millisecond
+	mediumTarget = 2 * time.Second
 )
 
 // urgency orders what waits at an engine, 0 first: by the rank of the
 // organisation, which goes before the route's, and within it the shorter the
-// aim, the sooner.
+// target, the sooner.
 func urgency(x *exchange) int {
-	class := aimClasses - 1
-	switch aim := x.route.FirstByteAim; {
-	case aim <= shortAim:
+	class := targetClasses - 1
+	switch target := x.route.FirstByteTarget; {
+	case target <= shortTarget:
 		class = 0
-	case aim <= mediumAim:
+	case target <= mediumTarget:
 		class = 1
 	}
-	return min(max(x.rank, 0), ranks-1)*aimClasses + class
+	return min(max(x.rank, 0), ranks-1)*targetClasses + class
 }
 
 // readCloser is a body that can't be rewound, so that the library never sends
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -21,7 +21,7 @@
 	// that it resumes.
 	LastEvent string
 	// Prompt and Answer are token counts, 0 where the request has no prompt.
-	// Answer is the most that may be written.
+	// Answer is the most that may be decoded.
 	Prompt, Answer int
 	// AnswerHint is the caller's estimate of the answer's tokens, 0 for none.
 	AnswerHint int
@@ -37,17 +37,17 @@
 	Organisation string
 	// LastEvent is the event after which a stream goes on; empty for all.
 	LastEvent string
-	// Helpers read parts of the prompt.
+	// Helpers prefill parts of the prompt.
 	Helpers []Helper
 	// Priority among what waits at the engine, 0 first.
 	Priority int
 }
 
-// Helper is an engine that reads a part of a prompt.
+// Helper is an engine that prefills a part of a prompt.
 type Helper struct {
 	Address netip.AddrPort
 	// Ticket is the id of memory reserved there for the prompt; empty where
-	// the helper only reads.
+	// the helper only prefills.
 	Ticket string
 }
 
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -46,7 +46,7 @@
 }
 
 const (
-	// waitPart is the part of its aim for which a request waits for a place
+	// waitPart is the part of its target for which a request waits for a place
 	// before it is refused: a backlog falls that much in the time, and the
 	// caller, who seldom asks a third time, keeps its second try.
 	waitPart = 8
@@ -57,11 +57,11 @@
 // place finds the next upstream for a request.
 func (f *Forwarder) place(x *exchange, d dispatcher.Demand) (*dispatcher.Placement, *failure) {
 	d.Service, d.Avoid, d.Alone = x.service, x.avoid, x.alone
-	d.FirstByteAim, d.PauseAim = x.route.FirstByteAim, x.route.PauseAim
+	d.FirstByteTarget, d.PauseTarget = x.route.FirstByteTarget, x.route.PauseTarget
 	d.Admitted = x.sent > 0
 	x.demand = d
 	p, refusal := f.board.Place(time.Now(), d)
-	for refusal != nil && refusal.Passing && time.Since(x.arrived) < x.route.FirstByteAim/waitPart && sleeper.Sleep(x.ctx, waitPoll) {
+	for refusal != nil && refusal.Passing && time.Since(x.arrived) < x.route.FirstByteTarget/waitPart && sleeper.Sleep(x.ctx, waitPoll) {
 		p, refusal = f.board.Place(time.Now(), d)
 	}
 	if refusal != nil {
@@ -69,7 +69,7 @@
 	}
 	f.log.Info("place", zap.String("request", x.call.ID), zap.String("service", x.service), zap.String("upstream", p.First.ID),
 		zap.String("data_centre", p.First.DataCentre), zap.Int("helpers", len(p.Helpers)), zap.String("helper_ids", ids(p.Helpers)), zap.Duration("expected_ms", p.Expected),
-		zap.Int("running", p.Load.Running), zap.Duration("reading_ms", p.Load.Reading), zap.Int("attempt", x.sent+1),
+		zap.Int("running", p.Load.Running), zap.Duration("prefill_ms", p.Load.Prefill), zap.Int("attempt", x.sent+1),
 		zap.Int64("config_revision", x.view.ConfigRevision), zap.Duration("list_age_ms", time.Since(x.view.ConfirmedAt)))
 	return p, nil
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -247,11 +247,11 @@
 }
 
 // stopMargin is how long before its end a stopping entry begins nothing more:
-// ten times the aim, and three seconds for a stream to be written, which is
+// ten times the target, and three seconds for a stream to be written, which is
 // what nine in ten answers of the first deployments take.
 func stopMargin(r *matcher.Route) time.Duration {
 	if r.Kind == matcher.Stream {
-		return r.FirstByteAim + 3*time.Second
+		return r.FirstByteTarget + 3*time.Second
 	}
-	return 10 * r.FirstByteAim
+	return 10 * r.FirstByteTarget
 }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -49,7 +49,7 @@
 
 var engineModel = &matcher.Engine{
 	Slots: 16, MemoryTokens: 315000, Stride: 51, Step: 850 * time.Microsecond, PerSequence: 4250 * time.Nanosecond,
-	PerThousand: 2850 * time.Nanosecond, ReadPerSecond: 177000, PerMillionPairs: 184 * time.Microsecond, Chunk: 2048,
+	PerThousand: 2850 * time.Nanosecond, PrefillPerSecond: 177000, PerMillionPairs: 184 * time.Microsecond, Chunk: 2048,
 }
 
 func testConfig() matcher.Config {
@@ -57,11 +57,11 @@
 	return matcher.Config{
 		Version: 1,
 		Routes: []matcher.Route{
-			{Name: "once", Host: "h", Prefix: "/once/", Kind: matcher.AtMostOnce, Timeout: 2 * time.Second, FirstByteAim: 100 * time.Millisecond, Shares: app, MaxAttempts: 1},
-			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: matcher.Idempotent, Timeout: 2 * time.Second, FirstByteAim: 100 * time.Millisecond, Shares: app, MaxAttempts: 2},
-			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: matcher.Stream, Timeout: 10 * time.Second, FirstByteAim: 300 * time.Millisecond, PauseAim: 250 * time.Millisecond, Shares: lm, MaxAttempts: 2, Prompted: true, Resumable: true},
-			{Name: "long", Host: "h", Prefix: "/long/", Kind: matcher.Stream, Timeout: 15 * time.Second, FirstByteAim: 3 * time.Second, PauseAim: time.Second, Shares: lm, MaxAttempts: 2, Prompted: true, Resumable: true},
-			{Name: "fixed", Host: "h", Prefix: "/fixed/", Kind: matcher.Stream, Timeout: 10 * time.Second, FirstByteAim: 300 * time.Millisecond, PauseAim: 250 * time.Millisecond, Shares: lm, MaxAttempts: 2, Prompted: true},
+			{Name: "once", Host: "h", Prefix: "/once/", Kind: matcher.AtMostOnce, Timeout: 2 * time.Second, FirstByteTarget: 100 * time.Millisecond, Shares: app, MaxAttempts: 1},
+			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: matcher.Idempotent, Timeout: 2 * time.Second, FirstByteTarget: 100 * time.Millisecond, Shares: app, MaxAttempts: 2},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: matcher.Stream, Timeout: 10 * time.Second, FirstByteTarget: 300 * time.Millisecond, PauseTarget: 250 * time.Millisecond, Shares: lm, MaxAttempts: 2, Prompted: true, Resumable: true},
+			{Name: "long", Host: "h", Prefix: "/long/", Kind: matcher.Stream, Timeout: 15 * time.Second, FirstByteTarget: 3 * time.Second, PauseTarget: time.Second, Shares: lm, MaxAttempts: 2, Prompted: true, Resumable: true},
+			{Name: "fixed", Host: "h", Prefix: "/fixed/", Kind: matcher.Stream, Timeout: 10 * time.Second, FirstByteTarget: 300 * time.Millisecond, PauseTarget: 250 * time.Millisecond, Shares: lm, MaxAttempts: 2, Prompted: true},
 		},
 		Services:      []matcher.Service{{Name: "app"}, {Name: "lm", Engine: engineModel}},
 		Limits:        matcher.Limits{BodyBytes: 1000, HeaderBytes: 2000},
@@ -219,7 +219,7 @@
 
 // What waits at an engine is ordered by the organisation first, then by how
 // soon the route wants its first event.
-func TestOrganisationGoesBeforeAim(t *testing.T) {
+func TestOrganisationGoesBeforeTarget(t *testing.T) {
 	withForwarder(t, func(f *fixture) {
 		var order []string
 		for _, c := range []request{
@@ -438,7 +438,7 @@
 		f.board.Update(f.table, f.instances[:4]) // two engines
 		block := func(id string) {
 			_, refusal := f.board.Place(time.Now(), dispatcher.Demand{
-				Service: "lm", Prompt: 250000, Avoid: []string{id}, FirstByteAim: time.Hour, PauseAim: time.Hour, Alone: true, Admitted: true,
+				Service: "lm", Prompt: 250000, Avoid: []string{id}, FirstByteTarget: time.Hour, PauseTarget: time.Hour, Alone: true, Admitted: true,
 			})
 			f.is.True(refusal == nil)
 		}
--- a/forwarder/group.go
+++ b/forwarder/group.go
@@ -17,7 +17,7 @@
 
 const (
 	// orderTimeout bounds an order to an engine: many times what an answer
-	// takes, and short beside the aims of prompts that need reservations.
+	// takes, and short beside the targets of prompts that need reservations.
 	orderTimeout = 300 * time.Millisecond
 	// renewals is how often memory is renewed in the time of its lease, so
 	// that one lost order does not end it.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -83,7 +83,7 @@
 	if x.begun {
 		since = x.eventAt
 	}
-	return max(time.Millisecond, min(matcher.AbandonAfter(x.route.FirstByteAim, x.route.PauseAim)-time.Since(since), time.Until(x.deadline)))
+	return max(time.Millisecond, min(matcher.AbandonAfter(x.route.FirstByteTarget, x.route.PauseTarget)-time.Since(since), time.Until(x.deadline)))
 }
 
 // relay passes the events of an attempt on, and judges how the stream ended.
--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -11,7 +11,7 @@
 )
 
 // dialTimeout bounds a connection to an upstream: many round trips within a
-// region, and short beside the shortest aims, so that another can be tried.
+// region, and short beside the shortest targets, so that another can be tried.
 const dialTimeout = 250 * time.Millisecond
 
 // maxReplyHeader is the largest header of an upstream's answer in bytes.
@@ -55,9 +55,9 @@
 	}
 }
 
-// target is the URL of a request at an upstream, with the path as the caller
+// upstreamURL is the URL of a request at an upstream, with the path as the caller
 // wrote it.
-func target(r *http.Request, address string) *url.URL {
+func upstreamURL(r *http.Request, address string) *url.URL {
 	u := &url.URL{Scheme: "http", Host: address, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
 	raw, _, _ := strings.Cut(r.RequestURI, "?")
 	if strings.HasPrefix(raw, "/") && !strings.HasPrefix(raw, "//") {
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -15,18 +15,18 @@
 	// silentPart is the part of a caller's patience that is spent on one
 	// upstream's silence. What is left is for the next, which takes a fifth of
 	// a second for a short prompt. Less would send many prompts twice whose
-	// engine only reads, just when engines have most to do.
+	// engine only prefills, just when engines have most to do.
 	silentPart = 0.75
 	// busyPart is the part that is spent on an upstream that is expected to be
-	// silent because it reads.
+	// silent because it prefills.
 	busyPart = 0.85
-	// busyFactor is how much longer than expected reading may take.
+	// busyFactor is how much longer than expected prefill may take.
 	busyFactor = 1.5
 	// recheckTime is after what time a request that nobody else would take is
 	// offered to others again.
 	recheckTime = 100 * time.Millisecond
-	// plainSilence is the silence of a plain service in aims: work takes a
-	// fifth of the aim as a rule, and one answer in a hundred five times that.
+	// plainSilence is the silence of a plain service in targets: work takes a
+	// fifth of the target as a rule, and one answer in a hundred five times that.
 	plainSilence = 2
 )
 
@@ -38,7 +38,7 @@
 	// heard is when the upstream last said something.
 	heard time.Time
 	// limit is the silence allowed at any time, most that allowed while busy
-	// says that the upstream has reading to do.
+	// says that the upstream has something to prefill.
 	limit, most time.Duration
 	busy        func() time.Duration
 	// elsewhere reports whether another upstream would take the request.
@@ -54,10 +54,10 @@
 	}
 	w := &watchdog{heard: time.Now(), expire: expire, busy: func() time.Duration { return 0 }}
 	w.elsewhere = func() bool { return f.takenElsewhere(x, p) }
-	w.limit = plainSilence * x.route.FirstByteAim
+	w.limit = plainSilence * x.route.FirstByteTarget
 	w.most = w.limit
 	if x.route.Kind == matcher.Stream {
-		abandon := float64(matcher.AbandonAfter(x.route.FirstByteAim, x.route.PauseAim))
+		abandon := float64(matcher.AbandonAfter(x.route.FirstByteTarget, x.route.PauseTarget))
 		w.limit = time.Duration(silentPart * abandon)
 		w.most = time.Duration(busyPart * abandon)
 		w.busy = p.Busy
--- a/matcher/config.go
+++ b/matcher/config.go
@@ -44,12 +44,12 @@
 	Kind   Kind
 	// Timeout is the longest that a request may be kept waiting.
 	Timeout time.Duration
-	// FirstByteAim is the time in which an answer is on time: whole answers
+	// FirstByteTarget is the time in which an answer is on time: whole answers
 	// to their end, streams to their first event.
-	FirstByteAim time.Duration
-	// PauseAim is the longest pause between events of a stream that is on
+	FirstByteTarget time.Duration
+	// PauseTarget is the longest pause between events of a stream that is on
 	// time; 0 where the route has none.
-	PauseAim time.Duration
+	PauseTarget time.Duration
 	// Priority ranks routes; 0 is the most urgent.
 	Priority int
 	// Shares has at least one element.
@@ -70,18 +70,18 @@
 }
 
 // Callers of the platform abandon a stream after the longest of leastAbandon,
-// aimAbandon times the aim of its first event and pauseAbandon times the pause
+// targetAbandon times the target of its first event and pauseAbandon times the pause
 // that is on time, as the platform's pages say.
 const (
-	leastAbandon = 2 * time.Second
-	aimAbandon   = 4
-	pauseAbandon = 8
+	leastAbandon  = 2 * time.Second
+	targetAbandon = 4
+	pauseAbandon  = 8
 )
 
-// AbandonAfter is the gap after which callers abandon a stream with an aim of
-// its first event, 0 once that has come, and an aim of its pauses.
-func AbandonAfter(firstByteAim, pauseAim time.Duration) time.Duration {
-	return max(leastAbandon, aimAbandon*firstByteAim, pauseAbandon*pauseAim)
+// AbandonAfter is the gap after which callers abandon a stream with an target of
+// its first event, 0 once that has come, and an target of its pauses.
+func AbandonAfter(firstByteTarget, pauseTarget time.Duration) time.Duration {
+	return max(leastAbandon, targetAbandon*firstByteTarget, pauseAbandon*pauseTarget)
 }
 
 // Engine is how the model engines of a service work. All of its figures come
@@ -91,18 +91,18 @@
 	Slots int
 	// MemoryTokens is the KV memory of an engine in tokens.
 	MemoryTokens int
-	// Stride is how many token steps a pass that writes answers executes, and
+	// Stride is how many token steps a pass that decodes answers executes, and
 	// thereby how many tokens an event holds.
 	Stride int
 	// Step is the time of a token step, PerSequence what each request that
-	// writes adds to it, PerThousand what 1,000 tokens of its context add.
+	// decodes adds to it, PerThousand what 1,000 tokens of its context add.
 	Step, PerSequence, PerThousand time.Duration
-	// ReadPerSecond is prompt tokens read in a second, without pairs.
-	ReadPerSecond float64
+	// PrefillPerSecond is prompt tokens prefilled in a second, without pairs.
+	PrefillPerSecond float64
 	// PerMillionPairs is the time that a million pairs of a prompt token and
-	// an earlier one add to the reading.
+	// an earlier one add to the prefill.
 	PerMillionPairs time.Duration
-	// Chunk is the most prompt tokens read in a token step.
+	// Chunk is the most prompt tokens prefilled in a token step.
 	Chunk int
 	// UsualPrompt and UsualAnswer are mean token counts.
 	UsualPrompt, UsualAnswer int
--- a/predictor/predictor.go
+++ b/predictor/predictor.go
@@ -1,10 +1,10 @@
 // Package predictor models how an engine works, from the figures in
-// the configuration: how long a prompt takes to read, how long a pass takes
-// while answers are written, and what reading more does to those answers. It
+// the configuration: how long a prompt takes to prefill, how long a pass takes
+// while answers are decoded, and what more prefill does to those answers. It
 // keeps nothing and does no I/O.
 //
-// An engine works in passes. A pass that writes answers executes Stride token
-// steps and reads, in between, what waits to be read. Every answer on the
+// An engine works in passes. A pass that decodes answers executes Stride token
+// steps and prefills, in between, what waits. Every answer on the
 // engine makes one event a pass, so the time of a pass is the pause between
 // the events of each of them.
 package predictor
@@ -15,31 +15,31 @@
 	"github.com/sapphireramp/sapphireramp/matcher"
 )
 
-// Reading is how long one engine reads a prompt alone: its tokens at the
+// Prefill is how long one engine prefills a prompt alone: its tokens at the
 // engine's rate, and the pairs of each token with every earlier one.
-func Reading(e *matcher.Engine, tokens int) time.Duration {
-	if e.ReadPerSecond <= 0 || tokens <= 0 {
+func Prefill(e *matcher.Engine, tokens int) time.Duration {
+	if e.PrefillPerSecond <= 0 || tokens <= 0 {
 		return 0
 	}
 	n := float64(tokens)
-	seconds := n / e.ReadPerSecond
+	seconds := n / e.PrefillPerSecond
 	millionPairs := n * n / 2 / 1e6
 	return time.Duration(seconds*float64(time.Second) + millionPairs*float64(e.PerMillionPairs))
 }
 
-// Part is how long each of k engines reads its part of a prompt: parts are
+// Part is how long each of k engines prefills its part of a prompt: parts are
 // even in tokens and in pairs.
 func Part(e *matcher.Engine, tokens, k int) time.Duration {
-	return Reading(e, tokens) / time.Duration(max(1, k))
+	return Prefill(e, tokens) / time.Duration(max(1, k))
 }
 
-// Writing is the time of a pass without reading, for a number of answers
-// being written that hold context tokens together.
-func Writing(e *matcher.Engine, writers, contextTokens int) time.Duration {
-	if writers <= 0 {
+// DecodePass is the time of a pass without prefill, for a number of answers
+// being decoded that hold context tokens together.
+func DecodePass(e *matcher.Engine, streams, contextTokens int) time.Duration {
+	if streams <= 0 {
 		return 0
 	}
-	step := e.Step + time.Duration(writers)*e.PerSequence
+	step := e.Step + time.Duration(streams)*e.PerSequence
 	step += time.Duration(float64(contextTokens) / 1000 * float64(e.PerThousand))
 	return time.Duration(e.Stride) * step
 }
--- a/predictor/predictor_test.go
+++ b/predictor/predictor_test.go
@@ -14,26 +14,26 @@
 func engine() *matcher.Engine {
 	return &matcher.Engine{
 		Slots: 16, MemoryTokens: 315000, Stride: 51, Step: 850 * time.Microsecond, PerSequence: 4250 * time.Nanosecond,
-		PerThousand: 2850 * time.Nanosecond, ReadPerSecond: 177000, PerMillionPairs: 184 * time.Microsecond, Chunk: 2048,
+		PerThousand: 2850 * time.Nanosecond, PrefillPerSecond: 177000, PerMillionPairs: 184 * time.Microsecond, Chunk: 2048,
 	}
 }
 
 func near(got, want, within time.Duration) bool { return got > want-within && got < want+within }
 
 // The pairs of a long prompt outweigh its tokens: 154,000 tokens take 0.87 s
-// to read and 2.18 s for their pairs.
-func TestReading(t *testing.T) {
+// to prefill and 2.18 s for their pairs.
+func TestPrefill(t *testing.T) {
 	is := is.New(t)
 	e := engine()
-	is.True(near(predictor.Reading(e, 4960), 30*time.Millisecond, 2*time.Millisecond))
-	is.True(near(predictor.Reading(e, 154000), 3050*time.Millisecond, 20*time.Millisecond))
+	is.True(near(predictor.Prefill(e, 4960), 30*time.Millisecond, 2*time.Millisecond))
+	is.True(near(predictor.Prefill(e, 154000), 3050*time.Millisecond, 20*time.Millisecond))
 	is.True(near(predictor.Part(e, 154000, 10), 305*time.Millisecond, 5*time.Millisecond))
-	is.Equal(predictor.Reading(e, 0), time.Duration(0))
+	is.Equal(predictor.Prefill(e, 0), time.Duration(0))
 }
 
-func TestWriting(t *testing.T) {
+func TestDecodePass(t *testing.T) {
 	is := is.New(t)
 	e := engine()
-	is.Equal(predictor.Writing(e, 0, 0), time.Duration(0))
-	is.True(near(predictor.Writing(e, 10, 66000), 55*time.Millisecond, 2*time.Millisecond))
+	is.Equal(predictor.DecodePass(e, 0, 0), time.Duration(0))
+	is.True(near(predictor.DecodePass(e, 10, 66000), 55*time.Millisecond, 2*time.Millisecond))
 }
