--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -123,7 +123,7 @@
 		routes = append(routes, map[string]any{
 			"name": fmt.Sprintf("r-%d", i), "host": "h", "prefix": strings.Repeat(fmt.Sprintf("/%d", i), min(i, 1)) + "/", "kind": "idempotent",
 			"timeout-ms": 1000, "target-latency-ms": 300, "priority": 1, "service": "app", "max-attempts": 2, "public": false, "sticky": false,
-			"stream-resume": false, "gap-target-ms": 0,
+			"stream-resume": false, "gap-aim-ms": 0,
 		})
 	}
 	f.store.Put("op/config", map[string]any{"version": version, "routes": routes, "services": []any{map[string]any{"name": "app"}}})
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -116,8 +116,8 @@
 		"routes": []any{
 			route("once", "/once/", "non_idempotent", "app", nil),
 			route("safe", "/safe/", "idempotent", "app", map[string]any{"max-attempts": 2}),
-			route("stream", "/stream/", "streaming", "lm", map[string]any{"max-attempts": 2, "stream-resume": true, "sticky": true, "gap-target-ms": 250, "timeout-ms": 8000}),
-			route("fixed", "/fixed/", "streaming", "lm", map[string]any{"sticky": true, "gap-target-ms": 250, "timeout-ms": 8000}),
+			route("stream", "/stream/", "streaming", "lm", map[string]any{"max-attempts": 2, "stream-resume": true, "sticky": true, "gap-aim-ms": 250, "timeout-ms": 8000}),
+			route("fixed", "/fixed/", "streaming", "lm", map[string]any{"sticky": true, "gap-aim-ms": 250, "timeout-ms": 8000}),
 		},
 		"services": []any{
 			map[string]any{"name": "app"},
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -152,8 +152,8 @@
 		"version": f.version,
 		"routes": []any{
 			route("once", "non_idempotent", "app", 1, ""), route("safe", "idempotent", "app", 2, ""),
-			route("stream", "streaming", "lm", 2, `,"stream-resume":true,"sticky":true,"gap-target-ms":250`),
-			route("fixed", "streaming", "lm", 1, `,"sticky":true,"gap-target-ms":250`),
+			route("stream", "streaming", "lm", 2, `,"stream-resume":true,"sticky":true,"gap-aim-ms":250`),
+			route("fixed", "streaming", "lm", 1, `,"sticky":true,"gap-aim-ms":250`),
 		},
 		"services": []any{
 			json.RawMessage(`{"name":"app"}`),
