--- a/dispatcher/memory.go
+++ b/dispatcher/memory.go
@@ -10,8 +10,8 @@
 const memoryPart = 0.85
 
 // free is the memory of an engine that one prompt may have.
-func (o candidate) free() int {
-	return int(memoryPart * float64(max(0, o.worker.engine.MemoryTokens-o.load.Tokens)))
+func (c candidate) free() int {
+	return int(memoryPart * float64(max(0, c.worker.engine.MemoryTokens-c.load.Tokens)))
 }
 
 // memoryShares says how much of a prompt and its answer each of the chosen
