--- a/controller/controller.go
+++ b/controller/controller.go
@@ -290,10 +290,12 @@
 	return all[:min(len(all), mostAddresses)]
 }
 
-// Stop tells callers and other entries that this entry ends at a time.
+// Stop tells callers and other entries that this entry ends at a time. When it
+// returns, this entry is no longer ready.
 func (c *Controller) Stop(by time.Time) {
 	c.do(func(s *state) {
-		s.stopping, s.stopBy, s.dirty = true, by, true
+		s.stopping, s.stopBy = true, by
+		s.publish()
 	})
 	c.push()
 }
