--- a/dispatcher/loss.go
+++ b/dispatcher/loss.go
@@ -13,7 +13,7 @@
 	// lateLoss is the part of an answer's worth that lateness loses. Both
 	// users' sheets pay a quarter for a late answer.
 	lateLoss = 0.75
-	// lateFrom and lateTo are the parts of an target between which an expected
+	// lateFrom and lateTo are the parts of a target between which an expected
 	// time goes from surely on time to surely late: predictions are off by
 	// about a quarter.
 	lateFrom, lateTo = 0.75, 1.25
--- a/matcher/config.go
+++ b/matcher/config.go
@@ -78,8 +78,8 @@
 	pauseAbandon  = 8
 )
 
-// AbandonAfter is the gap after which callers abandon a stream with an target of
-// its first event, 0 once that has come, and an target of its pauses.
+// AbandonAfter is the gap after which callers abandon a stream with a target of
+// its first event, 0 once that has come, and a target of its pauses.
 func AbandonAfter(firstByteTarget, pauseTarget time.Duration) time.Duration {
 	return max(leastAbandon, targetAbandon*firstByteTarget, pauseAbandon*pauseTarget)
 }
