--- a/dispatcher/admit.go
+++ b/dispatcher/admit.go
@@ -28,14 +28,59 @@
 	if d.Admitted || prefill < heavyPrefill {
 		return nil
 	}
-	backlog := time.Duration(0)
-	for _, o := range loads {
-		backlog += o.load.Prefill
-	}
-	backlog /= time.Duration(len(loads))
+	backlog := meanBacklog(loads)
 	price := timePrice * backlog.Seconds() * prefill.Seconds()
-	if value(d)-cost-price > 0 {
+	if valueOf(d.Prompt)-cost-price > 0 {
 		return nil
 	}
 	return &Refusal{Reason: "too_costly", Passing: true, RetryAfter: min(mostRetry, max(leastRetry, drainFactor*backlog))}
 }
+
+const (
+	// mostHarm is the part of its own worth that a prompt may cost others while it
+	// has time to wait.
+	mostHarm = 0.3
+	// calmBacklog is the mean time that engines have yet to prefill up to which a heavy prompt
+	// is placed at once, urgentBacklog that up to which one is whose time is over: the longer one has
+	// waited, the sooner it is taken, at whichever entry it waits.
+	calmBacklog, urgentBacklog = 100 * time.Millisecond, 1500 * time.Millisecond
+	// heldPatience is how many times what it takes a prompt must have of its caller's
+	// patience left to be held.
+	heldPatience = 3
+)
+
+// tooEarly has a heavy prompt wait at its entry while engines have much to do, or
+// while it would harm others. Engines put what is new before what they have, and pauses grow with all they
+// have: a prompt that waits at its entry holds up nobody.
+func tooEarly(d Demand, e *matcher.Engine, g group, backlog time.Duration) *Refusal {
+	if d.Admitted || predictor.Prefill(e, d.Prompt) < heavyPrefill || d.Patience < heldPatience*g.finish {
+		return nil
+	}
+	age := float64(d.Waited) / float64(d.FirstByteTarget)
+	if d.Waited+g.finish > d.FirstByteTarget {
+		age = float64(d.Waited) / float64(d.Waited+d.Patience)
+	}
+	most := calmBacklog + time.Duration(age*float64(urgentBacklog-calmBacklog))
+	if backlog < most && g.harm < mostHarm*valueOf(d.Prompt)*(1+age) {
+		return nil
+	}
+	return &Refusal{Reason: "too_early", Passing: true, Early: true, Expected: g.finish, RetryAfter: leastRetry}
+}
+
+// meanBacklog is how long engines have yet to prefill on average.
+func meanBacklog(loads []candidate) time.Duration {
+	sum := time.Duration(0)
+	for _, o := range loads {
+		sum += o.load.Prefill
+	}
+	return sum / time.Duration(len(loads))
+}
+
+// groupBacklog is how long the engines of a group have yet to prefill on average.
+func groupBacklog(g group) time.Duration {
+	sum := time.Duration(0)
+	for _, o := range g.offers {
+		sum += o.load.Prefill
+	}
+	return sum / time.Duration(len(g.offers))
+}
--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -1,7 +1,7 @@
 // Package dispatcher decides which upstream takes a request, and which engines
-// help to prefill a long prompt. Its board holds what this entry has sent where
-// and has not seen the end of, beside what other entries say of theirs. It
-// does no I/O.
+// help to prefill a long prompt. Its board holds the requests of all entries, as
+// far as they are known here, and each engine's work, kept as the engine does
+// it. It does no I/O.
 package dispatcher
 
 import (
@@ -12,13 +12,10 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/matcher"
+	"github.com/sapphireramp/sapphireramp/predictor"
 )
 
-// loadLife is how long what a peer said of its load counts. Peers repeat it
-// several times in that time while they have any.
-const loadLife = 3 * time.Second
-
-// Board holds the load of all upstreams. It is safe for concurrent use.
+// Board holds what all upstreams have to do. It is safe for concurrent use.
 type Board struct {
 	dataCentre string
 	random     *rand.Rand
@@ -28,191 +25,29 @@
 	// tokens holds the workers by the token of their ID.
 	tokens   map[Token]*worker
 	services map[string][]*worker
+	// own are this entry's requests; told are those of peers.
+	own  map[Token]*request
+	told map[peerRequest]*request
 	// peers is how many other entries place, as far as known.
 	peers int
 	// blind is true while this entry does not hear what others place.
 	blind bool
 	// rankSalt orders engines alike at all entries, but for blind ones.
 	rankSalt string
-	// changed names the workers whose own load changed since the last Export.
-	changed map[string]bool
-	// Changed has an element while changed has any.
-	Changed chan struct{}
+	// changed are own requests to tell peers of, ended those that are over since
+	// the last Export, endedBefore those of the one before it that told all.
+	changed            map[*request]bool
+	ended, endedBefore []Token
+	// Changed has an element while there is something to tell.
+	Changed  chan struct{}
+	forecast predictor.Forecast
 }
 
 // New returns a board without upstreams, for an entry in a data centre.
 func New(dataCentre string, random *rand.Rand) *Board {
 	return &Board{
 		dataCentre: dataCentre, random: random, workers: map[string]*worker{}, tokens: map[Token]*worker{}, services: map[string][]*worker{},
-		rankSalt: sharedRank, changed: map[string]bool{}, Changed: make(chan struct{}, 1),
-	}
-}
-
-// worker is one upstream on the board.
-type worker struct {
-	instance Instance
-	engine   *matcher.Engine
-	parts    map[*part]bool
-	peers    map[Token]peerLoad
-	health   health
-}
-
-type peerLoad struct {
-	load Load
-	at   time.Time
-}
-
-// part is what one request does at one upstream.
-type part struct {
-	worker *worker
-	// prefill is how long the upstream prefills for it, finish when it is
-	// expected to be done with that.
-	prefill time.Duration
-	finish  time.Time
-	// decodes is true where the upstream decodes the answer, false at helpers.
-	decodes bool
-	tokens  int
-	// placement is that of the request.
-	placement *Placement
-	placed    time.Time
-	// target and pause are those of the route; pause is 0 for plain requests.
-	target, pause time.Duration
-	value         float64
-}
-
-// Streams are answers being decoded that bear the same pauses.
-type Streams struct {
-	// Pause is the longest pause at which they are on time.
-	Pause time.Duration
-	Count int
-	// Value is that of all of them together.
-	Value float64
-}
-
-// Load is the work at one upstream, of one entry or of all.
-type Load struct {
-	// Running is how many requests the upstream answers.
-	Running int
-	// Prefill is how long the upstream has yet to prefill.
-	Prefill time.Duration
-	// Late is how long the most overdue request waits beyond what was expected.
-	// An engine that is that late has at least as much to do that nobody told.
-	Late time.Duration
-	// Tokens is the memory used.
-	Tokens  int
-	Streams []Streams
-	// Waits are requests that wait for their first event and have something to
-	// be prefilled here.
-	Waits []Wait
-}
-
-// Wait is a request that waits for its first event.
-type Wait struct {
-	// Expected is the whole of its wait, Here what this upstream makes of it.
-	Expected, Here time.Duration
-	// Target is the longest wait that is on time.
-	Target time.Duration
-	Value  float64
-}
-
-func (l *Load) add(o Load) {
-	l.Running += o.Running
-	l.Prefill += o.Prefill
-	l.Late = max(l.Late, o.Late)
-	l.Tokens += o.Tokens
-	l.Waits = append(l.Waits, o.Waits...)
-	for _, w := range o.Streams {
-		l.addStreams(w)
-	}
-}
-
-func (l *Load) addStreams(w Streams) {
-	for i := range l.Streams {
-		if l.Streams[i].Pause == w.Pause {
-			l.Streams[i].Count += w.Count
-			l.Streams[i].Value += w.Value
-			return
-		}
-	}
-	l.Streams = append(l.Streams, w)
-}
-
-// overduePart is what is left of a prefill that should be done by now and is
-// not known to be.
-const overduePart = 0.1
-
-// left is how long the upstream has yet to prefill for a part.
-func (p *part) left(now time.Time) time.Duration {
-	if p.placement.begun {
-		return 0
-	}
-	return min(p.prefill, max(time.Duration(overduePart*float64(p.prefill)), p.finish.Sub(now)))
-}
-
-// own is the load that this entry's requests make.
-func (w *worker) own(now time.Time) Load {
-	var l Load
-	for p := range w.parts {
-		l.Prefill += p.left(now)
-		l.Tokens += p.tokens
-		if !p.placement.begun && p.pause > 0 {
-			l.Waits = append(l.Waits, p.wait(now))
-		}
-		if !p.decodes {
-			continue
-		}
-		l.Running++
-		if !p.placement.begun && p.pause > 0 {
-			l.Late = max(l.Late, now.Sub(p.placement.finish())-paceSlack)
-		}
-		if p.pause > 0 {
-			l.addStreams(Streams{Pause: p.pause, Count: 1, Value: p.value})
-		}
-	}
-	return l
-}
-
-// wait is what a part means for the wait of its request.
-func (p *part) wait(now time.Time) Wait {
-	here := p.finish
-	if here.Before(now) {
-		here = now
-	}
-	expected := p.placement.finish()
-	if expected.Before(now) {
-		expected = now
-	}
-	return Wait{Expected: expected.Sub(p.placed), Here: here.Sub(p.placed), Target: p.target, Value: p.value}
-}
-
-// all is the load that the requests of all entries make, as far as known.
-func (w *worker) all(now time.Time) Load {
-	l := w.own(now)
-	w.addPeers(now, &l)
-	l.Prefill += max(0, l.Late)
-	return l
-}
-
-// delay notes that something new is prefilled before all that waits here.
-func (w *worker) delay(now time.Time, prefill time.Duration) {
-	for p := range w.parts {
-		if !p.placement.begun && p.finish.After(now) {
-			p.finish = p.finish.Add(prefill)
-		}
-	}
-}
-
-// addPeers adds what peers said of their load lately.
-func (w *worker) addPeers(now time.Time, l *Load) {
-	for peer, p := range w.peers {
-		age := now.Sub(p.at)
-		if age > loadLife {
-			delete(w.peers, peer)
-			continue
-		}
-		load := p.load
-		load.Prefill = max(0, load.Prefill-age)
-		l.add(load)
+		own: map[Token]*request{}, told: map[peerRequest]*request{}, rankSalt: sharedRank, changed: map[*request]bool{}, Changed: make(chan struct{}, 1),
 	}
 }
 
@@ -226,15 +61,13 @@
 	for _, i := range instances {
 		w, ok := b.workers[i.ID]
 		if !ok {
-			w = &worker{parts: map[*part]bool{}, peers: map[Token]peerLoad{}}
+			w = &worker{parts: map[*part]bool{}, jobs: map[*predictor.Job]*part{}}
 			b.workers[i.ID] = w
 			b.tokens[TokenOf(i.ID)] = w
 		}
 		w.instance = i
-		w.engine = nil
-		if s, known := table.Service(i.Service); known {
-			w.engine = s.Engine
-		}
+		s, _ := table.Service(i.Service)
+		w.setEngine(s)
 		listed[i.ID] = true
 		b.services[i.Service] = append(b.services[i.Service], w)
 	}
@@ -265,15 +98,6 @@
 	b.blind = blind
 }
 
-// touch notes that this entry's load at a worker changed.
-func (b *Board) touch(w *worker) {
-	b.changed[w.instance.ID] = true
-	select {
-	case b.Changed <- struct{}{}:
-	default:
-	}
-}
-
 // Count is how many upstreams of a service may be sent work.
 func (b *Board) Count(service string) int {
 	b.lock.Lock()
--- a/dispatcher/candidate.go
+++ b/dispatcher/candidate.go
@@ -36,76 +36,101 @@
 	// queuedCost is the part of a request's worth lost by each request that
 	// waits for a slot before it, in engines' slots.
 	queuedCost = 4
+	// transit is what an answer takes beside the engine's work: the connection, both
+	// ways, and two entries' processor time. First events came 4 to 6 ms after what
+	// the engine's own work takes, on a day without contention.
+	transit = 5 * time.Millisecond
 )
 
-// candidate is what one engine would make of a part of a prompt.
+// candidate is one engine that is weighed for a prompt.
 type candidate struct {
 	worker *worker
 	load   Load
-	// cost is what answers being decoded there would lose.
-	cost   float64
-	finish time.Duration
-	part   time.Duration
-	// decodes is false where the engine could only help.
-	decodes bool
 	// rank orders engines where costs are equal.
 	rank uint64
 	// jitter is added to the cost for light prompts.
 	jitter float64
-	// blind candidates are made without knowing what other entries place.
-	blind bool
+	// packed is what an engine saves a light prompt by the answers that it
+	// decodes already.
+	packed float64
+	// elsewhere is when the other parts of each request here are expected to be
+	// prefilled, before the losses that it has anyway, in the order of the
+	// worker's fates.
+	elsewhere []time.Time
+	before    []float64
+}
+
+// offer is what a candidate makes of a part of a prompt.
+type offer struct {
+	*candidate
+	job predictor.Job
+	// harm is what others would lose there, cost that and what the request would
+	// by failures.
+	harm, cost float64
+	// finish is when the part would be prefilled, pause the longest between
+	// events, both from now on.
+	finish, pause time.Duration
+	// decodes is false where the engine could only help.
+	decodes bool
 }
 
 // jitter is how much costs of light prompts are drawn apart beside a number of
 // other entries.
 func jitter(peers int) float64 { return lightJitter * float64(peers) / float64(peers+manyEntries) }
 
-// evaluate fills in what the engine would make of one of k parts.
-func (c candidate) evaluate(now time.Time, d Demand, k int) candidate {
-	e, w := c.worker.engine, c.worker
-	pace := w.health.pace(now)
-	c.part = time.Duration(float64(predictor.Part(e, d.Prompt, k)) * pace)
-	streams := 0
+// note works out what the requests here lose anyway.
+func (c *candidate) note(d Demand) {
 	similar := 0
-	for _, g := range c.load.Streams {
-		streams += g.Count
-		if g.Pause <= d.PauseTarget {
-			similar += g.Count
+	for _, f := range c.worker.fates {
+		p := c.worker.jobs[f.Job]
+		at := p.elsewhere()
+		c.elsewhere = append(c.elsewhere, at)
+		c.before = append(c.before, p.loss(f, at))
+		if p.job.Decodes && p.request.pause <= d.PauseTarget {
+			similar++
 		}
 	}
-	pass := time.Duration(float64(predictor.DecodePass(e, streams, c.load.Tokens)) * pace)
-	// On average a prompt arrives in the middle of a pass, and its first event
-	// follows at the end of the one that has prefilled it. Of prompts that
-	// several engines prefill the newest goes first, so that it waits for nothing but
-	// holds up all that is being prefilled; others wait for all of that.
-	own := time.Duration(float64(predictor.DecodePass(e, streams+1, c.load.Tokens+d.Prompt)) * pace)
-	c.finish = pass/2 + c.part + own
-	if k > 1 {
-		c.cost += delayCost(c.load, c.part)
-	} else {
-		c.finish += c.load.Prefill
-	}
-	for _, g := range c.load.Streams {
-		before := pauseLoss(pass+c.load.Prefill, g.Pause)
-		after := pauseLoss(pass+c.load.Prefill+c.part, g.Pause)
-		c.cost += g.Value * (after - before)
+	full := max(1, int(packedPart*float64(c.worker.engine.Slots-spareSlots)))
+	c.packed = openCost * float64(min(similar, full)) / float64(full)
+}
+
+// offer works out what the engine would make of one of k parts, as the one that
+// answers or as a helper.
+func (c *candidate) offer(now time.Time, d Demand, k int, answers bool, forecast *predictor.Forecast) offer {
+	w, e := c.worker, c.worker.engine
+	o := offer{candidate: c, job: job(now, d, e, k, answers), decodes: k > 1 || d.Prompt+d.Answer <= e.MemoryTokens}
+	fates := forecast.Play(now, w.queue, &o.job)
+	own := fates[len(fates)-1]
+	o.finish, o.pause = own.Done.Sub(now)+c.load.Late+transit, own.Pause
+	for i, f := range fates[:len(fates)-1] {
+		o.harm += w.jobs[f.Job].loss(f, c.elsewhere[i]) - c.before[i]
 	}
-	worth := value(d)
-	c.cost += worth * failedLoss * w.health.rate(now)
+	o.cost = o.harm
+	worth := valueOf(d.Prompt)
+	o.cost += worth * failedLoss * w.health.rate(now)
 	slots := e.Slots - spareSlots
-	if waiting := c.load.Running + 1 - slots; waiting > 0 {
-		c.finish += time.Duration(waiting) * slotTime(e, pass)
-		c.cost += worth * queuedCost * float64(waiting) / float64(max(1, e.Slots))
-	}
-	if k == 1 && !c.blind && float64(predictor.Prefill(e, d.Prompt)) <= lightPart*float64(d.PauseTarget) {
-		packed := max(1, int(packedPart*float64(slots)))
-		c.cost += c.jitter + openCost*(1-float64(min(similar, packed))/float64(packed))
+	if waiting := c.load.Running + 1 - slots; answers && waiting > 0 {
+		pass := predictor.DecodePass(e, c.load.Running, c.load.Tokens)
+		o.finish += time.Duration(waiting) * slotTime(e, pass)
+		o.cost += worth * queuedCost * float64(waiting) / float64(max(1, e.Slots))
 	}
-	c.decodes = k > 1 || d.Prompt+d.Answer <= e.MemoryTokens
 	if free := e.MemoryTokens - c.load.Tokens; k == 1 && d.Prompt+d.Answer > free {
-		c.cost += worth
+		o.cost += worth
 	}
-	return c
+	return o
+}
+
+// job is one of k parts of a prompt, for the engine that answers or a helper.
+func job(now time.Time, d Demand, e *matcher.Engine, k int, answers bool) predictor.Job {
+	return predictor.Job{
+		Joint: k > 1, Tokens: d.Prompt / k, Prefill: predictor.Part(e, d.Prompt, k), Decodes: answers, Context: d.Prompt / k,
+		Events: d.Answer/max(1, e.Stride) + 1, Arrived: now,
+	}
+}
+
+// light reports whether a prompt is prefilled within a pause that its kind bears.
+func light(d Demand, e *matcher.Engine) bool {
+	return float64(predictor.Prefill(e, d.Prompt)) <= lightPart*float64(d.PauseTarget)
 }
 
 // slotTime is how soon a slot of a full engine is free: answers are decoded in
--- a/dispatcher/demand.go
+++ b/dispatcher/demand.go
@@ -12,7 +12,9 @@
 	Prompt, Answer int
 	// FirstByteTarget and PauseTarget are those of the route.
 	FirstByteTarget, PauseTarget time.Duration
-	// Patience is how long the caller waits for the first byte.
+	// Waited is how long the caller has waited for its first byte, or next event, already.
+	Waited time.Duration
+	// Patience is how long the caller waits for the first byte yet.
 	Patience time.Duration
 	// Avoid lists the IDs of upstreams that failed the request.
 	Avoid []string
@@ -32,6 +34,8 @@
 	Expected time.Duration
 	// Passing refusals may be other in a moment, as engines work on.
 	Passing bool
+	// Early says that the prompt has time to wait until engines have less to do.
+	Early bool
 }
 
 func (r *Refusal) Error() string {
--- a/dispatcher/loss.go
+++ b/dispatcher/loss.go
@@ -17,47 +17,39 @@
 	// time goes from surely on time to surely late: predictions are off by
 	// about a quarter.
 	lateFrom, lateTo = 0.75, 1.25
+	// pauseFrom and pauseTo are those of pauses.
+	pauseFrom, pauseTo = 0.8, 1.0
 	// slope makes an earlier answer better among those that are on time.
 	slope = 0.05
+	// abandonLoss is the part of an answer's worth that is lost beside its lateness
+	// where the caller leaves: what late answers are paid, and as much again for an
+	// answer not had at all.
+	abandonLoss = 0.5
 )
 
-// value is what a caller loses with an answer, in requests.
-func value(d Demand) float64 { return 1 + float64(d.Prompt)/valueTokens }
+// valueOf is what a caller loses with the answer to a prompt, in requests.
+func valueOf(prompt int) float64 { return 1 + float64(prompt)/valueTokens }
 
 // lateness is how likely a time is to be over its target.
 func lateness(expected, target time.Duration) float64 {
+	return over(expected, target, lateFrom, lateTo)
+}
+
+// over is how likely a time is to be over its target, surely not below one part of it and
+// surely above another.
+func over(expected, target time.Duration, from, to float64) float64 {
 	if target <= 0 {
 		return 0
 	}
-	x := (float64(expected)/float64(target) - lateFrom) / (lateTo - lateFrom)
+	x := (float64(expected)/float64(target) - from) / (to - from)
 	return min(1, max(0, x))
 }
 
-// abandonLoss is the part of an answer's worth that is lost beside its lateness
-// where the caller leaves: what late answers are paid, and as much again for an
-// answer not had at all.
-const abandonLoss = 0.5
-
-// pauseLoss is the part of an answer's worth that a pause loses.
-func pauseLoss(pause, target time.Duration) float64 {
-	return lateLoss*lateness(pause, target) + abandonLoss*lateness(pause, matcher.AbandonAfter(0, target))
-}
-
-// waitLoss is the part of an answer's worth that a wait for its first event
-// loses.
-func waitLoss(wait time.Duration, d Demand) float64 {
-	abandon := matcher.AbandonAfter(d.FirstByteTarget, d.PauseTarget)
-	loss := lateLoss*lateness(wait, d.FirstByteTarget) + abandonLoss*lateness(wait, abandon)
-	return loss + slope*float64(wait)/float64(max(1, d.FirstByteTarget))
-}
-
-// delayCost is what the requests that wait at an engine lose by a part that is
-// prefilled before them.
-func delayCost(l Load, part time.Duration) float64 {
-	cost := 0.0
-	for _, w := range l.Waits {
-		d := Demand{FirstByteTarget: w.Target}
-		cost += w.Value * (waitLoss(max(w.Expected, w.Here+part), d) - waitLoss(w.Expected, d))
-	}
-	return cost
+// streamLoss is the part of an answer's worth that is lost by a wait for its first
+// event and its longest pause. What is late by one of them loses no more by the
+// other, but for the caller's patience.
+func streamLoss(wait, target, pause, pauseTarget time.Duration) float64 {
+	late := max(lateness(wait, target), over(pause, pauseTarget, pauseFrom, pauseTo))
+	left := max(lateness(wait, matcher.AbandonAfter(target, pauseTarget)), lateness(pause, matcher.AbandonAfter(0, pauseTarget)))
+	return lateLoss*late + abandonLoss*left + slope*float64(wait)/float64(max(1, target))
 }
--- a/dispatcher/memory.go
+++ b/dispatcher/memory.go
@@ -17,7 +17,7 @@
 // memoryShares says how much of a prompt and its answer each of the chosen
 // engines holds, the first of them first. A prompt that fits there is held by
 // the first alone; what doesn't fit is held by few of the others.
-func memoryShares(d Demand, chosen []candidate) ([]int, bool) {
+func memoryShares(d Demand, chosen []offer) ([]int, bool) {
 	shares := make([]int, len(chosen))
 	need := d.Prompt + d.Answer
 	first := chosen[0]
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -4,26 +4,22 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/assigner"
+	"github.com/sapphireramp/sapphireramp/predictor"
 )
 
 // Place finds a place for a request and notes it on the board.
 func (b *Board) Place(now time.Time, d Demand) (*Placement, *Refusal) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	p, parts, refusal := b.find(now, d)
+	p, refusal := b.find(now, d)
 	if refusal != nil {
 		return nil, refusal
 	}
-	for _, t := range parts {
-		if len(parts) > 1 {
-			t.worker.delay(now, t.prefill)
-		}
-	}
-	for _, t := range parts {
-		p.parts[t.worker] = t
-		t.worker.parts[t] = true
-		b.touch(t.worker)
+	b.own[p.request.token] = p.request
+	for _, t := range p.request.parts {
+		t.worker.add(now, t)
 	}
+	b.tell(p.request)
 	return p, nil
 }
 
@@ -31,27 +27,26 @@
 func (b *Board) Takes(now time.Time, d Demand) bool {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	_, _, refusal := b.find(now, d)
+	_, refusal := b.find(now, d)
 	return refusal == nil
 }
 
-// find finds a place for a request, with its parts, the first upstream's first.
-func (b *Board) find(now time.Time, d Demand) (*Placement, []*part, *Refusal) {
+// find finds a place for a request.
+func (b *Board) find(now time.Time, d Demand) (*Placement, *Refusal) {
 	workers := b.usable(now, d)
 	if len(workers) == 0 {
-		return nil, nil, &Refusal{Reason: "no_upstream", RetryAfter: leastRetry}
+		return nil, &Refusal{Reason: "no_upstream", RetryAfter: leastRetry}
 	}
 	if workers[0].engine == nil || d.Prompt == 0 {
-		p, parts := b.placePlain(now, d, workers)
-		return p, parts, nil
+		return b.placePlain(now, d, workers), nil
 	}
 	return b.placePrompt(now, d, workers)
 }
 
-func (b *Board) placePlain(now time.Time, d Demand, workers []*worker) (*Placement, []*part) {
+func (b *Board) placePlain(now time.Time, d Demand, workers []*worker) *Placement {
 	best, least := workers[0], 0.0
 	for i, w := range workers {
-		l := w.all(now)
+		l := w.load(now)
 		cost := float64(l.Running)/float64(max(1, w.instance.Slots)) + failingCost*w.health.rate(now) + slowCost*(w.health.pace(now)-1)
 		cost += spread * b.random.Float64()
 		if w.instance.DataCentre != b.dataCentre {
@@ -61,8 +56,22 @@
 			best, least = w, cost
 		}
 	}
-	p := &Placement{board: b, First: best.instance, Load: best.all(now), placed: now, parts: map[*worker]*part{}}
-	return p, []*part{{worker: best, decodes: true, value: 1, placement: p}}
+	p := b.newPlacement(now, d)
+	p.First, p.Load = best.instance, best.load(now)
+	p.request.add(best, predictor.Job{Decodes: true, Arrived: now}, 0)
+	return p
+}
+
+// newPlacement returns a placement that has no place yet.
+func (b *Board) newPlacement(now time.Time, d Demand) *Placement {
+	return &Placement{board: b, Shares: map[string]int{}, request: &request{
+		token: Token(b.random.Uint32()), prompt: d.Prompt, answer: d.Answer, target: d.FirstByteTarget, pause: d.PauseTarget, value: valueOf(d.Prompt), placed: now, since: now.Add(-d.Waited),
+	}}
+}
+
+// add gives a request a part at a worker.
+func (r *request) add(w *worker, j predictor.Job, held int) {
+	r.parts = append(r.parts, &part{worker: w, request: r, job: j, held: held})
 }
 
 // What weighs on the choice of a plain upstream, in loads of a full one.
@@ -79,52 +88,70 @@
 	spread = 0.1
 )
 
-func (b *Board) placePrompt(now time.Time, d Demand, workers []*worker) (*Placement, []*part, *Refusal) {
+// look lists the engines that may take a prompt, with what they have to do.
+func (b *Board) look(now time.Time, d Demand, workers []*worker) []candidate {
+	for _, w := range workers {
+		w.look(now, &b.forecast)
+	}
+	// Where a joint answer begins depends on all engines of its prompt.
+	for _, w := range workers {
+		if w.meet() {
+			w.look(now, &b.forecast)
+		}
+	}
 	loads := make([]candidate, len(workers))
 	for i, w := range workers {
-		loads[i] = candidate{
-			worker: w, load: w.all(now), rank: assigner.Weight(b.rankSalt, w.instance.ID), blind: b.blind, jitter: jitter(b.peers) * b.random.Float64(),
-		}
+		loads[i] = candidate{worker: w, load: w.load(now), rank: assigner.Weight(b.rankSalt, w.instance.ID), jitter: jitter(b.peers) * b.random.Float64()}
+		loads[i].note(d)
 	}
-	var best []candidate
-	least, expected := 0.0, time.Duration(0)
-	scratch := newSearch(len(loads))
-	for _, k := range groupSizes(d, workers[0].engine, loads) {
-		chosen, cost, finish := scratch.cheapest(now, d, loads, k)
-		if chosen != nil && (best == nil || cost < least) {
-			best, least, expected = append(best[:0], chosen...), cost, finish
+	return loads
+}
+
+// cheapest finds the engines that lose least by a prompt.
+func (b *Board) cheapest(now time.Time, d Demand, loads []candidate) (group, bool) {
+	s := search{forecast: &b.forecast}
+	best, found := s.alone(now, d, loads, b.blind)
+	for _, k := range groupSizes(d, loads[0].worker.engine, loads) {
+		if k == 1 {
+			continue
+		}
+		if g := s.joint(now, d, loads, k); !found || g.cost < best.cost {
+			best, found = g, true
 		}
 	}
-	if best == nil {
-		return nil, nil, &Refusal{Reason: "no_memory", RetryAfter: leastRetry}
+	return best, found
+}
+
+func (b *Board) placePrompt(now time.Time, d Demand, workers []*worker) (*Placement, *Refusal) {
+	loads := b.look(now, d, workers)
+	best, found := b.cheapest(now, d, loads)
+	if !found {
+		return nil, &Refusal{Reason: "no_memory", RetryAfter: leastRetry}
 	}
-	if !d.Admitted && d.Patience > 0 && expected > d.Patience {
-		return nil, nil, &Refusal{Reason: "overloaded", Passing: true, Expected: expected, RetryAfter: min(mostRetry, max(leastRetry, expected-d.Patience/2))}
+	if !d.Admitted && d.Patience > 0 && best.finish > d.Patience {
+		return nil, &Refusal{Reason: "overloaded", Passing: true, Expected: best.finish, RetryAfter: min(mostRetry, max(leastRetry, best.finish-d.Patience/2))}
 	}
-	held, fits := memoryShares(d, best)
+	held, fits := memoryShares(d, best.offers)
 	if !fits {
-		return nil, nil, &Refusal{Reason: "no_memory", Expected: expected, RetryAfter: leastRetry}
+		return nil, &Refusal{Reason: "no_memory", Expected: best.finish, RetryAfter: leastRetry}
 	}
-	if r := tooCostly(d, workers[0].engine, loads, least); r != nil {
-		r.Expected = expected
-		return nil, nil, r
+	if r := tooCostly(d, workers[0].engine, loads, best.cost); r != nil {
+		r.Expected = best.finish
+		return nil, r
 	}
-	p := &Placement{
-		board: b, First: best[0].worker.instance, Load: best[0].load, Expected: expected,
-		placed: now, parts: map[*worker]*part{}, Shares: map[string]int{},
+	if r := tooEarly(d, workers[0].engine, best, groupBacklog(best)); r != nil {
+		return nil, r
 	}
-	var parts []*part
-	for i, o := range best {
+	p := b.newPlacement(now, d)
+	p.First, p.Load, p.Expected = best.offers[0].worker.instance, best.offers[0].load, best.finish
+	for i, o := range best.offers {
 		if i > 0 {
 			p.Helpers = append(p.Helpers, o.worker.instance)
 		}
 		if i > 0 && held[i] > 0 {
 			p.Shares[o.worker.instance.ID] = held[i]
 		}
-		parts = append(parts, &part{
-			worker: o.worker, placement: p, prefill: o.part, finish: now.Add(o.finish), tokens: held[i], placed: now,
-			target: d.FirstByteTarget, pause: d.PauseTarget, value: value(d), decodes: i == 0,
-		})
+		p.request.add(o.worker, o.job, held[i])
 	}
-	return p, parts, nil
+	return p, nil
 }
--- a/dispatcher/place_test.go
+++ b/dispatcher/place_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/sapphireramp/sapphireramp/matcher"
+	"github.com/sapphireramp/sapphireramp/predictor"
 )
 
 // The figures of the first deployments' engines, and their three kinds of
@@ -118,23 +119,89 @@
 	}
 }
 
-// Engines read the newest part first. A prompt placed later delays what waits
-// at the same engines, and counts that; the board's expectation of the first
-// moves by what was put before it.
+// Engines prefill the newest part first. One placed later waits for nothing and delays
+// what waits at the same engines, and the board counts that.
 func TestNewestPartDelaysOthers(t *testing.T) {
 	is := is.New(t)
 	b := testBoard(t, 4)
 	first := place(t, b, start, withPrompt(audit, 250000))
-	before := first.finish()
-	second := place(t, b, start.Add(100*time.Millisecond), withPrompt(audit, 60000))
-	shared := 0
-	for id := range engines(second) {
-		shared += engines(first)[id]
+	is.Equal(len(first.Helpers), 3)
+	before := first.request.finish()
+	now, d := start.Add(100*time.Millisecond), withPrompt(audit, 60000)
+	loads := b.look(now, d, b.usable(now, d))
+	s := search{forecast: &b.forecast}
+	joint := s.joint(now, d, loads, 2)
+	is.True(joint.finish < time.Second)
+	for _, o := range joint.offers {
+		o.worker.add(now, &part{worker: o.worker, request: first.request, job: o.job})
 	}
-	if shared > 0 {
-		is.True(first.finish().After(before))
+	b.look(now, d, b.usable(now, d))
+	is.True(first.request.finish().After(before.Add(150 * time.Millisecond))) // half of it takes 0.3 s
+}
+
+// A prompt does not go first where what it goes before would then be its pauses: with
+// 1.7 s left to prefill at all engines, one that begins at once stands still for 1.3 s after
+// its first event, and one that waits is on time.
+func TestPromptWaitsRatherThanPauses(t *testing.T) {
+	is := is.New(t)
+	b := testBoard(t, 4)
+	place(t, b, start, withPrompt(audit, 250000))
+	now := start.Add(100 * time.Millisecond)
+	second := place(t, b, now, withPrompt(audit, 60000))
+	is.True(second.Expected < audit.FirstByteTarget)
+	b.look(now, audit, b.usable(now, audit))
+	for _, w := range b.workers {
+		for _, f := range w.fates {
+			is.True(f.Pause < audit.PauseTarget)
+		}
+	}
+}
+
+// A long prompt's part goes nowhere where it would be a pause that an answer does not bear, of
+// two seconds here, also while the answer's first event is only expected.
+func TestPartsKeepOffLongAnswers(t *testing.T) {
+	is := is.New(t)
+	for _, begun := range []bool{false, true} {
+		b := testBoard(t, 8)
+		first := place(t, b, start, withPrompt(audit, 228000))
+		now := start.Add(first.Expected - 20*time.Millisecond)
+		if begun {
+			now = start.Add(first.Expected + 500*time.Millisecond)
+			first.Began(start.Add(first.Expected))
+		}
+		place(t, b, now, withPrompt(audit, 224000))
+		b.look(now, audit, b.usable(now, audit))
+		for _, f := range first.request.parts[0].worker.fates {
+			is.True(f.Pause < audit.PauseTarget)
+		}
+	}
+}
+
+// A heavy prompt waits at its entry while engines have much to prefill, and is placed once
+// they have less, the sooner the longer it has waited. Placed at once it would
+// leave engines full of prefill to a burst of short prompts.
+func TestHeavyPromptWaitsForItsTurn(t *testing.T) {
+	is := is.New(t)
+	b := testBoard(t, 12)
+	place(t, b, start, withPrompt(audit, 300000))
+	now := start.Add(100 * time.Millisecond)
+	_, refusal := b.Place(now, audit)
+	is.True(refusal != nil)
+	is.True(refusal.Early)
+	for _, s := range []struct {
+		d     Demand
+		early bool
+	}{{tower, false}, {audit, true}} {
+		_, refusal := b.find(now, s.d)
+		is.Equal(refusal != nil && refusal.Early, s.early)
+	}
+	waited := audit
+	for waited.Waited = 0; waited.Waited < audit.FirstByteTarget; waited.Waited += 25 * time.Millisecond {
+		if _, refusal := b.find(now.Add(waited.Waited), waited); refusal == nil {
+			break
+		}
 	}
-	is.True(second.Expected < time.Second) // it waits for nothing
+	is.True(waited.Waited > 200*time.Millisecond && waited.Waited < 700*time.Millisecond) // 0.75 s of prefill were left
 }
 
 // A prompt that would be late by others' work, and would delay theirs, is
@@ -198,7 +265,7 @@
 	for range 50 {
 		used := map[string]int{}
 		for range 4 {
-			p, _, refusal := b.find(start, tower)
+			p, refusal := b.find(start, tower)
 			is.True(refusal == nil)
 			used[p.First.ID]++
 		}
@@ -219,11 +286,12 @@
 	near.Import(start, TokenOf("far"), far.Export(start, false))
 	loads := map[string]int{}
 	for id, w := range near.workers {
-		loads[id] = w.all(start).Running
+		loads[id] = w.load(start).Running
 	}
 	is.Equal(loads["e00"]+loads["e01"], 14)
-	late := start.Add(loadLife + time.Second)
-	is.Equal(near.workers["e00"].all(late).Running+near.workers["e01"].all(late).Running, 0)
+	late := start.Add(shareLife + time.Second)
+	near.Export(late, true)
+	is.Equal(near.workers["e00"].load(late).Running+near.workers["e01"].load(late).Running, 0)
 }
 
 // An upstream that takes no connection is left alone for a while, and one that
@@ -280,7 +348,7 @@
 	b := testBoard(t, 2)
 	for _, w := range b.workers {
 		if w.engine != nil {
-			w.parts[&part{worker: w, decodes: true, tokens: testEngine.MemoryTokens, placement: &Placement{begun: true}}] = true
+			w.parts[&part{worker: w, held: testEngine.MemoryTokens, request: &request{begun: true}, job: predictor.Job{Decodes: true}}] = true
 		}
 	}
 	for _, tokens := range []int{5000, 15000, 45000} {
@@ -309,7 +377,7 @@
 	}
 	for _, w := range b.workers {
 		is.Equal(len(w.parts), 0)
-		l := w.all(start)
+		l := w.load(start)
 		is.Equal(l.Running, 0)
 		is.Equal(l.Prefill, time.Duration(0))
 	}
--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -8,7 +8,8 @@
 
 // Placement is a request's place. Its owner reports what becomes of it.
 type Placement struct {
-	board *Board
+	board   *Board
+	request *request
 	// First answers the request; Helpers prefill parts of the prompt.
 	First   Instance
 	Helpers []Instance
@@ -19,27 +20,45 @@
 	Expected time.Duration
 	// Load is the first upstream's before this request, for the log.
 	Load Load
-
-	placed time.Time
-	// begun is true once the first byte of the answer was seen.
-	begun bool
-	parts map[*worker]*part
 }
 
 // Began reports that the first byte of the answer was seen.
 func (p *Placement) Began(now time.Time) {
+	b, r := p.board, p.request
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	joint := len(r.parts) > 1
+	w := r.parts[0].worker
+	if w.queue != nil && !joint {
+		w.queue.PassSeen(now)
+	}
+	r.begin(now)
+	if joint || r.parts[0].job.Prefill > toldPrefill {
+		b.tell(r)
+	}
+	w.health.succeeded(now)
+	if p.Expected > 0 && !joint {
+		w.health.paced(now, float64(now.Sub(r.placed))/float64(p.Expected+paceSlack))
+	}
+}
+
+// Event reports that one more event of the answer was seen: the engine has
+// just ended a pass.
+func (p *Placement) Event(now time.Time) {
 	p.board.lock.Lock()
 	defer p.board.lock.Unlock()
-	p.begun = true
-	for w, t := range p.parts {
-		if t.prefill > toldPrefill {
-			p.board.touch(w)
-		}
+	if w := p.request.parts[0].worker; w.queue != nil {
+		w.queue.PassSeen(now)
 	}
-	w := p.worker()
-	w.health.succeeded(now)
-	if p.Expected > 0 && len(p.Helpers) == 0 {
-		w.health.paced(now, float64(now.Sub(p.placed))/float64(p.Expected+paceSlack))
+}
+
+// begin notes that the first event of the answer was seen.
+func (r *request) begin(now time.Time) {
+	r.begun = true
+	for _, p := range r.parts {
+		if p.worker.queue != nil {
+			p.worker.queue.Begun(now, &p.job)
+		}
 	}
 }
 
@@ -52,46 +71,26 @@
 func (p *Placement) Busy() time.Duration {
 	p.board.lock.Lock()
 	defer p.board.lock.Unlock()
-	w := p.worker()
-	if w == nil || w.engine == nil {
+	first := p.request.parts[0].worker
+	if first.engine == nil {
 		return 0
 	}
 	now := time.Now()
-	l := w.all(now)
+	l := first.load(now)
 	prefill := l.Prefill
-	for o := range p.parts {
-		if !p.begun {
-			prefill = max(prefill, o.all(now).Prefill)
-		}
-	}
-	pace := w.health.pace(now)
-	return time.Duration(float64(prefill+predictor.DecodePass(w.engine, l.Running, l.Tokens)) * pace)
-}
-
-// finish is when the last part is expected to be prefilled.
-func (p *Placement) finish() time.Time {
-	last := p.placed
-	for _, t := range p.parts {
-		if t.finish.After(last) {
-			last = t.finish
+	for _, o := range p.request.parts {
+		if !p.request.begun {
+			prefill = max(prefill, o.worker.load(now).Prefill)
 		}
 	}
-	return last
+	pass := predictor.DecodePass(first.engine, l.Running, l.Tokens)
+	return prefill + time.Duration(float64(pass)*first.health.pace(now)) + l.Late
 }
 
 // paceSlack is added to an expected time before a real one is measured
 // against it: network, scheduling and half a pass.
 const paceSlack = 60 * time.Millisecond
 
-func (p *Placement) worker() *worker {
-	for w, t := range p.parts {
-		if t.decodes {
-			return w
-		}
-	}
-	return nil
-}
-
 // Result is what became of a placement at its first upstream.
 type Result int
 
@@ -108,21 +107,26 @@
 )
 
 // End takes the request off the board.
-func (p *Placement) End(now time.Time, r Result) {
-	p.board.lock.Lock()
-	defer p.board.lock.Unlock()
-	w := p.worker()
-	switch r {
-	case Failed:
-		w.health.failed(now)
+func (p *Placement) End(now time.Time, result Result) {
+	b, r := p.board, p.request
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	h := &r.parts[0].worker.health
+	switch result {
+	case Failed, Full:
+		h.failed(now)
 	case Unreachable:
-		w.health.unreachable(now)
-	case Full:
-		w.health.failed(now)
+		h.unreachable(now)
 	}
-	for w, t := range p.parts {
-		delete(w.parts, t)
-		p.board.touch(w)
+	delete(b.own, r.token)
+	b.drop(now, r)
+	b.tellEnd(r)
+}
+
+// drop takes a request's parts off their workers.
+func (b *Board) drop(now time.Time, r *request) {
+	for _, p := range r.parts {
+		p.worker.remove(now, p)
 	}
 }
 
--- a/dispatcher/search.go
+++ b/dispatcher/search.go
@@ -14,6 +14,9 @@
 	helperCost = 0.02
 	// mostHelpers is how many engines the first may list.
 	mostHelpers = 16
+	// mostFirsts is how many of the engines that would cost least as helpers are
+	// weighed as the one that answers.
+	mostFirsts = 4
 )
 
 // groupSizes lists how many engines may prefill a prompt. A short one is
@@ -37,61 +40,88 @@
 	return sizes
 }
 
+// group is a number of engines for a prompt, the one that answers first.
+type group struct {
+	offers []offer
+	// cost is what all lose by it, the request too; harm what others lose.
+	cost, harm float64
+	finish     time.Duration
+}
+
 // search holds what is worked out for one number of engines, to be used again
 // for the next.
 type search struct {
-	candidates, chosen []candidate
-	// ranked is what each candidate would cost by itself, order the candidates from
+	forecast *predictor.Forecast
+	offers   []offer
+	// ranked is what each offer would cost by itself, order the offers from
 	// the cheapest on.
 	ranked []float64
 	order  []int
 }
 
-func newSearch(engines int) *search {
-	return &search{
-		candidates: make([]candidate, engines), chosen: make([]candidate, 0, engines), ranked: make([]float64, engines), order: make([]int, engines),
+// rank orders offers from the one that costs least on.
+func (s *search) rank(d Demand) {
+	worth := valueOf(d.Prompt)
+	s.ranked, s.order = s.ranked[:0], s.order[:0]
+	for i, o := range s.offers {
+		s.ranked = append(s.ranked, o.cost+worth*streamLoss(d.Waited+o.finish, d.FirstByteTarget, o.pause, d.PauseTarget))
+		s.order = append(s.order, i)
 	}
+	slices.SortFunc(s.order, func(i, j int) int {
+		return cmp.Or(cmp.Compare(s.ranked[i], s.ranked[j]), cmp.Compare(s.offers[i].rank, s.offers[j].rank))
+	})
 }
 
-// cheapest finds the k engines that lose least by prefilling a prompt together. The
-// first of them decodes the answer. It returns nil where no engine could. What
-// it returns is valid until the next call.
-func (s *search) cheapest(now time.Time, d Demand, loads []candidate, k int) ([]candidate, float64, time.Duration) {
-	candidates, ranked, order := s.candidates, s.ranked, s.order
-	worth := value(d)
-	for i, o := range loads {
-		o = o.evaluate(now, d, k)
-		candidates[i] = o
-		ranked[i] = o.cost + worth*waitLoss(o.finish, d)
-		order[i] = i
-	}
-	slices.SortFunc(order, func(i, j int) int {
-		return cmp.Or(cmp.Compare(ranked[i], ranked[j]), cmp.Compare(candidates[i].rank, candidates[j].rank))
-	})
-	first := -1
-	for _, i := range order {
-		if candidates[i].decodes {
-			first = i
-			break
+// alone finds the engine that loses least by taking a prompt alone.
+func (s *search) alone(now time.Time, d Demand, loads []candidate, blind bool) (group, bool) {
+	s.offers = s.offers[:0]
+	packs := !blind && light(d, loads[0].worker.engine)
+	for i := range loads {
+		o := loads[i].offer(now, d, 1, true, s.forecast)
+		if !o.decodes {
+			continue
 		}
+		if packs {
+			o.cost += o.jitter + openCost - o.packed
+		}
+		s.offers = append(s.offers, o)
 	}
-	if first < 0 {
-		return nil, 0, 0
+	if len(s.offers) == 0 {
+		return group{}, false
 	}
-	chosen := append(s.chosen[:0], candidates[first])
-	for _, i := range order {
-		if len(chosen) < k && i != first {
-			chosen = append(chosen, candidates[i])
+	s.rank(d)
+	best := s.offers[s.order[0]]
+	return group{offers: []offer{best}, cost: s.ranked[s.order[0]], harm: best.harm, finish: best.finish}, true
+}
+
+// joint finds the k engines that lose least by prefilling a prompt together.
+func (s *search) joint(now time.Time, d Demand, loads []candidate, k int) group {
+	s.offers = s.offers[:0]
+	for i := range loads {
+		s.offers = append(s.offers, loads[i].offer(now, d, k, false, s.forecast))
+	}
+	s.rank(d)
+	first, answering := -1, offer{}
+	least := 0.0
+	worth := valueOf(d.Prompt)
+	for _, i := range s.order[:min(len(s.order), k, mostFirsts)] {
+		o := s.offers[i].offer(now, d, k, true, s.forecast)
+		cost := o.cost - s.offers[i].cost + worth*streamLoss(d.Waited+o.finish, d.FirstByteTarget, o.pause, d.PauseTarget)
+		if first < 0 || cost < least {
+			first, answering, least = i, o, cost
 		}
 	}
-	if len(chosen) < k {
-		return nil, 0, 0
+	g := group{offers: append(make([]offer, 0, k), answering)}
+	for _, i := range s.order {
+		if len(g.offers) < k && i != first {
+			g.offers = append(g.offers, s.offers[i])
+		}
 	}
-	cost, finish := helperCost*float64(k-1), time.Duration(0)
-	for _, o := range chosen {
-		cost += o.cost
-		finish = max(finish, o.finish)
+	for _, o := range g.offers {
+		g.cost += o.cost
+		g.harm += o.harm
+		g.finish = max(g.finish, o.finish)
 	}
-	cost += worth * waitLoss(finish, d)
-	return chosen, cost, finish
+	g.cost += helperCost*float64(k-1) + worth*streamLoss(d.Waited+g.finish, d.FirstByteTarget, answering.pause, d.PauseTarget)
+	return g
 }
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -1,178 +1,175 @@
 package dispatcher
 
 import (
-	"encoding/binary"
-	"errors"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/sapphireramp/sapphireramp/matcher"
+	"github.com/sapphireramp/sapphireramp/predictor"
 )
 
-// Token names an entry or an upstream in messages of shares: a hash of its name,
-// since names would make up most of a message.
+// Token names an entry, an upstream or a request in messages of shares: a hash
+// of its name, since names would make up most of a message.
 type Token uint32
 
 // TokenOf is the token of a name.
 func TokenOf(name string) Token { return Token(xxhash.Sum64String(name)) }
 
-// Share is what one entry says of its load at one upstream.
+// Share is what one entry says of one of its requests.
 type Share struct {
+	// Request is drawn for each placement.
+	Request Token
+	// Ended requests are off the board; nothing else is said of them.
+	Ended bool
+	// Begun is true once the first event was seen.
+	Begun bool
+	// Age is how long ago the request was placed.
+	Age time.Duration
+	// Waited is how long its caller had waited by then.
+	Waited time.Duration
+	// Prompt and Answer are token counts.
+	Prompt, Answer int
+	// Target and Pause are those of the route; Pause is 0 for plain requests.
+	Target, Pause time.Duration
+	// Parts has an element for each upstream, the one that answers first.
+	Parts []SharePart
+}
+
+// SharePart is what a request has at one upstream.
+type SharePart struct {
 	Upstream Token
-	Load     Load
+	// Held is its memory there, in tokens.
+	Held int
 }
 
-const (
-	// shareFormat is the first byte of a message of shares.
-	shareFormat = 5
-	// maxShare bounds a message, so that it fits one datagram of a usual link.
-	maxShare = 1300
-	// tokenSize is the size of a token in bytes.
-	tokenSize = 4
-	// valueUnit is what values are rounded to on the wire.
-	valueUnit = 0.1
-)
+// peerRequest names a request of a peer.
+type peerRequest struct{ peer, request Token }
+
+// shareLife is how long what a peer said of a request counts. Peers repeat it
+// several times in that time.
+const shareLife = 3 * time.Second
 
-// ErrShare says that a message of shares can't be read.
-var ErrShare = errors.New("message of shares is malformed")
+// tell notes that peers are to hear of a request.
+func (b *Board) tell(r *request) {
+	b.changed[r] = true
+	b.wake()
+}
+
+// tellEnd notes that peers are to hear of a request's end.
+func (b *Board) tellEnd(r *request) {
+	delete(b.changed, r)
+	b.ended = append(b.ended, r.token)
+	b.wake()
+}
+
+func (b *Board) wake() {
+	select {
+	case b.Changed <- struct{}{}:
+	default:
+	}
+}
 
-// Export returns the shares that changed since the last call, or all that this
-// entry has where all is true.
+// Export returns what changed since the last call, or all that this entry has
+// where all is true. Ends are told once more with the next of all.
 func (b *Board) Export(now time.Time, all bool) []Share {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	var out []Share
-	for id, w := range b.workers {
-		if b.changed[id] || (all && len(w.parts) > 0) {
-			out = append(out, Share{Upstream: TokenOf(id), Load: w.own(now)})
+	for _, t := range b.ended {
+		out = append(out, Share{Request: t, Ended: true})
+	}
+	if all {
+		for _, t := range b.endedBefore {
+			out = append(out, Share{Request: t, Ended: true})
+		}
+		b.endedBefore = b.endedBefore[:0]
+		b.expire(now)
+	}
+	b.endedBefore = append(b.endedBefore, b.ended...)
+	b.ended = b.ended[:0]
+	for _, r := range b.own {
+		if all || b.changed[r] {
+			out = append(out, r.share(now))
 		}
 	}
 	clear(b.changed)
 	return out
 }
 
-// leastDelay is the growth of a peer's prefill from which something new counts
-// as prefilled there; less is rounding and the age of what the peer said.
-const leastDelay = 10 * time.Millisecond
+func (r *request) share(now time.Time) Share {
+	s := Share{
+		Request: r.token, Begun: r.begun, Age: now.Sub(r.placed), Waited: r.placed.Sub(r.since), Prompt: r.prompt, Answer: r.answer, Target: r.target, Pause: r.pause,
+		Parts: make([]SharePart, len(r.parts)),
+	}
+	for i, p := range r.parts {
+		s.Parts[i] = SharePart{Upstream: TokenOf(p.worker.instance.ID), Held: p.held}
+	}
+	return s
+}
+
+// expire drops what peers have not repeated for long.
+func (b *Board) expire(now time.Time) {
+	for key, r := range b.told {
+		if now.After(r.expires) {
+			delete(b.told, key)
+			b.drop(now, r)
+		}
+	}
+}
 
 // Import takes in a peer's shares.
 func (b *Board) Import(now time.Time, peer Token, shares []Share) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	for _, s := range shares {
-		w, ok := b.tokens[s.Upstream]
-		if !ok {
+		key := peerRequest{peer: peer, request: s.Request}
+		r, known := b.told[key]
+		if s.Ended {
+			if known {
+				delete(b.told, key)
+				b.drop(now, r)
+			}
 			continue
 		}
-		before := max(0, w.peers[peer].load.Prefill-now.Sub(w.peers[peer].at))
-		if more := s.Load.Prefill - before; more > leastDelay {
-			w.delay(now, more)
+		if !known {
+			r = b.newTold(now, s)
+			b.told[key] = r
+			for _, p := range r.parts {
+				p.worker.add(now, p)
+			}
 		}
-		if s.Load.Running == 0 && s.Load.Prefill == 0 {
-			delete(w.peers, peer)
-			continue
+		r.expires = now.Add(shareLife)
+		if s.Begun && !r.begun {
+			r.begin(now)
 		}
-		w.peers[peer] = peerLoad{load: s.Load, at: now}
-	}
-}
-
-// EncodeShares writes shares as messages that fit a datagram each, from the
-// named entry.
-func EncodeShares(from Token, shares []Share) [][]byte {
-	var messages [][]byte
-	head := binary.LittleEndian.AppendUint32([]byte{shareFormat}, uint32(from))
-	message := slices.Clone(head)
-	for _, s := range shares {
-		one := appendShare(nil, s)
-		if len(message)+len(one) > maxShare && len(message) > len(head) {
-			messages = append(messages, message)
-			message = slices.Clone(head)
+		if !s.Begun {
+			r.heard = now
 		}
-		message = append(message, one...)
-	}
-	if len(message) > len(head) {
-		messages = append(messages, message)
 	}
-	return messages
 }
 
-func appendShare(to []byte, s Share) []byte {
-	to = binary.LittleEndian.AppendUint32(to, uint32(s.Upstream))
-	to = binary.AppendUvarint(to, uint64(s.Load.Running))
-	to = binary.AppendUvarint(to, uint64(s.Load.Prefill/time.Millisecond))
-	to = binary.AppendUvarint(to, uint64(max(0, s.Load.Late/time.Millisecond)))
-	to = binary.AppendUvarint(to, uint64(s.Load.Tokens))
-	to = binary.AppendUvarint(to, uint64(len(s.Load.Streams)))
-	for _, w := range s.Load.Streams {
-		to = binary.AppendUvarint(to, uint64(w.Pause/time.Millisecond))
-		to = binary.AppendUvarint(to, uint64(w.Count))
-		to = binary.AppendUvarint(to, uint64(w.Value/valueUnit))
+// newTold returns a peer's request with its parts at the upstreams that are
+// known here.
+func (b *Board) newTold(now time.Time, s Share) *request {
+	r := &request{
+		token: s.Request, prompt: s.Prompt, answer: s.Answer, target: s.Target, pause: s.Pause, value: valueOf(s.Prompt), placed: now.Add(-s.Age), since: now.Add(-s.Age - s.Waited),
 	}
-	to = binary.AppendUvarint(to, uint64(len(s.Load.Waits)))
-	for _, w := range s.Load.Waits {
-		to = binary.AppendUvarint(to, uint64(w.Expected/time.Millisecond))
-		to = binary.AppendUvarint(to, uint64(w.Here/time.Millisecond))
-		to = binary.AppendUvarint(to, uint64(w.Target/time.Millisecond))
-		to = binary.AppendUvarint(to, uint64(w.Value/valueUnit))
-	}
-	return to
-}
-
-// shareReader reads a message; after the first fault it reads only zeros.
-type shareReader struct {
-	rest  []byte
-	fault bool
-}
-
-func (r *shareReader) number() int {
-	n, size := binary.Uvarint(r.rest)
-	if size <= 0 || n > 1<<40 {
-		r.fault, r.rest = true, nil
-		return 0
-	}
-	r.rest = r.rest[size:]
-	return int(n)
-}
-
-func (r *shareReader) token() Token {
-	if len(r.rest) < tokenSize {
-		r.fault, r.rest = true, nil
-		return 0
+	d := Demand{Prompt: s.Prompt, Answer: s.Answer}
+	for i, p := range s.Parts {
+		w, ok := b.tokens[p.Upstream]
+		if !ok {
+			continue
+		}
+		r.add(w, toldJob(r.placed, d, w.engine, len(s.Parts), i == 0), p.Held)
 	}
-	t := Token(binary.LittleEndian.Uint32(r.rest))
-	r.rest = r.rest[tokenSize:]
-	return t
+	return r
 }
 
-// DecodeShares reads a message.
-func DecodeShares(message []byte) (Token, []Share, error) {
-	if len(message) == 0 || message[0] != shareFormat {
-		return 0, nil, ErrShare
-	}
-	r := shareReader{rest: message[1:]}
-	from := r.token()
-	var shares []Share
-	for len(r.rest) > 0 {
-		s := Share{Upstream: r.token()}
-		s.Load.Running = r.number()
-		s.Load.Prefill = time.Duration(r.number()) * time.Millisecond
-		s.Load.Late = time.Duration(r.number()) * time.Millisecond
-		s.Load.Tokens = r.number()
-		for range min(r.number(), len(r.rest)) {
-			s.Load.Streams = append(s.Load.Streams, Streams{
-				Pause: time.Duration(r.number()) * time.Millisecond, Count: r.number(), Value: float64(r.number()) * valueUnit,
-			})
-		}
-		for range min(r.number(), len(r.rest)) {
-			s.Load.Waits = append(s.Load.Waits, Wait{
-				Expected: time.Duration(r.number()) * time.Millisecond, Here: time.Duration(r.number()) * time.Millisecond, Target: time.Duration(r.number()) * time.Millisecond,
-				Value: float64(r.number()) * valueUnit,
-			})
-		}
-		shares = append(shares, s)
-	}
-	if r.fault {
-		return 0, nil, ErrShare
+// toldJob is what a peer's request does at an upstream.
+func toldJob(placed time.Time, d Demand, e *matcher.Engine, k int, answers bool) predictor.Job {
+	if e == nil {
+		return predictor.Job{Decodes: answers, Arrived: placed}
 	}
-	return from, shares, nil
+	return job(placed, d, e, k, answers)
 }
--- a/dispatcher/share_test.go
+++ b/dispatcher/share_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
@@ -13,15 +14,19 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var shares []Share
 		for range rapid.IntRange(0, 40).Draw(t, "shares") {
-			s := Share{Upstream: TokenOf(rapid.String().Draw(t, "id"))}
-			s.Load.Running = rapid.IntRange(0, 100).Draw(t, "running")
-			s.Load.Prefill = time.Duration(rapid.IntRange(0, 60000).Draw(t, "reading")) * time.Millisecond
-			s.Load.Tokens = rapid.IntRange(0, 1<<20).Draw(t, "tokens")
-			for range rapid.IntRange(0, 3).Draw(t, "streams") {
-				s.Load.Streams = append(s.Load.Streams, Streams{Pause: time.Duration(rapid.IntRange(1, 5000).Draw(t, "pause")) * time.Millisecond, Count: rapid.IntRange(1, 16).Draw(t, "count")})
-			}
-			for range rapid.IntRange(0, 3).Draw(t, "waits") {
-				s.Load.Waits = append(s.Load.Waits, Wait{Expected: time.Duration(rapid.IntRange(0, 9000).Draw(t, "expected")) * time.Millisecond, Target: time.Second})
+			s := Share{Request: Token(rapid.Uint32().Draw(t, "request")), Ended: rapid.Bool().Draw(t, "ended")}
+			if !s.Ended {
+				s.Waited = time.Duration(rapid.IntRange(0, 60000).Draw(t, "waited")) * time.Millisecond
+				s.Begun = rapid.Bool().Draw(t, "begun")
+				s.Age = time.Duration(rapid.IntRange(0, 60000).Draw(t, "age")) * time.Millisecond
+				s.Prompt, s.Answer = rapid.IntRange(0, 1<<20).Draw(t, "prompt"), rapid.IntRange(0, 1<<16).Draw(t, "answer")
+				s.Target = time.Duration(rapid.IntRange(0, 60000).Draw(t, "target")) * time.Millisecond
+				s.Pause = time.Duration(rapid.IntRange(0, 5000).Draw(t, "pause")) * time.Millisecond
+				for range rapid.IntRange(1, 17).Draw(t, "parts") {
+					s.Parts = append(s.Parts, SharePart{
+						Upstream: TokenOf(rapid.String().Draw(t, "id")), Held: heldUnit * rapid.IntRange(0, 1<<14).Draw(t, "held"),
+					})
+				}
 			}
 			shares = append(shares, s)
 		}
@@ -40,8 +45,7 @@
 			t.Fatalf("%d shares of %d", len(got), len(shares))
 		}
 		for i, s := range shares {
-			if got[i].Upstream != s.Upstream || got[i].Load.Running != s.Load.Running || got[i].Load.Prefill != s.Load.Prefill ||
-				len(got[i].Load.Streams) != len(s.Load.Streams) || len(got[i].Load.Waits) != len(s.Load.Waits) {
+			if !reflect.DeepEqual(got[i], s) {
 				t.Fatalf("got %+v, want %+v", got[i], s)
 			}
 		}
@@ -57,6 +61,6 @@
 }
 
 func FuzzDecodeShares(f *testing.F) {
-	f.Add(EncodeShares(1, []Share{{Upstream: 2, Load: Load{Running: 1, Streams: []Streams{{Count: 1}}}}})[0])
+	f.Add(EncodeShares(1, []Share{{Request: 2, Parts: []SharePart{{Upstream: 3}}}})[0])
 	f.Fuzz(func(_ *testing.T, m []byte) { _, _, _ = DecodeShares(m) })
 }
--- a/dispatcher/status.go
+++ b/dispatcher/status.go
@@ -24,7 +24,7 @@
 	var rows []Row
 	for _, workers := range b.services {
 		for _, w := range workers {
-			row := Row{Instance: w.instance, Load: w.all(now), Failures: w.health.rate(now)}
+			row := Row{Instance: w.instance, Load: w.load(now), Failures: w.health.rate(now)}
 			if w.engine != nil {
 				row.MemoryTokens = w.engine.MemoryTokens
 			}
--- /dev/null
+++ b/dispatcher/wire.go
@@ -0,0 +1,148 @@
+package dispatcher
+
+import (
+	"encoding/binary"
+	"errors"
+	"slices"
+	"time"
+)
+
+const (
+	// shareFormat is the first byte of a message of shares.
+	shareFormat = 6
+	// maxShare bounds a message, so that it fits one datagram of a usual link.
+	maxShare = 1300
+	// tokenSize is the size of a token in bytes.
+	tokenSize = 4
+	// heldUnit is what memory is rounded up to on the wire, in tokens.
+	heldUnit = 64
+)
+
+// What a share says in its first byte.
+const (
+	sharePlaced = iota
+	shareBegun
+	shareEnded
+)
+
+// ErrShare says that a message of shares can't be read.
+var ErrShare = errors.New("message of shares is malformed")
+
+// EncodeShares writes shares as messages that fit a datagram each, from the
+// named entry.
+func EncodeShares(from Token, shares []Share) [][]byte {
+	var messages [][]byte
+	head := binary.LittleEndian.AppendUint32([]byte{shareFormat}, uint32(from))
+	message := slices.Clone(head)
+	for _, s := range shares {
+		one := appendShare(nil, s)
+		if len(message)+len(one) > maxShare && len(message) > len(head) {
+			messages = append(messages, message)
+			message = slices.Clone(head)
+		}
+		message = append(message, one...)
+	}
+	if len(message) > len(head) {
+		messages = append(messages, message)
+	}
+	return messages
+}
+
+func appendShare(to []byte, s Share) []byte {
+	to = binary.LittleEndian.AppendUint32(to, uint32(s.Request))
+	switch {
+	case s.Ended:
+		return append(to, shareEnded)
+	case s.Begun:
+		to = append(to, shareBegun)
+	default:
+		to = append(to, sharePlaced)
+	}
+	to = binary.AppendUvarint(to, uint64(max(0, s.Age/time.Millisecond)))
+	to = binary.AppendUvarint(to, uint64(max(0, s.Waited/time.Millisecond)))
+	to = binary.AppendUvarint(to, uint64(s.Prompt))
+	to = binary.AppendUvarint(to, uint64(s.Answer))
+	to = binary.AppendUvarint(to, uint64(s.Target/time.Millisecond))
+	to = binary.AppendUvarint(to, uint64(s.Pause/time.Millisecond))
+	to = binary.AppendUvarint(to, uint64(len(s.Parts)))
+	for _, p := range s.Parts {
+		to = binary.LittleEndian.AppendUint32(to, uint32(p.Upstream))
+		to = binary.AppendUvarint(to, uint64((p.Held+heldUnit-1)/heldUnit))
+	}
+	return to
+}
+
+// shareReader reads a message; after the first fault it reads only zeros.
+type shareReader struct {
+	rest  []byte
+	fault bool
+}
+
+func (r *shareReader) number() int {
+	n, size := binary.Uvarint(r.rest)
+	if size <= 0 || n > 1<<40 {
+		r.fault, r.rest = true, nil
+		return 0
+	}
+	r.rest = r.rest[size:]
+	return int(n)
+}
+
+func (r *shareReader) milliseconds() time.Duration {
+	return time.Duration(r.number()) * time.Millisecond
+}
+
+func (r *shareReader) kind() byte {
+	if len(r.rest) == 0 || r.rest[0] > shareEnded {
+		r.fault, r.rest = true, nil
+		return shareEnded
+	}
+	k := r.rest[0]
+	r.rest = r.rest[1:]
+	return k
+}
+
+func (r *shareReader) token() Token {
+	if len(r.rest) < tokenSize {
+		r.fault, r.rest = true, nil
+		return 0
+	}
+	t := Token(binary.LittleEndian.Uint32(r.rest))
+	r.rest = r.rest[tokenSize:]
+	return t
+}
+
+// share reads one share.
+func (r *shareReader) share() Share {
+	s := Share{Request: r.token()}
+	kind := r.kind()
+	if kind == shareEnded {
+		s.Ended = true
+		return s
+	}
+	s.Begun = kind == shareBegun
+	s.Age, s.Waited = r.milliseconds(), r.milliseconds()
+	s.Prompt, s.Answer = r.number(), r.number()
+	s.Target, s.Pause = r.milliseconds(), r.milliseconds()
+	for range min(r.number(), len(r.rest)) {
+		s.Parts = append(s.Parts, SharePart{Upstream: r.token(), Held: r.number() * heldUnit})
+	}
+	return s
+}
+
+// DecodeShares reads a message.
+func DecodeShares(message []byte) (Token, []Share, error) {
+	if len(message) == 0 || message[0] != shareFormat {
+		return 0, nil, ErrShare
+	}
+	r := shareReader{rest: message[1:]}
+	from := r.token()
+	var shares []Share
+	for len(r.rest) > 0 {
+		shares = append(shares, r.share())
+	}
+	if r.fault {
+		return 0, nil, ErrShare
+	}
+	return from, shares, nil
+}
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -54,6 +54,11 @@
 	waitPoll = 25 * time.Millisecond
 )
 
+// waits reports whether a request that has no place yet may get one soon.
+func (f *Forwarder) waits(x *exchange, r *dispatcher.Refusal) bool {
+	return r.Passing && (r.Early || time.Since(x.arrived) < x.route.FirstByteTarget/waitPart)
+}
+
 // place finds the next upstream for a request.
 func (f *Forwarder) place(x *exchange, d dispatcher.Demand) (*dispatcher.Placement, *failure) {
 	d.Service, d.Avoid, d.Alone = x.service, x.avoid, x.alone
@@ -61,7 +66,8 @@
 	d.Admitted = x.sent > 0
 	x.demand = d
 	p, refusal := f.board.Place(time.Now(), d)
-	for refusal != nil && refusal.Passing && time.Since(x.arrived) < x.route.FirstByteTarget/waitPart && sleeper.Sleep(x.ctx, waitPoll) {
+	for refusal != nil && f.waits(x, refusal) && sleeper.Sleep(x.ctx, waitPoll) {
+		d.Waited, d.Patience = waited(x), firstEventPatience(x)
 		p, refusal = f.board.Place(time.Now(), d)
 	}
 	if refusal != nil {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -27,7 +27,7 @@
 	events := splitter.New(x.call.LastEvent)
 	unsent := 0
 	for {
-		p, fail := f.place(x, dispatcher.Demand{Prompt: x.call.Prompt, Answer: expectedAnswer(x), Patience: firstEventPatience(x)})
+		p, fail := f.place(x, dispatcher.Demand{Prompt: x.call.Prompt, Answer: expectedAnswer(x), Waited: waited(x), Patience: firstEventPatience(x)})
 		if fail != nil && x.pending > 0 {
 			return unknown(reasonFailed, fail.cause)
 		}
@@ -79,11 +79,15 @@
 
 // firstEventPatience is how long the caller still waits for an event.
 func firstEventPatience(x *exchange) time.Duration {
-	since := x.arrived
+	return max(time.Millisecond, min(matcher.AbandonAfter(x.route.FirstByteTarget, x.route.PauseTarget)-waited(x), time.Until(x.deadline)))
+}
+
+// waited is how long the caller has waited for its first event or the next.
+func waited(x *exchange) time.Duration {
 	if x.begun {
-		since = x.eventAt
+		return time.Since(x.eventAt)
 	}
-	return max(time.Millisecond, min(matcher.AbandonAfter(x.route.FirstByteTarget, x.route.PauseTarget)-time.Since(since), time.Until(x.deadline)))
+	return time.Since(x.arrived)
 }
 
 // relay passes the events of an attempt on, and judges how the stream ended.
@@ -101,7 +105,9 @@
 		}
 		whole, gap := events.Feed(buffer[:n])
 		for _, e := range whole {
-			if !any {
+			if any {
+				a.placement.Event(time.Now())
+			} else {
 				a.placement.Began(time.Now())
 				any = true
 			}
--- /dev/null
+++ b/predictor/forecast.go
@@ -0,0 +1,91 @@
+package predictor
+
+import "time"
+
+// Fate is what becomes of a job, as far as can be foreseen.
+type Fate struct {
+	Job *Job
+	// Done is when it is prefilled here; the time of a past end is kept.
+	Done time.Time
+	// Pause is the longest between its events, past ones included.
+	Pause time.Duration
+	// Decoding is true where its answer is being decoded already.
+	Decoding bool
+}
+
+// Forecast plays an engine's queue forward. It may be used again and again, and
+// is not safe for concurrent use.
+type Forecast struct {
+	queue Queue
+	fates []Fate
+}
+
+// mostPasses bounds how far a forecast looks: some seconds of passes.
+const mostPasses = 100
+
+// leastEvents is how many more events an answer is expected to have at least,
+// beside half of those that it had: what callers estimate is right at the median
+// only, and an answer that was taken to end too soon is left out of what a new
+// prompt harms.
+const leastEvents = 3
+
+// Play returns the fates of all jobs in a queue, and of one more job where added
+// is not nil, which is the last of them. They are valid until the next call.
+// Nothing that arrives later is foreseen. The queue has been advanced to now
+// and is not changed.
+func (f *Forecast) Play(now time.Time, q *Queue, added *Job) []Fate {
+	tasks := append(f.queue.tasks[:0], q.tasks...)
+	f.queue = *q
+	f.queue.tasks = tasks
+	f.queue.foresees = true
+	for i := range tasks {
+		tasks[i].events = max(tasks[i].events, tasks[i].made/2+leastEvents)
+	}
+	if added != nil {
+		t := newTask(added)
+		t.added = true
+		f.queue.add(now, t)
+	}
+	for range mostPasses {
+		if f.queue.end.IsZero() || f.queue.settled() {
+			break
+		}
+		f.queue.finish()
+	}
+	return f.collect()
+}
+
+// settled reports whether nothing is left to prefill, in the pass that runs
+// either, and all answers had an event after their first: what follows are passes
+// that decode only.
+func (q *Queue) settled() bool {
+	for i := range q.tasks {
+		if t := &q.tasks[i]; t.tokens > 0 || t.decoding && t.made == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *Forecast) collect() []Fate {
+	f.fates = f.fates[:0]
+	var last Fate
+	found := false
+	for i := range f.queue.tasks {
+		t := &f.queue.tasks[i]
+		fate := Fate{Job: t.job, Done: t.done, Pause: t.pause, Decoding: t.decoding}
+		if fate.Done.IsZero() {
+			// Not within what is looked at: no sooner than its end.
+			fate.Done = f.queue.end
+		}
+		if t.added {
+			last, found = fate, true
+			continue
+		}
+		f.fates = append(f.fates, fate)
+	}
+	if found {
+		f.fates = append(f.fates, last)
+	}
+	return f.fates
+}
--- /dev/null
+++ b/predictor/queue.go
@@ -0,0 +1,425 @@
+package predictor
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/sapphireramp/sapphireramp/matcher"
+)
+
+// Job is what one request has one engine do.
+type Job struct {
+	// Joint jobs are parts of a prompt that several engines prefill.
+	Joint bool
+	// Tokens are to be prefilled, which takes Prefill by itself.
+	Tokens  int
+	Prefill time.Duration
+	// Decodes is true where the engine decodes the answer.
+	Decodes bool
+	// Context is how many tokens a decode step of the answer attends to.
+	Context int
+	// Events is how many events the answer is expected to have.
+	Events int
+	// Arrived is when the engine got the job.
+	Arrived time.Time
+	// Elsewhere is when the other engines of a joint job are expected to be done;
+	// forecasts begin its answer then. It may be changed at any time.
+	Elsewhere time.Time
+}
+
+// task is how far an engine is with a job.
+type task struct {
+	job *Job
+	// tokens and prefill are what is left to prefill, before the pass that runs.
+	tokens  float64
+	prefill time.Duration
+	// taken are the tokens that the pass that runs prefills.
+	taken float64
+	// decoding is true while the answer is decoded, from the job's first event on.
+	decoding bool
+	// events is how many events the answer is expected to have yet, made how many it had.
+	events, made int
+	// done is when the prefill ended, eventAt when the last event came; zero before.
+	done, eventAt time.Time
+	// pause is the longest between two events.
+	pause time.Duration
+	// added is true of the job that a forecast adds.
+	added bool
+}
+
+func newTask(j *Job) task {
+	return task{job: j, tokens: float64(max(1, j.Tokens)), prefill: j.Prefill, events: j.Events}
+}
+
+// Queue is one engine's work, kept as the engine does it: in passes. A pass
+// that decodes executes Stride steps and prefills what waits, up to Chunk tokens
+// a step; each answer makes an event at its end. While nothing is decoded an
+// engine prefills step by step, and what is new can go first at once.
+//
+// Joint jobs go before others, the newest first; the others go oldest first. A
+// job's prefill ends with its pass, and its first event comes then.
+//
+// A queue does no I/O and keeps no clock: time advances with its calls. It is
+// not safe for concurrent use.
+type Queue struct {
+	engine *matcher.Engine
+	pace   float64
+	// tasks are in the order of prefill.
+	tasks []task
+	// start and end are those of the pass that runs; end is zero while idle.
+	start, end time.Time
+	// decodes is true where that pass decodes answers.
+	decodes bool
+	// confirmed is the end of the last pass whose end was observed.
+	confirmed time.Time
+	// foresees is true in a forecast: joint answers begin by themselves, and
+	// answers end after as many events as they are expected to have.
+	foresees bool
+}
+
+// NewQueue returns the queue of an idle engine.
+func NewQueue(e *matcher.Engine) *Queue { return &Queue{engine: e, pace: 1} }
+
+// Reset changes the engine's figures.
+func (q *Queue) Reset(e *matcher.Engine) { q.engine = e }
+
+// SetPace says how many times longer than expected work takes from the next
+// pass on.
+func (q *Queue) SetPace(pace float64) { q.pace = max(1, pace) }
+
+// Advance works on to a time.
+func (q *Queue) Advance(now time.Time) {
+	for !q.end.IsZero() && !q.end.After(now) {
+		q.finish()
+	}
+}
+
+// Add takes in a job that arrived now or a little earlier.
+func (q *Queue) Add(now time.Time, j *Job) {
+	q.Advance(now)
+	q.add(now, newTask(j))
+}
+
+func (q *Queue) add(now time.Time, t task) {
+	if !q.end.IsZero() && !q.decodes {
+		now = q.endStep(now)
+	}
+	q.insert(t)
+	switch {
+	case q.end.IsZero():
+		q.begin(now)
+	case q.decodes && t.job.Arrived.Before(q.start):
+		// It was there when the pass began, and is prefilled in it.
+		q.begin(q.start)
+	}
+}
+
+// insert puts a task in its place: a joint one before what arrived earlier.
+func (q *Queue) insert(t task) {
+	at := slices.IndexFunc(q.tasks, func(o task) bool { return before(t.job, o.job) })
+	if at < 0 {
+		at = len(q.tasks)
+	}
+	q.tasks = slices.Insert(q.tasks, at, t)
+}
+
+// before reports whether an engine prefills one job before another.
+func before(a, b *Job) bool {
+	if a.Joint != b.Joint {
+		return a.Joint
+	}
+	if a.Joint {
+		return !a.Arrived.Before(b.Arrived)
+	}
+	return a.Arrived.Before(b.Arrived)
+}
+
+// Remove takes a job out that ended or was given up.
+func (q *Queue) Remove(now time.Time, j *Job) {
+	q.Advance(now)
+	i := q.index(j)
+	if i < 0 {
+		return
+	}
+	// A pass goes on without a part of it, but for one that would have nothing left to do, or
+	// no answer to decode any more: that has just had its last event.
+	t := q.tasks[i]
+	ends := t.taken > 0 && !q.decodes || t.decoding && q.answers() == 1
+	if ends && !q.end.IsZero() {
+		q.interrupt(now)
+	}
+	q.tasks = slices.Delete(q.tasks, i, i+1)
+	if ends {
+		q.begin(now)
+	}
+}
+
+// answers is how many answers are decoded.
+func (q *Queue) answers() int {
+	n := 0
+	for i := range q.tasks {
+		if q.tasks[i].decoding {
+			n++
+		}
+	}
+	return n
+}
+
+func (q *Queue) index(j *Job) int {
+	return slices.IndexFunc(q.tasks, func(t task) bool { return t.job == j })
+}
+
+// Begun notes that the first event of a job's answer was seen: all of it is prefilled.
+func (q *Queue) Begun(now time.Time, j *Job) {
+	q.Advance(now)
+	i := q.index(j)
+	if i < 0 {
+		return
+	}
+	prefills := !q.end.IsZero() && !q.decodes
+	if prefills {
+		q.interrupt(now)
+	}
+	t := &q.tasks[i]
+	t.tokens, t.prefill, t.taken = 0, 0, 0
+	if t.done.IsZero() {
+		t.done = now
+	}
+	if j.Decodes && !t.decoding {
+		t.decoding, t.eventAt = true, now
+	}
+	if prefills || q.end.IsZero() {
+		q.begin(now)
+	}
+}
+
+// sameEnd is how far apart the events of one pass reach those who watch, at
+// most: a round trip between data centres and the wait for a processor.
+const sameEnd = 15 * time.Millisecond
+
+// PassSeen notes that a pass ended a moment before now, as an event of an
+// answer was seen. That corrects what the queue expects.
+func (q *Queue) PassSeen(now time.Time) {
+	q.Advance(now)
+	if q.end.IsZero() || !q.decodes || now.Sub(q.confirmed) < sameEnd {
+		return
+	}
+	q.confirmed = now
+	if late := now.Sub(q.start); late < q.end.Sub(now) {
+		// The pass before it ended that much later than expected.
+		q.start, q.end = now, q.end.Add(late)
+		return
+	}
+	q.end = now
+	q.finish()
+}
+
+// Left is how long the engine has yet to prefill, answers aside.
+func (q *Queue) Left(now time.Time) time.Duration {
+	left, taken := time.Duration(0), time.Duration(0)
+	for i := range q.tasks {
+		t := &q.tasks[i]
+		left += t.prefill
+		if t.taken > 0 {
+			taken += t.share(t.taken)
+		}
+	}
+	if !q.end.IsZero() {
+		left -= time.Duration(float64(taken) * q.passed(now))
+	}
+	return time.Duration(float64(left) * q.pace)
+}
+
+// passed is the part of the pass that runs which is over.
+func (q *Queue) passed(now time.Time) float64 {
+	return min(1, max(0, float64(now.Sub(q.start))/float64(max(1, q.end.Sub(q.start)))))
+}
+
+// begin starts a pass.
+func (q *Queue) begin(now time.Time) {
+	q.start, q.end, q.decodes = now, time.Time{}, false
+	answers, context := 0, 0
+	for i := range q.tasks {
+		t := &q.tasks[i]
+		t.taken = 0
+		if q.foresees && t.awaits() && !t.job.Elsewhere.After(now) {
+			t.decoding, t.eventAt = true, later(t.done, t.job.Elsewhere)
+		}
+		if t.decoding {
+			answers++
+			context += t.job.Context
+		}
+	}
+	var took time.Duration
+	if answers > 0 {
+		q.decodes = true
+		took = DecodePass(q.engine, answers, context) + q.take(float64(q.engine.Stride*q.engine.Chunk), answers)
+	} else {
+		took = q.takeNext(now)
+	}
+	if took > 0 {
+		q.end = now.Add(time.Duration(float64(took) * q.pace))
+	}
+}
+
+// take has the pass prefill what waits, up to a number of tokens, and returns
+// how long that takes. An engine works on as many requests as it has slots.
+func (q *Queue) take(tokens float64, answers int) time.Duration {
+	took := time.Duration(0)
+	for i := range q.tasks {
+		t := &q.tasks[i]
+		if t.tokens <= 0 {
+			continue
+		}
+		if t.job.Decodes {
+			if answers++; answers > q.engine.Slots {
+				continue
+			}
+		}
+		t.taken = min(tokens, t.tokens)
+		tokens -= t.taken
+		took += t.share(t.taken)
+		if tokens <= 0 {
+			break
+		}
+	}
+	return took
+}
+
+// takeNext has an engine without answers prefill the first job, and returns how long that
+// takes: each step has its own time beside that of its tokens, and the last one is
+// filled up with what comes next. In a forecast it ends where a joint answer begins.
+func (q *Queue) takeNext(now time.Time) time.Duration {
+	until := q.nextAnswer()
+	first := slices.IndexFunc(q.tasks, func(t task) bool { return t.tokens > 0 })
+	if first < 0 && until.IsZero() {
+		return 0
+	}
+	if first < 0 {
+		return max(leastPass, until.Sub(now))
+	}
+	chunk := float64(max(1, q.engine.Chunk))
+	steps := math.Ceil(q.tasks[first].tokens / chunk)
+	took := time.Duration(steps)*q.engine.Step + q.take(steps*chunk, 0)
+	if limit := max(leastPass, time.Duration(float64(until.Sub(now))/q.pace)); !until.IsZero() && limit < took {
+		for i := range q.tasks {
+			q.tasks[i].taken *= float64(limit) / float64(took)
+		}
+		took = limit
+	}
+	return took
+}
+
+// leastPass is the shortest pass that is modelled, so that time goes on.
+const leastPass = time.Microsecond
+
+// nextAnswer is when, in a forecast, the next joint answer begins whose part is
+// prefilled here; zero if there is none.
+func (q *Queue) nextAnswer() time.Time {
+	var next time.Time
+	if !q.foresees {
+		return next
+	}
+	for i := range q.tasks {
+		if t := &q.tasks[i]; t.awaits() && (next.IsZero() || t.job.Elsewhere.Before(next)) {
+			next = t.job.Elsewhere
+		}
+	}
+	return next
+}
+
+// awaits reports whether a task is prefilled here, and its answer waits for other engines.
+func (t *task) awaits() bool {
+	return t.job.Decodes && t.job.Joint && t.tokens <= 0 && !t.decoding && t.made == 0 && !t.done.IsZero()
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// share is how long a number of the tokens that are left take.
+func (t *task) share(tokens float64) time.Duration {
+	return time.Duration(float64(t.prefill) * tokens / t.tokens)
+}
+
+// endStep ends a pass that only prefills after the step that runs, and returns
+// when that is.
+func (q *Queue) endStep(now time.Time) time.Time {
+	taken := 0.0
+	for i := range q.tasks {
+		taken += q.tasks[i].taken
+	}
+	steps := max(1, taken/float64(max(1, q.engine.Chunk)))
+	step := time.Duration(float64(q.end.Sub(q.start)) / steps)
+	if step > 0 {
+		now = q.start.Add((now.Sub(q.start) + step - 1) / step * step)
+	}
+	if !now.Before(q.end) {
+		now = q.end
+	}
+	q.interrupt(now)
+	return now
+}
+
+// interrupt ends a pass that only prefills before its time.
+func (q *Queue) interrupt(now time.Time) {
+	part := q.passed(now)
+	for i := range q.tasks {
+		t := &q.tasks[i]
+		if t.taken > 0 {
+			t.prefilled(t.taken * part)
+			q.complete(t, now)
+		}
+	}
+	q.end = time.Time{}
+}
+
+// prefilled takes tokens off what is left.
+func (t *task) prefilled(tokens float64) {
+	t.taken = 0
+	if tokens <= 0 {
+		return
+	}
+	t.prefill -= t.share(tokens)
+	t.tokens -= tokens
+}
+
+// finish ends the pass that runs and begins the next.
+func (q *Queue) finish() {
+	now := q.end
+	for i := range q.tasks {
+		t := &q.tasks[i]
+		if t.decoding {
+			t.pause = max(t.pause, now.Sub(t.eventAt))
+			t.eventAt = now
+			t.events--
+			t.made++
+			t.decoding = !q.foresees || t.events > 0
+		}
+		if t.taken <= 0 {
+			continue
+		}
+		t.prefilled(t.taken)
+		q.complete(t, now)
+	}
+	q.begin(now)
+}
+
+// complete notes the end of a task's prefill where nothing of it is left.
+func (q *Queue) complete(t *task, now time.Time) {
+	if t.tokens > leastTokens {
+		return
+	}
+	t.tokens, t.prefill, t.done = 0, 0, now
+	// A joint answer begins when all its parts are done, which others tell.
+	if t.job.Decodes && !t.job.Joint {
+		t.decoding, t.eventAt = true, now
+	}
+}
+
+// leastTokens is what is left of a job that is done, but for rounding.
+const leastTokens = 0.5
