predictor: an answer that begins within a pass joins the next one

The board had expected 0.6 s where 1.05 s came: an answer whose last part ends elsewhere begins in the middle of its own engine's pass, and its second event comes at the end of the next pass, not of that one. Seen in the times of all events of one engine beside a replay.

--- a/predictor/queue.go
+++ b/predictor/queue.go
@@ -36,8 +36,10 @@
 	prefill time.Duration
 	// taken are the tokens that the pass that runs prefills.
 	taken float64
-	// decoding is true while the answer is decoded, from the job's first event on.
-	decoding bool
+	// decoding is true while the answer is decoded, from the job's first event on, joined
+	// once a pass has begun since: an answer that begins within a pass has its next
+	// event at the end of the next one.
+	decoding, joined bool
 	// events is how many events the answer is expected to have yet, made how many it had.
 	events, made int
 	// done is when the prefill ended, eventAt when the last event came; zero before.
@@ -246,6 +248,7 @@
 		if q.foresees && t.awaits() && !t.job.Elsewhere.After(now) {
 			t.decoding, t.eventAt = true, later(t.done, t.job.Elsewhere)
 		}
+		t.joined = t.decoding
 		if t.decoding {
 			answers++
 			context += t.job.Context
@@ -393,7 +396,7 @@
 	now := q.end
 	for i := range q.tasks {
 		t := &q.tasks[i]
-		if t.decoding {
+		if t.joined {
 			t.pause = max(t.pause, now.Sub(t.eventAt))
 			t.eventAt = now
 			t.events--
--- a/predictor/queue_test.go
+++ b/predictor/queue_test.go
@@ -124,6 +124,24 @@
 	}
 }
 
+// An answer that begins within a pass has its second event only at the end of the next: one that
+// began 273 ms after the start of a pass of 691 ms stood still for 1,055 ms, as the next
+// pass had a part of 562 ms to prefill.
+func TestAnswerBegunWithinAPass(t *testing.T) {
+	is := is.New(t)
+	q := predictor.NewQueue(engine())
+	q.Add(start, prompt(start, 5000, 1, true))
+	joint := prompt(at(40), 10000, 4, true)
+	q.Add(at(40), joint)
+	q.Add(at(41), prompt(at(41), 167621+24000, 7, false)) // 640 ms
+	q.Advance(at(350))
+	q.Begun(at(350), joint)
+	next := prompt(at(400), 178423, 7, false)
+	q.Add(at(400), next)
+	fate := fateOf(t, q, at(400), joint)
+	is.True(fate.Pause > 900*time.Millisecond) // 370 of the first pass, 608 of the next
+}
+
 // An answer that has had the events it was expected to have goes on: estimates of callers are
 // right at the median only. Parts that were put beside such answers made one of
 // eight long answers late.
