dispatcher: the time of slots has a price where they are scarce

Cause: in bursts of short prompts three quarters of all slots are taken. What an engine prefills for a long prompt holds up each of its answers, which keep their slots for so much longer; once all are taken, everything waits. Ruled out: other thresholds of holding (they bring the audits in later, into the same burst).

--- a/dispatcher/candidate.go
+++ b/dispatcher/candidate.go
@@ -42,6 +42,27 @@
 	transit = 5 * time.Millisecond
 )
 
+const (
+	// scarceFrom and scarceTo are the parts of all slots taken between which the time of a slot goes
+	// from worth nothing to worth all of fullSlotPrice.
+	scarceFrom, scarceTo = 0.6, 0.9
+	// fullSlotPrice is what a second of a slot is worth where all are taken, in requests: an answer
+	// has one for two seconds, and what waits for it is late.
+	fullSlotPrice = 0.8
+)
+
+// slotPrice is what a second of a slot is worth. What an engine prefills holds up all of
+// its answers, which keep their slots for so much longer. Once all are taken, everybody waits.
+func slotPrice(loads []candidate) float64 {
+	running, slots := 0, 0
+	for _, c := range loads {
+		running += c.load.Running
+		slots += c.worker.engine.Slots
+	}
+	taken := float64(running) / float64(max(1, slots))
+	return fullSlotPrice * min(1, max(0, (taken-scarceFrom)/(scarceTo-scarceFrom)))
+}
+
 // candidate is one engine that is weighed for a prompt.
 type candidate struct {
 	worker *worker
@@ -58,6 +79,9 @@
 	// worker's fates.
 	elsewhere []time.Time
 	before    []float64
+	// answers are decoded here or are about to be, slotPrice is what the time of a slot is worth.
+	answers   int
+	slotPrice float64
 }
 
 // offer is what a candidate makes of a part of a prompt.
@@ -86,6 +110,9 @@
 		at := p.elsewhere()
 		c.elsewhere = append(c.elsewhere, at)
 		c.before = append(c.before, p.loss(f, at))
+		if p.job.Decodes {
+			c.answers++
+		}
 		if p.job.Decodes && p.request.pause <= d.PauseTarget {
 			similar++
 		}
@@ -105,6 +132,7 @@
 	for i, f := range fates[:len(fates)-1] {
 		o.harm += w.jobs[f.Job].loss(f, c.elsewhere[i]) - c.before[i]
 	}
+	o.harm += c.slotPrice * float64(c.answers) * o.job.Prefill.Seconds()
 	o.cost = o.harm
 	worth := valueOf(d.Prompt)
 	o.cost += worth * failedLoss * w.health.rate(now)
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -104,6 +104,10 @@
 		loads[i] = candidate{worker: w, load: w.load(now), rank: assigner.Weight(b.rankSalt, w.instance.ID), jitter: jitter(b.peers) * b.random.Float64()}
 		loads[i].note(d)
 	}
+	price := slotPrice(loads)
+	for i := range loads {
+		loads[i].slotPrice = price
+	}
 	return loads
 }
 
--- a/dispatcher/place_test.go
+++ b/dispatcher/place_test.go
@@ -177,6 +177,24 @@
 	}
 }
 
+// The pattern of bursts of tower queries beside what is left of one of audits: with 190 of 224 slots
+// taken, what an audit has an engine prefill keeps thirteen answers in their slots for so
+// long. Taken then, audits filled all slots, and for eight seconds nine of ten queries were late.
+func TestAuditWaitsWhileSlotsAreScarce(t *testing.T) {
+	is := is.New(t)
+	b := testBoard(t, 14)
+	streaming(t, b, start, tower, 190)
+	now := start.Add(time.Second)
+	short := withPrompt(audit, 100000) // each of 14 engines would prefill for 106 ms
+	_, refusal := b.Place(now, short)
+	is.True(refusal != nil && refusal.Early)
+	// As many answers that bear its pauses, on as few of many engines, are no reason to wait.
+	b = testBoard(t, 40)
+	streaming(t, b, start, tower, 190)
+	_, refusal = b.Place(now, short)
+	is.True(refusal == nil)
+}
+
 // A heavy prompt waits at its entry while engines have much to prefill, and is placed once
 // they have less, the sooner the longer it has waited. Placed at once it would
 // leave engines full of prefill to a burst of short prompts.
