controller, dispatcher: an entry that starts is told all load at once

Cause: an entry that had just started knew nothing of what others had placed for up to 0.7 s, and requests told before it knew their upstreams were never noted. Others went on counting what its earlier run had placed for 3 s.

Change: entries tell all load when they meet a new one; what is told of upstreams not known yet is noted once they are; a new incarnation ends the requests of the one before.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -71,9 +71,10 @@
 }
 
 type peer struct {
-	name   string
-	beats  netip.AddrPort
-	shares netip.AddrPort
+	name        string
+	incarnation uint64
+	beats       netip.AddrPort
+	shares      netip.AddrPort
 }
 
 // Controller is the control side of an entry.
@@ -85,9 +86,9 @@
 	// large answer would be late.
 	pool, fetches *connector.Pool
 	compressed    compressedConfig
-	// pushes asks for heartbeats to all peers at once.
-	pushes chan struct{}
-	work   sync.WaitGroup
+	// pushes asks for heartbeats to all peers at once, meetings for all shares.
+	pushes, meetings chan struct{}
+	work             sync.WaitGroup
 
 	metrics metrics
 }
@@ -151,7 +152,7 @@
 func New(c Config) *Controller {
 	ctl := &Controller{
 		config: c, control: sequencer.New[*state](), pool: connector.New(c.Dial), fetches: connector.New(c.Dial),
-		pushes: make(chan struct{}, 1), metrics: newMetrics(c.Scope),
+		pushes: make(chan struct{}, 1), meetings: make(chan struct{}, 1), metrics: newMetrics(c.Scope),
 	}
 	ctl.current.Store(&view{View: forwarder.View{Entries: 1}})
 	return ctl
@@ -243,9 +244,10 @@
 			v.takers = append(v.takers, taker{address: m.Address, dataCentre: m.DataCentre})
 		}
 		if m.State == prober.Live || m.State == prober.Stopping {
-			v.peers = append(v.peers, peer{name: m.Name, beats: m.PeerAddress, shares: netip.AddrPortFrom(m.PeerAddress.Addr(), c.config.Shares.Port())})
+			v.peers = append(v.peers, peer{name: m.Name, incarnation: m.Incarnation, beats: m.PeerAddress, shares: netip.AddrPortFrom(m.PeerAddress.Addr(), c.config.Shares.Port())})
 		}
 	}
+	s.shareWithNew(v.peers)
 	c.config.Board.SetPeers(len(v.peers), s.blind(len(v.peers)))
 	usable := s.follower.Usable()
 	if s.table != nil {
@@ -257,6 +259,31 @@
 	c.current.Store(v)
 }
 
+// shareWithNew has entries that are new here told of all of this one's load, and forgets
+// that of entries that have started anew since. Without it a restarted entry knows
+// nothing for up to shareAll of what others have placed: it put long prompts on the
+// engines with most answers, each of which made a dozen answers late.
+func (s *state) shareWithNew(peers []peer) {
+	c := s.controller
+	before := map[string]uint64{}
+	for _, p := range c.current.Load().peers {
+		before[p.name] = p.incarnation
+	}
+	for _, p := range peers {
+		known, ok := before[p.name]
+		if ok && known < p.incarnation {
+			c.config.Board.Forget(time.Now(), dispatcher.TokenOf(p.name))
+		}
+		if ok && known == p.incarnation {
+			continue
+		}
+		select {
+		case c.meetings <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // blind reports whether this entry may not know what others place: it has
 // just started, or hears nobody though there are others.
 func (s *state) blind(peers int) bool {
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -338,3 +338,34 @@
 		}
 	})
 }
+
+// An entry that has just started knows within a quarter of a second what others have placed,
+// and others forget what its earlier run had placed.
+func TestRestartedEntryLearnsLoad(t *testing.T) {
+	withFleet(t, 3, func(f *fleet) {
+		place := func(e *entry) *dispatcher.Placement {
+			p, refusal := e.board.Place(time.Now(), dispatcher.Demand{Service: "app"})
+			f.is.True(refusal == nil)
+			return p
+		}
+		running := func(e *entry) int {
+			sum := 0
+			for _, row := range e.board.Rows(time.Now()) {
+				sum += row.Load.Running
+			}
+			return sum
+		}
+		for range 5 {
+			place(f.entries[0])
+		}
+		place(f.entries[2])
+		time.Sleep(150 * time.Millisecond) // past the time at which all load is told again
+		f.is.Equal(running(f.entries[0]), 6)
+		f.entries[2].end()
+		f.net.Kill(f.entries[2].host)
+		f.entries[2] = f.start(2)
+		time.Sleep(250 * time.Millisecond)
+		f.is.Equal(running(f.entries[2]), 5)
+		f.is.Equal(running(f.entries[0]), 5)
+	})
+}
--- a/controller/shares.go
+++ b/controller/shares.go
@@ -33,6 +33,8 @@
 			return
 		case <-repeat.C:
 			all = true
+		case <-c.meetings:
+			all = true
 		case <-c.config.Board.Changed:
 			if !sleeper.Sleep(ctx, shareTime) {
 				return
--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -71,6 +71,12 @@
 		listed[i.ID] = true
 		b.services[i.Service] = append(b.services[i.Service], w)
 	}
+	now := time.Now()
+	for _, r := range b.told {
+		if len(r.unknown) > 0 {
+			b.join(now, r)
+		}
+	}
 	for id, w := range b.workers {
 		if !listed[id] && len(w.parts) == 0 {
 			delete(b.workers, id)
--- a/dispatcher/request.go
+++ b/dispatcher/request.go
@@ -20,6 +20,10 @@
 	begun bool
 	// parts are what each upstream does for it, the one that answers first.
 	parts []*part
+	// engines is how many upstreams a peer's request has, unknown those of them that
+	// are not known here yet.
+	engines int
+	unknown []SharePart
 	// heard is when a peer last told of it, and had not seen its first event.
 	heard time.Time
 	// expires is until when what a peer told counts.
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -41,6 +41,8 @@
 	Upstream Token
 	// Held is its memory there, in tokens.
 	Held int
+	// Answers is true of the first part, whose upstream answers; it is not on the wire.
+	Answers bool
 }
 
 // peerRequest names a request of a peer.
@@ -103,7 +105,7 @@
 		Parts: make([]SharePart, len(r.parts)),
 	}
 	for i, p := range r.parts {
-		s.Parts[i] = SharePart{Upstream: TokenOf(p.worker.instance.ID), Held: p.held}
+		s.Parts[i] = SharePart{Upstream: TokenOf(p.worker.instance.ID), Held: p.held, Answers: i == 0}
 	}
 	return s
 }
@@ -118,6 +120,18 @@
 	}
 }
 
+// Forget drops what a peer told that has started anew: its requests ended with it.
+func (b *Board) Forget(now time.Time, peer Token) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	for key, r := range b.told {
+		if key.peer == peer {
+			delete(b.told, key)
+			b.drop(now, r)
+		}
+	}
+}
+
 // Import takes in a peer's shares.
 func (b *Board) Import(now time.Time, peer Token, shares []Share) {
 	b.lock.Lock()
@@ -133,11 +147,9 @@
 			continue
 		}
 		if !known {
-			r = b.newTold(now, s)
+			r = newTold(now, s)
 			b.told[key] = r
-			for _, p := range r.parts {
-				p.worker.add(now, p)
-			}
+			b.join(now, r)
 		}
 		r.expires = now.Add(shareLife)
 		if s.Begun && !r.begun {
@@ -149,21 +161,32 @@
 	}
 }
 
-// newTold returns a peer's request with its parts at the upstreams that are
-// known here.
-func (b *Board) newTold(now time.Time, s Share) *request {
-	r := &request{
+// newTold returns a peer's request that has no parts yet.
+func newTold(now time.Time, s Share) *request {
+	return &request{
 		token: s.Request, prompt: s.Prompt, answer: s.Answer, target: s.Target, pause: s.Pause, value: valueOf(s.Prompt), placed: now.Add(-s.Age), since: now.Add(-s.Age - s.Waited),
+		unknown: s.Parts, engines: len(s.Parts),
 	}
-	d := Demand{Prompt: s.Prompt, Answer: s.Answer}
-	for i, p := range s.Parts {
+}
+
+// join gives a peer's request its parts at the upstreams that are known here. An entry
+// that has just started is told of requests before it knows any.
+func (b *Board) join(now time.Time, r *request) {
+	d := Demand{Prompt: r.prompt, Answer: r.answer}
+	var unknown []SharePart
+	for _, p := range r.unknown {
 		w, ok := b.tokens[p.Upstream]
 		if !ok {
+			unknown = append(unknown, p)
 			continue
 		}
-		r.add(w, toldJob(r.placed, d, w.engine, len(s.Parts), i == 0), p.Held)
+		r.add(w, toldJob(r.placed, d, w.engine, r.engines, p.Answers), p.Held)
+		w.add(now, r.parts[len(r.parts)-1])
+	}
+	r.unknown = unknown
+	if r.begun {
+		r.begin(now)
 	}
-	return r
 }
 
 // toldJob is what a peer's request does at an upstream.
--- a/dispatcher/share_test.go
+++ b/dispatcher/share_test.go
@@ -24,7 +24,7 @@
 				s.Pause = time.Duration(rapid.IntRange(0, 5000).Draw(t, "pause")) * time.Millisecond
 				for range rapid.IntRange(1, 17).Draw(t, "parts") {
 					s.Parts = append(s.Parts, SharePart{
-						Upstream: TokenOf(rapid.String().Draw(t, "id")), Held: heldUnit * rapid.IntRange(0, 1<<14).Draw(t, "held"),
+						Upstream: TokenOf(rapid.String().Draw(t, "id")), Held: heldUnit * rapid.IntRange(0, 1<<14).Draw(t, "held"), Answers: len(s.Parts) == 0,
 					})
 				}
 			}
--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -125,7 +125,7 @@
 	s.Prompt, s.Answer = r.number(), r.number()
 	s.Target, s.Pause = r.milliseconds(), r.milliseconds()
 	for range min(r.number(), len(r.rest)) {
-		s.Parts = append(s.Parts, SharePart{Upstream: r.token(), Held: r.number() * heldUnit})
+		s.Parts = append(s.Parts, SharePart{Upstream: r.token(), Held: r.number() * heldUnit, Answers: len(s.Parts) == 0})
 	}
 	return s
 }
