--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -69,10 +69,10 @@
 red other-answer forwarder/attempt.go 's/reply\.Call != "" && reply\.Call != x\.call\.ID/false/' $p TestAtMostOnceUnderEveryFault
 red release forwarder/attempt.go 's/f\.release\(a\.group\)//' $p TestMemoryOfGroupIsGivenBack
 red first-config forwarder/forwarder.go 's/f\.awaitConfig\(x\)$/f.view()/m' $p TestEntryJustStarted
-red newest-first dispatcher/board.go 's/p\.finish = p\.finish\.Add\(prefill\)/_ = prefill/' ./dispatcher TestNewestPartDelaysOthers
-red packing dispatcher/candidate.go 's/openCost\*\(/0*(/' ./dispatcher TestTowerQueriesLeaveEnginesToAudits
-red blind dispatcher/candidate.go 's/&& !c\.blind //' ./dispatcher TestBlindEntriesSpread
-red costly dispatcher/admit.go 's/if value\(d\)-cost-price > 0/if price >= 0/' ./dispatcher TestCostlyPromptIsRefusedUnderBacklog
+red newest-first predictor/queue.go 's/return !a\.Arrived\.Before\(b\.Arrived\)/return a.Arrived.Before(b.Arrived)/' ./predictor TestOrderOfPrefill
+red packing dispatcher/search.go 's/openCost - o\.packed/0/' ./dispatcher TestTowerQueriesLeaveEnginesToAudits
+red blind dispatcher/search.go 's/packs := !blind && /packs := /' ./dispatcher TestBlindEntriesSpread
+red costly dispatcher/admit.go 's/if valueOf\(d\.Prompt\)-cost-price > 0/if price >= 0/' ./dispatcher TestCostlyPromptIsRefusedUnderBacklog
 red held follower/follower.go 's/ok && !k\.listed\.Instance\.Leaving && f\.lapsing\(now\)/false/' ./follower TestLapsedInstancesAreHeld
 red older-state follower/follower.go 's/if s\.Revision < f\.revision \{\n\t\treturn nil\n\t\}//' ./follower TestOlderStateChangesNothing
 red fallback controller/follow.go 's/!ok \|\| age > part\(/!ok || age < -part(/' ./controller 'TestPartedEntriesReadForThemselves|TestEntryCutOffFromStore'
@@ -80,7 +80,16 @@
 red unconfirmed forwarder/forwarder.go 's/age > x\.view\.TrustTime/false/' $p TestUnconfirmedEntryDeniesNothing
 red last-try forwarder/forwarder.go 's/return x\.call\.Patience \/ lostWaitPart/return 0/' $p TestEntryStartedWithoutStore
 red helper-fault forwarder/attempt.go 's/a\.helperAtFault = true//' $p TestHelperWithoutRoomIsReplaced
-red jitter dispatcher/candidate.go 's/c\.cost \+= c\.jitter \+ /c.cost += /' ./dispatcher TestEntriesThatChooseAtOnceSpread
+red jitter dispatcher/search.go 's/o\.cost \+= o\.jitter \+ /o.cost += /' ./dispatcher TestEntriesThatChooseAtOnceSpread
+red joins predictor/queue.go 's/if t\.joined/if t.decoding/' ./predictor TestAnswerBegunWithinAPass
+red estimate predictor/forecast.go 's/tasks\[i\]\.events = max/_ = max/' ./predictor TestAnswerPastItsEstimateGoesOn
+red elsewhere-begins predictor/queue.go 's/if q\.foresees && t\.awaits\(\)/if false/' ./predictor TestJointAnswerBeginsElsewhere
+red seen-pass predictor/queue.go 's/if q\.end\.IsZero\(\) \|\| !q\.decodes \|\| now\.Sub\(q\.confirmed\) < sameEnd/if true/' ./predictor TestSeenEventsCorrectPasses
+red filled-steps predictor/queue.go 's/q\.take\(steps\*chunk, 0\)/q.take(q.tasks[first].tokens, 0)/' ./predictor TestFirstEventsOfShortPrompts
+red slot-price dispatcher/candidate.go 's/fullSlotPrice = 0\.8/fullSlotPrice = 0.0/' ./dispatcher TestAuditWaitsWhileSlotsAreScarce
+red turn dispatcher/place.go 's/if r := tooEarly\(.*?\); r != nil/if r := (*Refusal)(nil); r != nil/' ./dispatcher TestHeavyPromptWaitsForItsTurn
+red meeting controller/shares.go 's/case <-c\.meetings:\n\t\t\tall = true/case <-c.meetings:/' ./controller TestRestartedEntryLearnsLoad
+red later-upstream dispatcher/board.go 's/if len\(r\.unknown\) > 0/if false/' ./dispatcher TestToldRequestsJoinUpstreamsKnownLater
 red urgent-lines logger/queue.go 's/len\(q\.lines\) >= ordinaryLines/false/' ./logger TestFailuresAreDroppedLast
 red since follower/follower.go 's/whole = have < f\.base/whole = have == 0/' ./follower TestChangesSinceARevisionMissNothing
 red linger launcher/launcher.go 's/earlier\(forget, by\)/earlier(began, earlier(forget, by))/' ./launcher TestRollingStopCutsOffNothing
--- a/dispatcher/place_test.go
+++ b/dispatcher/place_test.go
@@ -312,6 +312,24 @@
 	is.Equal(near.workers["e00"].load(late).Running+near.workers["e01"].load(late).Running, 0)
 }
 
+// What an entry is told before it knows the upstreams counts once it does: one that has just started
+// hears its peers before it has read the store.
+func TestToldRequestsJoinUpstreamsKnownLater(t *testing.T) {
+	is := is.New(t)
+	near, far := New("a", rand.New(rand.NewPCG(3, 4))), testBoard(t, 2)
+	now := time.Now()
+	streaming(t, far, now, tower, 9)
+	near.Import(now, TokenOf("far"), far.Export(now, false))
+	table, err := matcher.New(matcher.Config{Services: []matcher.Service{{Name: "lm", Engine: &testEngine}}})
+	is.NoErr(err)
+	near.Update(table, []Instance{{ID: "e00", Service: "lm"}, {ID: "e01", Service: "lm"}})
+	sum := 0
+	for _, row := range near.Rows(now) {
+		sum += row.Load.Running
+	}
+	is.Equal(sum, 9)
+}
+
 // An upstream that takes no connection is left alone for a while, and one that
 // fails is the last choice until it has been sound again.
 func TestFailingUpstreamsAreAvoided(t *testing.T) {
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -54,8 +54,11 @@
 	waitPoll = 25 * time.Millisecond
 )
 
-// waits reports whether a request that has no place yet may get one soon.
+// waits reports whether a request that has no place yet may get one soon, here.
 func (f *Forwarder) waits(x *exchange, r *dispatcher.Refusal) bool {
+	if f.view().endsBefore(x.route) {
+		return false
+	}
 	return r.Passing && (r.Early || time.Since(x.arrived) < x.route.FirstByteTarget/waitPart)
 }
 
@@ -68,6 +71,9 @@
 	p, refusal := f.board.Place(time.Now(), d)
 	for refusal != nil && f.waits(x, refusal) && sleeper.Sleep(x.ctx, waitPoll) {
 		d.Waited, d.Patience = waited(x), firstEventPatience(x)
+		// A stopping entry holds nothing: what it begins is to end before it does.
+		v := f.view()
+		d.Admitted = d.Admitted || v.Stopping && !v.endsBefore(x.route)
 		p, refusal = f.board.Place(time.Now(), d)
 	}
 	if refusal != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -216,7 +216,7 @@
 		}
 		x.deadline = x.arrived.Add(patience(x))
 		x.service = route.Pick(rand.Float64())
-		if x.view.Stopping && x.view.StopBy.Before(time.Now().Add(stopMargin(route))) {
+		if x.view.endsBefore(route) {
 			return notRun(reasonStopping, soonRetry, nil)
 		}
 		return next(x)
@@ -246,6 +246,11 @@
 	return d
 }
 
+// endsBefore reports whether the entry may end before a request of a route that begins now.
+func (v *View) endsBefore(r *matcher.Route) bool {
+	return v.Stopping && v.StopBy.Before(time.Now().Add(stopMargin(r)))
+}
+
 // stopMargin is how long before its end a stopping entry begins nothing more:
 // ten times the target, and three seconds for a stream to be written, which is
 // what nine in ten answers of the first deployments take.
