--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -81,11 +81,11 @@
 red last-try forwarder/forwarder.go 's/return x\.call\.Patience \/ lostWaitPart/return 0/' $p TestEntryStartedWithoutStore
 red helper-fault forwarder/attempt.go 's/a\.helperAtFault = true//' $p TestHelperWithoutRoomIsReplaced
 red jitter dispatcher/search.go 's/o\.cost \+= o\.jitter \+ /o.cost += /' ./dispatcher TestEntriesThatChooseAtOnceSpread
-red joins predictor/queue.go 's/if t\.joined/if t.decoding/' ./predictor TestAnswerBegunWithinAPass
+red joins predictor/pass.go 's/if t\.joined/if t.decoding/' ./predictor TestAnswerBegunWithinAPass
 red estimate predictor/forecast.go 's/tasks\[i\]\.events = max/_ = max/' ./predictor TestAnswerPastItsEstimateGoesOn
-red elsewhere-begins predictor/queue.go 's/if q\.foresees && t\.awaits\(\)/if false/' ./predictor TestJointAnswerBeginsElsewhere
+red elsewhere-begins predictor/pass.go 's/if q\.foresees && t\.awaits\(\)/if false/' ./predictor TestJointAnswerBeginsElsewhere
 red seen-pass predictor/queue.go 's/if q\.end\.IsZero\(\) \|\| !q\.decodes \|\| now\.Sub\(q\.confirmed\) < sameEnd/if true/' ./predictor TestSeenEventsCorrectPasses
-red filled-steps predictor/queue.go 's/q\.take\(steps\*chunk, 0\)/q.take(q.tasks[first].tokens, 0)/' ./predictor TestFirstEventsOfShortPrompts
+red filled-steps predictor/pass.go 's/q\.take\(steps\*chunk, 0\)/q.take(q.tasks[first].tokens, 0)/' ./predictor TestFirstEventsOfShortPrompts
 red slot-price dispatcher/candidate.go 's/fullSlotPrice = 0\.8/fullSlotPrice = 0.0/' ./dispatcher TestAuditWaitsWhileSlotsAreScarce
 red turn dispatcher/place.go 's/if r := tooEarly\(.*?\); r != nil/if r := (*Refusal)(nil); r != nil/' ./dispatcher TestHeavyPromptWaitsForItsTurn
 red meeting controller/shares.go 's/case <-c\.meetings:\n\t\t\tall = true/case <-c.meetings:/' ./controller TestRestartedEntryLearnsLoad
