--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -69,6 +69,10 @@
 	d.Admitted = x.sent > 0
 	x.demand = d
 	p, refusal := f.board.Place(time.Now(), d)
+	if refusal != nil && f.waits(x, refusal) {
+		f.log.Info("wait", zap.String("request", x.call.ID), zap.String("service", x.service), zap.String("reason", refusal.Reason),
+			zap.Duration("expected_ms", refusal.Expected), zap.Duration("patience_ms", d.Patience))
+	}
 	for refusal != nil && f.waits(x, refusal) && sleeper.Sleep(x.ctx, waitPoll) {
 		d.Waited, d.Patience = waited(x), firstEventPatience(x)
 		// A stopping entry holds nothing: what it begins is to end before it does.
--- a/logger/events.go
+++ b/logger/events.go
@@ -21,7 +21,7 @@
 	{"log_lines_dropped", "The reader of the log was slow; that many lines are missing before this one.", []string{"count"}},
 	{"member", "The belief about another entry changed.", []string{"name", "from", "to", "reason"}},
 	{"panic", "A fault of the program; the request concerned fails.", []string{"request", "value", "stack"}},
-	{"place", "An upstream was chosen. List_age_ms is how long ago the store confirmed the list.", []string{"request", "service", "upstream", "data_centre", "helpers", "helper_ids", "expected_ms", "running", "reading_ms", "attempt", "config_revision", "list_age_ms"}},
+	{"place", "An upstream was chosen. List_age_ms is how long ago the store confirmed the list.", []string{"request", "service", "upstream", "data_centre", "helpers", "helper_ids", "expected_ms", "running", "prefill_ms", "attempt", "config_revision", "list_age_ms"}},
 	{"release_failed", "Memory at an engine could not be given back; it ends with its lease.", []string{"request", "engine", "lease_ms", "error"}},
 	{"reload", "The settings were read again, by SIGHUP or because they changed.", []string{"signalled", "changed", "seeds"}},
 	{"renewal_failed", "Reserved memory could not be renewed; it lapses after two more failures.", []string{"request", "error"}},
@@ -42,5 +42,6 @@
 	{"store_lost", "The store did not answer; what is believed stays in force, and other entries are listened to.", []string{"error", "revision"}},
 	{"store_regained", "The store answers again.", []string{"revision"}},
 	{"upstream", "The belief about an upstream changed: appeared, leaving, gone, held_after_outage or unreadable.", []string{"id", "change", "revision", "source"}},
+	{"wait", "A prompt waits at this entry for engines that have less to do, or that it would harm less. Expected_ms is when its first event would have come, had it been placed at once.", []string{"request", "service", "reason", "expected_ms", "patience_ms"}},
 	{"woke", "This process or its instance stood still; what it believed counts as unconfirmed.", []string{"paused_ms"}},
 }
