--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 test:
 	go test -count=1 ./...
 	_scripts/race.sh ./server ./client ./console ./forwarder ./controller ./launcher ./dispatcher
+	_scripts/known-red.sh
 
 # A longer random run: make soak RUNS=500 SEED=7. It prints the seed, and the
 # same seed draws the same schedules again.
