--- a/dispatcher/admit.go
+++ b/dispatcher/admit.go
@@ -15,7 +15,7 @@
 	// would displace several times their worth of others.
 	timePrice = 4.0
 	// heavyPrefill is the time to prefill from which a prompt is heavy enough to be
-	// refused for what it costs others.
+	// refused for what it costs others, or to wait for its turn.
 	heavyPrefill = time.Second
 	// drainFactor is in how many backlogs a refused caller is asked to return.
 	drainFactor = 4
@@ -40,8 +40,8 @@
 	// mostHarm is the part of its own worth that a prompt may cost others while it
 	// has time to wait.
 	mostHarm = 0.3
-	// calmBacklog is the mean time that engines have yet to prefill up to which a heavy prompt
-	// is placed at once, urgentBacklog that up to which one is whose time is over: the longer one has
+	// calmBacklog is the mean time that the engines it would use have yet to prefill up to which a
+	// heavy prompt is placed at once, urgentBacklog that up to which one is whose time is over: the longer one has
 	// waited, the sooner it is taken, at whichever entry it waits.
 	calmBacklog, urgentBacklog = 100 * time.Millisecond, 1500 * time.Millisecond
 	// heldPatience is how many times what it takes a prompt must have of its caller's
