follower, controller: who reads a removal of the store judges it

Now the entry that reads a removal says whether it can be a lapse: only where the store failed it since it last served it, or where it was not reading. Who is told of a doubtful one judges by its own failures and confirmations, and one that only heard of an outage holds nothing beyond the bound on removals. Heartbeats carry how long ago the store failed somebody.

Ruled out: a shorter hold for all (lapsed upstreams take two seconds to come back); a remaining hold that travels with the removal (an entry that slept through an outage told 0 to those that had seen it: found by the enumeration).

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -93,4 +93,6 @@
 red urgent-lines logger/queue.go 's/len\(q\.lines\) >= ordinaryLines/false/' ./logger TestFailuresAreDroppedLast
 red since follower/follower.go 's/whole = have < f\.base/whole = have == 0/' ./follower TestChangesSinceARevisionMissNothing
 red linger launcher/launcher.go 's/earlier\(forget, by\)/earlier(began, earlier(forget, by))/' ./launcher TestRollingStopCutsOffNothing
+red removal follower/follower.go 's/doubtful := .*/doubtful := true/; s/!f\.failedAt\.After\(f\.servedAt\) && !f\.confirmedAt/false \&\& !f.confirmedAt/' ./follower TestRemovalsAndLapsesInEveryOrder
+red lapse follower/follower.go 's/doubtful := .*/doubtful := false/' ./follower TestRemovalsAndLapsesInEveryOrder
 exit $wrong
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -166,6 +166,7 @@
 		controller: c, follower: follower.New(), contacts: map[string]contact{}, seeds: seeds, started: now, lastTick: now, lastBoot: sinceBoot(),
 		prober: prober.New(prober.Config{Name: c.config.Name, Incarnation: c.config.Incarnation, Neighbours: neighbours, Suspect: suspectTime}),
 	}
+	s.follower.BoundRemovals(c.config.InForce)
 	c.goRun(func() { c.follow(ctx) })
 	c.goRun(func() { c.beat(ctx) })
 	c.goRun(func() { c.tellShares(ctx, shares) })
--- a/controller/fetch.go
+++ b/controller/fetch.go
@@ -57,10 +57,7 @@
 		reply.Known = ok && s.follower.Known()
 		reply.Confirmed = age
 		reply.State, reply.Whole = s.follower.Since(args.Have, args.HaveConfig)
-		reply.Disturbed = -1
-		if disturbed, ever := s.follower.DisturbedAge(now); ever {
-			reply.Disturbed = disturbed
-		}
+		reply.Disturbed = s.disturbed(now)
 	})
 	if reply.State.Config == nil {
 		return nil
@@ -71,6 +68,25 @@
 	return err
 }
 
+// neverDisturbed is told by an entry that knows of no failure of the store.
+const neverDisturbed = -1
+
+// disturbed is how long ago the store failed this entry or one that told it.
+func (s *state) disturbed(now time.Time) time.Duration {
+	age, ever := s.follower.DisturbedAge(now)
+	if !ever {
+		return neverDisturbed
+	}
+	return age
+}
+
+// hearDisturbed takes in how long ago the store failed another entry.
+func (s *state) hearDisturbed(now time.Time, age time.Duration) {
+	if age >= 0 {
+		s.follower.Disturbed(now.Add(-age))
+	}
+}
+
 // compressedConfig is the newest configuration that was asked for, compressed once
 // for all that ask: many routes are much alike and shrink to a tenth.
 type compressedConfig struct {
@@ -131,8 +147,12 @@
 		return
 	}
 	now := time.Now()
-	if reply.Disturbed >= 0 {
-		c.do(func(s *state) { s.follower.Disturbed(now.Add(-reply.Disturbed)) })
-	}
-	c.take(reply.State, reply.Whole, now.Add(-reply.Confirmed), source)
+	c.do(func(s *state) { s.hearDisturbed(now, reply.Disturbed) })
+	c.take(reply.State, source, func(s *state, now time.Time, got follower.State) []follower.Change {
+		defer s.follower.Confirmed(now.Add(-reply.Confirmed))
+		if reply.Whole {
+			return s.follower.Replace(now, got)
+		}
+		return s.follower.Apply(now, got)
+	})
 }
--- a/controller/follow.go
+++ b/controller/follow.go
@@ -120,7 +120,10 @@
 		c.do(func(s *state) { s.storeFailed(time.Now(), err) })
 		return err
 	}
-	changed := c.take(got, whole, time.Now(), "store")
+	changed := c.take(got, "store", func(s *state, now time.Time, got follower.State) []follower.Change {
+		s.storeServed()
+		return s.follower.Read(now, got, whole)
+	})
 	if changed {
 		c.push()
 	}
@@ -134,7 +137,7 @@
 		s.controller.config.Log.Info("store_history_gone", zap.Int64("revision", s.follower.Revision()))
 		return
 	}
-	s.follower.Disturbed(now)
+	s.follower.Failed(now)
 	if s.storeLost {
 		return
 	}
@@ -142,29 +145,27 @@
 	s.controller.config.Log.Warn("store_lost", zap.Error(err), zap.Int64("revision", s.follower.Revision()))
 }
 
-// take takes in a state, and reports whether it changed the belief. The
-// configuration is decoded here, on the goroutine that read it.
-func (c *Controller) take(got follower.State, whole bool, confirmed time.Time, source string) bool {
+// storeServed notes that the store answers.
+func (s *state) storeServed() {
+	if s.storeLost {
+		s.storeLost = false
+		s.controller.config.Log.Info("store_regained", zap.Int64("revision", s.follower.Revision()))
+	}
+}
+
+// take takes in a state by a method of the follower, and reports whether it changed
+// the belief. The configuration is decoded here, on the goroutine that read it.
+func (c *Controller) take(got follower.State, source string, into func(*state, time.Time, follower.State) []follower.Change) bool {
 	table := c.decode(&got, source)
 	changed := false
 	c.do(func(s *state) {
 		now := time.Now()
 		_, before := s.follower.Config()
-		var changes []follower.Change
-		if whole {
-			changes = s.follower.Replace(now, got)
-		} else {
-			changes = s.follower.Apply(now, got)
-		}
+		changes := into(s, now, got)
 		s.checkRevision(before)
 		if _, after := s.follower.Config(); after > before && table != nil {
 			s.table = table
 		}
-		s.follower.Confirmed(confirmed)
-		if source == "store" && s.storeLost {
-			s.storeLost = false
-			c.config.Log.Info("store_regained", zap.Int64("revision", s.follower.Revision()))
-		}
 		s.logStore(changes, source)
 		s.dirty = true
 		changed = len(changes) > 0
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -57,6 +57,9 @@
 	Known     bool
 	Content   int64
 	Confirmed time.Duration
+	// Disturbed is how long ago the store failed the sender or one that told it;
+	// negative where it never did.
+	Disturbed time.Duration
 }
 
 // errStopped is the answer of an entry that has stopped and whose connections
@@ -183,6 +186,7 @@
 			Stopping: s.stopping, Ready: s.table != nil, Revision: uint64(revision), Notices: s.prober.Notices(),
 		},
 		Knows: len(s.contacts), Known: ok && s.follower.Known(), Content: s.follower.Content(), Confirmed: age,
+		Disturbed: s.disturbed(now),
 	}
 	for _, k := range s.contacts {
 		if len(b.Contacts) == contacts {
@@ -200,6 +204,7 @@
 	c.do(func(s *state) {
 		now := time.Now()
 		s.heard(now, b)
+		s.hearDisturbed(now, b.Disturbed)
 		have.Have = s.follower.Revision()
 		_, have.HaveConfig = s.follower.Config()
 		fetch = b.Known && (b.Content > s.follower.Content() || !s.follower.Known()) && s.fetching < mostFetches
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -23,6 +23,12 @@
 	// older state of another entry does not bring it back. States of peers are
 	// younger than this by their confirmation.
 	goneLife = 5 * time.Minute
+	// readGap is the longest time between two reads of the store that leaves no room
+	// for an outage between them: a watch, its answer and the pause after it take
+	// 0.7 s, and no lease of an upstream is shorter than twice this.
+	readGap = 1500 * time.Millisecond
+	// usualRemovalBound is the shortest time that a platform has given so far.
+	usualRemovalBound = 2 * time.Second
 )
 
 // ErrHistoryGone says that the store no longer has the changes asked for, so
@@ -36,6 +42,9 @@
 	Revision int64
 	// Gone entries were removed; of Instance only the ID is set.
 	Gone bool
+	// Doubtful removals may be lapses in an outage of the store: the entry that read
+	// them was not served all along. Each entry judges by what it knows itself.
+	Doubtful bool
 	// Fault says why the entry could not be read; it counts as leaving.
 	Fault error
 }
@@ -87,19 +96,36 @@
 	config         []byte
 	configRevision int64
 	instances      map[string]*known
-	// disturbedAt is when the store last failed; zero when it never did.
+	// disturbedAt is when the store last failed this entry or one that told so;
+	// zero when it never did.
 	disturbedAt time.Time
+	// failedAt and servedAt are when the store last failed and last served this
+	// entry itself; zero when it never did.
+	failedAt, servedAt time.Time
+	// removalBound is how long a removed upstream may get work at most.
+	removalBound time.Duration
 	// confirmedAt is when the store last confirmed the state, to this entry or
 	// to the one it learned the state from; zero when it never did.
 	confirmedAt time.Time
 }
 
-// New returns a follower that knows nothing.
-func New() *Follower { return &Follower{instances: map[string]*known{}} }
+// New returns a follower that knows nothing, with the usual bound on removals.
+func New() *Follower {
+	return &Follower{instances: map[string]*known{}, removalBound: usualRemovalBound}
+}
+
+// BoundRemovals sets how long after its removal an upstream may get work at most.
+func (f *Follower) BoundRemovals(bound time.Duration) { f.removalBound = bound }
 
-// Replace takes in a whole state. An upstream that it does not list is gone.
-// A state older than the belief is ignored.
+// Replace takes in a whole state that another entry believes. An upstream that it
+// does not list is gone. A state older than the belief is ignored.
 func (f *Follower) Replace(now time.Time, s State) []Change {
+	return f.replace(now, s, f.lapseLeft(now))
+}
+
+// replace takes in a whole state; the upstreams of entries that are missing in it
+// are held for a time.
+func (f *Follower) replace(now time.Time, s State, held time.Duration) []Change {
 	if s.Revision < f.revision {
 		return nil
 	}
@@ -113,14 +139,42 @@
 	}
 	for id, k := range f.instances {
 		if !listed[id] && !k.listed.Gone && k.listed.Revision <= s.Revision {
-			changes = append(changes, f.remove(now, id, s.Revision)...)
+			changes = append(changes, f.remove(now, id, s.Revision, held)...)
 		}
 	}
 	return changes
 }
 
-// Apply takes in changes, each of which counts where it is newer than what is
-// believed of its key.
+// Read takes in what this entry itself has read of the store: a whole state, or
+// changes. A removal may be a lapse only where the store failed this entry since
+// it last served it, or where this entry was not reading and others were failed.
+// Failures that only others saw mean nothing to one that was served all along: its
+// removals are meant, and those whom it tells take that over. That keeps what was
+// removed from getting work for 2.3 s, over the 2 s that the platform allows, where
+// the store turns only some entries away.
+func (f *Follower) Read(now time.Time, s State, whole bool) []Change {
+	doubtful := f.failedAt.After(f.servedAt) || now.Sub(f.servedAt) > readGap
+	held := time.Duration(0)
+	if doubtful {
+		held = f.lapseLeft(now)
+	}
+	s.Instances = slices.Clone(s.Instances)
+	for i := range s.Instances {
+		s.Instances[i].Doubtful = doubtful
+	}
+	var changes []Change
+	if whole {
+		changes = f.replace(now, s, held)
+	} else {
+		changes = f.Apply(now, s)
+	}
+	f.servedAt = now
+	f.Confirmed(now)
+	return changes
+}
+
+// Apply takes in changes that another entry knows, each of which counts where it
+// is newer than what is believed of its key.
 func (f *Follower) Apply(now time.Time, s State) []Change {
 	var changes []Change
 	if s.Config != nil && s.ConfigRevision > f.configRevision {
@@ -142,7 +196,13 @@
 		return nil
 	}
 	if l.Gone {
-		return f.remove(now, id, l.Revision)
+		held := time.Duration(0)
+		if l.Doubtful {
+			held = f.lapseLeft(now)
+		}
+		changes := f.remove(now, id, l.Revision, held)
+		f.instances[id].listed.Doubtful = l.Doubtful
+		return changes
 	}
 	f.content = max(f.content, l.Revision)
 	f.instances[id] = &known{listed: l}
@@ -157,9 +217,9 @@
 	return nil
 }
 
-// remove notes that an entry is gone. Shortly after an outage the upstream is
-// held, since its entry may have lapsed and come back.
-func (f *Follower) remove(now time.Time, id string, revision int64) []Change {
+// remove notes that an entry is gone. For as long as it may have lapsed in an
+// outage of the store the upstream is held, since it may register again.
+func (f *Follower) remove(now time.Time, id string, revision int64, held time.Duration) []Change {
 	k, ok := f.instances[id]
 	if !ok {
 		k = &known{listed: Listed{Instance: dispatcher.Instance{ID: id, Leaving: true}}}
@@ -172,18 +232,36 @@
 		return nil
 	}
 	k.goneAt = now
-	if ok && !k.listed.Instance.Leaving && f.lapsing(now) {
-		k.heldUntil = f.disturbedAt.Add(returnTime)
+	if ok && !k.listed.Instance.Leaving && held > 0 {
+		k.heldUntil = now.Add(held)
 		return []Change{{ID: id, What: Held, Revision: revision}}
 	}
 	return []Change{{ID: id, What: Gone, Revision: revision}}
 }
 
-func (f *Follower) lapsing(now time.Time) bool {
-	return !f.disturbedAt.IsZero() && now.Sub(f.disturbedAt) < returnTime
+// lapseLeft is how much longer an entry that lapsed in the last outage may take
+// to return; 0 where the store was confirmed since. An entry that only heard of the
+// outage holds nothing beyond the bound on removals, which goes first: the outage may
+// be one of others only. What it drops too early in a real one, of less than the age
+// at which it would have read for itself, is back when its upstream registers.
+func (f *Follower) lapseLeft(now time.Time) time.Duration {
+	if f.disturbedAt.IsZero() || f.confirmedAt.After(f.disturbedAt) {
+		return 0
+	}
+	left := returnTime - now.Sub(f.disturbedAt)
+	if !f.failedAt.After(f.servedAt) && !f.confirmedAt.IsZero() {
+		left = min(left, f.removalBound-now.Sub(f.confirmedAt))
+	}
+	return max(0, left)
+}
+
+// Failed notes that the store did not answer this entry as it should.
+func (f *Follower) Failed(at time.Time) {
+	f.failedAt = at
+	f.Disturbed(at)
 }
 
-// Disturbed notes that the store did not answer as it should.
+// Disturbed notes that the store failed this entry or another.
 func (f *Follower) Disturbed(at time.Time) {
 	if at.After(f.disturbedAt) {
 		f.disturbedAt = at
