--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -73,7 +73,7 @@
 red packing dispatcher/search.go 's/openCost - o\.packed/0/' ./dispatcher TestTowerQueriesLeaveEnginesToAudits
 red blind dispatcher/search.go 's/packs := !blind && /packs := /' ./dispatcher TestBlindEntriesSpread
 red costly dispatcher/admit.go 's/if valueOf\(d\.Prompt\)-cost-price > 0/if price >= 0/' ./dispatcher TestCostlyPromptIsRefusedUnderBacklog
-red held follower/follower.go 's/ok && !k\.listed\.Instance\.Leaving && f\.lapsing\(now\)/false/' ./follower TestLapsedInstancesAreHeld
+red held follower/follower.go 's/ok && !k\.listed\.Instance\.Leaving && held > 0/false/' ./follower TestLapsedInstancesAreHeld
 red older-state follower/follower.go 's/if s\.Revision < f\.revision \{\n\t\treturn nil\n\t\}//' ./follower TestOlderStateChangesNothing
 red fallback controller/follow.go 's/!ok \|\| age > part\(/!ok || age < -part(/' ./controller 'TestPartedEntriesReadForThemselves|TestEntryCutOffFromStore'
 red compressed-config controller/fetch.go 's/flate\.BestSpeed/flate.NoCompression/' ./controller TestLargeConfigurationSpreadsOverSlowLinks
