platform, dispatcher, forwarder: an upstream that starts again under its ID is another run; entries of other writers name none

An upstream's run is its ID and its start ('born' in its entry). A new run holds nothing: no work, memory, failures, pace or block, of this entry or told by peers; what was in flight at the run before is ended at once, so that streams go on elsewhere and groups begin again with memory set aside anew. Late word of the run before meets a worker that is off the board. Starts are compared for equality only, since clocks step. Before, nothing in the tree read 'born', and callers waited for the watchdog (1.5 s on a short prompt) where a partition hid the restart.

Each item of a page or a watch is read by itself, and each entry is checked whole, once, in platform: one value that was not base64 made the whole read fail, and entries without address, service, zone or slots were listed as ready.

Also: a group whose prompt needs several engines' memory is tried again as a group (it was refused for good, 502).

Shown by: the new tests, red with their mechanisms out (_scripts/red.sh run-replaced run-told run-lost group-again entry-fault value-fault); the soaks draw restarts.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -95,4 +95,10 @@
 red linger launcher/launcher.go 's/earlier\(forget, by\)/earlier(began, earlier(forget, by))/' ./launcher TestRollingStopCutsOffNothing
 red removal follower/follower.go 's/doubtful := .*/doubtful := true/; s/!f\.failedAt\.After\(f\.servedAt\) && !f\.confirmedAt/false \&\& !f.confirmedAt/' ./follower TestRemovalsAndLapsesInEveryOrder
 red lapse follower/follower.go 's/doubtful := .*/doubtful := false/' ./follower TestRemovalsAndLapsesInEveryOrder
+red run-replaced dispatcher/board.go 's/if ok && !w\.instance\.Same\(i\)/if false/' ./dispatcher 'TestNewRunHoldsNothing|TestOwnersHearOfALostRun|TestLateWordOfAnEarlierRun'
+red run-told dispatcher/instance.go 's/if i\.Born\.IsZero\(\) \{\n\t\treturn TokenOf/if true {\n\t\treturn TokenOf/' ./dispatcher TestPeersTellOfRuns
+red run-lost forwarder/attempt.go 's/p\.OnLost\(.*\)\n/\n/' $p 'TestStreamOfALostRunGoesOn|TestCallOfALostRunEnds|TestGroupOfALostRunBeginsAgain'
+red group-again forwarder/stream.go 's/ && len\(p\.Shares\) == 0/ /; s/ && !a\.lost\(\)//' $p TestGroupOfALostRunBeginsAgain
+red entry-fault platform/instance.go 's/ok = ok && string\(raw\) != "null".*/_ = json.Unmarshal(raw, \&value)\n\tok = true/' ./platform TestEntriesOfOtherWriters
+red value-fault platform/store.go 's/l\.Instance, l\.Fault = unusable\(id\), err/l.Instance.Service = "app"/' ./platform TestUnreadableValues
 exit $wrong
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -124,6 +124,8 @@
 	// fetching is how many fetches from peers are in progress.
 	fetching int
 	dirty    bool
+	// unreadable is the revision of the newest configuration that could not be read.
+	unreadable int64
 }
 
 const (
@@ -349,15 +351,39 @@
 	}
 }
 
+// mostUnreadable is how many unreadable entries of one answer of the store are logged
+// one by one: enough to see who writes them.
+const mostUnreadable = 20
+
 func (s *state) logStore(changes []follower.Change, source string) {
+	unreadable := 0
 	for _, change := range changes {
+		s.dirty = true
+		if change.What == follower.Faulty {
+			if unreadable++; unreadable > mostUnreadable {
+				continue
+			}
+		}
 		event := "upstream"
 		if change.What == follower.Config {
 			event = "configuration"
 		}
 		s.controller.config.Log.Info(event, zap.String("id", change.ID), zap.String("change", change.What),
-			zap.Int64("revision", change.Revision), zap.String("source", source))
-		s.dirty = true
+			zap.Int64("revision", change.Revision), zap.String("source", source), zap.Error(change.Reason))
+	}
+	if unreadable > mostUnreadable {
+		s.controller.config.Log.Warn("upstreams_unreadable", zap.Int("count", unreadable), zap.Int("logged", mostUnreadable), zap.String("source", source))
+	}
+}
+
+// logFaults logs items of the store that could not be read at all.
+func (s *state) logFaults(faults []error) {
+	for i, err := range faults {
+		if i == mostUnreadable {
+			s.controller.config.Log.Warn("items_unreadable", zap.Int("count", len(faults)), zap.Int("logged", mostUnreadable))
+			return
+		}
+		s.controller.config.Log.Warn("item_unreadable", zap.Error(err))
 	}
 }
 
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -130,7 +130,9 @@
 }
 
 func (f *fleet) list(id, state string) {
-	f.store.Put("servers/"+id, map[string]any{"service": "app", "address": "10.1.0.200:80", "zone": "dc-0", "slots": 4, "state": state})
+	u := store.NewUpstream("app", netip.MustParseAddrPort("10.1.0.200:80"))
+	u.Slots, u.State = 4, state
+	f.store.Put("servers/"+id, u)
 }
 
 // within waits until a condition holds, and fails after a time.
@@ -369,3 +371,46 @@
 		f.is.Equal(running(f.entries[0]), 5)
 	})
 }
+
+// Entries of another writer, whatever they hold, take nothing from the others, and what is
+// unreadable for a while is used again once it can be read; so is the configuration.
+func TestOtherWritersTakeNothingAway(t *testing.T) {
+	withFleet(t, 4, func(f *fleet) {
+		for i := range 200 {
+			f.store.PutItem(fmt.Sprintf("servers/bad-%d", i), json.RawMessage(`12`))
+		}
+		f.store.PutBytes("servers/i-1", []byte{0xff, 0})
+		f.store.PutItem("op/config", json.RawMessage(`"?"`))
+		f.within(time.Second, "i-1 unreadable", usable(2))
+		f.within(0, "version 1 kept", version(1))
+		f.store.Compact() // the whole state is read again, the unreadable items with it
+		f.list("i-3", "ready")
+		f.within(1900*time.Millisecond, "i-3 listed", usable(3))
+		f.list("i-1", "ready")
+		f.configure(2)
+		f.within(time.Second, "i-1 back", usable(4))
+		f.within(time.Second, "version 2", version(2))
+	})
+}
+
+// A run that takes an earlier one's place under its ID is known everywhere in a second.
+func TestRestartUnderTheSameIDSpreads(t *testing.T) {
+	withFleet(t, 5, func(f *fleet) {
+		u := store.NewUpstream("app", netip.MustParseAddrPort("10.1.0.200:80"))
+		first := time.Now()
+		f.store.Put("servers/i-1", u.BornAt(first))
+		born := func(at time.Time) func(*entry) bool {
+			return func(e *entry) bool {
+				for _, row := range e.board.Rows(time.Now()) {
+					if row.Instance.ID == "i-1" {
+						return row.Instance.Born.UnixMilli() == at.UnixMilli()
+					}
+				}
+				return false
+			}
+		}
+		f.within(time.Second, "first run", born(first))
+		f.store.Put("servers/i-1", u.BornAt(first.Add(time.Minute)))
+		f.within(time.Second, "second run", born(first.Add(time.Minute)))
+	})
+}
--- a/controller/follow.go
+++ b/controller/follow.go
@@ -122,6 +122,7 @@
 	}
 	changed := c.take(got, "store", func(s *state, now time.Time, got follower.State) []follower.Change {
 		s.storeServed()
+		s.logFaults(got.Faults)
 		return s.follower.Read(now, got, whole)
 	})
 	if changed {
@@ -182,7 +183,7 @@
 	newer := false
 	c.do(func(s *state) {
 		_, have := s.follower.Config()
-		newer = got.ConfigRevision > have
+		newer = got.ConfigRevision > max(have, s.unreadable)
 	})
 	if !newer {
 		got.Config = nil
@@ -190,6 +191,7 @@
 	}
 	table, err := c.config.Store.Decode(got.Config)
 	if err != nil {
+		c.do(func(s *state) { s.unreadable = max(s.unreadable, got.ConfigRevision) })
 		c.config.Log.Error("configuration_unreadable", zap.Int64("revision", got.ConfigRevision), zap.String("source", source), zap.Error(err))
 		got.Config = nil
 		return nil
--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -56,22 +56,16 @@
 func (b *Board) Update(table *matcher.Table, instances []Instance) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
+	now := time.Now()
 	b.services = map[string][]*worker{}
 	listed := map[string]bool{}
 	for _, i := range instances {
-		w, ok := b.workers[i.ID]
-		if !ok {
-			w = &worker{parts: map[*part]bool{}, jobs: map[*predictor.Job]*part{}}
-			b.workers[i.ID] = w
-			b.tokens[TokenOf(i.ID)] = w
-		}
-		w.instance = i
+		w := b.worker(i)
 		s, _ := table.Service(i.Service)
 		w.setEngine(s)
 		listed[i.ID] = true
 		b.services[i.Service] = append(b.services[i.Service], w)
 	}
-	now := time.Now()
 	for _, r := range b.told {
 		if len(r.unknown) > 0 {
 			b.join(now, r)
@@ -80,11 +74,48 @@
 	for id, w := range b.workers {
 		if !listed[id] && len(w.parts) == 0 {
 			delete(b.workers, id)
-			delete(b.tokens, TokenOf(id))
+			delete(b.tokens, w.token)
 		}
 	}
 }
 
+// worker returns the one of an instance, a new one where its run is not known yet: a
+// run holds nothing of what an earlier one under the same ID had.
+func (b *Board) worker(i Instance) *worker {
+	w, ok := b.workers[i.ID]
+	if ok && !w.instance.Same(i) {
+		delete(b.tokens, w.token)
+		lose(w)
+		ok = false
+	}
+	if !ok {
+		w = &worker{parts: map[*part]bool{}, jobs: map[*predictor.Job]*part{}}
+		b.workers[i.ID] = w
+	}
+	if w.instance.Born.IsZero() {
+		delete(b.tokens, w.token)
+		w.token = i.token()
+		b.tokens[w.token] = w
+	}
+	if i.Born.IsZero() {
+		i.Born = w.instance.Born
+	}
+	w.instance = i
+	return w
+}
+
+// lose ends what all requests have at a worker whose run is over: those of this entry
+// hear of it at once, and nobody waits for an answer that can't come.
+// What comes late for them finds a worker without a queue, off the board.
+func lose(w *worker) {
+	for p := range w.parts {
+		p.request.lose()
+	}
+	clear(w.parts)
+	clear(w.jobs)
+	w.queue = nil
+}
+
 // sharedRank is the order in which entries that hear each other fill engines.
 const sharedRank = "placement"
 
@@ -117,7 +148,7 @@
 	var fit, blocked []*worker
 	for _, w := range b.services[d.Service] {
 		switch {
-		case slices.Contains(d.Avoid, w.instance.ID):
+		case slices.ContainsFunc(d.Avoid, w.instance.Same):
 		case w.health.blocked(now):
 			blocked = append(blocked, w)
 		default:
--- a/dispatcher/demand.go
+++ b/dispatcher/demand.go
@@ -16,8 +16,8 @@
 	Waited time.Duration
 	// Patience is how long the caller waits for the first byte yet.
 	Patience time.Duration
-	// Avoid lists the IDs of upstreams that failed the request.
-	Avoid []string
+	// Avoid lists the upstreams that failed the request.
+	Avoid []Instance
 	// Admitted requests were placed before and are not refused for what they
 	// cost or how long they wait.
 	Admitted bool
--- a/dispatcher/instance.go
+++ b/dispatcher/instance.go
@@ -1,11 +1,19 @@
 package dispatcher
 
-import "net/netip"
+import (
+	"net/netip"
+	"strconv"
+	"time"
+)
 
 // Instance is one run of an upstream, as the platform lists it.
 type Instance struct {
-	// ID is that of this run; a restarted upstream has another.
-	ID         string
+	// ID is that of the upstream. One that starts again may have the ID that it had.
+	ID string
+	// Born is when this run started, by the upstream's clock and in whole
+	// milliseconds; zero where the upstream does not say. With the ID it names the
+	// run. Only equality counts: clocks step, so that a later run may be born earlier.
+	Born       time.Time
 	Service    string
 	Address    netip.AddrPort
 	DataCentre string
@@ -14,3 +22,17 @@
 	// Leaving upstreams take no new requests.
 	Leaving bool
 }
+
+// Same reports whether two instances are the same run of an upstream. One that does
+// not say when it started is the same run as before.
+func (i Instance) Same(o Instance) bool {
+	return i.ID == o.ID && (i.Born.IsZero() || o.Born.IsZero() || i.Born.Equal(o.Born))
+}
+
+// token names the run in messages of shares.
+func (i Instance) token() Token {
+	if i.Born.IsZero() {
+		return TokenOf(i.ID)
+	}
+	return TokenOf(i.ID + " " + strconv.FormatInt(i.Born.UnixMilli(), 10))
+}
--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -130,11 +130,33 @@
 	}
 }
 
+// OnLost has a function called once, when one of the request's upstreams is known to
+// have started anew: what it had of the request is gone. The function must not block
+// nor call the board.
+func (p *Placement) OnLost(call func()) {
+	b, r := p.board, p.request
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	r.onLost = call
+	if r.lost {
+		r.lose()
+	}
+}
+
+// lose notes that an upstream of the request has started anew.
+func (r *request) lose() {
+	r.lost = true
+	if r.onLost != nil {
+		r.onLost()
+		r.onLost = nil
+	}
+}
+
 // Blame notes that a helper failed a request.
-func (b *Board) Blame(now time.Time, id string) {
+func (b *Board) Blame(now time.Time, helper Instance) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	if w, ok := b.workers[id]; ok {
+	if w, ok := b.workers[helper.ID]; ok && w.instance.Same(helper) {
 		w.health.failed(now)
 	}
 }
--- a/dispatcher/request.go
+++ b/dispatcher/request.go
@@ -20,6 +20,10 @@
 	begun bool
 	// parts are what each upstream does for it, the one that answers first.
 	parts []*part
+	// lost is true once one of the upstreams has started anew; onLost is then called
+	// once, nil where nobody asked.
+	lost   bool
+	onLost func()
 	// engines is how many upstreams a peer's request has, unknown those of them that
 	// are not known here yet.
 	engines int
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -105,7 +105,7 @@
 		Parts: make([]SharePart, len(r.parts)),
 	}
 	for i, p := range r.parts {
-		s.Parts[i] = SharePart{Upstream: TokenOf(p.worker.instance.ID), Held: p.held, Answers: i == 0}
+		s.Parts[i] = SharePart{Upstream: p.worker.token, Held: p.held, Answers: i == 0}
 	}
 	return s
 }
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -10,6 +10,8 @@
 // worker is one upstream on the board.
 type worker struct {
 	instance Instance
+	// token names the run in messages of shares.
+	token Token
 	// engine is nil where the upstream is not a model engine; queue too.
 	engine *matcher.Engine
 	queue  *predictor.Queue
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -58,6 +58,8 @@
 	Config         []byte
 	ConfigRevision int64
 	Instances      []Listed
+	// Faults are of items that could not be read and name no upstream.
+	Faults []error
 }
 
 // Change is one change of belief, for the log.
@@ -66,6 +68,8 @@
 	ID       string
 	What     string
 	Revision int64
+	// Reason is why an entry can't be read; nil for other changes.
+	Reason error
 }
 
 // What a change can be.
@@ -207,11 +211,13 @@
 	f.content = max(f.content, l.Revision)
 	f.instances[id] = &known{listed: l}
 	switch {
+	case l.Fault != nil && ok && k.listed.Fault != nil:
+		// Still unreadable: one line says so, however often it is written.
 	case l.Fault != nil:
-		return []Change{{ID: id, What: Faulty, Revision: l.Revision}}
+		return []Change{{ID: id, What: Faulty, Revision: l.Revision, Reason: l.Fault}}
 	case l.Instance.Leaving && ok && !k.listed.Instance.Leaving:
 		return []Change{{ID: id, What: Leaving, Revision: l.Revision}}
-	case !ok || k.listed.Gone:
+	case !l.Instance.Leaving && (!ok || k.listed.Gone):
 		return []Change{{ID: id, What: Appeared, Revision: l.Revision}}
 	}
 	return nil
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -1,6 +1,7 @@
 package follower_test
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -135,3 +136,43 @@
 	f.Tick(removed.Add(2 * time.Second))
 	is.Equal(ids(f), "b")
 }
+
+// A run that took an earlier one's place is known by its start, through whom ever it is
+// learned, and an older state brings the earlier run not back.
+func TestNewRunReplacesTheEarlier(t *testing.T) {
+	is := is.New(t)
+	born := func(at time.Time, revision int64) follower.Listed {
+		l := ready("a", revision)
+		l.Instance.Born = at
+		return l
+	}
+	first, second := time.UnixMilli(1000).UTC(), time.UnixMilli(2000).UTC()
+	f, peer := follower.New(), follower.New()
+	f.Read(start, follower.State{Revision: 3, Instances: []follower.Listed{born(first, 3)}}, true)
+	peer.Read(start, follower.State{Revision: 5, Instances: []follower.Listed{born(second, 5)}}, true)
+	told, whole := peer.Since(3, 0)
+	is.True(whole) // the peer knows nothing of before
+	f.Replace(start, told)
+	is.Equal(f.Usable()[0].Born, second)
+	f.Apply(start, follower.State{Revision: 4, Instances: []follower.Listed{born(first, 3), gone("a", 4)}})
+	is.Equal(f.Usable()[0].Born, second)
+}
+
+// An entry that can't be read names no upstream to use, until it can be read again; it
+// is told once, however often it is written.
+func TestUnreadableEntryComesAndGoes(t *testing.T) {
+	is := is.New(t)
+	bad := func(revision int64) follower.State {
+		l := draining("a", revision)
+		l.Fault = errors.New("unreadable")
+		return follower.State{Revision: revision, Instances: []follower.Listed{l}}
+	}
+	f := follower.New()
+	f.Apply(start, follower.State{Revision: 1, Instances: []follower.Listed{ready("a", 1), ready("b", 1)}})
+	is.Equal(len(f.Apply(start, bad(2))), 1)
+	is.Equal(len(f.Apply(start, bad(3))), 0)
+	is.Equal(ids(f), "b")
+	f.Apply(start, follower.State{Revision: 4, Instances: []follower.Listed{ready("a", 4)}})
+	is.Equal(ids(f), "ab")
+	is.Equal(len(f.Apply(start, bad(5))), 1)
+}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -34,6 +34,7 @@
 var (
 	errForeign = errors.New("the answer is another request's")
 	errSilent  = errors.New("the upstream was silent for too long")
+	errReborn  = errors.New("an upstream of the request has started anew")
 )
 
 // mostUnsent bounds the upstreams tried in vain for a connection.
@@ -62,6 +63,9 @@
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	a := &attempt{placement: p, cancel: cancel}
 	a.watchdog = f.watch(x, p, func() { cancel(errSilent) })
+	// No answer comes from a run that is over: without this callers waited for the
+	// watchdog, up to three quarters of their patience, where a partition hid its end.
+	p.OnLost(func() { cancel(errReborn) })
 	var err error
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
@@ -189,8 +193,8 @@
 func (f *Forwarder) blame(x *exchange, a *attempt, at netip.AddrPort) {
 	for _, h := range a.placement.Helpers {
 		if h.Address == at {
-			f.board.Blame(time.Now(), h.ID)
-			x.avoid = append(x.avoid, h.ID)
+			f.board.Blame(time.Now(), h)
+			x.avoid = append(x.avoid, h)
 			a.helperAtFault = true
 		}
 	}
@@ -203,10 +207,17 @@
 	}
 }
 
+// lost reports whether the attempt ended because an upstream has started anew.
+func (a *attempt) lost() bool { return errors.Is(a.err, errReborn) }
+
+// othersFault reports whether the engine that was to answer is not to blame. Where one
+// has started anew, its new run isn't either.
+func (a *attempt) othersFault() bool { return a.helperAtFault || a.lost() }
+
 // avoidFailed keeps the request from the upstream that failed an attempt.
 func avoidFailed(x *exchange, a *attempt) {
-	if !a.helperAtFault {
-		x.avoid = append(x.avoid, a.placement.First.ID)
+	if !a.othersFault() {
+		x.avoid = append(x.avoid, a.placement.First)
 	}
 }
 
@@ -230,7 +241,7 @@
 
 func resultOf(x *exchange, a *attempt) dispatcher.Result {
 	switch {
-	case x.callerLeft(), a.helperAtFault:
+	case x.callerLeft(), a.othersFault():
 		return dispatcher.Answered
 	case a.verdict == verdictUnsent:
 		return dispatcher.Unreachable
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -101,7 +101,7 @@
 	// sent counts upstreams that the request was sent to, pending those of
 	// them that have not stated that it did not run.
 	sent, pending int
-	avoid         []string
+	avoid         []dispatcher.Instance
 	// demand is that of the last placement.
 	demand dispatcher.Demand
 	// alone is set once a group of engines has failed the request.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -89,7 +89,7 @@
 				f.engines = append(f.engines, w)
 			}
 			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 80)
-			f.instances = append(f.instances, dispatcher.Instance{ID: fmt.Sprintf("i-%d", i), Service: service, Address: address, DataCentre: "a", Slots: 6})
+			f.instances = append(f.instances, dispatcher.Instance{ID: fmt.Sprintf("i-%d", i), Service: service, Address: address, DataCentre: "a", Slots: 6, Born: time.Now()})
 			servers = append(servers, f.serve(address, w))
 		}
 		f.board.Update(table, f.instances)
@@ -438,7 +438,7 @@
 		f.board.Update(f.table, f.instances[:4]) // two engines
 		block := func(id string) {
 			_, refusal := f.board.Place(time.Now(), dispatcher.Demand{
-				Service: "lm", Prompt: 250000, Avoid: []string{id}, FirstByteTarget: time.Hour, PauseTarget: time.Hour, Alone: true, Admitted: true,
+				Service: "lm", Prompt: 250000, Avoid: []dispatcher.Instance{{ID: id}}, FirstByteTarget: time.Hour, PauseTarget: time.Hour, Alone: true, Admitted: true,
 			})
 			f.is.True(refusal == nil)
 		}
@@ -593,3 +593,88 @@
 		})
 	}
 }
+
+// restart has an engine start again under its ID, behind a partition that hides the end of
+// its connections, and lists the new run.
+func (f *fixture) restart(i int) {
+	f.engines[i].Restart()
+	f.instances[2+i].Born = time.Now().Add(time.Millisecond)
+	f.board.Update(f.table, f.instances)
+}
+
+// running is the engine that works on a request.
+func (f *fixture) running(id string) int {
+	f.is.Helper()
+	i := slices.IndexFunc(f.engines, func(w *worker.Worker) bool { return worker.TimesRun(slices.Values([]*worker.Worker{w}), id) > 0 })
+	f.is.True(i >= 0)
+	return i
+}
+
+// A stream whose engine starts anew goes on at another at once, though its connection says
+// nothing; one that may not go on ends at once. Nobody waits for the watchdog, which would
+// take a second and a half here.
+func TestStreamOfALostRunGoesOn(t *testing.T) {
+	for _, c := range []struct {
+		path   string
+		status int
+		err    bool
+	}{{"/stream/x", 200, false}, {"/fixed/x", 200, true}} {
+		withForwarder(t, func(f *fixture) {
+			done := make(chan answer)
+			go func() { done <- f.ask(request{path: c.path, id: "s1", usage: "1000,100"}) }()
+			time.Sleep(200 * time.Millisecond) // four of ten events
+			f.restart(f.running("s1"))
+			a := <-done
+			f.is.Equal(a.status, c.status)
+			f.is.Equal(a.err != nil, c.err)
+			if !c.err {
+				f.is.Equal(a.body, whole("s1", 1))
+			}
+			f.is.True(a.took < 700*time.Millisecond)
+		})
+	}
+}
+
+// What may run once has its honest answer at once when its upstream starts anew: it may have run.
+func TestCallOfALostRunEnds(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		setAll(f.plain, worker.Mute)
+		done := make(chan answer)
+		go func() { done <- f.ask(request{path: "/once/x", id: "r1"}) }()
+		time.Sleep(200 * time.Millisecond)
+		for i, w := range f.plain {
+			if len(w.Runs()) > 0 {
+				w.Restart()
+				f.instances[i].Born = time.Now()
+			}
+		}
+		f.board.Update(f.table, f.instances)
+		a := <-done
+		f.is.Equal(a.status, 502)
+		f.is.True(a.took < 250*time.Millisecond)
+		f.is.Equal(runs(f.plain, "r1"), 1)
+	})
+}
+
+// A group of which one helper starts anew begins again with memory set aside anew, and what
+// the others held is given back.
+func TestGroupOfALostRunBeginsAgain(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		setAll(f.engines, worker.Slow)
+		done := make(chan answer)
+		go func() { done <- f.ask(request{path: "/long/x", id: "s1", usage: "400000,100"}) }()
+		time.Sleep(200 * time.Millisecond)
+		helper := slices.IndexFunc(f.engines, func(w *worker.Worker) bool { return len(w.Held()) > 0 })
+		f.is.True(helper >= 0)
+		setAll(f.engines, worker.Sound)
+		f.restart(helper)
+		a := <-done
+		f.is.Equal(a.status, 200)
+		f.is.Equal(a.body, whole("s1", 1))
+		f.is.True(a.took < 1500*time.Millisecond)
+		time.Sleep(time.Second)
+		for _, e := range f.engines {
+			f.is.Equal(len(e.Held()), 0)
+		}
+	})
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -63,12 +63,18 @@
 		if a.verdict == verdictUnsent {
 			unsent++
 		}
-		x.alone = x.alone || len(p.Helpers) > 0 && a.verdict != verdictUnsent
+		x.alone = x.alone || failedAsGroup(p, a)
 		avoidFailed(x, a)
 		events.Break()
 	}
 }
 
+// failedAsGroup reports whether a group of engines has failed a prompt that one of them
+// could have served alone. One that needs the memory of several is tried with others.
+func failedAsGroup(p *dispatcher.Placement, a *attempt) bool {
+	return len(p.Helpers) > 0 && len(p.Shares) == 0 && a.verdict != verdictUnsent && !a.lost()
+}
+
 // expectedAnswer is how many tokens the answer is expected to have.
 func expectedAnswer(x *exchange) int {
 	if x.call.AnswerHint > 0 {
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -88,7 +88,7 @@
 // the time that its caller still waits, and the budget allows that.
 func (f *Forwarder) takenElsewhere(x *exchange, p *dispatcher.Placement) bool {
 	d := x.demand
-	d.Avoid = append(slices.Clone(d.Avoid), p.First.ID)
+	d.Avoid = append(slices.Clone(d.Avoid), p.First)
 	d.Admitted = false
 	now := time.Now()
 	return f.board.Takes(now, d) && f.budget.Left(now, x.service, f.view().Entries)
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -55,15 +55,17 @@
 	entries []*entry
 	workers map[string]*worker.Worker
 	hosts   map[string]netip.Addr
-	next    int
-	rounds  int
+	// born is when workers started, in Unix milliseconds; missing for those that do not say.
+	born   map[string]int64
+	next   int
+	rounds int
 }
 
 func hostOf(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, byte(1 + i%3), 0, byte(10 + i)}) }
 
 func newFleet(t *testing.T, entries int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, net: network.New(), store: store.New(), workers: map[string]*worker.Worker{}, hosts: map[string]netip.Addr{}}
+	f := &fleet{t: t, net: network.New(), store: store.New(), workers: map[string]*worker.Worker{}, hosts: map[string]netip.Addr{}, born: map[string]int64{}}
 	f.serve(netip.AddrPortFrom(storeHost, 80), f.store)
 	f.configure(1, "key-1", "key-2")
 	for range 3 {
@@ -93,14 +95,23 @@
 	id := fmt.Sprintf("i-%s-%d", service, f.next)
 	host := netip.AddrFrom4([4]byte{10, 100, byte(f.next >> 8), byte(f.next)})
 	w := worker.New(id, 20*time.Millisecond, streamEvents, 60*time.Millisecond)
-	f.workers[id], f.hosts[id] = w, host
+	f.workers[id], f.hosts[id], f.born[id] = w, host, time.Now().UnixMilli()
 	f.serve(netip.AddrPortFrom(host, 80), w)
 	f.list(id, service, "ready")
 	return id
 }
 
 func (f *fleet) list(id, service, state string) {
-	f.store.Put("servers/"+id, map[string]any{"service": service, "address": netip.AddrPortFrom(f.hosts[id], 80), "zone": "dc-0", "slots": 16, "state": state})
+	u := store.NewUpstream(service, netip.AddrPortFrom(f.hosts[id], 80))
+	u.State, u.Born = state, f.born[id]
+	f.store.Put("servers/"+id, u)
+}
+
+// restartWorker starts a worker again under its id.
+func (f *fleet) restartWorker(id, service string) {
+	f.workers[id].Restart()
+	f.born[id] = time.Now().UnixMilli()
+	f.list(id, service, "ready")
 }
 
 func (f *fleet) configure(version int, keys ...string) {
--- a/launcher/soak_test.go
+++ b/launcher/soak_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -71,6 +72,11 @@
 		f.configure(rapid.IntRange(10, 1000).Draw(t, "version"), "key-1")
 		return func() {}
 	}},
+	{"upstream starts anew", func(f *fleet, t *rapid.T) func() {
+		id := rapid.SampledFrom([]string{"i-app-1", "i-app-3", "i-lm-2", "i-lm-4"}).Draw(t, "worker")
+		f.restartWorker(id, strings.Split(id, "-")[1])
+		return func() {}
+	}},
 	{"upstream leaves and another comes", func(f *fleet, _ *rapid.T) func() {
 		f.list("i-lm-6", "lm", "draining")
 		return func() { f.list("i-lm-6", "lm", "ready") }
--- a/logger/events.go
+++ b/logger/events.go
@@ -18,6 +18,8 @@
 	{"configuration_unreadable", "A newer configuration can't be read; the one in force stays.", []string{"revision", "source", "error"}},
 	{"fetch_failed", "Another entry knows more of the store and did not tell in time; the next heartbeat asks again.", []string{"source", "error"}},
 	{"invariant_violated", "A promise was about to be broken or was; the request concerned fails. Report it.", []string{"invariant", "detail"}},
+	{"item_unreadable", "An item of the store could not be read and names no upstream; the others hold.", []string{"error"}},
+	{"items_unreadable", "More items of one answer of the store could not be read than are logged one by one.", []string{"count", "logged"}},
 	{"log_lines_dropped", "The reader of the log was slow; that many lines are missing before this one.", []string{"count"}},
 	{"member", "The belief about another entry changed.", []string{"name", "from", "to", "reason"}},
 	{"panic", "A fault of the program; the request concerned fails.", []string{"request", "value", "stack"}},
@@ -41,7 +43,8 @@
 	{"store_history_gone", "The store dropped changes that were not read; the whole state is read.", []string{"revision"}},
 	{"store_lost", "The store did not answer; what is believed stays in force, and other entries are listened to.", []string{"error", "revision"}},
 	{"store_regained", "The store answers again.", []string{"revision"}},
-	{"upstream", "The belief about an upstream changed: appeared, leaving, gone, held_after_outage or unreadable.", []string{"id", "change", "revision", "source"}},
+	{"upstream", "The belief about an upstream changed: appeared, leaving, gone, held_after_outage or unreadable, with the fields at fault.", []string{"id", "change", "revision", "source", "error"}},
+	{"upstreams_unreadable", "More entries of upstreams could not be read than are logged one by one.", []string{"count", "logged", "source"}},
 	{"wait", "A prompt waits at this entry for engines that have less to do, or that it would harm less. Expected_ms is when its first event would have come, had it been placed at once.", []string{"request", "service", "reason", "expected_ms", "patience_ms"}},
 	{"woke", "This process or its instance stood still; what it believed counts as unconfirmed.", []string{"paused_ms"}},
 }
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -77,9 +77,11 @@
 	workers   map[string]*worker.Worker
 	ways      map[string]*relay.Relay
 	services  map[string]string
-	entries   []*entry
-	servers   []*http.Server
-	version   int
+	// born is when workers started anew, in Unix milliseconds.
+	born    map[string]int64
+	entries []*entry
+	servers []*http.Server
+	version int
 }
 
 // address is a loopback address of this run.
@@ -91,7 +93,7 @@
 	t.Helper()
 	f := &fleet{
 		t: t, seed: seed, directory: t.TempDir(), store: store.New(), workers: map[string]*worker.Worker{},
-		ways: map[string]*relay.Relay{}, services: map[string]string{},
+		ways: map[string]*relay.Relay{}, services: map[string]string{}, born: map[string]int64{},
 	}
 	f.serve(netip.AddrPortFrom(f.address(0, 0), storePort), f.store)
 	f.storeWay = f.relay(netip.AddrPortFrom(f.address(0, 1), storePort), netip.AddrPortFrom(f.address(0, 0), storePort))
@@ -133,14 +135,22 @@
 	w := worker.New(id, 15*time.Millisecond, streamEvents, 40*time.Millisecond)
 	back, front := netip.AddrPortFrom(f.address(1, n), workerPort), netip.AddrPortFrom(f.address(2, n), workerPort)
 	f.serve(back, w)
-	f.workers[id], f.ways[id], f.services[id] = w, f.relay(front, back), service
+	f.workers[id], f.ways[id], f.services[id], f.born[id] = w, f.relay(front, back), service, time.Now().UnixMilli()
 	f.list(id, "ready")
 }
 
 func (f *fleet) list(id, state string) {
 	n := id[strings.LastIndex(id, "-")+1:]
-	address := fmt.Sprintf("%s:%d", f.address(2, int(n[0]-'0')), workerPort)
-	f.store.Put("servers/"+id, map[string]any{"service": f.services[id], "address": address, "zone": "dc-0", "slots": 16, "state": state})
+	u := store.NewUpstream(f.services[id], netip.AddrPortFrom(f.address(2, int(n[0]-'0')), workerPort))
+	u.State, u.Born = state, f.born[id]
+	f.store.Put("servers/"+id, u)
+}
+
+// restartWorker starts a worker again under its id.
+func (f *fleet) restartWorker(id string) {
+	f.workers[id].Restart()
+	f.born[id] = time.Now().UnixMilli()
+	f.list(id, "ready")
 }
 
 func (f *fleet) configure(keys ...string) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -82,6 +82,10 @@
 		f.configure("key-1")
 		return func() {}
 	},
+	"upstream starts anew": func(f *fleet, r *rand.Rand) func() {
+		f.restartWorker(draw(r, "i-app-0", "i-lm-1", "i-app-2", "i-lm-3"))
+		return func() {}
+	},
 	"upstream leaves": func(f *fleet, _ *rand.Rand) func() {
 		f.list("i-lm-5", "draining")
 		return func() { f.list("i-lm-5", "ready") }
@@ -144,7 +148,7 @@
 // order is the names of the faults; a map has none that a seed could draw from.
 var order = []string{
 	"entry killed", "entry stopped", "entry paused", "settings changed", "way to the store", "way to an upstream",
-	"connections reset", "upstream fails", "store fails", "history dropped", "configuration", "upstream leaves",
+	"connections reset", "upstream fails", "store fails", "history dropped", "configuration", "upstream leaves", "upstream starts anew",
 }
 
 func run(t *testing.T, seed int) {
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -38,11 +38,12 @@
 const pageItems = 50
 
 type item struct {
-	Key     string `json:"key"`
-	Value   []byte `json:"value,omitempty"`
-	Rev     int64  `json:"rev"`
-	Made    int64  `json:"create-rev,omitempty"`
-	Deleted bool   `json:"deleted,omitempty"`
+	Key string `json:"key"`
+	// Value is base64 text, unless a test wrote something else.
+	Value   json.RawMessage `json:"value,omitempty"`
+	Rev     int64           `json:"rev"`
+	Made    int64           `json:"create-rev,omitempty"`
+	Deleted bool            `json:"deleted,omitempty"`
 }
 
 // Store holds the items. It is safe for concurrent use.
@@ -68,6 +69,21 @@
 	if err != nil {
 		panic(err) // a test's own value
 	}
+	return s.PutBytes(key, data)
+}
+
+// PutBytes writes a key with any bytes as its value and returns the revision.
+func (s *Store) PutBytes(key string, data []byte) int64 {
+	text, err := json.Marshal(data)
+	if err != nil {
+		panic(err) // bytes can always be written
+	}
+	return s.PutItem(key, text)
+}
+
+// PutItem writes a key whose value is the given JSON on the wire, which need not be
+// base64 text, and returns the revision.
+func (s *Store) PutItem(key string, value json.RawMessage) int64 {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.revision++
@@ -75,7 +91,7 @@
 	if before, ok := s.items[key]; ok {
 		made = before.Made
 	}
-	i := item{Key: key, Value: data, Rev: s.revision, Made: made}
+	i := item{Key: key, Value: value, Rev: s.revision, Made: made}
 	s.items[key] = i
 	s.note(i)
 	return s.revision
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -71,17 +71,26 @@
 	events      int
 	pause, work time.Duration
 
-	lock    sync.Mutex
-	fault   Fault
-	runs    []Run
+	lock   sync.Mutex
+	fault  Fault
+	runs   []Run
+	now    *incarnation
+	orders map[string]int
+}
+
+// incarnation is one run of the worker's process.
+type incarnation struct {
 	working int
-	orders  map[string]int
+	// over is closed when the process has ended.
+	over chan struct{}
 }
 
+func newIncarnation() *incarnation { return &incarnation{over: make(chan struct{})} }
+
 // New returns a sound worker with an instance id, that answers after work and
 // makes events with pauses.
 func New(id string, work time.Duration, events int, pause time.Duration) *Worker {
-	return &Worker{id: id, work: work, events: events, pause: pause, orders: map[string]int{}}
+	return &Worker{id: id, work: work, events: events, pause: pause, now: newIncarnation(), orders: map[string]int{}}
 }
 
 // SetFault changes how the worker answers.
@@ -102,7 +111,18 @@
 func (w *Worker) Working() int {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	return w.working
+	return w.now.working
+}
+
+// Restart ends the worker's process and starts it again under its id, as behind a
+// partition: what it worked on is never answered and its connections say nothing more.
+// The new run holds nothing.
+func (w *Worker) Restart() {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	close(w.now.over)
+	w.now = newIncarnation()
+	clear(w.orders)
 }
 
 // TimesRun is how often a request ran at all of the workers.
@@ -155,8 +175,8 @@
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	w.begin(r, id, string(body))
-	defer w.end()
+	now := w.begin(r, id, string(body))
+	defer w.end(now)
 	out.Header().Set("X-Attempt-Id", id)
 	if fault == Foreign {
 		out.Header().Set("X-Attempt-Id", "another")
@@ -168,7 +188,7 @@
 	if fault == Slow {
 		work = SlowWork
 	}
-	if !sleep(r, work) {
+	if !now.sleep(r, work) {
 		return
 	}
 	switch fault {
@@ -179,39 +199,44 @@
 	case Mute:
 		<-r.Context().Done()
 	default:
-		w.answer(out, r, fault, id)
+		w.answer(out, r, now, fault, id)
 	}
 }
 
-func (w *Worker) begin(r *http.Request, id, body string) {
+func (w *Worker) begin(r *http.Request, id, body string) *incarnation {
 	left, _ := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	w.working++
+	w.now.working++
 	w.runs = append(w.runs, Run{
 		ID: id, Tenant: r.Header.Get("X-Tenant"), Path: r.RequestURI, LastEvent: r.Header.Get("Last-Event-Id"),
 		Helpers: r.Header.Get("X-Helpers"), Priority: r.Header.Get("X-Request-Priority"), Body: body, Left: time.Duration(left) * time.Millisecond,
 	})
+	return w.now
 }
 
-func (w *Worker) end() {
+func (w *Worker) end(now *incarnation) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	w.working--
+	now.working--
 }
 
-func sleep(r *http.Request, d time.Duration) bool {
+// sleep waits, and reports whether caller and process are still there after it.
+func (i *incarnation) sleep(r *http.Request, d time.Duration) bool {
 	select {
 	case <-time.After(d):
 		return true
 	case <-r.Context().Done():
 		return false
+	case <-i.over:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
 	}
 }
 
-func (w *Worker) answer(out http.ResponseWriter, r *http.Request, fault Fault, id string) {
+func (w *Worker) answer(out http.ResponseWriter, r *http.Request, now *incarnation, fault Fault, id string) {
 	if r.Header.Get("X-Token-Usage") != "" {
-		w.stream(out, r, fault, id)
+		w.stream(out, r, now, fault, id)
 		return
 	}
 	body := Body(id)
@@ -243,7 +268,7 @@
 	_ = buffer.Flush()
 }
 
-func (w *Worker) stream(out http.ResponseWriter, r *http.Request, fault Fault, id string) {
+func (w *Worker) stream(out http.ResponseWriter, r *http.Request, now *incarnation, fault Fault, id string) {
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	out.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(out)
@@ -259,7 +284,7 @@
 		}
 		_, _ = io.WriteString(out, event)
 		_ = flusher.Flush()
-		if !sleep(r, w.pause) {
+		if !now.sleep(r, w.pause) {
 			return
 		}
 	}
