forwarder, platform: memory set aside that no request uses is given back before it may no longer stay

From three quarters of the bound on, each renewal asks the engine whether the memory is used, and ends the attempt where it isn't.

Ruled out: ending every attempt at that age (a busy engine still begins).

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -101,4 +101,5 @@
 red group-again forwarder/stream.go 's/ && len\(p\.Shares\) == 0/ /; s/ && !a\.lost\(\)//' $p TestGroupOfALostRunBeginsAgain
 red entry-fault platform/instance.go 's/ok = ok && string\(raw\) != "null".*/_ = json.Unmarshal(raw, \&value)\n\tok = true/' ./platform TestEntriesOfOtherWriters
 red value-fault platform/store.go 's/l\.Instance, l\.Fault = unusable\(id\), err/l.Instance.Service = "app"/' ./platform TestUnreadableValues
+red unused-memory forwarder/group.go 's/g\.giveUp\(errIdle\)\n\t\t\treturn/_ = errIdle/' $p TestUnusedMemoryIsGivenBack
 exit $wrong
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -69,7 +69,7 @@
 	var err error
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
-	a.group, err = f.reserve(ctx, x, p)
+	a.group, err = f.reserve(ctx, x, p, cancel)
 	if err != nil {
 		a.verdict, a.err = verdictUnsent, err
 		f.blameForMemory(x, a)
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -58,6 +58,8 @@
 	Reserve func(ctx context.Context, engine netip.AddrPort, id string, tokens int, hold time.Duration) error
 	// Release gives it back.
 	Release func(ctx context.Context, engine netip.AddrPort, id string) error
+	// InUse reports whether a request uses the memory.
+	InUse func(ctx context.Context, engine netip.AddrPort, id string) (bool, error)
 }
 
 // Reply is what an upstream says beside status and body.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -38,6 +38,8 @@
 	// HoldTime is the lease of memory reserved at engines: shorter than memory
 	// may stay set aside after the end of its request.
 	HoldTime time.Duration
+	// MaxIdle is how long reserved memory may be unused by a request.
+	MaxIdle  time.Duration
 	View     func() *View
 	Board    *dispatcher.Board
 	Budget   *budgeter.Budgeter
@@ -52,6 +54,7 @@
 	protocol  Protocol
 	orders    Orders
 	holdTime  time.Duration
+	maxIdle   time.Duration
 	view      func() *View
 	board     *dispatcher.Board
 	budget    *budgeter.Budgeter
@@ -66,7 +69,7 @@
 // New returns a forwarder.
 func New(c Config) *Forwarder {
 	f := &Forwarder{
-		protocol: c.Protocol, orders: c.Orders, holdTime: c.HoldTime, view: c.View, board: c.Board, budget: c.Budget, log: c.Log,
+		protocol: c.Protocol, orders: c.Orders, holdTime: c.HoldTime, maxIdle: c.MaxIdle, view: c.View, board: c.Board, budget: c.Budget, log: c.Log,
 		metrics: newMetrics(c.Scope), asserter: c.Asserter, upstreams: newTransport(c.Dial),
 	}
 	f.chain = chain(f.forward, f.respond, f.recoverPanic, f.open, f.limitHeader, f.match, f.readBody)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -96,7 +96,7 @@
 		invariants := asserter.New(func(name, detail string) { t.Errorf("%s: %s", name, detail) })
 		handler := forwarder.New(forwarder.Config{
 			Protocol: platform.Protocol(), Orders: platform.Orders(&http.Client{Transport: &http.Transport{DialContext: f.net.Dialer(entryHost), DisableKeepAlives: true}}),
-			HoldTime: 3 * time.Second, View: f.view.Load, Board: f.board,
+			HoldTime: 3 * time.Second, MaxIdle: 9 * time.Second, View: f.view.Load, Board: f.board,
 			Budget: budgeter.New(budgeter.Config{Ratio: 0.2, Window: 10 * time.Second, Slack: 100}),
 			Dial:   f.net.Dialer(entryHost), Log: zap.NewNop(), Scope: tally.NoopScope, Asserter: invariants,
 		})
@@ -678,3 +678,37 @@
 		}
 	})
 }
+
+// Memory set aside for an engine that hangs is given back before it may no longer stay
+// unused, and the prompt is tried elsewhere; where a request uses it, the answer is awaited.
+// Day false-health-and-flaps of the grown fleet held 217,834 tokens for 10.5 s.
+func TestUnusedMemoryIsGivenBack(t *testing.T) {
+	for _, used := range []bool{false, true} {
+		withForwarder(t, func(f *fixture) {
+			setAll(f.engines, worker.Mute)
+			done := make(chan answer)
+			go func() { done <- f.ask(request{path: "/long/x", id: "s1", usage: "400000,100"}) }()
+			held := map[string]int{}
+			longest := 0
+			for range 160 {
+				time.Sleep(100 * time.Millisecond)
+				for _, e := range f.engines {
+					for ticket := range e.Held() {
+						held[ticket]++
+						longest = max(longest, held[ticket])
+						if used {
+							e.Use(ticket)
+						}
+					}
+				}
+			}
+			a := <-done
+			f.is.True(a.err != nil || a.status >= 500)
+			f.is.Equal(longest < 90, !used)
+			time.Sleep(time.Second)
+			for _, e := range f.engines {
+				f.is.Equal(len(e.Held()), 0)
+			}
+		})
+	}
+}
--- a/forwarder/group.go
+++ b/forwarder/group.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -22,6 +23,9 @@
 	// renewals is how often memory is renewed in the time of its lease, so
 	// that one lost order does not end it.
 	renewals = 3
+	// idlePart is the part of the time for which memory may be unused after which an
+	// engine is asked whether a request uses it. What is left is one more renewal.
+	idlePart = 0.75
 )
 
 // group is the memory reserved at several engines for one attempt. All methods
@@ -32,6 +36,22 @@
 	// stop ends the renewals, which have ended when renewed is done.
 	stop    context.CancelFunc
 	renewed sync.WaitGroup
+	// since is when the memory was set aside, begun true once the answer's first
+	// event was seen: all of it is used then.
+	since time.Time
+	begun atomic.Bool
+	// giveUp ends the attempt with a cause.
+	giveUp context.CancelCauseFunc
+}
+
+// errIdle ends an attempt whose memory no request uses.
+var errIdle = errors.New("the engine does not begin, and memory set aside for it may not stay unused")
+
+// begin notes that the first event of the answer was seen.
+func (g *group) begin() {
+	if g != nil {
+		g.begun.Store(true)
+	}
 }
 
 // ReserveError is an engine that set no memory aside.
@@ -55,11 +75,11 @@
 
 // reserve sets aside the memory that an attempt needs at its helpers: all of
 // it or none.
-func (f *Forwarder) reserve(ctx context.Context, x *exchange, p *dispatcher.Placement) (*group, error) {
+func (f *Forwarder) reserve(ctx context.Context, x *exchange, p *dispatcher.Placement, giveUp context.CancelCauseFunc) (*group, error) {
 	if len(p.Shares) == 0 {
 		return nil, nil
 	}
-	g := &group{request: x.call.ID}
+	g := &group{request: x.call.ID, since: time.Now(), giveUp: giveUp}
 	for _, h := range p.Helpers {
 		if tokens := p.Shares[h.ID]; tokens > 0 {
 			g.shares = append(g.shares, share{engine: h.Address, ticket: uuid.NewString(), tokens: tokens})
@@ -122,7 +142,27 @@
 				f.log.Warn("renewal_failed", zap.String("request", g.request), zap.Error(err))
 			}
 		}
+		if f.idle(ctx, g) && ctx.Err() == nil {
+			f.log.Warn("memory_unused", zap.String("request", g.request), zap.Int("engines", len(g.shares)), zap.Duration("age_ms", time.Since(g.since)))
+			g.giveUp(errIdle)
+			return
+		}
+	}
+}
+
+// idle reports whether the memory of a group has been set aside for long and no request
+// uses it, as where the engine that is to answer hangs.
+func (f *Forwarder) idle(ctx context.Context, g *group) bool {
+	if g.begun.Load() || time.Since(g.since) < time.Duration(idlePart*float64(f.maxIdle)) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	used, err := f.orders.InUse(ctx, g.shares[0].engine, g.shares[0].ticket)
+	if err != nil && ctx.Err() == nil {
+		f.log.Warn("report_failed", zap.String("request", g.request), zap.Stringer("engine", g.shares[0].engine), zap.Error(err))
 	}
+	return !used && !g.begun.Load()
 }
 
 // release gives the memory of a group back, without making the request wait.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -115,6 +115,7 @@
 				a.placement.Event(time.Now())
 			} else {
 				a.placement.Began(time.Now())
+				a.group.begin()
 				any = true
 			}
 			if fail := f.passEvent(x, a, e); fail != nil {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -54,6 +54,8 @@
 	Orders   forwarder.Orders
 	// HoldTime is the lease of memory reserved at engines.
 	HoldTime time.Duration
+	// MaxIdle is how long that memory may be unused by a request.
+	MaxIdle time.Duration
 	// DirectoryHandler and ReadyHandler answer in the platform's words.
 	DirectoryHandler func(life time.Duration, addresses func(dataCentre string) []netip.AddrPort) http.Handler
 	ReadyHandler     func(ready func() bool) http.Handler
@@ -106,7 +108,7 @@
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	l.forwarder = forwarder.New(forwarder.Config{
-		Protocol: c.Protocol, Orders: c.Orders, HoldTime: c.HoldTime, View: l.controller.View, Board: board, Budget: l.budget, Dial: c.Dial,
+		Protocol: c.Protocol, Orders: c.Orders, HoldTime: c.HoldTime, MaxIdle: c.MaxIdle, View: l.controller.View, Board: board, Budget: l.budget, Dial: c.Dial,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	return l
--- a/standin/worker/order.go
+++ b/standin/worker/order.go
@@ -29,3 +29,33 @@
 		out.WriteHeader(http.StatusBadRequest)
 	}
 }
+
+// Use marks a ticket as used by a request.
+func (w *Worker) Use(ticket string) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.used[ticket] = true
+}
+
+// report says what memory is set aside.
+func (w *Worker) report(out http.ResponseWriter) {
+	type ticket struct {
+		ID     string `json:"id"`
+		Tokens int    `json:"token-count"`
+		State  string `json:"state"`
+	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	tickets := []ticket{}
+	for id, tokens := range w.orders {
+		state := "held"
+		if w.used[id] {
+			state = "used"
+		}
+		tickets = append(tickets, ticket{ID: id, Tokens: tokens, State: state})
+	}
+	out.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(out).Encode(struct {
+		Tickets []ticket `json:"tickets"`
+	}{tickets})
+}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -71,11 +71,13 @@
 	events      int
 	pause, work time.Duration
 
-	lock   sync.Mutex
-	fault  Fault
-	runs   []Run
-	now    *incarnation
+	lock  sync.Mutex
+	fault Fault
+	runs  []Run
+	now   *incarnation
+	// orders is the memory set aside by ticket, used the tickets that a request uses.
 	orders map[string]int
+	used   map[string]bool
 }
 
 // incarnation is one run of the worker's process.
@@ -90,7 +92,7 @@
 // New returns a sound worker with an instance id, that answers after work and
 // makes events with pauses.
 func New(id string, work time.Duration, events int, pause time.Duration) *Worker {
-	return &Worker{id: id, work: work, events: events, pause: pause, now: newIncarnation(), orders: map[string]int{}}
+	return &Worker{id: id, work: work, events: events, pause: pause, now: newIncarnation(), orders: map[string]int{}, used: map[string]bool{}}
 }
 
 // SetFault changes how the worker answers.
@@ -157,9 +159,13 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if r.URL.Path == "/order" {
+	switch r.URL.Path {
+	case "/order":
 		w.order(out, body)
 		return
+	case "/report":
+		w.report(out)
+		return
 	}
 	id := r.Header.Get("X-Attempt-Id")
 	if expect := r.Header.Get("X-Expect-Instance"); expect != "" && expect != w.id {
