--- a/controller/takers.go
+++ b/controller/takers.go
@@ -13,10 +13,10 @@
 	// fast too.
 	fastPart = 0.5
 	// leastFast and leastFastPart are how many fast entries there must be, and what part of
-	// all, for callers to be sent to them alone: the loss of one then costs few callers
-	// their answers, and a tenth lost at once still leaves most.
+	// the speed of all they must have, for callers to be sent to them alone: the loss of one
+	// then costs few callers their answers, and they can do what all did at a fifth of load.
 	leastFast     = 6
-	leastFastPart = 0.125
+	leastFastPart = 0.2
 	// strainedLag is how late an entry's own clock ticks on average, from which on it has
 	// more to do than it can, calmLag that from which on it no longer has: a tick that
 	// late is a tenth of a short prompt's target, and callers feel it several times.
@@ -78,12 +78,21 @@
 		fastest = max(fastest, t.speed)
 	}
 	fast := slices.DeleteFunc(slices.Clone(calm), func(t taker) bool { return t.speed < fastPart*fastest })
-	if len(fast) < leastFast || float64(len(fast)) < leastFastPart*float64(len(takers)) {
+	if len(fast) < leastFast || speedOf(fast) < leastFastPart*speedOf(takers) {
 		return calm
 	}
 	return fast
 }
 
+// speedOf is the speed of entries together.
+func speedOf(takers []taker) float64 {
+	sum := 0.0
+	for _, t := range takers {
+		sum += t.speed
+	}
+	return sum
+}
+
 // Addresses lists where a caller in a data centre may connect: entries of its
 // own data centre first, where there are more than an answer holds.
 func (c *Controller) Addresses(dataCentre string) []netip.AddrPort {
