--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -110,4 +110,5 @@
 red fast-entries controller/takers.go 's/t\.speed < fastPart\*fastest/false/' ./controller TestPreferredEntries
 red time-to-end dispatcher/request.go 's/unfinished = over\(/_ = over(/' ./dispatcher TestLongPromptLeavesAnswersTimeToEnd
 red outage-calls controller/follow.go 's/return failurePause\(len\(live\)\)/return mostFailurePause/' ./controller TestCallsInAnOutageDoNotGrowWithTheFleet
+red dead-told controller/controller.go 's/deadTold = 10 \* time\.Second/deadTold = 0 * time.Second/' ./controller TestHalfAFleetStartsAnew
 exit $wrong
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -75,6 +75,8 @@
 	beats       netip.AddrPort
 	shares      netip.AddrPort
 	dataCentre  string
+	// dead entries are told of load, but relay none and count as no peers.
+	dead bool
 }
 
 // Controller is the control side of an entry.
@@ -117,12 +119,14 @@
 	// capacities are what other entries said of themselves, by name.
 	capacities map[string]capacity
 	lag        lagMeter
-	seeds      []netip.AddrPort
-	stopping   bool
-	stopBy     time.Time
-	started    time.Time
-	lastTick   time.Time
-	lastBoot   time.Duration
+	// died is when other entries were last taken for dead, by name.
+	died     map[string]time.Time
+	seeds    []netip.AddrPort
+	stopping bool
+	stopBy   time.Time
+	started  time.Time
+	lastTick time.Time
+	lastBoot time.Duration
 	// storeLost says that the last call to the store failed.
 	storeLost bool
 	// fetching is how many fetches from peers are in progress.
@@ -150,6 +154,9 @@
 	// suspectTime is the silence after which an entry counts as dead: callers
 	// that are told its address lose a second to it.
 	suspectTime = time.Second
+	// deadTold is how long entries that died are told of load: processes that are killed
+	// are back within seconds.
+	deadTold = 10 * time.Second
 	// neighbours is how many entries each entry sends heartbeats to.
 	neighbours = 4
 )
@@ -169,7 +176,7 @@
 func (c *Controller) Run(ctx context.Context, seeds []netip.AddrPort, beats net.Listener, shares net.PacketConn) {
 	now := time.Now()
 	s := &state{
-		controller: c, follower: follower.New(), contacts: map[string]contact{}, capacities: map[string]capacity{}, seeds: seeds, started: now, lastTick: now, lastBoot: sinceBoot(),
+		controller: c, follower: follower.New(), contacts: map[string]contact{}, capacities: map[string]capacity{}, died: map[string]time.Time{}, seeds: seeds, started: now, lastTick: now, lastBoot: sinceBoot(),
 		prober: prober.New(prober.Config{Name: c.config.Name, Incarnation: c.config.Incarnation, DataCentre: c.config.DataCentre, Neighbours: neighbours, Suspect: suspectTime}),
 	}
 	s.follower.BoundRemovals(c.config.InForce)
@@ -259,15 +266,17 @@
 			heard++
 		}
 		// One that was not heard yet is told of load too: in a fleet of a hundred it takes
-		// ten seconds until an entry that has just started has heard most others itself.
-		if m.State != prober.Dead && m.PeerAddress.IsValid() {
-			v.peers = append(v.peers, peer{name: m.Name, incarnation: m.Incarnation, beats: m.PeerAddress, shares: netip.AddrPortFrom(m.PeerAddress.Addr(), c.config.Shares.Port()), dataCentre: m.DataCentre})
+		// ten seconds until an entry that has just started has heard most others itself. So
+		// is one that died lately: most start again at once, seconds before all know.
+		dead := m.State == prober.Dead
+		if m.PeerAddress.IsValid() && (!dead || time.Since(s.died[m.Name]) < deadTold) {
+			v.peers = append(v.peers, peer{name: m.Name, incarnation: m.Incarnation, beats: m.PeerAddress, shares: netip.AddrPortFrom(m.PeerAddress.Addr(), c.config.Shares.Port()), dataCentre: m.DataCentre, dead: dead})
 		}
 	}
 	v.takers = preferred(v.takers)
 	v.paths = pathsOf(c.config.DataCentre, v.peers)
 	s.forgetRestarted(v.peers)
-	c.config.Board.SetPeers(len(v.peers), s.blind(heard))
+	c.config.Board.SetPeers(living(v.peers), s.blind(heard))
 	usable := s.follower.Usable()
 	if s.table != nil {
 		c.config.Board.Update(s.table, usable)
@@ -308,6 +317,17 @@
 	return dispatcher.TokenOf(name + " " + strconv.FormatUint(incarnation, 10))
 }
 
+// living is how many of the peers are not dead.
+func living(peers []peer) int {
+	n := 0
+	for _, p := range peers {
+		if !p.dead {
+			n++
+		}
+	}
+	return n
+}
+
 // incarnations are those of peers, by name.
 func incarnations(peers []peer) map[string]uint64 {
 	out := make(map[string]uint64, len(peers))
@@ -364,6 +384,9 @@
 	for _, change := range changes {
 		s.controller.config.Log.Info("member", zap.String("name", change.Name), zap.String("from", string(change.From)),
 			zap.String("to", string(change.To)), zap.String("reason", change.Reason))
+		if change.To == prober.Dead {
+			s.died[change.Name] = time.Now()
+		}
 		s.dirty = true
 	}
 }
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -504,3 +504,37 @@
 		f.within(2*time.Second, "version 2", version(2))
 	})
 }
+
+// Half of a fleet is killed and starts anew after its death is known: within a second and a half
+// after two rounds of placing by survivors and by those that are new, all know of all of it.
+func TestHalfAFleetStartsAnew(t *testing.T) {
+	withFleet(t, 60, func(f *fleet) {
+		time.Sleep(10 * time.Second) // until all have heard each other
+		for i := 30; i < 60; i++ {
+			f.entries[i].end()
+			f.net.Kill(f.entries[i].host)
+		}
+		time.Sleep(2 * time.Second)
+		for i := 30; i < 60; i++ {
+			f.entries[i] = f.start(i)
+		}
+		placed := 0
+		for _, e := range f.entries {
+			for range 2 {
+				_, refusal := e.board.Place(time.Now(), dispatcher.Demand{Service: "app"})
+				if refusal == nil {
+					placed++
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		}
+		f.is.True(placed >= 60)
+		f.within(1500*time.Millisecond, "load of all", func(e *entry) bool {
+			sum := 0
+			for _, row := range e.board.Rows(time.Now()) {
+				sum += row.Load.Running
+			}
+			return sum == placed
+		})
+	})
+}
--- a/controller/shares.go
+++ b/controller/shares.go
@@ -40,21 +40,29 @@
 // pathsOf sorts peers by data centre, as seen from one.
 func pathsOf(dataCentre string, peers []peer) sharePaths {
 	var paths sharePaths
-	groups := map[string][]netip.AddrPort{}
+	groups, dead := map[string][]netip.AddrPort{}, map[string][]netip.AddrPort{}
 	for _, p := range peers {
 		if p.dataCentre == dataCentre {
 			paths.own = append(paths.own, p.shares)
 			continue
 		}
+		if p.dead {
+			dead[p.dataCentre] = append(dead[p.dataCentre], p.shares)
+			continue
+		}
 		groups[p.dataCentre] = append(groups[p.dataCentre], p.shares)
 	}
 	paths.near = append(paths.near, paths.own...)
-	for _, group := range groups {
+	for name, group := range groups {
 		if len(group) < relayFrom {
 			paths.near = append(paths.near, group...)
 			continue
 		}
 		paths.far = append(paths.far, group)
+		delete(dead, name) // the relay tells them too
+	}
+	for _, group := range dead {
+		paths.near = append(paths.near, group...)
 	}
 	return paths
 }
