--- a/dispatcher/loss.go
+++ b/dispatcher/loss.go
@@ -21,7 +21,7 @@
 	pauseFrom, pauseTo = 0.8, 1.0
 	// endFrom and endTo are those of the end of an answer and of the time its caller has
 	// for it: half of the events foreseen are an estimate.
-	endFrom, endTo = 0.85, 1.15
+	endFrom, endTo = 1.0, 1.3
 	// slope makes an earlier answer better among those that are on time.
 	slope = 0.05
 	// abandonLoss is the part of an answer's worth that is lost beside its lateness
