--- a/dispatcher/place_test.go
+++ b/dispatcher/place_test.go
@@ -476,16 +476,16 @@
 		now := start.Add(2 * time.Second)
 		for _, id := range []string{"e00", "e01"} {
 			d := tower
-			d.Answer, d.Left = 51*5, 9*time.Second
+			d.Answer, d.Left = 51*5, 7*time.Second
 			if id == long {
-				d.Answer = 51 * 60
+				d.Answer = 51 * 80
 			}
 			only(start, d, id).Began(start.Add(40 * time.Millisecond))
 			// This has the answer pause for over a second.
-			only(start.Add(50*time.Millisecond), withPrompt(span, 110000), id)
+			only(start.Add(50*time.Millisecond), withPrompt(span, 80000), id)
 			b.workers[id].queue.Advance(now)
 		}
-		d := withPrompt(audit, 180000)
+		d := withPrompt(audit, 130000)
 		d.Alone, d.Admitted, d.Left = true, true, 15*time.Second
 		p := place(t, b, now, d)
 		is.True(p.First.ID != long)
