--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -184,7 +184,7 @@
 		fmt.Sprintf("seeds=%s:%d,%s:%d", e.fleet.address(3, 0), peerPort, e.fleet.address(3, 1), peerPort),
 		fmt.Sprintf("platform.address=%s:%d", e.fleet.address(0, 1), storePort),
 		"bounds.grace-s=8", "bounds.config-deadline-ms=2000", "bounds.drain-ms=2000", "bounds.budget-ratio=0.2", "bounds.budget-window-s=10",
-		fmt.Sprintf("bounds.budget-slack=%d", 100+slack), "bounds.ttl_max_s=5", "bounds.hold-max-ms=20000", "bounds.free-ms=4000", "bounds.stall_ms=1500",
+		fmt.Sprintf("bounds.budget-slack=%d", 100+slack), "bounds.ttl_max_s=5", "bounds.hold-max-ms=20000", "bounds.free-ms=4000", "bounds.idle-max-ms=9000", "bounds.stall_ms=1500",
 	}
 	draft := e.settings + ".new"
 	if err := os.WriteFile(draft, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
