forwarder: only the request's own connection counts as had

The trace is set after memory is set aside. Ruled out: a lock on the note (it would still say what is not so).

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -67,14 +67,15 @@
 	// watchdog, up to three quarters of their patience, where a partition hid its end.
 	p.OnLost(func() { cancel(errRestarted) })
 	var err error
-	connected := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
 	a.group, err = f.reserve(ctx, x, p, cancel)
 	if err != nil {
 		a.verdict, a.err = verdictUnsent, err
 		f.blameForMemory(x, a)
 		return a
 	}
+	// Only the request's own connection counts, not those of orders about its memory.
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
 	request, err := f.build(ctx, x, a, lastEvent)
 	if err != nil {
 		a.verdict, a.err = verdictUnsent, err
