--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -169,6 +169,19 @@
 	return func(e *entry) bool { return e.board.Count("app") == n }
 }
 
+// running is how many requests the entry believes to run at all upstreams.
+func (e *entry) running() int {
+	sum := 0
+	for _, row := range e.board.Rows(time.Now()) {
+		sum += row.Load.Running
+	}
+	return sum
+}
+
+func knowing(n int) func(*entry) bool {
+	return func(e *entry) bool { return e.running() == n }
+}
+
 // All entries know each other and the store soon after their start.
 func TestFleetForms(t *testing.T) {
 	withFleet(t, 7, func(f *fleet) {
@@ -351,25 +364,18 @@
 			f.is.True(refusal == nil)
 			return p
 		}
-		running := func(e *entry) int {
-			sum := 0
-			for _, row := range e.board.Rows(time.Now()) {
-				sum += row.Load.Running
-			}
-			return sum
-		}
 		for range 5 {
 			place(f.entries[0])
 		}
 		place(f.entries[2])
 		time.Sleep(150 * time.Millisecond) // past the time at which all load is told again
-		f.is.Equal(running(f.entries[0]), 6)
+		f.is.Equal(f.entries[0].running(), 6)
 		f.entries[2].end()
 		f.net.Kill(f.entries[2].host)
 		f.entries[2] = f.start(2)
 		time.Sleep(250 * time.Millisecond)
-		f.is.Equal(running(f.entries[2]), 5)
-		f.is.Equal(running(f.entries[0]), 5)
+		f.is.Equal(f.entries[2].running(), 5)
+		f.is.Equal(f.entries[0].running(), 5)
 	})
 }
 
@@ -433,15 +439,6 @@
 				within += size
 			}
 		}
-		knowing := func(n int) func(*entry) bool {
-			return func(e *entry) bool {
-				sum := 0
-				for _, row := range e.board.Rows(time.Now()) {
-					sum += row.Load.Running
-				}
-				return sum == n
-			}
-		}
 		place := func() {
 			_, refusal := f.entries[0].board.Place(time.Now(), dispatcher.Demand{Service: "app"})
 			f.is.True(refusal == nil)
@@ -478,13 +475,7 @@
 		time.Sleep(500 * time.Millisecond)
 		_, refusal := f.entries[59].board.Place(time.Now(), dispatcher.Demand{Service: "app"})
 		f.is.True(refusal == nil)
-		f.within(time.Second, "load of all", func(e *entry) bool {
-			sum := 0
-			for _, row := range e.board.Rows(time.Now()) {
-				sum += row.Load.Running
-			}
-			return sum == 51
-		})
+		f.within(time.Second, "load of all", knowing(51))
 	})
 }
 
@@ -529,12 +520,6 @@
 			}
 		}
 		f.is.True(placed >= 60)
-		f.within(1500*time.Millisecond, "load of all", func(e *entry) bool {
-			sum := 0
-			for _, row := range e.board.Rows(time.Now()) {
-				sum += row.Load.Running
-			}
-			return sum == placed
-		})
+		f.within(1500*time.Millisecond, "load of all", knowing(placed))
 	})
 }
