dispatcher, forwarder: of two heavy prompts placed at the same moment one yields

Cause: entries that each hold a long prompt look at the engines every 25 ms, and where they get less to do several place within milliseconds, on the same engines, which look the same to all. One, traced: 257k and 530k tokens on nine common engines, 0.9 ms apart; the first began after 0.8 s, the second after 8.8 s (2.7 expected). When the first's answer ended, the second was prefilled in passes of 2.6 s, in which 72 short answers broke off, to be prefilled anew at engines in the same state.

Change: a heavy prompt is told to others 12 ms before it is sent; who learns in that time of another at one of its engines gives its place up, where that one's caller has waited longer (then by the request's token), or has been sent. Both know the same, so one stays.

Ruled out: an engine that fails or is cut off (events of all other engines went on), the killed entry of that second (its prompts were others).

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -106,6 +106,9 @@
 red newcomers-told controller/shares.go 's/told = c\.tellNew\(socket, told\)/_ = told/' ./controller TestRestartedEntryLearnsLoad\$
 red told-unheard controller/controller.go 's/if m\.PeerAddress\.IsValid\(\) && \(!dead/if m.PeerAddress.IsValid() \&\& (m.State == prober.Live || m.State == prober.Stopping) \&\& (!dead/' ./controller TestRestartedEntryLearnsLoadInALargeFleet
 red within prober/prober.go 's/if n < leastWithin/if n < 1<<30/' ./prober TestHeartbeatsStayWithinDataCentres
+red yields dispatcher/settle.go 's/rival\.sent\(now\) \|\| rival\.precedes\(r\)/false/' ./dispatcher 'TestOfTwoPlacedAtOnceOneYields|TestOfManyPlacedAtOnceSomeStay'
+red yields-to-sent dispatcher/settle.go 's/rival\.sent\(now\) \|\| //' ./dispatcher TestYieldsToWhatWasSent
+red settles forwarder/forward.go 's/if !p\.Settles\(\) \{/if true {/' ./forwarder TestPromptYieldsItsPlace
 red malformed-lines controller/linelimit.go 's/now\.Before\(l\.next\)/false/' ./controller TestLineLimit
 red status-takes controller/status.go 's/takes\[m\.Address\]/false/' ./controller TestStatusTellsWhoTakesCallers
 red watched-few prober/prober.go 's/if n < leastWithin/if n < 0/' ./prober TestHeartbeatsStayWithinDataCentres
--- a/dispatcher/request.go
+++ b/dispatcher/request.go
@@ -32,6 +32,8 @@
 	unknown []SharePart
 	// heard is when a peer last told of it, and had not seen its first event.
 	heard time.Time
+	// toldAt is when a peer first told of it; zero for this entry's own.
+	toldAt time.Time
 	// expires is until when what a peer told counts.
 	expires time.Time
 }
--- /dev/null
+++ b/dispatcher/settle.go
@@ -0,0 +1,64 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/sapphireramp/sapphireramp/predictor"
+)
+
+// SettleTime is how long a heavy prompt that has its place is not sent yet, so that entries
+// that chose the same engines at the same moment learn of each other: the time after which
+// entries tell of a change, a way between data centres and one within, with as much again
+// for the processor. It is 1% of the shortest time that a heavy prompt takes.
+const SettleTime = 12 * time.Millisecond
+
+// Settles reports whether the request is to wait for SettleTime before it is sent: a
+// heavy prompt, where other entries place too.
+func (p *Placement) Settles() bool {
+	b := p.board
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.peers > 0 && p.request.heavy()
+}
+
+// Yields reports whether the request is to give up its place, since a peer placed a heavy
+// prompt at one of its engines that was not known when this one was placed. The later
+// of the two would wait there until the other's answer ends, where the engine has no memory
+// for both, and then hold up everything that was placed there since. Of two that were
+// placed at the same moment one yields, at both entries the same.
+func (p *Placement) Yields(now time.Time) bool {
+	b, r := p.board, p.request
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	for _, own := range r.parts {
+		for other := range own.worker.parts {
+			rival := other.request
+			if rival.toldAt.After(r.placed) && rival.heavy() && (rival.sent(now) || rival.precedes(r)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// heavy reports whether the request's prompt is one that may have to wait for its turn.
+func (r *request) heavy() bool {
+	if len(r.parts) == 0 || r.parts[0].worker.engine == nil {
+		return false
+	}
+	return predictor.Prefill(r.parts[0].worker.engine, r.prompt) >= heavyPrefill
+}
+
+// sent reports whether a heavy request has been sent to its engines by a time, a moment
+// for the way of what was told of it included.
+func (r *request) sent(now time.Time) bool { return now.Sub(r.placed) > 2*SettleTime }
+
+// precedes orders requests that were placed at the same moment, alike at all entries: the
+// one whose caller has waited longer goes first.
+func (r *request) precedes(o *request) bool {
+	a, b := r.placed.Sub(r.since).Milliseconds(), o.placed.Sub(o.since).Milliseconds()
+	if a != b {
+		return a > b
+	}
+	return r.token < o.token
+}
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -177,7 +177,7 @@
 // newTold returns a peer's request that has no parts yet.
 func newTold(now time.Time, s Share) *request {
 	return &request{
-		token: s.Request, prompt: s.Prompt, answer: s.Answer, target: s.Target, pause: s.Pause, value: valueOf(s.Prompt), left: s.Left, placed: now.Add(-s.Age), since: now.Add(-s.Age - s.Waited),
+		token: s.Request, toldAt: now, prompt: s.Prompt, answer: s.Answer, target: s.Target, pause: s.Pause, value: valueOf(s.Prompt), left: s.Left, placed: now.Add(-s.Age), since: now.Add(-s.Age - s.Waited),
 		unknown: s.Parts, engines: len(s.Parts),
 	}
 }
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -71,7 +71,26 @@
 	d.Service, d.Avoid, d.Alone = x.service, x.avoid, x.alone
 	d.FirstByteTarget, d.PauseTarget = x.route.FirstByteTarget, x.route.PauseTarget
 	d.Admitted = x.sent > 0
+	p, refusal := f.find(x, d)
+	for yields := 0; refusal == nil && yields < mostYields && f.yields(x, p); yields++ {
+		p, refusal = f.find(x, d)
+	}
+	if refusal != nil {
+		return nil, notRun(refusal.Reason, refusal.RetryAfter, refusal)
+	}
+	f.log.Info("place", zap.String("request", x.call.ID), zap.String("service", x.service), zap.String("upstream", p.First.ID),
+		zap.String("data_centre", p.First.DataCentre), zap.Int("helpers", len(p.Helpers)), zap.String("helper_ids", ids(p.Helpers)), zap.Duration("expected_ms", p.Expected),
+		zap.Int("running", p.Load.Running), zap.Duration("prefill_ms", p.Load.Prefill), zap.Int("attempt", x.sent+1),
+		zap.Int64("config_revision", x.view.ConfigRevision), zap.Duration("list_age_ms", time.Since(x.view.ConfirmedAt)))
+	return p, nil
+}
+
+// find asks for a place until there is one, or the request is not to wait for one here.
+func (f *Forwarder) find(x *exchange, d dispatcher.Demand) (*dispatcher.Placement, *dispatcher.Refusal) {
 	d.Left = time.Until(x.deadline)
+	if d.Patience > 0 {
+		d.Waited, d.Patience = waited(x), firstEventPatience(x)
+	}
 	x.demand = d
 	p, refusal, took := f.look(d)
 	if refusal != nil && f.waits(x, refusal) {
@@ -85,14 +104,28 @@
 		d.Admitted = d.Admitted || v.Stopping && !v.endsBefore(x.route)
 		p, refusal, took = f.look(d)
 	}
-	if refusal != nil {
-		return nil, notRun(refusal.Reason, refusal.RetryAfter, refusal)
+	return p, refusal
+}
+
+// mostYields is how often a request gives its place up to another entry's: as often as
+// entries meet that each hold a few long prompts until engines have less to do.
+const mostYields = 3
+
+// yields lets other entries learn of a heavy prompt's place before it is used, and gives it up
+// where one of them took it at the same moment and goes first. On a day of bursts two
+// prompts of 257,000 and 530,000 tokens were given the same nine engines within a millisecond:
+// the second began four seconds late, in passes that took 2.6 s, and 72 answers broke off.
+func (f *Forwarder) yields(x *exchange, p *dispatcher.Placement) bool {
+	if !p.Settles() {
+		return false
 	}
-	f.log.Info("place", zap.String("request", x.call.ID), zap.String("service", x.service), zap.String("upstream", p.First.ID),
-		zap.String("data_centre", p.First.DataCentre), zap.Int("helpers", len(p.Helpers)), zap.String("helper_ids", ids(p.Helpers)), zap.Duration("expected_ms", p.Expected),
-		zap.Int("running", p.Load.Running), zap.Duration("prefill_ms", p.Load.Prefill), zap.Int("attempt", x.sent+1),
-		zap.Int64("config_revision", x.view.ConfigRevision), zap.Duration("list_age_ms", time.Since(x.view.ConfirmedAt)))
-	return p, nil
+	if !sleeper.Sleep(x.ctx, dispatcher.SettleTime) || !p.Yields(time.Now()) {
+		return false
+	}
+	f.log.Info("yield", zap.String("request", x.call.ID), zap.String("service", x.service), zap.String("upstream", p.First.ID),
+		zap.Int("helpers", len(p.Helpers)), zap.Duration("expected_ms", p.Expected))
+	p.End(time.Now(), dispatcher.Answered)
+	return true
 }
 
 // pollAfter is how long after a look that took some time the next one is.
--- /dev/null
+++ b/forwarder/yield_test.go
@@ -0,0 +1,36 @@
+package forwarder_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/sapphireramp/sapphireramp/dispatcher"
+)
+
+// Another entry places a long prompt on the same engines at the same moment, and its caller has
+// waited longer: this entry's prompt is not sent behind it, but when the engines are free.
+func TestPromptYieldsItsPlace(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		f.board.SetPeers(1, false)
+		other := dispatcher.New("a", rand.New(rand.NewPCG(3, 4)))
+		other.Update(f.table, f.instances)
+		done := make(chan answer, 1)
+		go func() { done <- f.ask(request{path: "/long/x", id: "s1", usage: "110000,100"}) }()
+		time.Sleep(2 * time.Millisecond)
+		p, refusal := other.Place(time.Now(), dispatcher.Demand{
+			Service: "lm", Prompt: 100_000, Answer: 100, FirstByteTarget: 3 * time.Second, PauseTarget: time.Second, Waited: time.Second, Patience: 9 * time.Second,
+		})
+		f.is.True(refusal == nil)
+		tell := func() { f.board.Import(time.Now(), dispatcher.TokenOf("other"), other.Export(time.Now(), false)) }
+		tell()
+		time.Sleep(100 * time.Millisecond)
+		f.is.Equal(runs(f.engines, "s1"), 0)
+		p.End(time.Now(), dispatcher.Answered)
+		tell()
+		a := <-done
+		f.is.Equal(a.status, 200)
+		f.is.Equal(a.body, whole("s1", 1))
+		f.is.Equal(runs(f.engines, "s1"), 1)
+	})
+}
--- a/logger/events.go
+++ b/logger/events.go
@@ -35,7 +35,7 @@
 	{"retry_budget_used_up", "A request was not sent once more because the shared budget had nothing left.", []string{"request", "service"}},
 	{"serve_peers", "Other entries can't be served; a fault of the program.", []string{"error"}},
 	{"settings_unreadable", "The settings could not be read again; the ones in force stay.", []string{"error"}},
-	{"share_malformed", "Another entry's load could not be read; versions may differ.", []string{"from", "error"}},
+	{"share_malformed", "Another entry's load could not be read; versions may differ. One line a second, with the count of those between.", []string{"from", "skipped", "error"}},
 	{"share_not_read", "Another entry's load was not received (debug).", []string{"error"}},
 	{"share_not_sent", "This entry's load was not sent to one other (debug).", []string{"peer", "error"}},
 	{"started", "The entry listens.", []string{"name", "data_centre", "callers", "peers"}},
@@ -50,4 +50,5 @@
 	{"upstreams_unreadable", "More entries of upstreams could not be read than are logged one by one.", []string{"count", "logged", "source"}},
 	{"wait", "A prompt waits at this entry for engines that have less to do, or that it would harm less. Expected_ms is when its first event would have come, had it been placed at once.", []string{"request", "service", "reason", "expected_ms", "patience_ms"}},
 	{"woke", "This process or its instance stood still; what it believed counts as unconfirmed.", []string{"paused_ms"}},
+	{"yield", "A long prompt gives its place up, since another entry placed one at some of the same engines at the same moment. It gets another, or waits.", []string{"request", "service", "upstream", "helpers", "expected_ms"}},
 }
