controller: changes of load go to the entries that place, and by way of them

Cause: each change of load went to all entries, by relays drawn from all of a data centre. Where 15 fast entries of 95 take the callers, 80 slow ones heard and passed on what they never use, and the word of a heavy prompt's place crossed by a fifth of a core: with the settle time of 12 ms before such a prompt is sent, four pairs of 204 were told of each other too late (11 pairs placed within 20 ms on common engines, 7 of them right after entries were killed).

Change: changes go to entries that callers are sent to or that told of requests in the last 2.1 s, relays are drawn from those; all of the load goes to every entry each 0.7 s as before. An entry that is asked all the same is told of each change from its first request on.

Conclusion: kept for the word of heavy prompts, and for 18 messages in place of 98 a change.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -101,8 +101,11 @@
 red entry-fault platform/instance.go 's/ok = ok && string\(raw\) != "null".*/_ = json.Unmarshal(raw, \&value)\n\tok = true/' ./platform TestEntriesOfOtherWriters
 red value-fault platform/store.go 's/l\.Instance, l\.Fault = unusable\(id\), err/l.Instance.Service = "app"/' ./platform TestUnreadableValues
 red unused-memory forwarder/group.go 's/g\.giveUp\(errIdle\)\n\t\t\treturn/_ = errIdle/' $p TestUnusedMemoryIsGivenBack
-red relays controller/shares.go 's/len\(group\) < relayFrom/true/' ./controller TestLoadCrossesBetweenDataCentresOnce
-red relayed controller/shares.go 's/if passOn \{/if passOn \&\& false {/' ./controller TestLoadCrossesBetweenDataCentresOnce
+red relays controller/paths.go 's/live\[name\] < relayFrom/true/' ./controller TestLoadCrossesBetweenDataCentresOnce
+red relayed controller/shares.go 's/case dispatcher\.RelayToPlacing:/case dispatcher.Relay(99):/' ./controller TestLoadCrossesBetweenDataCentresOnce
+red relayed-to-all controller/shares.go 's/case dispatcher\.RelayToAll:/case dispatcher.Relay(99):/' ./controller TestLoadGoesToEntriesThatPlace
+red told-to-placing controller/shares.go 's/c\.current\.Load\(\)\.placing, dispatcher\.RelayToPlacing/c.current.Load().paths, dispatcher.RelayToAll/' ./controller TestLoadGoesToEntriesThatPlace
+red asked-all-the-same controller/tellers.go 's/= told \|\|/= told \&\& false ||/' ./controller TestLoadGoesToEntriesThatPlace
 red newcomers-told controller/shares.go 's/told = c\.tellNew\(socket, told\)/_ = told/' ./controller TestRestartedEntryLearnsLoad\$
 red told-unheard controller/controller.go 's/if m\.PeerAddress\.IsValid\(\) && \(!dead/if m.PeerAddress.IsValid() \&\& (m.State == prober.Live || m.State == prober.Stopping) \&\& (!dead/' ./controller TestRestartedEntryLearnsLoadInALargeFleet
 red within prober/prober.go 's/if n < leastWithin/if n < 1<<30/' ./prober TestHeartbeatsStayWithinDataCentres
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -66,7 +66,8 @@
 	// takers are the entries that callers are told.
 	takers []taker
 	peers  []peer
-	paths  sharePaths
+	// paths lead to all peers, placing to those that place requests.
+	paths, placing sharePaths
 }
 
 type peer struct {
@@ -77,6 +78,8 @@
 	dataCentre  string
 	// dead entries are told of load, but relay none and count as no peers.
 	dead bool
+	// places is false of entries that take no callers now, as far as is known here.
+	places bool
 }
 
 // Controller is the control side of an entry.
@@ -88,6 +91,7 @@
 	// large answer would be late.
 	pool, fetches *connector.Pool
 	compressed    compressedConfig
+	tellers       tellers
 	// pushes asks for heartbeats to all peers at once, meetings for all load to be told
 	// to entries that are new here.
 	pushes, meetings chan struct{}
@@ -256,12 +260,12 @@
 		ready: s.table != nil && !s.stopping,
 	}
 	if v.ready {
-		v.takers = append(v.takers, taker{address: c.config.Callers, dataCentre: c.config.DataCentre, capacity: s.capacity()})
+		v.takers = append(v.takers, taker{name: c.config.Name, address: c.config.Callers, dataCentre: c.config.DataCentre, capacity: s.capacity()})
 	}
 	heard := 0
 	for _, m := range s.prober.Members() {
 		if m.State == prober.Live && m.Ready {
-			v.takers = append(v.takers, taker{address: m.Address, dataCentre: m.DataCentre, capacity: s.capacities[m.Name]})
+			v.takers = append(v.takers, taker{name: m.Name, address: m.Address, dataCentre: m.DataCentre, capacity: s.capacities[m.Name]})
 		}
 		if m.State == prober.Live || m.State == prober.Stopping {
 			heard++
@@ -273,12 +277,14 @@
 		if m.PeerAddress.IsValid() && (!dead || time.Since(s.died[m.Name]) < deadTold) {
 			v.peers = append(v.peers, peer{
 				name: m.Name, incarnation: m.Incarnation, beats: m.PeerAddress, dataCentre: m.DataCentre, dead: dead,
-				shares: netip.AddrPortFrom(m.PeerAddress.Addr(), c.config.Shares.Port()),
+				shares: netip.AddrPortFrom(m.PeerAddress.Addr(), c.config.Shares.Port()), places: true,
 			})
 		}
 	}
-	v.takers = preferred(v.takers)
-	v.paths = pathsOf(c.config.DataCentre, v.peers)
+	ready := v.takers
+	v.takers = preferred(ready)
+	c.tellers.spare(time.Now(), v.peers, unasked(ready, v.takers))
+	v.paths, v.placing = pathsOf(c.config.DataCentre, v.peers, everyone), pathsOf(c.config.DataCentre, v.peers, places)
 	s.noticeRestarts(v.peers)
 	c.config.Board.SetPeers(living(v.peers), s.blind(heard))
 	usable := s.follower.Usable()
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -472,6 +472,64 @@
 
 // An entry of a hundred that has just started knows within a second and a half what others
 // have placed, and they what it places, though it has heard few of them itself.
+// A burst at a fleet of 8 fast and 22 slow entries: only the fast ones take callers, so only
+// they need to know of each request at once. A slow one that is asked all the same is one of
+// them from its first request on.
+func TestLoadGoesToEntriesThatPlace(t *testing.T) {
+	const fast, slow = 8, 22
+	speed := func(i int) float64 {
+		if i < fast {
+			return 0.8
+		}
+		return 0.2
+	}
+	withSpeeds(t, fast+slow, speed, func(f *fleet) {
+		time.Sleep(8 * time.Second)
+		all := f.entries
+		place := func(e *entry) {
+			_, refusal := e.board.Place(time.Now(), dispatcher.Demand{Service: "app"})
+			f.is.True(refusal == nil)
+		}
+		hosts := map[netip.Addr]bool{}
+		for _, e := range all[fast:] {
+			hosts[e.host] = true
+		}
+		var lock sync.Mutex
+		toSlow, counts := 0, false
+		f.net.OnPacket = func(_, to netip.Addr, _ int) {
+			lock.Lock()
+			defer lock.Unlock()
+			if counts && hosts[to] {
+				toSlow++
+			}
+		}
+		count := func(on bool) {
+			lock.Lock()
+			defer lock.Unlock()
+			counts = on
+		}
+		for n := 1; n <= 10; n++ {
+			f.entries = all[:fast]
+			count(true)
+			place(all[0])
+			f.within(20*time.Millisecond, "load told to entries that place", knowing(n))
+			count(false)
+			f.entries = all
+			f.within(900*time.Millisecond, "load told to all", knowing(n))
+		}
+		lock.Lock()
+		f.is.True(toSlow < 10*slow/2) // two relays each time, all where a repeat falls into it
+		lock.Unlock()
+		asked := all[fast]
+		place(asked)
+		f.entries = append([]*entry{asked}, all[:fast]...)
+		f.within(20*time.Millisecond, "load of an entry that was asked", knowing(11))
+		place(all[0])
+		f.within(20*time.Millisecond, "load told to an entry that was asked", knowing(12))
+		f.entries = all
+	})
+}
+
 // An operator sees at any entry which others callers are sent to, and why.
 func TestStatusTellsWhoTakesCallers(t *testing.T) {
 	const fast, slow = 6, 4
--- /dev/null
+++ b/controller/paths.go
@@ -0,0 +1,57 @@
+package controller
+
+import "net/netip"
+
+// relayFrom is the number of entries of another data centre from which on one that
+// listens, drawn for each message, passes it on to the rest. With fewer a message
+// saved is not worth the one lost with a relay that has just died.
+const relayFrom = 4
+
+// sharePaths says whom this entry sends a message of load, and how.
+type sharePaths struct {
+	// near are told directly: listeners of the own data centre, and those of data
+	// centres with few entries. own are those of the own data centre.
+	near, own []netip.AddrPort
+	// far has the live listeners of each other data centre that has many entries: any of
+	// them passes messages on to the others, which it knows best.
+	far [][]netip.AddrPort
+}
+
+// pathsOf finds the paths from a data centre to those peers that listen.
+func pathsOf(dataCentre string, peers []peer, listens func(peer) bool) sharePaths {
+	var paths sharePaths
+	live := map[string]int{}
+	listeners, dead := map[string][]netip.AddrPort{}, map[string][]netip.AddrPort{}
+	for _, p := range peers {
+		far := p.dataCentre != dataCentre
+		if far && !p.dead {
+			live[p.dataCentre]++
+		}
+		switch {
+		case !listens(p):
+		case !far:
+			paths.own = append(paths.own, p.shares)
+		case p.dead:
+			dead[p.dataCentre] = append(dead[p.dataCentre], p.shares)
+		default:
+			listeners[p.dataCentre] = append(listeners[p.dataCentre], p.shares)
+		}
+	}
+	paths.near = append(paths.near, paths.own...)
+	for name, group := range listeners {
+		if len(group) == 1 || live[name] < relayFrom {
+			paths.near = append(paths.near, group...)
+			continue
+		}
+		paths.far = append(paths.far, group)
+		delete(dead, name) // the relay tells them too
+	}
+	for _, group := range dead {
+		paths.near = append(paths.near, group...)
+	}
+	return paths
+}
+
+func everyone(peer) bool { return true }
+
+func places(p peer) bool { return p.places }
--- a/controller/shares.go
+++ b/controller/shares.go
@@ -22,51 +22,8 @@
 	shareAll = 700 * time.Millisecond
 	// shareSize is the largest message read.
 	shareSize = 2048
-	// relayFrom is the number of entries of another data centre from which on one of
-	// them, drawn for each message, passes it on to the rest. With fewer a message
-	// saved is not worth the one lost with a relay that has just died.
-	relayFrom = 4
 )
 
-// sharePaths says whom this entry tells of its load.
-type sharePaths struct {
-	// near are told directly: all of the own data centre, and those of data centres
-	// with few entries. own are those of the own data centre.
-	near, own []netip.AddrPort
-	// far has a list for each other data centre that has many.
-	far [][]netip.AddrPort
-}
-
-// pathsOf sorts peers by data centre, as seen from one.
-func pathsOf(dataCentre string, peers []peer) sharePaths {
-	var paths sharePaths
-	groups, dead := map[string][]netip.AddrPort{}, map[string][]netip.AddrPort{}
-	for _, p := range peers {
-		if p.dataCentre == dataCentre {
-			paths.own = append(paths.own, p.shares)
-			continue
-		}
-		if p.dead {
-			dead[p.dataCentre] = append(dead[p.dataCentre], p.shares)
-			continue
-		}
-		groups[p.dataCentre] = append(groups[p.dataCentre], p.shares)
-	}
-	paths.near = append(paths.near, paths.own...)
-	for name, group := range groups {
-		if len(group) < relayFrom {
-			paths.near = append(paths.near, group...)
-			continue
-		}
-		paths.far = append(paths.far, group)
-		delete(dead, name) // the relay tells them too
-	}
-	for _, group := range dead {
-		paths.near = append(paths.near, group...)
-	}
-	return paths
-}
-
 // tellShares tells other entries of this one's load at upstreams.
 func (c *Controller) tellShares(ctx context.Context, socket net.PacketConn) {
 	repeat := time.NewTicker(shareAll)
@@ -87,7 +44,7 @@
 				return
 			}
 		}
-		c.spread(socket, c.encodeShares(c.config.Board.Export(time.Now(), all)))
+		c.spread(socket, c.encodeShares(c.config.Board.Export(time.Now(), all)), all)
 	}
 }
 
@@ -98,16 +55,20 @@
 	return dispatcher.EncodeShares(runToken(c.config.Name, c.config.Incarnation), shares)
 }
 
-// spread sends messages to all entries: one datagram to each other data centre that has
-// many, which goes on from there. Bytes between data centres then grow with their number
-// and not with that of entries: with 95 entries in five, 0.2 GB a day of 48 s went between
-// them before, three quarters of it for these messages.
-func (c *Controller) spread(socket net.PacketConn, messages [][]byte) {
-	paths := c.current.Load().paths
+// spread sends messages to entries: changes to those that place requests, all of the load
+// to each. One datagram goes to each other data centre that has many entries, and on from
+// there. Bytes between data centres then grow with their number and not with that of
+// entries: with 95 entries in five, 0.2 GB a day of 48 s went between them before, three
+// quarters of it for these messages.
+func (c *Controller) spread(socket net.PacketConn, messages [][]byte, all bool) {
+	paths, relayed := c.current.Load().placing, dispatcher.RelayToPlacing
+	if all {
+		paths, relayed = c.current.Load().paths, dispatcher.RelayToAll
+	}
 	for _, m := range messages {
 		c.sendEach(socket, m, paths.near)
 		for _, group := range paths.far {
-			c.send(socket, dispatcher.ForRelay(m), group[rand.IntN(len(group))])
+			c.send(socket, dispatcher.ForRelay(relayed, m), group[rand.IntN(len(group))])
 		}
 	}
 }
@@ -157,7 +118,7 @@
 			time.Sleep(shareTime)
 			continue
 		}
-		message, passOn := dispatcher.Relayed(buffer[:n])
+		relay, message := dispatcher.Relayed(buffer[:n])
 		peer, shares, err := dispatcher.DecodeShares(message)
 		if err != nil {
 			if skipped, ok := malformed.due(time.Now()); ok {
@@ -165,9 +126,16 @@
 			}
 			continue
 		}
-		if passOn {
+		now := time.Now()
+		switch relay {
+		case dispatcher.RelayToAll:
 			c.sendEach(socket, message, c.current.Load().paths.own)
+		case dispatcher.RelayToPlacing:
+			c.sendEach(socket, message, c.current.Load().placing.own)
+		}
+		if c.tellers.heard(now, peer) {
+			c.do(func(s *state) { s.dirty = true })
 		}
-		c.config.Board.Import(time.Now(), peer, shares)
+		c.config.Board.Import(now, peer, shares)
 	}
 }
--- a/controller/takers.go
+++ b/controller/takers.go
@@ -30,6 +30,7 @@
 
 // taker is an entry that takes callers.
 type taker struct {
+	name       string
 	address    netip.AddrPort
 	dataCentre string
 	capacity
@@ -84,6 +85,18 @@
 	return fast
 }
 
+// unasked are the names of ready entries that callers are not told.
+func unasked(ready, told []taker) map[string]bool {
+	out := map[string]bool{}
+	for _, t := range ready {
+		out[t.name] = true
+	}
+	for _, t := range told {
+		delete(out, t.name)
+	}
+	return out
+}
+
 // speedOf is the speed of entries together.
 func speedOf(takers []taker) float64 {
 	sum := 0.0
--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -10,9 +10,6 @@
 const (
 	// shareFormat is the first byte of a message of shares.
 	shareFormat = 8
-	// relayFormat is the first byte of a message that its receiver passes on; a whole
-	// message of shares follows.
-	relayFormat = 7
 	// maxShare bounds a message, so that it fits one datagram of a usual link.
 	maxShare = 1300
 	// tokenSize is the size of a token in bytes.
@@ -76,18 +73,34 @@
 	return to
 }
 
+// Relay says to whom in its data centre the receiver of a datagram passes its message on.
+// It is the first byte of the datagram; a whole message of shares follows.
+type Relay byte
+
+// Relays on the wire. The zero value is no byte there: the message is the receiver's alone.
+const (
+	RelayToNone    Relay = 0
+	RelayToPlacing Relay = 6
+	RelayToAll     Relay = 7
+)
+
 // ForRelay returns a message of shares as it is sent to an entry that is to pass it on.
-func ForRelay(message []byte) []byte {
-	return append([]byte{relayFormat}, message...)
+func ForRelay(r Relay, message []byte) []byte {
+	return append([]byte{byte(r)}, message...)
 }
 
-// Relayed returns the message of shares in a datagram, and whether its receiver is to
-// pass it on. The result shares memory with the argument.
-func Relayed(datagram []byte) (message []byte, passOn bool) {
-	if len(datagram) == 0 || datagram[0] != relayFormat {
-		return datagram, false
+// Relayed returns the message of shares in a datagram, and to whom its receiver is to
+// pass it on. The message shares memory with the argument.
+func Relayed(datagram []byte) (Relay, []byte) {
+	if len(datagram) == 0 {
+		return RelayToNone, datagram
+	}
+	switch r := Relay(datagram[0]); r {
+	case RelayToPlacing, RelayToAll:
+		return r, datagram[1:]
+	default:
+		return RelayToNone, datagram
 	}
-	return datagram[1:], true
 }
 
 // shareReader reads a message; after the first fault it reads only zeros.
