--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -6,14 +6,12 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/matcher"
-	"github.com/sapphireramp/sapphireramp/sleeper"
 )
 
 // maxBuffered is the largest plain answer in bytes that is read whole before
@@ -45,108 +43,6 @@
 	return fail
 }
 
-const (
-	// waitPart is the part of its target for which a request waits for a place
-	// before it is refused: a backlog falls that much in the time, and the
-	// caller, who seldom asks a third time, keeps its second try.
-	waitPart = 8
-	// waitPoll is how often it looks, at most.
-	waitPoll = 25 * time.Millisecond
-	// pollFactor is how many times as long as a look took it waits for the next one: to
-	// weigh a long prompt before 112 engines takes 0.9 ms of a whole core, 5 ms on a fifth
-	// of one, and five waiting prompts would leave such an entry no time for anything else.
-	pollFactor = 10
-)
-
-// waits reports whether a request that has no place yet may get one soon, here.
-func (f *Forwarder) waits(x *exchange, r *dispatcher.Refusal) bool {
-	if f.view().endsBefore(x.route) {
-		return false
-	}
-	return r.Passing && (r.Early || time.Since(x.arrived) < x.route.FirstByteTarget/waitPart)
-}
-
-// place finds the next upstream for a request.
-func (f *Forwarder) place(x *exchange, d dispatcher.Demand) (*dispatcher.Placement, *failure) {
-	d.Service, d.Avoid, d.Alone = x.service, x.avoid, x.alone
-	d.FirstByteTarget, d.PauseTarget = x.route.FirstByteTarget, x.route.PauseTarget
-	d.Admitted = x.sent > 0
-	p, refusal := f.find(x, d)
-	for yields := 0; refusal == nil && yields < mostYields && f.yields(x, p); yields++ {
-		p, refusal = f.find(x, d)
-	}
-	if refusal != nil {
-		return nil, notRun(refusal.Reason, refusal.RetryAfter, refusal)
-	}
-	f.log.Info("place", zap.String("request", x.call.ID), zap.String("service", x.service), zap.String("upstream", p.First.ID),
-		zap.String("data_centre", p.First.DataCentre), zap.Int("helpers", len(p.Helpers)), zap.String("helper_ids", ids(p.Helpers)), zap.Duration("expected_ms", p.Expected),
-		zap.Int("running", p.Load.Running), zap.Duration("prefill_ms", p.Load.Prefill), zap.Int("attempt", x.sent+1),
-		zap.Int64("config_revision", x.view.ConfigRevision), zap.Duration("list_age_ms", time.Since(x.view.ConfirmedAt)))
-	return p, nil
-}
-
-// find asks for a place until there is one, or the request is not to wait for one here.
-func (f *Forwarder) find(x *exchange, d dispatcher.Demand) (*dispatcher.Placement, *dispatcher.Refusal) {
-	d.Left = time.Until(x.deadline)
-	if d.Patience > 0 {
-		d.Waited, d.Patience = waited(x), firstEventPatience(x)
-	}
-	x.demand = d
-	p, refusal, took := f.look(d)
-	if refusal != nil && f.waits(x, refusal) {
-		f.log.Info("wait", zap.String("request", x.call.ID), zap.String("service", x.service), zap.String("reason", refusal.Reason),
-			zap.Duration("expected_ms", refusal.Expected), zap.Duration("patience_ms", d.Patience))
-	}
-	for refusal != nil && f.waits(x, refusal) && sleeper.Sleep(x.ctx, pollAfter(took)) {
-		d.Waited, d.Patience, d.Left = waited(x), firstEventPatience(x), time.Until(x.deadline)
-		// A stopping entry holds nothing: what it begins is to end before it does.
-		v := f.view()
-		d.Admitted = d.Admitted || v.Stopping && !v.endsBefore(x.route)
-		p, refusal, took = f.look(d)
-	}
-	return p, refusal
-}
-
-// mostYields is how often a request gives its place up to another entry's: as often as
-// entries meet that each hold a few long prompts until engines have less to do.
-const mostYields = 3
-
-// yields lets other entries learn of a heavy prompt's place before it is used, and gives it up
-// where one of them took it at the same moment and goes first. On a day of bursts two
-// prompts of 257,000 and 530,000 tokens were given the same nine engines within a millisecond:
-// the second began four seconds late, in passes that took 2.6 s, and 72 answers broke off.
-func (f *Forwarder) yields(x *exchange, p *dispatcher.Placement) bool {
-	if !p.Settles() {
-		return false
-	}
-	if !sleeper.Sleep(x.ctx, dispatcher.SettleTime) || !p.Yields(time.Now()) {
-		return false
-	}
-	f.log.Info("yield", zap.String("request", x.call.ID), zap.String("service", x.service), zap.String("upstream", p.First.ID),
-		zap.Int("helpers", len(p.Helpers)), zap.Duration("expected_ms", p.Expected))
-	p.End(time.Now(), dispatcher.Answered)
-	return true
-}
-
-// pollAfter is how long after a look that took some time the next one is.
-func pollAfter(took time.Duration) time.Duration { return max(waitPoll, pollFactor*took) }
-
-// look asks the board for a place, and tells how long that took.
-func (f *Forwarder) look(d dispatcher.Demand) (*dispatcher.Placement, *dispatcher.Refusal, time.Duration) {
-	began := time.Now()
-	p, refusal := f.board.Place(began, d)
-	return p, refusal, time.Since(began)
-}
-
-// ids joins the IDs of instances, for the log.
-func ids(instances []dispatcher.Instance) string {
-	names := make([]string, len(instances))
-	for i, h := range instances {
-		names[i] = h.ID
-	}
-	return strings.Join(names, ",")
-}
-
 // mayRepeat reports whether the request may be sent once more after an
 // attempt, and takes that out of the budget where it counts.
 func (f *Forwarder) mayRepeat(x *exchange, a *attempt, unsent int) bool {
