controller, launcher: the clock since boot is a field that tests pause

Entries compare the time since boot with the monotonic clock to notice a suspension, and read the system's clock for it even where time is paused: a test that takes longer than the time that it plays looked like a suspended instance, so that entries counted as strained and were told of no load.

Ruled out: the change of paths itself (runs alone pass), messages lost by the stand-in network.

The product's own clock is the same as before.

--- a/controller/clock.go
+++ b/controller/clock.go
@@ -6,9 +6,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// sinceBoot is the time since the instance booted, with the time that it was
+// SinceBoot is the time since the instance booted, with the time that it was
 // suspended; 0 where the system doesn't tell.
-func sinceBoot() time.Duration {
+func SinceBoot() time.Duration {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
 		return 0 // only pauses that the monotonic clock sees are noticed then
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -51,12 +51,15 @@
 	// InForce is how soon a change in the store has to be in force here.
 	InForce time.Duration
 	// Speed is that of this entry in processor cores; 0 where it is not known.
-	Speed    float64
-	Board    *dispatcher.Board
-	Dial     connector.DialFunc
-	Log      *zap.Logger
-	Scope    tally.Scope
-	Asserter *asserter.Asserter
+	Speed float64
+	// SinceBoot is the time since the instance booted, with the time that it was
+	// suspended; SinceBoot of this package, or a clock that tests advance.
+	SinceBoot func() time.Duration
+	Board     *dispatcher.Board
+	Dial      connector.DialFunc
+	Log       *zap.Logger
+	Scope     tally.Scope
+	Asserter  *asserter.Asserter
 }
 
 // view is what the control goroutine publishes. It is never changed.
@@ -181,7 +184,7 @@
 	now := time.Now()
 	s := &state{
 		controller: c, follower: follower.New(), contacts: map[string]contact{}, capacities: map[string]capacity{}, died: map[string]time.Time{},
-		seeds: seeds, started: now, lastTick: now, lastBoot: sinceBoot(),
+		seeds: seeds, started: now, lastTick: now, lastBoot: c.config.SinceBoot(),
 		prober: prober.New(prober.Config{Name: c.config.Name, Incarnation: c.config.Incarnation, DataCentre: c.config.DataCentre, Neighbours: neighbours, Suspect: suspectTime}),
 	}
 	s.follower.BoundRemovals(c.config.InForce)
@@ -220,7 +223,7 @@
 
 // tick looks for pauses of this process, silent members and held upstreams.
 func (s *state) tick(now time.Time) {
-	boot := sinceBoot()
+	boot := s.controller.config.SinceBoot()
 	// The monotonic clock stands still while an instance is suspended, the
 	// clock since boot doesn't.
 	suspended := boot - s.lastBoot - now.Sub(s.lastTick)
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -91,6 +91,9 @@
 	<-e.ended
 }
 
+// sinceEpoch is the paused clock: an instance that is never suspended, however slow the test is.
+func sinceEpoch() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
 func hostOf(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, byte(1 + i%3), 0, byte(10 + i)}) }
 
 func (f *fleet) start(i int) *entry {
@@ -104,7 +107,7 @@
 		Name: fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3), Incarnation: uint64(f.started),
 		Callers: netip.AddrPortFrom(host, 80), Peers: netip.AddrPortFrom(host, 81), Shares: netip.AddrPortFrom(host, 82),
 		Store: controller.Store{Read: reader.Read, Watch: reader.Watch, Decode: platform.DecodeConfig}, InForce: 2 * time.Second,
-		Board: board, Dial: f.net.Dialer(host), Log: zap.NewNop(), Scope: tally.NoopScope,
+		SinceBoot: sinceEpoch, Board: board, Dial: f.net.Dialer(host), Log: zap.NewNop(), Scope: tally.NoopScope,
 		Asserter: asserter.New(func(name, detail string) { f.t.Errorf("%s: %s", name, detail) }),
 	}
 	if f.speed != nil {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -65,8 +65,9 @@
 	Scope            tally.Scope
 	MetricsPage      http.Handler
 	Asserter         *asserter.Asserter
-	// Dial, Listen and ListenPacket stand in for the network; nil means that
-	// of the instance.
+	// SinceBoot stands in for the clock since the instance booted, Dial, Listen and
+	// ListenPacket for the network; nil means that of the instance.
+	SinceBoot    func() time.Duration
 	Dial         connector.DialFunc
 	Listen       func(netip.AddrPort) (net.Listener, error)
 	ListenPacket func(netip.AddrPort) (net.PacketConn, error)
@@ -101,12 +102,12 @@
 
 // New returns an entry that does not listen yet.
 func New(c Config) *Launcher {
-	c = c.withNetwork()
+	c = c.withSystem()
 	board := dispatcher.New(c.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	l := &Launcher{config: c, settings: c.Settings, budget: budgeter.New(c.Settings.Budget)}
 	l.controller = controller.New(controller.Config{
 		Name: c.Name, DataCentre: c.DataCentre, Incarnation: uint64(time.Now().UnixNano()),
-		Callers: c.Callers, Peers: c.Peers, Shares: c.Shares, Store: c.Store, InForce: c.InForce, Speed: c.Speed, Board: board, Dial: c.Dial,
+		Callers: c.Callers, Peers: c.Peers, Shares: c.Shares, Store: c.Store, InForce: c.InForce, Speed: c.Speed, SinceBoot: c.SinceBoot, Board: board, Dial: c.Dial,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	l.forwarder = forwarder.New(forwarder.Config{
@@ -116,8 +117,11 @@
 	return l
 }
 
-// withNetwork fills in the network of the instance.
-func (c Config) withNetwork() Config {
+// withSystem fills in the clock and the network of the instance.
+func (c Config) withSystem() Config {
+	if c.SinceBoot == nil {
+		c.SinceBoot = controller.SinceBoot
+	}
 	if c.Dial == nil {
 		c.Dial = newDialer().DialContext
 	}
