--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -151,7 +151,7 @@
 	e := &entry{host: host, reload: make(chan struct{}, 1), ended: make(chan struct{})}
 	l := launcher.New(launcher.Config{
 		SinceBoot: func() time.Duration { return time.Duration(time.Now().UnixNano()) }, // the paused clock
-		Name: fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3), Callers: at(entryPort), Ready: at(readyPort),
+		Name:      fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3), Callers: at(entryPort), Ready: at(readyPort),
 		Peers: at(peerPort), Directory: at(directoryPort), Shares: at(sharePort), AddressLife: time.Second, Settings: settings,
 		Reload: func() (launcher.Settings, error) { return settings, nil },
 		Store:  controller.Store{Read: reader.Read, Watch: reader.Watch, Decode: platform.DecodeConfig}, InForce: 2 * time.Second,
