--- a/dispatcher/settle_test.go
+++ b/dispatcher/settle_test.go
@@ -45,7 +45,7 @@
 
 // Engines get less to do, and two entries that each hold a long prompt place it within a
 // millisecond on the same engines: on a day of bursts the second then began four seconds
-// late, and 72 short answers broke off. Of the two the one that waited longer stays, and the
+// late, and 67 short answers broke off. Of the two the one that waited longer stays, and the
 // other finds engines that are free.
 func TestOfTwoPlacedAtOnceOneYields(t *testing.T) {
 	for _, c := range []struct {
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -78,7 +78,7 @@
 // yields lets other entries learn of a heavy prompt's place before it is used, and gives it up
 // where one of them took it at the same moment and goes first. On a day of bursts two
 // prompts of 257,000 and 530,000 tokens were given the same nine engines within a millisecond:
-// the second began four seconds late, in passes that took 2.6 s, and 72 answers broke off.
+// the second began four seconds late, in passes that took 2.6 s, and 67 answers broke off.
 func (f *Forwarder) yields(x *exchange, p *dispatcher.Placement) bool {
 	if !p.Settles() {
 		return false
