dispatcher: a relay is not told by the format before

Cause: the byte of the newest relay was 6, which is the format of messages of the last landed version. In an upgrade an entry took a message of that format for one to pass on, and read what follows as one of ours: refused as a rule, as it should be, but taken where the sender's token begins with our format's number, one in 256. An entry of that version read a relayed message as one of its own format likewise.

The test fails first: the relay of a message of that format was 6, not none.

--- a/dispatcher/share_test.go
+++ b/dispatcher/share_test.go
@@ -61,6 +61,25 @@
 	}
 }
 
+// In an upgrade entries hear messages of the format before: those are no relayed ones, and an
+// entry of that format takes none of ours for its own.
+func TestFormatBeforeIsNoRelay(t *testing.T) {
+	is := is.New(t)
+	const before = 6
+	message := EncodeShares(1, []Share{{Request: 2, Parts: []SharePart{{Upstream: 3}}}})[0]
+	old := append([]byte{before}, message[1:]...)
+	r, rest := Relayed(old)
+	is.Equal(r, RelayToNone)
+	_, _, err := DecodeShares(rest)
+	is.Equal(err, ErrShare)
+	for _, r := range []Relay{RelayToPlacing, RelayToAll} {
+		is.True(ForRelay(r, message)[0] != before)
+		got, rest := Relayed(ForRelay(r, message))
+		is.Equal(got, r)
+		is.Equal(rest, message)
+	}
+}
+
 func FuzzDecodeShares(f *testing.F) {
 	f.Add(EncodeShares(1, []Share{{Request: 2, Parts: []SharePart{{Upstream: 3}}}})[0])
 	f.Fuzz(func(_ *testing.T, m []byte) { _, _, _ = DecodeShares(m) })
--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -78,10 +78,12 @@
 type Relay byte
 
 // Relays on the wire. The zero value is no byte there: the message is the receiver's alone.
+// The others are no format of messages, past ones included: in an upgrade an entry would
+// now and then take one for the other.
 const (
 	RelayToNone    Relay = 0
-	RelayToPlacing Relay = 6
 	RelayToAll     Relay = 7
+	RelayToPlacing Relay = 9
 )
 
 // ForRelay returns a message of shares as it is sent to an entry that is to pass it on.
