dispatcher: one test of heavy, one loss of a demand, one loop of offers

A refactoring. The time to prefill is worked out once more where a heavy prompt's cost is judged, a few multiplications.

--- a/dispatcher/admit.go
+++ b/dispatcher/admit.go
@@ -21,15 +21,17 @@
 	drainFactor = 4
 )
 
+// heavy reports whether a prompt takes an engine that long.
+func heavy(e *matcher.Engine, prompt int) bool { return predictor.Prefill(e, prompt) >= heavyPrefill }
+
 // tooCostly refuses a prompt that would lose others more than it is worth. Cost is
 // what its place would lose, its own lateness included.
 func tooCostly(d Demand, e *matcher.Engine, loads []candidate, cost float64) *Refusal {
-	prefill := predictor.Prefill(e, d.Prompt)
-	if d.Admitted || prefill < heavyPrefill {
+	if d.Admitted || !heavy(e, d.Prompt) {
 		return nil
 	}
 	backlog := meanBacklog(loads)
-	price := timePrice * backlog.Seconds() * prefill.Seconds()
+	price := timePrice * backlog.Seconds() * predictor.Prefill(e, d.Prompt).Seconds()
 	if valueOf(d.Prompt)-cost-price > 0 {
 		return nil
 	}
@@ -53,7 +55,7 @@
 // while it would harm others. Engines put what is new before what they have, and pauses grow with all they
 // have: a prompt that waits at its entry holds up nobody.
 func tooEarly(d Demand, e *matcher.Engine, g group, backlog time.Duration) *Refusal {
-	if d.Admitted || predictor.Prefill(e, d.Prompt) < heavyPrefill || d.Patience < heldPatience*g.finish {
+	if d.Admitted || !heavy(e, d.Prompt) || d.Patience < heldPatience*g.finish {
 		return nil
 	}
 	age := float64(d.Waited) / float64(d.FirstByteTarget)
--- a/dispatcher/loss.go
+++ b/dispatcher/loss.go
@@ -57,3 +57,9 @@
 	left := max(unfinished, lateness(wait, matcher.AbandonAfter(target, pauseTarget)), lateness(pause, matcher.AbandonAfter(0, pauseTarget)))
 	return lateLoss*late + abandonLoss*left + slope*float64(wait)/float64(max(1, target))
 }
+
+// loss is what a request would lose by its first event and longest pause from now on, and by
+// not ending before its caller leaves, in requests.
+func (d Demand) loss(finish, pause time.Duration, unfinished float64) float64 {
+	return valueOf(d.Prompt) * streamLoss(d.Waited+finish, d.FirstByteTarget, pause, d.PauseTarget, unfinished)
+}
--- a/dispatcher/search.go
+++ b/dispatcher/search.go
@@ -49,11 +49,7 @@
 // foremost returns the candidates that would cost least with one of k parts, in the order
 // of the cost.
 func (s *search) foremost(now time.Time, d Demand, loads []candidate, k int) []candidate {
-	s.offers = s.offers[:0]
-	for i := range loads {
-		s.offers = append(s.offers, loads[i].offer(now, d, k, false, s.forecast))
-	}
-	s.rank(d)
+	s.weigh(now, d, loads, k)
 	out := make([]candidate, 0, mostWeighed)
 	for _, i := range s.order[:mostWeighed] {
 		out = append(out, loads[i])
@@ -95,12 +91,20 @@
 	order  []int
 }
 
+// weigh ranks what each candidate would cost as a helper, with one of k parts.
+func (s *search) weigh(now time.Time, d Demand, loads []candidate, k int) {
+	s.offers = s.offers[:0]
+	for i := range loads {
+		s.offers = append(s.offers, loads[i].offer(now, d, k, false, s.forecast))
+	}
+	s.rank(d)
+}
+
 // rank orders offers from the one that costs least on.
 func (s *search) rank(d Demand) {
-	worth := valueOf(d.Prompt)
 	s.ranked, s.order = s.ranked[:0], s.order[:0]
 	for i, o := range s.offers {
-		s.ranked = append(s.ranked, o.cost+worth*streamLoss(d.Waited+o.finish, d.FirstByteTarget, o.pause, d.PauseTarget, o.unfinished))
+		s.ranked = append(s.ranked, o.cost+d.loss(o.finish, o.pause, o.unfinished))
 		s.order = append(s.order, i)
 	}
 	slices.SortFunc(s.order, func(i, j int) int {
@@ -132,17 +136,12 @@
 
 // joint finds the k engines that lose least by prefilling a prompt together.
 func (s *search) joint(now time.Time, d Demand, loads []candidate, k int) group {
-	s.offers = s.offers[:0]
-	for i := range loads {
-		s.offers = append(s.offers, loads[i].offer(now, d, k, false, s.forecast))
-	}
-	s.rank(d)
+	s.weigh(now, d, loads, k)
 	first, answering := -1, offer{}
 	least := 0.0
-	worth := valueOf(d.Prompt)
 	for _, i := range s.order[:min(len(s.order), k, mostFirsts)] {
 		o := s.offers[i].offer(now, d, k, true, s.forecast)
-		cost := o.cost - s.offers[i].cost + worth*streamLoss(d.Waited+o.finish, d.FirstByteTarget, o.pause, d.PauseTarget, o.unfinished)
+		cost := o.cost - s.offers[i].cost + d.loss(o.finish, o.pause, o.unfinished)
 		if first < 0 || cost < least {
 			first, answering, least = i, o, cost
 		}
@@ -158,6 +157,6 @@
 		g.harm += o.harm
 		g.finish = max(g.finish, o.finish)
 	}
-	g.cost += helperCost*float64(k-1) + worth*streamLoss(d.Waited+g.finish, d.FirstByteTarget, answering.pause, d.PauseTarget, answering.unfinished)
+	g.cost += helperCost*float64(k-1) + d.loss(g.finish, answering.pause, answering.unfinished)
 	return g
 }
--- a/dispatcher/settle.go
+++ b/dispatcher/settle.go
@@ -1,15 +1,11 @@
 package dispatcher
 
-import (
-	"time"
-
-	"github.com/sapphireramp/sapphireramp/predictor"
-)
+import "time"
 
 // SettleTime is how long a heavy prompt that has its place is not sent yet, so that entries
 // that chose the same engines at the same moment learn of each other: the time after which
 // entries tell of a change, a way between data centres and one within, with as much again
-// for the processor. It is 1% of the shortest time that a heavy prompt takes.
+// for the processor. It is 1% of the engines' time that the least heavy prompt takes.
 const SettleTime = 12 * time.Millisecond
 
 // Settles reports whether the request is to wait for SettleTime before it is sent: a
@@ -41,12 +37,10 @@
 	return false
 }
 
-// heavy reports whether the request's prompt is one that may have to wait for its turn.
+// heavy reports whether the request's prompt is.
 func (r *request) heavy() bool {
-	if len(r.parts) == 0 || r.parts[0].worker.engine == nil {
-		return false
-	}
-	return predictor.Prefill(r.parts[0].worker.engine, r.prompt) >= heavyPrefill
+	e := r.parts[0].worker.engine
+	return e != nil && heavy(e, r.prompt)
 }
 
 // sent reports whether a heavy request has been sent to its engines by a time, a moment
