predictor: answers are counted in one place

A refactoring. The forecast's decoding pass counted answers and their context beside the count that Remove has.

--- a/predictor/forecast.go
+++ b/predictor/forecast.go
@@ -99,13 +99,7 @@
 
 // decodePass is the time of a pass that only decodes the answers that are decoded.
 func (q *Queue) decodePass() time.Duration {
-	answers, context := 0, 0
-	for i := range q.tasks {
-		if q.tasks[i].decoding {
-			answers++
-			context += q.tasks[i].job.Context
-		}
-	}
+	answers, context := q.answers()
 	return time.Duration(float64(DecodePass(q.engine, max(1, answers), context)) * q.pace)
 }
 
--- a/predictor/queue.go
+++ b/predictor/queue.go
@@ -146,7 +146,8 @@
 	// A pass goes on without a part of it, but for one that would have nothing left to do, or
 	// no answer to decode any more: that has just had its last event.
 	t := q.tasks[i]
-	ends := t.taken > 0 && !q.decodes || t.decoding && q.answers() == 1
+	answers, _ := q.answers()
+	ends := t.taken > 0 && !q.decodes || t.decoding && answers == 1
 	if ends && !q.end.IsZero() {
 		q.interrupt(now)
 	}
@@ -156,15 +157,15 @@
 	}
 }
 
-// answers is how many answers are decoded.
-func (q *Queue) answers() int {
-	n := 0
+// answers is how many answers are decoded, and how many tokens a decode step attends to.
+func (q *Queue) answers() (n, context int) {
 	for i := range q.tasks {
-		if q.tasks[i].decoding {
+		if t := &q.tasks[i]; t.decoding {
 			n++
+			context += t.job.Context
 		}
 	}
-	return n
+	return n, context
 }
 
 func (q *Queue) index(j *Job) int {
