forwarder: times of a demand are brought up to date in one place

A refactoring. Waited, patience and the time left were worked out in stream, at the first look and at each further one; whether at all was told by a patience that was not zero, now by the route's kind.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -111,9 +111,9 @@
 red within prober/prober.go 's/if n < leastWithin/if n < 1<<30/' ./prober TestHeartbeatsStayWithinDataCentres
 red yields dispatcher/settle.go 's/rival\.sent\(now\) \|\| rival\.precedes\(r\)/false/' ./dispatcher 'TestOfTwoPlacedAtOnceOneYields|TestOfManyPlacedAtOnceSomeStay'
 red yields-to-sent dispatcher/settle.go 's/rival\.sent\(now\) \|\| //' ./dispatcher TestYieldsToWhatWasSent
-red settles forwarder/place.go 's/if !p\.Settles\(\) \{/if true {/' ./forwarder TestPromptYieldsItsPlace
+red settles forwarder/place.go 's/if !p\.Settles\(\) \|\|/if true ||/' ./forwarder TestPromptYieldsItsPlace
 red malformed-lines controller/linelimit.go 's/now\.Before\(l\.next\)/false/' ./controller TestLineLimit
-red status-takes controller/status.go 's/takes\[m\.Address\]/false/' ./controller TestStatusTellsWhoTakesCallers
+red status-takes controller/status.go 's/takes\[m\.Name\]/false/' ./controller TestStatusTellsWhoTakesCallers
 red watched-few prober/prober.go 's/if n < leastWithin/if n < 0/' ./prober TestHeartbeatsStayWithinDataCentres
 red fast-entries controller/takers.go 's/t\.speed < fastPart\*fastest/false/' ./controller TestPreferredEntries
 red time-to-end dispatcher/request.go 's/unfinished = over\(/_ = over(/' ./dispatcher TestLongPromptLeavesAnswersTimeToEnd
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/dispatcher"
+	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/sleeper"
 )
 
@@ -55,10 +56,7 @@
 
 // find asks for a place until there is one, or the request is not to wait for one here.
 func (f *Forwarder) find(x *exchange, d dispatcher.Demand) (*dispatcher.Placement, *dispatcher.Refusal) {
-	d.Left = time.Until(x.deadline)
-	if d.Patience > 0 {
-		d.Waited, d.Patience = waited(x), firstEventPatience(x)
-	}
+	d = asOfNow(x, d)
 	x.demand = d
 	p, refusal, took := f.look(d)
 	if refusal != nil && f.waits(x, refusal) {
@@ -66,7 +64,7 @@
 			zap.Duration("expected_ms", refusal.Expected), zap.Duration("patience_ms", d.Patience))
 	}
 	for refusal != nil && f.waits(x, refusal) && sleeper.Sleep(x.ctx, pollAfter(took)) {
-		d.Waited, d.Patience, d.Left = waited(x), firstEventPatience(x), time.Until(x.deadline)
+		d = asOfNow(x, d)
 		// A stopping entry holds nothing: what it begins is to end before it does.
 		v := f.view()
 		d.Admitted = d.Admitted || v.Stopping && !v.endsBefore(x.route)
@@ -75,15 +73,21 @@
 	return p, refusal
 }
 
+// asOfNow returns a demand with its times as they are now.
+func asOfNow(x *exchange, d dispatcher.Demand) dispatcher.Demand {
+	d.Left = time.Until(x.deadline)
+	if x.route.Kind == matcher.Stream {
+		d.Waited, d.Patience = waited(x), firstEventPatience(x)
+	}
+	return d
+}
+
 // yields lets other entries learn of a heavy prompt's place before it is used, and gives it up
 // where one of them took it at the same moment and goes first. On a day of bursts two
 // prompts of 257,000 and 530,000 tokens were given the same nine engines within a millisecond:
 // the second began four seconds late, in passes that took 2.6 s, and 67 answers broke off.
 func (f *Forwarder) yields(x *exchange, p *dispatcher.Placement) bool {
-	if !p.Settles() {
-		return false
-	}
-	if !sleeper.Sleep(x.ctx, dispatcher.SettleTime) || !p.Yields(time.Now()) {
+	if !p.Settles() || !sleeper.Sleep(x.ctx, dispatcher.SettleTime) || !p.Yields(time.Now()) {
 		return false
 	}
 	f.log.Info("yield", zap.String("request", x.call.ID), zap.String("service", x.service), zap.String("upstream", p.First.ID),
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -27,7 +27,7 @@
 	events := splitter.New(x.call.LastEvent)
 	unsent := 0
 	for {
-		p, fail := f.place(x, dispatcher.Demand{Prompt: x.call.Prompt, Answer: expectedAnswer(x), Waited: waited(x), Patience: firstEventPatience(x)})
+		p, fail := f.place(x, dispatcher.Demand{Prompt: x.call.Prompt, Answer: expectedAnswer(x)})
 		if fail != nil && x.pending > 0 {
 			return unknown(reasonFailed, fail.cause)
 		}
