controller, Makefile: a value that is always overwritten, a twin in tests, a comment at the wrong test, twelve lines of fuzzing

A refactoring. Whether a peer places is always set by tellers.spare; status finds takers by the name that they have by now; both tests of entries of two speeds take them from one function; the comment of the restarted entry's test had stayed above another one; fuzz targets are a list.

--- a/Makefile
+++ b/Makefile
@@ -39,16 +39,12 @@
 
 # Looks for input that the decoders can't take, for a while each.
 FUZZTIME ?= 30s
+FUZZ = validator:FuzzParse loader:FuzzParse spender:FuzzParse sealer:FuzzVerify \
+	server:FuzzDecodePrompt platform:FuzzDecodeConfig platform:FuzzParseSettings \
+	platform:FuzzInstance platform:FuzzItems dispatcher:FuzzDecodeShares splitter:FuzzFeed \
+	explainer:FuzzExplain
+# Minimizing an input of interest would take the rest of the time, hence 1x.
 fuzz:
-	go test ./validator -run XXX -fuzz FuzzParse -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
-	go test ./loader -run XXX -fuzz FuzzParse -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
-	go test ./spender -run XXX -fuzz FuzzParse -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
-	go test ./sealer -run XXX -fuzz FuzzVerify -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
-	go test ./server -run XXX -fuzz FuzzDecodePrompt -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
-	go test ./platform -run XXX -fuzz FuzzDecodeConfig -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
-	go test ./platform -run XXX -fuzz FuzzParseSettings -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
-	go test ./platform -run XXX -fuzz FuzzInstance -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
-	go test ./platform -run XXX -fuzz FuzzItems -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
-	go test ./dispatcher -run XXX -fuzz FuzzDecodeShares -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
-	go test ./splitter -run XXX -fuzz FuzzFeed -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
-	go test ./explainer -run XXX -fuzz FuzzExplain -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	set -e; for t in $(FUZZ); do \
+	  go test ./$${t%:*} -run XXX -fuzz $${t#*:} -fuzztime $(FUZZTIME) -fuzzminimizetime 1x; \
+	done
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -280,7 +280,7 @@
 		if m.PeerAddress.IsValid() && (!dead || time.Since(s.died[m.Name]) < deadTold) {
 			v.peers = append(v.peers, peer{
 				name: m.Name, incarnation: m.Incarnation, beats: m.PeerAddress, dataCentre: m.DataCentre, dead: dead,
-				shares: netip.AddrPortFrom(m.PeerAddress.Addr(), c.config.Shares.Port()), places: true,
+				shares: netip.AddrPortFrom(m.PeerAddress.Addr(), c.config.Shares.Port()),
 			})
 		}
 	}
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -73,6 +73,16 @@
 	})
 }
 
+// fastUpTo is the speed of entries of which the first are fast.
+func fastUpTo(fast int) func(int) float64 {
+	return func(i int) float64 {
+		if i < fast {
+			return 0.8
+		}
+		return 0.2
+	}
+}
+
 func (f *fleet) end() {
 	for _, e := range f.entries {
 		e.end()
@@ -473,20 +483,12 @@
 	})
 }
 
-// An entry of a hundred that has just started knows within a second and a half what others
-// have placed, and they what it places, though it has heard few of them itself.
 // A burst at a fleet of 8 fast and 22 slow entries: only the fast ones take callers, so only
 // they need to know of each request at once. A slow one that is asked all the same is one of
 // them from its first request on.
 func TestLoadGoesToEntriesThatPlace(t *testing.T) {
 	const fast, slow = 8, 22
-	speed := func(i int) float64 {
-		if i < fast {
-			return 0.8
-		}
-		return 0.2
-	}
-	withSpeeds(t, fast+slow, speed, func(f *fleet) {
+	withSpeeds(t, fast+slow, fastUpTo(fast), func(f *fleet) {
 		time.Sleep(8 * time.Second)
 		all := f.entries
 		place := func(e *entry) {
@@ -536,13 +538,7 @@
 // An operator sees at any entry which others callers are sent to, and why.
 func TestStatusTellsWhoTakesCallers(t *testing.T) {
 	const fast, slow = 6, 4
-	speed := func(i int) float64 {
-		if i < fast {
-			return 0.8
-		}
-		return 0.2
-	}
-	withSpeeds(t, fast+slow, speed, func(f *fleet) {
+	withSpeeds(t, fast+slow, fastUpTo(fast), func(f *fleet) {
 		time.Sleep(3 * time.Second)
 		members := f.entries[0].Status().Members
 		f.is.Equal(len(members), fast+slow-1)
@@ -558,6 +554,8 @@
 	})
 }
 
+// An entry of a hundred that has just started knows within a second and a half what others
+// have placed, and they what it places, though it has heard few of them itself.
 func TestRestartedEntryLearnsLoadInALargeFleet(t *testing.T) {
 	withFleet(t, 60, func(f *fleet) {
 		time.Sleep(2 * time.Second)
--- a/controller/status.go
+++ b/controller/status.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/api"
@@ -32,14 +31,14 @@
 	if age, ok := s.follower.ConfirmedAge(now); ok {
 		status.Confirmed = age
 	}
-	takes := map[netip.AddrPort]bool{}
+	takes := map[string]bool{}
 	for _, t := range s.controller.current.Load().takers {
-		takes[t.address] = true
+		takes[t.name] = true
 	}
 	for _, m := range s.prober.Members() {
 		told := s.capacities[m.Name]
 		line := api.MemberStatus{
-			Name: m.Name, State: string(m.State), Incarnation: m.Incarnation, Speed: told.speed, Strained: told.strained, Takes: takes[m.Address],
+			Name: m.Name, State: string(m.State), Incarnation: m.Incarnation, Speed: told.speed, Strained: told.strained, Takes: takes[m.Name],
 		}
 		if !m.Heard.IsZero() {
 			line.Heard = now.Sub(m.Heard)
