forwarder, logger: a request's line tells how long its answer may be and how long a stopping entry has left

Cause: of a stream that was cut when its entry ended, the log told neither how long the answer may have been, nor how many events it had, nor how long after the order to stop it was taken. Two suspicions could not be told apart: an answer that is simply long, or an engine that is late.

--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -133,11 +133,15 @@
 		zap.String("request", x.call.ID), zap.String("outcome", outcome), zap.Int("status", x.status(fail)),
 		zap.Duration("took_ms", time.Since(x.arrived)), zap.Int("attempts", x.sent), zap.Int("prompt", x.call.Prompt),
 	}
+	if x.call.Answer > 0 {
+		fields = append(fields, zap.Int("answer", x.call.Answer), zap.Int("answer_hint", x.call.AnswerHint), zap.Int("events", x.events))
+	}
 	if x.route != nil {
 		fields = append(fields, zap.String("route", x.route.Name), zap.String("kind", x.route.Kind.String()))
 	}
 	if x.view != nil {
 		fields = append(fields, zap.Int64("config_revision", x.view.ConfigRevision))
+		fields = append(fields, x.view.stopFields(x.arrived)...)
 	}
 	if !x.firstAt.IsZero() {
 		f.metrics.streamed(x.call.Prompt, x.firstAt.Sub(x.arrived), x.longestPause)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -115,6 +115,8 @@
 	firstAt      time.Time
 	eventAt      time.Time
 	longestPause time.Duration
+	// events counts those passed on.
+	events int
 }
 
 type handler func(*exchange) *failure
@@ -263,3 +265,11 @@
 	}
 	return 10 * r.FirstByteTarget
 }
+
+// stopFields tell, for the log, how long before the end of a stopping entry something was.
+func (v *View) stopFields(at time.Time) []zap.Field {
+	if !v.Stopping {
+		return nil
+	}
+	return []zap.Field{zap.Duration("stop_left_ms", v.StopBy.Sub(at))}
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -157,6 +157,7 @@
 	}
 	x.longestPause = max(x.longestPause, now.Sub(x.eventAt))
 	x.eventAt = now
+	x.events++
 	if _, err := x.writer.Write(e.Raw); err != nil {
 		return fmt.Errorf("write to caller: %w", err)
 	}
