standin/caller: callers that keep an address, with other prompts and slow bodies

For tests of stops: how long an answer of the directory is kept, what a prompt says of its tokens and what a request sends can be set, a caller can be kept to one address, and a result holds Retry-After. Callers of the tests so far do as before.

--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -26,6 +26,8 @@
 	directoryTime = time.Second
 	// idleConnections are kept to each entry.
 	idleConnections = 4
+	// usualUsage is a prompt of 2,000 tokens with an answer of up to 200.
+	usualUsage = "2000,200"
 )
 
 // ErrNoAddress says that no directory named an address.
@@ -35,18 +37,32 @@
 type Caller struct {
 	// Directories are where entries say which addresses to use.
 	Directories []netip.AddrPort
-	client      *http.Client
-	random      *rand.Rand
-	addresses   []netip.AddrPort
-	asked       time.Time
+	// AddressLife is how long an answer of the directory is kept.
+	AddressLife time.Duration
+	// Usage is what prompts say of their token counts.
+	Usage string
+	// Body returns what a request sends; nil for nothing.
+	Body      func() io.Reader
+	client    *http.Client
+	random    *rand.Rand
+	addresses []netip.AddrPort
+	asked     time.Time
+	// fixed is true where the directory is not asked.
+	fixed bool
 }
 
 // New returns a caller that connects by dial.
 func New(directories []netip.AddrPort, seed uint64, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Caller {
 	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idleConnections}
-	return &Caller{Directories: directories, random: rand.New(rand.NewPCG(seed, 1)), client: &http.Client{Transport: transport}}
+	return &Caller{
+		Directories: directories, AddressLife: addressLife, Usage: usualUsage,
+		random: rand.New(rand.NewPCG(seed, 1)), client: &http.Client{Transport: transport},
+	}
 }
 
+// Fix has the caller use an address whatever the directory says.
+func (c *Caller) Fix(address netip.AddrPort) { c.addresses, c.fixed = []netip.AddrPort{address}, true }
+
 // Close closes idle connections.
 func (c *Caller) Close() { c.client.CloseIdleConnections() }
 
@@ -57,6 +73,8 @@
 	Entry  netip.AddrPort
 	Status int
 	Body   string
+	// RetryAfter is when a refused caller is asked to come back; empty where nothing is said.
+	RetryAfter string
 	// Err is a connection that ended before a whole answer.
 	Err  error
 	At   time.Time
@@ -68,7 +86,7 @@
 
 // resolve asks up to three entries for addresses.
 func (c *Caller) resolve() {
-	if time.Since(c.asked) < addressLife {
+	if c.fixed || time.Since(c.asked) < c.AddressLife {
 		return
 	}
 	order := c.random.Perm(len(c.Directories))
@@ -112,37 +130,43 @@
 	r.Entry = c.addresses[c.random.IntN(len(c.addresses))]
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	r.Status, r.Body, r.Err = c.send(ctx, r, key, patience)
+	r.Err = c.send(ctx, &r, key, patience)
 	r.Took = time.Since(r.At)
 	return r
 }
 
-func (c *Caller) send(ctx context.Context, r Result, key string, patience time.Duration) (int, string, error) {
+// send sends the request of a result and fills in its answer.
+func (c *Caller) send(ctx context.Context, r *Result, key string, patience time.Duration) error {
 	method := http.MethodPost
 	if strings.HasPrefix(r.Path, "/safe/") {
 		method = http.MethodGet
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+r.Entry.String()+r.Path, nil)
+	var body io.Reader
+	if c.Body != nil {
+		body = c.Body()
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+r.Entry.String()+r.Path, body)
 	if err != nil {
-		return 0, "", fmt.Errorf("build request: %w", err)
+		return fmt.Errorf("build request: %w", err)
 	}
 	request.Host = "h"
 	request.Header.Set("Authorization", "Bearer "+key)
 	request.Header.Set("X-Attempt-Id", r.ID)
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
 	if !plain(r.Path) {
-		request.Header.Set("X-Token-Usage", "2000,200")
+		request.Header.Set("X-Token-Usage", c.Usage)
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
-		return 0, "", fmt.Errorf("send: %w", err)
+		return fmt.Errorf("send: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	answer, err := io.ReadAll(response.Body)
+	r.Status, r.Body, r.RetryAfter = response.StatusCode, string(answer), response.Header.Get("Retry-After")
 	if err != nil {
-		err = fmt.Errorf("read answer: %w", err)
+		return fmt.Errorf("read answer: %w", err)
 	}
-	return response.StatusCode, string(body), err
+	return nil
 }
 
 func plain(path string) bool {
