launcher: test of requests that a stopping entry begins and cannot end

Callers that still had the address of a stopping entry saw streams break off in the middle of the answer: begun seconds after the order to stop, as nine in ten would have ended by then, and cut with the process 7.3 s after the order.

--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -89,12 +89,18 @@
 	go func() { _ = server.Serve(listener) }()
 }
 
-// addWorker starts an upstream and lists it.
+// addWorker starts an upstream that answers as most do and lists it.
 func (f *fleet) addWorker(service string) string {
+	return f.addWorkerThat(service, 20*time.Millisecond, streamEvents, 60*time.Millisecond)
+}
+
+// addWorkerThat starts an upstream that answers after work, or with so many events and pauses
+// between them, and lists it.
+func (f *fleet) addWorkerThat(service string, work time.Duration, events int, pause time.Duration) string {
 	f.next++
 	id := fmt.Sprintf("i-%s-%d", service, f.next)
 	host := netip.AddrFrom4([4]byte{10, 100, byte(f.next >> 8), byte(f.next)})
-	w := worker.New(id, 20*time.Millisecond, streamEvents, 60*time.Millisecond)
+	w := worker.New(id, work, events, pause)
 	f.workers[id], f.hosts[id], f.born[id] = w, host, time.Now().UnixMilli()
 	f.serve(netip.AddrPortFrom(host, 80), w)
 	f.list(id, service, "ready")
