forwarder, dispatcher: a stopping entry begins only what surely ends before it does

Cause: an entry that stops began a request where its target and three seconds were left, which is what nine in ten answers once took. It never asked when this answer would end, asked when the header came and not when the request was passed on, and had the board take it however late.

Now it begins what ends by the request's own time limit, or, while callers may have its address, what ends in time by the forecast with the most tokens that the request allows; everything else is told at once where, or when, it is served. The check is made at each look for a place, so that waiting, bodies and second attempts pass it too. Silence near the end takes no stream to an engine that can't end it. All entries are told of that end as of a caller's, and keep long prompts from the engine.

Why it holds: the time limit is a bound whatever engines do; the forecast is of the longest answer, not of a usual one. Beyond the time for which callers may know the address only the time limit counts. What is left: a forecast is wrong where more than a third is added after it.

TestHeldRequestAtAStoppingEntry: the prompt allowed 100 tokens, which do end in the two seconds left, and now allows 2,000; TestStoppingEntry: others take callers there. What both check is unchanged.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -111,6 +111,13 @@
 red told-unheard controller/controller.go 's/if m\.PeerAddress\.IsValid\(\) && \(!dead/if m.PeerAddress.IsValid() \&\& (m.State == prober.Live || m.State == prober.Stopping) \&\& (!dead/' ./controller TestRestartedEntryLearnsLoadInALargeFleet
 red within prober/prober.go 's/if n < leastWithin/if n < 1<<30/' ./prober TestHeartbeatsStayWithinDataCentres
 red end-is-told launcher/launcher.go 's/l\.cut\(forwarder\.ErrCutOff\)/_ = forwarder.ErrCutOff/' ./launcher TestEndOfAnEntryIsTold
+red ends-in-time forwarder/stop.go 's/return v\.Stopping \&\& x\.deadline\.After\(v\.StopBy\)/return false/' $p TestStoppingEntryBeginsOnlyWhatEndsInTime
+red stopping-forecast dispatcher/place.go 's/d\.latestEnd\(now, best\) > d\.EndWithin/false/' ./launcher TestStoppingEntryCutsNoWaitingPrompt
+red stopping-plain dispatcher/place.go 's/if d\.EndWithin > 0 \{/if false {/' ./launcher TestStoppingEntryCutsNoLateBody
+red stop-elsewhere forwarder/stop.go 's/v\.Others > 0 \&\& x\.arrived/false \&\& x.arrived/' $p TestStoppingEntryBeginsOnlyWhatEndsInTime
+red stop-retry forwarder/stop.go 's/if v\.Others > 0 \{/if true {/' $p TestLastEntryThatStops
+red stop-told forwarder/stop.go 's/d\.Left = min\(d\.Left, d\.EndWithin\)/_ = d.Left/' ./forwarder TestEndOfAStoppingEntryIsTold
+red stop-silence forwarder/watchdog.go 's/d = x\.withinStop\(v, d\)/_ = d/' $p TestSilenceNearTheEndOfAnEntry
 red yields dispatcher/settle.go 's/rival\.sent\(now\) \|\| rival\.precedes\(r\)/false/' ./dispatcher 'TestOfTwoPlacedAtOnceOneYields|TestOfManyPlacedAtOnceSomeStay'
 red yields-to-sent dispatcher/settle.go 's/rival\.sent\(now\) \|\| //' ./dispatcher TestYieldsToWhatWasSent
 red settles forwarder/place.go 's/if !p\.Settles\(\) \|\|/if true ||/' ./forwarder TestPromptYieldsItsPlace
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -130,10 +130,11 @@
 	died     map[string]time.Time
 	seeds    []netip.AddrPort
 	stopping bool
-	stopBy   time.Time
-	started  time.Time
-	lastTick time.Time
-	lastBoot time.Duration
+	// stopBy is when a stopping entry ends, knownUntil until when callers may use its address.
+	stopBy, knownUntil time.Time
+	started            time.Time
+	lastTick           time.Time
+	lastBoot           time.Duration
 	// storeLost says that the last call to the store failed.
 	storeLost bool
 	// fetching is how many fetches from peers are in progress.
@@ -258,7 +259,7 @@
 	v := &view{
 		View: forwarder.View{
 			Table: s.table, ConfigRevision: configRevision, ConfirmedAt: s.follower.ConfirmedAt(), TrustTime: part(c.config.InForce, trustPart),
-			StoreLost: s.storeLost, Entries: max(len(s.contacts)+1, 2*len(s.seeds)), Stopping: s.stopping, StopBy: s.stopBy,
+			StoreLost: s.storeLost, Entries: max(len(s.contacts)+1, 2*len(s.seeds)), Stopping: s.stopping, StopBy: s.stopBy, KnownUntil: s.knownUntil,
 		},
 		ready: s.table != nil && !s.stopping,
 	}
@@ -285,6 +286,10 @@
 		}
 	}
 	ready := v.takers
+	v.Others = len(ready)
+	if v.ready {
+		v.Others--
+	}
 	v.takers = preferred(ready)
 	c.tellers.spare(time.Now(), v.peers, unasked(ready, v.takers))
 	v.paths, v.placing = pathsOf(c.config.DataCentre, v.peers, everyone), pathsOf(c.config.DataCentre, v.peers, places)
@@ -370,11 +375,11 @@
 // Ready reports whether this entry takes callers.
 func (c *Controller) Ready() bool { return c.current.Load().ready }
 
-// Stop tells callers and other entries that this entry ends at a time. When it
-// returns, this entry is no longer ready.
-func (c *Controller) Stop(by time.Time) {
+// Stop tells callers and other entries that this entry ends at a time. Callers may use its
+// address until knownUntil. When it returns, this entry is no longer ready.
+func (c *Controller) Stop(knownUntil, by time.Time) {
 	c.do(func(s *state) {
-		s.stopping, s.stopBy = true, by
+		s.stopping, s.knownUntil, s.stopBy = true, knownUntil, by
 		s.publish()
 	})
 	c.push()
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -356,7 +356,7 @@
 // A stopping entry is left out at once.
 func TestStoppingEntryLeavesDirectory(t *testing.T) {
 	withFleet(t, 5, func(f *fleet) {
-		f.entries[0].Stop(time.Now().Add(5 * time.Second))
+		f.entries[0].Stop(time.Now().Add(3*time.Second), time.Now().Add(5*time.Second))
 		f.is.True(!f.entries[0].Ready())
 		f.within(300*time.Millisecond, "stopping entry left out", func(e *entry) bool { return len(e.Addresses("dc-0")) == 4 })
 	})
--- a/dispatcher/admit.go
+++ b/dispatcher/admit.go
@@ -86,3 +86,19 @@
 	}
 	return sum / time.Duration(len(g.offers))
 }
+
+// ending refuses a request whose answer may not end before the entry that would relay it.
+func ending(expected time.Duration) *Refusal {
+	return &Refusal{Reason: "stopping", Ending: true, Expected: expected, RetryAfter: leastRetry}
+}
+
+// latestEnd is how long the whole answer may take, as far as can be foreseen: all events that the
+// request allows, as estimates of an answer's length are right at the median only, with
+// all slots of the engine taken, and a part more for long prompts that come to it meanwhile.
+func (d Demand) latestEnd(now time.Time, g group) time.Duration {
+	o := g.offers[0]
+	e := o.worker.engine
+	events := max(d.Answer, d.MostAnswer)/max(1, e.Stride) + 1
+	pass := float64(predictor.DecodePass(e, e.Slots, o.load.Tokens+d.Prompt)) * o.worker.health.pace(now)
+	return time.Duration(endTo * (float64(g.finish) + float64(events)*pass))
+}
--- a/dispatcher/demand.go
+++ b/dispatcher/demand.go
@@ -25,6 +25,12 @@
 	Admitted bool
 	// Alone forbids helpers: a group has failed the request before.
 	Alone bool
+	// EndWithin is how long the entry that relays the answer is there yet: where the answer may
+	// take longer, the request is refused. 0 where the entry does not stop.
+	EndWithin time.Duration
+	// MostAnswer is how many tokens the answer may have at most, where EndWithin is set;
+	// Answer is what is expected.
+	MostAnswer int
 }
 
 // Refusal says that no upstream can serve a request now.
@@ -38,6 +44,8 @@
 	Passing bool
 	// Early says that the prompt has time to wait until engines have less to do.
 	Early bool
+	// Ending says that the answer may not end before the entry that would relay it does.
+	Ending bool
 }
 
 func (r *Refusal) Error() string {
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -45,6 +45,9 @@
 		return nil, &Refusal{Reason: "no_upstream", RetryAfter: leastRetry}
 	}
 	if workers[0].engine == nil || d.Prompt == 0 {
+		if d.EndWithin > 0 {
+			return nil, ending(0)
+		}
 		return b.placePlain(now, d, workers), nil
 	}
 	return b.placePrompt(now, d, workers)
@@ -155,6 +158,9 @@
 		r.Expected = best.finish
 		return nil, r
 	}
+	if d.EndWithin > 0 && d.latestEnd(now, best) > d.EndWithin {
+		return nil, ending(best.finish)
+	}
 	if r := tooEarly(d, workers[0].engine, best, groupBacklog(best)); r != nil {
 		return nil, r
 	}
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -122,7 +122,7 @@
 	"header_too_large":          "refused: the header is over the configuration's limit",
 	"body_too_large":            "refused: the body is over the configuration's limit",
 	"body_not_read":             "refused, not run: the caller did not send its whole body in time",
-	"stopping":                  "refused, not run: the entry was about to end and could not have answered in time",
+	"stopping":                  "refused, not run: the entry was told to stop, and the answer might have lasted longer than it; retry_after_ms says when another serves it",
 	"no_upstream":               "refused, not run: the list had no upstream of the service that could be used",
 	"no_memory":                 "refused, not run: no engines together had the memory for this prompt",
 	"overloaded":                "refused, not run: the first event would have come after the caller had left",
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -99,8 +99,11 @@
 	StoreLost bool
 	// Entries is the most entries that may share the retry budget.
 	Entries int
-	// Stopping entries take what still comes, and ask callers to leave.
+	// Stopping entries ask callers to leave, and take what is over before they end.
 	Stopping bool
-	// StopBy is when a stopping entry ends; zero otherwise.
-	StopBy time.Time
+	// Others is how many other entries take callers, as far as is known.
+	Others int
+	// StopBy is when a stopping entry ends, KnownUntil until when callers may use its address, as
+	// they have it from the directory; zero otherwise.
+	StopBy, KnownUntil time.Time
 }
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -34,7 +34,7 @@
 	if fail == nil {
 		return nil
 	}
-	if cut := x.cutOff(caller, fail.cause); cut != nil {
+	if cut := x.cutOff(caller, f.view(), fail.cause); cut != nil {
 		return cut
 	}
 	if x.callerLeft() {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -153,8 +153,7 @@
 	}
 }
 
-// open refuses requests while the entry knows no configuration, or will end
-// before it could answer.
+// open refuses requests while the entry knows no configuration.
 func (f *Forwarder) open(next handler) handler {
 	return func(x *exchange) *failure {
 		x.view = f.awaitConfig(x)
@@ -221,8 +220,8 @@
 		}
 		x.deadline = x.arrived.Add(patience(x))
 		x.service = route.Pick(rand.Float64())
-		if x.view.endsBefore(route) {
-			return notRun(reasonStopping, soonRetry, nil)
+		if x.view.turnsAway(x) {
+			return refuseStopping(x.view, nil)
 		}
 		return next(x)
 	}
@@ -250,26 +249,3 @@
 	}
 	return d
 }
-
-// endsBefore reports whether the entry may end before a request of a route that begins now.
-func (v *View) endsBefore(r *matcher.Route) bool {
-	return v.Stopping && v.StopBy.Before(time.Now().Add(stopMargin(r)))
-}
-
-// stopMargin is how long before its end a stopping entry begins nothing more:
-// ten times the target, and three seconds for a stream to be written, which is
-// what nine in ten answers of the first deployments take.
-func stopMargin(r *matcher.Route) time.Duration {
-	if r.Kind == matcher.Stream {
-		return r.FirstByteTarget + 3*time.Second
-	}
-	return 10 * r.FirstByteTarget
-}
-
-// stopFields tell, for the log, how long before the end of a stopping entry something was.
-func (v *View) stopFields(at time.Time) []zap.Field {
-	if !v.Stopping {
-		return nil
-	}
-	return []zap.Field{zap.Duration("stop_left_ms", v.StopBy.Sub(at))}
-}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -140,6 +140,8 @@
 	path, id, key, usage, lastEvent, body string
 	patience                              time.Duration
 	ctx                                   context.Context
+	// sending is sent in place of the body.
+	sending io.Reader
 }
 
 func (f *fixture) ask(r request) answer {
@@ -151,7 +153,11 @@
 	if strings.HasPrefix(r.path, "/safe/") {
 		method = http.MethodGet
 	}
-	q, err := http.NewRequestWithContext(ctx, method, "http://"+entryHost.String()+r.path, strings.NewReader(r.body))
+	body := r.sending
+	if body == nil {
+		body = strings.NewReader(r.body)
+	}
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+entryHost.String()+r.path, body)
 	f.is.NoErr(err)
 	q.Host = "h"
 	if r.key == "" {
@@ -175,8 +181,8 @@
 		return answer{err: err, took: time.Since(began)}
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return answer{status: response.StatusCode, header: response.Header, body: string(body), closes: response.Close, err: err, took: time.Since(began)}
+	text, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(text), closes: response.Close, err: err, took: time.Since(began)}
 }
 
 func whole(id string, from int) string {
@@ -555,7 +561,7 @@
 func TestStoppingEntry(t *testing.T) {
 	withForwarder(t, func(f *fixture) {
 		stopping := *f.view.Load()
-		stopping.Stopping, stopping.StopBy = true, time.Now().Add(2*time.Second)
+		stopping.Stopping, stopping.StopBy, stopping.Others = true, time.Now().Add(2*time.Second), 1
 		f.view.Store(&stopping)
 		a := f.ask(request{path: "/once/x", id: "r1"})
 		f.is.Equal(a.status, 200)
@@ -578,7 +584,7 @@
 				f.is.True(refusal == nil)
 			}
 			done := make(chan answer)
-			go func() { done <- f.ask(request{path: "/long/x", id: "s1", usage: "90000,100"}) }()
+			go func() { done <- f.ask(request{path: "/long/x", id: "s1", usage: "90000,2000"}) }()
 			time.Sleep(150 * time.Millisecond)
 			f.is.Equal(runs(f.engines, "s1"), 0)
 			stopping := *f.view.Load()
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -29,9 +29,6 @@
 
 // waits reports whether a request that has no place yet may get one soon, here.
 func (f *Forwarder) waits(x *exchange, r *dispatcher.Refusal) bool {
-	if f.view().endsBefore(x.route) {
-		return false
-	}
 	return r.Passing && (r.Early || time.Since(x.arrived) < x.route.FirstByteTarget/waitPart)
 }
 
@@ -44,6 +41,9 @@
 	for yields := 0; refusal == nil && yields < mostYields && f.yields(x, p); yields++ {
 		p, refusal = f.find(x, d)
 	}
+	if refusal != nil && refusal.Ending {
+		return nil, refuseStopping(f.view(), refusal)
+	}
 	if refusal != nil {
 		return nil, notRun(refusal.Reason, refusal.RetryAfter, refusal)
 	}
@@ -56,7 +56,7 @@
 
 // find asks for a place until there is one, or the request is not to wait for one here.
 func (f *Forwarder) find(x *exchange, d dispatcher.Demand) (*dispatcher.Placement, *dispatcher.Refusal) {
-	d = asOfNow(x, d)
+	d = f.asOfNow(x, d)
 	x.demand = d
 	p, refusal, took := f.look(d)
 	if refusal != nil && f.waits(x, refusal) {
@@ -64,22 +64,19 @@
 			zap.Duration("expected_ms", refusal.Expected), zap.Duration("patience_ms", d.Patience))
 	}
 	for refusal != nil && f.waits(x, refusal) && sleeper.Sleep(x.ctx, pollAfter(took)) {
-		d = asOfNow(x, d)
-		// A stopping entry holds nothing: what it begins is to end before it does.
-		v := f.view()
-		d.Admitted = d.Admitted || v.Stopping && !v.endsBefore(x.route)
+		d = f.asOfNow(x, d)
 		p, refusal, took = f.look(d)
 	}
 	return p, refusal
 }
 
 // asOfNow returns a demand with its times as they are now.
-func asOfNow(x *exchange, d dispatcher.Demand) dispatcher.Demand {
+func (f *Forwarder) asOfNow(x *exchange, d dispatcher.Demand) dispatcher.Demand {
 	d.Left = time.Until(x.deadline)
 	if x.route.Kind == matcher.Stream {
 		d.Waited, d.Patience = waited(x), firstEventPatience(x)
 	}
-	return d
+	return x.withStop(f.view(), d)
 }
 
 // yields lets other entries learn of a heavy prompt's place before it is used, and gives it up
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -3,19 +3,84 @@
 import (
 	"context"
 	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sapphireramp/sapphireramp/dispatcher"
 )
 
+// restartTime is how long after the end of an entry it takes callers again, at most, as a rule.
+const restartTime = time.Second
+
 // ErrCutOff is the cause for which the requests end that are still in progress when their entry does.
 var ErrCutOff = errors.New("the entry ends")
 
 // cutOff is the failure of a request that the end of its entry cut off; nil where that is not
 // why it ended.
-func (x *exchange) cutOff(caller context.Context, cause error) *failure {
+func (x *exchange) cutOff(caller context.Context, v *View, cause error) *failure {
 	if !errors.Is(context.Cause(caller), ErrCutOff) {
 		return nil
 	}
 	if x.pending == 0 && !x.begun {
-		return notRun(reasonStopping, soonRetry, ErrCutOff)
+		return refuseStopping(v, ErrCutOff)
 	}
 	return unknown(reasonCutOff, cause)
 }
+
+// mayOutlast reports whether a request may still be in progress when a stopping entry
+// ends. Only the time limit of the request says for sure that it is not: how long an answer
+// gets nobody knows before its last event.
+func (x *exchange) mayOutlast(v *View) bool { return v.Stopping && x.deadline.After(v.StopBy) }
+
+// turnsAway reports whether an entry that stops refuses a request whatever it asks for: one that may
+// be in progress when the entry ends, by a caller that should know others by now.
+func (v *View) turnsAway(x *exchange) bool {
+	return x.mayOutlast(v) && v.Others > 0 && x.arrived.After(v.KnownUntil)
+}
+
+// withStop has the board place a request only where the longest answer that it allows ends, as far as
+// can be foreseen, before a stopping entry does. A refused caller may meet another entry that
+// stops, and seldom asks a third time, so what surely ends is served. A stopping entry holds nothing
+// back: what waited here is begun at once, or told to go elsewhere. An answer that has begun goes on
+// as long as it can.
+func (x *exchange) withStop(v *View, d dispatcher.Demand) dispatcher.Demand {
+	if !v.Stopping {
+		return d
+	}
+	d.Admitted = true
+	if x.mayOutlast(v) && !x.begun {
+		return x.withinStop(v, d)
+	}
+	return d
+}
+
+// withinStop bounds a demand by the end of a stopping entry. All entries are told of that end as
+// they are of the caller's, so that long prompts are kept from the answer's engine.
+func (x *exchange) withinStop(v *View, d dispatcher.Demand) dispatcher.Demand {
+	d.MostAnswer, d.EndWithin = x.call.Answer, max(1, time.Until(v.StopBy))
+	d.Left = min(d.Left, d.EndWithin)
+	return d
+}
+
+// stopRetry is when a caller that a stopping entry refuses is served: by another entry at
+// once, or by this one when it has started again.
+func (v *View) stopRetry() time.Duration {
+	if v.Others > 0 {
+		return soonRetry
+	}
+	return time.Until(v.StopBy) + restartTime
+}
+
+// refuseStopping is the refusal of a stopping entry.
+func refuseStopping(v *View, cause error) *failure {
+	return notRun(reasonStopping, v.stopRetry(), cause)
+}
+
+// stopFields tell, for the log, how long before the end of a stopping entry something was.
+func (v *View) stopFields(at time.Time) []zap.Field {
+	if !v.Stopping {
+		return nil
+	}
+	return []zap.Field{zap.Duration("stop_left_ms", v.StopBy.Sub(at))}
+}
--- /dev/null
+++ b/forwarder/stop_test.go
@@ -0,0 +1,165 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// stopping has the entry of a test stop: it ends after a time, so many others take callers, and
+// callers may use its address for three seconds.
+func (f *fixture) stopping(left time.Duration, others int) {
+	v := *f.view.Load()
+	v.Stopping, v.StopBy, v.Others, v.KnownUntil = true, time.Now().Add(left), others, time.Now().Add(3*time.Second)
+	f.view.Store(&v)
+}
+
+// retryAfter is the time after which an answer asks its caller to return.
+func (f *fixture) retryAfter(a answer) time.Duration {
+	f.is.Helper()
+	seconds, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+	f.is.NoErr(err)
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// A stopping entry begins only what ends before it does: by the time limit of the request, or, for
+// callers that may still have its address, by what the longest answer that the request allows takes. All others
+// are told at once where to go. A stream was once begun where its target and three seconds were
+// left, as most answers end in that time; longer ones were cut in the middle.
+func TestStoppingEntryBeginsOnlyWhatEndsInTime(t *testing.T) {
+	const long, brief = "1000,4500", "1000,100" // 4.3 s and 0.1 s of decoding at an idle engine
+	for _, c := range []struct {
+		path, usage    string
+		patience, left time.Duration
+		// after the order to stop it is asked.
+		after time.Duration
+		begun bool
+	}{
+		{"/stream/x", long, 10 * time.Second, 10100 * time.Millisecond, 0, true},
+		{"/stream/x", long, 10 * time.Second, 7300 * time.Millisecond, 0, true},
+		{"/stream/x", long, 10 * time.Second, 7300 * time.Millisecond, 2 * time.Second, false},
+		{"/stream/x", long, 10 * time.Second, 5 * time.Second, 0, false},
+		{"/stream/x", long, 2 * time.Second, 4 * time.Second, 0, true},
+		{"/stream/x", long, 2 * time.Second, 7300 * time.Millisecond, 3100 * time.Millisecond, true},
+		{"/stream/x", brief, 10 * time.Second, 4 * time.Second, 2900 * time.Millisecond, true},
+		{"/stream/x", brief, 10 * time.Second, 4 * time.Second, 3100 * time.Millisecond, false},
+		{"/fixed/x", long, 10 * time.Second, 5 * time.Second, 0, false},
+		{"/long/x", "90000,2000", 15 * time.Second, 7300 * time.Millisecond, 0, true},
+		{"/long/x", "90000,2000", 15 * time.Second, 3 * time.Second, 0, false},
+		{"/once/x", "", 2 * time.Second, 2100 * time.Millisecond, 0, true},
+		{"/once/x", "", 2 * time.Second, 1900 * time.Millisecond, 0, false},
+		{"/safe/x", "", time.Second, 1100 * time.Millisecond, 0, true},
+		{"/safe/x", "", time.Second, 900 * time.Millisecond, 0, false},
+	} {
+		t.Run(fmt.Sprintf("%s %s %s of %s after %s", c.path, c.usage, c.patience, c.left, c.after), func(t *testing.T) {
+			withForwarder(t, func(f *fixture) {
+				f.stopping(c.left, 1)
+				time.Sleep(c.after)
+				a := f.ask(request{path: c.path, id: "r1", usage: c.usage, patience: c.patience})
+				ran := runs(f.engines, "r1") + runs(f.plain, "r1")
+				f.is.True(a.closes)
+				if c.begun {
+					f.is.Equal(a.status, 200)
+					f.is.Equal(ran, 1)
+					return
+				}
+				f.is.Equal(a.status, 503)
+				f.is.Equal(ran, 0)
+				f.is.True(a.took < 20*time.Millisecond)
+				f.is.Equal(f.retryAfter(a), 50*time.Millisecond)
+			})
+		})
+	}
+}
+
+// Where no other entry takes callers, one that stops serves them while their answers surely end in
+// time, and else tells them when it has started again.
+func TestLastEntryThatStops(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		f.stopping(5*time.Second, 0)
+		short := f.ask(request{path: "/stream/x", id: "s1", usage: "1000,100"})
+		f.is.Equal(short.status, 200)
+		f.is.Equal(short.body, whole("s1", 1))
+		long := f.ask(request{path: "/stream/x", id: "s2", usage: "1000,4500"})
+		f.is.Equal(long.status, 503)
+		f.is.Equal(runs(f.engines, "s2"), 0)
+		left := time.Until(f.view.Load().StopBy)
+		f.is.True(f.retryAfter(long) > left && f.retryAfter(long) < left+2*time.Second)
+	})
+}
+
+// A request whose body was still on its way when its entry was told to stop has not been passed on:
+// it is refused, and can be served elsewhere.
+func TestSlowBodyAtAStoppingEntry(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		body, send := io.Pipe()
+		done := make(chan answer)
+		go func() { done <- f.ask(request{path: "/stream/x", id: "s1", usage: "1000,4500", sending: body}) }()
+		time.Sleep(100 * time.Millisecond)
+		f.stopping(5*time.Second, 1)
+		time.Sleep(400 * time.Millisecond)
+		_, err := send.Write([]byte("prompt"))
+		f.is.NoErr(err)
+		f.is.NoErr(send.Close())
+		a := <-done
+		f.is.Equal(a.status, 503)
+		f.is.Equal(runs(f.engines, "s1"), 0)
+	})
+}
+
+// A stream that broke at its engine goes on at another, also at an entry that stops: nothing that
+// has begun can be refused any more, and all that is left to lose is the rest.
+func TestBrokenStreamGoesOnAtAStoppingEntry(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		done := make(chan answer)
+		go func() { done <- f.ask(request{path: "/stream/x", id: "s1", usage: "1000,4500"}) }()
+		time.Sleep(200 * time.Millisecond)
+		f.stopping(7*time.Second, 1)
+		f.restart(f.running("s1"))
+		a := <-done
+		f.is.NoErr(a.err)
+		f.is.Equal(a.body, whole("s1", 1))
+	})
+}
+
+// What a stopping entry begins has to end before it does: all entries hear of that, so that they keep
+// from its engine what would hold it up.
+func TestEndOfAStoppingEntryIsTold(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		f.stopping(7300*time.Millisecond, 1)
+		done := make(chan answer)
+		go func() { done <- f.ask(request{path: "/stream/x", id: "s1", usage: "1000,4500"}) }()
+		time.Sleep(100 * time.Millisecond)
+		shares := f.board.Shares(time.Now())
+		f.is.Equal(len(shares), 1)
+		f.is.True(shares[0].Left > 7*time.Second && shares[0].Left <= 7300*time.Millisecond)
+		f.is.Equal((<-done).status, 200)
+	})
+}
+
+// Streams were taken from engines that had been silent for long half a second before their entry ended,
+// begun anew elsewhere and cut there. A stopping entry gives up on an engine only where
+// another can end the answer in time.
+func TestSilenceNearTheEndOfAnEntry(t *testing.T) {
+	for _, c := range []struct {
+		left time.Duration
+		runs int
+	}{{4 * time.Second, 1}, {9 * time.Second, 2}} {
+		t.Run(c.left.String(), func(t *testing.T) {
+			withForwarder(t, func(f *fixture) {
+				done := make(chan answer)
+				go func() { done <- f.ask(request{path: "/stream/x", id: "s1", usage: "1000,4500"}) }()
+				time.Sleep(200 * time.Millisecond) // four of ten events
+				silent := f.instances[2+f.running("s1")].Address.Addr()
+				f.net.Cut(entryHost, silent)
+				f.stopping(c.left, 1)
+				time.Sleep(3 * time.Second)
+				f.is.Equal(runs(f.engines, "s1"), c.runs)
+				f.net.Kill(silent)
+				<-done
+			})
+		})
+	}
+}
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -90,8 +90,12 @@
 	d := x.demand
 	d.Avoid = append(slices.Clone(d.Avoid), p.First)
 	d.Admitted = false
-	now := time.Now()
-	return f.board.Takes(now, d) && f.budget.Left(now, x.service, f.view().Entries)
+	now, v := time.Now(), f.view()
+	if x.mayOutlast(v) {
+		// What could not end there before this entry does stays where it is.
+		d = x.withinStop(v, d)
+	}
+	return f.board.Takes(now, d) && f.budget.Left(now, x.service, v.Entries)
 }
 
 // hear notes that the upstream said something.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -236,8 +236,9 @@
 	began := time.Now()
 	by := began.Add(l.settings.Grace - stopMargin)
 	l.config.Log.Info("stopping", zap.Int("in_flight", l.forwarder.InFlight()), zap.Duration("grace_ms", l.settings.Grace))
-	l.controller.Stop(by)
-	forget := began.Add(keepFactor*l.config.AddressLife + l.config.AddressLife/2)
+	knownUntil := began.Add(keepFactor * l.config.AddressLife)
+	l.controller.Stop(knownUntil, by)
+	forget := knownUntil.Add(l.config.AddressLife / 2)
 	for time.Now().Before(earlier(forget, by)) {
 		time.Sleep(stopPoll)
 	}
