server: tests of what a stopping entry took

Streams, whole answers, prompts on a group, calls that run at most once and ones passed on to their ticket's entry are begun 0.5 s before a stop and take 20 s: all are whole, and the entry ends after them. A body whose last byte comes 10 s after the stop, an engine that dies under a stopping entry, a header that comes across the stop and tickets of the stopping entry pass too.

--- /dev/null
+++ b/server/stop_test.go
@@ -0,0 +1,261 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/client"
+	"github.com/sapphireramp/sapphireramp/standin/engine"
+)
+
+// These tests are of one promise: what a stopping entry took gets its whole
+// answer, or a refusal that is true, however long that takes.
+
+// withReadyFleet runs f on a fleet of two entries that take callers and three
+// engines, the fewest that the document's longest prompt fits on.
+func withReadyFleet(t *testing.T, run func(*testFleet)) {
+	t.Helper()
+	withTestFleet(t, 2, 3, func(f *testFleet) {
+		time.Sleep(5 * time.Second) // keepers hear from their engines
+		run(f)
+	})
+}
+
+// stopTime is how long an entry of a test fleet takes to stop with nothing in
+// progress, and a second more.
+func (e *testEntry) stopTime() time.Duration {
+	c := e.settings.Callers
+	return c.AddressLife + c.DrainSlack + 2*e.settings.Timing.Heartbeat + time.Second
+}
+
+// ended reports whether an entry's Run returned within a time.
+func (e *testEntry) ended(within time.Duration) bool {
+	select {
+	case <-e.done:
+		return true
+	case <-time.After(within):
+		return false
+	}
+}
+
+// direct returns a caller that uses one entry only.
+func (f *testFleet) direct(e *testEntry, tries int) *client.Client {
+	c := client.Config{Key: testKey, Tries: tries, HTTP: f.web(), Direct: true}
+	c.Seeds = append(c.Seeds, e.settings.Address)
+	return client.New(c)
+}
+
+// dial returns a caller's connection to an entry.
+func (f *testFleet) dial(e *testEntry) net.Conn {
+	c, err := f.net.Dialer(callerHost)(context.Background(), "tcp", e.settings.Address.String())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return c
+}
+
+// rawPrompt is a whole request for a prompt, header and body.
+func rawPrompt(r api.CompletionRequest) (header, body string) {
+	data, _ := json.Marshal(r)
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n", api.PathCompletions, testKey, len(data)), string(data)
+}
+
+func wholeAnswer(r api.CompletionRequest) string {
+	var all strings.Builder
+	for i := range r.MaxTokens {
+		all.WriteString(engine.Token(engine.Tag(r), i))
+	}
+	return all.String()
+}
+
+// A stop comes 0.5 s into answers that take 20 s, ten times as long as an
+// idle entry takes to end. Each is whole: a stream, a whole answer, a prompt
+// on a group of engines, a call that runs at most once, and one that another
+// entry passed on to the one that stops.
+func TestStoppingEntryEndsWhatItTook(t *testing.T) {
+	long := api.CompletionRequest{Model: "model", Prompt: "a long answer", MaxTokens: 1000}
+	streamed, joint := long, long
+	streamed.Stream = true
+	joint.Prompt, joint.Stream = strings.Repeat("joint ", 20_000), true
+	complete := func(r api.CompletionRequest) func(*testFleet, *testEntry) (string, error) {
+		return func(f *testFleet, e *testEntry) (string, error) {
+			result, err := f.direct(e, 1).Complete(context.Background(), r, client.Options{Timeout: time.Minute}, nil)
+			return result.Text, err
+		}
+	}
+	call := func(ask func(*testFleet) *testEntry) func(*testFleet, *testEntry) (string, error) {
+		return func(f *testFleet, e *testEntry) (string, error) {
+			ticket, err := f.direct(e, 1).Ticket(context.Background())
+			if err != nil {
+				return "", err
+			}
+			f.service.Delay = 20 * time.Second
+			_, err = f.direct(ask(f), 1).Call(context.Background(), "dispatch", "truck", []byte(`{"truck":1}`), client.Options{Timeout: time.Minute, Ticket: ticket})
+			return "", err
+		}
+	}
+	for _, c := range []struct {
+		name string
+		ask  func(*testFleet, *testEntry) (string, error)
+		want string
+	}{
+		{"stream", complete(streamed), wholeAnswer(streamed)},
+		{"whole answer", complete(long), wholeAnswer(long)},
+		{"group", complete(joint), wholeAnswer(joint)},
+		{"at most once", call(func(f *testFleet) *testEntry { return f.entries[0] }), ""},
+		{"passed on", call(func(f *testFleet) *testEntry { return f.entries[1] }), ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withReadyFleet(t, func(f *testFleet) {
+				is := is.New(f.t)
+				e := f.entries[0]
+				var text string
+				var err error
+				answered := make(chan struct{})
+				go func() {
+					defer close(answered)
+					text, err = c.ask(f, e)
+				}()
+				time.Sleep(500 * time.Millisecond)
+				is.True(e.server.inFlight() > 0)
+				e.stop()
+				is.True(!e.ended(10 * time.Second)) // it waits for the answer
+				<-answered
+				is.NoErr(err)
+				is.Equal(text, c.want)
+				is.True(e.ended(e.stopTime()))
+			})
+		})
+	}
+}
+
+// An engine dies under a stopping entry: the answer goes on from another one.
+func TestStoppingEntryResumesStream(t *testing.T) {
+	withReadyFleet(t, func(f *testFleet) {
+		is := is.New(f.t)
+		e := f.entries[0]
+		r := api.CompletionRequest{Model: "model", Prompt: "a long answer", MaxTokens: 1000, Stream: true}
+		var result client.Result
+		var err error
+		answered := make(chan struct{})
+		go func() {
+			defer close(answered)
+			result, err = f.direct(e, 1).Complete(context.Background(), r, client.Options{Timeout: time.Minute}, nil)
+		}()
+		time.Sleep(500 * time.Millisecond)
+		e.stop()
+		time.Sleep(e.stopTime())
+		for _, engine := range f.engines {
+			if f.ran(engine).UsedTokens > 0 {
+				f.killEngine(engine)
+			}
+		}
+		<-answered
+		is.NoErr(err)
+		is.Equal(result.Text, wholeAnswer(r))
+		is.True(e.ended(e.stopTime()))
+	})
+}
+
+// A prompt's header comes before the stop, and the last byte of its body long
+// after the entry would have ended without it.
+func TestStoppingEntryAwaitsBody(t *testing.T) {
+	withReadyFleet(t, func(f *testFleet) {
+		is := is.New(f.t)
+		e := f.entries[0]
+		header, body := rawPrompt(api.CompletionRequest{Model: "model", Prompt: "slow", MaxTokens: 10})
+		c := f.dial(e)
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, header+body[:10])
+		time.Sleep(100 * time.Millisecond)
+		e.stop()
+		is.True(!e.ended(10 * time.Second))
+		_, _ = io.WriteString(c, body[10:])
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusOK)
+		is.NoErr(response.Write(io.Discard))
+		is.True(e.ended(e.stopTime()))
+	})
+}
+
+// The header itself comes byte by byte across the stop, on a new connection:
+// the refusal is true, and another entry serves the prompt.
+func TestStoppingEntryRefusesNewcomers(t *testing.T) {
+	withReadyFleet(t, func(f *testFleet) {
+		is := is.New(f.t)
+		e := f.entries[0]
+		r := api.CompletionRequest{Model: "model", Prompt: "late", MaxTokens: 10}
+		header, body := rawPrompt(r)
+		c := f.dial(e)
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, header[:20])
+		e.stop()
+		time.Sleep(500 * time.Millisecond)
+		go func() { _, _ = io.WriteString(c, header[20:]+body) }()
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		var refusal api.Error
+		is.NoErr(json.NewDecoder(response.Body).Decode(&refusal))
+		is.Equal(refusal.Error.Code, api.CodeStopping)
+		is.Equal(refusal.Error.Outcome, api.NotRun)
+		is.Equal(response.Header.Get("Retry-After"), "1")
+		is.Equal(refusal.Error.Elsewhere, []string{f.entries[1].settings.Address.String()})
+		is.Equal(len(f.ran(f.engines[0]).Requests), 0)
+
+		time.Sleep(time.Duration(refusal.Error.RetryAfterSeconds * float64(time.Second)))
+		result, err := f.direct(f.entries[1], 1).Complete(context.Background(), r, client.Options{Timeout: time.Second}, nil)
+		is.NoErr(err)
+		is.Equal(result.Text, wholeAnswer(r))
+	})
+}
+
+// An unspent ticket of the stopping entry is still spent there, at any moment
+// until it ends; a ticket that outlives its entry is refused as unknown.
+func TestStoppingEntrySpendsItsTickets(t *testing.T) {
+	withReadyFleet(t, func(f *testFleet) {
+		is := is.New(f.t)
+		e, other := f.entries[0], f.entries[1]
+		var tickets []string
+		for range 60 {
+			ticket, err := f.direct(e, 1).Ticket(context.Background())
+			is.NoErr(err)
+			tickets = append(tickets, ticket)
+		}
+		e.stop()
+		for n, ticket := range tickets {
+			body := fmt.Sprintf(`{"truck":%d}`, n)
+			_, err := f.direct(other, 1).Call(context.Background(), "dispatch", "truck", []byte(body), client.Options{Timeout: 5 * time.Second, Ticket: ticket})
+			ran := 0
+			for _, x := range f.service.Executions() {
+				if x.Body == body {
+					ran++
+				}
+			}
+			var refused *client.OutcomeError
+			switch {
+			case err == nil:
+				is.Equal(ran, 1)
+			case errors.As(err, &refused):
+				is.Equal(refused.Detail.Outcome, api.Unknown)
+				is.Equal(ran, 0)
+			default:
+				is.NoErr(err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.True(e.ended(e.stopTime()))
+	})
+}
