server: a stopping entry answers what is on its way at its end

Callers saw connections closed without an answer when an entry ended: those that kept a connection open under its refusals, and those that had just connected. The cause is twofold. Refusals left the connection open, and it was closed as idle at the end. And http.Server drops a request that it reads once Shutdown has begun, also on a connection accepted before.

Every answer of a stopping entry now has the caller leave the connection. A request that was sent on an idle connection from before the stop, at the very moment of the end, can still meet its close.

--- a/server/filters.go
+++ b/server/filters.go
@@ -143,9 +143,14 @@
 }
 
 // open refuses while this entry takes no callers. A stopping entry still
-// serves the tickets that only it can spend.
+// serves the tickets that only it can spend. With each answer it has the caller
+// leave the connection: one that stayed open would be closed at the entry's end,
+// under a request that may be on its way.
 func (s *Server) open(next handler) handler {
 	return func(x *exchange) *failure {
+		if x.view.stopping {
+			x.writer.Header().Set("Connection", "close")
+		}
 		if !x.view.ready || x.view.accepted == nil {
 			f := fail(api.CodeNotReady, "this entry has yet to learn the configuration in force")
 			f.retryAfter = s.retryAfter()
