server: a caller that stalls after its refusal does not hold a stop

A stopping entry never ended, and its operator had to end it by force, where a caller was refused before its body was read, sent no more of it and kept its connection open: http.Server reads the rest of the body after the handler, with no limit, and Shutdown waits for that. The same read held a goroutine and a connection of an entry in service.

Such a connection is now ended after the two seconds that the rest of a body is awaited for anyway.

--- a/server/exchange.go
+++ b/server/exchange.go
@@ -49,6 +49,9 @@
 	begun bool
 	// refused says that the failure was written to the caller.
 	refused bool
+	// stalled says that the caller was refused and did not send the rest of its
+	// body in time.
+	stalled bool
 }
 
 // failure ends a request without a whole answer.
--- a/server/filters.go
+++ b/server/filters.go
@@ -75,6 +75,11 @@
 			fields = append(fields, zap.Error(f))
 		}
 		s.logs.entry.Info("request", fields...)
+		if x.stalled {
+			// The refusal was sent whole. Without this, http.Server waits for
+			// the rest of the body with no limit, and so does a stop.
+			panic(http.ErrAbortHandler)
+		}
 		return nil
 	}
 }
@@ -106,8 +111,11 @@
 	if f.retryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.retryAfter.Seconds()))))
 	}
+	var body bytes.Buffer
+	_ = json.NewEncoder(&body).Encode(api.Error{Error: detail})
+	h.Set("Content-Length", strconv.Itoa(body.Len())) // the flush sends it whole
 	x.writer.WriteHeader(api.StatusCode(f.code))
-	_ = json.NewEncoder(x.writer).Encode(api.Error{Error: detail})
+	_, _ = x.writer.Write(body.Bytes())
 }
 
 const (
@@ -122,7 +130,11 @@
 func (x *exchange) dropBody(connection *http.ResponseController) {
 	_ = connection.Flush()
 	_ = connection.SetReadDeadline(time.Now().Add(dropTime))
-	_, _ = io.CopyN(io.Discard, x.request.Body, mostDropped)
+	_, err := io.CopyN(io.Discard, x.request.Body, mostDropped)
+	if err != io.EOF {
+		x.stalled = true // the deadline stays: http.Server reads once more
+		return
+	}
 	_ = connection.SetReadDeadline(time.Time{})
 }
 
