client: a refused ticket is asked for again like any other request

A call that may run at most once failed at a stop, with its tries unused and another entry ready: its ticket was asked for once, ahead of the tries, and the stopping entry's refusal, "not run, come back in 0.1 s", ended the call. The ticket is now had within a try, so that what holds for a refused request holds for it: tried again after the stated time, from the same budget, elsewhere.

--- a/client/client.go
+++ b/client/client.go
@@ -283,13 +283,6 @@
 		ctx, cancel = context.WithTimeout(ctx, o.Timeout)
 		defer cancel()
 	}
-	if o.Once && o.Ticket == "" {
-		ticket, err := c.Ticket(ctx)
-		if err != nil {
-			return Result{}, err
-		}
-		o.Ticket = ticket
-	}
 	c.budget.request()
 	for try := 1; ; try++ {
 		entry, err := c.pick(ctx)
@@ -299,7 +292,13 @@
 		if deadline, ok := ctx.Deadline(); ok {
 			o.Timeout = time.Until(deadline)
 		}
-		result, err := once(ctx, entry, o)
+		var result Result
+		if o.Once && o.Ticket == "" {
+			o.Ticket, err = c.Ticket(ctx)
+		}
+		if err == nil {
+			result, err = once(ctx, entry, o)
+		}
 		result.Entry, result.Tries, result.Ticket = entry, try, o.Ticket
 		if err == nil || try >= c.config.Tries {
 			return result, err
