launcher, connector: a stopping entry answers connections that it has accepted

What callers saw: a connection made just before the entry stopped listening was closed under its first request, without an answer. Cause: net/http drops what it reads once Shutdown has begun. Why it holds: Serve has returned by then, so that every accepted connection is counted. An idle connection that is used at the very moment of the end can still meet its close, unread.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -118,6 +118,9 @@
 red stop-retry forwarder/stop.go 's/if v\.Others > 0 \{/if true {/' $p TestLastEntryThatStops
 red stop-told forwarder/stop.go 's/d\.Left = min\(d\.Left, d\.EndWithin\)/_ = d.Left/' ./forwarder TestEndOfAStoppingEntryIsTold
 red stop-silence forwarder/watchdog.go 's/d = x\.withinStop\(v, d\)/_ = d/' $p TestSilenceNearTheEndOfAnEntry
+red dropped-at-shutdown launcher/launcher.go 's/l\.busy\.Await\(by, stopPoll\)/_ = by/' ./launcher TestStoppingEntryAnswersOpenConnections
+red server-dropped-at-shutdown server/server.go 's/busy\.Await\(time\.Time\{\}, drainPoll\)/_ = busy/' ./server TestStoppingEntryAnswersKeptConnections
+red server-stalled server/filters.go 's/x\.stalled = true[^\n]*\n\t\treturn/x.stalled = false/' ./server TestStalledCallerDoesNotHoldStop
 red yields dispatcher/settle.go 's/rival\.sent\(now\) \|\| rival\.precedes\(r\)/false/' ./dispatcher 'TestOfTwoPlacedAtOnceOneYields|TestOfManyPlacedAtOnceSomeStay'
 red yields-to-sent dispatcher/settle.go 's/rival\.sent\(now\) \|\| //' ./dispatcher TestYieldsToWhatWasSent
 red settles forwarder/place.go 's/if !p\.Settles\(\) \|\|/if true ||/' ./forwarder TestPromptYieldsItsPlace
--- a/launcher/callers.go
+++ b/launcher/callers.go
@@ -11,8 +11,8 @@
 )
 
 // newCallerServer returns the server for callers' requests, which keeps the
-// configuration's limits on idle connections.
-func newCallerServer(h http.Handler, view func() *forwarder.View) *http.Server {
+// configuration's limits on idle connections. State hears of all connections.
+func newCallerServer(h http.Handler, view func() *forwarder.View, state func(net.Conn, http.ConnState)) *http.Server {
 	idle := idleCloser{limits: func() matcher.Limits {
 		if t := view().Table; t != nil {
 			return t.Config.Limits
@@ -21,7 +21,10 @@
 	}, timers: map[net.Conn]*time.Timer{}}
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
-		DisableGeneralOptionsHandler: true, ConnState: idle.state,
+		DisableGeneralOptionsHandler: true, ConnState: func(c net.Conn, s http.ConnState) {
+			idle.state(c, s)
+			state(c, s)
+		},
 	}
 }
 
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -100,6 +100,11 @@
 	settings   Settings
 	servers    []*http.Server
 	callers    *http.Server
+	// busy holds the connections of callers that are in use, listener is where they come
+	// from, and served is closed when no more do.
+	busy     *connector.Busy
+	listener net.Listener
+	served   chan struct{}
 	// cut ends all requests of callers with a cause.
 	cut context.CancelCauseFunc
 }
@@ -108,7 +113,7 @@
 func New(c Config) *Launcher {
 	c = c.withSystem()
 	board := dispatcher.New(c.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	l := &Launcher{config: c, settings: c.Settings, budget: budgeter.New(c.Settings.Budget)}
+	l := &Launcher{config: c, settings: c.Settings, budget: budgeter.New(c.Settings.Budget), busy: connector.NewBusy(), served: make(chan struct{})}
 	l.controller = controller.New(controller.Config{
 		Name: c.Name, DataCentre: c.DataCentre, Incarnation: uint64(time.Now().UnixNano()),
 		Callers: c.Callers, Peers: c.Peers, Shares: c.Shares, Store: c.Store, InForce: c.InForce, Speed: c.Speed, SinceBoot: c.SinceBoot, Board: board, Dial: c.Dial,
@@ -179,7 +184,7 @@
 // listen opens the listeners for callers, checks and metrics.
 func (l *Launcher) listen(failed chan<- error) error {
 	c := l.config
-	l.callers = newCallerServer(l.forwarder, l.controller.View)
+	l.callers = newCallerServer(l.forwarder, l.controller.View, l.busy.State)
 	l.callers.BaseContext = l.baseContext()
 	servers := []struct {
 		address netip.AddrPort
@@ -199,7 +204,12 @@
 			return fmt.Errorf("listen on %s: %w", s.address, err)
 		}
 		l.servers = append(l.servers, s.server)
+		ended := func() {}
+		if s.server == l.callers {
+			l.listener, ended = listener, func() { close(l.served) }
+		}
 		go func() {
+			defer ended()
 			if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				failed <- fmt.Errorf("serve %s: %w", s.address, err)
 			}
@@ -242,19 +252,20 @@
 	for time.Now().Before(earlier(forget, by)) {
 		time.Sleep(stopPoll)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), by)
-	defer cancel()
-	if err := l.callers.Shutdown(ctx); err != nil {
-		l.config.Log.Warn("requests_cut_off", zap.Int("in_flight", l.forwarder.InFlight()), zap.Error(err))
-		l.cutOff()
-	}
+	_ = l.listener.Close()
+	<-l.served // every connection that was accepted is counted by now
+	l.busy.Await(by, stopPoll)
+	l.endCallers()
 	for _, s := range l.servers {
 		_ = s.Close()
 	}
 }
 
-// cutOff ends what is still in progress, and waits a moment for the answers that say so.
-func (l *Launcher) cutOff() {
+// endCallers ends what is still in progress, and waits a moment for the answers that say so.
+func (l *Launcher) endCallers() {
+	if n := l.forwarder.InFlight(); n > 0 {
+		l.config.Log.Warn("requests_cut_off", zap.Int("in_flight", n))
+	}
 	l.cut(forwarder.ErrCutOff)
 	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
 	defer cancel()
--- a/logger/events.go
+++ b/logger/events.go
@@ -31,7 +31,7 @@
 	{"renewal_failed", "Reserved memory could not be renewed; it lapses after two more failures.", []string{"request", "error"}},
 	{"report_failed", "An engine did not say whether memory set aside is used; it counts as unused.", []string{"request", "engine", "error"}},
 	{"request", "A request ended. Outcome is answered or the reason; see explain. Answer are the tokens that it allows, stop_left_ms is how long before the end of a stopping entry it came.", []string{"request", "outcome", "status", "took_ms", "attempts", "prompt", "answer", "answer_hint", "events", "route", "kind", "config_revision", "stop_left_ms", "first_ms", "longest_pause_ms", "error", "retry_after_ms"}},
-	{"requests_cut_off", "The time to stop was over before all requests were done.", []string{"in_flight", "error"}},
+	{"requests_cut_off", "The time to stop was over before all requests were done.", []string{"in_flight"}},
 	{"reserved", "Memory was set aside at several engines for one prompt.", []string{"request", "engines", "lease_ms"}},
 	{"retry_budget_used_up", "A request was not sent once more because the shared budget had nothing left.", []string{"request", "service"}},
 	{"serve_peers", "Other entries can't be served; a fault of the program.", []string{"error"}},
--- a/server/server.go
+++ b/server/server.go
@@ -221,8 +221,8 @@
 	s.goRun(ctx, s.renew)
 	s.goRun(ctx, s.askPeers)
 
-	busy := &busyConns{conns: map[net.Conn]bool{}}
-	web := &http.Server{Handler: s.handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, ConnState: busy.state}
+	busy := connector.NewBusy()
+	web := &http.Server{Handler: s.handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, ConnState: busy.State}
 	failed := make(chan error, 1)
 	go func() { failed <- web.Serve(s.callerListener) }()
 	s.logs.entry.Info("started", zap.String("name", s.settings.Name), zap.Stringer("address", s.settings.Address),
@@ -256,7 +256,7 @@
 // drain tells peers and callers, serves what is in progress, and returns when
 // addresses given out earlier have expired. Shutdown drops a request that it
 // reads once it has begun, without an answer, so it comes after the last one.
-func (s *Server) drain(web *http.Server, busy *busyConns, served <-chan error) {
+func (s *Server) drain(web *http.Server, busy *connector.Busy, served <-chan error) {
 	s.do(func(c *control) {
 		c.stopping = true
 		c.publish()
@@ -270,9 +270,7 @@
 	}
 	_ = s.callerListener.Close()
 	<-served // every connection that was accepted is counted by now
-	for busy.count() > 0 {
-		time.Sleep(drainPoll)
-	}
+	busy.Await(time.Time{}, drainPoll)
 	if err := web.Shutdown(context.Background()); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		s.logs.entry.Warn("shutdown", zap.Error(err))
 	}
