launcher: settings are read at a stop as they are reloaded

A stop read them while a reload wrote them, without a lock: with bad luck a grace period that was half written. Found by reading, for the review of stops; the race detector has not met it, so no test was red.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -97,9 +98,10 @@
 	controller *controller.Controller
 	forwarder  *forwarder.Forwarder
 	budget     *budgeter.Budgeter
-	settings   Settings
-	servers    []*http.Server
-	callers    *http.Server
+	// settings are those in force; each reload stores others.
+	settings atomic.Pointer[Settings]
+	servers  []*http.Server
+	callers  *http.Server
 	// busy holds the connections of callers that are in use, listener is where they come
 	// from, and served is closed when no more do.
 	busy     *connector.Busy
@@ -113,7 +115,8 @@
 func New(c Config) *Launcher {
 	c = c.withSystem()
 	board := dispatcher.New(c.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	l := &Launcher{config: c, settings: c.Settings, budget: budgeter.New(c.Settings.Budget), busy: connector.NewBusy(), served: make(chan struct{})}
+	l := &Launcher{config: c, budget: budgeter.New(c.Settings.Budget), busy: connector.NewBusy(), served: make(chan struct{})}
+	l.settings.Store(&c.Settings)
 	l.controller = controller.New(controller.Config{
 		Name: c.Name, DataCentre: c.DataCentre, Incarnation: uint64(time.Now().UnixNano()),
 		Callers: c.Callers, Peers: c.Peers, Shares: c.Shares, Store: c.Store, InForce: c.InForce, Speed: c.Speed, SinceBoot: c.SinceBoot, Board: board, Dial: c.Dial,
@@ -167,7 +170,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		l.controller.Run(ctx, l.settings.Seeds, beats, shares)
+		l.controller.Run(ctx, l.settings.Load().Seeds, beats, shares)
 	}()
 	go l.reload(ctx, reload)
 	select {
@@ -244,8 +247,9 @@
 // its address, and returns when nothing is in progress or time is up.
 func (l *Launcher) stop() {
 	began := time.Now()
-	by := began.Add(l.settings.Grace - stopMargin)
-	l.config.Log.Info("stopping", zap.Int("in_flight", l.forwarder.InFlight()), zap.Duration("grace_ms", l.settings.Grace))
+	grace := l.settings.Load().Grace
+	by := began.Add(grace - stopMargin)
+	l.config.Log.Info("stopping", zap.Int("in_flight", l.forwarder.InFlight()), zap.Duration("grace_ms", grace))
 	knownUntil := began.Add(keepFactor * l.config.AddressLife)
 	l.controller.Stop(knownUntil, by)
 	forget := knownUntil.Add(l.config.AddressLife / 2)
@@ -289,9 +293,9 @@
 		switch {
 		case err != nil:
 			l.config.Log.Error("settings_unreadable", zap.Error(err))
-		case signalled || !s.equal(l.settings):
-			l.config.Log.Info("reload", zap.Bool("signalled", signalled), zap.Bool("changed", !s.equal(l.settings)), zap.Int("seeds", len(s.Seeds)))
-			l.settings = s
+		case signalled || !s.equal(*l.settings.Load()):
+			l.config.Log.Info("reload", zap.Bool("signalled", signalled), zap.Bool("changed", !s.equal(*l.settings.Load())), zap.Int("seeds", len(s.Seeds)))
+			l.settings.Store(&s)
 			l.budget.Configure(s.Budget)
 			l.controller.Reseed(s.Seeds)
 		}
