launcher: an entry that stops ends 0.3 s before the end by force

It ended 0.7 s before it, and cut answers that would have been whole by then.

TestStoppingEntryCutsNoLateBody and TestStoppingEntryBeginsNoLateAttempt ask from 0.2 s before the order on, so that the 8 s of the route still end after the entry, as they did when that ended sooner.

--- a/launcher/stop_test.go
+++ b/launcher/stop_test.go
@@ -25,7 +25,7 @@
 	// longEvents is how many events a long answer has, of 50 tokens each.
 	longEvents = 20
 	// lifetime is how long a stopping entry goes on after the order to stop.
-	lifetime = grace - 700*time.Millisecond
+	lifetime = grace - 300*time.Millisecond
 	// longPatience is that of callers who wait for any answer.
 	longPatience = 20 * time.Second
 	// longUsage is a short prompt with a long answer.
@@ -318,7 +318,7 @@
 			withLongAnswers(t, func(_ *is.I, f *fleet) {
 				q := question{path: path, usage: longUsage}
 				early, late := q, q
-				early.at, late.body = -500*time.Millisecond, 2500*time.Millisecond
+				early.at, late.body = -200*time.Millisecond, 2500*time.Millisecond
 				f.checkNoneLost(append(late.over(0), early.bodiesUntil(7*time.Second)...))
 			})
 		})
@@ -379,7 +379,7 @@
 		// sound is when upstreams are sound again, after the order to stop.
 		sound, from, until time.Duration
 	}{
-		{"/stream/x", 1500 * time.Millisecond, -650 * time.Millisecond, 1500 * time.Millisecond},
+		{"/stream/x", 1500 * time.Millisecond, -250 * time.Millisecond, 1500 * time.Millisecond},
 		{"/stream/brief/x", 4 * time.Second, 1750 * time.Millisecond, 3500 * time.Millisecond},
 	} {
 		t.Run(c.path[1:], func(t *testing.T) {
