forwarder: what may have run is not bound by the end of its entry

Now only what can still be refused, and a stream with nothing begun, is bound by that end: of a call that may have run its caller is told at the end whatever comes, and a begun answer has nothing to lose. TestSilenceNearTheEndOfAnEntry asked the opposite of begun streams and now asks for what it was meant for: one silent before its first event stays with its engine.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -117,7 +117,9 @@
 red stop-elsewhere forwarder/stop.go 's/v\.Others > 0 \&\& x\.arrived/false \&\& x.arrived/' $p TestStoppingEntryBeginsOnlyWhatEndsInTime
 red stop-retry forwarder/stop.go 's/if v\.Others > 0 \{/if true {/' $p TestLastEntryThatStops
 red stop-told forwarder/stop.go 's/d\.Left = min\(d\.Left, d\.EndWithin\)/_ = d.Left/' ./forwarder TestEndOfAStoppingEntryIsTold
-red stop-silence forwarder/watchdog.go 's/d = x\.withinStop\(v, d\)/_ = d/' $p TestSilenceNearTheEndOfAnEntry
+red stop-silence forwarder/watchdog.go 's/d = x\.boundByStop\(v, d\)/_ = d/' $p TestSilenceNearTheEndOfAnEntry
+red stop-begun forwarder/watchdog.go 's/ \&\& !begun \{/ {/' $p TestSilentStreamGoesOnElsewhereAtAStop
+red stop-called forwarder/watchdog.go 's/ \&\& x\.isStream\(\) \&\& !begun/ \&\& !begun/' $p TestSilentCallGoesElsewhereAtAStop
 red dropped-at-shutdown launcher/launcher.go 's/l\.busy\.Await\(by, stopPoll\)/_ = by/' ./launcher TestStoppingEntryAnswersOpenConnections
 red server-dropped-at-shutdown server/server.go 's/busy\.Await\(time\.Time\{\}, drainPoll\)/_ = busy/' ./server TestStoppingEntryAnswersKeptConnections
 red server-stalled server/filters.go 's/x\.stalled = true[^\n]*\n\t\treturn/x.stalled = false/' ./server TestStalledCallerDoesNotHoldStop
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/dispatcher"
+	"github.com/sapphireramp/sapphireramp/matcher"
 )
 
 // restartTime is how long after the end of an entry it takes callers again, at most, as a rule.
@@ -41,23 +42,21 @@
 
 // withStop has the board place a request only where the longest answer that it allows ends, as far as
 // can be foreseen, before a stopping entry does. A refused caller may meet another entry that
-// stops, and seldom asks a third time, so what surely ends is served. A stopping entry holds nothing
-// back: what waited here is begun at once, or told to go elsewhere. An answer that has begun goes on
-// as long as it can.
+// stops, and seldom asks a third time, so what ends in time is served. An answer that has begun goes on
+// as long as it can, and so does a call that may have run: it is answered whole, or told so at the end.
 func (x *exchange) withStop(v *View, d dispatcher.Demand) dispatcher.Demand {
-	if !v.Stopping {
+	d.Admitted = d.Admitted || v.Stopping
+	if !x.mayOutlast(v) || x.begun || x.pending > 0 && !x.isStream() {
 		return d
 	}
-	d.Admitted = true
-	if x.mayOutlast(v) && !x.begun {
-		return x.withinStop(v, d)
-	}
-	return d
+	return x.boundByStop(v, d)
 }
 
-// withinStop bounds a demand by the end of a stopping entry. All entries are told of that end as
+func (x *exchange) isStream() bool { return x.route.Kind == matcher.Stream }
+
+// boundByStop bounds a demand by the end of a stopping entry. All entries are told of that end as
 // they are of the caller's, so that long prompts are kept from the answer's engine.
-func (x *exchange) withinStop(v *View, d dispatcher.Demand) dispatcher.Demand {
+func (x *exchange) boundByStop(v *View, d dispatcher.Demand) dispatcher.Demand {
 	d.MostAnswer, d.EndWithin = x.call.Answer, max(1, time.Until(v.StopBy))
 	d.Left = min(d.Left, d.EndWithin)
 	return d
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -41,8 +41,10 @@
 	// says that the upstream has something to prefill.
 	limit, most time.Duration
 	busy        func() time.Duration
-	// elsewhere reports whether another upstream would take the request.
-	elsewhere func() bool
+	// begun is true once a part of the answer was heard, of this attempt or an earlier one.
+	begun bool
+	// elsewhere reports whether another upstream would take the request, begun or not.
+	elsewhere func(begun bool) bool
 	expire    func()
 }
 
@@ -52,8 +54,8 @@
 	if !x.route.Repeatable() || x.sent+1 >= x.route.MaxAttempts {
 		return nil
 	}
-	w := &watchdog{heard: time.Now(), expire: expire, busy: func() time.Duration { return 0 }}
-	w.elsewhere = func() bool { return f.takenElsewhere(x, p) }
+	w := &watchdog{heard: time.Now(), begun: x.begun, expire: expire, busy: func() time.Duration { return 0 }}
+	w.elsewhere = func(begun bool) bool { return f.takenElsewhere(x, p, begun) }
 	w.limit = plainSilence * x.route.FirstByteTarget
 	w.most = w.limit
 	if x.route.Kind == matcher.Stream {
@@ -77,7 +79,7 @@
 		w.timer.Reset(left)
 		return
 	}
-	if !w.elsewhere() {
+	if !w.elsewhere(w.begun) {
 		w.timer.Reset(recheckTime)
 		return
 	}
@@ -86,14 +88,15 @@
 
 // takenElsewhere reports whether another upstream would take the request in
 // the time that its caller still waits, and the budget allows that.
-func (f *Forwarder) takenElsewhere(x *exchange, p *dispatcher.Placement) bool {
+func (f *Forwarder) takenElsewhere(x *exchange, p *dispatcher.Placement, begun bool) bool {
 	d := x.demand
 	d.Avoid = append(slices.Clone(d.Avoid), p.First)
 	d.Admitted = false
 	now, v := time.Now(), f.view()
-	if x.mayOutlast(v) {
-		// What could not end there before this entry does stays where it is.
-		d = x.withinStop(v, d)
+	if x.mayOutlast(v) && x.isStream() && !begun {
+		// What could not end there before this entry does stays where it is. Once it has begun
+		// its caller leaves an engine that stays silent anyway.
+		d = x.boundByStop(v, d)
 	}
 	return f.board.Takes(now, d) && f.budget.Left(now, x.service, v.Entries)
 }
@@ -105,7 +108,7 @@
 	}
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	w.heard = time.Now()
+	w.heard, w.begun = time.Now(), true
 }
 
 func (w *watchdog) stop() {
