forwarder, dispatcher: a stopping entry admits what it would admit otherwise

It began whatever came, also what it refuses for its cost or because the caller would have left by its first event: on a board of six prompts of 300,000 tokens a prompt of 90,000, refused as too_costly otherwise, was begun. Now a bound request is placed or refused at once, as ever but for waiting for a better moment. TestStoppingEntryRefusesWhatCostsTooMuch.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -118,6 +118,7 @@
 red stop-retry forwarder/stop.go 's/if v\.Others > 0 \{/if true {/' $p TestLastEntryThatStops
 red stop-told forwarder/stop.go 's/d\.Left = min\(d\.Left, d\.EndWithin\)/_ = d.Left/' ./forwarder TestEndOfAStoppingEntryIsTold
 red stop-silence forwarder/watchdog.go 's/d = x\.boundByStop\(v, d\)/_ = d/' $p TestSilenceNearTheEndOfAnEntry
+red stop-admits forwarder/stop.go 's/return x\.boundByStop\(v, d\)/d.Admitted = true\n\treturn x.boundByStop(v, d)/' $p TestStoppingEntryRefusesWhatCostsTooMuch
 red stop-begun forwarder/watchdog.go 's/ \&\& !begun \{/ {/' $p TestSilentStreamGoesOnElsewhereAtAStop
 red stop-called forwarder/watchdog.go 's/ \&\& x\.isStream\(\) \&\& !begun/ \&\& !begun/' $p TestSilentCallGoesElsewhereAtAStop
 red dropped-at-shutdown launcher/launcher.go 's/l\.busy\.Await\(by, stopPoll\)/_ = by/' ./launcher TestStoppingEntryAnswersOpenConnections
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -154,16 +154,25 @@
 	if !fits {
 		return nil, &Refusal{Reason: "no_memory", Expected: best.finish, RetryAfter: leastRetry}
 	}
+	if d.EndWithin > 0 && d.latestEnd(now, best) > d.EndWithin {
+		return nil, ending(best.finish)
+	}
 	if r := tooCostly(d, workers[0].engine, loads, best.cost); r != nil {
 		r.Expected = best.finish
 		return nil, r
 	}
-	if d.EndWithin > 0 && d.latestEnd(now, best) > d.EndWithin {
-		return nil, ending(best.finish)
+	if d.EndWithin > 0 {
+		// There is no time to wait for a better moment.
+		return b.placeGroup(now, d, best, held), nil
 	}
 	if r := tooEarly(d, workers[0].engine, best, groupBacklog(best)); r != nil {
 		return nil, r
 	}
+	return b.placeGroup(now, d, best, held), nil
+}
+
+// placeGroup returns the placement of a prompt at a group of engines, which hold so much of it each.
+func (b *Board) placeGroup(now time.Time, d Demand, best group, held []int) *Placement {
 	p := b.newPlacement(now, d)
 	p.First, p.Load, p.Expected = best.offers[0].worker.instance, best.offers[0].load, best.finish
 	for i, o := range best.offers {
@@ -175,5 +184,5 @@
 		}
 		p.request.add(o.worker, o.job, held[i])
 	}
-	return p, nil
+	return p
 }
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -27,8 +27,12 @@
 	mostYields = 3
 )
 
-// waits reports whether a request that has no place yet may get one soon, here.
+// waits reports whether a request that has no place yet may get one soon, here. Nothing waits for
+// one at an entry that may end before the answer does.
 func (f *Forwarder) waits(x *exchange, r *dispatcher.Refusal) bool {
+	if x.demand.EndWithin > 0 {
+		return false
+	}
 	return r.Passing && (r.Early || time.Since(x.arrived) < x.route.FirstByteTarget/waitPart)
 }
 
@@ -56,16 +60,15 @@
 
 // find asks for a place until there is one, or the request is not to wait for one here.
 func (f *Forwarder) find(x *exchange, d dispatcher.Demand) (*dispatcher.Placement, *dispatcher.Refusal) {
-	d = f.asOfNow(x, d)
-	x.demand = d
-	p, refusal, took := f.look(d)
+	x.demand = f.asOfNow(x, d)
+	p, refusal, took := f.look(x.demand)
 	if refusal != nil && f.waits(x, refusal) {
 		f.log.Info("wait", zap.String("request", x.call.ID), zap.String("service", x.service), zap.String("reason", refusal.Reason),
-			zap.Duration("expected_ms", refusal.Expected), zap.Duration("patience_ms", d.Patience))
+			zap.Duration("expected_ms", refusal.Expected), zap.Duration("patience_ms", x.demand.Patience))
 	}
 	for refusal != nil && f.waits(x, refusal) && sleeper.Sleep(x.ctx, pollAfter(took)) {
-		d = f.asOfNow(x, d)
-		p, refusal, took = f.look(d)
+		x.demand = f.asOfNow(x, d)
+		p, refusal, took = f.look(x.demand)
 	}
 	return p, refusal
 }
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -45,7 +45,6 @@
 // stops, and seldom asks a third time, so what ends in time is served. An answer that has begun goes on
 // as long as it can, and so does a call that may have run: it is answered whole, or told so at the end.
 func (x *exchange) withStop(v *View, d dispatcher.Demand) dispatcher.Demand {
-	d.Admitted = d.Admitted || v.Stopping
 	if !x.mayOutlast(v) || x.begun || x.pending > 0 && !x.isStream() {
 		return d
 	}
--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/standin/worker"
 )
 
@@ -195,3 +196,22 @@
 		f.is.True(a.took < left)
 	})
 }
+
+// A stopping entry admits what it would admit otherwise: a prompt that costs others more than it is worth
+// is not begun because its entry stops.
+func TestStoppingEntryRefusesWhatCostsTooMuch(t *testing.T) {
+	for _, patience := range []time.Duration{2 * time.Second, 10 * time.Second} {
+		withForwarder(t, func(f *fixture) {
+			for range 6 {
+				_, refusal := f.board.Place(time.Now(), dispatcher.Demand{
+					Service: "lm", Prompt: 300_000, Answer: 100, FirstByteTarget: 3 * time.Second, PauseTarget: time.Second, Admitted: true,
+				})
+				f.is.True(refusal == nil)
+			}
+			f.stopping(7300*time.Millisecond, 1)
+			a := f.ask(request{path: "/long/x", id: "s1", usage: "90000,100", patience: patience})
+			f.is.Equal(a.status, 503)
+			f.is.Equal(runs(f.engines, "s1"), 0)
+		})
+	}
+}
