dispatcher: an answer that nobody knows the length of does not surely end in time

It is refused now where only the forecast could admit it. The margin of the forecast has a name of its own, and that the longest answer counts, at the engine's pace, has tests.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -119,6 +119,9 @@
 red stop-told forwarder/stop.go 's/d\.Left = min\(d\.Left, d\.EndWithin\)/_ = d.Left/' ./forwarder TestEndOfAStoppingEntryIsTold
 red stop-silence forwarder/watchdog.go 's/d = x\.boundByStop\(v, d\)/_ = d/' $p TestSilenceNearTheEndOfAnEntry
 red stop-admits forwarder/stop.go 's/return x\.boundByStop\(v, d\)/d.Admitted = true\n\treturn x.boundByStop(v, d)/' $p TestStoppingEntryRefusesWhatCostsTooMuch
+red stop-unknown-length dispatcher/place.go 's/d\.MostAnswer <= 0 \|\| //' ./launcher TestStoppingEntryCutsNoStreamOfUnknownLength
+red stop-longest dispatcher/admit.go 's/events := d\.MostAnswer/events := d.Answer/' ./dispatcher TestLongestAnswerEndsInTime
+red stop-slow-engine dispatcher/admit.go 's/\* o\.worker\.health\.pace\(now\)\n\treturn/+ 0*o.worker.health.pace(now)\n\treturn/' ./dispatcher TestLongestAnswerAtASlowEngine
 red stop-begun forwarder/watchdog.go 's/ \&\& !begun \{/ {/' $p TestSilentStreamGoesOnElsewhereAtAStop
 red stop-called forwarder/watchdog.go 's/ \&\& x\.isStream\(\) \&\& !begun/ \&\& !begun/' $p TestSilentCallGoesElsewhereAtAStop
 red dropped-at-shutdown launcher/launcher.go 's/l\.busy\.Await\(by, stopPoll\)/_ = by/' ./launcher TestStoppingEntryAnswersOpenConnections
--- a/dispatcher/admit.go
+++ b/dispatcher/admit.go
@@ -92,13 +92,17 @@
 	return &Refusal{Reason: "stopping", Ending: true, Expected: expected, RetryAfter: leastRetry}
 }
 
+// endMargin is by how much a forecast of an answer's end is lengthened where the answer must not
+// take longer: long prompts that come to its engine later stop it for a second or two.
+const endMargin = 1.3
+
 // latestEnd is how long the whole answer may take, as far as can be foreseen: all events that the
 // request allows, as estimates of an answer's length are right at the median only, with
 // all slots of the engine taken, and a part more for long prompts that come to it meanwhile.
 func (d Demand) latestEnd(now time.Time, g group) time.Duration {
 	o := g.offers[0]
 	e := o.worker.engine
-	events := max(d.Answer, d.MostAnswer)/max(1, e.Stride) + 1
+	events := d.MostAnswer/max(1, e.Stride) + 1
 	pass := float64(predictor.DecodePass(e, e.Slots, o.load.Tokens+d.Prompt)) * o.worker.health.pace(now)
-	return time.Duration(endTo * (float64(g.finish) + float64(events)*pass))
+	return time.Duration(endMargin * (float64(g.finish) + float64(events)*pass))
 }
--- a/dispatcher/demand.go
+++ b/dispatcher/demand.go
@@ -28,8 +28,8 @@
 	// EndWithin is how long the entry that relays the answer is there yet: where the answer may
 	// take longer, the request is refused. 0 where the entry does not stop.
 	EndWithin time.Duration
-	// MostAnswer is how many tokens the answer may have at most, where EndWithin is set;
-	// Answer is what is expected.
+	// MostAnswer is how many tokens the answer may have at most, where EndWithin is set, 0 where
+	// nobody knows; Answer is what is expected.
 	MostAnswer int
 }
 
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -154,7 +154,7 @@
 	if !fits {
 		return nil, &Refusal{Reason: "no_memory", Expected: best.finish, RetryAfter: leastRetry}
 	}
-	if d.EndWithin > 0 && d.latestEnd(now, best) > d.EndWithin {
+	if d.EndWithin > 0 && (d.MostAnswer <= 0 || d.latestEnd(now, best) > d.EndWithin) {
 		return nil, ending(best.finish)
 	}
 	if r := tooCostly(d, workers[0].engine, loads, best.cost); r != nil {
--- /dev/null
+++ b/dispatcher/stop_test.go
@@ -0,0 +1,48 @@
+package dispatcher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Where an answer has to end before the entry that relays it, the longest that the request allows
+// counts, not the one that its caller expects: half of all answers are longer than that.
+func TestLongestAnswerEndsInTime(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	for _, c := range []struct {
+		most   int
+		within time.Duration
+		placed bool
+	}{
+		{4500, 7 * time.Second, true},
+		{4500, 3 * time.Second, false},
+		{400, 3 * time.Second, true},
+		{0, 7 * time.Second, false},
+	} {
+		d := tower
+		d.Answer, d.MostAnswer, d.EndWithin, d.Left = 100, c.most, c.within, c.within
+		_, refusal := testBoard(t, 3).Place(now, d)
+		is.Equal(refusal == nil, c.placed)
+		is.True(c.placed || refusal.Ending)
+	}
+}
+
+// An engine that is slow ends answers later.
+func TestLongestAnswerAtASlowEngine(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	b := testBoard(t, 1)
+	for range 20 {
+		p := place(t, b, now, tower)
+		now = now.Add(3 * (p.Expected + paceSlack))
+		p.Began(now)
+		p.End(now, Answered)
+	}
+	d := tower
+	d.MostAnswer, d.EndWithin, d.Admitted = 4500, 7*time.Second, true
+	_, refusal := b.Place(now, d)
+	is.True(refusal != nil && refusal.Ending)
+}
--- a/launcher/stop_known_red_test.go
+++ b/launcher/stop_known_red_test.go
@@ -3,25 +3,12 @@
 package launcher_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 )
 
-// A prompt does not say how many tokens its answer may have. A stopping entry takes that for an
-// answer of one event, begins it, and cuts it.
-func TestStoppingEntryCutsNoStreamOfUnknownLength(t *testing.T) {
-	for _, usage := range []string{"2000", "2000,0"} {
-		t.Run(fmt.Sprintf("%q", usage), func(t *testing.T) {
-			withLongAnswers(t, func(_ *is.I, f *fleet) {
-				f.checkNoneLost(question{path: "/stream/x", usage: usage}.over(0))
-			})
-		})
-	}
-}
-
 // The end of an entry comes while bodies are on their way to it, some of them whole a moment
 // later. Nothing was passed on, but the callers see their connections closed in place of
 // an answer that says so, and the log calls them caller_left.
--- a/launcher/stop_test.go
+++ b/launcher/stop_test.go
@@ -504,3 +504,15 @@
 		is.True(time.Since(stopped) < 4*time.Second)
 	})
 }
+
+// A prompt does not say how many tokens its answer may have. A stopping entry takes that for an
+// answer of one event, begins it, and cuts it.
+func TestStoppingEntryCutsNoStreamOfUnknownLength(t *testing.T) {
+	for _, usage := range []string{"2000", "2000,0"} {
+		t.Run(fmt.Sprintf("%q", usage), func(t *testing.T) {
+			withLongAnswers(t, func(_ *is.I, f *fleet) {
+				f.checkNoneLost(question{path: "/stream/x", usage: usage}.over(0))
+			})
+		})
+	}
+}
