forwarder: callers that still send their body are told of the end of their entry

They saw the connection closed, though nothing had been passed on: the end of a request's context does not end a read of its body, and what ended it counted as caller_left. The end now ends the read as well, and they are refused as stopping, not run.

--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -50,11 +50,17 @@
 		}
 		connection := http.NewResponseController(x.writer)
 		_ = connection.SetReadDeadline(x.deadline)
+		// The end of the entry ends the wait for the rest, so that it can be told.
+		stop := context.AfterFunc(x.ctx, func() { _ = connection.SetReadDeadline(time.Now()) })
 		from := io.Reader(x.request.Body)
 		if limit > 0 {
 			from = io.LimitReader(from, limit+1)
 		}
 		body, err := io.ReadAll(from)
+		stop()
+		if cut := x.cutOff(x.ctx, f.view(), err); cut != nil {
+			return cut
+		}
 		_ = connection.SetReadDeadline(time.Time{})
 		if errors.Is(err, context.Canceled) || x.ctx.Err() != nil {
 			return &failure{status: http.StatusRequestTimeout, reason: reasonCallerLeft, cause: err}
