forwarder: Retry-After of the last entry that stops is when it is back as a rule

It said when the entry ends by force at the latest, and a second more: 7.8 s at 0.5 s after the order, where the entry ended after 3.5 s. It says now when nobody has the address any more and two seconds.

--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -11,8 +11,9 @@
 	"github.com/sapphireramp/sapphireramp/matcher"
 )
 
-// restartTime is how long after the end of an entry it takes callers again, at most, as a rule.
-const restartTime = time.Second
+// restartTime is how long an entry takes, once it takes no more callers, to finish what most
+// of them asked for and to start again.
+const restartTime = 2 * time.Second
 
 // ErrCutOff is the cause for which the requests end that are still in progress when their entry does.
 var ErrCutOff = errors.New("the entry ends")
@@ -62,12 +63,12 @@
 }
 
 // stopRetry is when a caller that a stopping entry refuses is served: by another entry at
-// once, or by this one when it has started again.
+// once, or by this one when it has started again, soon after nobody has its address any more.
 func (v *View) stopRetry() time.Duration {
 	if v.Others > 0 {
 		return soonRetry
 	}
-	return time.Until(v.StopBy) + restartTime
+	return max(0, time.Until(v.KnownUntil)) + restartTime
 }
 
 // refuseStopping is the refusal of a stopping entry.
