forwarder: an entry that stops before it knows a configuration refuses at once

It held callers for a tenth of their patience and sent them back after two seconds, though it would not serve any more.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -123,6 +123,7 @@
 red stop-longest dispatcher/admit.go 's/events := d\.MostAnswer/events := d.Answer/' ./dispatcher TestLongestAnswerEndsInTime
 red stop-slow-engine dispatcher/admit.go 's/\* o\.worker\.health\.pace\(now\)\n\treturn/+ 0*o.worker.health.pace(now)\n\treturn/' ./dispatcher TestLongestAnswerAtASlowEngine
 red end-while-sending forwarder/limits.go 's/stop := context\.AfterFunc\(x\.ctx, func\(\) \{[^}]*\}\)/stop := func() {}/' ./launcher TestEndOfAnEntryIsToldToThoseStillSending
+red stop-unconfigured forwarder/forwarder.go 's/ \&\& !v\.Stopping//' $p TestStoppingEntryWithoutConfiguration
 red stop-begun forwarder/watchdog.go 's/ \&\& !begun \{/ {/' $p TestSilentStreamGoesOnElsewhereAtAStop
 red stop-called forwarder/watchdog.go 's/ \&\& x\.isStream\(\) \&\& !begun/ \&\& !begun/' $p TestSilentCallGoesElsewhereAtAStop
 red dropped-at-shutdown launcher/launcher.go 's/l\.busy\.Await\(by, stopPoll\)/_ = by/' ./launcher TestStoppingEntryAnswersOpenConnections
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -157,6 +157,9 @@
 func (f *Forwarder) open(next handler) handler {
 	return func(x *exchange) *failure {
 		x.view = f.awaitConfig(x)
+		if x.view.Table == nil && x.view.Stopping {
+			return refuseStopping(x.view, nil)
+		}
 		if x.view.Table == nil && x.view.StoreLost {
 			return notRun(reasonNoConfig, lostRetry, nil)
 		}
@@ -188,7 +191,7 @@
 // where that comes soon.
 func (f *Forwarder) awaitConfig(x *exchange) *View {
 	v := f.view()
-	for v.Table == nil && time.Since(x.arrived) < configWait(x, v) && sleeper.Sleep(x.ctx, startPoll) {
+	for v.Table == nil && !v.Stopping && time.Since(x.arrived) < configWait(x, v) && sleeper.Sleep(x.ctx, startPoll) {
 		v = f.view()
 	}
 	return v
--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/dispatcher"
+	"github.com/sapphireramp/sapphireramp/forwarder"
 	"github.com/sapphireramp/sapphireramp/standin/worker"
 )
 
@@ -216,3 +217,14 @@
 		})
 	}
 }
+
+// An entry that is told to stop before it knows a configuration refuses at once: it will not serve.
+func TestStoppingEntryWithoutConfiguration(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		f.view.Store(&forwarder.View{Stopping: true, StopBy: time.Now().Add(7 * time.Second), Others: 1, StoreLost: true})
+		a := f.ask(request{path: "/stream/x", id: "s1", usage: "1000,100", patience: 10 * time.Second})
+		f.is.Equal(a.status, 503)
+		f.is.True(a.took < 20*time.Millisecond)
+		f.is.Equal(f.retryAfter(a), 50*time.Millisecond)
+	})
+}
