--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -9,6 +9,7 @@
 	"iter"
 	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -61,6 +62,12 @@
 	Priority  string
 	Body      string
 	Left      time.Duration
+	// Upstream is the worker's id, Fault how it answered.
+	Upstream string
+	Fault    Fault
+	// Began and Ended are when the worker took the run and let it go; Ended is
+	// zero while it works.
+	Began, Ended time.Time
 }
 
 // Worker is one upstream.
@@ -70,6 +77,8 @@
 	// answer.
 	events      int
 	pause, work time.Duration
+	// plan, where not nil, takes the place of events and, for plain calls, work.
+	plan *Plan
 
 	lock  sync.Mutex
 	fault Fault
@@ -95,6 +104,10 @@
 	return &Worker{id: id, work: work, events: events, pause: pause, now: newIncarnation(), orders: map[string]int{}, used: map[string]bool{}}
 }
 
+// Follow has each request's answer last as a plan says. It is called before
+// the first request.
+func (w *Worker) Follow(p *Plan) { w.plan = p }
+
 // SetFault changes how the worker answers.
 func (w *Worker) SetFault(f Fault) {
 	w.lock.Lock()
@@ -127,19 +140,25 @@
 	clear(w.orders)
 }
 
-// TimesRun is how often a request ran at all of the workers.
-func TimesRun(workers iter.Seq[*Worker], id string) int {
-	n := 0
+// RunsOf returns the runs of a request at all of the workers, the earliest first.
+func RunsOf(workers iter.Seq[*Worker], id string) []Run {
+	var found []Run
 	for w := range workers {
-		for _, r := range w.Runs() {
+		w.lock.Lock()
+		for _, r := range w.runs {
 			if r.ID == id {
-				n++
+				found = append(found, r)
 			}
 		}
+		w.lock.Unlock()
 	}
-	return n
+	slices.SortFunc(found, func(a, b Run) int { return a.Began.Compare(b.Began) })
+	return found
 }
 
+// TimesRun is how often a request ran at all of the workers.
+func TimesRun(workers iter.Seq[*Worker], id string) int { return len(RunsOf(workers, id)) }
+
 // Held returns the memory set aside, by ticket.
 func (w *Worker) Held() map[string]int {
 	w.lock.Lock()
@@ -181,8 +200,8 @@
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	now := w.begin(r, id, string(body))
-	defer w.end(now)
+	now, run := w.begin(r, id, string(body), fault)
+	defer w.end(now, run)
 	out.Header().Set("X-Attempt-Id", id)
 	if fault == Foreign {
 		out.Header().Set("X-Attempt-Id", "another")
@@ -190,9 +209,9 @@
 	if fault != Unsigned {
 		out.Header().Set("X-Engine-Stamp", w.id)
 	}
-	work := w.work
+	work := w.workFor(r, id)
 	if fault == Slow {
-		work = SlowWork
+		work += SlowWork - w.work
 	}
 	if !now.sleep(r, work) {
 		return
@@ -209,7 +228,24 @@
 	}
 }
 
-func (w *Worker) begin(r *http.Request, id, body string) *incarnation {
+// workFor is how long a sound worker works before it answers.
+func (w *Worker) workFor(r *http.Request, id string) time.Duration {
+	if w.plan != nil && r.Header.Get("X-Token-Usage") == "" {
+		return w.plan.Work(id, r.URL.Path)
+	}
+	return w.work
+}
+
+// eventsFor is how many events the answer to a stream has.
+func (w *Worker) eventsFor(id string) int {
+	if w.plan != nil {
+		return w.plan.Events(id)
+	}
+	return w.events
+}
+
+// begin notes a run, and returns its place among the runs.
+func (w *Worker) begin(r *http.Request, id, body string, fault Fault) (*incarnation, int) {
 	left, _ := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
 	w.lock.Lock()
 	defer w.lock.Unlock()
@@ -217,14 +253,16 @@
 	w.runs = append(w.runs, Run{
 		ID: id, Tenant: r.Header.Get("X-Tenant"), Path: r.RequestURI, LastEvent: r.Header.Get("Last-Event-Id"),
 		Helpers: r.Header.Get("X-Helpers"), Priority: r.Header.Get("X-Request-Priority"), Body: body, Left: time.Duration(left) * time.Millisecond,
+		Upstream: w.id, Fault: fault, Began: time.Now(),
 	})
-	return w.now
+	return w.now, len(w.runs) - 1
 }
 
-func (w *Worker) end(now *incarnation) {
+func (w *Worker) end(now *incarnation, run int) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	now.working--
+	w.runs[run].Ended = time.Now()
 }
 
 // sleep waits, and reports whether caller and process are still there after it.
@@ -278,9 +316,10 @@
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	out.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(out)
-	for n := first + 1; n <= w.events; n++ {
+	events, began := w.eventsFor(id), time.Now()
+	for n := first + 1; n <= events; n++ {
 		event := Event(id, n)
-		if half := first + (w.events-first+1)/2; n == half && (fault == Torn || fault == Short) {
+		if half := first + (events-first+1)/2; n == half && (fault == Torn || fault == Short) {
 			_, _ = io.WriteString(out, event[:len(event)/2])
 			_ = flusher.Flush()
 			if fault == Torn {
@@ -290,7 +329,8 @@
 		}
 		_, _ = io.WriteString(out, event)
 		_ = flusher.Flush()
-		if !now.sleep(r, w.pause) {
+		// By the clock, so that a hundred events take no longer than their pauses.
+		if !now.sleep(r, time.Until(began.Add(time.Duration(n-first)*w.pause))) {
 			return
 		}
 	}
