--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -12,8 +12,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/standin/worker"
@@ -41,6 +43,12 @@
 	AddressLife time.Duration
 	// Usage is what prompts say of their token counts.
 	Usage string
+	// UsageOf, where not nil, takes the place of Usage: the most tokens that the answer
+	// to a request may have, and the caller's estimate.
+	UsageOf func(id string) (most, hint int)
+	// Keeps callers ask one address until a request to it fails, also where newer
+	// answers of the directory don't name it any more.
+	Keeps bool
 	// Body returns what a request sends; nil for nothing.
 	Body      func() io.Reader
 	client    *http.Client
@@ -49,6 +57,8 @@
 	asked     time.Time
 	// fixed is true where the directory is not asked.
 	fixed bool
+	// kept is the address that a caller who keeps one asks; invalid for none.
+	kept netip.AddrPort
 }
 
 // New returns a caller that connects by dial.
@@ -60,6 +70,16 @@
 	}
 }
 
+// SetHabit gives callers, numbered from 0, in turn each habit that keeps an address
+// longer than most do: an answer of the directory for three of its lives, one address
+// until a request to it fails, both or neither.
+func (c *Caller) SetHabit(n int) {
+	if n%2 == 1 {
+		c.AddressLife = 3 * addressLife
+	}
+	c.Keeps = n%4 >= 2
+}
+
 // Fix has the caller use an address whatever the directory says.
 func (c *Caller) Fix(address netip.AddrPort) { c.addresses, c.fixed = []netip.AddrPort{address}, true }
 
@@ -73,6 +93,11 @@
 	Entry  netip.AddrPort
 	Status int
 	Body   string
+	// Sent is true once the header of the request was written to a connection.
+	Sent bool
+	// Limit is the time that the request has: as long as its caller waits, or its
+	// route allows.
+	Limit time.Duration
 	// RetryAfter is when a refused caller is asked to come back; empty where nothing is said.
 	RetryAfter string
 	// Err is a connection that ended before a whole answer.
@@ -81,6 +106,9 @@
 	Took time.Duration
 }
 
+// End is when the request ended.
+func (r Result) End() time.Time { return r.At.Add(r.Took) }
+
 // Served reports whether a whole answer came.
 func (r Result) Served() bool { return r.Err == nil && r.Status == http.StatusOK }
 
@@ -122,19 +150,36 @@
 // Ask sends one request; patience is how long it waits.
 func (c *Caller) Ask(path, id, key string, patience time.Duration) Result {
 	c.resolve()
-	r := Result{ID: id, Path: path, At: time.Now()}
+	r := Result{ID: id, Path: path, At: time.Now(), Limit: patience}
 	if len(c.addresses) == 0 {
 		r.Err = ErrNoAddress
 		return r
 	}
-	r.Entry = c.addresses[c.random.IntN(len(c.addresses))]
+	r.Entry = c.choose()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }})
 	r.Err = c.send(ctx, &r, key, patience)
-	r.Took = time.Since(r.At)
+	r.Took, r.Sent = time.Since(r.At), sent.Load()
+	if r.Err != nil {
+		c.kept = netip.AddrPort{}
+	}
 	return r
 }
 
+// choose picks an address, or the one that the caller keeps.
+func (c *Caller) choose() netip.AddrPort {
+	if c.kept.IsValid() {
+		return c.kept
+	}
+	a := c.addresses[c.random.IntN(len(c.addresses))]
+	if c.Keeps {
+		c.kept = a
+	}
+	return a
+}
+
 // send sends the request of a result and fills in its answer.
 func (c *Caller) send(ctx context.Context, r *Result, key string, patience time.Duration) error {
 	method := http.MethodPost
@@ -154,7 +199,7 @@
 	request.Header.Set("X-Attempt-Id", r.ID)
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
 	if !plain(r.Path) {
-		request.Header.Set("X-Token-Usage", c.Usage)
+		c.sayUsage(request.Header, r.ID)
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
@@ -169,6 +214,15 @@
 	return nil
 }
 
+func (c *Caller) sayUsage(h http.Header, id string) {
+	h.Set("X-Token-Usage", c.Usage)
+	if c.UsageOf != nil {
+		most, hint := c.UsageOf(id)
+		h.Set("X-Token-Usage", fmt.Sprintf("2000,%d", most))
+		h.Set("X-Length-Hint", fmt.Sprint(hint))
+	}
+}
+
 func plain(path string) bool {
 	return strings.HasPrefix(path, "/once/") || strings.HasPrefix(path, "/safe/")
 }
