soak, launcher: the soaks see what a stopping entry cuts off

Callers saw answers cut by entries that stopped; no random run did: answers took under 0.5 s, callers left an address within a second, the virtual soak had no stop, stops didn't come in series, and no judgement looked at answers that broke off.

Now lengths are drawn up to near the time that callers wait, some callers stay, every run has a series of overlapping stops, bursts overlap, and caller.Troubles holds each request to a stopping entry against the stop: whole, or an honest refusal, unless a drawn fault ended it.

A stopping entry begins streams that last beyond its end.

--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -31,8 +31,12 @@
 
 const (
 	entryPort, readyPort, directoryPort, peerPort, sharePort = 80, 81, 82, 83, 84
-	// streamEvents is how many events an answer has.
+	// streamEvents is how many events an answer has, but in random runs.
 	streamEvents = 8
+	// eventPause is between events.
+	eventPause = 60 * time.Millisecond
+	// tokensOfEvent is the stride of the engines.
+	tokensOfEvent = 51
 	// grace is the time between the order to stop and the end by force.
 	grace = 8 * time.Second
 )
@@ -59,13 +63,25 @@
 	born   map[string]int64
 	next   int
 	rounds int
+	// plan is how long answers last; nil where all are short.
+	plan *worker.Plan
+	// salt is a part of requests' ids, which lengths are drawn from.
+	salt string
+	// troubles are what happens to entries and upstreams.
+	troubles caller.Troubles
+	// bursts are callers that asked for a while; down are the entries that were
+	// killed or stopped and not started again.
+	bursts []*traffic
+	down   map[int]bool
 }
 
 func hostOf(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, byte(1 + i%3), 0, byte(10 + i)}) }
 
-func newFleet(t *testing.T, entries int) *fleet {
+func newFleet(t *testing.T, entries int) *fleet { return newFleetWithPlan(t, entries, nil) }
+
+func newFleetWithPlan(t *testing.T, entries int, plan *worker.Plan) *fleet {
 	t.Helper()
-	f := &fleet{t: t, net: network.New(), store: store.New(), workers: map[string]*worker.Worker{}, hosts: map[string]netip.Addr{}, born: map[string]int64{}}
+	f := &fleet{t: t, plan: plan, down: map[int]bool{}, net: network.New(), store: store.New(), workers: map[string]*worker.Worker{}, hosts: map[string]netip.Addr{}, born: map[string]int64{}}
 	f.serve(netip.AddrPortFrom(storeHost, 80), f.store)
 	f.configure(1, "key-1", "key-2")
 	for range 3 {
@@ -91,7 +107,7 @@
 
 // addWorker starts an upstream that answers as most do and lists it.
 func (f *fleet) addWorker(service string) string {
-	return f.addWorkerThat(service, 20*time.Millisecond, streamEvents, 60*time.Millisecond)
+	return f.addWorkerThat(service, 20*time.Millisecond, streamEvents, eventPause)
 }
 
 // addWorkerThat starts an upstream that answers after work, or with so many events and pauses
@@ -101,6 +117,7 @@
 	id := fmt.Sprintf("i-%s-%d", service, f.next)
 	host := netip.AddrFrom4([4]byte{10, 100, byte(f.next >> 8), byte(f.next)})
 	w := worker.New(id, work, events, pause)
+	w.Follow(f.plan)
 	f.workers[id], f.hosts[id], f.born[id] = w, host, time.Now().UnixMilli()
 	f.serve(netip.AddrPortFrom(host, 80), w)
 	f.list(id, service, "ready")
@@ -115,6 +132,7 @@
 
 // restartWorker starts a worker again under its id.
 func (f *fleet) restartWorker(id, service string) {
+	defer f.troubles.Cut(id)()
 	f.workers[id].Restart()
 	f.born[id] = time.Now().UnixMilli()
 	f.list(id, service, "ready")
@@ -122,7 +140,7 @@
 
 func (f *fleet) configure(version int, keys ...string) {
 	route := func(name, prefix, kind, service string, extra map[string]any) map[string]any {
-		r := map[string]any{"name": name, "host": "h", "prefix": prefix, "kind": kind, "service": service, "timeout-ms": 3000, "target-latency-ms": 300, "max-attempts": 1}
+		r := map[string]any{"name": name, "host": "h", "prefix": prefix, "kind": kind, "service": service, "timeout-ms": caller.RouteTime(prefix).Milliseconds(), "target-latency-ms": 300, "max-attempts": 1}
 		for k, v := range extra {
 			r[k] = v
 		}
@@ -133,8 +151,8 @@
 		"routes": []any{
 			route("once", "/once/", "non_idempotent", "app", nil),
 			route("safe", "/safe/", "idempotent", "app", map[string]any{"max-attempts": 2}),
-			route("stream", "/stream/", "streaming", "lm", map[string]any{"max-attempts": 2, "stream-resume": true, "sticky": true, "gap-aim-ms": 250, "timeout-ms": 8000}),
-			route("fixed", "/fixed/", "streaming", "lm", map[string]any{"sticky": true, "gap-aim-ms": 250, "timeout-ms": 8000}),
+			route("stream", "/stream/", "streaming", "lm", map[string]any{"max-attempts": 2, "stream-resume": true, "sticky": true, "gap-aim-ms": 250}),
+			route("fixed", "/fixed/", "streaming", "lm", map[string]any{"sticky": true, "gap-aim-ms": 250}),
 		},
 		"services": []any{
 			map[string]any{"name": "app"},
@@ -182,6 +200,7 @@
 // goroutines end when they have waited out their own stop.
 func (f *fleet) kill(e *entry) {
 	e.stopped = true
+	f.troubles.Killed(e.host)
 	f.net.Kill(e.host)
 	e.stop()
 }
@@ -210,7 +229,32 @@
 	for i := range f.entries {
 		directories = append(directories, netip.AddrPortFrom(hostOf(i), directoryPort))
 	}
-	return caller.New(directories, seed, f.net.Dialer(callerHost))
+	c := caller.New(directories, seed, f.net.Dialer(callerHost))
+	if f.plan != nil {
+		c.SetHabit(int(seed))
+		c.UsageOf = func(id string) (most, hint int) { return f.plan.Usage(id, tokensOfEvent) }
+	}
+	return c
+}
+
+// evidence is what answers are held against.
+func (f *fleet) evidence() caller.Evidence {
+	events := func(string) int { return streamEvents }
+	if f.plan != nil {
+		events = f.plan.Events
+	}
+	runs := func(id string) []worker.Run { return worker.RunsOf(maps.Values(f.workers), id) }
+	return caller.Evidence{Runs: runs, Events: events, Troubles: &f.troubles}
+}
+
+// stopEntry sends an entry SIGTERM, and notes when it has ended.
+func (f *fleet) stopEntry(e *entry) {
+	s := f.troubles.Stopping(e.host, grace)
+	e.stop()
+	go func() {
+		<-e.ended
+		s.Ended()
+	}()
 }
 
 // runs is how often a request ran, at all workers.
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -23,12 +23,18 @@
 
 func (f *fleet) traffic(callers int) *traffic {
 	f.rounds++
-	return &traffic{fleet: f, Traffic: caller.NewTraffic(fmt.Sprintf("t%d", f.rounds), callers, func(n int) *caller.Caller { return f.newCaller(uint64(n)) })}
+	return &traffic{fleet: f, Traffic: caller.NewTraffic(fmt.Sprintf("t%d%s", f.rounds, f.salt), callers, func(n int) *caller.Caller { return f.newCaller(uint64(n)) })}
 }
 
 // end stops the callers, and fails the test for every broken promise.
 func (x *traffic) end() (served, asked int) {
-	served, asked, broken := x.End(x.fleet.runs, streamEvents)
+	x.Stop()
+	return x.judge()
+}
+
+// judge fails the test for every broken promise to callers that were stopped.
+func (x *traffic) judge() (served, asked int) {
+	served, asked, broken := x.Judge(x.fleet.evidence())
 	for _, b := range broken {
 		x.fleet.t.Error(b)
 	}
@@ -61,7 +67,7 @@
 		for i := range f.entries {
 			time.Sleep(time.Second)
 			began := time.Now()
-			f.entries[i].stop()
+			f.stopEntry(f.entries[i])
 			<-f.entries[i].ended
 			is.True(time.Since(began) < grace)
 			time.Sleep(1500 * time.Millisecond) // nobody knows its address any more
--- a/launcher/soak_test.go
+++ b/launcher/soak_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -61,12 +62,33 @@
 		return func() { f.net.Mend(a, b) }
 	}},
 	{"entry killed", func(f *fleet, t *rapid.T) func() {
-		i := rapid.IntRange(0, len(f.entries)-1).Draw(t, "entry")
-		f.kill(f.entries[i])
-		return func() {
-			<-f.entries[i].ended
-			f.entries[i] = f.start(i)
+		if i, ok := f.free(t); ok {
+			f.kill(f.entries[i])
+		}
+		return func() {}
+	}},
+	{"entry stopped", func(f *fleet, t *rapid.T) func() {
+		if i, ok := f.free(t); ok {
+			f.stopEntry(f.entries[i])
+		}
+		return func() {}
+	}},
+	{"entries stopped in series", func(f *fleet, t *rapid.T) func() {
+		f.stopInSeries(t)
+		return func() {}
+	}},
+	{"settings read again", func(f *fleet, t *rapid.T) func() {
+		e := f.entries[rapid.IntRange(0, len(f.entries)-1).Draw(t, "entry")]
+		select {
+		case e.reload <- struct{}{}:
+		default: // one is on its way, or the entry has ended
 		}
+		return func() {}
+	}},
+	{"burst", func(f *fleet, t *rapid.T) func() {
+		x := f.traffic(rapid.IntRange(5, 20).Draw(t, "callers"))
+		f.bursts = append(f.bursts, x)
+		return x.Stop
 	}},
 	{"configuration", func(f *fleet, t *rapid.T) func() {
 		f.configure(rapid.IntRange(10, 1000).Draw(t, "version"), "key-1")
@@ -83,40 +105,98 @@
 	}},
 }
 
+// free draws an entry that neither was killed nor stops, and marks it as down; none
+// where that would leave less than half of the entries.
+func (f *fleet) free(t *rapid.T) (int, bool) {
+	f.startEnded(false)
+	var free []int
+	for i := range f.entries {
+		if !f.down[i] {
+			free = append(free, i)
+		}
+	}
+	if len(free) <= len(f.entries)/2 {
+		return 0, false
+	}
+	i := rapid.SampledFrom(free).Draw(t, "entry")
+	f.down[i] = true
+	return i, true
+}
+
+// startEnded starts those entries that are down and have ended; with wait it waits
+// for the end of all that are down.
+func (f *fleet) startEnded(wait bool) {
+	for i := range f.entries {
+		if !f.down[i] {
+			continue
+		}
+		select {
+		case <-f.entries[i].ended:
+		default:
+			if !wait {
+				continue
+			}
+			<-f.entries[i].ended
+		}
+		f.entries[i], f.down[i] = f.start(i), false
+	}
+}
+
+// stopInSeries sends entries SIGTERM one after the other, so that their stops
+// overlap; each is started again when it has ended.
+func (f *fleet) stopInSeries(t *rapid.T) {
+	for range rapid.IntRange(2, 3).Draw(t, "stops") {
+		if i, ok := f.free(t); ok {
+			f.stopEntry(f.entries[i])
+		}
+		time.Sleep(time.Duration(rapid.IntRange(100, 1600).Draw(t, "gap")) * time.Millisecond)
+	}
+}
+
 // TestSoak lets callers ask while drawn troubles come one after the other and
 // overlap. Every answer is held against the promises; when the troubles are
 // over, everything is served again and nothing is left at the upstreams.
+//
+// No trouble was a stop once, and no answer took over half a second: answers that
+// stopping entries cut in the middle were beyond its reach. Every plan has a series
+// of stops now, and answers take up to as long as callers wait.
 func TestSoak(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		var plan []int
 		for range rapid.IntRange(2, 5).Draw(r, "troubles") {
 			plan = append(plan, rapid.IntRange(0, len(troubles)-1).Draw(r, "kind"))
 		}
+		series := slices.IndexFunc(troubles, func(t trouble) bool { return t.name == "entries stopped in series" })
+		plan = slices.Insert(plan, rapid.IntRange(0, len(plan)).Draw(r, "place of the series"), series) // every run has one
 		runSoak(t, r, plan)
 	})
 }
 
 func runSoak(t *testing.T, r *rapid.T, plan []int) {
+	defer func() {
+		if t.Failed() { // a failure within the bubble ends the whole test
+			t.Logf("rapid.seed %s, plan %s", flag.Lookup("rapid.seed").Value, namesOf(plan))
+		}
+	}()
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 4)
+		f := newFleetWithPlan(t, 6, worker.DrawnPlan(eventPause))
 		defer f.end()
-		x := f.traffic(6)
-		killed := false
+		f.salt = fmt.Sprintf("s%d", rapid.IntRange(0, 9999).Draw(r, "salt"))
+		x := f.traffic(16)
 		var ends []func()
 		for _, kind := range plan {
-			if troubles[kind].name == "entry killed" {
-				if killed {
-					continue // one at a time, so that the same is not killed twice
-				}
-				killed = true
-			}
 			ends = append(ends, troubles[kind].begin(f, r))
 			time.Sleep(time.Duration(rapid.IntRange(100, 1500).Draw(r, "gap")) * time.Millisecond)
+			f.startEnded(false)
 		}
 		for _, end := range ends {
 			end()
 		}
-		x.end()
+		f.startEnded(true)
+		x.Stop()
+		for _, x := range append(f.bursts, x) {
+			x.judge()
+		}
 		time.Sleep(5 * time.Second)
 		calm := f.traffic(4)
 		time.Sleep(2 * time.Second)
@@ -131,7 +211,12 @@
 			}
 		}
 	})
-	if t.Failed() {
-		r.Fatal(fmt.Sprintf("plan %v", plan))
+}
+
+func namesOf(plan []int) []string {
+	var names []string
+	for _, kind := range plan {
+		names = append(names, troubles[kind].name)
 	}
+	return names
 }
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -17,6 +17,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -31,9 +32,14 @@
 const (
 	callersPort, readyPort, directoryPort, peerPort, sharePort, metricsPort = 8227, 8220, 8224, 8229, 7340, 9464
 	storePort, workerPort                                                   = 8223, 8080
-	streamEvents                                                            = 8
+	// tokensOfEvent is the stride of the engines.
+	tokensOfEvent = 51
+	grace         = 8 * time.Second
 )
 
+// plan is how long answers last.
+var plan = worker.DrawnPlan(40 * time.Millisecond)
+
 // binary is the program under test, built once.
 var binary string
 
@@ -62,9 +68,8 @@
 	lock     sync.Mutex
 	running  *exec.Cmd
 	exited   chan struct{}
-	// signalled is true while a fault has the process stopped, killed or
-	// paused; only the run's own goroutine touches it.
-	signalled bool
+	// signalled is true while a fault has the process stopped, killed or paused.
+	signalled atomic.Bool
 }
 
 // fleet is the whole system of one run, on loopback addresses of its own.
@@ -82,6 +87,12 @@
 	entries []*entry
 	servers []*http.Server
 	version int
+	// troubles are what happens to entries and upstreams.
+	troubles caller.Troubles
+	// background is what goes on beside the faults: series of stops.
+	background sync.WaitGroup
+	// callers are all that asked while there were faults.
+	callers []*caller.Traffic
 }
 
 // address is a loopback address of this run.
@@ -132,7 +143,8 @@
 
 func (f *fleet) addWorker(n int, service string) {
 	id := fmt.Sprintf("i-%s-%d", service, n)
-	w := worker.New(id, 15*time.Millisecond, streamEvents, 40*time.Millisecond)
+	w := worker.New(id, 15*time.Millisecond, 0, 40*time.Millisecond)
+	w.Follow(calmly(plan))
 	back, front := netip.AddrPortFrom(f.address(1, n), workerPort), netip.AddrPortFrom(f.address(2, n), workerPort)
 	f.serve(back, w)
 	f.workers[id], f.ways[id], f.services[id], f.born[id] = w, f.relay(front, back), service, time.Now().UnixMilli()
@@ -146,8 +158,29 @@
 	f.store.Put("servers/"+id, u)
 }
 
+// calmly returns a plan whose answers to calm traffic are short, so that the end
+// of a run is too.
+func calmly(p *worker.Plan) *worker.Plan {
+	calm := func(id string) bool { return strings.HasPrefix(id, "calm-") }
+	return &worker.Plan{
+		Events: func(id string) int {
+			if calm(id) {
+				return 8
+			}
+			return p.Events(id)
+		},
+		Work: func(id, path string) time.Duration {
+			if calm(id) {
+				return 15 * time.Millisecond
+			}
+			return p.Work(id, path)
+		},
+	}
+}
+
 // restartWorker starts a worker again under its id.
 func (f *fleet) restartWorker(id string) {
+	defer f.troubles.Cut(id)()
 	f.workers[id].Restart()
 	f.born[id] = time.Now().UnixMilli()
 	f.list(id, "ready")
@@ -156,7 +189,8 @@
 func (f *fleet) configure(keys ...string) {
 	f.version++
 	route := func(name, kind, service string, attempts int, more string) json.RawMessage {
-		return json.RawMessage(fmt.Sprintf(`{"name":%q,"host":"h","prefix":"/%s/","kind":%q,"service":%q,"timeout-ms":4000,"target-latency-ms":300,"max-attempts":%d%s}`, name, name, kind, service, attempts, more))
+		timeout := caller.RouteTime("/" + name + "/").Milliseconds()
+		return json.RawMessage(fmt.Sprintf(`{"name":%q,"host":"h","prefix":"/%s/","kind":%q,"service":%q,"timeout-ms":%d,"target-latency-ms":300,"max-attempts":%d%s}`, name, name, kind, service, timeout, attempts, more))
 	}
 	f.store.Put("op/config", map[string]any{
 		"version": f.version,
@@ -183,7 +217,7 @@
 		fmt.Sprintf("internal-ports=%d,%d", sharePort, sharePort+10),
 		fmt.Sprintf("seeds=%s:%d,%s:%d", e.fleet.address(3, 0), peerPort, e.fleet.address(3, 1), peerPort),
 		fmt.Sprintf("platform.address=%s:%d", e.fleet.address(0, 1), storePort),
-		"bounds.grace-s=8", "bounds.config-deadline-ms=2000", "bounds.drain-ms=2000", "bounds.budget-ratio=0.2", "bounds.budget-window-s=10",
+		fmt.Sprintf("bounds.grace-s=%d", grace/time.Second), "bounds.config-deadline-ms=2000", "bounds.drain-ms=2000", "bounds.budget-ratio=0.2", "bounds.budget-window-s=10",
 		fmt.Sprintf("bounds.budget-slack=%d", 100+slack), "bounds.ttl_max_s=5", "bounds.hold-max-ms=20000", "bounds.free-ms=4000", "bounds.idle-max-ms=9000", "bounds.stall_ms=1500",
 	}
 	draft := e.settings + ".new"
@@ -289,9 +323,6 @@
 	}
 }
 
-// runs is how often a request ran, at all workers.
-func (f *fleet) runs(id string) int { return worker.TimesRun(maps.Values(f.workers), id) }
-
 // traffic starts callers that ask steadily until they are told to stop.
 func (f *fleet) traffic(name string, callers int) *caller.Traffic {
 	var directories []netip.AddrPort
@@ -300,13 +331,19 @@
 	}
 	dialer := net.Dialer{Timeout: time.Second}
 	return caller.NewTraffic(name, callers, func(n int) *caller.Caller {
-		return caller.New(directories, uint64(f.seed*100+n), dialer.DialContext)
+		c := caller.New(directories, uint64(f.seed*100+n), dialer.DialContext)
+		c.SetHabit(n)
+		c.UsageOf = func(id string) (most, hint int) { return calmly(plan).Usage(id, tokensOfEvent) }
+		return c
 	})
 }
 
-// endTraffic stops the callers, and fails the test for every broken promise.
-func (f *fleet) endTraffic(x *caller.Traffic) (served, asked int) {
-	served, asked, broken := x.End(f.runs, streamEvents)
+// judge fails the test for every broken promise to callers that were stopped.
+func (f *fleet) judge(x *caller.Traffic) (served, asked int) {
+	served, asked, broken := x.Judge(caller.Evidence{
+		Runs:   func(id string) []worker.Run { return worker.RunsOf(maps.Values(f.workers), id) },
+		Events: calmly(plan).Events, Troubles: &f.troubles,
+	})
 	for _, b := range broken {
 		f.t.Errorf("seed %d: %s", f.seed, b)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,13 +37,49 @@
 
 var faults = map[string]fault{
 	"entry killed": func(f *fleet, r *rand.Rand) func() {
-		return f.signalOne(r, syscall.SIGKILL, func(e *entry) { e.restart() })
+		e := f.free(r)
+		if e == nil {
+			return func() {}
+		}
+		f.troubles.Killed(e.host)
+		e.signal(syscall.SIGKILL)
+		return func() { e.restart(); e.signalled.Store(false) }
 	},
 	"entry stopped": func(f *fleet, r *rand.Rand) func() {
-		return f.signalOne(r, syscall.SIGTERM, func(e *entry) { e.restart() })
+		e := f.free(r)
+		if e == nil {
+			return func() {}
+		}
+		down := make(chan struct{})
+		f.background.Go(func() {
+			e.stop()
+			<-down
+			e.start()
+			e.signalled.Store(false)
+		})
+		return func() { close(down) }
+	},
+	"entries stopped in series": func(f *fleet, r *rand.Rand) func() {
+		f.stopInSeries(r)
+		return func() {}
 	},
 	"entry paused": func(f *fleet, r *rand.Rand) func() {
-		return f.signalOne(r, syscall.SIGSTOP, func(e *entry) { e.signal(syscall.SIGCONT) })
+		e := f.free(r)
+		if e == nil {
+			return func() {}
+		}
+		e.signal(syscall.SIGSTOP)
+		return func() { e.signal(syscall.SIGCONT); e.signalled.Store(false) }
+	},
+	"burst": func(f *fleet, r *rand.Rand) func() {
+		x := f.traffic(fmt.Sprintf("burst%d-%d", f.seed, len(f.callers)), 15+r.IntN(25))
+		f.callers = append(f.callers, x)
+		stop := make(chan struct{})
+		f.background.Go(func() {
+			<-stop
+			x.Stop()
+		})
+		return func() { close(stop) }
 	},
 	"settings changed": func(f *fleet, r *rand.Rand) func() {
 		e := draw(r, f.entries...)
@@ -56,13 +92,22 @@
 		return func() { f.storeWay.Set(loopback, "") }
 	},
 	"way to an upstream": func(f *fleet, r *rand.Rand) func() {
-		way := f.ways[draw(r, "i-app-0", "i-lm-1", "i-app-2", "i-lm-3")]
-		way.Set(loopback, draw(r, relay.Refuse, relay.Stall, relay.Answers, relay.Late))
-		return func() { way.Set(loopback, "") }
+		id := draw(r, "i-app-0", "i-lm-1", "i-app-2", "i-lm-3")
+		how, mended := draw(r, relay.Refuse, relay.Stall, relay.Answers, relay.Late), func() {}
+		if how != relay.Late { // which cuts nothing before it is mended
+			mended = f.troubles.Cut(id)
+		}
+		f.ways[id].Set(loopback, how)
+		return func() {
+			defer f.troubles.Cut(id)() // what hung is reset
+			f.ways[id].Set(loopback, "")
+			mended()
+		}
 	},
 	"connections reset": func(f *fleet, r *rand.Rand) func() {
-		way := f.ways[draw(r, "i-app-0", "i-lm-1", "i-app-2", "i-lm-3")]
-		way.Reset(func(netip.Addr) bool { return true })
+		id := draw(r, "i-app-0", "i-lm-1", "i-app-2", "i-lm-3")
+		defer f.troubles.Cut(id)()
+		f.ways[id].Reset(func(netip.Addr) bool { return true })
 		return func() {}
 	},
 	"upstream fails": func(f *fleet, r *rand.Rand) func() {
@@ -92,40 +137,73 @@
 	},
 }
 
-// signalOne sends a signal to an entry that is not being signalled, and
-// returns what ends that; of four entries two are left alone at any time.
-func (f *fleet) signalOne(r *rand.Rand, s syscall.Signal, end func(*entry)) func() {
+// free draws an entry that no fault signals, and marks it as signalled; nil where
+// that would leave less than half of the entries alone.
+func (f *fleet) free(r *rand.Rand) *entry {
 	var free []*entry
 	for _, e := range f.entries {
-		if !e.signalled {
+		if !e.signalled.Load() {
 			free = append(free, e)
 		}
 	}
 	if len(free) <= len(f.entries)/2 {
-		return func() {}
+		return nil
 	}
 	e := draw(r, free...)
-	e.signalled = true
-	e.signal(s)
-	return func() {
-		end(e)
-		e.signalled = false
+	e.signalled.Store(true)
+	return e
+}
+
+// stopInSeries sends entries SIGTERM one after the other, so that their stops
+// overlap, and starts each again when it has ended.
+func (f *fleet) stopInSeries(r *rand.Rand) {
+	after := time.Duration(0)
+	for range 2 + r.IntN(2) {
+		e, gap := f.free(r), after
+		after += time.Duration(100+r.IntN(1500)) * time.Millisecond
+		if e == nil {
+			return
+		}
+		f.background.Go(func() {
+			time.Sleep(gap)
+			e.stop()
+			e.start()
+			e.signalled.Store(false)
+		})
 	}
 }
 
-// restart starts the entry again once its process has ended.
-func (e *entry) restart() {
-	e.signal(syscall.SIGCONT)
+// stop sends the entry SIGTERM and waits until its process has ended.
+func (e *entry) stop() {
+	s := e.fleet.troubles.Stopping(e.host, grace)
+	e.signal(syscall.SIGTERM)
+	e.awaitEnd()
+	s.Ended()
+}
+
+// awaitEnd waits until the entry's process has ended by itself.
+func (e *entry) awaitEnd() {
 	if !e.wait(10 * time.Second) {
 		e.fleet.t.Errorf("seed %d: entry-%d did not end within 10 s", e.fleet.seed, e.index)
 		e.signal(syscall.SIGKILL)
 		e.wait(time.Second)
 	}
+}
+
+// restart starts the entry again once its process has ended.
+func (e *entry) restart() {
+	e.awaitEnd()
 	e.start()
 }
 
 // TestSoak runs drawn faults, in series and overlapping, against processes.
 // Afterwards everything is served again, and nothing is left at upstreams.
+//
+// Callers saw answers cut in the middle by entries that stopped, and these runs
+// did not: every answer took under 0.4 s, callers left an entry within a second of
+// its SIGTERM, which came to few entries at a time, and no answer that broke off was held against the
+// stop. So answers take up to as long as callers wait, some callers stay, every run
+// has a series of stops, and [caller.Traffic.Judge] knows what a stop may cut off.
 func TestSoak(t *testing.T) {
 	limit := make(chan struct{}, 4)
 	for n := range *seeds {
@@ -149,17 +227,27 @@
 var order = []string{
 	"entry killed", "entry stopped", "entry paused", "settings changed", "way to the store", "way to an upstream",
 	"connections reset", "upstream fails", "store fails", "history dropped", "configuration", "upstream leaves", "upstream starts anew",
+	"entries stopped in series", "burst",
 }
 
+// recoverTime is how long after the faults what was avoided is tried again.
+const recoverTime = 5 * time.Second
+
 func run(t *testing.T, seed int) {
 	r := rand.New(rand.NewPCG(uint64(seed), 7))
-	f := newFleet(t, seed, 4)
+	f := newFleet(t, seed, 6)
 	f.awaitReady(10 * time.Second)
-	x := f.traffic("busy", 6)
+	busy := f.traffic(fmt.Sprintf("busy%d", seed), 32)
+	f.callers = append(f.callers, busy)
 	var ends []func()
-	for until := time.Now().Add(time.Duration(*seconds) * time.Second); time.Now().Before(until); {
+	began := time.Now()
+	series := began.Add(time.Duration(r.IntN(*seconds*1000/2)) * time.Millisecond)
+	for time.Since(began) < time.Duration(*seconds)*time.Second {
 		name := draw(r, order...)
-		t.Logf("seed %d: %s", seed, name)
+		if !series.IsZero() && !time.Now().Before(series) { // every run has one
+			name, series = "entries stopped in series", time.Time{}
+		}
+		t.Logf("seed %d: %s: %s", seed, time.Since(began).Round(time.Millisecond), name)
 		ends = append(ends, faults[name](f, r))
 		if len(ends) > 2 {
 			ends[0]()
@@ -170,13 +258,19 @@
 	for _, end := range ends {
 		end()
 	}
-	served, asked := f.endTraffic(x)
-	t.Logf("seed %d: %d of %d served under faults", seed, served, asked)
+	over := time.Now()
+	busy.Stop()
+	f.background.Wait()
+	for _, x := range f.callers {
+		served, asked := f.judge(x)
+		t.Logf("seed %d: %d of %d served under faults", seed, served, asked)
+	}
 	f.awaitReady(5 * time.Second)
-	time.Sleep(5 * time.Second) // what was avoided for its failures is tried again
+	time.Sleep(max(time.Second, time.Until(over.Add(recoverTime))))
 	calm := f.traffic("calm", 4)
 	time.Sleep(2 * time.Second)
-	served, asked = f.endTraffic(calm)
+	calm.Stop()
+	served, asked := f.judge(calm)
 	if served < asked || asked == 0 {
 		t.Errorf("seed %d: after the faults %d of %d are served", seed, served, asked)
 	}
--- a/standin/caller/traffic.go
+++ b/standin/caller/traffic.go
@@ -2,16 +2,35 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
-)
 
-// patience is how long each request of a traffic waits.
-const patience = 5 * time.Second
+	"github.com/sapphireramp/sapphireramp/standin/worker"
+)
 
 // paths are one of each kind of request.
 var paths = []string{"/once/x", "/safe/x", "/stream/x", "/fixed/x"}
 
+// RouteTime is the time limit that the route of a path is to have: a safe call's
+// is less than callers wait, the others' more. A safe call has time for a run
+// that is given up and a second one.
+func RouteTime(path string) time.Duration {
+	if strings.HasPrefix(path, "/safe/") {
+		return 4 * time.Second
+	}
+	return 8 * time.Second
+}
+
+// patience is how long the callers of a path wait: for streams and calls that
+// may run once, about as long as the longest of them takes.
+func patience(path string) time.Duration {
+	if strings.HasPrefix(path, "/safe/") {
+		return 5 * time.Second
+	}
+	return 7 * time.Second
+}
+
 // Traffic is callers that ask steadily, each kind of request in turn.
 type Traffic struct {
 	name    string
@@ -42,21 +61,38 @@
 			return
 		case <-time.After(time.Duration(20+n) * time.Millisecond):
 		}
-		r := c.Ask(paths[(n+i)%len(paths)], fmt.Sprintf("%s-%d-%d", x.name, n, i), "key-1", patience)
+		path := paths[(n+i)%len(paths)]
+		r := c.Ask(path, fmt.Sprintf("%s-%d-%d", x.name, n, i), "key-1", patience(path))
+		r.Limit = min(r.Limit, RouteTime(path))
 		x.lock.Lock()
 		x.results = append(x.results, r)
 		x.lock.Unlock()
 	}
 }
 
-// End stops the callers. It returns how many requests were served and asked,
-// and the promises that were broken; runs tells how often a request ran, events
-// is the length of a stream.
-func (x *Traffic) End(runs func(id string) int, events int) (served, asked int, broken []string) {
+// Evidence is what the answers of a traffic are held against.
+type Evidence struct {
+	// Runs are a request's runs at all upstreams, the earliest first.
+	Runs func(id string) []worker.Run
+	// Events is how many events the answer to a stream has.
+	Events func(id string) int
+	// Troubles are those of the time of the traffic.
+	Troubles *Troubles
+}
+
+// Stop stops the callers and waits for what they have asked.
+func (x *Traffic) Stop() {
 	close(x.stop)
 	x.work.Wait()
+}
+
+// Judge returns how many requests of a stopped traffic were served and asked,
+// and the promises that were broken. Stops of entries are over by then.
+func (x *Traffic) Judge(e Evidence) (served, asked int, broken []string) {
 	for _, r := range x.results {
-		broken = append(broken, r.Broken(runs(r.ID), events)...)
+		runs := e.Runs(r.ID)
+		broken = append(broken, r.Broken(len(runs), e.Events(r.ID))...)
+		broken = append(broken, e.Troubles.lost(r, runs)...)
 		if r.Served() {
 			served++
 		}
--- /dev/null
+++ b/standin/caller/troubles.go
@@ -0,0 +1,204 @@
+package caller
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sapphireramp/sapphireramp/standin/worker"
+)
+
+const (
+	// limitSlack is how long before its time limit a request counts as ended by it.
+	limitSlack = 50 * time.Millisecond
+	// endSlack is how far apart two ends of one cause are seen at most.
+	endSlack = 200 * time.Millisecond
+	// unreadSlack is how soon after its sending a connection ends that was closed
+	// before its request was read.
+	unreadSlack = 200 * time.Millisecond
+)
+
+// Troubles are what a test did to entries and upstreams, by time. It is what
+// decides whether the end of a request is a stopping entry's fault.
+type Troubles struct {
+	lock  sync.Mutex
+	stops []*Stop
+	kills []kill
+	cuts  []*cut
+}
+
+// Stop is one SIGTERM of an entry.
+type Stop struct {
+	troubles *Troubles
+	entry    netip.Addr
+	// at is when SIGTERM was sent, force when SIGKILL would follow, ended when the
+	// process had ended; zero before.
+	at, force, ended time.Time
+}
+
+type kill struct {
+	entry netip.Addr
+	at    time.Time
+}
+
+// cut is a time during which connections to an upstream broke or said nothing.
+type cut struct {
+	upstream string
+	from, to time.Time
+}
+
+// Stopping notes that an entry is about to get SIGTERM.
+func (x *Troubles) Stopping(entry netip.Addr, grace time.Duration) *Stop {
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	s := &Stop{troubles: x, entry: entry, at: time.Now(), force: time.Now().Add(grace)}
+	x.stops = append(x.stops, s)
+	return s
+}
+
+// Ended notes that the process has ended.
+func (s *Stop) Ended() {
+	s.troubles.lock.Lock()
+	defer s.troubles.lock.Unlock()
+	s.ended = time.Now()
+}
+
+// Killed notes that an entry is killed.
+func (x *Troubles) Killed(entry netip.Addr) {
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	x.kills = append(x.kills, kill{entry: entry, at: time.Now()})
+}
+
+// Cut notes that connections to an upstream are about to break or be held up;
+// what it returns notes that they are not any more.
+func (x *Troubles) Cut(upstream string) (mended func()) {
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	c := &cut{upstream: upstream, from: time.Now()}
+	x.cuts = append(x.cuts, c)
+	return func() {
+		x.lock.Lock()
+		defer x.lock.Unlock()
+		c.to = time.Now()
+	}
+}
+
+// lost says where a request was lost to the stop of its entry, which is never to
+// happen: what a stopping entry begins gets its whole answer or an honest refusal.
+//
+// Excused is only what follows, whether SIGTERM came before the request or after:
+//   - It was not sent, as nobody accepted a connection: callers ask elsewhere.
+//   - Its caller's time limit was reached: no entry answers in time then.
+//   - It was sent before SIGTERM, and its time limit lies beyond the end by force.
+//   - The entry was killed meanwhile.
+//   - Its connection ended at once, and it ran nowhere: it met the closing of a
+//     connection between two requests, which HTTP/1.1 has no word for.
+//   - Its last run could not end whole, see doomed.
+func (x *Troubles) lost(r Result, runs []worker.Run) []string {
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	var out []string
+	for _, s := range x.stops {
+		if r.Entry.Addr() != s.entry || !r.Sent || r.End().Before(s.at) || !s.ended.IsZero() && r.At.After(s.ended) {
+			continue
+		}
+		if r.Served() || refused(r, runs) || x.excused(r, runs, s) {
+			continue
+		}
+		out = append(out, fmt.Sprintf("%s %s: sent %s after SIGTERM of %s with a limit of %s, ended %s after SIGTERM with status %d, %d bytes, %v; the process ended after %s; runs: %s",
+			r.Path, r.ID, sinceStop(s, r.At), s.entry, r.Limit, sinceStop(s, r.End()), r.Status, len(r.Body), r.Err, sinceStop(s, s.ended), x.describe(s, runs)))
+	}
+	return out
+}
+
+// refused reports whether a request was refused honestly: not run, and with a
+// time to come back.
+func refused(r Result, runs []worker.Run) bool {
+	return r.Err == nil && r.Status == http.StatusServiceUnavailable && r.RetryAfter != "" && len(runs) == 0
+}
+
+func (x *Troubles) excused(r Result, runs []worker.Run, s *Stop) bool {
+	switch {
+	case r.Took >= r.Limit-limitSlack:
+		return true
+	case r.At.Before(s.at) && r.At.Add(r.Limit).After(s.force):
+		return true
+	case r.Err != nil && len(runs) == 0 && r.Took < unreadSlack:
+		return true
+	}
+	for _, k := range x.kills {
+		if k.entry == s.entry && !k.at.Before(r.At) && !k.at.After(r.End()) {
+			return true
+		}
+	}
+	return x.doomed(r, runs, s)
+}
+
+// doomed reports whether the last attempt at a request could not end with a whole
+// answer, whatever its entry did: the upstream failed it in a way of its own, or
+// its connection was cut. An upstream that is merely slow dooms nothing that the
+// end of the entry cuts, but an entry may give it up before, for its silence.
+// Attempts before the last don't count, as the last may have mended them. Where
+// no run was going on at the end, the last attempt hung before an upstream that
+// was cut, if there was one.
+func (x *Troubles) doomed(r Result, runs []worker.Run, s *Stop) bool {
+	since := r.At
+	if len(runs) > 0 {
+		last := runs[len(runs)-1]
+		atEnd := s.ended.IsZero() || r.End().After(s.ended.Add(-endSlack))
+		if fails(last.Fault, plain(r.Path)) || last.Fault == worker.Slow && !atEnd || x.cutBetween(last.Began, r.End(), last.Upstream) {
+			return true
+		}
+		if last.Ended.IsZero() || last.Ended.After(r.End().Add(-endSlack)) {
+			return false
+		}
+		since = last.Ended
+	}
+	service := "-lm-"
+	if plain(r.Path) {
+		service = "-app-"
+	}
+	return x.cutBetween(since, r.End(), service)
+}
+
+// fails reports whether a fault keeps a run from a whole answer.
+func fails(f worker.Fault, plain bool) bool {
+	switch f {
+	case worker.Failing, worker.Lost, worker.Mute, worker.Torn, worker.Foreign, worker.Unsigned:
+		return true
+	case worker.Short:
+		return !plain
+	}
+	return false
+}
+
+// cutBetween reports whether an upstream whose id contains a text was cut at any
+// moment between two.
+func (x *Troubles) cutBetween(from, to time.Time, id string) bool {
+	for _, c := range x.cuts {
+		if strings.Contains(c.upstream, id) && !c.from.After(to) && (c.to.IsZero() || !c.to.Before(from)) {
+			return true
+		}
+	}
+	return false
+}
+
+func (x *Troubles) describe(s *Stop, runs []worker.Run) string {
+	text := ""
+	for _, r := range runs {
+		text += fmt.Sprintf("[%s fault %d, %s to %s]", r.Upstream, r.Fault, sinceStop(s, r.Began), sinceStop(s, r.Ended))
+	}
+	return text
+}
+
+// sinceStop is how long after SIGTERM something was; zero where it is unknown.
+func sinceStop(s *Stop, t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return t.Sub(s.at).Round(time.Millisecond)
+}
