--- a/standin/caller/troubles_test.go
+++ b/standin/caller/troubles_test.go
@@ -69,6 +69,8 @@
 		"another upstream cut off":             {sent: 2000, took: 5300, status: 200, err: ended, runs: sound, cut: &cut{upstream: "i-lm-3", from: at(1000)}, lost: true},
 		"cut off on its way to its upstream":   {sent: 2000, took: 100, status: 502, runs: []run{with(0, 2150, 2150)}, cut: &cut{upstream: "i-lm-1", from: at(2100), to: at(2100)}},
 		"a stray run beside the last":          {sent: 2000, took: 1000, status: 200, err: ended, runs: []run{with(worker.Torn, 2100, 3000), with(0, 2150, 2150)}},
+		"ended by late word of a new run":      {sent: 2000, took: 1000, status: 200, err: ended, runs: []run{with(0, 2010, 3000)}, cut: &cut{upstream: "i-lm-1", from: at(1500), to: at(3500), heard: true}},
+		"not ended by late word of a new run":  {sent: 2000, took: 5300, status: 200, err: ended, runs: sound, cut: &cut{upstream: "i-lm-1", from: at(1500), to: at(3500), heard: true}, lost: true},
 		"hung before an upstream cut off":      {sent: 2000, took: 5300, err: ended, cut: &cut{upstream: "i-lm-3", from: at(1000)}},
 		"ran nowhere, another service cut off": {sent: 2000, took: 5300, err: ended, cut: &cut{upstream: "i-app-0", from: at(1000)}, lost: true},
 	} {
