--- a/standin/caller/traffic.go
+++ b/standin/caller/traffic.go
@@ -74,6 +74,8 @@
 type Evidence struct {
 	// Runs are a request's runs at all upstreams, the earliest first.
 	Runs func(id string) []worker.Run
+	// Refusals are those by upstreams that were too full, the earliest first.
+	Refusals func(id string) []worker.Run
 	// Events is how many events the answer to a stream has.
 	Events func(id string) int
 	// Troubles are those of the time of the traffic.
@@ -92,7 +94,7 @@
 	for _, r := range x.results {
 		runs := e.Runs(r.ID)
 		broken = append(broken, r.Broken(len(runs), e.Events(r.ID))...)
-		broken = append(broken, e.Troubles.lost(r, runs)...)
+		broken = append(broken, e.Troubles.lost(r, runs, e.Refusals(r.ID))...)
 		if r.Served() {
 			served++
 		}
