--- a/standin/caller/troubles.go
+++ b/standin/caller/troubles.go
@@ -170,11 +170,11 @@
 // turnedAway reports whether the last attempt at a request met an upstream that was too
 // full. Where an earlier one may have run, that is no refusal that a caller could be told.
 func turnedAway(r Result, runs, refusals []worker.Run) bool {
-	if r.Err != nil || len(refusals) == 0 {
+	if r.Err != nil || len(refusals) == 0 || len(runs) == 0 {
 		return false
 	}
 	at := refusals[len(refusals)-1].Began
-	return at.After(r.End().Add(-endSlack)) && (len(runs) == 0 || !at.Before(runs[len(runs)-1].Began))
+	return at.After(r.End().Add(-endSlack)) && !at.Before(runs[len(runs)-1].Began)
 }
 
 // doomed reports whether the last attempt at a request could not end with a whole
--- a/standin/caller/troubles_test.go
+++ b/standin/caller/troubles_test.go
@@ -75,6 +75,7 @@
 		"word of a new run is over":            {sent: 4000, took: 1000, status: 200, err: ended, runs: []run{with(0, 4010, 5000)}, cut: &cut{upstream: "i-lm-1", from: at(1500), to: at(3500), heard: true}, lost: true},
 		"word of a new run came later still":   {sent: 4000, took: 1000, status: 200, err: ended, runs: []run{with(0, 4010, 5000)}, cut: &cut{upstream: "i-lm-1", from: at(1500), to: at(3500), heard: true}, away: &cut{from: at(1000), to: at(3000)}},
 		"given up for a full upstream":         {path: "/safe/x", sent: 2000, took: 600, status: 502, runs: []run{with(0, 2000, 2600)}, refusals: []run{with(worker.Full, 2600, 2600)}},
+		"only full upstreams":                  {sent: 2000, took: 5, status: 502, refusals: []run{with(worker.Full, 2002, 2002)}, lost: true},
 		"cut after a full upstream":            {path: "/safe/x", sent: 2000, took: 5300, err: ended, runs: []run{with(0, 2000, 7300)}, refusals: []run{with(worker.Full, 1990, 1990)}, lost: true},
 		"not ended by late word of a new run":  {sent: 2000, took: 5300, status: 200, err: ended, runs: sound, cut: &cut{upstream: "i-lm-1", from: at(1500), to: at(3500), heard: true}, lost: true},
 		"hung before an upstream cut off":      {sent: 2000, took: 5300, err: ended, cut: &cut{upstream: "i-lm-3", from: at(1000)}},
