--- a/connector/pool.go
+++ b/connector/pool.go
@@ -1,5 +1,5 @@
 // Package connector keeps net/rpc connections to other entries, with every
-// call bounded in time.
+// call bounded in time, and counts the connections of callers that are in use.
 package connector
 
 import (
--- a/dispatcher/admit.go
+++ b/dispatcher/admit.go
@@ -87,9 +87,10 @@
 	return sum / time.Duration(len(g.offers))
 }
 
-// ending refuses a request whose answer may not end before the entry that would relay it.
+// ending refuses a request whose answer may not end before the entry that would relay it. When
+// another entry takes it the board does not know.
 func ending(expected time.Duration) *Refusal {
-	return &Refusal{Reason: "stopping", Ending: true, Expected: expected, RetryAfter: leastRetry}
+	return &Refusal{Reason: "stopping", Ending: true, Expected: expected}
 }
 
 // endMargin is by how much a forecast of an answer's end is lengthened where the answer must not
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -31,8 +31,8 @@
 }
 
 // mayOutlast reports whether a request may still be in progress when a stopping entry
-// ends. Only the time limit of the request says for sure that it is not: how long an answer
-// gets nobody knows before its last event.
+// ends. Only the time limit of the request says for sure that it is not: nobody knows how long
+// an answer gets before its last event.
 func (x *exchange) mayOutlast(v *View) bool { return v.Stopping && x.deadline.After(v.StopBy) }
 
 // turnsAway reports whether an entry that stops refuses a request whatever it asks for: one that may
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -78,8 +78,8 @@
 	// keepFactor is how many times longer than its life some callers keep an
 	// answer of the directory.
 	keepFactor = 3
-	// stopMargin is how long before the end by force the entry ends itself: the time for the last
-	// answers, and as much again twice for an instance of a fifth of a core to exit.
+	// stopMargin is how long before the end by force the entry ends itself: the time for the last answers,
+	// and twice that for a slow instance to exit.
 	stopMargin = 300 * time.Millisecond
 	// stopPoll is how often a stopping entry looks for requests in progress.
 	stopPoll = 20 * time.Millisecond
