--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -28,6 +28,50 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// A stopping entry asks callers to leave, and begins nothing that it can't
+// finish.
+func TestStoppingEntry(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		stopping := *f.view.Load()
+		stopping.Stopping, stopping.StopBy, stopping.Others = true, time.Now().Add(2*time.Second), 1
+		f.view.Store(&stopping)
+		a := f.ask(request{path: "/once/x", id: "r1"})
+		f.is.Equal(a.status, 200)
+		f.is.True(a.closes)
+		a = f.ask(request{path: "/stream/x", id: "s1", usage: "1000,100"})
+		f.is.Equal(a.status, 503)
+		f.is.Equal(runs(f.engines, "s1"), 0)
+	})
+}
+
+// A request that waits for its turn does not wait on at an entry that stops: it is begun where
+// it can end in time, and else its caller is told at once to go elsewhere.
+func TestHeldRequestAtAStoppingEntry(t *testing.T) {
+	for _, left := range []time.Duration{8 * time.Second, 2 * time.Second} {
+		withForwarder(t, func(f *fixture) {
+			for range 2 {
+				_, refusal := f.board.Place(time.Now(), dispatcher.Demand{
+					Service: "lm", Prompt: 150000, FirstByteTarget: time.Hour, PauseTarget: time.Hour, Admitted: true,
+				})
+				f.is.True(refusal == nil)
+			}
+			done := make(chan answer)
+			go func() { done <- f.ask(request{path: "/long/x", id: "s1", usage: "90000,2000"}) }()
+			time.Sleep(150 * time.Millisecond)
+			f.is.Equal(runs(f.engines, "s1"), 0)
+			stopping := *f.view.Load()
+			stopping.Stopping, stopping.StopBy = true, time.Now().Add(left)
+			f.view.Store(&stopping)
+			time.Sleep(50 * time.Millisecond)
+			begun := left > 6*time.Second
+			f.is.Equal(runs(f.engines, "s1") > 0, begun)
+			a := <-done
+			f.is.Equal(a.status == 200, begun)
+			f.is.True(begun || a.status == 503 && a.took < 250*time.Millisecond)
+		})
+	}
+}
+
 // A stopping entry begins only what ends before it does: by the time limit of the request, or, for
 // callers that may still have its address, by what the longest answer that the request allows takes. All others
 // are told at once where to go. A stream was once begun where its target and three seconds were
