controller: entries are told of load when the view that names them is there

Cause: who tells new entries was woken before the view with them was published, and where it ran first it found nobody new; the entry then knew no load until the next repeat of all, up to 0.7 s later.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -293,7 +293,7 @@
 	v.takers = preferred(ready)
 	c.tellers.spare(time.Now(), v.peers, unasked(ready, v.takers))
 	v.paths, v.placing = pathsOf(c.config.DataCentre, v.peers, everyone), pathsOf(c.config.DataCentre, v.peers, places)
-	s.noticeRestarts(v.peers)
+	met := s.noticeRestarts(v.peers)
 	c.config.Board.SetPeers(living(v.peers), s.blind(heard))
 	usable := s.follower.Usable()
 	if s.table != nil {
@@ -303,13 +303,17 @@
 	c.metrics.members.Update(float64(heard))
 	c.metrics.upstream.Update(float64(len(usable)))
 	c.current.Store(v)
+	if met {
+		// Only now: who tells them looks for them in the view.
+		c.meet()
+	}
 }
 
-// noticeRestarts forgets the load of entries that have started anew, and has those that
-// are new here told of all of this one's. Without it a restarted entry knows nothing for
+// noticeRestarts forgets the load of entries that have started anew, and reports whether any
+// are new here, which are then told of all of this one's. Without it a restarted entry knows nothing for
 // up to shareAll of what others have placed: it put long prompts on the engines with most
 // answers, each of which made a dozen answers late.
-func (s *state) noticeRestarts(peers []peer) {
+func (s *state) noticeRestarts(peers []peer) bool {
 	c := s.controller
 	before := incarnations(c.current.Load().peers)
 	met := false
@@ -320,9 +324,11 @@
 		}
 		met = met || !ok || known != p.incarnation
 	}
-	if !met {
-		return
-	}
+	return met
+}
+
+// meet has entries that are new here told of load.
+func (c *Controller) meet() {
 	select {
 	case c.meetings <- struct{}{}:
 	default:
