--- a/dispatcher/admit.go
+++ b/dispatcher/admit.go
@@ -53,9 +53,9 @@
 
 // tooEarly has a heavy prompt wait at its entry while engines have much to do, or
 // while it would harm others. Engines put what is new before what they have, and pauses grow with all they
-// have: a prompt that waits at its entry holds up nobody.
+// have: a prompt that waits at its entry holds up nobody. Where the entry ends there is no time for that.
 func tooEarly(d Demand, e *matcher.Engine, g group, backlog time.Duration) *Refusal {
-	if d.Admitted || !heavy(e, d.Prompt) || d.Patience < heldPatience*g.finish {
+	if d.Admitted || d.EndWithin > 0 || !heavy(e, d.Prompt) || d.Patience < heldPatience*g.finish {
 		return nil
 	}
 	age := float64(d.Waited) / float64(d.FirstByteTarget)
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -161,18 +161,9 @@
 		r.Expected = best.finish
 		return nil, r
 	}
-	if d.EndWithin > 0 {
-		// There is no time to wait for a better moment.
-		return b.placeGroup(now, d, best, held), nil
-	}
 	if r := tooEarly(d, workers[0].engine, best, groupBacklog(best)); r != nil {
 		return nil, r
 	}
-	return b.placeGroup(now, d, best, held), nil
-}
-
-// placeGroup returns the placement of a prompt at a group of engines, which hold so much of it each.
-func (b *Board) placeGroup(now time.Time, d Demand, best group, held []int) *Placement {
 	p := b.newPlacement(now, d)
 	p.First, p.Load, p.Expected = best.offers[0].worker.instance, best.offers[0].load, best.finish
 	for i, o := range best.offers {
@@ -184,5 +175,5 @@
 		}
 		p.request.add(o.worker, o.job, held[i])
 	}
-	return p
+	return p, nil
 }
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/dispatcher"
-	"github.com/sapphireramp/sapphireramp/matcher"
 )
 
 // maxBuffered is the largest plain answer in bytes that is read whole before
@@ -26,7 +25,7 @@
 	x.ctx, x.callerLeft = ctx, func() bool { return caller.Err() != nil }
 	f.budget.Requested(time.Now(), x.service)
 	var fail *failure
-	if x.route.Kind == matcher.Stream {
+	if x.isStream() {
 		fail = f.stream(x)
 	} else {
 		fail = f.plain(x)
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/dispatcher"
-	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/sleeper"
 )
 
@@ -76,7 +75,7 @@
 // asOfNow returns a demand with its times as they are now.
 func (f *Forwarder) asOfNow(x *exchange, d dispatcher.Demand) dispatcher.Demand {
 	d.Left = time.Until(x.deadline)
-	if x.route.Kind == matcher.Stream {
+	if x.isStream() {
 		d.Waited, d.Patience = waited(x), firstEventPatience(x)
 	}
 	return x.withStop(f.view(), d)
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -58,7 +58,7 @@
 	w.elsewhere = func(begun bool) bool { return f.takenElsewhere(x, p, begun) }
 	w.limit = plainSilence * x.route.FirstByteTarget
 	w.most = w.limit
-	if x.route.Kind == matcher.Stream {
+	if x.isStream() {
 		abandon := float64(matcher.AbandonAfter(x.route.FirstByteTarget, x.route.PauseTarget))
 		w.limit = time.Duration(silentPart * abandon)
 		w.most = time.Duration(busyPart * abandon)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -291,11 +291,12 @@
 	signalled := false
 	for ctx.Err() == nil {
 		s, err := l.config.Reload()
+		changed := err == nil && !s.equal(*l.settings.Load())
 		switch {
 		case err != nil:
 			l.config.Log.Error("settings_unreadable", zap.Error(err))
-		case signalled || !s.equal(*l.settings.Load()):
-			l.config.Log.Info("reload", zap.Bool("signalled", signalled), zap.Bool("changed", !s.equal(*l.settings.Load())), zap.Int("seeds", len(s.Seeds)))
+		case signalled || changed:
+			l.config.Log.Info("reload", zap.Bool("signalled", signalled), zap.Bool("changed", changed), zap.Int("seeds", len(s.Seeds)))
 			l.settings.Store(&s)
 			l.budget.Configure(s.Budget)
 			l.controller.Reseed(s.Seeds)
