scripts: the forecast of a stopping entry is proved by streams

Its line named waiting prompts, which are refused for their cost without it too, since a stopping entry admits as ever: the line was green. Streams are red without it.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -112,7 +112,7 @@
 red within prober/prober.go 's/if n < leastWithin/if n < 1<<30/' ./prober TestHeartbeatsStayWithinDataCentres
 red end-is-told launcher/launcher.go 's/l\.cut\(forwarder\.ErrCutOff\)/_ = forwarder.ErrCutOff/' ./launcher TestEndOfAnEntryIsTold
 red ends-in-time forwarder/stop.go 's/return v\.Stopping \&\& x\.deadline\.After\(v\.StopBy\)/return false/' $p TestStoppingEntryBeginsOnlyWhatEndsInTime
-red stopping-forecast dispatcher/place.go 's/d\.latestEnd\(now, best\) > d\.EndWithin/false/' ./launcher TestStoppingEntryCutsNoWaitingPrompt
+red stopping-forecast dispatcher/place.go 's/d\.latestEnd\(now, best\) > d\.EndWithin/false/' ./launcher TestStoppingEntryCutsNoStream
 red stopping-plain dispatcher/place.go 's/if d\.EndWithin > 0 \{/if false {/' ./launcher TestStoppingEntryCutsNoLateBody
 red stop-elsewhere forwarder/stop.go 's/v\.Others > 0 \&\& x\.arrived/false \&\& x.arrived/' $p TestStoppingEntryBeginsOnlyWhatEndsInTime
 red stop-retry forwarder/stop.go 's/if v\.Others > 0 \{/if true {/' $p TestLastEntryThatStops
