forwarder: the log tells which requests ask the same, and which attempts ended their upstream

Of engines that end one after the other the log could not tell whether one request is to blame or what only ran there: a repeat has a new id and comes to another entry. Lines of requests and attempts have a hash of what is asked (organisation, method, host, path, body), and upstream_ended says that nobody listens any more where an answer broke off. Attempts that broke off together ask once.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -45,7 +45,11 @@
 	placement *dispatcher.Placement
 	verdict   verdict
 	err       error
-	response  *http.Response
+	// cut is true where the answer broke off by the connection's end, not by this entry.
+	cut bool
+	// sentAt is when the attempt began.
+	sentAt   time.Time
+	response *http.Response
 	// helperAtFault is true where a helper, and not the first engine, is why the
 	// attempt failed.
 	helperAtFault bool
@@ -61,7 +65,7 @@
 // ends the attempt with close.
 func (f *Forwarder) send(x *exchange, p *dispatcher.Placement, lastEvent string) *attempt {
 	ctx, cancel := context.WithCancelCause(x.ctx)
-	a := &attempt{placement: p, cancel: cancel}
+	a := &attempt{placement: p, cancel: cancel, sentAt: time.Now()}
 	a.watchdog = f.watch(x, p, func() { cancel(errSilent) })
 	// No answer comes from a run that is over: without this callers waited for the
 	// watchdog, up to three quarters of their patience, where a partition hid its end.
@@ -89,7 +93,7 @@
 	x.sent++
 	x.pending++
 	if err != nil {
-		a.verdict, a.err = verdictBroken, fmt.Errorf("await answer: %w", causeOf(ctx, err))
+		a.breakOff(ctx, fmt.Errorf("await answer: %w", causeOf(ctx, err)))
 		return a
 	}
 	f.classify(x, a)
@@ -232,12 +236,13 @@
 	f.release(a.group)
 	f.metrics.attempted(a.verdict)
 	a.placement.End(time.Now(), resultOf(x, a))
+	f.noteEnd(x, a)
 	if a.verdict == verdictAnswered {
 		return
 	}
 	f.log.Warn("attempt", zap.String("request", x.call.ID), zap.String("verdict", string(a.verdict)),
 		zap.String("upstream", a.placement.First.ID), zap.Stringer("address", a.placement.First.Address),
-		zap.Int("helpers", len(a.placement.Helpers)), zap.Duration("left_ms", time.Until(x.deadline)), zap.Error(a.err))
+		zap.Int("helpers", len(a.placement.Helpers)), zap.Duration("left_ms", time.Until(x.deadline)), zap.Stringer("content", x.content), zap.Error(a.err))
 }
 
 func resultOf(x *exchange, a *attempt) dispatcher.Result {
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -132,7 +132,7 @@
 	f.metrics.finished(outcome, time.Since(x.arrived))
 	fields := []zap.Field{
 		zap.String("request", x.call.ID), zap.String("outcome", outcome), zap.Int("status", x.status(fail)),
-		zap.Duration("took_ms", time.Since(x.arrived)), zap.Int("attempts", x.sent), zap.Int("prompt", x.call.Prompt),
+		zap.Duration("took_ms", time.Since(x.arrived)), zap.Int("attempts", x.sent), zap.Int("prompt", x.call.Prompt), zap.Stringer("content", x.content),
 	}
 	if x.call.Answer > 0 {
 		fields = append(fields, zap.Int("answer", x.call.Answer), zap.Int("answer_hint", x.call.AnswerHint), zap.Int("events", x.events))
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -124,7 +124,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBuffered+1))
 	if err != nil {
-		a.verdict, a.err = verdictBroken, err
+		a.breakOff(a.response.Request.Context(), err)
 		return nil
 	}
 	a.watchdog.stop()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -20,11 +20,13 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/budgeter"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/matcher"
+	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/sleeper"
 )
 
@@ -59,6 +61,9 @@
 	board     *dispatcher.Board
 	budget    *budgeter.Budgeter
 	upstreams *http.Transport
+	dial      func(ctx context.Context, network, address string) (net.Conn, error)
+	// questions are those to upstreams that may have ended.
+	questions singleflight.Group
 	log       *zap.Logger
 	metrics   metrics
 	asserter  *asserter.Asserter
@@ -70,7 +75,7 @@
 func New(c Config) *Forwarder {
 	f := &Forwarder{
 		protocol: c.Protocol, orders: c.Orders, holdTime: c.HoldTime, maxIdle: c.MaxIdle, view: c.View, board: c.Board, budget: c.Budget, log: c.Log,
-		metrics: newMetrics(c.Scope), asserter: c.Asserter, upstreams: newTransport(c.Dial),
+		metrics: newMetrics(c.Scope), asserter: c.Asserter, upstreams: newTransport(c.Dial), dial: c.Dial,
 	}
 	f.chain = chain(f.forward, f.respond, f.recoverPanic, f.open, f.limitHeader, f.match, f.readBody)
 	return f
@@ -100,6 +105,7 @@
 	deadline time.Time
 	body     []byte
 	bodyRead bool
+	content  quarantiner.Content
 
 	// sent counts upstreams that the request was sent to, pending those of
 	// them that have not stated that it did not run.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -111,6 +111,7 @@
 			for _, h := range []netip.Addr{entryHost, callerHost} {
 				f.net.Kill(h)
 			}
+			time.Sleep(time.Second) // questions to upstreams whose answers broke off
 			synctest.Wait()
 		}()
 		test(f)
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -72,6 +72,7 @@
 			return tooLarge
 		}
 		x.body, x.bodyRead = body, true
+		x.content = contentOf(x)
 		return next(x)
 	}
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -140,7 +140,8 @@
 		case errors.Is(err, io.EOF) && gap == nil:
 			return
 		default:
-			a.verdict, a.err = verdictBroken, fmt.Errorf("read stream: %w", causeOf(a.response.Request.Context(), err))
+			a.breakOff(a.response.Request.Context(), fmt.Errorf("read stream: %w", causeOf(a.response.Request.Context(), err)))
+			a.cut = a.cut && gap == nil
 			return
 		}
 	}
--- a/logger/events.go
+++ b/logger/events.go
@@ -12,7 +12,7 @@
 // Events lists every event of an entry on the platform, by name.
 var Events = []Event{
 	{"accept_peer", "A connection of another entry could not be accepted; heartbeats are lost until it can.", []string{"error"}},
-	{"attempt", "A send to an upstream did not end in a whole answer. Verdict: unsent (no connection), not_run (the upstream says so), broken (may have run), failed (ran and failed).", []string{"request", "verdict", "upstream", "address", "helpers", "left_ms", "error"}},
+	{"attempt", "A send to an upstream did not end in a whole answer. Verdict: unsent (no connection), not_run (the upstream says so), broken (may have run), failed (ran and failed).", []string{"request", "verdict", "upstream", "address", "helpers", "left_ms", "content", "error"}},
 	{"beat_failed", "A heartbeat was not answered (debug); after a second of silence the member counts as dead.", []string{"peer", "error"}},
 	{"callers_left_unanswered", "The entry ends, and not all of its last answers were sent.", []string{"in_flight", "error"}},
 	{"configuration", "A newer configuration is in force.", []string{"id", "change", "revision", "source"}},
@@ -30,7 +30,7 @@
 	{"reload", "The settings were read again, by SIGHUP or because they changed.", []string{"signalled", "changed", "seeds"}},
 	{"renewal_failed", "Reserved memory could not be renewed; it lapses after two more failures.", []string{"request", "error"}},
 	{"report_failed", "An engine did not say whether memory set aside is used; it counts as unused.", []string{"request", "engine", "error"}},
-	{"request", "A request ended. Outcome is answered or the reason; see explain. Answer are the tokens that it allows, stop_left_ms is how long before the end of a stopping entry it came.", []string{"request", "outcome", "status", "took_ms", "attempts", "prompt", "answer", "answer_hint", "events", "route", "kind", "config_revision", "stop_left_ms", "first_ms", "longest_pause_ms", "error", "retry_after_ms"}},
+	{"request", "A request ended. Outcome is answered or the reason; see explain. Answer are the tokens that it allows, stop_left_ms is how long before the end of a stopping entry it came.", []string{"request", "outcome", "status", "took_ms", "attempts", "prompt", "content", "answer", "answer_hint", "events", "route", "kind", "config_revision", "stop_left_ms", "first_ms", "longest_pause_ms", "error", "retry_after_ms"}},
 	{"requests_cut_off", "The time to stop was over before all requests were done.", []string{"in_flight"}},
 	{"reserved", "Memory was set aside at several engines for one prompt.", []string{"request", "engines", "lease_ms"}},
 	{"retry_budget_used_up", "A request was not sent once more because the shared budget had nothing left.", []string{"request", "service"}},
@@ -48,6 +48,7 @@
 	{"store_regained", "The store answers again.", []string{"revision"}},
 	{"strained", "This entry has more to do than it can, by how late its own clock ticks, or no longer has; callers are sent to others meanwhile.", []string{"strained", "lag_ms"}},
 	{"upstream", "The belief about an upstream changed: appeared, leaving, gone, held_after_outage or unreadable, with the fields at fault.", []string{"id", "change", "revision", "source", "error"}},
+	{"upstream_ended", "An answer broke off and its upstream takes no connections any more, or is known to have started anew. Ran_ms is how long after it was sent; content is the same for all requests that ask the same.", []string{"request", "content", "upstream", "address", "ran_ms"}},
 	{"upstreams_unreadable", "More entries of upstreams could not be read than are logged one by one.", []string{"count", "logged", "source"}},
 	{"wait", "A prompt waits at this entry for engines that have less to do, or that it would harm less. Expected_ms is when its first event would have come, had it been placed at once.", []string{"request", "service", "reason", "expected_ms", "patience_ms"}},
 	{"woke", "This process or its instance stood still; what it believed counts as unconfirmed.", []string{"paused_ms"}},
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -4,10 +4,11 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/connector"
@@ -48,7 +49,7 @@
 	once    sync.Once
 }
 
-var errRefused = errors.New("connection refused")
+var errRefused = fmt.Errorf("network: %w", syscall.ECONNREFUSED)
 
 // New returns a network without hosts.
 func New() *Network {
