launcher, standin: two tests of a request that crashes what runs it, red

Callers saw engines end one after the other. The stand-in's upstreams now end when they run a request that crashes them, take no connections for 2.5 s and start anew; repeaters ask for it under new ids at any entry. The stand-in callers also say so where a request that crashes nothing is refused for crashes.

--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -61,8 +62,12 @@
 	entries []*entry
 	workers map[string]*worker.Worker
 	hosts   map[string]netip.Addr
+	// lock guards born and servers, which workers that crash change.
+	lock sync.Mutex
 	// born is when workers started, in Unix milliseconds; missing for those that do not say.
-	born   map[string]int64
+	born map[string]int64
+	// background are workers that crashed and are not back yet.
+	background sync.WaitGroup
 	next   int
 	rounds int
 	// plan is how long answers last; nil where all are short.
@@ -103,7 +108,9 @@
 		f.t.Fatal(err)
 	}
 	server := &http.Server{Handler: h}
+	f.lock.Lock()
 	f.servers = append(f.servers, server)
+	f.lock.Unlock()
 	go func() { _ = server.Serve(listener) }()
 }
 
@@ -120,15 +127,42 @@
 	host := netip.AddrFrom4([4]byte{10, 100, byte(f.next >> 8), byte(f.next)})
 	w := worker.New(id, work, events, pause)
 	w.Follow(f.plan)
-	f.workers[id], f.hosts[id], f.born[id] = w, host, time.Now().UnixMilli()
-	f.serve(netip.AddrPortFrom(host, 80), w)
-	f.list(id, service, "ready")
+	f.workers[id], f.hosts[id] = w, host
+	w.OnCrash(func() { f.crash(id, service) })
+	f.begin(id, service)
 	return id
 }
 
+// begin serves a worker that starts, and lists it.
+func (f *fleet) begin(id, service string) {
+	f.lock.Lock()
+	f.born[id] = time.Now().UnixMilli()
+	f.lock.Unlock()
+	f.serve(netip.AddrPortFrom(f.hosts[id], 80), f.workers[id])
+	f.list(id, service, "ready")
+}
+
+// crash ends a worker's process: its connections end, nobody listens, and after some seconds it is
+// started again under its id.
+func (f *fleet) crash(id, service string) {
+	mended := f.troubles.Cut(id)
+	f.workers[id].Restart()
+	f.net.Kill(f.hosts[id])
+	f.background.Go(func() {
+		time.Sleep(crashTime)
+		f.begin(id, service)
+		mended()
+	})
+}
+
+// crashTime is how long a worker that crashed is down.
+const crashTime = 2500 * time.Millisecond
+
 func (f *fleet) list(id, service, state string) {
 	u := store.NewUpstream(service, netip.AddrPortFrom(f.hosts[id], 80))
+	f.lock.Lock()
 	u.State, u.Born = state, f.born[id]
+	f.lock.Unlock()
 	f.store.Put("servers/"+id, u)
 }
 
@@ -136,7 +170,9 @@
 func (f *fleet) restartWorker(id, service string) {
 	f.workers[id].Restart()
 	f.troubles.Renewed(id)
+	f.lock.Lock()
 	f.born[id] = time.Now().UnixMilli()
+	f.lock.Unlock()
 	f.list(id, service, "ready")
 }
 
@@ -217,6 +253,7 @@
 }
 
 func (f *fleet) end() {
+	f.background.Wait()
 	for _, e := range f.entries {
 		f.kill(e)
 	}
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -49,8 +49,9 @@
 	// Keeps callers ask one address until a request to it fails, also where newer
 	// answers of the directory don't name it any more.
 	Keeps bool
-	// Body returns what a request sends; nil for nothing.
+	// Body returns what a request sends; nil for nothing. BodyOf, where not nil, takes its place.
 	Body      func() io.Reader
+	BodyOf    func(id string) string
 	client    *http.Client
 	random    *rand.Rand
 	addresses []netip.AddrPort
@@ -190,6 +191,9 @@
 	if c.Body != nil {
 		body = c.Body()
 	}
+	if c.BodyOf != nil && method == http.MethodPost {
+		body = strings.NewReader(c.BodyOf(r.ID))
+	}
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+r.Entry.String()+r.Path, body)
 	if err != nil {
 		return fmt.Errorf("build request: %w", err)
--- /dev/null
+++ b/standin/caller/repeater.go
@@ -0,0 +1,97 @@
+package caller
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sapphireramp/sapphireramp/standin/worker"
+)
+
+const (
+	// CrashPath is that of a request that crashes whatever runs it.
+	CrashPath = "/stream/crash"
+	// mostCrashes is under how many upstreams that ended a request is known for it, and
+	// mostRepeats how often it may be sent to upstreams after that.
+	mostCrashes, mostRepeats = 3, 3
+	// contactTime is how soon after a disruption entries know what the others know.
+	contactTime = 3 * time.Second
+)
+
+// NewRepeater starts callers that ask for one thing again and again, each time under a
+// new id, at whichever entry the directory names, with a pause between.
+func NewRepeater(name string, callers int, path string, pause time.Duration, newCaller func(n int) *Caller) *Traffic {
+	return newTraffic(name, callers, newCaller, func(int) (string, time.Duration) { return path, pause })
+}
+
+// Repeats says whether the requests of a stopped repeater reached upstreams more often
+// than they may once upstreams had ended under three of them. Those sent by entries
+// out of contact with the others don't count: around a disruption of theirs, or of all.
+func (x *Traffic) Repeats(e Evidence) (broken []string) {
+	var runs []worker.Run
+	entries := map[string]Result{}
+	for _, r := range x.results {
+		entries[r.ID] = r
+		runs = append(runs, e.Runs(r.ID)...)
+	}
+	slices.SortFunc(runs, func(a, b worker.Run) int { return a.Ended.Compare(b.Ended) })
+	if len(runs) < mostCrashes || runs[mostCrashes-1].Ended.IsZero() {
+		return nil
+	}
+	known := runs[mostCrashes-1].Ended
+	late := map[string]bool{}
+	for _, run := range runs {
+		r := entries[run.ID]
+		if r.At.After(known.Add(contactTime)) && e.Troubles.inContact(r) {
+			late[r.ID] = true
+		}
+	}
+	if len(late) > mostRepeats {
+		broken = append(broken, fmt.Sprintf("%s: a request under which upstreams had ended was sent to upstreams %d times more, %d runs in all", x.name, len(late), len(runs)))
+	}
+	return broken
+}
+
+// refusedForCrashes is the reason that entries give.
+const refusedForCrashes = `"quarantined"`
+
+// blamed says whether a request that crashes nothing was refused as one that does.
+func (r Result) blamed() []string {
+	if worker.Crashes(r.Path) || !strings.Contains(r.Body, refusedForCrashes) {
+		return nil
+	}
+	return []string{fmt.Sprintf("%s %s crashes nothing and was refused for crashes", r.Path, r.ID)}
+}
+
+// inContact reports whether the entry that took a request was in contact with others
+// when it came: nothing had been done to it, to the ways between entries or to all entries
+// for a while.
+func (x *Troubles) inContact(r Result) bool {
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	since := r.At.Add(-contactTime)
+	for _, s := range x.stops {
+		if s.entry == r.Entry.Addr() && s.at.Before(r.End()) && (s.ended.IsZero() || s.ended.Add(startTime).After(since)) {
+			return false
+		}
+	}
+	for _, k := range x.kills {
+		if k.entry == r.Entry.Addr() && k.at.Before(r.End()) && k.at.Add(startTime).After(since) {
+			return false
+		}
+	}
+	for _, p := range x.parted {
+		if p.from.Before(r.End()) && (p.to.IsZero() || p.to.After(since)) {
+			return false
+		}
+	}
+	return true
+}
+
+// startTime is how long an entry that ended takes to be started again, at most.
+const startTime = 10 * time.Second
+
+// Parted notes that some entries are about to lose others or to stand still; what it returns
+// notes that it is over.
+func (x *Troubles) Parted() (joined func()) { return x.note(&x.parted, &cut{from: time.Now()}) }
--- a/standin/caller/traffic.go
+++ b/standin/caller/traffic.go
@@ -38,12 +38,20 @@
 	work    sync.WaitGroup
 	lock    sync.Mutex
 	results []Result
+	// next is what a caller asks next, and after which pause; nil for each kind in turn.
+	next func(n int) (path string, pause time.Duration)
 }
 
 // NewTraffic starts callers, made by newCaller. The name tells its requests'
 // ids from those of other traffic.
 func NewTraffic(name string, callers int, newCaller func(n int) *Caller) *Traffic {
-	x := &Traffic{name: name, stop: make(chan struct{})}
+	return newTraffic(name, callers, newCaller, nil)
+}
+
+// newTraffic starts callers that ask what next says, or each kind of request in turn where
+// that is nil.
+func newTraffic(name string, callers int, newCaller func(n int) *Caller, next func(n int) (path string, pause time.Duration)) *Traffic {
+	x := &Traffic{name: name, stop: make(chan struct{}), next: next}
 	for n := range callers {
 		c := newCaller(n)
 		x.work.Add(1)
@@ -56,12 +64,15 @@
 	defer x.work.Done()
 	defer c.Close()
 	for i := 0; ; i++ {
+		path, pause := paths[(n+i)%len(paths)], time.Duration(20+n)*time.Millisecond
+		if x.next != nil {
+			path, pause = x.next(n)
+		}
 		select {
 		case <-x.stop:
 			return
-		case <-time.After(time.Duration(20+n) * time.Millisecond):
+		case <-time.After(pause):
 		}
-		path := paths[(n+i)%len(paths)]
 		r := c.Ask(path, fmt.Sprintf("%s-%d-%d", x.name, n, i), "key-1", patience(path))
 		r.Limit = min(r.Limit, RouteTime(path))
 		x.lock.Lock()
@@ -94,6 +105,7 @@
 	for _, r := range x.results {
 		runs := e.Runs(r.ID)
 		broken = append(broken, r.Broken(len(runs), e.Events(r.ID))...)
+		broken = append(broken, r.blamed()...)
 		broken = append(broken, e.Troubles.lost(r, runs, e.Refusals(r.ID))...)
 		if r.Served() {
 			served++
--- a/standin/caller/troubles.go
+++ b/standin/caller/troubles.go
@@ -32,6 +32,8 @@
 	cuts  []*cut
 	// away are the times when entries could not read the store.
 	away []*cut
+	// parted are the times when some entries could not reach others.
+	parted []*cut
 }
 
 // Stop is one SIGTERM of an entry.
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -89,11 +90,15 @@
 	// orders is the memory set aside by ticket, used the tickets that a request uses.
 	orders map[string]int
 	used   map[string]bool
+	// crash is called when a request ends the process that runs it; nil where none does.
+	crash func()
 }
 
 // incarnation is one run of the worker's process.
 type incarnation struct {
 	working int
+	// crashed is true once a request has ended the process.
+	crashed bool
 	// over is closed when the process has ended.
 	over chan struct{}
 }
@@ -110,6 +115,19 @@
 // the first request.
 func (w *Worker) Follow(p *Plan) { w.plan = p }
 
+// crashAfter is how long a process runs a request that crashes it.
+const crashAfter = 60 * time.Millisecond
+
+// crashPart is what the paths contain of requests that crash what runs them.
+const crashPart = "/crash"
+
+// Crashes reports whether a request to a path crashes whatever runs it.
+func Crashes(path string) bool { return strings.Contains(path, crashPart) }
+
+// OnCrash has a function called when a request crashes the worker. It ends the
+// worker's connections, keeps its address from answering for a while, and calls Restart.
+func (w *Worker) OnCrash(crash func()) { w.crash = crash }
+
 // SetFault changes how the worker answers.
 func (w *Worker) SetFault(f Fault) {
 	w.lock.Lock()
@@ -223,6 +241,10 @@
 	if fault != Unsigned {
 		out.Header().Set("X-Engine-Stamp", w.id)
 	}
+	if w.crash != nil && Crashes(r.URL.Path) {
+		w.beCrashed(r, now)
+		return
+	}
 	work := w.workFor(r, id)
 	if fault == Slow {
 		work += SlowWork - w.work
@@ -242,6 +264,22 @@
 	}
 }
 
+// beCrashed runs a request that ends the process. Of two at a time the first does.
+func (w *Worker) beCrashed(r *http.Request, now *incarnation) {
+	if !now.sleep(r, crashAfter) {
+		return
+	}
+	w.lock.Lock()
+	first := !now.crashed
+	now.crashed = true
+	w.lock.Unlock()
+	if first {
+		w.crash()
+	}
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 // workFor is how long a sound worker works before it answers.
 func (w *Worker) workFor(r *http.Request, id string) time.Duration {
 	if w.plan != nil && r.Header.Get("X-Token-Usage") == "" {
