quarantiner: a request that crashes the upstreams that run it is refused by all entries

Callers saw engines end one after the other, 43 in half a minute, and answers break off. Cause: nothing of a request outlived it. A repeat under a new id at another entry was a new request, so that one could end an engine a second time, and a hundredth. Class: a limit counted by the request where the harm is the content's.

Entries now note under which content (organisation, method, host, path, body) a run of an upstream ended, tell each other with heartbeats, and judge alike: three ends one after the other that an outage, or a content that is refused already, does not explain, and that no other content shared. It is refused for ten minutes with 503 and the time left as Retry-After; two ends are enough for it not to be sent to a second upstream after the first broke off. An answer by any upstream clears it.

Beside it: what ran there twice or in an outage is not refused; bounds of memory, time and bytes.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -24,6 +24,7 @@
 	"github.com/sapphireramp/sapphireramp/forwarder"
 	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/prober"
+	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/sequencer"
 )
 
@@ -56,10 +57,12 @@
 	// suspended; SinceBoot of this package, or a clock that tests advance.
 	SinceBoot func() time.Duration
 	Board     *dispatcher.Board
-	Dial      connector.DialFunc
-	Log       *zap.Logger
-	Scope     tally.Scope
-	Asserter  *asserter.Asserter
+	// Quarantine is what entries tell each other of requests that crash upstreams.
+	Quarantine *quarantiner.Quarantiner
+	Dial       connector.DialFunc
+	Log        *zap.Logger
+	Scope      tally.Scope
+	Asserter   *asserter.Asserter
 }
 
 // view is what the control goroutine publishes. It is never changed.
@@ -242,6 +245,7 @@
 	}
 	s.membersChanged(s.prober.Tick(now))
 	s.logStore(s.follower.Tick(now), "hold_ended")
+	s.logQuarantined(now, s.controller.config.Quarantine.Judge(now), "own")
 	if age, ok := s.follower.ConfirmedAge(now); ok {
 		s.controller.metrics.listAge.Update(age.Seconds())
 	}
@@ -299,6 +303,7 @@
 	if s.table != nil {
 		c.config.Board.Update(s.table, usable)
 	}
+	c.config.Quarantine.SetUpstreams(len(usable))
 	c.metrics.revision.Update(float64(configRevision))
 	c.metrics.members.Update(float64(heard))
 	c.metrics.upstream.Update(float64(len(usable)))
@@ -403,6 +408,14 @@
 	}
 }
 
+// logQuarantined logs requests that are refused from now on, as they crash what runs them.
+func (s *state) logQuarantined(now time.Time, verdicts []quarantiner.Verdict, source string) {
+	for _, v := range verdicts {
+		s.controller.config.Log.Warn("quarantined", zap.Stringer("content", v.Content), zap.Int("strikes", v.Strikes), zap.Float64("chance", v.Chance),
+			zap.Duration("left_ms", v.Until.Sub(now)), zap.String("source", source))
+	}
+}
+
 // membersChanged logs changes of members and has the view made anew.
 func (s *state) membersChanged(changes []prober.Change) {
 	for _, change := range changes {
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/sapphireramp/sapphireramp/controller"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/platform"
+	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/standin/network"
 	"github.com/sapphireramp/sapphireramp/standin/store"
 )
@@ -29,6 +30,7 @@
 
 // entry is one controller of a fleet.
 type entry struct {
+	quarantine *quarantiner.Quarantiner
 	*controller.Controller
 	board *dispatcher.Board
 	host  netip.Addr
@@ -112,12 +114,12 @@
 	board := dispatcher.New(fmt.Sprintf("dc-%d", i%3), rand.New(rand.NewPCG(1, uint64(i))))
 	client := &http.Client{Transport: &http.Transport{DialContext: f.net.Dialer(host), DisableKeepAlives: true}}
 	reader := platform.NewStore(client, storeAddress)
-	e := &entry{board: board, host: host, ended: make(chan struct{})}
+	e := &entry{board: board, quarantine: quarantiner.New(), host: host, ended: make(chan struct{})}
 	config := controller.Config{
 		Name: fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3), Incarnation: uint64(f.started),
 		Callers: netip.AddrPortFrom(host, 80), Peers: netip.AddrPortFrom(host, 81), Shares: netip.AddrPortFrom(host, 82),
 		Store: controller.Store{Read: reader.Read, Watch: reader.Watch, Decode: platform.DecodeConfig}, InForce: 2 * time.Second,
-		SinceBoot: sinceEpoch, Board: board, Dial: f.net.Dialer(host), Log: zap.NewNop(), Scope: tally.NoopScope,
+		SinceBoot: sinceEpoch, Board: board, Quarantine: e.quarantine, Dial: f.net.Dialer(host), Log: zap.NewNop(), Scope: tally.NoopScope,
 		Asserter: asserter.New(func(name, detail string) { f.t.Errorf("%s: %s", name, detail) }),
 	}
 	if f.speed != nil {
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -14,6 +14,7 @@
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/prober"
+	"github.com/sapphireramp/sapphireramp/quarantiner"
 )
 
 const (
@@ -64,6 +65,9 @@
 	// senders have more to do than they can.
 	Speed    float64
 	Strained bool
+	// Quarantine is what the sender learned lately of requests that crash upstreams; in an
+	// answer, all that it refuses where the other refuses something else.
+	Quarantine quarantiner.News
 }
 
 // errStopped is the answer of an entry that has stopped and whose connections
@@ -81,7 +85,9 @@
 		if beat.Knows < len(s.contacts) {
 			contacts = mostContacts
 		}
-		*reply = s.beat(time.Now(), contacts)
+		now := time.Now()
+		*reply = s.beat(now, contacts)
+		reply.Quarantine = s.controller.config.Quarantine.Reply(now, beat.Quarantine)
 	})
 	if reply.From == "" {
 		return errStopped
@@ -135,6 +141,7 @@
 		now := time.Now()
 		targets = s.targets(now, all)
 		beat = s.beat(now, fewContacts)
+		beat.Quarantine = c.config.Quarantine.Tell(now)
 	})
 	for _, address := range targets {
 		go func() {
@@ -209,6 +216,7 @@
 		now := time.Now()
 		s.heard(now, b)
 		s.hearDisturbed(now, b.Disturbed)
+		s.logQuarantined(now, c.config.Quarantine.Hear(now, b.Quarantine), b.From)
 		have.Have = s.follower.Revision()
 		_, have.HaveConfig = s.follower.Config()
 		fetch = b.Known && (b.Content > s.follower.Content() || !s.follower.Known()) && s.fetching < mostFetches
--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -94,7 +94,7 @@
 	}
 	if w.instance.Started.IsZero() {
 		delete(b.tokens, w.token)
-		w.token = i.token()
+		w.token = i.Run()
 		b.tokens[w.token] = w
 	}
 	if i.Started.IsZero() {
--- a/dispatcher/instance.go
+++ b/dispatcher/instance.go
@@ -29,8 +29,8 @@
 	return i.ID == o.ID && (i.Started.IsZero() || o.Started.IsZero() || i.Started.Equal(o.Started))
 }
 
-// token names the run in messages of shares.
-func (i Instance) token() Token {
+// Run names the run in messages to other entries.
+func (i Instance) Run() Token {
 	if i.Started.IsZero() {
 		return TokenOf(i.ID)
 	}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -237,6 +237,9 @@
 	f.metrics.attempted(a.verdict)
 	a.placement.End(time.Now(), resultOf(x, a))
 	f.noteEnd(x, a)
+	if a.verdict == verdictAnswered || a.verdict == verdictFailed {
+		f.quarantine.Answered(time.Now(), x.content)
+	}
 	if a.verdict == verdictAnswered {
 		return
 	}
--- a/forwarder/ended.go
+++ b/forwarder/ended.go
@@ -39,16 +39,37 @@
 	if !a.cut && !a.lost() {
 		return
 	}
-	first, ran := a.placement.First, time.Since(a.sentAt)
+	first, broke := a.placement.First, time.Now()
 	go func() {
 		if !a.lost() && !f.hasEnded(first) {
 			return
 		}
 		f.log.Warn("upstream_ended", zap.String("request", x.call.ID), zap.Stringer("content", x.content), zap.String("upstream", first.ID),
-			zap.Stringer("address", first.Address), zap.Duration("ran_ms", ran))
+			zap.Stringer("address", first.Address), zap.Duration("ran_ms", broke.Sub(a.sentAt)))
+		f.quarantine.Struck(time.Now(), quarantiner.Strike{Content: x.content, Run: quarantiner.Run(first.Run()), Sent: a.sentAt, Ended: broke})
 	}()
 }
 
+// quarantined refuses requests that crash what runs them.
+func (f *Forwarder) quarantined(x *exchange) *dispatcher.Refusal {
+	now := time.Now()
+	until, ok := f.quarantine.Until(now, x.content)
+	if !ok {
+		return nil
+	}
+	return &dispatcher.Refusal{Reason: reasonQuarantined, RetryAfter: until.Sub(now)}
+}
+
+// mostStruck is under how many upstreams that ended a request may have been and still be sent to
+// a second one when its first has broken off: a third end is likely its own doing.
+const mostStruck = 2
+
+// isSuspect reports whether an attempt broke off that is not to be made again elsewhere, since
+// upstreams have ended under the request before.
+func (f *Forwarder) isSuspect(x *exchange, a *attempt) bool {
+	return (a.cut || a.lost()) && f.quarantine.Strikes(x.content) >= mostStruck
+}
+
 // hasEnded reports whether nobody listens at an upstream's address any more. Attempts that
 // broke off at the same moment share one question.
 func (f *Forwarder) hasEnded(i dispatcher.Instance) bool {
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -30,6 +30,7 @@
 	reasonCutOff         = "cut_off"
 	reasonBroken         = "stream_broken"
 	reasonPanic          = "internal_error"
+	reasonQuarantined    = "quarantined"
 )
 
 // Times after which a refused caller is asked to come back.
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -57,7 +57,7 @@
 	if x.pending > 0 && !x.route.Repeatable() {
 		return false
 	}
-	if x.sent >= x.route.MaxAttempts {
+	if x.sent >= x.route.MaxAttempts || f.isSuspect(x, a) {
 		return false
 	}
 	if !f.budget.Spend(time.Now(), x.service, f.view().Entries) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -41,27 +41,30 @@
 	// may stay set aside after the end of its request.
 	HoldTime time.Duration
 	// MaxIdle is how long reserved memory may be unused by a request.
-	MaxIdle  time.Duration
-	View     func() *View
-	Board    *dispatcher.Board
-	Budget   *budgeter.Budgeter
-	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
-	Log      *zap.Logger
-	Scope    tally.Scope
-	Asserter *asserter.Asserter
+	MaxIdle time.Duration
+	View    func() *View
+	Board   *dispatcher.Board
+	Budget  *budgeter.Budgeter
+	// Quarantine says which requests are refused, since they crash upstreams.
+	Quarantine *quarantiner.Quarantiner
+	Dial       func(ctx context.Context, network, address string) (net.Conn, error)
+	Log        *zap.Logger
+	Scope      tally.Scope
+	Asserter   *asserter.Asserter
 }
 
 // Forwarder is the handler of callers' requests.
 type Forwarder struct {
-	protocol  Protocol
-	orders    Orders
-	holdTime  time.Duration
-	maxIdle   time.Duration
-	view      func() *View
-	board     *dispatcher.Board
-	budget    *budgeter.Budgeter
-	upstreams *http.Transport
-	dial      func(ctx context.Context, network, address string) (net.Conn, error)
+	protocol   Protocol
+	orders     Orders
+	holdTime   time.Duration
+	maxIdle    time.Duration
+	view       func() *View
+	board      *dispatcher.Board
+	budget     *budgeter.Budgeter
+	quarantine *quarantiner.Quarantiner
+	upstreams  *http.Transport
+	dial       func(ctx context.Context, network, address string) (net.Conn, error)
 	// questions are those to upstreams that may have ended.
 	questions singleflight.Group
 	log       *zap.Logger
@@ -74,7 +77,7 @@
 // New returns a forwarder.
 func New(c Config) *Forwarder {
 	f := &Forwarder{
-		protocol: c.Protocol, orders: c.Orders, holdTime: c.HoldTime, maxIdle: c.MaxIdle, view: c.View, board: c.Board, budget: c.Budget, log: c.Log,
+		protocol: c.Protocol, orders: c.Orders, holdTime: c.HoldTime, maxIdle: c.MaxIdle, view: c.View, board: c.Board, budget: c.Budget, quarantine: c.Quarantine, log: c.Log,
 		metrics: newMetrics(c.Scope), asserter: c.Asserter, upstreams: newTransport(c.Dial), dial: c.Dial,
 	}
 	f.chain = chain(f.forward, f.respond, f.recoverPanic, f.open, f.limitHeader, f.match, f.readBody)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -24,6 +24,7 @@
 	"github.com/sapphireramp/sapphireramp/forwarder"
 	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/platform"
+	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/standin/network"
 	"github.com/sapphireramp/sapphireramp/standin/worker"
 )
@@ -96,7 +97,7 @@
 		invariants := asserter.New(func(name, detail string) { t.Errorf("%s: %s", name, detail) })
 		handler := forwarder.New(forwarder.Config{
 			Protocol: platform.Protocol(), Orders: platform.Orders(&http.Client{Transport: &http.Transport{DialContext: f.net.Dialer(entryHost), DisableKeepAlives: true}}),
-			HoldTime: 3 * time.Second, MaxIdle: 9 * time.Second, View: f.view.Load, Board: f.board,
+			HoldTime: 3 * time.Second, MaxIdle: 9 * time.Second, View: f.view.Load, Board: f.board, Quarantine: quarantiner.New(),
 			Budget: budgeter.New(budgeter.Config{Ratio: 0.2, Window: 10 * time.Second, Slack: 100}),
 			Dial:   f.net.Dialer(entryHost), Log: zap.NewNop(), Scope: tally.NoopScope, Asserter: invariants,
 		})
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -60,14 +60,14 @@
 // find asks for a place until there is one, or the request is not to wait for one here.
 func (f *Forwarder) find(x *exchange, d dispatcher.Demand) (*dispatcher.Placement, *dispatcher.Refusal) {
 	x.demand = f.asOfNow(x, d)
-	p, refusal, took := f.look(x.demand)
+	p, refusal, took := f.look(x)
 	if refusal != nil && f.waits(x, refusal) {
 		f.log.Info("wait", zap.String("request", x.call.ID), zap.String("service", x.service), zap.String("reason", refusal.Reason),
 			zap.Duration("expected_ms", refusal.Expected), zap.Duration("patience_ms", x.demand.Patience))
 	}
 	for refusal != nil && f.waits(x, refusal) && sleeper.Sleep(x.ctx, pollAfter(took)) {
 		x.demand = f.asOfNow(x, d)
-		p, refusal, took = f.look(x.demand)
+		p, refusal, took = f.look(x)
 	}
 	return p, refusal
 }
@@ -99,9 +99,12 @@
 func pollAfter(took time.Duration) time.Duration { return max(waitPoll, pollFactor*took) }
 
 // look asks the board for a place, and tells how long that took.
-func (f *Forwarder) look(d dispatcher.Demand) (*dispatcher.Placement, *dispatcher.Refusal, time.Duration) {
+func (f *Forwarder) look(x *exchange) (*dispatcher.Placement, *dispatcher.Refusal, time.Duration) {
+	if refusal := f.quarantined(x); refusal != nil {
+		return nil, refusal, 0
+	}
 	began := time.Now()
-	p, refusal := f.board.Place(began, d)
+	p, refusal := f.board.Place(began, x.demand)
 	return p, refusal, time.Since(began)
 }
 
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -68,8 +68,8 @@
 	born map[string]int64
 	// background are workers that crashed and are not back yet.
 	background sync.WaitGroup
-	next   int
-	rounds int
+	next       int
+	rounds     int
 	// plan is how long answers last; nil where all are short.
 	plan *worker.Plan
 	// salt is a part of requests' ids, which lengths are drawn from.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -25,6 +25,7 @@
 	"github.com/sapphireramp/sapphireramp/controller"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/forwarder"
+	"github.com/sapphireramp/sapphireramp/quarantiner"
 )
 
 // Settings that may change while the entry runs.
@@ -115,16 +116,17 @@
 // New returns an entry that does not listen yet.
 func New(c Config) *Launcher {
 	c = c.withSystem()
+	quarantine := quarantiner.New()
 	board := dispatcher.New(c.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	l := &Launcher{config: c, budget: budgeter.New(c.Settings.Budget), busy: connector.NewBusy(), served: make(chan struct{})}
 	l.settings.Store(&c.Settings)
 	l.controller = controller.New(controller.Config{
 		Name: c.Name, DataCentre: c.DataCentre, Incarnation: uint64(time.Now().UnixNano()),
-		Callers: c.Callers, Peers: c.Peers, Shares: c.Shares, Store: c.Store, InForce: c.InForce, Speed: c.Speed, SinceBoot: c.SinceBoot, Board: board, Dial: c.Dial,
+		Callers: c.Callers, Peers: c.Peers, Shares: c.Shares, Store: c.Store, InForce: c.InForce, Speed: c.Speed, SinceBoot: c.SinceBoot, Board: board, Quarantine: quarantine, Dial: c.Dial,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	l.forwarder = forwarder.New(forwarder.Config{
-		Protocol: c.Protocol, Orders: c.Orders, HoldTime: c.HoldTime, MaxIdle: c.MaxIdle, View: l.controller.View, Board: board, Budget: l.budget, Dial: c.Dial,
+		Protocol: c.Protocol, Orders: c.Orders, HoldTime: c.HoldTime, MaxIdle: c.MaxIdle, View: l.controller.View, Board: board, Budget: l.budget, Quarantine: quarantine, Dial: c.Dial,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	return l
--- a/logger/events.go
+++ b/logger/events.go
@@ -26,6 +26,7 @@
 	{"memory_unused", "Memory set aside for a prompt was not used for long, as its engine does not begin; the attempt ends and the memory is given back.", []string{"request", "engines", "age_ms"}},
 	{"panic", "A fault of the program; the request concerned fails.", []string{"request", "value", "stack"}},
 	{"place", "An upstream was chosen. List_age_ms is how long ago the store confirmed the list.", []string{"request", "service", "upstream", "data_centre", "helpers", "helper_ids", "expected_ms", "running", "prefill_ms", "attempt", "config_revision", "list_age_ms"}},
+	{"quarantined", "A request that crashes the upstreams that run it is refused from now on, whatever id it has. Strikes are the upstreams that ended under it one after the other, chance how likely that is for another; source is own, or the entry that told.", []string{"content", "strikes", "chance", "left_ms", "source"}},
 	{"release_failed", "Memory at an engine could not be given back; it ends with its lease.", []string{"request", "engine", "lease_ms", "error"}},
 	{"reload", "The settings were read again, by SIGHUP or because they changed.", []string{"signalled", "changed", "seeds"}},
 	{"renewal_failed", "Reserved memory could not be renewed; it lapses after two more failures.", []string{"request", "error"}},
--- a/quarantiner/content.go
+++ b/quarantiner/content.go
@@ -1,4 +1,3 @@
-// Package quarantiner finds the requests that crash the upstreams that run them.
 package quarantiner
 
 import (
--- /dev/null
+++ b/quarantiner/judge.go
@@ -0,0 +1,160 @@
+package quarantiner
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// leastStrikes is under how many upstreams, one after the other, a content has to have been
+	// when they ended.
+	leastStrikes = 3
+	// plainStrikes is from how many on it does not matter whether another content was
+	// there each time too.
+	plainStrikes = 5
+	// settleTime is how long after its end a strike is judged: all entries have told by then what
+	// else ran there.
+	settleTime = 600 * time.Millisecond
+	// sameTime is how far apart upstreams end at most in one outage.
+	sameTime = time.Second
+	// overlapSlack is by how much the times of two strikes may be wrong, as entries tell ages.
+	overlapSlack = 50 * time.Millisecond
+	// leastChance and mostChance bound how likely an upstream ends by itself while it works on a
+	// request.
+	leastChance, mostChance = 0.05, 0.95
+	// doubt is how likely the ends of upstreams may be for a content that crashes nothing.
+	doubt = 1.0 / 300
+)
+
+// ending is the end of an upstream's run, and the contents that it worked on.
+type ending struct {
+	at       time.Time
+	contents map[Content]bool
+}
+
+// Judge forgets what is too old, and returns the contents that are refused from now on.
+//
+// A content that was merely there when upstreams ended is told from one that ends them by
+// three things: that another, which is quarantined, was there too; that others ended at the same
+// time without it, as in an outage; and that another was there each time.
+func (q *Quarantiner) Judge(now time.Time) []Verdict {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	q.expire(now)
+	if !q.unjudged {
+		return nil
+	}
+	ends := q.endings()
+	q.unjudged = slices.ContainsFunc(slices.Collect(maps.Values(ends)), func(e *ending) bool { return now.Sub(e.at) < settleTime })
+	var out []Verdict
+	for {
+		v, ok := q.worst(now, ends)
+		if !ok {
+			return out
+		}
+		q.quarantine(now, v.Content, now)
+		out = append(out, v)
+	}
+}
+
+// endings are the ends of all runs under which there was anything.
+func (q *Quarantiner) endings() map[Run]*ending {
+	ends := map[Run]*ending{}
+	for c, p := range q.suspects {
+		for _, s := range p.strikes {
+			e, ok := ends[s.Run]
+			if !ok {
+				e = &ending{at: s.Ended, contents: map[Content]bool{}}
+				ends[s.Run] = e
+			}
+			if s.Ended.Before(e.at) {
+				e.at = s.Ended
+			}
+			e.contents[c] = true
+		}
+	}
+	return ends
+}
+
+// worst returns the content that is least likely to crash nothing, if any is unlikely enough.
+func (q *Quarantiner) worst(now time.Time, ends map[Run]*ending) (Verdict, bool) {
+	var found []Verdict
+	for c, p := range q.suspects {
+		if _, ok := q.quarantined[c]; ok || len(p.strikes) < leastStrikes {
+			continue
+		}
+		if v := q.weigh(now, c, p, ends); v.Strikes >= leastStrikes && v.Chance <= doubt {
+			found = append(found, v)
+		}
+	}
+	if len(found) == 0 {
+		return Verdict{}, false
+	}
+	return slices.MinFunc(found, func(a, b Verdict) int {
+		return cmp.Or(cmp.Compare(a.Chance, b.Chance), cmp.Compare(a.Content, b.Content))
+	}), true
+}
+
+// weigh returns how many ends of runs speak against a content, and how likely they are
+// where it crashes nothing.
+func (q *Quarantiner) weigh(now time.Time, c Content, p *suspect, ends map[Run]*ending) Verdict {
+	v := Verdict{Content: c, Chance: 1, Until: now.Add(QuarantineTime)}
+	var runs []*ending
+	var last time.Time
+	for _, s := range p.strikes {
+		e := ends[s.Run]
+		if now.Sub(s.Ended) < settleTime || q.explained(c, e) {
+			continue
+		}
+		runs = append(runs, e)
+		// Repeats that were under way at once met the same outage.
+		if s.Sent.Before(last.Add(-overlapSlack)) {
+			continue
+		}
+		last = s.Ended
+		v.Strikes++
+		v.Chance *= q.chance(c, s, ends)
+	}
+	if v.Strikes < plainStrikes && accompanied(c, runs) {
+		v.Strikes = 0
+	}
+	return v
+}
+
+// explained reports whether another content that is quarantined was there when a run ended.
+func (q *Quarantiner) explained(c Content, e *ending) bool {
+	for o := range e.contents {
+		if _, ok := q.quarantined[o]; ok && o != c {
+			return true
+		}
+	}
+	return false
+}
+
+// chance is how likely a run ended by itself when it did: as part of an outage, which is
+// known by the runs that ended at the same time without the content.
+func (q *Quarantiner) chance(c Content, s Strike, ends map[Run]*ending) float64 {
+	others := 0
+	for _, e := range ends {
+		if !e.contents[c] && e.at.Sub(s.Ended).Abs() <= sameTime && !q.explained(c, e) {
+			others++
+		}
+	}
+	return math.Min(mostChance, math.Max(leastChance, float64(others)/float64(max(1, q.upstreams))))
+}
+
+// accompanied reports whether another content was there whenever a run ended.
+func accompanied(c Content, runs []*ending) bool {
+	if len(runs) == 0 {
+		return false
+	}
+	for o := range runs[0].contents {
+		if o != c && !slices.ContainsFunc(runs, func(e *ending) bool { return !e.contents[o] }) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/quarantiner/quarantiner.go
@@ -0,0 +1,220 @@
+// Package quarantiner finds the requests that crash the upstreams that run them,
+// and says until when they are refused. A request is known by its content, so
+// that it is the same under another id and at another entry. Entries tell each
+// other which upstreams ended while they worked on which content; each judges
+// by all that it knows, and a quarantine that one declares holds at all.
+//
+// It does no I/O. What it holds is bounded in number and in time.
+package quarantiner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Run names one run of an upstream.
+type Run uint32
+
+// Strike is the end of an upstream's run while it worked on a content.
+type Strike struct {
+	Content Content
+	Run     Run
+	// Sent is when the request was sent, Ended when its answer broke off.
+	Sent, Ended time.Time
+}
+
+const (
+	// QuarantineTime is how long a content is refused.
+	QuarantineTime = 10 * time.Minute
+	// strikeLife is how long a strike counts.
+	strikeLife = 10 * time.Minute
+	// endSlack is how long before its end a quarantine is no longer taken over from others:
+	// entries end it at different moments, and would tell each other of it for ever.
+	endSlack = 10 * time.Second
+	// mostSuspects bounds the contents with strikes, mostStrikes the strikes of one, and
+	// mostQuarantined the contents that are refused.
+	mostSuspects    = 2048
+	mostStrikes     = 8
+	mostQuarantined = 256
+)
+
+// suspect is a content under which upstreams have ended.
+type suspect struct {
+	// strikes are in order of their ends, none before cleared.
+	strikes []Strike
+	// cleared is when an upstream last answered the content; zero for never.
+	cleared time.Time
+}
+
+// newest is the time of the last that is known of a suspect.
+func (p *suspect) newest() time.Time {
+	if n := len(p.strikes); n > 0 {
+		return p.strikes[n-1].Ended
+	}
+	return p.cleared
+}
+
+// Verdict is a content that is refused from now on.
+type Verdict struct {
+	Content Content
+	// Strikes is how many upstreams have ended under it, Chance how likely that is for a
+	// content that crashes nothing.
+	Strikes int
+	Chance  float64
+	Until   time.Time
+}
+
+// Quarantiner holds strikes and quarantines. It is safe for concurrent use.
+type Quarantiner struct {
+	lock     sync.Mutex
+	suspects map[Content]*suspect
+	// quarantined holds since when contents are refused.
+	quarantined map[Content]time.Time
+	// upstreams is how many there are.
+	upstreams int
+	// unjudged is true where a strike came since the last judgement, or is too new for it.
+	unjudged bool
+}
+
+// New returns a quarantiner that suspects nothing.
+func New() *Quarantiner {
+	return &Quarantiner{suspects: map[Content]*suspect{}, quarantined: map[Content]time.Time{}}
+}
+
+// SetUpstreams tells how many upstreams there are.
+func (q *Quarantiner) SetUpstreams(n int) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	q.upstreams = n
+}
+
+// Struck notes that an upstream ended while it worked on a request.
+func (q *Quarantiner) Struck(now time.Time, s Strike) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	q.strike(now, s)
+}
+
+func (q *Quarantiner) strike(now time.Time, s Strike) {
+	p := q.suspect(s.Content)
+	known := slices.ContainsFunc(p.strikes, func(o Strike) bool { return o.Run == s.Run })
+	if known || !s.Ended.After(p.cleared) || now.Sub(s.Ended) > strikeLife {
+		return
+	}
+	p.strikes = append(p.strikes, s)
+	slices.SortFunc(p.strikes, func(a, b Strike) int { return a.Ended.Compare(b.Ended) })
+	p.strikes = p.strikes[max(0, len(p.strikes)-mostStrikes):]
+	q.unjudged = true
+}
+
+// suspect returns that of a content. Where there are too many, the one with the fewest
+// strikes, and of these the oldest, goes.
+func (q *Quarantiner) suspect(c Content) *suspect {
+	if p, ok := q.suspects[c]; ok {
+		return p
+	}
+	if len(q.suspects) >= mostSuspects {
+		var least Content
+		var found *suspect
+		for key, p := range q.suspects {
+			if found == nil || cmp.Or(cmp.Compare(len(p.strikes), len(found.strikes)), p.newest().Compare(found.newest())) < 0 {
+				least, found = key, p
+			}
+		}
+		delete(q.suspects, least)
+	}
+	p := &suspect{}
+	q.suspects[c] = p
+	return p
+}
+
+// Answered notes that an upstream ran a request to its end. What it answers does not
+// crash what runs it.
+func (q *Quarantiner) Answered(now time.Time, c Content) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	if p, ok := q.suspects[c]; ok && len(p.strikes) > 0 {
+		q.clear(c, now)
+	}
+}
+
+// clear voids the strikes of a content before an answer, and lifts its quarantine.
+func (q *Quarantiner) clear(c Content, answered time.Time) {
+	p := q.suspect(c)
+	if !answered.After(p.cleared) {
+		return
+	}
+	p.cleared = answered
+	p.strikes = slices.DeleteFunc(p.strikes, func(s Strike) bool { return !s.Ended.After(answered) })
+	if since, ok := q.quarantined[c]; ok && since.Before(answered) {
+		delete(q.quarantined, c)
+	}
+}
+
+// Until returns until when requests for a content are refused; ok is false where they
+// are not.
+func (q *Quarantiner) Until(now time.Time, c Content) (until time.Time, ok bool) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	since, ok := q.quarantined[c]
+	until = since.Add(QuarantineTime)
+	return until, ok && until.After(now)
+}
+
+// Strikes is under how many runs of upstreams that ended a content was worked on since it
+// was last answered.
+func (q *Quarantiner) Strikes(c Content) int {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	if p, ok := q.suspects[c]; ok {
+		return len(p.strikes)
+	}
+	return 0
+}
+
+// Count is how many contents are refused.
+func (q *Quarantiner) Count() int {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	return len(q.quarantined)
+}
+
+// quarantine has a content refused since a time, and reports whether that is news.
+func (q *Quarantiner) quarantine(now time.Time, c Content, since time.Time) bool {
+	if _, ok := q.quarantined[c]; ok || now.Sub(since) >= QuarantineTime-endSlack {
+		return false
+	}
+	if p, ok := q.suspects[c]; ok && p.cleared.After(since) {
+		return false
+	}
+	if len(q.quarantined) >= mostQuarantined {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(q.quarantined)), func(a, b Content) int {
+			return q.quarantined[a].Compare(q.quarantined[b])
+		})
+		if !since.After(q.quarantined[oldest]) {
+			return false
+		}
+		delete(q.quarantined, oldest)
+	}
+	q.quarantined[c] = since
+	return true
+}
+
+// expire drops what is too old.
+func (q *Quarantiner) expire(now time.Time) {
+	for c, since := range q.quarantined {
+		if now.Sub(since) >= QuarantineTime {
+			delete(q.quarantined, c)
+			delete(q.suspects, c) // it is to be judged anew
+		}
+	}
+	for c, p := range q.suspects {
+		p.strikes = slices.DeleteFunc(p.strikes, func(s Strike) bool { return now.Sub(s.Ended) > strikeLife })
+		if len(p.strikes) == 0 && now.Sub(p.cleared) > strikeLife {
+			delete(q.suspects, c)
+		}
+	}
+}
--- /dev/null
+++ b/quarantiner/quarantiner_test.go
@@ -0,0 +1,256 @@
+package quarantiner
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+
+func content(name string) Content { return ContentOf([]byte(name)) }
+
+// fleet is entries that tell each other what they learn.
+type fleet struct {
+	now     time.Time
+	entries []*Quarantiner
+}
+
+func newFleet(entries, upstreams int) *fleet {
+	f := &fleet{now: start}
+	for range entries {
+		q := New()
+		q.SetUpstreams(upstreams)
+		f.entries = append(f.entries, q)
+	}
+	return f
+}
+
+// pass lets time pass, with a heartbeat of each entry to its neighbour every 200 ms.
+func (f *fleet) pass(d time.Duration) (verdicts []Verdict) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(200 * time.Millisecond)
+		for i, q := range f.entries {
+			other := f.entries[(i+1)%len(f.entries)]
+			told := q.Tell(f.now)
+			other.Hear(f.now, told)
+			q.Hear(f.now, other.Reply(f.now, told))
+		}
+		for _, q := range f.entries {
+			verdicts = append(verdicts, q.Judge(f.now)...)
+		}
+	}
+	return verdicts
+}
+
+// end has a run end that worked on contents, each known to an entry of its own.
+func (f *fleet) end(run Run, ran time.Duration, contents ...Content) {
+	for i, c := range contents {
+		f.entries[(int(run)+i)%len(f.entries)].Struck(f.now, Strike{Content: c, Run: run, Sent: f.now.Add(-ran), Ended: f.now})
+	}
+}
+
+func (f *fleet) refuse(c Content) int {
+	n := 0
+	for _, q := range f.entries {
+		if _, ok := q.Until(f.now, c); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func TestContentThatEndsThreeRunsIsRefusedByAll(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(7, 14)
+	for n := range 3 {
+		f.end(Run(n), 100*time.Millisecond, content("bad"))
+		f.pass(400 * time.Millisecond)
+	}
+	f.pass(time.Second)
+	is.Equal(f.refuse(content("bad")), 7)
+	is.Equal(f.refuse(content("other")), 0)
+	until, _ := f.entries[0].Until(f.now, content("bad"))
+	is.True(until.Sub(f.now) > QuarantineTime-5*time.Second) // as long as it holds
+	f.now = f.now.Add(QuarantineTime)
+	f.pass(time.Second)
+	is.Equal(f.refuse(content("bad")), 0) // it is tried again
+}
+
+func TestTwoEndsProveNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(7, 117)
+	for n := range 2 {
+		f.end(Run(n), 100*time.Millisecond, content("unlucky"))
+		f.pass(2 * time.Second)
+	}
+	is.Equal(f.refuse(content("unlucky")), 0)
+}
+
+// What ran beside the cause each time but one is not refused.
+func TestBystandersAreNotRefused(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(7, 14)
+	f.end(1, time.Second, content("bad"), content("beside"), content("once"))
+	f.pass(400 * time.Millisecond)
+	f.end(2, 100*time.Millisecond, content("beside"), content("bad"))
+	f.pass(400 * time.Millisecond)
+	f.end(3, 100*time.Millisecond, content("beside"), content("bad"))
+	f.pass(2 * time.Second)
+	is.Equal(f.refuse(content("bad"))+f.refuse(content("beside")), 0) // nothing tells them apart
+	f.end(4, 100*time.Millisecond, content("bad"), content("late"))
+	f.pass(2 * time.Second)
+	is.Equal(f.refuse(content("bad")), 7)
+	is.Equal(f.refuse(content("beside")), 0)
+	f.end(5, 100*time.Millisecond, content("beside"))
+	f.pass(2 * time.Second)
+	is.Equal(f.refuse(content("beside")), 0) // what ran beside the cause is explained
+}
+
+// Outages take upstreams in two bursts while repeats of what ran there meet the next.
+func TestOutageOfManyUpstreamsRefusesNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(7, 40)
+	run := Run(0)
+	for burst := range 4 {
+		for n := range 12 { // of 40
+			run++
+			f.end(run, 300*time.Millisecond, content("unlucky"+fmt.Sprint(n%4)), content(fmt.Sprint(burst, n)))
+		}
+		f.pass(time.Second)
+	}
+	f.pass(2 * time.Second)
+	for n := range 4 {
+		is.Equal(f.refuse(content("unlucky"+fmt.Sprint(n))), 0)
+	}
+}
+
+// The same content under way at many upstreams at once meets one outage, not many.
+func TestEndsAtOnceCountOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(7, 117)
+	for n := range 8 {
+		f.end(Run(n), time.Second, content("popular"))
+	}
+	f.pass(2 * time.Second)
+	is.Equal(f.refuse(content("popular")), 0)
+}
+
+func TestAnswerClears(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(7, 117)
+	for n := range 9 {
+		f.end(Run(n), 100*time.Millisecond, content("popular"))
+		f.pass(400 * time.Millisecond)
+		f.entries[n%7].Answered(f.now, content("popular"))
+		f.pass(400 * time.Millisecond)
+	}
+	f.pass(2 * time.Second)
+	is.Equal(f.refuse(content("popular")), 0)
+}
+
+// An answer that an attempt of before brings lifts the quarantine at all entries.
+func TestAnswerLiftsQuarantine(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(7, 117)
+	for n := range 3 {
+		f.end(Run(n), 100*time.Millisecond, content("slow"))
+		f.pass(400 * time.Millisecond)
+	}
+	f.pass(time.Second)
+	is.Equal(f.refuse(content("slow")), 7)
+	f.entries[3].Answered(f.now, content("slow"))
+	f.pass(2 * time.Second)
+	is.Equal(f.refuse(content("slow")), 0)
+}
+
+// An entry that starts or was cut off hears of quarantines that are no news any more.
+func TestNewEntryIsToldAll(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(7, 14)
+	for n := range 3 {
+		f.end(Run(n), 100*time.Millisecond, content("bad"))
+		f.pass(400 * time.Millisecond)
+	}
+	f.now = f.now.Add(time.Minute)
+	f.pass(time.Second)
+	f.entries[4] = New()
+	f.pass(600 * time.Millisecond)
+	is.Equal(f.refuse(content("bad")), 7)
+}
+
+// Whatever comes, memory and messages are bounded, and when nothing more comes
+// nothing is told and at last nothing is kept.
+func TestBounds(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, 600)
+	for n := range 20000 {
+		f.entries[n%3].Struck(f.now, Strike{Content: Content(n % 7000), Run: Run(n), Sent: f.now.Add(-time.Second), Ended: f.now})
+	}
+	for n := range 1000 {
+		f.entries[0].quarantine(f.now, Content(n), f.now.Add(time.Duration(n)))
+	}
+	for _, q := range f.entries {
+		is.True(len(q.suspects) <= mostSuspects)
+		is.True(len(q.quarantined) <= mostQuarantined)
+		is.True(size(t, q.Tell(f.now)) < 2<<10)
+		is.True(size(t, q.Reply(f.now, News{})) < 8<<10)
+	}
+	f.pass(5 * time.Second)
+	told := f.entries[0].Tell(f.now)
+	is.Equal(len(told.Strikes)+len(told.Answers)+len(told.Quarantined), 0)
+	is.True(size(t, told) < 300) // a heartbeat's share when there is nothing to tell
+	f.now = f.now.Add(max(QuarantineTime, strikeLife))
+	f.pass(time.Second)
+	for _, q := range f.entries {
+		is.Equal(len(q.suspects)+len(q.quarantined), 0)
+	}
+}
+
+// size is that of news on the wire, types included.
+func size(t *testing.T, n News) int {
+	var out bytes.Buffer
+	if err := gob.NewEncoder(&out).Encode(n); err != nil {
+		t.Fatal(err)
+	}
+	return out.Len()
+}
+
+// In drawn orders of ends, with drawn company, all entries come to the same verdict about the cause
+// within three ends more, and none about what crashes nothing.
+func TestVerdictsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		f := newFleet(rapid.IntRange(2, 9).Draw(r, "entries"), rapid.IntRange(14, 600).Draw(r, "upstreams"))
+		run := Run(0)
+		ends := 0
+		for f.refuse(content("bad")) < len(f.entries) {
+			if ends++; ends > 6 {
+				r.Fatalf("not refused after %d ends", ends-1)
+			}
+			run++
+			company := []Content{content("bad")}
+			for n := range rapid.IntRange(0, 15).Draw(r, "company") {
+				company = append(company, Content(1000*ends+n)) // asked once or twice
+				if n < 4 && ends < 3 {
+					company = append(company, Content(n))
+				}
+			}
+			f.end(run, 100*time.Millisecond, company...)
+			f.pass(time.Duration(rapid.IntRange(2, 20).Draw(r, "gap")) * 200 * time.Millisecond)
+			if ends >= 3 {
+				f.pass(time.Second)
+			}
+		}
+		for _, q := range f.entries {
+			if len(q.quarantined) != 1 {
+				r.Fatalf("%d contents are refused", len(q.quarantined))
+			}
+		}
+	})
+}
