--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -13,7 +13,6 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-
 func content(name string) Content { return ContentOf([]byte(name)) }
 
 // fleet is entries that tell each other what they learn.
