dispatcher: upstreams known to accept no connections take nothing that another has

Callers of a call that may be repeated got 502 where their upstream was silent for twice its target and the two others had ended: the watchdog gave the run up for one of these. Found by the process soak with outages of upstreams. The board told the watchdog that they would take it, as the best that is left. The test was red before.

--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -35,6 +35,9 @@
 		return false
 	}
 	w := p.request.parts[0].worker
+	if w.health.blocked(now) {
+		return false // it is chosen only where there is no other
+	}
 	return w.engine == nil || p.Load.Running+spareSlots < w.engine.Slots
 }
 
--- a/dispatcher/place_test.go
+++ b/dispatcher/place_test.go
@@ -491,3 +491,18 @@
 		is.True(p.First.ID != long)
 	}
 }
+
+// A call was taken from an upstream that was silent for a while, where the two others were known
+// to accept no connections; it failed, and would have been answered.
+func TestUpstreamsThatAcceptNothingTakeNothing(t *testing.T) {
+	is := is.New(t)
+	b, now := testBoard(t, 1), time.Now()
+	call := Demand{Service: "app"}
+	is.True(b.Takes(now, call))
+	for _, id := range []string{"s0", "s1", "s2"} {
+		b.workers[id].health.unreachable(now)
+	}
+	is.True(!b.Takes(now, call))
+	place(t, b, now, call) // but who has no other is sent there
+	is.True(b.Takes(now.Add(leastBlock), call))
+}
