quarantiner, forwarder: what an upstream ran for long does not crash it; soaks with requests that crash upstreams and with outages

A run that ended after it had made events of an answer for a second now clears the content at all entries, and so does a stream while it goes on; what crashes an upstream does so as it begins.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -47,9 +47,10 @@
 	err       error
 	// cut is true where the answer broke off by the connection's end, not by this entry.
 	cut bool
-	// sentAt is when the attempt began.
-	sentAt   time.Time
-	response *http.Response
+	// sentAt is when the attempt began, firstEvent and lastEvent are when events of its answer
+	// came; zero before.
+	sentAt, firstEvent, lastEvent time.Time
+	response                      *http.Response
 	// helperAtFault is true where a helper, and not the first engine, is why the
 	// attempt failed.
 	helperAtFault bool
--- a/forwarder/ended.go
+++ b/forwarder/ended.go
@@ -34,22 +34,44 @@
 }
 
 // noteEnd finds out whether an attempt broke off because its upstream has ended. The
-// request does not wait for that.
+// request does not wait for that. An attempt that this entry ended as it heard of a new run may have
+// reached that run: it tells nothing.
 func (f *Forwarder) noteEnd(x *exchange, a *attempt) {
-	if !a.cut && !a.lost() {
+	if !a.cut {
 		return
 	}
 	first, broke := a.placement.First, time.Now()
 	go func() {
-		if !a.lost() && !f.hasEnded(first) {
+		if !f.hasEnded(first) {
 			return
 		}
 		f.log.Warn("upstream_ended", zap.String("request", x.call.ID), zap.Stringer("content", x.content), zap.String("upstream", first.ID),
 			zap.Stringer("address", first.Address), zap.Duration("ran_ms", broke.Sub(a.sentAt)))
+		if a.proven() {
+			f.quarantine.Outlived(x.content, broke)
+			return
+		}
 		f.quarantine.Struck(time.Now(), quarantiner.Strike{Content: x.content, Run: quarantiner.Run(first.Run()), Sent: a.sentAt, Ended: broke})
 	}()
 }
 
+// provenTime is how long an upstream has made events of an answer when the request counts as
+// one that it can run: what crashes an upstream does so as it begins.
+const provenTime = time.Second
+
+// event notes an event of the answer, and reports whether by it the request is proven to be one that
+// its upstream can run.
+func (a *attempt) event(now time.Time) bool {
+	if a.firstEvent.IsZero() {
+		a.firstEvent = now
+	}
+	before := a.proven()
+	a.lastEvent = now
+	return !before && a.proven()
+}
+
+func (a *attempt) proven() bool { return a.lastEvent.Sub(a.firstEvent) >= provenTime }
+
 // quarantined refuses requests that crash what runs them.
 func (f *Forwarder) quarantined(x *exchange) *dispatcher.Refusal {
 	now := time.Now()
@@ -67,7 +89,7 @@
 // isSuspect reports whether an attempt broke off that is not to be made again elsewhere, since
 // upstreams have ended under the request before.
 func (f *Forwarder) isSuspect(x *exchange, a *attempt) bool {
-	return (a.cut || a.lost()) && f.quarantine.Strikes(x.content) >= mostStruck
+	return a.cut && f.quarantine.Strikes(x.content) >= mostStruck
 }
 
 // hasEnded reports whether nobody listens at an upstream's address any more. Attempts that
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -118,6 +118,9 @@
 				a.group.begin()
 				any = true
 			}
+			if a.event(time.Now()) {
+				f.quarantine.Answered(time.Now(), x.content)
+			}
 			if fail := f.passEvent(x, a, e); fail != nil {
 				a.verdict, a.err = verdictBroken, fail
 				return
--- a/logger/events.go
+++ b/logger/events.go
@@ -49,7 +49,7 @@
 	{"store_regained", "The store answers again.", []string{"revision"}},
 	{"strained", "This entry has more to do than it can, by how late its own clock ticks, or no longer has; callers are sent to others meanwhile.", []string{"strained", "lag_ms"}},
 	{"upstream", "The belief about an upstream changed: appeared, leaving, gone, held_after_outage or unreadable, with the fields at fault.", []string{"id", "change", "revision", "source", "error"}},
-	{"upstream_ended", "An answer broke off and its upstream takes no connections any more, or is known to have started anew. Ran_ms is how long after it was sent; content is the same for all requests that ask the same.", []string{"request", "content", "upstream", "address", "ran_ms"}},
+	{"upstream_ended", "An answer broke off and its upstream takes no connections any more. Ran_ms is how long after it was sent; content is the same for all requests that ask the same.", []string{"request", "content", "upstream", "address", "ran_ms"}},
 	{"upstreams_unreadable", "More entries of upstreams could not be read than are logged one by one.", []string{"count", "logged", "source"}},
 	{"wait", "A prompt waits at this entry for engines that have less to do, or that it would harm less. Expected_ms is when its first event would have come, had it been placed at once.", []string{"request", "service", "reason", "expected_ms", "patience_ms"}},
 	{"woke", "This process or its instance stood still; what it believed counts as unconfirmed.", []string{"paused_ms"}},
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -131,8 +131,8 @@
 	return p
 }
 
-// Answered notes that an upstream ran a request to its end. What it answers does not
-// crash what runs it.
+// Answered notes that an upstream ran a request to its end, or for long. What it answers does
+// not crash what runs it.
 func (q *Quarantiner) Answered(now time.Time, c Content) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
@@ -141,6 +141,14 @@
 	}
 }
 
+// Outlived notes that a run that ended had worked on a request for so long that the request is
+// not why. Other entries may have strikes of the content there, so they are told in any case.
+func (q *Quarantiner) Outlived(c Content, ended time.Time) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	q.clear(c, ended)
+}
+
 // clear voids the strikes of a content before an answer, and lifts its quarantine.
 func (q *Quarantiner) clear(c Content, answered time.Time) {
 	p := q.suspect(c)
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -253,3 +253,19 @@
 		}
 	})
 }
+
+// A content that is asked for everywhere is under way wherever an upstream ends. The runs
+// that it did not end prove that it is not why, whichever entry saw that.
+func TestPopularContentIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, 6)
+	popular := content("popular")
+	for n := range 2 {
+		f.end(Run(n), 100*time.Millisecond, content("bad"), popular)
+		f.pass(200 * time.Millisecond)
+	}
+	f.end(2, 300*time.Millisecond, popular, content("other"))
+	f.entries[5].Outlived(popular, f.now)
+	f.pass(2 * time.Second)
+	is.Equal(f.refuse(popular), 0)
+}
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -71,6 +71,15 @@
 	}
 }
 
+// MixedBody is what a request sends of callers of whom some ask for the same and most for
+// something else each time.
+func MixedBody(id string) string {
+	if len(id)%4 == 0 {
+		return "popular"
+	}
+	return id
+}
+
 // SetHabit gives callers, numbered from 0, in turn each habit that keeps an address
 // longer than most do: an answer of the directory for three of its lives, one address
 // until a request to it fails, both or neither.
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -3,6 +3,7 @@
 package relay
 
 import (
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
@@ -27,15 +28,15 @@
 // Relay stands before one process. It tells who connects by the address that
 // the connection comes from, and treats each as the cable to it is set.
 type Relay struct {
-	listener net.Listener
-	back     netip.AddrPort
+	front, back netip.AddrPort
 	// Count, where not nil, is told of all bytes carried; it is set before the
 	// first connection.
 	Count func(from netip.Addr, n int)
 
-	lock sync.Mutex
-	cuts map[netip.Addr]string
-	open map[net.Conn]netip.Addr
+	lock     sync.Mutex
+	listener net.Listener
+	cuts     map[netip.Addr]string
+	open     map[net.Conn]netip.Addr
 }
 
 // New returns a relay that listens at front and connects to back.
@@ -44,17 +45,37 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: l, back: back, cuts: map[netip.Addr]string{}, open: map[net.Conn]netip.Addr{}}
-	go r.serve()
+	r := &Relay{listener: l, front: front, back: back, cuts: map[netip.Addr]string{}, open: map[net.Conn]netip.Addr{}}
+	go r.serve(l)
 	return r, nil
 }
 
 // Close ends the relay and all its connections.
-func (r *Relay) Close() {
-	_ = r.listener.Close()
+func (r *Relay) Close() { r.Down() }
+
+// Down ends all connections, and nobody listens any more until Up, as where the process has
+// ended.
+func (r *Relay) Down() {
+	r.lock.Lock()
+	listener := r.listener
+	r.lock.Unlock()
+	_ = listener.Close()
 	r.Reset(func(netip.Addr) bool { return true })
 }
 
+// Up listens again.
+func (r *Relay) Up() error {
+	l, err := net.Listen("tcp", r.front.String())
+	if err != nil {
+		return fmt.Errorf("listen again: %w", err)
+	}
+	r.lock.Lock()
+	r.listener = l
+	r.lock.Unlock()
+	go r.serve(l)
+	return nil
+}
+
 // Reset closes the connections of the callers that which names.
 func (r *Relay) Reset(which func(netip.Addr) bool) {
 	r.lock.Lock()
@@ -84,9 +105,9 @@
 	return r.cuts[from]
 }
 
-func (r *Relay) serve() {
+func (r *Relay) serve(l net.Listener) {
 	for {
-		c, err := r.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
