quarantiner: what entries tell of strikes is bounded at 380 entries

By a run of 380 entries before 600 upstreams: 9.8 KB/s an entry for three ends with 15 bystanders each, where 3 KB/s are what control may take. Strikes were told in every heartbeat for 1.5 s.

--- a/quarantiner/judge.go
+++ b/quarantiner/judge.go
@@ -116,7 +116,7 @@
 		}
 		last = s.Ended
 		v.Strikes++
-		v.Chance *= q.chance(c, s, ends)
+		v.Chance *= q.chance(c, s.Strike, ends)
 	}
 	if v.Strikes < plainStrikes && accompanied(c, runs) {
 		v.Strikes = 0
--- a/quarantiner/news.go
+++ b/quarantiner/news.go
@@ -7,37 +7,40 @@
 )
 
 const (
-	// newsTime is the age up to which strikes, answers and quarantines are told on: several
-	// rounds of heartbeats, in which they reach everyone.
+	// newsTellings is in how many heartbeats an entry tells what it learned, sent or answered: it
+	// reaches all in a number of rounds that grows with the logarithm of the fleet.
+	newsTellings = 8
+	// newsTime is the age up to which strikes and answers are told on.
 	newsTime = 1500 * time.Millisecond
-	// mostTold bounds each list of the news, but for that of all quarantines.
+	// mostTold bounds the strikes, and the answers, of one heartbeat.
 	mostTold = 32
 )
 
-// News is what entries tell each other of strikes and quarantines. Times are ages.
+// News is what entries tell each other of strikes and quarantines.
 type News struct {
 	Strikes []StrikeNews
 	Answers []ContentNews
-	// Quarantined are contents that are refused; Digest is a hash of all that the sender
-	// knows, so that one who knows others is told all.
+	// Quarantined are all contents that the sender refuses, told to one whose Digest is another.
 	Quarantined []ContentNews
-	Digest      uint64
+	// Digest is a hash of the contents that the sender refuses.
+	Digest uint32
 }
 
 // StrikeNews is a strike on the wire.
 type StrikeNews struct {
-	Content     Content
-	Run         Run
-	Sent, Ended time.Duration
+	Content Content
+	Run     Run
+	// Age is how many milliseconds ago the run ended, Ran how many it worked on the request.
+	Age, Ran uint32
 }
 
-// ContentNews says for how long something has been so of a content.
+// ContentNews says for how many milliseconds something has been so of a content.
 type ContentNews struct {
 	Content Content
-	Age     time.Duration
+	Age     uint32
 }
 
-// Tell returns what this entry learned lately.
+// Tell returns what this entry learned lately, for one heartbeat.
 func (q *Quarantiner) Tell(now time.Time) News {
 	q.lock.Lock()
 	defer q.lock.Unlock()
@@ -45,7 +48,7 @@
 }
 
 // Reply returns what an entry is to be told that told this one, all quarantines where it
-// knows others.
+// refuses other contents.
 func (q *Quarantiner) Reply(now time.Time, heard News) News {
 	q.lock.Lock()
 	defer q.lock.Unlock()
@@ -53,58 +56,49 @@
 	if n.Digest == heard.Digest {
 		return n
 	}
-	n.Quarantined = n.Quarantined[:0]
 	for c, since := range q.quarantined {
-		n.Quarantined = append(n.Quarantined, ContentNews{Content: c, Age: now.Sub(since)})
+		n.Quarantined = append(n.Quarantined, ContentNews{Content: c, Age: milliseconds(now.Sub(since))})
 	}
 	return n
 }
 
 func (q *Quarantiner) tell(now time.Time) News {
 	n := News{Digest: q.digest()}
-	for c, p := range q.suspects {
-		if isNews(now, p.cleared) {
-			n.Answers = append(n.Answers, ContentNews{Content: c, Age: now.Sub(p.cleared)})
-		}
-		for _, s := range p.strikes {
-			if isNews(now, s.Ended) {
-				n.Strikes = append(n.Strikes, StrikeNews{Content: c, Run: s.Run, Sent: now.Sub(s.Sent), Ended: now.Sub(s.Ended)})
-			}
-		}
+	for _, s := range q.untold(now) {
+		s.tellings--
+		n.Strikes = append(n.Strikes, StrikeNews{Content: s.Content, Run: s.Run, Age: milliseconds(now.Sub(s.Ended)), Ran: milliseconds(s.Ended.Sub(s.Sent))})
 	}
-	for c, since := range q.quarantined {
-		if isNews(now, since) {
-			n.Quarantined = append(n.Quarantined, ContentNews{Content: c, Age: now.Sub(since)})
+	for c, p := range q.suspects {
+		if p.tellings > 0 && now.Sub(p.cleared) <= newsTime && len(n.Answers) < mostTold {
+			p.tellings--
+			n.Answers = append(n.Answers, ContentNews{Content: c, Age: milliseconds(now.Sub(p.cleared))})
 		}
 	}
-	n.Strikes, n.Answers, n.Quarantined = q.foremost(n.Strikes), newest(n.Answers), newest(n.Quarantined)
 	return n
 }
 
-func isNews(now, at time.Time) bool { return now.Sub(at) <= newsTime }
-
-// foremost returns the strikes that are told where there are too many: those of contents
-// that have the most.
-func (q *Quarantiner) foremost(strikes []StrikeNews) []StrikeNews {
-	count := func(s StrikeNews) int { return len(q.suspects[s.Content].strikes) }
-	slices.SortFunc(strikes, func(a, b StrikeNews) int {
-		return cmp.Or(cmp.Compare(count(b), count(a)), cmp.Compare(a.Ended, b.Ended), cmp.Compare(a.Content, b.Content))
-	})
-	return strikes[:min(len(strikes), mostTold)]
-}
-
-func newest(news []ContentNews) []ContentNews {
-	slices.SortFunc(news, func(a, b ContentNews) int {
-		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Content, b.Content))
+// untold returns the strikes to tell; where there are too many, those of contents that have
+// the most.
+func (q *Quarantiner) untold(now time.Time) []*heldStrike {
+	var out []*heldStrike
+	for _, p := range q.suspects {
+		for i := range p.strikes {
+			if s := &p.strikes[i]; s.tellings > 0 && now.Sub(s.Ended) <= newsTime {
+				out = append(out, s)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b *heldStrike) int {
+		return cmp.Or(cmp.Compare(len(q.suspects[b.Content].strikes), len(q.suspects[a.Content].strikes)), b.Ended.Compare(a.Ended), cmp.Compare(a.Content, b.Content))
 	})
-	return news[:min(len(news), mostTold)]
+	return out[:min(len(out), mostTold)]
 }
 
 // digest is the same at entries that refuse the same contents.
-func (q *Quarantiner) digest() uint64 {
-	sum := uint64(0)
+func (q *Quarantiner) digest() uint32 {
+	sum := uint32(0)
 	for c := range q.quarantined {
-		sum ^= uint64(ContentOf([]byte(c.String())))
+		sum ^= uint32(ContentOf([]byte(c.String())))
 	}
 	return sum
 }
@@ -118,7 +112,8 @@
 		q.clear(a.Content, ago(now, a.Age))
 	}
 	for _, s := range n.Strikes[:min(len(n.Strikes), mostTold)] {
-		q.strike(now, Strike{Content: s.Content, Run: s.Run, Sent: ago(now, s.Sent), Ended: ago(now, s.Ended)})
+		ended := ago(now, s.Age)
+		q.strike(now, Strike{Content: s.Content, Run: s.Run, Sent: ago(ended, s.Ran), Ended: ended})
 	}
 	var out []Verdict
 	for _, c := range n.Quarantined[:min(len(n.Quarantined), mostQuarantined)] {
@@ -130,5 +125,10 @@
 	return out
 }
 
-// ago is the time of something of an age that was told; nothing is in the future.
-func ago(now time.Time, age time.Duration) time.Time { return now.Add(-max(0, age)) }
+// milliseconds is an age on the wire.
+func milliseconds(d time.Duration) uint32 { return uint32(max(0, d/time.Millisecond)) }
+
+// ago is the time of something that was so many milliseconds old.
+func ago(now time.Time, age uint32) time.Time {
+	return now.Add(-time.Duration(age) * time.Millisecond)
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -44,9 +44,17 @@
 // suspect is a content under which upstreams have ended.
 type suspect struct {
 	// strikes are in order of their ends, none before cleared.
-	strikes []Strike
+	strikes []heldStrike
 	// cleared is when an upstream last answered the content; zero for never.
 	cleared time.Time
+	// tellings is how often cleared is yet to be told.
+	tellings int
+}
+
+// heldStrike is a strike, and how often it is yet to be told.
+type heldStrike struct {
+	Strike
+	tellings int
 }
 
 // newest is the time of the last that is known of a suspect.
@@ -100,12 +108,12 @@
 
 func (q *Quarantiner) strike(now time.Time, s Strike) {
 	p := q.suspect(s.Content)
-	known := slices.ContainsFunc(p.strikes, func(o Strike) bool { return o.Run == s.Run })
+	known := slices.ContainsFunc(p.strikes, func(o heldStrike) bool { return o.Run == s.Run })
 	if known || !s.Ended.After(p.cleared) || now.Sub(s.Ended) > strikeLife {
 		return
 	}
-	p.strikes = append(p.strikes, s)
-	slices.SortFunc(p.strikes, func(a, b Strike) int { return a.Ended.Compare(b.Ended) })
+	p.strikes = append(p.strikes, heldStrike{Strike: s, tellings: newsTellings})
+	slices.SortFunc(p.strikes, func(a, b heldStrike) int { return a.Ended.Compare(b.Ended) })
 	p.strikes = p.strikes[max(0, len(p.strikes)-mostStrikes):]
 	q.unjudged = true
 }
@@ -155,8 +163,11 @@
 	if !answered.After(p.cleared) {
 		return
 	}
+	if answered.Sub(p.cleared) > newsTime { // else it is what others were told already
+		p.tellings = newsTellings
+	}
 	p.cleared = answered
-	p.strikes = slices.DeleteFunc(p.strikes, func(s Strike) bool { return !s.Ended.After(answered) })
+	p.strikes = slices.DeleteFunc(p.strikes, func(s heldStrike) bool { return !s.Ended.After(answered) })
 	if since, ok := q.quarantined[c]; ok && since.Before(answered) {
 		delete(q.quarantined, c)
 	}
@@ -220,7 +231,7 @@
 		}
 	}
 	for c, p := range q.suspects {
-		p.strikes = slices.DeleteFunc(p.strikes, func(s Strike) bool { return now.Sub(s.Ended) > strikeLife })
+		p.strikes = slices.DeleteFunc(p.strikes, func(s heldStrike) bool { return now.Sub(s.Ended) > strikeLife })
 		if len(p.strikes) == 0 && now.Sub(p.cleared) > strikeLife {
 			delete(q.suspects, c)
 		}
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/gob"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -19,6 +20,10 @@
 type fleet struct {
 	now     time.Time
 	entries []*Quarantiner
+	// random, where not nil, draws the neighbours of a round; one in a ring otherwise.
+	random *rand.Rand
+	// count, where not nil, is told of what is sent.
+	count func(News)
 }
 
 func newFleet(entries, upstreams int) *fleet {
@@ -36,10 +41,16 @@
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.now = f.now.Add(200 * time.Millisecond)
 		for i, q := range f.entries {
-			other := f.entries[(i+1)%len(f.entries)]
-			told := q.Tell(f.now)
-			other.Hear(f.now, told)
-			q.Hear(f.now, other.Reply(f.now, told))
+			for _, other := range f.neighbours(i) {
+				told := q.Tell(f.now)
+				other.Hear(f.now, told)
+				reply := other.Reply(f.now, told)
+				q.Hear(f.now, reply)
+				if f.count != nil {
+					f.count(told)
+					f.count(reply)
+				}
+			}
 		}
 		for _, q := range f.entries {
 			verdicts = append(verdicts, q.Judge(f.now)...)
@@ -48,6 +59,18 @@
 	return verdicts
 }
 
+// neighbours are the entries that one exchanges heartbeats with in a round.
+func (f *fleet) neighbours(i int) []*Quarantiner {
+	if f.random == nil {
+		return []*Quarantiner{f.entries[(i+1)%len(f.entries)]}
+	}
+	out := []*Quarantiner{f.entries[(i+1)%len(f.entries)], f.entries[(i+2)%len(f.entries)]}
+	for range 2 {
+		out = append(out, f.entries[f.random.IntN(len(f.entries))])
+	}
+	return out
+}
+
 // end has a run end that worked on contents, each known to an entry of its own.
 func (f *fleet) end(run Run, ran time.Duration, contents ...Content) {
 	for i, c := range contents {
@@ -199,7 +222,7 @@
 		is.True(len(q.suspects) <= mostSuspects)
 		is.True(len(q.quarantined) <= mostQuarantined)
 		is.True(size(t, q.Tell(f.now)) < 2<<10)
-		is.True(size(t, q.Reply(f.now, News{})) < 8<<10)
+		is.True(size(t, q.Reply(f.now, News{Digest: 1})) < 8<<10)
 	}
 	f.pass(5 * time.Second)
 	told := f.entries[0].Tell(f.now)
@@ -269,3 +292,50 @@
 	f.pass(2 * time.Second)
 	is.Equal(f.refuse(popular), 0)
 }
+
+// With 380 entries before 600 upstreams all refuse what has ended three, before entries that are in
+// contact have to, and what each entry sends for it stays within 3 KB/s.
+func TestTargetFleet(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(380, 600)
+	f.random = rand.New(rand.NewPCG(1, 1))
+	sent, out := 0, bytes.Buffer{}
+	encoder := gob.NewEncoder(&out)
+	is.NoErr(encoder.Encode(News{})) // the types are sent once a connection
+	f.count = func(n News) {
+		out.Reset()
+		is.NoErr(encoder.Encode(n))
+		sent += out.Len()
+	}
+	perSecond := func(d time.Duration) int { return int(float64(sent) / d.Seconds() / float64(len(f.entries))) }
+	f.pass(time.Second)
+	is.True(perSecond(time.Second) < 300) // nothing to tell
+	sent = 0
+	for n := range 3 { // each beside 15 others
+		var company []Content
+		for k := range 15 {
+			company = append(company, Content(100*n+k))
+		}
+		f.end(Run(n), 100*time.Millisecond, append(company, content("bad"))...)
+		f.pass(time.Second)
+	}
+	f.pass(2 * time.Second)
+	is.Equal(f.refuse(content("bad")), 380)
+	is.True(perSecond(5*time.Second) < 3<<10)
+	sent = 0
+	f.pass(5 * time.Second)
+	is.True(perSecond(5*time.Second) < 600) // something is refused
+	sent = 0
+	for n := range 120 { // a fifth of all upstreams at once
+		var company []Content
+		for k := range 16 {
+			company = append(company, Content(100000+100*n+k))
+		}
+		f.end(Run(1000+n), 100*time.Millisecond, company...)
+	}
+	f.pass(15 * time.Second)
+	is.True(perSecond(15*time.Second) < 3<<10)
+	for _, q := range f.entries {
+		is.Equal(len(q.quarantined), 1)
+	}
+}
