platform, forwarder: the log tells when an answer says that its upstream leaves or pauses

Sight for calls that reached an upstream after it had said that it leaves: Server-Leaving, and Retry-After of an upstream's 503, are decoded once into what an answer says and logged. They change no belief yet.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -177,6 +177,7 @@
 func (f *Forwarder) classify(x *exchange, a *attempt) {
 	status := a.response.StatusCode
 	reply := f.protocol.ReadReply(status, a.response.Header)
+	f.heed(x, a, reply)
 	switch {
 	case reply.Call != "" && reply.Call != x.call.ID:
 		a.verdict, a.err = verdictBroken, errForeign
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -74,6 +74,10 @@
 	Signed bool
 	// At is the upstream at fault, where it is another than the one asked.
 	At netip.AddrPort
+	// Leaving is true where the upstream is about to end and wants no more requests.
+	Leaving bool
+	// PauseFor is for how long the upstream wants none from this entry; 0 for no such wish.
+	PauseFor time.Duration
 }
 
 // Protocol reads and writes the headers that callers and upstreams speak.
--- a/logger/events.go
+++ b/logger/events.go
@@ -50,6 +50,8 @@
 	{"strained", "This entry has more to do than it can, by how late its own clock ticks, or no longer has; callers are sent to others meanwhile.", []string{"strained", "lag_ms"}},
 	{"upstream", "The belief about an upstream changed: appeared, leaving, gone, held_after_outage or unreadable, with the fields at fault.", []string{"id", "change", "revision", "source", "error"}},
 	{"upstream_ended", "An answer broke off and its upstream takes no connections any more. Ran_ms is how long after it was sent; content is the same for all requests that ask the same.", []string{"request", "content", "upstream", "address", "ran_ms"}},
+	{"upstream_leaving", "An answer of an upstream said that it leaves.", []string{"request", "upstream", "address"}},
+	{"upstream_pauses", "An upstream turned a request away, and wants none from this entry for a time.", []string{"request", "upstream", "address", "pause_ms"}},
 	{"upstreams_unreadable", "More entries of upstreams could not be read than are logged one by one.", []string{"count", "logged", "source"}},
 	{"wait", "A prompt waits at this entry for engines that have less to do, or that it would harm less. Expected_ms is when its first event would have come, had it been placed at once.", []string{"request", "service", "reason", "expected_ms", "patience_ms"}},
 	{"woke", "This process or its instance stood still; what it believed counts as unconfirmed.", []string{"paused_ms"}},
