--- /dev/null
+++ b/forwarder/heed_test.go
@@ -0,0 +1,95 @@
+//go:build knownred
+
+package forwarder_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sapphireramp/sapphireramp/standin/worker"
+)
+
+// While the store was away an instance of a plain service said in its answers that it was leaving.
+// Entries passed these answers on and sent it calls for seconds more, of which its end cut some: what an
+// upstream says of itself changed no belief, only the store did. The entries' logs tell it by place lines
+// after an answer of an upstream that said so.
+func TestUpstreamThatSaysThatItLeavesGetsNothingMore(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		for _, w := range f.plain {
+			w.Leave()
+		}
+		for n := range 10 {
+			f.ask(request{path: "/safe/x", id: fmt.Sprint("r", n)})
+		}
+		for _, w := range f.plain {
+			f.is.Equal(len(w.Runs()), 1) // the one that told so
+		}
+		refused := f.ask(request{path: "/safe/x", id: "last"})
+		f.is.Equal(refused.status, 503) // at once, as nobody is left
+		f.is.Equal(refused.took, time.Duration(0))
+		f.instances[0].Started = f.instances[0].Started.Add(time.Minute)
+		f.plain[0].Restart()
+		f.board.Update(f.table, f.instances)
+		f.is.Equal(f.ask(request{path: "/safe/x", id: "new"}).status, 200) // its next run does not leave
+	})
+}
+
+// Engines say so with the header of a stream, whose events go on.
+func TestEngineThatSaysThatItLeavesGetsNothingMore(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		f.engines[0].Leave()
+		f.engines[1].Leave()
+		for n := range 12 {
+			id := fmt.Sprint("r", n)
+			a := f.ask(request{path: "/stream/x", id: id, usage: "2000,200"})
+			f.is.Equal(a.body, whole(id, 1))
+		}
+		f.is.True(len(f.engines[0].Runs()) <= 1)
+		f.is.True(len(f.engines[1].Runs()) <= 1)
+		// An upstream that lapses and comes back is the same run.
+		f.board.Update(f.table, f.instances[:2])
+		f.board.Update(f.table, f.instances)
+		f.engines[2].SetFault(worker.Full)
+		before := len(f.engines[0].Runs()) + len(f.engines[1].Runs())
+		f.ask(request{path: "/stream/x", id: "later", usage: "2000,200"})
+		f.is.Equal(len(f.engines[0].Runs())+len(f.engines[1].Runs()), before)
+	})
+}
+
+// An upstream that turns a request away may say for how long it wants nothing.
+func TestPausingUpstreamGetsNothingMeanwhile(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		for _, w := range f.plain {
+			w.SetFault(worker.Pausing)
+		}
+		first := f.ask(request{path: "/safe/x", id: "first"})
+		f.is.Equal(first.status, 503)
+		for _, w := range f.plain {
+			w.SetFault(worker.Sound)
+		}
+		time.Sleep(time.Second)
+		refused := f.ask(request{path: "/safe/x", id: "second"})
+		f.is.Equal(refused.status, 503)
+		f.is.Equal(refused.took, time.Duration(0))
+		f.is.Equal(refused.header.Get("Retry-After"), "2.000") // when the first of them takes some again
+		f.is.Equal(runs(f.plain, "second"), 0)
+		time.Sleep(worker.PauseTime - time.Second)
+		f.is.Equal(f.ask(request{path: "/safe/x", id: "third"}).status, 200)
+	})
+}
+
+// A pause of one upstream keeps nobody from the others.
+func TestPauseIsThatOfOneUpstream(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		f.engines[0].SetFault(worker.Pausing)
+		f.engines[1].SetFault(worker.Pausing)
+		began := time.Now()
+		for n := 0; time.Since(began) < worker.PauseTime-time.Second; n++ {
+			f.is.Equal(f.ask(request{path: "/stream/x", id: fmt.Sprint("r", n), usage: "2000,200"}).status, 200)
+		}
+		for _, w := range f.engines[:2] {
+			f.is.True(w.Refused() <= 1)
+		}
+	})
+}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -45,13 +45,19 @@
 	Unframed
 	// Slow takes SlowWork before it answers.
 	Slow
+	// Pausing answers 503, states that it did not run the request, and wants none for PauseTime.
+	Pausing
 )
 
+// PauseTime is for how long a worker that is Pausing wants no requests from an entry that it
+// has told so.
+const PauseTime = 3 * time.Second
+
 // SlowWork is how long a worker that is Slow takes.
 const SlowWork = 1900 * time.Millisecond
 
 // Faults lists all faults.
-var Faults = []Fault{Sound, Full, Failing, Lost, Mute, Torn, Short, Foreign, Extra, Unsigned, Unframed, Slow}
+var Faults = []Fault{Sound, Full, Failing, Lost, Mute, Torn, Short, Foreign, Extra, Unsigned, Unframed, Slow, Pausing}
 
 // Run is one request that a worker began to work on.
 type Run struct {
@@ -63,9 +69,10 @@
 	Priority  string
 	Body      string
 	Left      time.Duration
-	// Upstream is the worker's id, Fault how it answered.
+	// Upstream is the worker's id, Fault how it answered. Process counts the worker's starts.
 	Upstream string
 	Fault    Fault
+	Process  int
 	// Began and Ended are when the worker took the run and let it go; Ended is
 	// zero while it works.
 	Began, Ended time.Time
@@ -87,6 +94,8 @@
 	// refused are requests that the worker was too full for; they are no runs.
 	refused []Run
 	now     *incarnation
+	// process counts the starts.
+	process int
 	// orders is the memory set aside by ticket, used the tickets that a request uses.
 	orders map[string]int
 	used   map[string]bool
@@ -99,6 +108,8 @@
 	working int
 	// crashed is true once a request has ended the process.
 	crashed bool
+	// leaving processes say so in all their answers.
+	leaving bool
 	// over is closed when the process has ended.
 	over chan struct{}
 }
@@ -135,6 +146,14 @@
 	w.fault = f
 }
 
+// Leave has the worker say in all its answers that it leaves, until it is started again. It goes
+// on serving.
+func (w *Worker) Leave() {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.now.leaving = true
+}
+
 // Runs returns all that ran.
 func (w *Worker) Runs() []Run {
 	w.lock.Lock()
@@ -142,6 +161,13 @@
 	return append([]Run(nil), w.runs...)
 }
 
+// Refused is how many requests the worker has turned away.
+func (w *Worker) Refused() int {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return len(w.refused)
+}
+
 // Working is how many requests are being worked on.
 func (w *Worker) Working() int {
 	w.lock.Lock()
@@ -157,6 +183,7 @@
 	defer w.lock.Unlock()
 	close(w.now.over)
 	w.now = newIncarnation()
+	w.process++
 	clear(w.orders)
 }
 
@@ -223,11 +250,18 @@
 	}
 	w.lock.Lock()
 	fault := w.fault
-	if fault == Full {
-		w.refused = append(w.refused, Run{ID: id, Upstream: w.id, Fault: Full, Began: time.Now(), Ended: time.Now()})
+	refuses, leaving := fault == Full || fault == Pausing, w.now.leaving
+	if refuses {
+		w.refused = append(w.refused, Run{ID: id, Upstream: w.id, Fault: fault, Began: time.Now(), Ended: time.Now(), Process: w.process})
 	}
 	w.lock.Unlock()
-	if fault == Full {
+	if leaving {
+		out.Header().Set("Server-Leaving", "1")
+	}
+	if fault == Pausing {
+		out.Header().Set("Retry-After", strconv.FormatFloat(PauseTime.Seconds(), 'f', -1, 64))
+	}
+	if refuses {
 		out.Header().Set("X-Not-Executed", "1")
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -305,7 +339,7 @@
 	w.runs = append(w.runs, Run{
 		ID: id, Tenant: r.Header.Get("X-Tenant"), Path: r.RequestURI, LastEvent: r.Header.Get("Last-Event-Id"),
 		Helpers: r.Header.Get("X-Helpers"), Priority: r.Header.Get("X-Request-Priority"), Body: body, Left: time.Duration(left) * time.Millisecond,
-		Upstream: w.id, Fault: fault, Began: time.Now(),
+		Upstream: w.id, Fault: fault, Process: w.process, Began: time.Now(),
 	})
 	return w.now, len(w.runs) - 1
 }
