--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -139,4 +139,26 @@
 red time-to-end dispatcher/request.go 's/unfinished = over\(/_ = over(/' ./dispatcher TestLongPromptLeavesAnswersTimeToEnd
 red outage-calls controller/follow.go 's/return failurePause\(len\(live\)\)/return mostFailurePause/' ./controller TestCallsInAnOutageDoNotGrowWithTheFleet
 red dead-told controller/controller.go 's/deadTold = 10 \* time\.Second/deadTold = 0 * time.Second/' ./controller TestHalfAFleetStartsAnew
+q=./quarantiner
+red quarantined forwarder/ended.go 's/until, ok := f\.quarantine\.Until\(now, x\.content\)/until, ok := now, false/' ./launcher TestRequestThatCrashesUpstreamsIsStopped
+red quarantine-told quarantiner/news.go 's/if n\.Digest == heard\.Digest/if true/' $q TestNewEntryIsToldAll
+red strikes-told quarantiner/news.go 's/return out\[:min\(len\(out\), mostTold\)\]/return nil/' $q TestContentThatEndsThreeRunsIsRefusedByAll
+red bystanders quarantiner/judge.go 's/v\.Strikes < plainStrikes \&\& accompanied\(c, runs\)/false/' $q TestBystandersAreNotRefused
+red explained quarantiner/judge.go 's/; ok \&\& o != c \{/; false \&\& ok \&\& o != c {/' $q TestBystandersAreNotRefused
+red outage-strikes quarantiner/judge.go 's/others\+\+/_ = e/' $q TestOutageOfManyUpstreamsRefusesNothing
+red strikes-at-once quarantiner/judge.go 's/if s\.Sent\.Before\(last/if false \&\& s.Sent.Before(last/' $q TestEndsAtOnceCountOnce
+red answers-clear quarantiner/quarantiner.go 's/q\.clear\(c, now\)/_ = now/' $q TestAnswerClears
+red outlived quarantiner/quarantiner.go 's/q\.clear\(c, ended\)/_ = ended/' $q TestPopularContentIsNotRefused
+red suspects-bounded quarantiner/quarantiner.go 's/len\(q\.suspects\) >= mostSuspects/false/' $q TestBounds
+red strikes-told-on quarantiner/news.go 's/s\.tellings--/_ = s/' $q TestTargetFleet
+red proven forwarder/ended.go 's/if a\.proven\(\) \{/if false {/' ./forwarder TestEndOfUpstreamCountsAgainstWhatItHadJustBegun
+red living forwarder/ended.go 's/if !f\.hasEnded\(first\)/if false/' ./forwarder TestBrokenAnswerOfALivingUpstreamCountsForNothing
+red suspect-once forwarder/forward.go 's/ \|\| f\.isSuspect\(x, a\)//' ./forwarder TestSuspectIsSentOnce
+red says-it-leaves dispatcher/wish.go 's/return w\.leaving \|\| w\.pausedTo/return w.pausedTo/' ./forwarder TestUpstreamThatSaysThatItLeaves
+red leaving-remembered dispatcher/wish.go 's/return w\.leaving \&\& now[^\n]*/return false/' ./forwarder TestEngineThatSaysThatItLeaves
+red pauses dispatcher/wish.go 's/ \|\| w\.pausedTo\.After\(now\) \}/ }/' ./forwarder TestPausingUpstream
+red soak-leaving dispatcher/wish.go 's/return w\.leaving \|\| w\.pausedTo/return w.pausedTo/' ./launcher 'TestSoak$'
+red soak-pauses dispatcher/wish.go 's/ \|\| w\.pausedTo\.After\(now\) \}/ }/' ./launcher 'TestSoak$'
+red soak-quarantined forwarder/ended.go 's/until, ok := f\.quarantine\.Until\(now, x\.content\)/until, ok := now, false/' ./launcher 'TestSoak$'
+red blocked-takes-nothing dispatcher/place.go 's/if w\.health\.blocked\(now\) \{/if false {/' ./dispatcher TestUpstreamsThatAcceptNothingTakeNothing
 exit $wrong
--- /dev/null
+++ b/forwarder/ended_test.go
@@ -0,0 +1,82 @@
+package forwarder_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sapphireramp/sapphireramp/quarantiner"
+	"github.com/sapphireramp/sapphireramp/standin/worker"
+)
+
+// contentOf is what a request of the fixture's usual caller asks for.
+func contentOf(path, body string) quarantiner.Content {
+	return quarantiner.ContentOf([]byte(http.MethodPost), []byte("h"), []byte(path), []byte("crew"), []byte(body))
+}
+
+// endWorking ends the processes of the engines that work on anything.
+func (f *fixture) endWorking() {
+	for i, w := range f.engines {
+		if w.Working() == 0 {
+			continue
+		}
+		w.Restart()
+		f.net.Kill(f.instances[len(f.plain)+i].Address.Addr())
+	}
+}
+
+// An answer that breaks off as its upstream ends counts against the request, unless the upstream had
+// made events of it for long.
+func TestEndOfUpstreamCountsAgainstWhatItHadJustBegun(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		ran  time.Duration
+		want int
+	}{{"just begun", 200 * time.Millisecond, 1}, {"long under way", 1500 * time.Millisecond, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			withForwarder(t, func(f *fixture) {
+				for _, w := range f.engines {
+					w.Follow(&worker.Plan{Events: func(string) int { return 100 }})
+				}
+				time.AfterFunc(c.ran, f.endWorking)
+				a := f.ask(request{path: "/fixed/x", id: "r", usage: "2000,200", body: "b"})
+				f.is.True(a.err != nil)
+				time.Sleep(time.Second)
+				f.is.Equal(f.quarantine.Strikes(contentOf("/fixed/x", "b")), c.want)
+			})
+		})
+	}
+}
+
+// An answer that an upstream breaks off and lives does not count.
+func TestBrokenAnswerOfALivingUpstreamCountsForNothing(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		setAll(f.engines, worker.Torn)
+		f.ask(request{path: "/fixed/x", id: "r", usage: "2000,200", body: "b"})
+		time.Sleep(time.Second)
+		f.is.Equal(f.quarantine.Strikes(contentOf("/fixed/x", "b")), 0)
+	})
+}
+
+// A request under which two upstreams have ended is not sent to a second one when its
+// first ends too, and is refused once it is quarantined, as long as that holds.
+func TestSuspectIsSentOnceAndQuarantinedNotAtAll(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		now, content := time.Now(), contentOf("/stream/x", "b")
+		for n := range 2 {
+			ended := now.Add(time.Duration(n-3) * time.Second)
+			f.quarantine.Struck(now, quarantiner.Strike{Content: content, Run: quarantiner.Run(n), Sent: ended.Add(-100 * time.Millisecond), Ended: ended})
+		}
+		time.AfterFunc(100*time.Millisecond, f.endWorking)
+		f.ask(request{path: "/stream/x", id: "third", usage: "2000,200", body: "b"})
+		f.is.Equal(runs(f.engines, "third"), 1)
+		time.Sleep(2 * time.Second)
+		f.is.Equal(len(f.quarantine.Judge(time.Now())), 1)
+		fourth := f.ask(request{path: "/stream/x", id: "fourth", usage: "2000,200", body: "b"})
+		f.is.Equal(fourth.status, 503)
+		f.is.Equal(fourth.header.Get("Retry-After"), "600.000")
+		f.is.Equal(runs(f.engines, "fourth"), 0)
+		other := f.ask(request{path: "/safe/x", id: "other", body: "b"})
+		f.is.Equal(other.status, 200)
+	})
+}
