forwarder: a stream that an upstream's new run makes goes on when its entry hears of that run late

Its entry heard late that the upstream had started anew, and ended all that it had sent to the id before. A stream that has begun is now ended only where no event comes within twice its longest pause, or its pause target; the rest at once, as before.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -48,8 +49,10 @@
 	// cut is true where the answer broke off by the connection's end, not by this entry.
 	cut bool
 	// sentAt is when the attempt began, firstEvent and lastEvent are when events of its answer
-	// came; zero before.
+	// came; zero before. events counts them, longestPause is the longest between two in
+	// nanoseconds.
 	sentAt, firstEvent, lastEvent time.Time
+	events, longestPause          atomic.Int64
 	response                      *http.Response
 	// helperAtFault is true where a helper, and not the first engine, is why the
 	// attempt failed.
@@ -68,9 +71,7 @@
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	a := &attempt{placement: p, cancel: cancel, sentAt: time.Now()}
 	a.watchdog = f.watch(x, p, func() { cancel(errSilent) })
-	// No answer comes from a run that is over: without this callers waited for the
-	// watchdog, up to three quarters of their patience, where a partition hid its end.
-	p.OnLost(func() { cancel(errRestarted) })
+	p.OnLost(func() { a.restarted(x.route.PauseTarget) })
 	var err error
 	a.group, err = f.reserve(ctx, x, p, cancel)
 	if err != nil {
@@ -214,6 +215,26 @@
 	}
 }
 
+// restarted ends the attempt as one of its upstreams is known to have started anew: no answer
+// comes from a run that is over, and where a partition hid its end callers would wait for the watchdog, up to
+// three quarters of their patience. A stream that goes on is made by the new run, of which this entry
+// heard late; it shows that within twice its longest pause, or within most.
+func (a *attempt) restarted(most time.Duration) {
+	seen := a.events.Load()
+	if seen == 0 {
+		a.cancel(errRestarted)
+		return
+	}
+	if pause := time.Duration(a.longestPause.Load()); pause > 0 {
+		most = min(most, 2*pause)
+	}
+	time.AfterFunc(most, func() {
+		if a.events.Load() == seen {
+			a.cancel(errRestarted)
+		}
+	})
+}
+
 // lost reports whether the attempt ended because an upstream has started anew.
 func (a *attempt) lost() bool { return errors.Is(a.err, errRestarted) }
 
--- a/forwarder/ended.go
+++ b/forwarder/ended.go
@@ -62,11 +62,13 @@
 // event notes an event of the answer, and reports whether by it the request is proven to be one that
 // its upstream can run.
 func (a *attempt) event(now time.Time) bool {
+	before := a.proven()
 	if a.firstEvent.IsZero() {
-		a.firstEvent = now
+		a.firstEvent, a.lastEvent = now, now
 	}
-	before := a.proven()
+	a.longestPause.Store(max(a.longestPause.Load(), int64(now.Sub(a.lastEvent))))
 	a.lastEvent = now
+	a.events.Add(1)
 	return !before && a.proven()
 }
 
