--- a/standin/caller/repeater.go
+++ b/standin/caller/repeater.go
@@ -36,11 +36,12 @@
 		entries[r.ID] = r
 		runs = append(runs, e.Runs(r.ID)...)
 	}
-	slices.SortFunc(runs, func(a, b worker.Run) int { return a.Ended.Compare(b.Ended) })
-	if len(runs) < mostCrashes || runs[mostCrashes-1].Ended.IsZero() {
+	crashes := slices.DeleteFunc(slices.Clone(runs), func(r worker.Run) bool { return !r.Crashed })
+	if len(crashes) < mostCrashes {
 		return nil
 	}
-	known := runs[mostCrashes-1].Ended
+	slices.SortFunc(crashes, func(a, b worker.Run) int { return a.Ended.Compare(b.Ended) })
+	known := crashes[mostCrashes-1].Ended
 	late := map[string]bool{}
 	for _, run := range runs {
 		r := entries[run.ID]
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -73,6 +73,8 @@
 	Upstream string
 	Fault    Fault
 	Process  int
+	// Crashed is true where the run ended its worker's process.
+	Crashed bool
 	// Began and Ended are when the worker took the run and let it go; Ended is
 	// zero while it works.
 	Began, Ended time.Time
@@ -276,7 +278,7 @@
 		out.Header().Set("X-Engine-Stamp", w.id)
 	}
 	if w.crash != nil && Crashes(r.URL.Path) {
-		w.beCrashed(r, now)
+		w.beCrashed(r, now, run)
 		return
 	}
 	work := w.workFor(r, id)
@@ -299,13 +301,13 @@
 }
 
 // beCrashed runs a request that ends the process. Of two at a time the first does.
-func (w *Worker) beCrashed(r *http.Request, now *incarnation) {
+func (w *Worker) beCrashed(r *http.Request, now *incarnation, run int) {
 	if !now.sleep(r, crashAfter) {
 		return
 	}
 	w.lock.Lock()
 	first := !now.crashed
-	now.crashed = true
+	now.crashed, w.runs[run].Crashed = true, true
 	w.lock.Unlock()
 	if first {
 		w.crash()
