quarantiner: what was answered lately, and what half of all upstreams' outage took, is not refused

A failure of an upstream clears nothing any more. - A run known under the name of the one before counted once, however often it ended. Ends of one name at different times are two. The judge of repeats counts processes that ended, not runs.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -260,7 +260,8 @@
 	f.metrics.attempted(a.verdict)
 	a.placement.End(time.Now(), resultOf(x, a))
 	f.noteEnd(x, a)
-	if a.verdict == verdictAnswered || a.verdict == verdictFailed {
+	// A failure proves nothing: an upstream may fail what it has not begun.
+	if a.verdict == verdictAnswered && a.response.StatusCode < http.StatusMultipleChoices {
 		f.quarantine.Answered(time.Now(), x.content)
 	}
 	if a.verdict == verdictAnswered {
--- a/forwarder/ended.go
+++ b/forwarder/ended.go
@@ -57,7 +57,7 @@
 
 // provenTime is how long an upstream has made events of an answer when the request counts as
 // one that it can run: what crashes an upstream does so as it begins.
-const provenTime = time.Second
+const provenTime = 2 * time.Second
 
 // event notes an event of the answer, and reports whether by it the request is proven to be one that
 // its upstream can run.
--- a/quarantiner/news.go
+++ b/quarantiner/news.go
@@ -10,7 +10,8 @@
 	// newsTellings is in how many heartbeats an entry tells what it learned, sent or answered: it
 	// reaches all in a number of rounds that grows with the logarithm of the fleet.
 	newsTellings = 8
-	// newsTime is the age up to which strikes and answers are told on.
+	// newsTime is the age up to which strikes are told on, and by how much a later answer is
+	// news where one is known.
 	newsTime = 1500 * time.Millisecond
 	// mostTold bounds the strikes, and the answers, of one heartbeat.
 	mostTold = 32
@@ -69,7 +70,7 @@
 		n.Strikes = append(n.Strikes, StrikeNews{Content: s.Content, Run: s.Run, Age: milliseconds(now.Sub(s.Ended)), Ran: milliseconds(s.Ended.Sub(s.Sent))})
 	}
 	for c, p := range q.suspects {
-		if p.tellings > 0 && now.Sub(p.cleared) <= newsTime && len(n.Answers) < mostTold {
+		if p.tellings > 0 && now.Sub(p.cleared) <= answerLife && len(n.Answers) < mostTold {
 			p.tellings--
 			n.Answers = append(n.Answers, ContentNews{Content: c, Age: milliseconds(now.Sub(p.cleared))})
 		}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -31,6 +31,9 @@
 	QuarantineTime = 10 * time.Minute
 	// strikeLife is how long a strike counts.
 	strikeLife = 10 * time.Minute
+	// answerLife is how long after an answer ends of upstreams don't count against a content: in an
+	// outage what many ask for is under way wherever an upstream ends.
+	answerLife = time.Minute
 	// endSlack is how long before its end a quarantine is no longer taken over from others:
 	// entries end it at different moments, and would tell each other of it for ever.
 	endSlack = 10 * time.Second
@@ -43,7 +46,7 @@
 
 // suspect is a content under which upstreams have ended.
 type suspect struct {
-	// strikes are in order of their ends, none before cleared.
+	// strikes are in order of their ends, all later than answerLife after cleared.
 	strikes []heldStrike
 	// cleared is when an upstream last answered the content; zero for never.
 	cleared time.Time
@@ -81,6 +84,8 @@
 	suspects map[Content]*suspect
 	// quarantined holds since when contents are refused.
 	quarantined map[Content]time.Time
+	// answers are those that this entry saw.
+	answers answerCache
 	// upstreams is how many there are.
 	upstreams int
 	// unjudged is true where a strike came since the last judgement, or is too new for it.
@@ -107,9 +112,13 @@
 }
 
 func (q *Quarantiner) strike(now time.Time, s Strike) {
+	if at, ok := q.answers.last(s.Content); ok && clears(at, s.Ended) {
+		q.clear(s.Content, at)
+		return
+	}
 	p := q.suspect(s.Content)
-	known := slices.ContainsFunc(p.strikes, func(o heldStrike) bool { return o.Run == s.Run })
-	if known || !s.Ended.After(p.cleared) || now.Sub(s.Ended) > strikeLife {
+	known := slices.ContainsFunc(p.strikes, func(o heldStrike) bool { return s.sameEnd(o.Strike) })
+	if known || clears(p.cleared, s.Ended) || now.Sub(s.Ended) > strikeLife {
 		return
 	}
 	p.strikes = append(p.strikes, heldStrike{Strike: s, tellings: newsTellings})
@@ -118,6 +127,15 @@
 	q.unjudged = true
 }
 
+// clears reports whether an answer at a time proves that an end is not a content's doing.
+func clears(answered, ended time.Time) bool { return !ended.After(answered.Add(answerLife)) }
+
+// sameEnd reports whether two strikes of a content are of one end of a run. While the store is away entries
+// know an upstream that starts again by the name of its run before.
+func (s Strike) sameEnd(o Strike) bool {
+	return s.Run == o.Run && s.Ended.Sub(o.Ended).Abs() <= sameTime
+}
+
 // suspect returns that of a content. Where there are too many, the one with the fewest
 // strikes, and of these the oldest, goes.
 func (q *Quarantiner) suspect(c Content) *suspect {
@@ -144,6 +162,7 @@
 func (q *Quarantiner) Answered(now time.Time, c Content) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
+	q.answers.add(now, c)
 	if p, ok := q.suspects[c]; ok && len(p.strikes) > 0 {
 		q.clear(c, now)
 	}
@@ -157,7 +176,7 @@
 	q.clear(c, ended)
 }
 
-// clear voids the strikes of a content before an answer, and lifts its quarantine.
+// clear voids the strikes of a content that an answer clears, and lifts its quarantine.
 func (q *Quarantiner) clear(c Content, answered time.Time) {
 	p := q.suspect(c)
 	if !answered.After(p.cleared) {
@@ -167,8 +186,8 @@
 		p.tellings = newsTellings
 	}
 	p.cleared = answered
-	p.strikes = slices.DeleteFunc(p.strikes, func(s heldStrike) bool { return !s.Ended.After(answered) })
-	if since, ok := q.quarantined[c]; ok && since.Before(answered) {
+	p.strikes = slices.DeleteFunc(p.strikes, func(s heldStrike) bool { return clears(answered, s.Ended) })
+	if since, ok := q.quarantined[c]; ok && clears(answered, since) {
 		delete(q.quarantined, c)
 	}
 }
@@ -206,7 +225,11 @@
 	if _, ok := q.quarantined[c]; ok || now.Sub(since) >= QuarantineTime-endSlack {
 		return false
 	}
-	if p, ok := q.suspects[c]; ok && p.cleared.After(since) {
+	if at, ok := q.answers.last(c); ok && clears(at, since) {
+		q.clear(c, at)
+	}
+	if p, ok := q.suspects[c]; ok && clears(p.cleared, since) {
+		p.tellings = newsTellings // the other does not know
 		return false
 	}
 	if len(q.quarantined) >= mostQuarantined {
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -339,3 +339,47 @@
 		is.Equal(len(q.quarantined), 1)
 	}
 }
+
+// What many ask for is under way wherever an upstream ends in an outage. It was answered a
+// moment before, by some entry, and whoever would judge it is told so.
+func TestOutageUnderPopularContent(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, 6)
+	popular := content("popular")
+	f.entries[4].Answered(f.now, popular)
+	f.pass(20 * time.Second)
+	for n := range 6 {
+		f.end(Run(n), 100*time.Millisecond, popular)
+		f.pass(400 * time.Millisecond)
+	}
+	f.pass(2 * time.Second)
+	is.Equal(f.refuse(popular), 0)
+	// An entry that starts anew judges by itself, and is told better.
+	f.entries[1] = New()
+	f.entries[1].SetUpstreams(6)
+	for n := range 4 {
+		f.entries[1].Struck(f.now, Strike{Content: popular, Run: Run(20 + n), Sent: f.now.Add(-100 * time.Millisecond), Ended: f.now})
+		f.pass(400 * time.Millisecond)
+	}
+	f.pass(2 * time.Second)
+	is.Equal(f.refuse(popular), 0)
+	f.pass(answerLife)
+	for n := range 3 { // it may have become what ends them since
+		f.end(Run(10+n), 100*time.Millisecond, popular)
+		f.pass(400 * time.Millisecond)
+	}
+	f.pass(2 * time.Second)
+	is.Equal(f.refuse(popular), 6)
+}
+
+// While the store is away, an upstream that starts again has the name of its run before at all entries.
+func TestRunsOfOneNameThatEndAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, 6)
+	for range 4 {
+		f.end(1, 100*time.Millisecond, content("bad"))
+		f.pass(2 * time.Second)
+	}
+	f.pass(time.Second)
+	is.Equal(f.refuse(content("bad")), 6)
+}
--- a/standin/caller/repeater.go
+++ b/standin/caller/repeater.go
@@ -36,11 +36,17 @@
 		entries[r.ID] = r
 		runs = append(runs, e.Runs(r.ID)...)
 	}
-	crashes := slices.DeleteFunc(slices.Clone(runs), func(r worker.Run) bool { return !r.Crashed })
+	slices.SortFunc(runs, func(a, b worker.Run) int { return a.Ended.Compare(b.Ended) })
+	var crashes []worker.Run // one of each process that ended
+	for _, r := range runs {
+		counted := slices.ContainsFunc(crashes, func(o worker.Run) bool { return o.Upstream == r.Upstream && o.Process == r.Process })
+		if r.Crashed && !counted {
+			crashes = append(crashes, r)
+		}
+	}
 	if len(crashes) < mostCrashes {
 		return nil
 	}
-	slices.SortFunc(crashes, func(a, b worker.Run) int { return a.Ended.Compare(b.Ended) })
 	known := crashes[mostCrashes-1].Ended
 	late := map[string]bool{}
 	for _, run := range runs {
