--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -28,9 +28,10 @@
 
 const (
 	// QuarantineTime is how long a content is refused.
-	QuarantineTime = 10 * time.Minute
-	// strikeLife is how long a strike counts.
-	strikeLife = 10 * time.Minute
+	QuarantineTime = 5 * time.Minute
+	// strikeLife is how long a strike counts: several quarantines, after each of which one more
+	// is enough.
+	strikeLife = 30 * time.Minute
 	// answerLife is how long after an answer ends of upstreams don't count against a content: in an
 	// outage what many ask for is under way wherever an upstream ends.
 	answerLife = time.Minute
@@ -52,6 +53,9 @@
 	cleared time.Time
 	// tellings is how often cleared is yet to be told.
 	tellings int
+	// released is when a quarantine of the content last ended; only a later strike has it
+	// refused again.
+	released time.Time
 }
 
 // heldStrike is a strike, and how often it is yet to be told.
@@ -250,7 +254,9 @@
 	for c, since := range q.quarantined {
 		if now.Sub(since) >= QuarantineTime {
 			delete(q.quarantined, c)
-			delete(q.suspects, c) // it is to be judged anew
+			if p, ok := q.suspects[c]; ok {
+				p.released = now
+			}
 		}
 	}
 	for c, p := range q.suspects {
