--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -28,7 +28,8 @@
 
 // Story is what the logs say of a request.
 type Story struct {
-	// Lines are those that name the request, oldest first.
+	// Lines are those that name the request, oldest first; of one that is quarantined also
+	// those that say why.
 	Lines []string
 	// Cause is why the request ended as it did, in one line.
 	Cause string
@@ -40,10 +41,15 @@
 // before time=, as collectors add one.
 func Explain(logs io.Reader, request string) (Story, error) {
 	var found []line
+	ends := map[string][]line{}
 	scanner := bufio.NewScanner(logs)
 	scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
 	for scanner.Scan() {
 		text := scanner.Text()
+		if l, ok := parseEnd(text); ok {
+			content := l.fields["content"]
+			ends[content] = append(ends[content], l)
+		}
 		if !strings.Contains(text, "request="+request) {
 			continue
 		}
@@ -57,14 +63,30 @@
 	if len(found) == 0 {
 		return Story{}, ErrNoLines
 	}
-	slices.SortStableFunc(found, func(a, b line) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
+	byTime := func(a, b line) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) }
+	slices.SortStableFunc(found, byTime)
 	story := Story{Cause: cause(found), Missing: missing(found)}
+	if last := found[len(found)-1].fields; last["outcome"] == outcomeQuarantined {
+		found = append(found, ends[last["content"]]...)
+		slices.SortStableFunc(found, byTime)
+	}
 	for _, l := range found {
 		story.Lines = append(story.Lines, l.text)
 	}
 	return story, nil
 }
 
+// outcomeQuarantined is that of requests whose content ends upstreams.
+const outcomeQuarantined = "quarantined"
+
+// parseEnd reads a line that says of a content that it has ended an upstream, or is refused.
+func parseEnd(text string) (line, bool) {
+	if !strings.Contains(text, "event=upstream_ended") && !strings.Contains(text, "event=quarantined") {
+		return line{}, false
+	}
+	return parse(text)
+}
+
 // parse reads one logfmt line.
 func parse(text string) (line, bool) {
 	start := strings.Index(text, "time=")
@@ -125,6 +147,8 @@
 	"stopping":                  "refused, not run: the entry was told to stop, and the answer might have lasted longer than it; retry_after_ms says when another serves it",
 	"no_upstream":               "refused, not run: the list had no upstream of the service that could be used",
 	"no_memory":                 "refused, not run: no engines together had the memory for this prompt",
+	outcomeQuarantined:          "refused, not run: upstreams ended one after the other under what it asks for; see event=upstream_ended of its content",
+	"upstreams_pause":           "refused, not run: every upstream that is left wants no requests from this entry for a time; see event=upstream_pauses",
 	"overloaded":                "refused, not run: the first event would have come after the caller had left",
 	"too_costly":                "refused, not run: it would have cost requests in progress more than it was worth",
 	"refused_by_upstream":       "refused, not run: every upstream that was asked stated that it did not run it",
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -38,6 +38,20 @@
 	is.True(strings.HasPrefix(s.Cause, "refused, not run: it would have cost"))
 }
 
+// What ended upstreams is in lines of other requests with the same content.
+func TestExplainQuarantine(t *testing.T) {
+	is := is.New(t)
+	s, err := explainer.Explain(strings.NewReader(`time=2026-03-06T08:11:29Z level=warn event=quarantined content=c1 strikes=3 source=own
+time=2026-03-06T08:11:30Z level=warn event=request request=r5 outcome=quarantined status=503 took_ms=0 attempts=0 content=c1 config_revision=7
+time=2026-03-06T08:11:28Z level=warn event=upstream_ended request=r2 content=c1 upstream=i-1
+time=2026-03-06T08:11:28Z level=warn event=upstream_ended request=r3 content=c2 upstream=i-2
+`), "r5")
+	is.NoErr(err)
+	is.Equal(len(s.Lines), 3)
+	is.True(strings.Contains(s.Lines[0], "upstream_ended request=r2"))
+	is.True(strings.HasPrefix(s.Cause, "refused, not run: upstreams ended one after the other"))
+}
+
 func TestMissingLinesAreNamed(t *testing.T) {
 	is := is.New(t)
 	s, err := explainer.Explain(strings.NewReader(logs), "r4")
