--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -66,9 +66,8 @@
 	lock sync.Mutex
 	// born is when workers started, in Unix milliseconds; missing for those that do not say.
 	born map[string]int64
-	// crashed are the workers that are not back yet, background counts them.
-	crashed    map[string]bool
-	background sync.WaitGroup
+	// crashed are the workers that are not back yet.
+	crashed worker.Down
 	// repeaters asked for what crashes upstreams.
 	repeaters []*caller.Traffic
 	next      int
@@ -91,7 +90,7 @@
 
 func newFleetWithPlan(t *testing.T, entries int, plan *worker.Plan) *fleet {
 	t.Helper()
-	f := &fleet{t: t, plan: plan, down: map[int]bool{}, crashed: map[string]bool{}, net: network.New(), store: store.New(), workers: map[string]*worker.Worker{}, hosts: map[string]netip.Addr{}, born: map[string]int64{}}
+	f := &fleet{t: t, plan: plan, down: map[int]bool{}, net: network.New(), store: store.New(), workers: map[string]*worker.Worker{}, hosts: map[string]netip.Addr{}, born: map[string]int64{}}
 	f.serve(netip.AddrPortFrom(storeHost, 80), f.store)
 	f.configure(1, "key-1", "key-2")
 	for range 3 {
@@ -148,25 +147,19 @@
 // crash ends a worker's process: its connections end, nobody listens, and after some seconds it is
 // started again under its id.
 func (f *fleet) crash(id, service string) {
-	f.lock.Lock()
-	again := f.crashed[id]
-	f.crashed[id] = true
-	f.lock.Unlock()
-	if again {
+	if !f.crashed.Begin(id) {
 		return
 	}
 	mended := f.troubles.Cut(id)
 	f.workers[id].Restart()
 	f.net.Kill(f.hosts[id])
-	f.background.Go(func() {
+	go func() {
+		defer f.crashed.End(id)
 		time.Sleep(crashTime)
 		f.troubles.Renewed(id)
 		f.begin(id, service)
 		mended()
-		f.lock.Lock()
-		delete(f.crashed, id)
-		f.lock.Unlock()
-	})
+	}()
 }
 
 // crashTime is how long a worker that crashed is down.
@@ -267,7 +260,7 @@
 }
 
 func (f *fleet) end() {
-	f.background.Wait()
+	f.crashed.Await()
 	for _, e := range f.entries {
 		f.kill(e)
 	}
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -78,6 +78,15 @@
 	}
 }
 
+// endInTurn has runs end one after the other that worked on a content.
+func (f *fleet) endInTurn(first Run, runs int, c Content) {
+	for n := range runs {
+		f.end(first+Run(n), 100*time.Millisecond, c)
+		f.pass(400 * time.Millisecond)
+	}
+}
+
+// refuse is how many entries refuse a content.
 func (f *fleet) refuse(c Content) int {
 	n := 0
 	for _, q := range f.entries {
@@ -91,10 +100,7 @@
 func TestContentThatEndsThreeRunsIsRefusedByAll(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(7, 14)
-	for n := range 3 {
-		f.end(Run(n), 100*time.Millisecond, content("bad"))
-		f.pass(400 * time.Millisecond)
-	}
+	f.endInTurn(0, 3, content("bad"))
 	f.pass(time.Second)
 	is.Equal(f.refuse(content("bad")), 7)
 	is.Equal(f.refuse(content("other")), 0)
@@ -184,10 +190,7 @@
 func TestAnswerLiftsQuarantine(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(7, 117)
-	for n := range 3 {
-		f.end(Run(n), 100*time.Millisecond, content("slow"))
-		f.pass(400 * time.Millisecond)
-	}
+	f.endInTurn(0, 3, content("slow"))
 	f.pass(time.Second)
 	is.Equal(f.refuse(content("slow")), 7)
 	f.entries[3].Answered(f.now, content("slow"))
@@ -199,10 +202,7 @@
 func TestNewEntryIsToldAll(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(7, 14)
-	for n := range 3 {
-		f.end(Run(n), 100*time.Millisecond, content("bad"))
-		f.pass(400 * time.Millisecond)
-	}
+	f.endInTurn(0, 3, content("bad"))
 	f.now = f.now.Add(time.Minute)
 	f.pass(time.Second)
 	f.entries[4] = New()
@@ -351,10 +351,7 @@
 	popular := content("popular")
 	f.entries[4].Answered(f.now, popular)
 	f.pass(20 * time.Second)
-	for n := range 6 {
-		f.end(Run(n), 100*time.Millisecond, popular)
-		f.pass(400 * time.Millisecond)
-	}
+	f.endInTurn(0, 6, popular)
 	f.pass(2 * time.Second)
 	is.Equal(f.refuse(popular), 0)
 	// An entry that starts anew judges by itself, and is told better.
@@ -367,10 +364,8 @@
 	f.pass(2 * time.Second)
 	is.Equal(f.refuse(popular), 0)
 	f.pass(answerLife)
-	for n := range 4 { // it may have become what ends them since: more than half of them
-		f.end(Run(10+n), 100*time.Millisecond, popular)
-		f.pass(400 * time.Millisecond)
-	}
+	// it may have become what ends them since: more than half of them
+	f.endInTurn(10, 4, popular)
 	f.pass(2 * time.Second)
 	is.Equal(f.refuse(popular), 6)
 }
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -89,12 +89,11 @@
 	version int
 	// troubles are what happens to entries and upstreams.
 	troubles caller.Troubles
-	// background is what goes on beside the faults: series of stops, upstreams that
-	// crashed and are not back yet.
+	// background is what goes on beside the faults: series of stops.
 	background sync.WaitGroup
-	// lock guards born and crashed, the upstreams that are not back yet.
+	// crashed are the upstreams that are not back yet; lock guards born.
+	crashed worker.Down
 	lock    sync.Mutex
-	crashed map[string]bool
 	// repeaters asked for what crashes upstreams.
 	repeaters []*caller.Traffic
 	// callers are all that asked while there were faults.
@@ -110,7 +109,7 @@
 	t.Helper()
 	f := &fleet{
 		t: t, seed: seed, directory: t.TempDir(), store: store.New(), workers: map[string]*worker.Worker{},
-		ways: map[string]*relay.Relay{}, services: map[string]string{}, born: map[string]int64{}, crashed: map[string]bool{},
+		ways: map[string]*relay.Relay{}, services: map[string]string{}, born: map[string]int64{},
 	}
 	f.serve(netip.AddrPortFrom(f.address(0, 0), storePort), f.store)
 	f.storeWay = f.relay(netip.AddrPortFrom(f.address(0, 1), storePort), netip.AddrPortFrom(f.address(0, 0), storePort))
@@ -210,17 +209,14 @@
 // crash ends a worker's process: its connections end, nobody listens, and after a while it is started
 // again under its id.
 func (f *fleet) crash(id string) {
-	f.lock.Lock()
-	again := f.crashed[id]
-	f.crashed[id] = true
-	f.lock.Unlock()
-	if again {
+	if !f.crashed.Begin(id) {
 		return
 	}
 	mended := f.troubles.Cut(id)
 	f.workers[id].Restart()
 	f.ways[id].Down()
-	f.background.Go(func() {
+	go func() {
+		defer f.crashed.End(id)
 		time.Sleep(crashTime)
 		if err := f.ways[id].Up(); err != nil {
 			f.t.Errorf("seed %d: %s: %v", f.seed, id, err)
@@ -228,10 +224,7 @@
 		f.troubles.Renewed(id)
 		f.bear(id)
 		mended()
-		f.lock.Lock()
-		delete(f.crashed, id)
-		f.lock.Unlock()
-	})
+	}()
 }
 
 func (f *fleet) configure(keys ...string) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -295,6 +295,7 @@
 	over := time.Now()
 	busy.Stop()
 	f.background.Wait()
+	f.crashed.Await()
 	for _, x := range f.callers {
 		served, asked := f.judge(x)
 		t.Logf("seed %d: %d of %d served under faults", seed, served, asked)
