--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -152,7 +152,7 @@
 red suspects-bounded quarantiner/quarantiner.go 's/len\(q\.suspects\) >= mostSuspects/false/' $q TestBounds
 red strikes-told-on quarantiner/news.go 's/s\.tellings--/_ = s/' $q TestTargetFleet
 red proven forwarder/ended.go 's/if a\.proven\(\) \{/if false {/' ./forwarder TestEndOfUpstreamCountsAgainstWhatItHadJustBegun
-red living forwarder/ended.go 's/if !f\.hasEnded\(first\)/if false/' ./forwarder TestBrokenAnswerOfALivingUpstreamCountsForNothing
+red living forwarder/ended.go 's/if !f\.presence\.Gone\(first\.Address\.String\(\)\)/if false/' ./forwarder TestBrokenAnswerOfALivingUpstreamCountsForNothing
 red suspect-once forwarder/forward.go 's/ \|\| f\.isSuspect\(x, a\)//' ./forwarder TestSuspectIsSentOnce
 red says-it-leaves dispatcher/wish.go 's/return w\.leaving \|\| w\.pausedTo/return w.pausedTo/' ./forwarder TestUpstreamThatSaysThatItLeaves
 red leaving-remembered dispatcher/wish.go 's/return w\.leaving \&\& now[^\n]*/return false/' ./forwarder TestEngineThatSaysThatItLeaves
--- a/api/entry.go
+++ b/api/entry.go
@@ -137,6 +137,9 @@
 	ListAge    time.Duration
 	// Loads are of the engines that the sender keeps.
 	Loads []LoadDigest
+	// Quarantine is what the sender learned lately of requests that crash upstreams; in an
+	// answer, all that it refuses where the other refuses something else.
+	Quarantine QuarantineNews
 }
 
 // FetchArgs asks a peer for its configuration document.
--- /dev/null
+++ b/connector/presence.go
@@ -0,0 +1,45 @@
+package connector
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"github.com/sapphireramp/sapphireramp/sleeper"
+)
+
+const (
+	// goneWait is how long after a connection broke its other end is asked whether it still listens: a
+	// process that ends closes its connections and its listener one after the other.
+	goneWait = 50 * time.Millisecond
+	// goneTimeout bounds the question.
+	goneTimeout = 250 * time.Millisecond
+)
+
+// Presence finds out whether processes have ended whose connections broke.
+type Presence struct {
+	dial      DialFunc
+	questions singleflight.Group
+}
+
+// NewPresence returns a Presence that connects by dial.
+func NewPresence(dial DialFunc) *Presence { return &Presence{dial: dial} }
+
+// Gone reports whether nobody listens at an address any more, shortly after a connection
+// to it broke. Those who ask at the same moment share one question.
+func (p *Presence) Gone(address string) bool {
+	gone, _, _ := p.questions.Do(address, func() (any, error) {
+		sleeper.Sleep(context.Background(), goneWait)
+		ctx, cancel := context.WithTimeout(context.Background(), goneTimeout)
+		defer cancel()
+		connection, err := p.dial(ctx, "tcp", address)
+		if err == nil {
+			_ = connection.Close()
+		}
+		return errors.Is(err, syscall.ECONNREFUSED), nil
+	})
+	return gone.(bool)
+}
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -14,7 +14,6 @@
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/prober"
-	"github.com/sapphireramp/sapphireramp/quarantiner"
 )
 
 const (
@@ -65,9 +64,6 @@
 	// senders have more to do than they can.
 	Speed    float64
 	Strained bool
-	// Quarantine is what the sender learned lately of requests that crash upstreams; in an
-	// answer, all that it refuses where the other refuses something else.
-	Quarantine quarantiner.News
 }
 
 // errStopped is the answer of an entry that has stopped and whose connections
--- a/forwarder/ended.go
+++ b/forwarder/ended.go
@@ -2,21 +2,14 @@
 
 import (
 	"context"
-	"errors"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
-	"github.com/sapphireramp/sapphireramp/sleeper"
 )
 
-// endedWait is how long after a broken answer its upstream is asked whether it still runs:
-// a process that ends closes its connections and its listener one after the other.
-const endedWait = 50 * time.Millisecond
-
 // contentOf names what a request asks for: of one organisation, to one path, with one body.
 func contentOf(x *exchange) quarantiner.Content {
 	caller := x.organisation
@@ -42,7 +35,7 @@
 	}
 	first, broke := a.placement.First, time.Now()
 	go func() {
-		if !f.hasEnded(first) {
+		if !f.presence.Gone(first.Address.String()) {
 			return
 		}
 		f.log.Warn("upstream_ended", zap.String("request", x.call.ID), zap.Stringer("content", x.content), zap.String("upstream", first.ID),
@@ -93,19 +86,3 @@
 func (f *Forwarder) isSuspect(x *exchange, a *attempt) bool {
 	return a.cut && f.quarantine.Strikes(x.content) >= mostStruck
 }
-
-// hasEnded reports whether nobody listens at an upstream's address any more. Attempts that
-// broke off at the same moment share one question.
-func (f *Forwarder) hasEnded(i dispatcher.Instance) bool {
-	ended, _, _ := f.questions.Do(i.Address.String()+" "+i.ID, func() (any, error) {
-		sleeper.Sleep(context.Background(), endedWait)
-		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-		defer cancel()
-		connection, err := f.dial(ctx, "tcp", i.Address.String())
-		if err == nil {
-			_ = connection.Close()
-		}
-		return errors.Is(err, syscall.ECONNREFUSED), nil
-	})
-	return ended.(bool)
-}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -20,10 +20,10 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
-	"golang.org/x/sync/singleflight"
 
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/budgeter"
+	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
@@ -64,21 +64,19 @@
 	budget     *budgeter.Budgeter
 	quarantine *quarantiner.Quarantiner
 	upstreams  *http.Transport
-	dial       func(ctx context.Context, network, address string) (net.Conn, error)
-	// questions are those to upstreams that may have ended.
-	questions singleflight.Group
-	log       *zap.Logger
-	metrics   metrics
-	asserter  *asserter.Asserter
-	chain     handler
-	inFlight  atomic.Int64
+	presence   *connector.Presence
+	log        *zap.Logger
+	metrics    metrics
+	asserter   *asserter.Asserter
+	chain      handler
+	inFlight   atomic.Int64
 }
 
 // New returns a forwarder.
 func New(c Config) *Forwarder {
 	f := &Forwarder{
 		protocol: c.Protocol, orders: c.Orders, holdTime: c.HoldTime, maxIdle: c.MaxIdle, view: c.View, board: c.Board, budget: c.Budget, quarantine: c.Quarantine, log: c.Log,
-		metrics: newMetrics(c.Scope), asserter: c.Asserter, upstreams: newTransport(c.Dial), dial: c.Dial,
+		metrics: newMetrics(c.Scope), asserter: c.Asserter, upstreams: newTransport(c.Dial), presence: connector.NewPresence(c.Dial),
 	}
 	f.chain = chain(f.forward, f.respond, f.recoverPanic, f.open, f.limitHeader, f.match, f.readBody)
 	return f
--- a/quarantiner/news.go
+++ b/quarantiner/news.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/sapphireramp/sapphireramp/api"
 )
 
 const (
@@ -17,32 +19,8 @@
 	mostTold = 32
 )
 
-// News is what entries tell each other of strikes and quarantines.
-type News struct {
-	Strikes []StrikeNews
-	Answers []ContentNews
-	// Quarantined are all contents that the sender refuses, told to one whose Digest is another.
-	Quarantined []ContentNews
-	// Digest is a hash of the contents that the sender refuses.
-	Digest uint32
-}
-
-// StrikeNews is a strike on the wire.
-type StrikeNews struct {
-	Content Content
-	Run     Run
-	// Age is how many milliseconds ago the run ended, Ran how many it worked on the request.
-	Age, Ran uint32
-}
-
-// ContentNews says for how many milliseconds something has been so of a content.
-type ContentNews struct {
-	Content Content
-	Age     uint32
-}
-
 // Tell returns what this entry learned lately, for one heartbeat.
-func (q *Quarantiner) Tell(now time.Time) News {
+func (q *Quarantiner) Tell(now time.Time) api.QuarantineNews {
 	q.lock.Lock()
 	defer q.lock.Unlock()
 	return q.tell(now)
@@ -50,7 +28,7 @@
 
 // Reply returns what an entry is to be told that told this one, all quarantines where it
 // refuses other contents.
-func (q *Quarantiner) Reply(now time.Time, heard News) News {
+func (q *Quarantiner) Reply(now time.Time, heard api.QuarantineNews) api.QuarantineNews {
 	q.lock.Lock()
 	defer q.lock.Unlock()
 	n := q.tell(now)
@@ -58,21 +36,21 @@
 		return n
 	}
 	for c, since := range q.quarantined {
-		n.Quarantined = append(n.Quarantined, ContentNews{Content: c, Age: milliseconds(now.Sub(since))})
+		n.Quarantined = append(n.Quarantined, api.ContentNews{Content: uint64(c), Age: milliseconds(now.Sub(since))})
 	}
 	return n
 }
 
-func (q *Quarantiner) tell(now time.Time) News {
-	n := News{Digest: q.digest()}
+func (q *Quarantiner) tell(now time.Time) api.QuarantineNews {
+	n := api.QuarantineNews{Digest: q.digest()}
 	for _, s := range q.untold(now) {
 		s.tellings--
-		n.Strikes = append(n.Strikes, StrikeNews{Content: s.Content, Run: s.Run, Age: milliseconds(now.Sub(s.Ended)), Ran: milliseconds(s.Ended.Sub(s.Sent))})
+		n.Strikes = append(n.Strikes, api.StrikeNews{Content: uint64(s.Content), Run: uint32(s.Run), Age: milliseconds(now.Sub(s.Ended)), Ran: milliseconds(s.Ended.Sub(s.Sent))})
 	}
 	for c, p := range q.suspects {
 		if p.tellings > 0 && now.Sub(p.cleared) <= answerLife && len(n.Answers) < mostTold {
 			p.tellings--
-			n.Answers = append(n.Answers, ContentNews{Content: c, Age: milliseconds(now.Sub(p.cleared))})
+			n.Answers = append(n.Answers, api.ContentNews{Content: uint64(c), Age: milliseconds(now.Sub(p.cleared))})
 		}
 	}
 	return n
@@ -106,21 +84,21 @@
 
 // Hear takes in what another entry tells, and returns the contents that are refused from
 // now on.
-func (q *Quarantiner) Hear(now time.Time, n News) []Verdict {
+func (q *Quarantiner) Hear(now time.Time, n api.QuarantineNews) []Verdict {
 	q.lock.Lock()
 	defer q.lock.Unlock()
 	for _, a := range n.Answers[:min(len(n.Answers), mostTold)] {
-		q.clear(a.Content, ago(now, a.Age))
+		q.clear(Content(a.Content), ago(now, a.Age))
 	}
 	for _, s := range n.Strikes[:min(len(n.Strikes), mostTold)] {
 		ended := ago(now, s.Age)
-		q.strike(now, Strike{Content: s.Content, Run: s.Run, Sent: ago(ended, s.Ran), Ended: ended})
+		q.strike(now, Strike{Content: Content(s.Content), Run: Run(s.Run), Sent: ago(ended, s.Ran), Ended: ended})
 	}
 	var out []Verdict
 	for _, c := range n.Quarantined[:min(len(n.Quarantined), mostQuarantined)] {
 		since := ago(now, c.Age)
-		if q.quarantine(now, c.Content, since) {
-			out = append(out, Verdict{Content: c.Content, Until: since.Add(QuarantineTime)})
+		if q.quarantine(now, Content(c.Content), since) {
+			out = append(out, Verdict{Content: Content(c.Content), Until: since.Add(QuarantineTime)})
 		}
 	}
 	return out
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/sapphireramp/sapphireramp/api"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -23,7 +25,7 @@
 	// random, where not nil, draws the neighbours of a round; one in a ring otherwise.
 	random *rand.Rand
 	// count, where not nil, is told of what is sent.
-	count func(News)
+	count func(api.QuarantineNews)
 }
 
 func newFleet(entries, upstreams int) *fleet {
@@ -225,7 +227,7 @@
 		is.True(len(q.suspects) <= mostSuspects)
 		is.True(len(q.quarantined) <= mostQuarantined)
 		is.True(size(t, q.Tell(f.now)) < 2<<10)
-		is.True(size(t, q.Reply(f.now, News{Digest: 1})) < 8<<10)
+		is.True(size(t, q.Reply(f.now, api.QuarantineNews{Digest: 1})) < 8<<10)
 	}
 	f.pass(5 * time.Second)
 	told := f.entries[0].Tell(f.now)
@@ -239,7 +241,7 @@
 }
 
 // size is that of news on the wire, types included.
-func size(t *testing.T, n News) int {
+func size(t *testing.T, n api.QuarantineNews) int {
 	var out bytes.Buffer
 	if err := gob.NewEncoder(&out).Encode(n); err != nil {
 		t.Fatal(err)
@@ -304,8 +306,8 @@
 	f.random = rand.New(rand.NewPCG(1, 1))
 	sent, out := 0, bytes.Buffer{}
 	encoder := gob.NewEncoder(&out)
-	is.NoErr(encoder.Encode(News{})) // the types are sent once a connection
-	f.count = func(n News) {
+	is.NoErr(encoder.Encode(api.QuarantineNews{})) // the types are sent once a connection
+	f.count = func(n api.QuarantineNews) {
 		out.Reset()
 		is.NoErr(encoder.Encode(n))
 		sent += out.Len()
