server: a prompt that crashes the engines that run it is refused by all entries

The own interface had the same fault: callers that ask for one prompt again and again end engine after engine, through any entry, four a request. Completions now go through the same quarantine, by organisation, model, adapter and prompt; heartbeats carry the news. A refused caller gets code quarantined, not run, and the time left. The test failed before: more than three times later than three seconds after three engines had ended.

--- a/api/api.go
+++ b/api/api.go
@@ -69,14 +69,16 @@
 	CodeOrganisationLimit   = "organisation_limit"
 	CodeNoUpstream          = "no_upstream"
 	CodeUpstreamFailed      = "upstream_failed"
-	CodeStopping            = "stopping"
-	CodeNotReady            = "not_ready"
-	CodeTicketRequired      = "ticket_required"
-	CodeTicketUnknown       = "ticket_unknown"
-	CodeTicketExpired       = "ticket_expired"
-	CodeTicketOwnerGone     = "ticket_owner_gone"
-	CodeTicketInProgress    = "ticket_in_progress"
-	CodeTicketSpent         = "ticket_spent"
+	// CodeQuarantined refuses prompts that crash the engines that run them.
+	CodeQuarantined      = "quarantined"
+	CodeStopping         = "stopping"
+	CodeNotReady         = "not_ready"
+	CodeTicketRequired   = "ticket_required"
+	CodeTicketUnknown    = "ticket_unknown"
+	CodeTicketExpired    = "ticket_expired"
+	CodeTicketOwnerGone  = "ticket_owner_gone"
+	CodeTicketInProgress = "ticket_in_progress"
+	CodeTicketSpent      = "ticket_spent"
 )
 
 // Error is the body of every refusal or failure sent to a caller.
--- a/forwarder/ended.go
+++ b/forwarder/ended.go
@@ -48,10 +48,6 @@
 	}()
 }
 
-// provenTime is how long an upstream has made events of an answer when the request counts as
-// one that it can run: what crashes an upstream does so as it begins.
-const provenTime = 2 * time.Second
-
 // event notes an event of the answer, and reports whether by it the request is proven to be one that
 // its upstream can run.
 func (a *attempt) event(now time.Time) bool {
@@ -65,7 +61,7 @@
 	return !before && a.proven()
 }
 
-func (a *attempt) proven() bool { return a.lastEvent.Sub(a.firstEvent) >= provenTime }
+func (a *attempt) proven() bool { return a.lastEvent.Sub(a.firstEvent) >= quarantiner.ProvenTime }
 
 // quarantined refuses requests that crash what runs them.
 func (f *Forwarder) quarantined(x *exchange) *dispatcher.Refusal {
@@ -77,12 +73,8 @@
 	return &dispatcher.Refusal{Reason: reasonQuarantined, RetryAfter: until.Sub(now)}
 }
 
-// mostStruck is under how many upstreams that ended a request may have been and still be sent to
-// a second one when its first has broken off: a third end is likely its own doing.
-const mostStruck = 2
-
 // isSuspect reports whether an attempt broke off that is not to be made again elsewhere, since
 // upstreams have ended under the request before.
 func (f *Forwarder) isSuspect(x *exchange, a *attempt) bool {
-	return a.cut && f.quarantine.Strikes(x.content) >= mostStruck
+	return a.cut && f.quarantine.IsSuspect(x.content)
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -27,6 +27,9 @@
 }
 
 const (
+	// ProvenTime is how long an upstream has made parts of an answer when the request counts as one
+	// that it can run: what crashes an upstream does so as it begins.
+	ProvenTime = 2 * time.Second
 	// QuarantineTime is how long a content is refused.
 	QuarantineTime = 5 * time.Minute
 	// strikeLife is how long a strike counts: several quarantines, after each of which one more
@@ -38,6 +41,9 @@
 	// endSlack is how long before its end a quarantine is no longer taken over from others:
 	// entries end it at different moments, and would tell each other of it for ever.
 	endSlack = 10 * time.Second
+	// suspectStrikes is under how many runs that ended a content was when it is not sent to a second
+	// upstream after its first: a third end is likely its own doing.
+	suspectStrikes = 2
 	// mostSuspects bounds the contents with strikes, mostStrikes the strikes of one, and
 	// mostQuarantined the contents that are refused.
 	mostSuspects    = 2048
@@ -217,6 +223,10 @@
 	return 0
 }
 
+// IsSuspect reports whether a request for a content is not to be sent to a second upstream
+// when its first has broken off.
+func (q *Quarantiner) IsSuspect(c Content) bool { return q.Strikes(c) >= suspectStrikes }
+
 // Count is how many contents are refused.
 func (q *Quarantiner) Count() int {
 	q.lock.Lock()
--- a/server/beat.go
+++ b/server/beat.go
@@ -35,6 +35,7 @@
 		now := time.Now()
 		targets = c.targets(now)
 		beat = c.heartbeat(now)
+		beat.Quarantine = s.quarantine.Tell(now)
 	})
 	var calls sync.WaitGroup
 	for _, address := range targets {
@@ -85,6 +86,7 @@
 	s.do(func(c *control) {
 		now := time.Now()
 		c.heard(now, beat)
+		s.logQuarantined(now, s.quarantine.Hear(now, beat.Quarantine), beat.From)
 		wanted = c.adopter.Wants(validator.Version{Revision: beat.Revision, Digest: beat.Digest}) ||
 			c.lister.Wants(now, beat.ListDigest, beat.ListAge)
 	})
--- a/server/complete.go
+++ b/server/complete.go
@@ -12,6 +12,7 @@
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/keeper"
 	"github.com/sapphireramp/sapphireramp/placer"
+	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/relayer"
 	"github.com/sapphireramp/sapphireramp/router"
 	"github.com/sapphireramp/sapphireramp/sleeper"
@@ -32,6 +33,7 @@
 // completion is the work on one prompt.
 type completion struct {
 	x        *exchange
+	content  quarantiner.Content
 	relayer  *relayer.Relayer
 	random   *rand.Rand
 	text     strings.Builder
@@ -39,20 +41,28 @@
 	tried    []string
 	version  string
 	attempts int
+	// cut is true once an engine broke an attempt off, began is when the last attempt's answer did;
+	// zero before.
+	cut   bool
+	began time.Time
 }
 
 // complete places a prompt and relays its answer, resuming it elsewhere where
 // an engine fails.
 func (s *Server) complete(x *exchange) *failure {
 	x.body = nil // the decoded prompt is enough from here on
-	c := &completion{x: x, relayer: relayer.New(x.id), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	c := &completion{x: x, content: contentOf(x), relayer: relayer.New(x.id), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	if x.completion.Seed == 0 {
 		x.completion.Seed = c.random.Uint64()>>1 | 1
 	}
 	defer func() { s.metrics.dropped.Inc(int64(c.dropped())) }()
 	for {
+		if f := c.quarantined(); f != nil {
+			return f
+		}
 		f := c.attempt()
 		if f == nil {
+			s.quarantine.Answered(time.Now(), c.content)
 			return c.finish()
 		}
 		if !c.mayRetry(f) {
@@ -75,6 +85,9 @@
 	if f.code != api.CodeUpstreamFailed || c.attempts >= maxAttempts || x.ctx.Err() != nil {
 		return false
 	}
+	if c.cut && x.server.quarantine.IsSuspect(c.content) {
+		return false
+	}
 	// What may have run is not run again, unless the request is repeatable.
 	return x.repeatable || x.pending == 0
 }
--- a/server/control.go
+++ b/server/control.go
@@ -126,6 +126,7 @@
 	}
 	c.lastTick = now
 	c.changed(c.prober.Tick(now))
+	c.server.logQuarantined(now, c.server.quarantine.Judge(now), "own")
 	c.server.metrics.inFlight.Update(float64(c.admitter.InFlight()))
 }
 
--- /dev/null
+++ b/server/crash_test.go
@@ -0,0 +1,107 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/client"
+)
+
+// crashes has a prompt end each engine that runs it, 60 ms after it has begun; the engine is back
+// after 2.5 s.
+type crashes struct {
+	fleet  *testFleet
+	prompt string
+	lock   sync.Mutex
+	// times are when it came to an engine.
+	times []time.Time
+}
+
+// wrap serves an engine that the prompt ends.
+func (c *crashes) wrap(e *testEngine, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		if r.URL.Path == api.PathCompletions && strings.Contains(string(body), c.prompt) {
+			c.lock.Lock()
+			c.times = append(c.times, time.Now())
+			c.lock.Unlock()
+			time.AfterFunc(60*time.Millisecond, func() { c.end(e) })
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (c *crashes) end(e *testEngine) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if e.dead {
+		return
+	}
+	c.fleet.killEngine(e)
+	time.AfterFunc(2500*time.Millisecond, func() {
+		c.lock.Lock()
+		defer c.lock.Unlock()
+		c.start(e)
+	})
+}
+
+func (c *crashes) start(e *testEngine) {
+	c.fleet.startEngine(e)
+	_ = e.web.Close()
+	c.fleet.net.Kill(e.host)
+	listener, _ := c.fleet.net.Listen(netip.AddrPortFrom(e.host, 80))
+	e.web = &http.Server{Handler: c.wrap(e, e.server.Handler())}
+	go func() { _ = e.web.Serve(listener) }()
+}
+
+// Engines end one after the other under one prompt that is asked again and again through all entries, as
+// on the users' platform.
+func TestPromptThatCrashesEnginesIsStopped(t *testing.T) {
+	withTestFleet(t, 3, 6, func(f *testFleet) {
+		is := is.New(t)
+		c := &crashes{fleet: f, prompt: "crash "}
+		for _, e := range f.engines {
+			f.killEngine(e)
+			c.start(e)
+		}
+		time.Sleep(3 * time.Second)
+		ask := func(prompt string) error {
+			r := api.CompletionRequest{Model: "model", Prompt: prompt, MaxTokens: 20}
+			_, err := f.client(1).Complete(context.Background(), r, client.Options{Timeout: 5 * time.Second}, nil)
+			return err
+		}
+		for range 40 {
+			_ = ask("crash " + strings.Repeat("a", 100)) // ends engines, or is refused
+			time.Sleep(200 * time.Millisecond)
+		}
+		c.lock.Lock()
+		times := c.times
+		c.lock.Unlock()
+		is.True(len(times) >= 3)
+		late := 0
+		for _, at := range times {
+			if at.After(times[2].Add(3 * time.Second)) {
+				late++
+			}
+		}
+		is.True(late <= 3)
+		time.Sleep(5 * time.Second)
+		for range 10 {
+			is.NoErr(ask("another " + strings.Repeat("a", 100)))
+		}
+	})
+}
--- a/server/peers.go
+++ b/server/peers.go
@@ -58,7 +58,11 @@
 // Beat takes in another entry's heartbeat and answers with this one's.
 func (e *Entry) Beat(beat api.Heartbeat, reply *api.Heartbeat) error {
 	e.server.heard(beat)
-	e.server.do(func(c *control) { *reply = c.heartbeat(time.Now()) })
+	e.server.do(func(c *control) {
+		now := time.Now()
+		*reply = c.heartbeat(now)
+		reply.Quarantine = e.server.quarantine.Reply(now, beat.Quarantine)
+	})
 	return nil
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -24,6 +24,7 @@
 	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/loader"
 	"github.com/sapphireramp/sapphireramp/logger"
+	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/sealer"
 	"github.com/sapphireramp/sapphireramp/sequencer"
 )
@@ -63,6 +64,11 @@
 	// documents need no seal.
 	sealKeys []ed25519.PublicKey
 
+	// quarantine holds the prompts that are refused as they crash engines, presence finds out
+	// whether an engine has ended.
+	quarantine *quarantiner.Quarantiner
+	presence   *connector.Presence
+
 	peers *connector.Pool
 	// engines is the client for short calls to engines, traffic for streams,
 	// and single for calls that may run at most once.
@@ -112,14 +118,15 @@
 		listen = listenTCP
 	}
 	s := &Server{
-		config:   c,
-		settings: c.Settings,
-		control:  sequencer.New[*control](),
-		parsing:  make(chan struct{}, 1),
-		peers:    connector.New(dial),
-		engines:  &http.Client{Transport: newTransport(dial, false), Timeout: engineCallTimeout},
-		traffic:  &http.Client{Transport: newTransport(dial, false)},
-		single:   &http.Client{Transport: newTransport(dial, true)},
+		config:     c,
+		settings:   c.Settings,
+		control:    sequencer.New[*control](),
+		parsing:    make(chan struct{}, 1),
+		peers:      connector.New(dial),
+		quarantine: quarantiner.New(), presence: connector.NewPresence(dial),
+		engines: &http.Client{Transport: newTransport(dial, false), Timeout: engineCallTimeout},
+		traffic: &http.Client{Transport: newTransport(dial, false)},
+		single:  &http.Client{Transport: newTransport(dial, true)},
 		logs: logs{
 			entry: c.Logs.Layer(logger.Entry), route: c.Logs.Layer(logger.Route), keep: c.Logs.Layer(logger.Keep),
 			members: c.Logs.Layer(logger.Members), document: c.Logs.Layer(logger.Document),
--- a/server/stream.go
+++ b/server/stream.go
@@ -63,18 +63,24 @@
 	first := func() {
 		if waiting {
 			load.OwnTokens[class].Add(-prefill)
-			waiting = false
+			waiting, c.began = false, time.Now()
 		}
 	}
 	defer first()
 
+	sent, before := time.Now(), x.pending
+	c.cut, c.began = false, time.Time{}
 	response, f := c.send(ctx, cancel, r)
+	if f != nil && x.pending > before {
+		c.noteEnd(ctx, r, sent)
+	}
 	if f != nil {
 		return f
 	}
 	defer func() { _ = response.Body.Close() }()
 	f = c.read(ctx, cancel, r, response.Body, first)
 	if f != nil {
+		c.noteEnd(ctx, r, sent)
 		s.cancelStream(r.engine.Address, r.attemptID)
 	}
 	return f
--- a/server/view.go
+++ b/server/view.go
@@ -68,6 +68,7 @@
 		c.placeServices(v)
 	}
 	c.assign(v)
+	c.server.quarantine.SetUpstreams(len(v.engines))
 	c.server.current.Store(v)
 }
 
