--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -147,11 +147,10 @@
 red explained quarantiner/judge.go 's/; ok \&\& o != c \{/; false \&\& ok \&\& o != c {/' $q TestBystandersAreNotRefused
 red outage-strikes quarantiner/judge.go 's/others\+\+/_ = e/' $q TestOutageOfManyUpstreamsRefusesNothing
 red strikes-at-once quarantiner/judge.go 's/if s\.Sent\.Before\(last/if false \&\& s.Sent.Before(last/' $q TestEndsAtOnceCountOnce
-red answers-clear quarantiner/quarantiner.go 's/q\.clear\(c, now\)/_ = now/' $q TestAnswerClears
-red outlived quarantiner/quarantiner.go 's/q\.clear\(c, ended\)/_ = ended/' $q TestPopularContentIsNotRefused
+red answers-remembered quarantiner/quarantiner.go 's/; ok \&\& clears\(at, s\.Ended\)/; false \&\& ok \&\& clears(at, s.Ended)/' $q TestOutageUnderPopularContent
 red suspects-bounded quarantiner/quarantiner.go 's/len\(q\.suspects\) >= mostSuspects/false/' $q TestBounds
 red strikes-told-on quarantiner/news.go 's/s\.tellings--/_ = s/' $q TestTargetFleet
-red proven forwarder/ended.go 's/if a\.proven\(\) \{/if false {/' ./forwarder TestEndOfUpstreamCountsAgainstWhatItHadJustBegun
+red proven forwarder/stream.go 's/if a\.event\(time\.Now\(\)\)/if a.event(time.Now()) \&\& false/' ./forwarder TestEndOfUpstreamCountsAgainstWhatItHadJustBegun
 red living forwarder/ended.go 's/if !f\.presence\.Gone\(first\.Address\.String\(\)\)/if false/' ./forwarder TestBrokenAnswerOfALivingUpstreamCountsForNothing
 red suspect-once forwarder/forward.go 's/ \|\| f\.isSuspect\(x, a\)//' ./forwarder TestSuspectIsSentOnce
 red says-it-leaves dispatcher/wish.go 's/return w\.leaving \|\| w\.pausedTo/return w.pausedTo/' ./forwarder TestUpstreamThatSaysThatItLeaves
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -178,14 +178,6 @@
 	}
 }
 
-// Outlived notes that a run that ended had worked on a request for so long that the request is
-// not why. Other entries may have strikes of the content there, so they are told in any case.
-func (q *Quarantiner) Outlived(c Content, ended time.Time) {
-	q.lock.Lock()
-	defer q.lock.Unlock()
-	q.clear(c, ended)
-}
-
 // clear voids the strikes of a content that an answer clears, and lifts its quarantine.
 func (q *Quarantiner) clear(c Content, answered time.Time) {
 	p := q.suspect(c)
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -24,6 +24,8 @@
 	entries []*Quarantiner
 	// random, where not nil, draws the neighbours of a round; one in a ring otherwise.
 	random *rand.Rand
+	// verdicts counts those of all entries.
+	verdicts int
 	// count, where not nil, is told of what is sent.
 	count func(api.QuarantineNews)
 }
@@ -39,7 +41,7 @@
 }
 
 // pass lets time pass, with a heartbeat of each entry to its neighbour every 200 ms.
-func (f *fleet) pass(d time.Duration) (verdicts []Verdict) {
+func (f *fleet) pass(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.now = f.now.Add(200 * time.Millisecond)
 		for i, q := range f.entries {
@@ -55,10 +57,9 @@
 			}
 		}
 		for _, q := range f.entries {
-			verdicts = append(verdicts, q.Judge(f.now)...)
+			f.verdicts += len(q.Judge(f.now))
 		}
 	}
-	return verdicts
 }
 
 // neighbours are the entries that one exchanges heartbeats with in a round.
@@ -293,7 +294,7 @@
 		f.pass(200 * time.Millisecond)
 	}
 	f.end(2, 100*time.Millisecond, popular, content("other"))
-	f.entries[5].Outlived(popular, f.now)
+	f.entries[5].Answered(f.now, popular)
 	f.pass(2 * time.Second)
 	is.Equal(f.refuse(popular), 0)
 }
@@ -356,6 +357,7 @@
 	f.endInTurn(0, 6, popular)
 	f.pass(2 * time.Second)
 	is.Equal(f.refuse(popular), 0)
+	is.Equal(f.verdicts, 0)
 	// An entry that starts anew judges by itself, and is told better.
 	f.entries[1] = New()
 	f.entries[1].SetUpstreams(6)
--- a/server/crash.go
+++ b/server/crash.go
@@ -43,7 +43,7 @@
 		s.logs.route.Warn("engine_ended", zap.String("request", c.x.id), zap.Stringer("content", content), zap.String("engine", r.engine.Name),
 			zap.Duration("ran_ms", broke.Sub(sent)))
 		if !began.IsZero() && broke.Sub(began) >= quarantiner.ProvenTime {
-			s.quarantine.Outlived(content, broke)
+			s.quarantine.Answered(broke, content)
 			return
 		}
 		run := quarantiner.Run(quarantiner.ContentOf([]byte(r.engine.Name)))
