--- /dev/null
+++ b/controller/changes.go
@@ -0,0 +1,73 @@
+package controller
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sapphireramp/sapphireramp/asserter"
+	"github.com/sapphireramp/sapphireramp/follower"
+	"github.com/sapphireramp/sapphireramp/prober"
+	"github.com/sapphireramp/sapphireramp/quarantiner"
+)
+
+// logQuarantined logs requests that are refused from now on, as they crash what runs them.
+func (s *state) logQuarantined(now time.Time, verdicts []quarantiner.Verdict, source string) {
+	for _, v := range verdicts {
+		s.controller.config.Log.Warn("quarantined", v.Fields(now, source)...)
+	}
+}
+
+// membersChanged logs changes of members and has the view made anew.
+func (s *state) membersChanged(changes []prober.Change) {
+	for _, change := range changes {
+		s.controller.config.Log.Info("member", zap.String("name", change.Name), zap.String("from", string(change.From)),
+			zap.String("to", string(change.To)), zap.String("reason", change.Reason))
+		if change.To == prober.Dead {
+			s.died[change.Name] = time.Now()
+		}
+		s.dirty = true
+	}
+}
+
+// mostUnreadable is how many unreadable entries of one answer of the store are logged
+// one by one: enough to see who writes them.
+const mostUnreadable = 20
+
+func (s *state) logStore(changes []follower.Change, source string) {
+	unreadable := 0
+	for _, change := range changes {
+		s.dirty = true
+		if change.What == follower.Faulty {
+			if unreadable++; unreadable > mostUnreadable {
+				continue
+			}
+		}
+		event := "upstream"
+		if change.What == follower.Config {
+			event = "configuration"
+		}
+		s.controller.config.Log.Info(event, zap.String("id", change.ID), zap.String("change", change.What),
+			zap.Int64("revision", change.Revision), zap.String("source", source), zap.Error(change.Reason))
+	}
+	if unreadable > mostUnreadable {
+		s.controller.config.Log.Warn("upstreams_unreadable", zap.Int("count", unreadable), zap.Int("logged", mostUnreadable), zap.String("source", source))
+	}
+}
+
+// logFaults logs items of the store that could not be read at all.
+func (s *state) logFaults(faults []error) {
+	for i, err := range faults {
+		if i == mostUnreadable {
+			s.controller.config.Log.Warn("items_unreadable", zap.Int("count", len(faults)), zap.Int("logged", mostUnreadable))
+			return
+		}
+		s.controller.config.Log.Warn("item_unreadable", zap.Error(err))
+	}
+}
+
+// checkRevision asserts that the configuration never goes back.
+func (s *state) checkRevision(before int64) {
+	_, after := s.follower.Config()
+	s.controller.config.Asserter.Check(after >= before, asserter.RevisionWentBack, "revision %d after %d", after, before)
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -13,6 +13,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // Run names one run of an upstream.
@@ -88,6 +90,14 @@
 	Until   time.Time
 }
 
+// Fields are what is logged of a verdict that this entry came to, or heard from a source.
+func (v Verdict) Fields(now time.Time, source string) []zap.Field {
+	return []zap.Field{
+		zap.Stringer("content", v.Content), zap.Int("strikes", v.Strikes), zap.Float64("chance", v.Chance),
+		zap.Duration("left_ms", v.Until.Sub(now)), zap.String("source", source),
+	}
+}
+
 // Quarantiner holds strikes and quarantines. It is safe for concurrent use.
 type Quarantiner struct {
 	lock     sync.Mutex
--- a/server/crash.go
+++ b/server/crash.go
@@ -54,7 +54,6 @@
 // logQuarantined logs prompts that are refused from now on.
 func (s *Server) logQuarantined(now time.Time, verdicts []quarantiner.Verdict, source string) {
 	for _, v := range verdicts {
-		s.logs.route.Warn("quarantined", zap.Stringer("content", v.Content), zap.Int("strikes", v.Strikes), zap.Float64("chance", v.Chance),
-			zap.Duration("left_ms", v.Until.Sub(now)), zap.String("source", source))
+		s.logs.route.Warn("quarantined", v.Fields(now, source)...)
 	}
 }
