dispatcher: what was placed long after an upstream's new run began is not ended by late word of it

What was placed three seconds and more after the start that the upstream tells has reached the new run; where clocks differ by more, it waits for the connection's end or the watchdog. The test was red before.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -160,5 +160,7 @@
 red soak-pauses dispatcher/wish.go 's/ \|\| w\.pausedTo\.After\(now\) \}/ }/' ./launcher 'TestSoak$'
 red soak-quarantined forwarder/ended.go 's/until, ok := f\.quarantine\.Until\(now, x\.content\)/until, ok := now, false/' ./launcher 'TestSoak$'
 red server-quarantined server/complete.go 's/if f := c\.quarantined\(\); f != nil/if f := c.quarantined(); false \&\& f != nil/' ./server TestPromptThatCrashesEnginesIsStopped
+red late-word-streams forwarder/attempt.go 's/if seen == 0 \{/if true {/' ./forwarder TestStreamThatTheNewRunAnswersGoesOn
+red late-word-calls dispatcher/board.go 's/began\.IsZero\(\) \|\| !p\.request/true || !p.request/' ./forwarder TestCallSentLongAfterTheNewRunBeganIsAnswered
 red blocked-takes-nothing dispatcher/place.go 's/if w\.health\.blocked\(now\) \{/if false {/' ./dispatcher TestUpstreamsThatAcceptNothingTakeNothing
 exit $wrong
--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -86,7 +86,7 @@
 	w, ok := b.workers[i.ID]
 	if ok && !w.instance.Same(i) {
 		delete(b.tokens, w.token)
-		lose(w)
+		lose(w, i.Started)
 		ok = false
 	}
 	if !ok {
@@ -105,12 +105,18 @@
 	return w
 }
 
-// lose ends what all requests have at a worker whose run is over: those of this entry
-// hear of it at once, and nobody waits for an answer that can't come.
+// clockError is by how much the clocks of an upstream and of this entry may differ.
+const clockError = 3 * time.Second
+
+// lose ends what all requests have at a worker whose run is over, as another began at a time: those
+// of this entry hear of it at once, and nobody waits for an answer that can't come. What was placed
+// long after the new run began has reached that one: this entry heard of it late.
 // What comes late for them finds a worker without a queue, off the board.
-func lose(w *worker) {
+func lose(w *worker, began time.Time) {
 	for p := range w.parts {
-		p.request.lose()
+		if began.IsZero() || !p.request.placed.After(began.Add(clockError)) {
+			p.request.lose()
+		}
 	}
 	clear(w.parts)
 	clear(w.jobs)
--- a/forwarder/restart_test.go
+++ b/forwarder/restart_test.go
@@ -125,3 +125,21 @@
 		f.is.Equal(a.body, whole("r", 1))
 	})
 }
+
+// A call got 502 from a sound upstream, 17 ms after it had reached it: its entry heard only then, as the store had
+// been away, that the upstream had started anew, some seconds before. Found by the virtual soak.
+func TestCallSentLongAfterTheNewRunBeganIsAnswered(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		setAll(f.plain, worker.Slow)
+		time.Sleep(10 * time.Second)
+		time.AfterFunc(200*time.Millisecond, func() {
+			for i := range f.instances {
+				f.instances[i].Started = time.Now().Add(-6 * time.Second)
+			}
+			f.board.Update(f.table, f.instances)
+		})
+		a := f.ask(request{path: "/once/x", id: "r1"})
+		f.is.Equal(a.status, 200)
+		f.is.Equal(runs(f.plain, "r1"), 1)
+	})
+}
