--- a/quarantiner/judge.go
+++ b/quarantiner/judge.go
@@ -56,7 +56,9 @@
 		if !ok {
 			return out
 		}
-		q.quarantine(now, v.Content, now)
+		if !q.quarantine(now, v.Content, now) {
+			return out // as many as may be are refused already
+		}
 		out = append(out, v)
 	}
 }
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -385,3 +385,18 @@
 	f.pass(time.Second)
 	is.Equal(f.refuse(content("bad")), 6)
 }
+
+// More contents than are refused at the most may end upstreams at once.
+func TestManyContentsThatEndRuns(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 6000)
+	for n := range 3 {
+		for k := range mostQuarantined + 50 {
+			f.end(Run(n*1000+k), 100*time.Millisecond, Content(k))
+		}
+		f.pass(5 * time.Second)
+	}
+	for _, q := range f.entries {
+		is.Equal(len(q.quarantined), mostQuarantined)
+	}
+}
