quarantiner: an end that another suspect explains as well does not count against a content with few strikes

An end counts now only against contents that have more strikes than the others that were there, up to four, and is judged after a second. The rule that another was there each time is a case of this one.

--- a/quarantiner/judge.go
+++ b/quarantiner/judge.go
@@ -11,12 +11,12 @@
 	// leastStrikes is under how many upstreams, one after the other, a content has to have been
 	// when they ended.
 	leastStrikes = 3
-	// plainStrikes is from how many on it does not matter whether another content was
-	// there each time too, or whether an outage took half of all upstreams meanwhile.
+	// plainStrikes is from how many on it does not matter whether another content that was
+	// there has as many, or whether an outage took half of all upstreams meanwhile.
 	plainStrikes = 4
 	// settleTime is how long after its end a strike is judged: all entries have told by then what
 	// else ran there.
-	settleTime = 600 * time.Millisecond
+	settleTime = time.Second
 	// sameTime is how far apart upstreams end at most in one outage.
 	sameTime = time.Second
 	// outageTime is how long an outage takes upstreams at most.
@@ -40,7 +40,7 @@
 //
 // A content that was merely there when upstreams ended is told from one that ends them by
 // three things: that another, which is quarantined, was there too; that others ended at the same
-// time without it, as in an outage; and that another was there each time.
+// time without it, as in an outage; and that another that was there has as many strikes.
 func (q *Quarantiner) Judge(now time.Time) []Verdict {
 	q.lock.Lock()
 	defer q.lock.Unlock()
@@ -128,14 +128,14 @@
 		}
 		runs = append(runs, e)
 		// Repeats that were under way at once met the same outage.
-		if s.Sent.Before(last.Add(-overlapSlack)) {
+		if s.Sent.Before(last.Add(-overlapSlack)) || q.isRivalled(c, p, e) {
 			continue
 		}
 		last = s.Ended
 		v.Strikes++
 		v.Chance *= q.chance(c, s.Strike, ends)
 	}
-	if v.Strikes < plainStrikes && (accompanied(c, runs) || q.isOutage(runs, ends)) {
+	if v.Strikes < plainStrikes && q.isOutage(runs, ends) {
 		v.Strikes = 0
 	}
 	return v
@@ -178,13 +178,14 @@
 	return math.Min(mostChance, math.Max(leastChance, float64(others)/float64(max(1, q.upstreams))))
 }
 
-// accompanied reports whether another content was there whenever a run ended.
-func accompanied(c Content, runs []*ending) bool {
-	if len(runs) == 0 {
+// isRivalled reports whether another content that was there when a run ended has as many
+// strikes as one that has few.
+func (q *Quarantiner) isRivalled(c Content, p *suspect, e *ending) bool {
+	if len(p.strikes) >= plainStrikes {
 		return false
 	}
-	for o := range runs[0].contents {
-		if o != c && !slices.ContainsFunc(runs, func(e *ending) bool { return !e.contents[o] }) {
+	for o := range e.contents {
+		if o != c && len(q.suspects[o].strikes) >= len(p.strikes) {
 			return true
 		}
 	}
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -414,3 +414,21 @@
 	f.pass(2 * time.Second)
 	is.Equal(f.refuse(content("popular")), 6)
 }
+
+// A content that met an outage twice was under way once more where the one ended an upstream that
+// ends them, which was not known yet.
+func TestOutageBeforeTheCause(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, 6)
+	f.random = rand.New(rand.NewPCG(1, 1))
+	f.endInTurn(0, 2, content("popular"))
+	f.pass(4 * time.Second)
+	f.end(2, 60*time.Millisecond, content("popular"), content("bad"))
+	for n := range 3 {
+		f.pass(200 * time.Millisecond)
+		f.end(Run(3+n), 60*time.Millisecond, content("bad"))
+	}
+	f.pass(4 * time.Second)
+	is.Equal(f.refuse(content("bad")), 6)
+	is.Equal(f.refuse(content("popular")), 0)
+}
