quarantiner, dispatcher: what was there longer is not the cause; what a run says outlives late word of it

Strikes tell now since when the content was there at all; an end does not count against one where another with two strikes came later. - Four calls reached an upstream that wanted none for three seconds: their entry heard late, as the store had been away, that it had started anew, and forgot what the new run had said. What was said after the start of a run that is heard of stays. Two tests, red before.

--- a/api/quarantine.go
+++ b/api/quarantine.go
@@ -17,8 +17,9 @@
 	// Content is a hash of what the request asks for, Run one of the name of the run.
 	Content uint64
 	Run     uint32
-	// Age is how many milliseconds ago the run ended, Ran how many it had worked on the request.
-	Age, Ran uint32
+	// Age is how many milliseconds ago the run ended, Ran and Longest how many it had worked on the
+	// last and on the first request for the content.
+	Age, Ran, Longest uint32
 }
 
 // ContentNews says for how many milliseconds something has been so of a content.
--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -90,7 +90,11 @@
 		ok = false
 	}
 	if !ok {
-		w = &worker{parts: map[*part]bool{}, jobs: map[*predictor.Job]*part{}}
+		said := wish{}
+		if w != nil {
+			said = w.wish.after(i.Started)
+		}
+		w = &worker{wish: said, parts: map[*part]bool{}, jobs: map[*predictor.Job]*part{}}
 		b.workers[i.ID] = w
 	}
 	if w.instance.Started.IsZero() {
--- a/dispatcher/wish.go
+++ b/dispatcher/wish.go
@@ -13,8 +13,8 @@
 	leaving bool
 	// pausedTo is until when the run wants nothing from this entry.
 	pausedTo time.Time
-	// listedAt is when the run was last listed.
-	listedAt time.Time
+	// saidAt is when the run last said something of it, listedAt when it was last listed.
+	saidAt, listedAt time.Time
 }
 
 // refuses reports whether the run takes nothing now.
@@ -51,7 +51,20 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	w, ok := b.workers[i.ID]
-	return ok && w.instance.Same(i) && change(&w.wish)
+	if !ok || !w.instance.Same(i) {
+		return false
+	}
+	w.wish.saidAt = time.Now()
+	return change(&w.wish)
+}
+
+// after returns what is left of a wish where another run has begun at a time: what was said
+// since was said by that one, of which this entry heard late.
+func (w wish) after(began time.Time) wish {
+	if w.saidAt.After(began) {
+		return w
+	}
+	return wish{}
 }
 
 // noneUsable is the refusal where no upstream may be sent a request: it is taken when the
--- a/forwarder/heed_test.go
+++ b/forwarder/heed_test.go
@@ -96,3 +96,22 @@
 		}
 	})
 }
+
+// An upstream wanted nothing for three seconds, and its entry heard only then, as the store had been away, that
+// it had started anew before: what it said was said by the new run.
+func TestPauseOutlivesLateWordOfTheRun(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		time.Sleep(10 * time.Second)
+		for _, w := range f.plain {
+			w.SetFault(worker.Pausing)
+		}
+		f.ask(request{path: "/safe/x", id: "first"})
+		for i, w := range f.plain {
+			w.SetFault(worker.Sound)
+			f.instances[i].Started = time.Now().Add(-5 * time.Second)
+		}
+		f.board.Update(f.table, f.instances)
+		f.is.Equal(f.ask(request{path: "/safe/x", id: "second"}).status, 503)
+		f.is.Equal(runs(f.plain, "second"), 0)
+	})
+}
--- a/quarantiner/judge.go
+++ b/quarantiner/judge.go
@@ -30,10 +30,16 @@
 	doubt = 1.0 / 300
 )
 
-// ending is the end of an upstream's run, and the contents that it worked on.
+// ending is the end of an upstream's run, and since when it worked on which contents.
 type ending struct {
 	at       time.Time
-	contents map[Content]bool
+	contents map[Content]time.Time
+}
+
+// has reports whether the run worked on a content.
+func (e *ending) has(c Content) bool {
+	_, ok := e.contents[c]
+	return ok
 }
 
 // Judge forgets what is too old, and returns the contents that are refused from now on.
@@ -76,11 +82,13 @@
 		for _, s := range p.strikes {
 			e := ends.of(s.Strike)
 			if e == nil {
-				e = &ending{at: s.Ended, contents: map[Content]bool{}}
+				e = &ending{at: s.Ended, contents: map[Content]time.Time{}}
 				ends.all = append(ends.all, e)
 				ends.byRun[s.Run] = append(ends.byRun[s.Run], e)
 			}
-			e.contents[c] = true
+			if since, ok := e.contents[c]; !ok || s.First.Before(since) {
+				e.contents[c] = s.First
+			}
 		}
 	}
 	return ends
@@ -171,21 +179,26 @@
 func (q *Quarantiner) chance(c Content, s Strike, ends endings) float64 {
 	others := 0
 	for _, e := range ends.all {
-		if !e.contents[c] && e.at.Sub(s.Ended).Abs() <= sameTime && !q.explained(c, e) {
+		if !e.has(c) && e.at.Sub(s.Ended).Abs() <= sameTime && !q.explained(c, e) {
 			others++
 		}
 	}
 	return math.Min(mostChance, math.Max(leastChance, float64(others)/float64(max(1, q.upstreams))))
 }
 
-// isRivalled reports whether another content that was there when a run ended has as many
-// strikes as one that has few.
+// isRivalled reports whether another content that was there explains the end of a run as well: one
+// that has as many strikes as one that has few, or one with several that came there later. What ends
+// a run does so as it begins.
 func (q *Quarantiner) isRivalled(c Content, p *suspect, e *ending) bool {
-	if len(p.strikes) >= plainStrikes {
-		return false
-	}
-	for o := range e.contents {
-		if o != c && len(q.suspects[o].strikes) >= len(p.strikes) {
+	for o, since := range e.contents {
+		if o == c {
+			continue
+		}
+		strikes := len(q.suspects[o].strikes)
+		if strikes >= len(p.strikes) && len(p.strikes) < plainStrikes {
+			return true
+		}
+		if strikes >= suspectStrikes && since.Sub(e.contents[c]) > overlapSlack {
 			return true
 		}
 	}
--- a/quarantiner/news.go
+++ b/quarantiner/news.go
@@ -45,7 +45,7 @@
 	n := api.QuarantineNews{Digest: q.digest()}
 	for _, s := range q.untold(now) {
 		s.tellings--
-		n.Strikes = append(n.Strikes, api.StrikeNews{Content: uint64(s.Content), Run: uint32(s.Run), Age: milliseconds(now.Sub(s.Ended)), Ran: milliseconds(s.Ended.Sub(s.Sent))})
+		n.Strikes = append(n.Strikes, api.StrikeNews{Content: uint64(s.Content), Run: uint32(s.Run), Age: milliseconds(now.Sub(s.Ended)), Ran: milliseconds(s.Ended.Sub(s.Sent)), Longest: milliseconds(s.Ended.Sub(s.First))})
 	}
 	for c, p := range q.suspects {
 		if p.tellings > 0 && now.Sub(p.cleared) <= answerLife && len(n.Answers) < mostTold {
@@ -92,7 +92,7 @@
 	}
 	for _, s := range n.Strikes[:min(len(n.Strikes), mostTold)] {
 		ended := ago(now, s.Age)
-		q.strike(now, Strike{Content: Content(s.Content), Run: Run(s.Run), Sent: ago(ended, s.Ran), Ended: ended})
+		q.strike(now, Strike{Content: Content(s.Content), Run: Run(s.Run), First: ago(ended, max(s.Ran, s.Longest)), Sent: ago(ended, s.Ran), Ended: ended})
 	}
 	var out []Verdict
 	for _, c := range n.Quarantined[:min(len(n.Quarantined), mostQuarantined)] {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -24,8 +24,9 @@
 type Strike struct {
 	Content Content
 	Run     Run
-	// Sent is when the request was sent, Ended when its answer broke off.
-	Sent, Ended time.Time
+	// First and Sent are when the first and the last request for the content were sent there that
+	// had no answer yet, Ended is when the answers broke off. First may be zero where there was one.
+	First, Sent, Ended time.Time
 }
 
 const (
@@ -132,13 +133,19 @@
 }
 
 func (q *Quarantiner) strike(now time.Time, s Strike) {
+	if s.First.IsZero() {
+		s.First = s.Sent
+	}
 	if at, ok := q.answers.last(s.Content); ok && clears(at, s.Ended) {
 		q.clear(s.Content, at)
 		return
 	}
 	p := q.suspect(s.Content)
-	known := slices.ContainsFunc(p.strikes, func(o heldStrike) bool { return s.sameEnd(o.Strike) })
-	if known || clears(p.cleared, s.Ended) || now.Sub(s.Ended) > strikeLife {
+	if i := slices.IndexFunc(p.strikes, func(o heldStrike) bool { return s.sameEnd(o.Strike) }); i >= 0 {
+		p.strikes[i].join(s)
+		return
+	}
+	if clears(p.cleared, s.Ended) || now.Sub(s.Ended) > strikeLife {
 		return
 	}
 	p.strikes = append(p.strikes, heldStrike{Strike: s, tellings: newsTellings})
@@ -156,6 +163,20 @@
 	return s.Run == o.Run && s.Ended.Sub(o.Ended).Abs() <= sameTime
 }
 
+// join takes in another request for the content at the same end, and has that told where it
+// says more.
+func (h *heldStrike) join(s Strike) {
+	if h.First.Sub(s.First) > overlapSlack || s.Sent.Sub(h.Sent) > overlapSlack {
+		h.tellings = newsTellings
+	}
+	if s.First.Before(h.First) {
+		h.First = s.First
+	}
+	if s.Sent.After(h.Sent) {
+		h.Sent = s.Sent
+	}
+}
+
 // suspect returns that of a content. Where there are too many, the one with the fewest
 // strikes, and of these the oldest, goes.
 func (q *Quarantiner) suspect(c Content) *suspect {
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -432,3 +432,21 @@
 	is.Equal(f.refuse(content("bad")), 6)
 	is.Equal(f.refuse(content("popular")), 0)
 }
+
+// What many ask for was under way wherever the cause ended an upstream, and had been there for half a
+// second each time; a strike of the cause was lost with an entry.
+func TestWhatWasThereLongerIsNotTheCause(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, 6)
+	f.random = rand.New(rand.NewPCG(1, 1))
+	for n := range 7 {
+		f.end(Run(n), 550*time.Millisecond, content("popular"))
+		if n > 0 {
+			f.end(Run(n), 60*time.Millisecond, content("bad"))
+		}
+		f.pass(1200 * time.Millisecond)
+	}
+	f.pass(2 * time.Second)
+	is.Equal(f.refuse(content("bad")), 6)
+	is.Equal(f.refuse(content("popular")), 0)
+}
