quarantiner, soak: what was written twice stands once; the digest folds contents

The digest of quarantines hashed the text of each hash again in every heartbeat; contents are hashes, so they are folded. The callers of the process soak are made in one place, and so are the fleets of the quarantiner's tests whose entries draw their neighbours. No behaviour, check or bound changed: the digest names the same sets.

--- a/quarantiner/news.go
+++ b/quarantiner/news.go
@@ -77,7 +77,7 @@
 func (q *Quarantiner) digest() uint32 {
 	sum := uint32(0)
 	for c := range q.quarantined {
-		sum ^= uint32(ContentOf([]byte(c.String())))
+		sum ^= uint32(c) ^ uint32(c>>32) // contents are hashes
 	}
 	return sum
 }
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -40,6 +40,13 @@
 	return f
 }
 
+// newGossipFleet returns a fleet whose entries draw half of their neighbours, as they do.
+func newGossipFleet(entries, upstreams int) *fleet {
+	f := newFleet(entries, upstreams)
+	f.random = rand.New(rand.NewPCG(1, 1))
+	return f
+}
+
 // pass lets time pass, with a heartbeat of each entry to its neighbour every 200 ms.
 func (f *fleet) pass(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); {
@@ -303,8 +310,7 @@
 // contact have to, and what each entry sends for it stays within 3 KB/s.
 func TestTargetFleet(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(380, 600)
-	f.random = rand.New(rand.NewPCG(1, 1))
+	f := newGossipFleet(380, 600)
 	sent, out := 0, bytes.Buffer{}
 	encoder := gob.NewEncoder(&out)
 	is.NoErr(encoder.Encode(api.QuarantineNews{})) // the types are sent once a connection
@@ -419,8 +425,7 @@
 // ends them, which was not known yet.
 func TestOutageBeforeTheCause(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(6, 6)
-	f.random = rand.New(rand.NewPCG(1, 1))
+	f := newGossipFleet(6, 6)
 	f.endInTurn(0, 2, content("popular"))
 	f.pass(4 * time.Second)
 	f.end(2, 60*time.Millisecond, content("popular"), content("bad"))
@@ -437,8 +442,7 @@
 // second each time; a strike of the cause was lost with an entry.
 func TestWhatWasThereLongerIsNotTheCause(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(6, 6)
-	f.random = rand.New(rand.NewPCG(1, 1))
+	f := newGossipFleet(6, 6)
 	for n := range 7 {
 		f.end(Run(n), 550*time.Millisecond, content("popular"))
 		if n > 0 {
@@ -455,8 +459,7 @@
 // looks like is over with the fourth end, which has the content refused half a second later.
 func TestFourthEndIsJudgedSoon(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(6, 6)
-	f.random = rand.New(rand.NewPCG(1, 1))
+	f := newGossipFleet(6, 6)
 	for n := range 3 {
 		f.end(Run(n), 60*time.Millisecond, content("bad"))
 		f.now = f.now.Add(60 * time.Millisecond)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -364,15 +364,20 @@
 	}
 }
 
-// traffic starts callers that ask steadily until they are told to stop.
-func (f *fleet) traffic(name string, callers int) *caller.Traffic {
+// newCaller returns a caller that knows all directories.
+func (f *fleet) newCaller(n int) *caller.Caller {
 	var directories []netip.AddrPort
 	for _, e := range f.entries {
 		directories = append(directories, netip.AddrPortFrom(e.host, directoryPort))
 	}
 	dialer := net.Dialer{Timeout: time.Second}
+	return caller.New(directories, uint64(f.seed*100+n), dialer.DialContext)
+}
+
+// traffic starts callers that ask steadily until they are told to stop.
+func (f *fleet) traffic(name string, callers int) *caller.Traffic {
 	return caller.NewTraffic(name, callers, func(n int) *caller.Caller {
-		c := caller.New(directories, uint64(f.seed*100+n), dialer.DialContext)
+		c := f.newCaller(n)
 		if !isCalm(name) { // calm callers are to reach every entry
 			c.SetHabit(n)
 		}
@@ -384,14 +389,8 @@
 
 // repeater starts callers that ask for what crashes upstreams.
 func (f *fleet) repeater(callers int, pause time.Duration) *caller.Traffic {
-	var directories []netip.AddrPort
-	for _, e := range f.entries {
-		directories = append(directories, netip.AddrPortFrom(e.host, directoryPort))
-	}
-	dialer := net.Dialer{Timeout: time.Second}
-	return caller.NewRepeater(fmt.Sprintf("repeat%d-%d", f.seed, len(f.repeaters)), callers, caller.CrashPath, pause, func(n int) *caller.Caller {
-		return caller.New(directories, uint64(f.seed*100+50+n), dialer.DialContext)
-	})
+	name := fmt.Sprintf("repeat%d-%d", f.seed, len(f.repeaters))
+	return caller.NewRepeater(name, callers, caller.CrashPath, pause, func(n int) *caller.Caller { return f.newCaller(50 + n) })
 }
 
 // evidence is what answers are held against.
