scenario: a process is stopped before the next step begins

Cause: kill(2) returns before the threads of a process have stopped. The entry that was sent SIGSTOP went on with the call, had its connection to the service and slept there beyond the call's limit. When it woke nothing was run, and "unknown" was the true outcome: the product held, the scenario did not freeze what it said was frozen.

Now a scenario waits for the process's group stop, which its parent is told once no thread runs. The check of one execution stands as it was.

--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -104,16 +104,21 @@
 	ts.Check(err)
 }
 
-var signals = map[string]syscall.Signal{"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM}
+var signals = map[string]syscall.Signal{"CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM}
 
 // cmdSignal sends a signal to processes: signal KILL NAME...
 func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args[1:] {
 		p := processOf(ts, name)
-		ts.Check(p.running.Process.Signal(signals[args[0]]))
-		if args[0] == "KILL" {
+		switch args[0] {
+		case "STOP":
+			ts.Check(p.freeze())
+		case "KILL":
+			ts.Check(p.running.Process.Kill())
 			<-p.exited
 			p.exited <- nil
+		default:
+			ts.Check(p.running.Process.Signal(signals[args[0]]))
 		}
 	}
 }
