--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -350,13 +350,15 @@
 // cmdSameDocument checks that entries have one document in force.
 func cmdSameDocument(ts *testscript.TestScript, _ bool, args []string) {
 	digests := map[string]bool{}
+	inForce := ""
 	for _, name := range args {
 		var status api.Status
 		ts.Check(getJSON("http://"+processOf(ts, name).back.String()+api.PathStatus, &status))
 		digests[status.Digest] = true
+		inForce += fmt.Sprintf(" %s=%d", name, status.Revision)
 	}
 	if len(digests) != 1 {
-		ts.Fatalf("%d documents in force: %v", len(digests), digests)
+		ts.Fatalf("%d documents in force, by entry and revision:%s", len(digests), inForce)
 	}
 }
 
