server: calls are spread over the instances of a service

It also kept each call beside each other one, so that what only ran beside a call that crashes instances can't be told from it.

An instance is now drawn at random, of the own data centre while it has any.

--- a/server/call.go
+++ b/server/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
 
@@ -48,20 +49,26 @@
 	return f
 }
 
-// chooseInstance prefers instances of this data centre that were not tried.
+// chooseInstance draws one of the instances that were not tried, of this data centre if it has any.
 func (s *Server) chooseInstance(x *exchange, tried map[string]bool) (upstream, bool) {
-	var best upstream
-	found := false
+	var near, far []upstream
 	for _, u := range s.current.Load().services[x.service.Name] {
-		if tried[u.Name] {
-			continue
-		}
-		near := u.DataCentre == s.settings.DataCentre
-		if !found || (near && best.DataCentre != s.settings.DataCentre) {
-			best, found = u, true
+		switch {
+		case tried[u.Name]:
+		case u.DataCentre == s.settings.DataCentre:
+			near = append(near, u)
+		default:
+			far = append(far, u)
 		}
 	}
-	return best, found
+	candidates := near
+	if len(near) == 0 {
+		candidates = far
+	}
+	if len(candidates) == 0 {
+		return upstream{}, false
+	}
+	return candidates[rand.IntN(len(candidates))], true
 }
 
 func (s *Server) sendCall(x *exchange, u upstream) *failure {
--- /dev/null
+++ b/server/services_test.go
@@ -0,0 +1,106 @@
+package server
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sapphireramp/sapphireramp/api"
+)
+
+// crashingServices are instances of a service, each of which a call of one body ends; it is back after
+// 2.5 s.
+type crashingServices struct {
+	fleet *testFleet
+	lock  sync.Mutex
+	// times are when the body came to an instance.
+	times []time.Time
+	// answers is how many calls each instance has answered.
+	answers map[netip.Addr]int
+	// webs are the servers of those that run; nil once all are closed.
+	webs map[netip.Addr]*http.Server
+}
+
+const crashingBody = `{"crash":true}`
+
+func (c *crashingServices) serve(address netip.Addr) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.webs == nil {
+		return
+	}
+	c.webs[address] = c.fleet.serve(address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if string(body) != crashingBody {
+			time.Sleep(50 * time.Millisecond)
+			c.lock.Lock()
+			c.answers[address]++
+			c.lock.Unlock()
+			_, _ = io.WriteString(w, "{}")
+			return
+		}
+		c.end(address)
+		time.AfterFunc(2500*time.Millisecond, func() { c.serve(address) })
+		panic(http.ErrAbortHandler)
+	}))
+}
+
+func (c *crashingServices) end(address netip.Addr) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.times = append(c.times, time.Now())
+	c.fleet.net.Kill(address)
+	_ = c.webs[address].Close()
+}
+
+func (c *crashingServices) close() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	for address, web := range c.webs {
+		c.fleet.net.Kill(address)
+		_ = web.Close()
+	}
+	c.webs = nil
+}
+
+func (c *crashingServices) crashes() []time.Time {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.times
+}
+
+func (c *crashingServices) served() map[netip.Addr]int {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return maps.Clone(c.answers)
+}
+
+// withCrashingServices runs f on a fleet of three entries whose service has instances that a call can end.
+func withCrashingServices(t *testing.T, instances int, f func(*testFleet, *crashingServices)) {
+	withTestFleet(t, 3, 6, func(fleet *testFleet) {
+		c := &crashingServices{fleet: fleet, answers: map[netip.Addr]int{}, webs: map[netip.Addr]*http.Server{}}
+		defer c.close()
+		var names []string
+		for i := range instances {
+			name, address := fmt.Sprintf("crashing-%d", i+1), host(4, i+1)
+			names = append(names, name)
+			c.serve(address)
+			fleet.addInstance(name, api.KindService, address)
+		}
+		fleet.publishList()
+		document := testDocument(2, 6, "")
+		document = strings.Replace(document, "Instances: [service-1]", "Instances: ["+strings.Join(names, ", ")+"]", 1)
+		fleet.platform.Publish([]byte(document), false)
+		time.Sleep(3 * time.Second)
+		f(fleet, c)
+	})
+}
