server: a call that crashes the instances that run it is refused by all entries

A call that ends its instance was sent to up to four, and again under every new id and at every entry; of 40 asks in 8 s more than 12 ended an instance (TestCallThatCrashesServicesIsStopped, red before, and red without the check).

Cause: only completions had a content and were asked about. Content, refusal and what a broken attempt proves now belong to the exchange, and prompts and calls share them; outages are weighed by engines and instances together. An answer that is too large is no break.

red.sh says STALE where its test is not among the commit's files: it had said GREEN.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -24,8 +24,12 @@
       return
     fi
   done
-  local out
-  if out=$(cd "$scratch/copy" && go test "$package" -timeout 120s -run "$test" 2>&1); then
+  local out status=0
+  out=$(cd "$scratch/copy" && go test "$package" -timeout 120s -run "$test" 2>&1) || status=$?
+  if grep -q 'no tests to run' <<<"$out"; then
+    echo "STALE $name: no test $test in the commit's files"
+    wrong=1
+  elif [ "$status" = 0 ]; then
     echo "GREEN $name: $test passes without the mechanism"
     wrong=1
   elif grep -qE '^# github.com|build failed' <<<"$out"; then
@@ -157,7 +161,9 @@
 red says-it-leaves dispatcher/wish.go 's/return w\.leaving \|\| w\.pausedTo/return w.pausedTo/' ./forwarder TestUpstreamThatSaysThatItLeaves
 red leaving-remembered dispatcher/wish.go 's/return w\.leaving \&\& now[^\n]*/return false/' ./forwarder TestEngineThatSaysThatItLeaves
 red pauses dispatcher/wish.go 's/ \|\| w\.pausedTo\.After\(now\) \}/ }/' ./forwarder TestPausingUpstream
-red server-quarantined server/complete.go 's/if f := c\.quarantined\(\); f != nil/if f := c.quarantined(); false \&\& f != nil/' ./server TestPromptThatCrashesEnginesIsStopped
+red server-quarantined server/complete.go 's/if f := x\.quarantined\(\); f != nil/if f := x.quarantined(); false \&\& f != nil/' ./server TestPromptThatCrashesEnginesIsStopped
+red calls-quarantined server/call.go 's/if f := x\.quarantined\(\); f != nil/if f := x.quarantined(); false \&\& f != nil/' ./server TestCallThatCrashesServicesIsStopped
+red calls-spread server/call.go 's/candidates\[rand\.IntN\(len\(candidates\)\)\]/candidates[0*rand.IntN(1)]/' ./server 'TestCallsAreSpreadOverInstances|TestCallBesideOneThatCrashesServices'
 red late-word-streams forwarder/attempt.go 's/if seen == 0 \{/if true {/' ./forwarder TestStreamThatTheNewRunAnswersGoesOn
 red late-word-calls dispatcher/board.go 's/began\.IsZero\(\) \|\| !p\.request/true || !p.request/' ./forwarder TestCallSentLongAfterTheNewRunBeganIsAnswered
 red blocked-takes-nothing dispatcher/place.go 's/if w\.health\.blocked\(now\) \{/if false {/' ./dispatcher TestUpstreamsThatAcceptNothingTakeNothing
--- a/api/api.go
+++ b/api/api.go
@@ -69,7 +69,7 @@
 	CodeOrganisationLimit   = "organisation_limit"
 	CodeNoUpstream          = "no_upstream"
 	CodeUpstreamFailed      = "upstream_failed"
-	// CodeQuarantined refuses prompts that crash the engines that run them.
+	// CodeQuarantined refuses requests that crash the upstreams that run them.
 	CodeQuarantined      = "quarantined"
 	CodeStopping         = "stopping"
 	CodeNotReady         = "not_ready"
--- a/server/call.go
+++ b/server/call.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -20,7 +21,11 @@
 // byte of it left, or the instance says that it never started.
 func (s *Server) callService(x *exchange) *failure {
 	tried := map[string]bool{}
+	x.content = contentOf(x)
 	for range maxAttempts {
+		if f := x.quarantined(); f != nil {
+			return f
+		}
 		u, ok := s.chooseInstance(x, tried)
 		if !ok {
 			f := fail(api.CodeNoUpstream, "no instance of service %s can take the call now", x.service.Name)
@@ -33,6 +38,7 @@
 			zap.Bool("repeatable", x.repeatable), zap.Int("attempt", len(tried)))
 		f := s.sendCall(x, u)
 		if f == nil {
+			s.quarantine.Answered(time.Now(), x.content)
 			return nil
 		}
 		if x.ctx.Err() != nil || x.left() <= 0 {
@@ -43,6 +49,10 @@
 		if !x.repeatable && x.pending > 0 {
 			return f
 		}
+		if x.isSuspect() {
+			f.retryAfter = s.retryAfter()
+			return f
+		}
 	}
 	f := fail(api.CodeUpstreamFailed, "no instance of service %s answered", x.service.Name)
 	f.retryAfter = s.retryAfter()
@@ -85,9 +95,13 @@
 		return fail(api.CodeDeadline, "the time limit has passed")
 	}
 	x.pending++
+	x.cut = false
+	t := trial{upstream: u.Name, address: u.Address.String(), sent: time.Now()}
 	response, err := client.Do(request)
 	if err != nil {
-		if !*connected {
+		if *connected {
+			x.noteEnd(x.ctx, t)
+		} else {
 			x.pending-- // no byte left for the service
 		}
 		f := fail(api.CodeUpstreamFailed, "service %s did not answer", x.service.Name)
@@ -95,7 +109,11 @@
 		return f
 	}
 	defer func() { _ = response.Body.Close() }()
+	t.began = time.Now()
 	body, err := readAnswer(response, s.settings.Callers.MaxBody)
+	if err != nil && !errors.Is(err, errAnswerTooLarge) {
+		x.noteEnd(x.ctx, t)
+	}
 	if err != nil {
 		f := fail(api.CodeUpstreamFailed, "service %s broke off", x.service.Name)
 		f.err = err
--- a/server/complete.go
+++ b/server/complete.go
@@ -12,7 +12,6 @@
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/keeper"
 	"github.com/sapphireramp/sapphireramp/placer"
-	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/relayer"
 	"github.com/sapphireramp/sapphireramp/router"
 	"github.com/sapphireramp/sapphireramp/sleeper"
@@ -33,7 +32,6 @@
 // completion is the work on one prompt.
 type completion struct {
 	x        *exchange
-	content  quarantiner.Content
 	relayer  *relayer.Relayer
 	random   *rand.Rand
 	text     strings.Builder
@@ -41,9 +39,7 @@
 	tried    []string
 	version  string
 	attempts int
-	// cut is true once an engine broke an attempt off, began is when the last attempt's answer did;
-	// zero before.
-	cut   bool
+	// began is when the last attempt's answer did; zero before.
 	began time.Time
 }
 
@@ -51,18 +47,19 @@
 // an engine fails.
 func (s *Server) complete(x *exchange) *failure {
 	x.body = nil // the decoded prompt is enough from here on
-	c := &completion{x: x, content: contentOf(x), relayer: relayer.New(x.id), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	x.content = contentOf(x)
+	c := &completion{x: x, relayer: relayer.New(x.id), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	if x.completion.Seed == 0 {
 		x.completion.Seed = c.random.Uint64()>>1 | 1
 	}
 	defer func() { s.metrics.dropped.Inc(int64(c.dropped())) }()
 	for {
-		if f := c.quarantined(); f != nil {
+		if f := x.quarantined(); f != nil {
 			return f
 		}
 		f := c.attempt()
 		if f == nil {
-			s.quarantine.Answered(time.Now(), c.content)
+			s.quarantine.Answered(time.Now(), x.content)
 			return c.finish()
 		}
 		if !c.mayRetry(f) {
@@ -85,7 +82,7 @@
 	if f.code != api.CodeUpstreamFailed || c.attempts >= maxAttempts || x.ctx.Err() != nil {
 		return false
 	}
-	if c.cut && x.server.quarantine.IsSuspect(c.content) {
+	if x.isSuspect() {
 		return false
 	}
 	// What may have run is not run again, unless the request is repeatable.
--- a/server/crash.go
+++ b/server/crash.go
@@ -10,48 +10,63 @@
 	"github.com/sapphireramp/sapphireramp/quarantiner"
 )
 
-// contentOf names what a completion asks for, whatever id it has.
+// contentOf names what a prompt or a call asks for, whatever id it has.
 func contentOf(x *exchange) quarantiner.Content {
-	r := x.completion
-	return quarantiner.ContentOf([]byte(x.organisation.Name), []byte(r.Model), []byte(r.Adapter), []byte(r.Prompt))
+	organisation := []byte(x.organisation.Name)
+	if r := x.completion; r != nil {
+		return quarantiner.ContentOf(organisation, []byte(r.Model), []byte(r.Adapter), []byte(r.Prompt))
+	}
+	return quarantiner.ContentOf(organisation, []byte(x.service.Name), []byte(x.call), x.body)
 }
 
-// quarantined refuses a prompt that crashes the engines that run it.
-func (c *completion) quarantined() *failure {
+// quarantined refuses a request that crashes the upstreams that run it.
+func (x *exchange) quarantined() *failure {
 	now := time.Now()
-	until, ok := c.x.server.quarantine.Until(now, c.content)
+	until, ok := x.server.quarantine.Until(now, x.content)
 	if !ok {
 		return nil
 	}
-	f := fail(api.CodeQuarantined, "engines ended one after the other that ran this prompt")
+	f := fail(api.CodeQuarantined, "upstreams ended one after the other that ran this request")
 	f.retryAfter = until.Sub(now)
 	return f
 }
 
-// noteEnd finds out whether an attempt that broke off did so because its engine has ended. The
+// isSuspect reports whether an attempt broke off that is not to be made again elsewhere, since
+// upstreams have ended under the request before.
+func (x *exchange) isSuspect() bool { return x.cut && x.server.quarantine.IsSuspect(x.content) }
+
+// trial is an attempt as a proof of whether its upstream can run the request.
+type trial struct {
+	upstream string
+	address  string
+	// sent is when the attempt was sent, began when its answer did; zero where it did not.
+	sent, began time.Time
+}
+
+// noteEnd finds out whether an attempt that broke off did so because its upstream has ended. The
 // request does not wait for that. Ctx is the attempt's: one that this entry ended tells nothing.
-func (c *completion) noteEnd(ctx context.Context, r run, sent time.Time) {
+func (x *exchange) noteEnd(ctx context.Context, t trial) {
 	if context.Cause(ctx) != nil {
 		return
 	}
-	c.cut = true
-	s, content, broke, began := c.x.server, c.content, time.Now(), c.began
+	x.cut = true
+	s, id, content, broke := x.server, x.id, x.content, time.Now()
 	go func() {
-		if !s.presence.Gone(r.engine.Address) {
+		if !s.presence.Gone(t.address) {
 			return
 		}
-		s.logs.route.Warn("engine_ended", zap.String("request", c.x.id), zap.Stringer("content", content), zap.String("engine", r.engine.Name),
-			zap.Duration("ran_ms", broke.Sub(sent)))
-		if !began.IsZero() && broke.Sub(began) >= quarantiner.ProvenTime {
+		s.logs.route.Warn("upstream_ended", zap.String("request", id), zap.Stringer("content", content), zap.String("upstream", t.upstream),
+			zap.Duration("ran_ms", broke.Sub(t.sent)))
+		if !t.began.IsZero() && broke.Sub(t.began) >= quarantiner.ProvenTime {
 			s.quarantine.Answered(broke, content)
 			return
 		}
-		run := quarantiner.Run(quarantiner.ContentOf([]byte(r.engine.Name)))
-		s.quarantine.Struck(time.Now(), quarantiner.Strike{Content: content, Run: run, Sent: sent, Ended: broke})
+		run := quarantiner.Run(quarantiner.ContentOf([]byte(t.upstream)))
+		s.quarantine.Struck(time.Now(), quarantiner.Strike{Content: content, Run: run, Sent: t.sent, Ended: broke})
 	}()
 }
 
-// logQuarantined logs prompts that are refused from now on.
+// logQuarantined logs requests that are refused from now on.
 func (s *Server) logQuarantined(now time.Time, verdicts []quarantiner.Verdict, source string) {
 	for _, v := range verdicts {
 		s.logs.route.Warn("quarantined", v.Fields(now, source)...)
--- /dev/null
+++ b/server/crash_call_test.go
@@ -0,0 +1,57 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sapphireramp/sapphireramp/client"
+)
+
+// Instances of a service end one after the other under one call that is made again and again through all
+// entries, as engines did under one prompt.
+func TestCallThatCrashesServicesIsStopped(t *testing.T) {
+	withCrashingServices(t, 6, func(f *testFleet, c *crashingServices) {
+		is := is.New(t)
+		for i := range 40 {
+			// May be repeated or not: what it does to instances is the same.
+			call := []string{"lookup", "truck"}[i/20]
+			_, err := f.client(1).Call(context.Background(), "dispatch", call, []byte(crashingBody), client.Options{Timeout: 5 * time.Second, Once: call == "truck"})
+			is.True(err != nil)
+			time.Sleep(200 * time.Millisecond)
+		}
+		is.True(len(c.crashes()) >= 6)  // three for each call
+		is.True(len(c.crashes()) <= 12) // and what was under way
+		time.Sleep(5 * time.Second)
+		for range 10 {
+			_, err := f.client(1).Call(context.Background(), "dispatch", "lookup", []byte("{}"), client.Options{Timeout: 5 * time.Second})
+			is.NoErr(err)
+		}
+	})
+}
+
+// A call that runs beside one that crashes instances is not refused for it.
+func TestCallBesideOneThatCrashesServices(t *testing.T) {
+	withCrashingServices(t, 6, func(f *testFleet, c *crashingServices) {
+		is := is.New(t)
+		for range 30 {
+			var calls sync.WaitGroup
+			for _, body := range []string{crashingBody, `{"innocent":true}`} {
+				calls.Go(func() {
+					_, _ = f.client(1).Call(context.Background(), "dispatch", "lookup", []byte(body), client.Options{Timeout: 5 * time.Second})
+				})
+			}
+			calls.Wait()
+			time.Sleep(200 * time.Millisecond)
+		}
+		is.True(len(c.crashes()) >= 3)
+		time.Sleep(5 * time.Second)
+		for range 10 {
+			_, err := f.client(1).Call(context.Background(), "dispatch", "lookup", []byte(`{"innocent":true}`), client.Options{Timeout: 5 * time.Second})
+			is.NoErr(err)
+		}
+	})
+}
--- a/server/exchange.go
+++ b/server/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/spender"
 	"github.com/sapphireramp/sapphireramp/validator"
 )
@@ -29,6 +30,10 @@
 	completion *api.CompletionRequest
 	service    *validator.Service
 	call       string
+	// content is what the request asks for, cut is true once an upstream broke its last
+	// attempt off.
+	content quarantiner.Content
+	cut     bool
 
 	timeout      time.Duration
 	timeoutGiven bool
--- a/server/stream.go
+++ b/server/stream.go
@@ -69,10 +69,10 @@
 	defer first()
 
 	sent, before := time.Now(), x.pending
-	c.cut, c.began = false, time.Time{}
+	x.cut, c.began = false, time.Time{}
 	response, f := c.send(ctx, cancel, r)
 	if f != nil && x.pending > before {
-		c.noteEnd(ctx, r, sent)
+		x.noteEnd(ctx, c.trial(r, sent))
 	}
 	if f != nil {
 		return f
@@ -80,12 +80,16 @@
 	defer func() { _ = response.Body.Close() }()
 	f = c.read(ctx, cancel, r, response.Body, first)
 	if f != nil {
-		c.noteEnd(ctx, r, sent)
+		x.noteEnd(ctx, c.trial(r, sent))
 		s.cancelStream(r.engine.Address, r.attemptID)
 	}
 	return f
 }
 
+func (c *completion) trial(r run, sent time.Time) trial {
+	return trial{upstream: r.engine.Name, address: r.engine.Address, sent: sent, began: c.began}
+}
+
 // send dispatches an attempt. When it returns a failure the exchange's count
 // of pending attempts says whether anything may have started.
 func (c *completion) send(ctx context.Context, cancel context.CancelCauseFunc, r run) (*http.Response, *failure) {
--- a/server/view.go
+++ b/server/view.go
@@ -50,6 +50,20 @@
 	Usable bool
 }
 
+// upstreams is how many engines and instances of services there are.
+func (v *view) upstreams() int {
+	names := map[string]bool{}
+	for name := range v.engines {
+		names[name] = true
+	}
+	for _, instances := range v.services {
+		for _, u := range instances {
+			names[u.Name] = true
+		}
+	}
+	return len(names)
+}
+
 func emptyView() *view {
 	return &view{board: router.NewBoard(nil)}
 }
@@ -68,7 +82,7 @@
 		c.placeServices(v)
 	}
 	c.assign(v)
-	c.server.quarantine.SetUpstreams(len(v.engines))
+	c.server.quarantine.SetUpstreams(v.upstreams())
 	c.server.current.Store(v)
 }
 
