scenario: test processes that run at once have hosts of their own

Each process counts ports on from one that its ID gives, in one range of 20,000, so processes of near IDs count through the same ones.

The hosts of the loopback network are now drawn by the process's ID too: processes whose IDs are less than 250 apart share none, others count from ports that lie apart.

--- /dev/null
+++ b/scenario/addresses_test.go
@@ -0,0 +1,24 @@
+package scenario
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Two runs of the scenarios at once met at a port: "bind: address already in use".
+func TestTestProcessesShareNoAddress(t *testing.T) {
+	is := is.New(t)
+	const pid, processes, ports = 4_194_000, 300, 700
+	owners := map[netip.AddrPort]int{}
+	for p := pid; p < pid+processes; p++ {
+		host := hostOf(p, 1, 1)
+		for n := range uint32(ports) {
+			address := netip.AddrPortFrom(host, portOf(p, n))
+			owner, taken := owners[address]
+			is.True(!taken || owner == p) // each address has one process
+			owners[address] = p
+		}
+	}
+}
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -69,9 +69,18 @@
 var nextPort atomic.Uint32
 
 func newAddress(ip netip.Addr) netip.AddrPort {
+	return netip.AddrPortFrom(ip, portOf(os.Getpid(), nextPort.Add(1)))
+}
+
+// portOf is the nth port that a test process hands out.
+func portOf(pid int, n uint32) uint16 {
 	const low, span = 10_000, 20_000
-	n := nextPort.Add(1)
-	return netip.AddrPortFrom(ip, uint16(low+(uint32(os.Getpid())*37+n)%span))
+	return uint16(low + (uint32(pid)*37+n)%span)
+}
+
+// hostOf is an address of the loopback network that test processes of near IDs don't share.
+func hostOf(pid int, kind, number byte) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(1 + pid%250), kind, number})
 }
 
 const organisationKey = "scenario-key"
@@ -149,7 +158,7 @@
 
 // add lays out one process. Its address tells it apart from all others.
 func (f *fleet) add(name string, kind, number int, command func(*process) []string) *process {
-	ip := netip.AddrFrom4([4]byte{127, 0, byte(kind), byte(number)})
+	ip := hostOf(os.Getpid(), byte(kind), byte(number))
 	p := &process{name: name, front: newAddress(ip), back: newAddress(ip)}
 	if command != nil {
 		p.command = command(p)
--- a/scenario/http_test.go
+++ b/scenario/http_test.go
@@ -6,6 +6,7 @@
 	"html"
 	"io"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"os"
 	"path/filepath"
@@ -55,7 +56,7 @@
 }
 
 // consoleAddress is where the scenario's console listens.
-const consoleAddress = "127.0.8.1:9999"
+var consoleAddress = netip.AddrPortFrom(hostOf(os.Getpid(), 8, 1), 9999).String()
 
 // cmdConsole starts a console in the background.
 func cmdConsole(ts *testscript.TestScript, _ bool, _ []string) {
