controller: status and metrics tell how load is passed on

Status has LoadNews now: entries told at all and of each change, data centres with relays, messages and bytes told, passed on and heard, those that could not be read; the bytes are metrics too.

TestStatusTellsOfLoadNews (24 entries in three data centres): 20 changes are told to seven entries and two relays each, and passed on by those to the seven others; red where what is passed on counts as told.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -167,4 +167,5 @@
 red late-word-streams forwarder/attempt.go 's/if seen == 0 \{/if true {/' ./forwarder TestStreamThatTheNewRunAnswersGoesOn
 red late-word-calls dispatcher/board.go 's/began\.IsZero\(\) \|\| !p\.request/true || !p.request/' ./forwarder TestCallSentLongAfterTheNewRunBeganIsAnswered
 red blocked-takes-nothing dispatcher/place.go 's/if w\.health\.blocked\(now\) \{/if false {/' ./dispatcher TestUpstreamsThatAcceptNothingTakeNothing
+red load-news controller/shares.go 's/&c\.news\.relayed/\&c.news.told/g' ./controller TestStatusTellsOfLoadNews
 exit $wrong
--- a/api/entry.go
+++ b/api/entry.go
@@ -57,6 +57,25 @@
 	Engines    []EngineStatus
 	InFlight   int
 	Violations map[string]int
+	// LoadNews is of entries on the users' platform only.
+	LoadNews *LoadNews `json:",omitempty"`
+}
+
+// LoadNews is how an entry tells others of load, and what it told and heard since its start.
+type LoadNews struct {
+	// PlacingPeers are told of each change, Peers of all load from time to time; in RelayedCentres one entry
+	// drawn for each message passes it on.
+	Peers, PlacingPeers, RelayedCentres int
+	// Told are messages of its own load, Relayed those of other data centres that it passed on,
+	// each counted once for every entry that it was sent to. Heard are all that came.
+	Told, Relayed, Heard MessageCount
+	// Malformed messages came and could not be read.
+	Malformed int64
+}
+
+// MessageCount is a number of messages, and their payload in bytes.
+type MessageCount struct {
+	Messages, Bytes int64
 }
 
 // MemberStatus is one entry as another believes it to be.
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -98,6 +98,7 @@
 	pool, fetches *connector.Pool
 	compressed    compressedConfig
 	tellers       tellers
+	news          loadNews
 	// pushes asks for heartbeats to all peers at once, meetings for all load to be told
 	// to entries that are new here.
 	pushes, meetings chan struct{}
@@ -178,6 +179,7 @@
 		config: c, control: sequencer.New[*state](), pool: connector.New(c.Dial), fetches: connector.New(c.Dial),
 		pushes: make(chan struct{}, 1), meetings: make(chan struct{}, 1), metrics: newMetrics(c.Scope),
 	}
+	ctl.news.measure(c.Scope)
 	ctl.current.Store(&view{View: forwarder.View{Entries: 1}})
 	return ctl
 }
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -485,6 +485,35 @@
 	})
 }
 
+// Operators see whom an entry tells of load, who passes it on, and what that costs.
+func TestStatusTellsOfLoadNews(t *testing.T) {
+	withFleet(t, 24, func(f *fleet) {
+		for n := 1; n <= 20; n++ {
+			_, refusal := f.entries[0].board.Place(time.Now(), dispatcher.Demand{Service: "app"})
+			f.is.True(refusal == nil)
+			f.within(20*time.Millisecond, "load told", knowing(n))
+		}
+		first := f.entries[0].Status()
+		f.is.Equal(first.LoadNews.Peers, 23)
+		f.is.Equal(first.LoadNews.PlacingPeers, 23) // all are as fast
+		f.is.Equal(first.LoadNews.RelayedCentres, 2)
+		f.is.True(first.LoadNews.Told.Messages >= 20*(7+2))
+		f.is.Equal(first.LoadNews.Relayed.Messages, int64(0)) // its own data centre's are told by itself
+		relayed, bytes := int64(0), int64(0)
+		for _, e := range f.entries[1:] {
+			news := e.Status().LoadNews
+			if e.Status().DataCentre != first.DataCentre {
+				relayed += news.Relayed.Messages
+				bytes += news.Relayed.Bytes
+			}
+			f.is.True(news.Heard.Messages >= 20) // each change, and repeats
+			f.is.Equal(news.Malformed, int64(0))
+		}
+		f.is.True(relayed >= 20*2*7) // each change, by one of eight entries to the others
+		f.is.True(bytes > relayed)
+	})
+}
+
 // A burst at a fleet of 8 fast and 22 slow entries: only the fast ones take callers, so only
 // they need to know of each request at once. A slow one that is asked all the same is one of
 // them from its first request on.
--- a/controller/paths.go
+++ b/controller/paths.go
@@ -52,6 +52,15 @@
 	return paths
 }
 
+// count is how many entries are told, those by relays too.
+func (p sharePaths) count() int {
+	n := len(p.near)
+	for _, group := range p.far {
+		n += len(group)
+	}
+	return n
+}
+
 func everyone(peer) bool { return true }
 
 func places(p peer) bool { return p.places }
--- a/controller/shares.go
+++ b/controller/shares.go
@@ -66,9 +66,9 @@
 		paths, relayed = c.current.Load().paths, dispatcher.RelayToAll
 	}
 	for _, m := range messages {
-		c.sendEach(socket, m, paths.near)
+		c.sendEach(socket, m, paths.near, &c.news.told)
 		for _, group := range paths.far {
-			c.send(socket, dispatcher.ForRelay(relayed, m), group[rand.IntN(len(group))])
+			c.send(socket, dispatcher.ForRelay(relayed, m), group[rand.IntN(len(group))], &c.news.told)
 		}
 	}
 }
@@ -86,19 +86,20 @@
 			messages = c.encodeShares(c.config.Board.Shares(time.Now()))
 		}
 		for _, m := range messages {
-			c.send(socket, m, p.shares)
+			c.send(socket, m, p.shares, &c.news.told)
 		}
 	}
 	return incarnations(peers)
 }
 
-func (c *Controller) sendEach(socket net.PacketConn, message []byte, to []netip.AddrPort) {
+func (c *Controller) sendEach(socket net.PacketConn, message []byte, to []netip.AddrPort, counted *messageCount) {
 	for _, address := range to {
-		c.send(socket, message, address)
+		c.send(socket, message, address, counted)
 	}
 }
 
-func (c *Controller) send(socket net.PacketConn, message []byte, to netip.AddrPort) {
+func (c *Controller) send(socket net.PacketConn, message []byte, to netip.AddrPort, counted *messageCount) {
+	counted.add(len(message))
 	if _, err := socket.WriteTo(message, net.UDPAddrFromAddrPort(to)); err != nil {
 		c.config.Log.Debug("share_not_sent", zap.Stringer("peer", to), zap.Error(err))
 	}
@@ -118,9 +119,11 @@
 			time.Sleep(shareTime)
 			continue
 		}
+		c.news.heard.add(n)
 		relay, message := dispatcher.Relayed(buffer[:n])
 		peer, shares, err := dispatcher.DecodeShares(message)
 		if err != nil {
+			c.news.malformed.Add(1)
 			if skipped, ok := malformed.due(time.Now()); ok {
 				c.config.Log.Warn("share_malformed", zap.Stringer("from", from), zap.Int("skipped", skipped), zap.Error(err))
 			}
@@ -129,9 +132,9 @@
 		now := time.Now()
 		switch relay {
 		case dispatcher.RelayToAll:
-			c.sendEach(socket, message, c.current.Load().paths.own)
+			c.sendEach(socket, message, c.current.Load().paths.own, &c.news.relayed)
 		case dispatcher.RelayToPlacing:
-			c.sendEach(socket, message, c.current.Load().placing.own)
+			c.sendEach(socket, message, c.current.Load().placing.own, &c.news.relayed)
 		}
 		if c.tellers.heard(now, peer) {
 			c.do(func(s *state) { s.dirty = true })
--- a/controller/status.go
+++ b/controller/status.go
@@ -22,6 +22,7 @@
 			Failures: row.Failures,
 		})
 	}
+	status.LoadNews = c.news.status(c.current.Load())
 	status.Violations = c.config.Asserter.Violations()
 	return status
 }
