server: calls to services are placed by the platform path's board

An instance of a service that froze took its share of all calls of the product's own interface, each until its time limit, for as long as it was listed: with three instances a third of all calls (before calls were spread, all of them where it was named first). TestCallsAvoidAFrozenInstance: more than 6 of 60 calls failed.

Cause: the own interface remembered nothing of what became of calls. The board that places plain requests on the users' platform does: least loaded first, failures remembered and forgotten by halves, no connection left alone for a while, other data centres at a price.

60 calls with one of three frozen: at most 6 fail, and it is used again within 20 s of its return. red.sh: calls-health, local-board, calls-spread.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -163,7 +163,9 @@
 red pauses dispatcher/wish.go 's/ \|\| w\.pausedTo\.After\(now\) \}/ }/' ./forwarder TestPausingUpstream
 red server-quarantined server/complete.go 's/if f := x\.quarantined\(\); f != nil/if f := x.quarantined(); false \&\& f != nil/' ./server TestPromptThatCrashesEnginesIsStopped
 red calls-quarantined server/call.go 's/if f := x\.quarantined\(\); f != nil/if f := x.quarantined(); false \&\& f != nil/' ./server TestCallThatCrashesServicesIsStopped
-red calls-spread server/call.go 's/candidates\[rand\.IntN\(len\(candidates\)\)\]/candidates[0*rand.IntN(1)]/' ./server 'TestCallsAreSpreadOverInstances|TestCallBesideOneThatCrashesServices'
+red calls-spread dispatcher/place.go 's/cost \+= spread \* b\.random\.Float64\(\)/_ = spread/' ./server 'TestCallsAreSpreadOverInstances|TestCallBesideOneThatCrashesServices'
+red calls-health server/call.go 's/return dispatcher\.Failed\n\}/return dispatcher.Answered\n}/' ./server TestCallsAvoidAFrozenInstance
+red local-board dispatcher/share.go 's/if b\.local \{/if false {/g' ./dispatcher TestLocalBoardKeepsNothingForPeers
 red late-word-streams forwarder/attempt.go 's/if seen == 0 \{/if true {/' ./forwarder TestStreamThatTheNewRunAnswersGoesOn
 red late-word-calls dispatcher/board.go 's/began\.IsZero\(\) \|\| !p\.request/true || !p.request/' ./forwarder TestCallSentLongAfterTheNewRunBeganIsAnswered
 red blocked-takes-nothing dispatcher/place.go 's/if w\.health\.blocked\(now\) \{/if false {/' ./dispatcher TestUpstreamsThatAcceptNothingTakeNothing
--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -34,6 +34,8 @@
 	blind bool
 	// rankSalt orders engines alike at all entries, but for blind ones.
 	rankSalt string
+	// local boards tell nobody.
+	local bool
 	// changed are own requests to tell peers of, ended those that are over since
 	// the last Export, endedBefore those of the one before it that told all.
 	changed            map[*request]bool
@@ -51,6 +53,14 @@
 	}
 }
 
+// NewLocal returns a board of what this entry alone sends to upstreams: nothing of it is kept for
+// peers, and Export has nothing to tell.
+func NewLocal(dataCentre string, random *rand.Rand) *Board {
+	b := New(dataCentre, random)
+	b.local = true
+	return b
+}
+
 // Update takes in the services of a configuration and the upstreams that may
 // be sent work.
 func (b *Board) Update(table *matcher.Table, instances []Instance) {
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -56,12 +56,18 @@
 
 // tell notes that peers are to hear of a request.
 func (b *Board) tell(r *request) {
+	if b.local {
+		return
+	}
 	b.changed[r] = true
 	b.wake()
 }
 
 // tellEnd notes that peers are to hear of a request's end.
 func (b *Board) tellEnd(r *request) {
+	if b.local {
+		return
+	}
 	delete(b.changed, r)
 	b.ended = append(b.ended, r.token)
 	b.wake()
--- a/dispatcher/share_test.go
+++ b/dispatcher/share_test.go
@@ -1,12 +1,15 @@
 package dispatcher
 
 import (
+	"math/rand/v2"
 	"reflect"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/sapphireramp/sapphireramp/matcher"
 )
 
 // Shares come through a message as they were, whatever their number.
@@ -84,3 +87,18 @@
 	f.Add(EncodeShares(1, []Share{{Request: 2, Parts: []SharePart{{Upstream: 3}}}})[0])
 	f.Fuzz(func(_ *testing.T, m []byte) { _, _, _ = DecodeShares(m) })
 }
+
+// A board that tells nobody would keep what it has to tell for ever.
+func TestLocalBoardKeepsNothingForPeers(t *testing.T) {
+	is := is.New(t)
+	b := NewLocal("dc", rand.New(rand.NewPCG(1, 2)))
+	b.Update(&matcher.Table{}, []Instance{{ID: "i-1", Service: "plain", Slots: 4}})
+	for range 100 {
+		p, refusal := b.Place(time.Now(), Demand{Service: "plain"})
+		is.True(refusal == nil)
+		p.Began(time.Now())
+		p.End(time.Now(), Answered)
+	}
+	is.Equal(len(b.Changed), 0)
+	is.Equal(len(b.Export(time.Now(), true)), 0)
+}
--- a/server/call.go
+++ b/server/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -14,29 +15,29 @@
 
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/asserter"
+	"github.com/sapphireramp/sapphireramp/dispatcher"
 )
 
 // callService sends a call to an instance of a service and gives back its
 // whole answer. A call that may not be repeated is sent again only where no
 // byte of it left, or the instance says that it never started.
 func (s *Server) callService(x *exchange) *failure {
-	tried := map[string]bool{}
+	var tried []dispatcher.Instance
 	x.content = contentOf(x)
 	for range maxAttempts {
 		if f := x.quarantined(); f != nil {
 			return f
 		}
-		u, ok := s.chooseInstance(x, tried)
-		if !ok {
-			f := fail(api.CodeNoUpstream, "no instance of service %s can take the call now", x.service.Name)
-			f.retryAfter = s.retryAfter()
+		p, f := s.placeCall(x, tried)
+		if f != nil {
 			return f
 		}
-		tried[u.Name] = true
+		tried = append(tried, p.First)
 		s.logs.route.Info("route", zap.String("request", x.id), zap.String("organisation", x.organisation.Name),
-			zap.String("service", x.service.Name), zap.String("call", x.call), zap.String("instance", u.Name),
+			zap.String("service", x.service.Name), zap.String("call", x.call), zap.String("instance", p.First.ID), zap.Int("running", p.Load.Running),
 			zap.Bool("repeatable", x.repeatable), zap.Int("attempt", len(tried)))
-		f := s.sendCall(x, u)
+		result, f := s.sendCall(x, p)
+		p.End(time.Now(), result)
 		if f == nil {
 			s.quarantine.Answered(time.Now(), x.content)
 			return nil
@@ -59,54 +60,54 @@
 	return f
 }
 
-// chooseInstance draws one of the instances that were not tried, of this data centre if it has any.
-func (s *Server) chooseInstance(x *exchange, tried map[string]bool) (upstream, bool) {
-	var near, far []upstream
-	for _, u := range s.current.Load().services[x.service.Name] {
-		switch {
-		case tried[u.Name]:
-		case u.DataCentre == s.settings.DataCentre:
-			near = append(near, u)
-		default:
-			far = append(far, u)
-		}
-	}
-	candidates := near
-	if len(near) == 0 {
-		candidates = far
-	}
-	if len(candidates) == 0 {
-		return upstream{}, false
+// callSlots is how many calls an instance of a service is taken to work on at once: while none has more than
+// a sixteenth of that above others, those of this data centre go first.
+const callSlots = 16
+
+// newCallBoard returns the board of an entry's calls to services.
+func newCallBoard(dataCentre string) *dispatcher.Board {
+	return dispatcher.NewLocal(dataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+}
+
+// placeCall finds the instance of the call's service that has the least to do and fails least, as far as
+// this entry has seen, of this data centre rather than another.
+func (s *Server) placeCall(x *exchange, tried []dispatcher.Instance) (*dispatcher.Placement, *failure) {
+	p, refusal := s.calls.Place(time.Now(), dispatcher.Demand{Service: x.service.Name, Avoid: tried})
+	if refusal == nil {
+		return p, nil
 	}
-	return candidates[rand.IntN(len(candidates))], true
+	f := fail(api.CodeNoUpstream, "no instance of service %s can take the call now", x.service.Name)
+	f.retryAfter, f.err = s.retryAfter(), refusal
+	return nil, f
 }
 
-func (s *Server) sendCall(x *exchange, u upstream) *failure {
+// sendCall sends a call to the instance that was found for it. The result is what that tells of the instance.
+func (s *Server) sendCall(x *exchange, p *dispatcher.Placement) (dispatcher.Result, *failure) {
 	client := s.traffic
 	if !x.repeatable {
 		client = s.single
 		s.asserter.Check(x.pending == 0, asserter.SecondDispatch, "request %s", x.id)
 	}
-	request, connected, err := x.callRequest(u)
+	request, connected, err := x.callRequest(p.First)
 	if err != nil {
-		return &failure{code: api.CodeBadRequest, message: "the call could not be encoded", err: err}
+		return dispatcher.Answered, &failure{code: api.CodeBadRequest, message: "the call could not be encoded", err: err}
 	}
 	if x.left() <= 0 {
-		return fail(api.CodeDeadline, "the time limit has passed")
+		return dispatcher.Answered, fail(api.CodeDeadline, "the time limit has passed")
 	}
 	x.pending++
 	x.cut = false
-	t := trial{upstream: u.Name, address: u.Address.String(), sent: time.Now()}
+	t := trial{upstream: p.First.ID, address: p.First.Address.String(), sent: time.Now()}
 	response, err := client.Do(request)
 	if err != nil {
-		if *connected {
-			x.noteEnd(x.ctx, t)
-		} else {
-			x.pending-- // no byte left for the service
-		}
 		f := fail(api.CodeUpstreamFailed, "service %s did not answer", x.service.Name)
 		f.err = err
-		return f
+		if !*connected {
+			x.pending-- // no byte left for the service
+			return dispatcher.Unreachable, f
+		}
+		x.noteEnd(x.ctx, t)
+		return x.blame(), f
 	}
 	defer func() { _ = response.Body.Close() }()
 	t.began = time.Now()
@@ -117,13 +118,13 @@
 	if err != nil {
 		f := fail(api.CodeUpstreamFailed, "service %s broke off", x.service.Name)
 		f.err = err
-		return f
+		return x.blame(), f
 	}
 	if response.Header.Get(api.HeaderStarted) == "false" {
 		x.pending--
 		f := fail(api.CodeUpstreamFailed, "service %s refused", x.service.Name)
 		f.err = fmt.Errorf("status %d", response.StatusCode)
-		return f
+		return dispatcher.Full, f
 	}
 	x.pending--
 	h := x.writer.Header()
@@ -132,16 +133,28 @@
 	h.Set(api.HeaderRequestID, x.id)
 	x.writer.WriteHeader(response.StatusCode)
 	_, _ = x.writer.Write(body)
-	return nil
+	if response.StatusCode >= http.StatusInternalServerError {
+		return dispatcher.Failed, nil
+	}
+	p.Began(time.Now())
+	return dispatcher.Answered, nil
+}
+
+// blame is what a call without an answer tells of its instance: nothing where its caller left.
+func (x *exchange) blame() dispatcher.Result {
+	if errors.Is(x.ctx.Err(), context.Canceled) {
+		return dispatcher.Answered
+	}
+	return dispatcher.Failed
 }
 
 // callRequest makes the request to a service. The bool is set once a
 // connection was had, so that a byte may have left.
-func (x *exchange) callRequest(u upstream) (*http.Request, *bool, error) {
+func (x *exchange) callRequest(i dispatcher.Instance) (*http.Request, *bool, error) {
 	connected := new(bool)
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { *connected = true }}
 	ctx := httptrace.WithClientTrace(x.ctx, trace)
-	url := "http://" + u.Address.String() + x.request.URL.Path
+	url := "http://" + i.Address.String() + x.request.URL.Path
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(x.body))
 	if err != nil {
 		return nil, nil, fmt.Errorf("make request: %w", err)
--- a/server/call_test.go
+++ b/server/call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -25,3 +26,27 @@
 		}
 	})
 }
+
+// An instance that froze took a third of all calls, each until its limit, for as long as it was listed.
+func TestCallsAvoidAFrozenInstance(t *testing.T) {
+	withCrashingServices(t, 3, func(f *testFleet, c *crashingServices) {
+		is := is.New(t)
+		c.freeze(host(4, 2))
+		caller := f.client(1)
+		failed := 0
+		for range 60 {
+			if _, err := caller.Call(context.Background(), "dispatch", "lookup", []byte("{}"), client.Options{Timeout: time.Second}); err != nil {
+				failed++
+			}
+		}
+		is.True(failed <= 6) // two an entry at most
+		c.freeze(netip.Addr{})
+		time.Sleep(20 * time.Second)
+		before := c.served()[host(4, 2)]
+		for range 60 {
+			_, err := caller.Call(context.Background(), "dispatch", "lookup", []byte("{}"), client.Options{Timeout: time.Second})
+			is.NoErr(err)
+		}
+		is.True(c.served()[host(4, 2)] > before) // it is used again
+	})
+}
--- a/server/server.go
+++ b/server/server.go
@@ -22,6 +22,7 @@
 
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/connector"
+	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/loader"
 	"github.com/sapphireramp/sapphireramp/logger"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
@@ -64,6 +65,8 @@
 	// documents need no seal.
 	sealKeys []ed25519.PublicKey
 
+	// calls places calls at instances of services.
+	calls *dispatcher.Board
 	// quarantine holds the prompts that are refused as they crash engines, presence finds out
 	// whether an engine has ended.
 	quarantine *quarantiner.Quarantiner
@@ -123,6 +126,7 @@
 		control:    sequencer.New[*control](),
 		parsing:    make(chan struct{}, 1),
 		peers:      connector.New(dial),
+		calls:      newCallBoard(c.Settings.DataCentre),
 		quarantine: quarantiner.New(), presence: connector.NewPresence(dial),
 		engines: &http.Client{Transport: newTransport(dial, false), Timeout: engineCallTimeout},
 		traffic: &http.Client{Transport: newTransport(dial, false)},
--- a/server/services_test.go
+++ b/server/services_test.go
@@ -21,6 +21,8 @@
 	lock  sync.Mutex
 	// times are when the body came to an instance.
 	times []time.Time
+	// frozen is an instance that takes calls and answers none.
+	frozen netip.Addr
 	// answers is how many calls each instance has answered.
 	answers map[netip.Addr]int
 	// webs are the servers of those that run; nil once all are closed.
@@ -40,6 +42,10 @@
 		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
+		if c.isFrozen(address) {
+			<-r.Context().Done()
+			return
+		}
 		if string(body) != crashingBody {
 			time.Sleep(50 * time.Millisecond)
 			c.lock.Lock()
@@ -54,6 +60,18 @@
 	}))
 }
 
+func (c *crashingServices) freeze(address netip.Addr) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.frozen = address
+}
+
+func (c *crashingServices) isFrozen(address netip.Addr) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.frozen == address
+}
+
 func (c *crashingServices) end(address netip.Addr) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
--- a/server/view.go
+++ b/server/view.go
@@ -10,7 +10,9 @@
 
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/assigner"
+	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/keeper"
+	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/prober"
 	"github.com/sapphireramp/sapphireramp/router"
 	"github.com/sapphireramp/sapphireramp/validator"
@@ -31,8 +33,8 @@
 	board    *router.Board
 	// engines holds the engines of the document that the list names.
 	engines map[string]upstream
-	// services holds the usable instances by service name.
-	services map[string][]upstream
+	// services holds the usable instances of services.
+	services []dispatcher.Instance
 	members  map[string]prober.Member
 	// takers are the entries that take new callers, by name.
 	takers   []api.EntryAddress
@@ -45,7 +47,7 @@
 	Name       string
 	Address    netip.AddrPort
 	DataCentre string
-	// Keeper is empty for an instance of a service.
+	// Keeper is that of an engine.
 	Keeper string
 	Usable bool
 }
@@ -56,10 +58,8 @@
 	for name := range v.engines {
 		names[name] = true
 	}
-	for _, instances := range v.services {
-		for _, u := range instances {
-			names[u.Name] = true
-		}
+	for _, i := range v.services {
+		names[i.ID] = true
 	}
 	return len(names)
 }
@@ -74,7 +74,7 @@
 	v := emptyView()
 	v.accepted = c.adopter.Current()
 	v.ready, v.stopping = c.adopter.Ready(), c.stopping
-	v.engines, v.services = map[string]upstream{}, map[string][]upstream{}
+	v.engines, v.services = map[string]upstream{}, nil
 	v.members = map[string]prober.Member{}
 	candidates := c.members(v)
 	if v.accepted != nil {
@@ -83,6 +83,7 @@
 	}
 	c.assign(v)
 	c.server.quarantine.SetUpstreams(v.upstreams())
+	c.server.calls.Update(&matcher.Table{}, v.services)
 	c.server.current.Store(v)
 }
 
@@ -154,7 +155,9 @@
 		for _, name := range s.Instances {
 			u, ok := c.upstream(name)
 			if ok && u.Usable {
-				v.services[s.Name] = append(v.services[s.Name], u)
+				v.services = append(v.services, dispatcher.Instance{
+					ID: u.Name, Service: s.Name, Address: u.Address, DataCentre: u.DataCentre, Slots: callSlots,
+				})
 			}
 		}
 	}
