--- a/server/call.go
+++ b/server/call.go
@@ -60,8 +60,8 @@
 	return f
 }
 
-// callSlots is how many calls an instance of a service is taken to work on at once: while none has more than
-// a sixteenth of that above others, those of this data centre go first.
+// callSlots is how many calls an instance of a service is taken to work on at once, which no document says. A call goes
+// to another data centre where each instance of this one has some two calls more than those there.
 const callSlots = 16
 
 // newCallBoard returns the board of an entry's calls to services.
--- a/server/server.go
+++ b/server/server.go
@@ -67,8 +67,8 @@
 
 	// calls places calls at instances of services.
 	calls *dispatcher.Board
-	// quarantine holds the prompts that are refused as they crash engines, presence finds out
-	// whether an engine has ended.
+	// quarantine holds the requests that are refused as they crash upstreams, presence finds out
+	// whether an upstream has ended.
 	quarantine *quarantiner.Quarantiner
 	presence   *connector.Presence
 
