logger: lines that come after the end are dropped

Cause: Close forbade writing afterwards, and nothing keeps what is still under way at the end of a process (a call for another entry's state, there) from logging. The class is any goroutine that outlives the entry's Run, so the queue takes lines at any time now: its channel is never closed, what is queued when Close comes is written, what comes later is dropped.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -176,4 +176,5 @@
 red resume-at-a-stop server/call.go 's/!x\.repeatable && x\.pending > 0/x.pending > 0/' $s TestScenarios/stop-entry-service
 red partition-stop server/server.go 's/for s\.inFlight\(\) > 0/for false/; s/busy\.Await\(time\.Time\{\}, drainPoll\)/_ = busy/; s/web\.Shutdown\(context\.Background\(\)\)/web.Close()/' $s 'TestScenarios/stop-entry-(partition|faults)'
 red foreign-late relayer/relayer.go 's/if c\.ID != r\.requestID/if false/; s/if c\.AttemptID != r\.attemptID \|\| r\.whole/if r.whole/' $s TestScenarios/answer-late-service
+red late-lines logger/queue.go 's/close\(q\.closing\)/close(q.closing); close(q.lines)/' ./logger TestLinesAfterTheEndAreDropped
 exit $wrong
--- a/logger/queue.go
+++ b/logger/queue.go
@@ -21,12 +21,13 @@
 	output  io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
-	done    chan struct{}
+	// closing is closed to have the queue end, done once it has.
+	closing, done chan struct{}
 }
 
 // NewQueue returns a queue before an output, and starts to write.
 func NewQueue(output io.Writer) *Queue {
-	q := &Queue{output: output, lines: make(chan []byte, queuedLines), done: make(chan struct{})}
+	q := &Queue{output: output, lines: make(chan []byte, queuedLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go q.run()
 	return q
 }
@@ -58,17 +59,35 @@
 
 func (q *Queue) run() {
 	defer close(q.done)
-	for line := range q.lines {
-		_, _ = q.output.Write(line) // there is nowhere left to report it
-		if n := q.dropped.Swap(0); n > 0 {
-			_, _ = q.output.Write([]byte("level=warn layer=entry event=log_lines_dropped count=" + strconv.FormatInt(n, 10) + "\n"))
+	for {
+		select {
+		case line := <-q.lines:
+			q.put(line)
+		case <-q.closing:
+			q.finish()
+			return
 		}
 	}
 }
 
-// Close writes what is queued. Nothing may be written after it.
+// finish writes as many lines as are queued: others may go on writing.
+func (q *Queue) finish() {
+	for range len(q.lines) {
+		q.put(<-q.lines)
+	}
+}
+
+func (q *Queue) put(line []byte) {
+	_, _ = q.output.Write(line) // there is nowhere left to report it
+	if n := q.dropped.Swap(0); n > 0 {
+		_, _ = q.output.Write([]byte("level=warn layer=entry event=log_lines_dropped count=" + strconv.FormatInt(n, 10) + "\n"))
+	}
+}
+
+// Close writes what is queued. Lines that come later are dropped: what is still under way as a process
+// ends may log. It is called once.
 func (q *Queue) Close() error {
-	close(q.lines)
+	close(q.closing)
 	<-q.done
 	return nil
 }
--- a/logger/queue_test.go
+++ b/logger/queue_test.go
@@ -70,3 +70,31 @@
 		is.True(strings.Contains(text, "event=log_lines_dropped count="))
 	})
 }
+
+// At the end of an entry a call to another one was still under way, and logged its failure after the queue
+// was closed: "panic: send on closed channel", exit status 2, and the last lines were lost.
+func TestLinesAfterTheEndAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		output := &stuck{release: make(chan struct{})}
+		close(output.release)
+		q := logger.NewQueue(output)
+		var writers sync.WaitGroup
+		for range 8 {
+			writers.Go(func() {
+				for range 1000 {
+					_, _ = io.WriteString(q.Urgent(), "event=late\n") // queued, or dropped
+				}
+			})
+		}
+		_, err := io.WriteString(q, "event=early\n")
+		is.NoErr(err)
+		is.NoErr(q.Close())
+		writers.Wait()
+		_, err = io.WriteString(q, "event=last\n")
+		is.NoErr(err)
+		text := output.text.String()
+		is.True(strings.Contains(text, "event=early"))
+		is.True(!strings.Contains(text, "event=last"))
+	})
+}
