server: the view holds no list of service instances

Since calls are placed by a board, traffic reads that, and the view's list of instances was read by the function that makes the view alone: to count upstreams and to update the board. It is a value of that function now. No behaviour changes; the tests are as they were.

--- a/server/view.go
+++ b/server/view.go
@@ -33,9 +33,7 @@
 	board    *router.Board
 	// engines holds the engines of the document that the list names.
 	engines map[string]upstream
-	// services holds the usable instances of services.
-	services []dispatcher.Instance
-	members  map[string]prober.Member
+	members map[string]prober.Member
 	// takers are the entries that take new callers, by name.
 	takers   []api.EntryAddress
 	ready    bool
@@ -52,18 +50,6 @@
 	Usable bool
 }
 
-// upstreams is how many engines and instances of services there are.
-func (v *view) upstreams() int {
-	names := map[string]bool{}
-	for name := range v.engines {
-		names[name] = true
-	}
-	for _, i := range v.services {
-		names[i.ID] = true
-	}
-	return len(names)
-}
-
 func emptyView() *view {
 	return &view{board: router.NewBoard(nil)}
 }
@@ -74,16 +60,17 @@
 	v := emptyView()
 	v.accepted = c.adopter.Current()
 	v.ready, v.stopping = c.adopter.Ready(), c.stopping
-	v.engines, v.services = map[string]upstream{}, nil
+	v.engines = map[string]upstream{}
 	v.members = map[string]prober.Member{}
 	candidates := c.members(v)
+	var services []dispatcher.Instance
 	if v.accepted != nil {
 		c.placeEngines(v, candidates)
-		c.placeServices(v)
+		services = c.servicesOf(v.accepted)
 	}
 	c.assign(v)
-	c.server.quarantine.SetUpstreams(v.upstreams())
-	c.server.calls.Update(&matcher.Table{}, v.services)
+	c.server.quarantine.SetUpstreams(countUpstreams(v.engines, services))
+	c.server.calls.Update(&matcher.Table{}, services)
 	c.server.current.Store(v)
 }
 
@@ -150,17 +137,28 @@
 	return farDistance
 }
 
-func (c *control) placeServices(v *view) {
-	for _, s := range v.accepted.Document.Services {
+// servicesOf lists the usable instances of a document's services.
+func (c *control) servicesOf(a *validator.Accepted) []dispatcher.Instance {
+	var out []dispatcher.Instance
+	for _, s := range a.Document.Services {
 		for _, name := range s.Instances {
-			u, ok := c.upstream(name)
-			if ok && u.Usable {
-				v.services = append(v.services, dispatcher.Instance{
-					ID: u.Name, Service: s.Name, Address: u.Address, DataCentre: u.DataCentre, Slots: callSlots,
-				})
+			if u, ok := c.upstream(name); ok && u.Usable {
+				out = append(out, dispatcher.Instance{ID: u.Name, Service: s.Name, Address: u.Address, DataCentre: u.DataCentre, Slots: callSlots})
 			}
 		}
 	}
+	return out
+}
+
+// countUpstreams counts engines and instances of services; one instance may be of several.
+func countUpstreams(engines map[string]upstream, services []dispatcher.Instance) int {
+	others := map[string]bool{}
+	for _, i := range services {
+		if _, ok := engines[i.ID]; !ok {
+			others[i.ID] = true
+		}
+	}
+	return len(engines) + len(others)
 }
 
 // assign begins to keep engines that are this entry's, and ends to keep
