dispatcher: entries tell each other which upstreams fail and which answer

Cause: what an upstream fails was known only to the entry that had the failure. With fifteen entries that take callers each has to fail once by itself, and once more after the rate has halved a few times.

Now the end of a request says what it shows of its first upstream: answered, failed by its own word, or nothing. What broke off, was silent or refused a connection is not told, as the links of one entry may be why; an outcome counts once, though ends are told twice. Messages of shares have format 10.

The log's place lines tell the memory used and the failure rate.

--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -38,8 +38,9 @@
 	local bool
 	// changed are own requests to tell peers of, ended those that are over since
 	// the last Export, endedBefore those of the one before it that told all.
-	changed            map[*request]bool
-	ended, endedBefore []Token
+	changed     map[*request]bool
+	ended       []Share
+	endedBefore []Token
 	// Changed has an element while there is something to tell.
 	Changed  chan struct{}
 	forecast predictor.Forecast
--- a/dispatcher/health.go
+++ b/dispatcher/health.go
@@ -53,9 +53,13 @@
 	h.failures, h.failedAt = r+failureWeight*(1-r), now
 }
 
+// answered notes an answer, whichever entry had it: it says nothing of this entry's connections.
+func (h *health) answered(now time.Time) {
+	h.failures, h.failedAt = h.rate(now)*(1-successWeight), now
+}
+
 func (h *health) succeeded(now time.Time) {
-	r := h.rate(now)
-	h.failures, h.failedAt = r*(1-successWeight), now
+	h.answered(now)
 	h.blocks, h.blockedTo = 0, time.Time{}
 }
 
--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -96,16 +96,33 @@
 
 // The results.
 const (
-	// Answered: a whole answer came, or the caller ended the request.
+	// Answered: a whole answer came.
 	Answered Result = iota
-	// Failed: the upstream failed the request.
+	// Abandoned: the request ended for a reason that shows nothing of the upstream, as its caller left.
+	Abandoned
+	// Failed: the upstream answered that it failed.
 	Failed
+	// Broken: no whole answer came.
+	Broken
 	// Unreachable: no connection was had.
 	Unreachable
 	// Full: the upstream said that it had no room.
 	Full
 )
 
+// outcome is what peers are told of a result. What this entry did not hear may have been lost on
+// links of its own, and what is full for one is told by the load.
+func (r Result) outcome() Outcome {
+	switch r {
+	case Answered:
+		return OutcomeAnswered
+	case Failed:
+		return OutcomeFailed
+	default:
+		return OutcomeUnknown
+	}
+}
+
 // End takes the request off the board.
 func (p *Placement) End(now time.Time, result Result) {
 	b, r := p.board, p.request
@@ -113,14 +130,14 @@
 	defer b.lock.Unlock()
 	h := &r.parts[0].worker.health
 	switch result {
-	case Failed, Full:
+	case Failed, Broken, Full:
 		h.failed(now)
 	case Unreachable:
 		h.unreachable(now)
 	}
 	delete(b.own, r.token)
 	b.drop(now, r)
-	b.tellEnd(r)
+	b.tellEnd(r, result.outcome())
 }
 
 // drop takes a request's parts off their workers.
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,8 +21,10 @@
 type Share struct {
 	// Request is drawn for each placement.
 	Request Token
-	// Ended requests are off the board; nothing else is said of them.
+	// Ended requests are off the board; beside that only Outcome is said of them.
 	Ended bool
+	// Outcome is what the end of a request shows of its first upstream.
+	Outcome Outcome
 	// Begun is true once the first event was seen.
 	Begun bool
 	// Age is how long ago the request was placed.
@@ -38,6 +41,20 @@
 	Parts []SharePart
 }
 
+// Outcome is what the end of a request shows of the upstream that was to answer it.
+type Outcome byte
+
+// The outcomes.
+const (
+	// OutcomeUnknown: nothing, as what an entry did not hear may have been lost on its own links.
+	OutcomeUnknown Outcome = iota
+	// OutcomeAnswered: the upstream answered.
+	OutcomeAnswered
+	// OutcomeFailed: the upstream answered that it failed. Parts names it, since a request that
+	// fails at once is told of by its end alone.
+	OutcomeFailed
+)
+
 // SharePart is what a request has at one upstream.
 type SharePart struct {
 	Upstream Token
@@ -64,12 +81,16 @@
 }
 
 // tellEnd notes that peers are to hear of a request's end.
-func (b *Board) tellEnd(r *request) {
+func (b *Board) tellEnd(r *request, o Outcome) {
 	if b.local {
 		return
 	}
 	delete(b.changed, r)
-	b.ended = append(b.ended, r.token)
+	s := Share{Request: r.token, Ended: true, Outcome: o}
+	if o == OutcomeFailed {
+		s.Parts = []SharePart{{Upstream: r.parts[0].worker.token, Answers: true}}
+	}
+	b.ended = append(b.ended, s)
 	b.wake()
 }
 
@@ -81,14 +102,12 @@
 }
 
 // Export returns what changed since the last call, or all that this entry has
-// where all is true. Ends are told once more with the next of all.
+// where all is true. Ends are told once more with the next of all, without their outcome: a
+// failure that is told twice would count twice.
 func (b *Board) Export(now time.Time, all bool) []Share {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	var out []Share
-	for _, t := range b.ended {
-		out = append(out, Share{Request: t, Ended: true})
-	}
+	out := slices.Clone(b.ended)
 	if all {
 		for _, t := range b.endedBefore {
 			out = append(out, Share{Request: t, Ended: true})
@@ -96,7 +115,9 @@
 		b.endedBefore = b.endedBefore[:0]
 		b.expire(now)
 	}
-	b.endedBefore = append(b.endedBefore, b.ended...)
+	for _, s := range b.ended {
+		b.endedBefore = append(b.endedBefore, s.Request)
+	}
 	b.ended = b.ended[:0]
 	for _, r := range b.own {
 		if all || b.changed[r] {
@@ -159,6 +180,7 @@
 		key := peerRequest{peer: peer, request: s.Request}
 		r, known := b.told[key]
 		if s.Ended {
+			b.learn(now, r, s)
 			if known {
 				delete(b.told, key)
 				b.drop(now, r)
@@ -180,6 +202,19 @@
 	}
 }
 
+// learn takes in what the end of a peer's request, nil if it is not known here, shows of an upstream:
+// one that fails a part of its requests would otherwise fail one for each entry.
+func (b *Board) learn(now time.Time, r *request, s Share) {
+	switch {
+	case s.Outcome == OutcomeFailed && len(s.Parts) > 0:
+		if w, ok := b.tokens[s.Parts[0].Upstream]; ok {
+			w.health.failed(now)
+		}
+	case s.Outcome == OutcomeAnswered && r != nil && len(r.parts) > 0:
+		r.parts[0].worker.health.answered(now)
+	}
+}
+
 // newTold returns a peer's request that has no parts yet.
 func newTold(now time.Time, s Share) *request {
 	return &request{
--- a/dispatcher/share_test.go
+++ b/dispatcher/share_test.go
@@ -18,6 +18,12 @@
 		var shares []Share
 		for range rapid.IntRange(0, 40).Draw(t, "shares") {
 			s := Share{Request: Token(rapid.Uint32().Draw(t, "request")), Ended: rapid.Bool().Draw(t, "ended")}
+			if s.Ended {
+				s.Outcome = rapid.SampledFrom([]Outcome{OutcomeUnknown, OutcomeAnswered, OutcomeFailed}).Draw(t, "outcome")
+			}
+			if s.Outcome == OutcomeFailed {
+				s.Parts = []SharePart{{Upstream: Token(rapid.Uint32().Draw(t, "failed")), Answers: true}}
+			}
 			if !s.Ended {
 				s.Waited = time.Duration(rapid.IntRange(0, 60000).Draw(t, "waited")) * time.Millisecond
 				s.Left = time.Duration(rapid.IntRange(0, 60000).Draw(t, "left")) * time.Millisecond
@@ -68,15 +74,18 @@
 // entry of that format takes none of ours for its own.
 func TestFormatBeforeIsNoRelay(t *testing.T) {
 	is := is.New(t)
-	const before = 6
 	message := EncodeShares(1, []Share{{Request: 2, Parts: []SharePart{{Upstream: 3}}}})[0]
-	old := append([]byte{before}, message[1:]...)
-	r, rest := Relayed(old)
-	is.Equal(r, RelayToNone)
-	_, _, err := DecodeShares(rest)
-	is.Equal(err, ErrShare)
+	for _, before := range []byte{6, 8} {
+		old := append([]byte{before}, message[1:]...)
+		r, rest := Relayed(old)
+		is.Equal(r, RelayToNone)
+		_, _, err := DecodeShares(rest)
+		is.Equal(err, ErrShare)
+		for _, r := range []Relay{RelayToPlacing, RelayToAll} {
+			is.True(ForRelay(r, message)[0] != before)
+		}
+	}
 	for _, r := range []Relay{RelayToPlacing, RelayToAll} {
-		is.True(ForRelay(r, message)[0] != before)
 		got, rest := Relayed(ForRelay(r, message))
 		is.Equal(got, r)
 		is.Equal(rest, message)
@@ -85,6 +94,7 @@
 
 func FuzzDecodeShares(f *testing.F) {
 	f.Add(EncodeShares(1, []Share{{Request: 2, Parts: []SharePart{{Upstream: 3}}}})[0])
+	f.Add(EncodeShares(1, []Share{{Request: 2, Ended: true, Outcome: OutcomeFailed, Parts: []SharePart{{Upstream: 3}}}})[0])
 	f.Fuzz(func(_ *testing.T, m []byte) { _, _, _ = DecodeShares(m) })
 }
 
--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -9,7 +9,7 @@
 
 const (
 	// shareFormat is the first byte of a message of shares.
-	shareFormat = 8
+	shareFormat = 10
 	// maxShare bounds a message, so that it fits one datagram of a usual link.
 	maxShare = 1300
 	// tokenSize is the size of a token in bytes.
@@ -23,6 +23,8 @@
 	sharePlaced = iota
 	shareBegun
 	shareEnded
+	shareAnswered
+	shareFailed
 )
 
 // ErrShare says that a message of shares can't be read.
@@ -51,6 +53,10 @@
 func appendShare(to []byte, s Share) []byte {
 	to = binary.LittleEndian.AppendUint32(to, uint32(s.Request))
 	switch {
+	case s.Ended && s.Outcome == OutcomeFailed:
+		return binary.LittleEndian.AppendUint32(append(to, shareFailed), uint32(s.Parts[0].Upstream))
+	case s.Ended && s.Outcome == OutcomeAnswered:
+		return append(to, shareAnswered)
 	case s.Ended:
 		return append(to, shareEnded)
 	case s.Begun:
@@ -126,7 +132,7 @@
 }
 
 func (r *shareReader) kind() byte {
-	if len(r.rest) == 0 || r.rest[0] > shareEnded {
+	if len(r.rest) == 0 || r.rest[0] > shareFailed {
 		r.fault, r.rest = true, nil
 		return shareEnded
 	}
@@ -149,7 +155,14 @@
 func (r *shareReader) share() Share {
 	s := Share{Request: r.token()}
 	kind := r.kind()
-	if kind == shareEnded {
+	switch kind {
+	case shareFailed:
+		s.Ended, s.Outcome, s.Parts = true, OutcomeFailed, []SharePart{{Upstream: r.token(), Answers: true}}
+		return s
+	case shareAnswered:
+		s.Ended, s.Outcome = true, OutcomeAnswered
+		return s
+	case shareEnded:
 		s.Ended = true
 		return s
 	}
--- a/dispatcher/worker.go
+++ b/dispatcher/worker.go
@@ -95,11 +95,13 @@
 	Late time.Duration
 	// Tokens is the memory used.
 	Tokens int
+	// FailureRate is the part of requests that is expected to fail.
+	FailureRate float64
 }
 
 // load is the load that the requests of all entries make, as far as known.
 func (w *worker) load(now time.Time) Load {
-	var l Load
+	l := Load{FailureRate: w.health.rate(now)}
 	for p := range w.parts {
 		l.Tokens += p.held
 		if p.job.Decodes {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -275,12 +275,14 @@
 func resultOf(x *exchange, a *attempt) dispatcher.Result {
 	switch {
 	case x.callerLeft(), a.blameless():
-		return dispatcher.Answered
+		return dispatcher.Abandoned
 	case a.verdict == verdictUnsent:
 		return dispatcher.Unreachable
 	case a.verdict == verdictNotRun:
 		return dispatcher.Full
-	case a.verdict == verdictBroken, a.verdict == verdictFailed:
+	case a.verdict == verdictBroken:
+		return dispatcher.Broken
+	case a.verdict == verdictFailed:
 		return dispatcher.Failed
 	}
 	return dispatcher.Answered
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -52,7 +52,7 @@
 	}
 	f.log.Info("place", zap.String("request", x.call.ID), zap.String("service", x.service), zap.String("upstream", p.First.ID),
 		zap.String("data_centre", p.First.DataCentre), zap.Int("helpers", len(p.Helpers)), zap.String("helper_ids", ids(p.Helpers)), zap.Duration("expected_ms", p.Expected),
-		zap.Int("running", p.Load.Running), zap.Duration("prefill_ms", p.Load.Prefill), zap.Int("attempt", x.sent+1),
+		zap.Int("running", p.Load.Running), zap.Duration("prefill_ms", p.Load.Prefill), zap.Int("memory_used", p.Load.Tokens), zap.Float64("failure_rate", p.Load.FailureRate), zap.Int("attempt", x.sent+1),
 		zap.Int64("config_revision", x.view.ConfigRevision), zap.Duration("list_age_ms", time.Since(x.view.ConfirmedAt)))
 	return p, nil
 }
@@ -91,7 +91,7 @@
 	}
 	f.log.Info("yield", zap.String("request", x.call.ID), zap.String("service", x.service), zap.String("upstream", p.First.ID),
 		zap.Int("helpers", len(p.Helpers)), zap.Duration("expected_ms", p.Expected))
-	p.End(time.Now(), dispatcher.Answered)
+	p.End(time.Now(), dispatcher.Abandoned)
 	return true
 }
 
--- a/logger/events.go
+++ b/logger/events.go
@@ -25,7 +25,7 @@
 	{"member", "The belief about another entry changed.", []string{"name", "from", "to", "reason"}},
 	{"memory_unused", "Memory set aside for a prompt was not used for long, as its engine does not begin; the attempt ends and the memory is given back.", []string{"request", "engines", "age_ms"}},
 	{"panic", "A fault of the program; the request concerned fails.", []string{"request", "value", "stack"}},
-	{"place", "An upstream was chosen. List_age_ms is how long ago the store confirmed the list.", []string{"request", "service", "upstream", "data_centre", "helpers", "helper_ids", "expected_ms", "running", "prefill_ms", "attempt", "config_revision", "list_age_ms"}},
+	{"place", "An upstream was chosen. Memory_used is in tokens, failure_rate the part of requests that it is expected to fail, by what all entries saw; list_age_ms is how long ago the store confirmed the list.", []string{"request", "service", "upstream", "data_centre", "helpers", "helper_ids", "expected_ms", "running", "prefill_ms", "memory_used", "failure_rate", "attempt", "config_revision", "list_age_ms"}},
 	{"quarantined", "A request that crashes the upstreams that run it is refused from now on, whatever id it has. Strikes are the upstreams that ended under it one after the other, chance how likely that is for another; source is own, or the entry that told.", []string{"content", "strikes", "chance", "left_ms", "source"}},
 	{"release_failed", "Memory at an engine could not be given back; it ends with its lease.", []string{"request", "engine", "lease_ms", "error"}},
 	{"reload", "The settings were read again, by SIGHUP or because they changed.", []string{"signalled", "changed", "seeds"}},
--- a/server/call.go
+++ b/server/call.go
@@ -143,9 +143,9 @@
 // blame is what a call without an answer tells of its instance: nothing where its caller left.
 func (x *exchange) blame() dispatcher.Result {
 	if errors.Is(x.ctx.Err(), context.Canceled) {
-		return dispatcher.Answered
+		return dispatcher.Abandoned
 	}
-	return dispatcher.Failed
+	return dispatcher.Broken
 }
 
 // callRequest makes the request to a service. The bool is set once a
