--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -112,7 +112,7 @@
 red told-to-placing controller/shares.go 's/c\.current\.Load\(\)\.placing, dispatcher\.RelayToPlacing/c.current.Load().paths, dispatcher.RelayToAll/' ./controller TestLoadGoesToEntriesThatPlace
 red asked-all-the-same controller/tellers.go 's/= told \|\|/= told \&\& false ||/' ./controller TestLoadGoesToEntriesThatPlace
 red newcomers-told controller/shares.go 's/told = c\.tellNew\(socket, told\)/_ = told/' ./controller TestRestartedEntryLearnsLoad\$
-red told-unheard controller/controller.go 's/if m\.PeerAddress\.IsValid\(\) && \(!dead/if m.PeerAddress.IsValid() \&\& (m.State == prober.Live || m.State == prober.Stopping) \&\& (!dead/' ./controller TestRestartedEntryLearnsLoadInALargeFleet
+red told-unheard controller/view.go 's/if m\.PeerAddress\.IsValid\(\) && \(!dead/if m.PeerAddress.IsValid() \&\& (m.State == prober.Live || m.State == prober.Stopping) \&\& (!dead/' ./controller TestRestartedEntryLearnsLoadInALargeFleet
 red within prober/prober.go 's/if n < leastWithin/if n < 1<<30/' ./prober TestHeartbeatsStayWithinDataCentres
 red end-is-told launcher/launcher.go 's/l\.cut\(forwarder\.ErrCutOff\)/_ = forwarder.ErrCutOff/' ./launcher TestEndOfAnEntryIsTold
 red ends-in-time forwarder/stop.go 's/return v\.Stopping \&\& x\.deadline\.After\(v\.StopBy\)/return false/' $p TestStoppingEntryBeginsOnlyWhatEndsInTime
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -65,29 +65,6 @@
 	Asserter   *asserter.Asserter
 }
 
-// view is what the control goroutine publishes. It is never changed.
-type view struct {
-	forwarder.View
-	ready bool
-	// takers are the entries that callers are told.
-	takers []taker
-	peers  []peer
-	// paths lead to all peers, placing to those that place requests.
-	paths, placing sharePaths
-}
-
-type peer struct {
-	name        string
-	incarnation uint64
-	beats       netip.AddrPort
-	shares      netip.AddrPort
-	dataCentre  string
-	// dead entries are told of load, but relay none and count as no peers.
-	dead bool
-	// places is false of entries that take no callers now, as far as is known here.
-	places bool
-}
-
 // Controller is the control side of an entry.
 type Controller struct {
 	config  Config
@@ -257,83 +234,6 @@
 	}
 }
 
-// publish makes a view of the state.
-func (s *state) publish() {
-	s.dirty = false
-	c := s.controller
-	_, configRevision := s.follower.Config()
-	v := &view{
-		View: forwarder.View{
-			Table: s.table, ConfigRevision: configRevision, ConfirmedAt: s.follower.ConfirmedAt(), TrustTime: part(c.config.InForce, trustPart),
-			StoreLost: s.storeLost, Entries: max(len(s.contacts)+1, 2*len(s.seeds)), Stopping: s.stopping, StopBy: s.stopBy, KnownUntil: s.knownUntil,
-		},
-		ready: s.table != nil && !s.stopping,
-	}
-	if v.ready {
-		v.takers = append(v.takers, taker{name: c.config.Name, address: c.config.Callers, dataCentre: c.config.DataCentre, capacity: s.capacity()})
-	}
-	heard := 0
-	for _, m := range s.prober.Members() {
-		if m.State == prober.Live && m.Ready {
-			v.takers = append(v.takers, taker{name: m.Name, address: m.Address, dataCentre: m.DataCentre, capacity: s.capacities[m.Name]})
-		}
-		if m.State == prober.Live || m.State == prober.Stopping {
-			heard++
-		}
-		// One that was not heard yet is told of load too: in a fleet of a hundred it takes
-		// ten seconds until an entry that has just started has heard most others itself. So
-		// is one that died lately: most start again at once, seconds before all know.
-		dead := m.State == prober.Dead
-		if m.PeerAddress.IsValid() && (!dead || time.Since(s.died[m.Name]) < deadTold) {
-			v.peers = append(v.peers, peer{
-				name: m.Name, incarnation: m.Incarnation, beats: m.PeerAddress, dataCentre: m.DataCentre, dead: dead,
-				shares: netip.AddrPortFrom(m.PeerAddress.Addr(), c.config.Shares.Port()),
-			})
-		}
-	}
-	ready := v.takers
-	v.Others = len(ready)
-	if v.ready {
-		v.Others--
-	}
-	v.takers = preferred(ready)
-	c.tellers.spare(time.Now(), v.peers, unasked(ready, v.takers))
-	v.paths, v.placing = pathsOf(c.config.DataCentre, v.peers, everyone), pathsOf(c.config.DataCentre, v.peers, places)
-	met := s.noticeRestarts(v.peers)
-	c.config.Board.SetPeers(living(v.peers), s.blind(heard))
-	usable := s.follower.Usable()
-	if s.table != nil {
-		c.config.Board.Update(s.table, usable)
-	}
-	c.config.Quarantine.SetUpstreams(len(usable))
-	c.metrics.revision.Update(float64(configRevision))
-	c.metrics.members.Update(float64(heard))
-	c.metrics.upstream.Update(float64(len(usable)))
-	c.current.Store(v)
-	if met {
-		// Only now: who tells them looks for them in the view.
-		c.meet()
-	}
-}
-
-// noticeRestarts forgets the load of entries that have started anew, and reports whether any
-// are new here, which are then told of all of this one's. Without it a restarted entry knows nothing for
-// up to shareAll of what others have placed: it put long prompts on the engines with most
-// answers, each of which made a dozen answers late.
-func (s *state) noticeRestarts(peers []peer) bool {
-	c := s.controller
-	before := incarnations(c.current.Load().peers)
-	met := false
-	for _, p := range peers {
-		known, ok := before[p.name]
-		if ok && known < p.incarnation {
-			c.config.Board.Forget(time.Now(), runToken(p.name, known))
-		}
-		met = met || !ok || known != p.incarnation
-	}
-	return met
-}
-
 // meet has entries that are new here told of load.
 func (c *Controller) meet() {
 	select {
@@ -348,40 +248,11 @@
 	return dispatcher.TokenOf(name + " " + strconv.FormatUint(incarnation, 10))
 }
 
-// living is how many of the peers are not dead.
-func living(peers []peer) int {
-	n := 0
-	for _, p := range peers {
-		if !p.dead {
-			n++
-		}
-	}
-	return n
-}
-
-// incarnations are those of peers, by name.
-func incarnations(peers []peer) map[string]uint64 {
-	out := make(map[string]uint64, len(peers))
-	for _, p := range peers {
-		out[p.name] = p.incarnation
-	}
-	return out
-}
-
 // capacity is what this entry can do.
 func (s *state) capacity() capacity {
 	return capacity{speed: s.controller.config.Speed, strained: s.lag.strained}
 }
 
-// blind reports whether this entry may not know what others place: it has
-// just started, or hears nobody though there are others.
-func (s *state) blind(heard int) bool {
-	if heard == 0 {
-		return len(s.seeds) > 1
-	}
-	return time.Since(s.started) < acquaintTime
-}
-
 // View is what requests are served by.
 func (c *Controller) View() *forwarder.View { return &c.current.Load().View }
 
