--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -179,4 +179,6 @@
 red late-lines logger/queue.go 's/close\(q\.closing\)/close(q.closing); close(q.lines)/' ./logger TestLinesAfterTheEndAreDropped
 red told-failures dispatcher/share.go 's/b\.learn\(now, r, s\)/_ = s/' ./dispatcher TestEntriesTellOfFailingUpstream
 red told-own-links dispatcher/placement.go 's/return OutcomeUnknown/return OutcomeFailed/' ./dispatcher TestOutcomeIsToldOnce
+red middle-packed dispatcher/search.go 's/return openCost \* valueOf/return 0 * valueOf/' ./dispatcher TestSpanReviewsLeaveEnginesToAudits
+red middle-firsts dispatcher/search.go 's/if !s\.packs \{\n\t\treturn s\.order/if true {\n\t\treturn s.order/' ./dispatcher TestSpanReviewsLeaveEnginesToAudits
 exit $wrong
--- a/dispatcher/candidate.go
+++ b/dispatcher/candidate.go
@@ -11,10 +11,10 @@
 	// failedLoss is the part of an answer's worth that an upstream's failure
 	// loses: all of it, and half as much again for the time until it is known.
 	failedLoss = 1.5
-	// openCost is what it costs to place a light prompt where no answer with
-	// as short a pause is decoded, and the less the more there are: light
-	// prompts are packed on few engines, and the others left to long ones.
-	openCost = 0.3
+	// openCost is the part of its worth that it costs to place a prompt where no answer with
+	// as short a pause is decoded, and the less the more there are: prompts that are not heavy
+	// are packed on few engines, since a part of a heavy one stops all answers of its engine.
+	openCost = 0.2
 	// packedPart is the part of its slots from which an engine counts as packed:
 	// more answers there make it no better, so that what arrives everywhere at
 	// the same moment finds several engines that are as good.
@@ -71,8 +71,7 @@
 	rank uint64
 	// jitter is added to the cost for light prompts.
 	jitter float64
-	// packed is what an engine saves a light prompt by the answers that it
-	// decodes already.
+	// packed is how far the engine is packed with answers like the prompt's, from 0 to 1.
 	packed float64
 	// elsewhere is when the other parts of each request here are expected to be
 	// prefilled, before the losses that it has anyway, in the order of the
@@ -120,7 +119,7 @@
 		}
 	}
 	full := max(1, int(packedPart*float64(c.worker.engine.Slots-spareSlots)))
-	c.packed = openCost * float64(min(similar, full)) / float64(full)
+	c.packed = float64(min(similar, full)) / float64(full)
 }
 
 // offer works out what the engine would make of one of k parts, as the one that
--- a/dispatcher/group_test.go
+++ b/dispatcher/group_test.go
@@ -25,8 +25,8 @@
 		}
 		got, found := board.cheapest(now, d, loads)
 		is.True(found)
-		s := search{forecast: &board.forecast}
-		best, _ := s.alone(now, d, loads, false)
+		s := board.newSearch(d, loads)
+		best, _ := s.alone(now, d, loads)
 		for k := 2; k <= mostHelpers+1; k++ {
 			if g := s.joint(now, d, loads, k); g.cost < best.cost {
 				best = g
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -126,8 +126,8 @@
 
 // cheapest finds the engines that lose least by a prompt.
 func (b *Board) cheapest(now time.Time, d Demand, loads []candidate) (group, bool) {
-	s := search{forecast: &b.forecast}
-	best, found := s.alone(now, d, loads, b.blind)
+	s := b.newSearch(d, loads)
+	best, found := s.alone(now, d, loads)
 	sizes := groupSizes(d, loads[0].worker.engine, loads)
 	if len(loads) > mostWeighed && len(sizes) > 1 {
 		loads = s.foremost(now, d, loads, sizes[len(sizes)-1])
--- a/dispatcher/place_test.go
+++ b/dispatcher/place_test.go
@@ -109,6 +109,20 @@
 	}
 }
 
+// The same with span reviews, 14 a second, of which each is prefilled by two engines: parts of audits would stop every one
+// of them if each engine decoded one. An engine counts as packed with seven.
+func TestSpanReviewsLeaveEnginesToAudits(t *testing.T) {
+	is := is.New(t)
+	b := testBoard(t, 14)
+	decoding := map[string]int{}
+	for i := range 20 {
+		p := place(t, b, start.Add(time.Duration(i)*70*time.Millisecond), span)
+		p.Began(start.Add(time.Duration(i)*70*time.Millisecond + p.Expected))
+		decoding[p.First.ID]++
+	}
+	is.True(len(decoding) <= 3) // engines that decode
+}
+
 // In a burst of 68 tower queries a second none waits for a slot while another
 // engine has one free: 150 are written at once, of 224 slots.
 func TestTowerBurstFillsNoEngineBeyondItsSlots(t *testing.T) {
--- a/dispatcher/search.go
+++ b/dispatcher/search.go
@@ -14,8 +14,7 @@
 	helperCost = 0.02
 	// mostHelpers is how many engines the first may list.
 	mostHelpers = 16
-	// mostFirsts is how many of the engines that would cost least as helpers are
-	// weighed as the one that answers.
+	// mostFirsts is how many engines are weighed as the one that answers.
 	mostFirsts = 4
 )
 
@@ -50,8 +49,14 @@
 // of the cost.
 func (s *search) foremost(now time.Time, d Demand, loads []candidate, k int) []candidate {
 	s.weigh(now, d, loads, k)
-	out := make([]candidate, 0, mostWeighed)
-	for _, i := range s.order[:mostWeighed] {
+	chosen := slices.Clone(s.order[:mostWeighed])
+	for _, i := range s.firsts(d) {
+		if !slices.Contains(chosen, i) {
+			chosen = append(chosen, i)
+		}
+	}
+	out := make([]candidate, 0, len(chosen))
+	for _, i := range chosen {
 		out = append(out, loads[i])
 	}
 	return out
@@ -84,13 +89,21 @@
 // for the next.
 type search struct {
 	forecast *predictor.Forecast
-	offers   []offer
+	// packs is true where the prompt is to be packed with others.
+	packs  bool
+	offers []offer
 	// ranked is what each offer would cost by itself, order the offers from
 	// the cheapest on.
 	ranked []float64
 	order  []int
 }
 
+// newSearch returns a search for a prompt's place. A blind entry packs nothing: all of them would fill the
+// same engines.
+func (b *Board) newSearch(d Demand, loads []candidate) search {
+	return search{forecast: &b.forecast, packs: !b.blind && !heavy(loads[0].worker.engine, d.Prompt)}
+}
+
 // weigh ranks what each candidate would cost as a helper, with one of k parts.
 func (s *search) weigh(now time.Time, d Demand, loads []candidate, k int) {
 	s.offers = s.offers[:0]
@@ -113,16 +126,17 @@
 }
 
 // alone finds the engine that loses least by taking a prompt alone.
-func (s *search) alone(now time.Time, d Demand, loads []candidate, blind bool) (group, bool) {
+func (s *search) alone(now time.Time, d Demand, loads []candidate) (group, bool) {
 	s.offers = s.offers[:0]
-	packs := !blind && light(d, loads[0].worker.engine)
+	draws := s.packs && light(d, loads[0].worker.engine)
 	for i := range loads {
 		o := loads[i].offer(now, d, 1, true, s.forecast)
 		if !o.decodes {
 			continue
 		}
-		if packs {
-			o.cost += o.jitter + openCost - o.packed
+		o.cost += s.opening(d, o.candidate)
+		if draws {
+			o.cost += o.jitter
 		}
 		s.offers = append(s.offers, o)
 	}
@@ -134,13 +148,35 @@
 	return group{offers: []offer{best}, cost: s.ranked[s.order[0]], harm: best.harm, finish: best.finish}, true
 }
 
+// opening is what it costs to have an engine decode an answer where it has none like it.
+func (s *search) opening(d Demand, c *candidate) float64 {
+	if !s.packs {
+		return 0
+	}
+	return openCost * valueOf(d.Prompt) * (1 - c.packed)
+}
+
+// firsts lists the offers that are weighed as the one that answers: those that cost least as helpers,
+// with what it costs to open their engines.
+func (s *search) firsts(d Demand) []int {
+	n := min(len(s.order), mostFirsts)
+	if !s.packs {
+		return s.order[:n]
+	}
+	byOpening := func(i, j int) int {
+		return cmp.Compare(s.ranked[i]+s.opening(d, s.offers[i].candidate), s.ranked[j]+s.opening(d, s.offers[j].candidate))
+	}
+	return slices.SortedStableFunc(slices.Values(s.order), byOpening)[:n]
+}
+
 // joint finds the k engines that lose least by prefilling a prompt together.
 func (s *search) joint(now time.Time, d Demand, loads []candidate, k int) group {
 	s.weigh(now, d, loads, k)
 	first, answering := -1, offer{}
 	least := 0.0
-	for _, i := range s.order[:min(len(s.order), k, mostFirsts)] {
+	for _, i := range s.firsts(d) {
 		o := s.offers[i].offer(now, d, k, true, s.forecast)
+		o.cost += s.opening(d, o.candidate)
 		cost := o.cost - s.offers[i].cost + d.loss(o.finish, o.pause, o.unfinished)
 		if first < 0 || cost < least {
 			first, answering, least = i, o, cost
