--- a/controller/shares.go
+++ b/controller/shares.go
@@ -58,8 +58,7 @@
 // spread sends messages to entries: changes to those that place requests, all of the load
 // to each. One datagram goes to each other data centre that has many entries, and on from
 // there. Bytes between data centres then grow with their number and not with that of
-// entries: with 95 entries in five, 0.2 GB a day of 48 s went between them before, three
-// quarters of it for these messages.
+// entries.
 func (c *Controller) spread(socket net.PacketConn, messages [][]byte, all bool) {
 	paths, relayed := c.current.Load().placing, dispatcher.RelayToPlacing
 	if all {
--- a/controller/takers.go
+++ b/controller/takers.go
@@ -65,10 +65,7 @@
 
 // preferred are the entries that callers are told: fast ones that are not strained, where
 // there are enough of them, else all that are not strained, else all. What an entry does
-// for a request takes an instance of a fifth of a core five times as long as a whole one:
-// with callers spread evenly over 15 fast and 80 slow entries 59 in 100 short prompts were
-// on time on a day of bursts, 88 with no processor time charged. In a fleet of 6 fast and 77
-// slow entries 57 in 100 became 67 by callers that were sent to the fast ones alone.
+// for a request takes an instance of a fifth of a core five times as long as a whole one.
 func preferred(takers []taker) []taker {
 	calm := slices.DeleteFunc(slices.Clone(takers), func(t taker) bool { return t.strained })
 	if len(calm) == 0 {
--- a/controller/tellers.go
+++ b/controller/tellers.go
@@ -33,8 +33,7 @@
 }
 
 // spare marks the peers that place no requests: those that callers are not told and that
-// told of no requests lately. Of 95 entries 15 place on a deployment with 15 fast ones: a
-// change of load then goes to 18 entries in place of 98.
+// told of no requests lately. Changes of load need not go to them.
 func (t *tellers) spare(now time.Time, peers []peer, unasked map[string]bool) {
 	t.lock.Lock()
 	defer t.lock.Unlock()
--- a/controller/view.go
+++ b/controller/view.go
@@ -97,9 +97,8 @@
 }
 
 // noticeRestarts forgets the load of entries that have started anew, and reports whether any
-// are new here, which are then told of all of this one's. Without it a restarted entry knows nothing for
-// up to shareAll of what others have placed: it put long prompts on the engines with most
-// answers, each of which made a dozen answers late.
+// are new here, which are then told of all of this one's. Otherwise a restarted entry would know nothing
+// for up to shareAll of what others have placed, and put long prompts on the engines with most answers.
 func (s *state) noticeRestarts(peers []peer) bool {
 	c := s.controller
 	before := incarnations(c.current.Load().peers)
--- a/dispatcher/admit.go
+++ b/dispatcher/admit.go
@@ -10,9 +10,8 @@
 const (
 	// timePrice is what a second of an engine's time is worth to other callers
 	// for each second that engines have yet to prefill on average, in requests a
-	// second squared. At 0.25 s of backlog nothing is refused that would be on
-	// time; at 1 s prompts that take over seven seconds to prefill are, which
-	// would displace several times their worth of others.
+	// second squared: the longer the backlog, the shorter the prompts that displace more than
+	// their worth of others.
 	timePrice = 4.0
 	// heavyPrefill is the time to prefill from which a prompt is heavy enough to be
 	// refused for what it costs others, or to wait for its turn.
--- a/dispatcher/candidate.go
+++ b/dispatcher/candidate.go
@@ -24,9 +24,8 @@
 	// not yet packed. Entries hear of each other's choice only milliseconds later,
 	// and would meet at the one best engine.
 	lightJitter = 0.2
-	// manyEntries is the number of other entries with which half of that is
-	// drawn: with six the first deployments gain nothing by it, with 57 and 70
-	// the grown ones do.
+	// manyEntries is the number of other entries with which half of that is drawn: few
+	// entries seldom choose at the same moment.
 	manyEntries = 20
 	// lightPart is the part of its own longest pause up to which the prefill
 	// of a prompt counts as light.
@@ -37,8 +36,7 @@
 	// waits for a slot before it, in engines' slots.
 	queuedCost = 4
 	// transit is what an answer takes beside the engine's work: the connection, both
-	// ways, and two entries' processor time. First events came 4 to 6 ms after what
-	// the engine's own work takes, on a day without contention.
+	// ways, and two entries' processor time.
 	transit = 5 * time.Millisecond
 )
 
--- a/dispatcher/loss.go
+++ b/dispatcher/loss.go
@@ -10,12 +10,10 @@
 	// valueTokens is the prompt that is worth as much as a request by itself:
 	// what a caller loses with a late answer grows with what it asked for.
 	valueTokens = 8000
-	// lateLoss is the part of an answer's worth that lateness loses. Both
-	// users' sheets pay a quarter for a late answer.
+	// lateLoss is the part of an answer's worth that lateness loses.
 	lateLoss = 0.75
 	// lateFrom and lateTo are the parts of a target between which an expected
-	// time goes from surely on time to surely late: predictions are off by
-	// about a quarter.
+	// time goes from surely on time to surely late, as predictions are not exact.
 	lateFrom, lateTo = 0.75, 1.25
 	// pauseFrom and pauseTo are those of pauses.
 	pauseFrom, pauseTo = 0.8, 1.0
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -24,9 +24,8 @@
 }
 
 // Takes reports whether a request would be placed, and begun without waiting for a slot. Where
-// all slots are taken a silent engine is no worse than others: on a day of the
-// grown deployments 439 prompts were taken from engines that they waited at, prefilled anew
-// elsewhere, and kept the fleet full for eight seconds.
+// all slots are taken a silent engine is no worse than others, and prompts that are prefilled anew
+// elsewhere would keep the fleet full.
 func (b *Board) Takes(now time.Time, d Demand) bool {
 	b.lock.Lock()
 	defer b.lock.Unlock()
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -17,9 +17,8 @@
 	waitPart = 8
 	// waitPoll is how often it looks, at most.
 	waitPoll = 25 * time.Millisecond
-	// pollFactor is how many times as long as a look took it waits for the next one: to
-	// weigh a long prompt before 112 engines takes 0.9 ms of a whole core, 5 ms on a fifth
-	// of one, and five waiting prompts would leave such an entry no time for anything else.
+	// pollFactor is how many times as long as a look took it waits for the next one: a few waiting
+	// prompts would otherwise leave a slow instance no time for anything else.
 	pollFactor = 10
 	// mostYields is how often a request gives its place up to another entry's: as often as
 	// entries meet that each hold a few long prompts until engines have less to do.
@@ -82,9 +81,8 @@
 }
 
 // yields lets other entries learn of a heavy prompt's place before it is used, and gives it up
-// where one of them took it at the same moment and goes first. On a day of bursts two
-// prompts of 257,000 and 530,000 tokens were given the same nine engines within a millisecond:
-// the second began four seconds late, in passes that took 2.6 s, and 67 answers broke off.
+// where one of them took it at the same moment and goes first: the second of two on the same engines begins seconds late,
+// and its passes stop all answers there.
 func (f *Forwarder) yields(x *exchange, p *dispatcher.Placement) bool {
 	if !p.Settles() || !sleeper.Sleep(x.ctx, dispatcher.SettleTime) || !p.Yields(time.Now()) {
 		return false
