--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -181,4 +181,5 @@
 red told-own-links dispatcher/placement.go 's/return OutcomeUnknown/return OutcomeFailed/' ./dispatcher TestOutcomeIsToldOnce
 red middle-packed dispatcher/search.go 's/return openCost \* valueOf/return 0 * valueOf/' ./dispatcher TestSpanReviewsLeaveEnginesToAudits
 red middle-firsts dispatcher/search.go 's/if !s\.packs \{\n\t\treturn s\.order/if true {\n\t\treturn s.order/' ./dispatcher TestSpanReviewsLeaveEnginesToAudits
+red answer-of-first dispatcher/share.go 's/if p\.job\.Decodes/if p == r.parts[0]/' ./dispatcher TestAnswerSpeaksForTheFirstEngine
 exit $wrong
--- a/dispatcher/outcome_test.go
+++ b/dispatcher/outcome_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/sapphireramp/sapphireramp/matcher"
 )
 
 // fleet is a number of entries that tell each other of their load, without a network.
@@ -123,3 +125,24 @@
 		is.Equal(f[1].workers[p.First.ID].health.rate(now), want)
 	}
 }
+
+// An entry hears of a group before it knows the engine that answers: the answer speaks for that one, not
+// for the helper that was known first.
+func TestAnswerSpeaksForTheFirstEngine(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table, err := matcher.New(matcher.Config{Services: []matcher.Service{{Name: "lm", Engine: &testEngine}}})
+	is.NoErr(err)
+	helper, first := Instance{ID: "helper", Service: "lm", Slots: 16}, Instance{ID: "first", Service: "lm", Slots: 16}
+	b := New("a", rand.New(rand.NewPCG(1, 2)))
+	b.Update(table, []Instance{helper})
+	s := Share{Request: 7, Prompt: 60000, Answer: 500, Target: time.Second, Pause: time.Second, Parts: []SharePart{{Upstream: first.Run(), Answers: true}, {Upstream: helper.Run()}}}
+	b.Import(now, 1, []Share{s})
+	b.Update(table, []Instance{helper, first})
+	for _, w := range b.workers {
+		w.health.failed(now)
+	}
+	b.Import(now, 1, []Share{{Request: 7, Ended: true, Outcome: OutcomeAnswered}})
+	is.Equal(b.workers["helper"].health.rate(now), failureWeight)
+	is.Equal(b.workers["first"].health.rate(now), failureWeight*(1-successWeight))
+}
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -210,8 +210,18 @@
 		if w, ok := b.tokens[s.Parts[0].Upstream]; ok {
 			w.health.failed(now)
 		}
-	case s.Outcome == OutcomeAnswered && r != nil && len(r.parts) > 0:
-		r.parts[0].worker.health.answered(now)
+	case s.Outcome == OutcomeAnswered && r != nil:
+		r.noteAnswered(now)
+	}
+}
+
+// noteAnswered notes that a peer's request was answered. Its parts are in the order in which their upstreams
+// became known here.
+func (r *request) noteAnswered(now time.Time) {
+	for _, p := range r.parts {
+		if p.job.Decodes {
+			p.worker.health.answered(now)
+		}
 	}
 }
 
