server: a test kills the engines that serve, and not those that take over

The answer goes on at another engine within the same moment of the paused clock, so that the loop met the next engine in use too, and at worst killed all three.

--- a/server/stop_test.go
+++ b/server/stop_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -157,10 +158,11 @@
 		time.Sleep(500 * time.Millisecond)
 		e.stop()
 		time.Sleep(e.stopTime())
-		for _, engine := range f.engines {
-			if f.ran(engine).UsedTokens > 0 {
-				f.killEngine(engine)
-			}
+		// All are asked first: an answer that goes on elsewhere must not lose that engine too.
+		serving := slices.DeleteFunc(slices.Clone(f.engines), func(engine *testEngine) bool { return f.ran(engine).UsedTokens == 0 })
+		is.True(len(serving) > 0)
+		for _, engine := range serving {
+			f.killEngine(engine)
 		}
 		<-answered
 		is.NoErr(err)
