forwarder: requests are counted from none

By their logs they had had no request since their start, as callers were slow to come back on the busy machine. The counter was made by the first request; a scraper sees no series until then, and the first increment is lost to rates. Now it is there from the start, with 0.

The test failed before; red with the mechanism out (counted-from-none).

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -182,4 +182,5 @@
 red middle-packed dispatcher/search.go 's/return openCost \* valueOf/return 0 * valueOf/' ./dispatcher TestSpanReviewsLeaveEnginesToAudits
 red middle-firsts dispatcher/search.go 's/if !s\.packs \{\n\t\treturn s\.order/if true {\n\t\treturn s.order/' ./dispatcher TestSpanReviewsLeaveEnginesToAudits
 red answer-of-first dispatcher/share.go 's/if p\.job\.Decodes/if p == r.parts[0]/' ./dispatcher TestAnswerSpeaksForTheFirstEngine
+red counted-from-none forwarder/metrics.go 's/\tm\.requests\(outcomeAnswered\).*\n//' ./forwarder TestRequestsAreCountedFromNone
 exit $wrong
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -12,6 +12,9 @@
 	"github.com/sapphireramp/sapphireramp/asserter"
 )
 
+// outcomeAnswered is the outcome of a request that an upstream answered.
+const outcomeAnswered = "answered"
+
 // Reasons for which a request is not answered by an upstream.
 const (
 	reasonNoConfig       = "no_configuration"
@@ -126,7 +129,7 @@
 
 // finish counts and logs the end of a request.
 func (f *Forwarder) finish(x *exchange, fail *failure) {
-	outcome := "answered"
+	outcome := outcomeAnswered
 	if fail != nil {
 		outcome = fail.reason
 	}
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -45,14 +45,19 @@
 		denied:       scope.Counter("retries_denied"),
 		reservations: scope.Counter("reservations"),
 	}
+	m.requests(outcomeAnswered) // shown before the first one ends, as rates need it
 	for _, length := range []string{"none", "short", "medium", "long"} {
 		m.firstByte[length] = scope.Tagged(map[string]string{"length": length}).Histogram("first_byte_seconds", buckets)
 	}
 	return m
 }
 
+func (m metrics) requests(outcome string) tally.Counter {
+	return m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("requests")
+}
+
 func (m metrics) finished(outcome string, took time.Duration) {
-	m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("requests").Inc(1)
+	m.requests(outcome).Inc(1)
 	m.took.RecordDuration(took)
 }
 
--- /dev/null
+++ b/forwarder/metrics_test.go
@@ -0,0 +1,23 @@
+package forwarder
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/sapphireramp/sapphireramp/meter"
+)
+
+// An entry that was started anew and had no request yet shows how many it had: none.
+func TestRequestsAreCountedFromNone(t *testing.T) {
+	is := is.New(t)
+	m := meter.New()
+	defer func() { _ = m.Close() }()
+	newMetrics(m.Scope)
+	page := httptest.NewRecorder()
+	m.Page.ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	is.True(strings.Contains(page.Body.String(), `sapphireramp_requests{outcome="answered"} 0`))
+}
