dispatcher: the failure rate is worked out once a look

Load had come to tell it, while each offer, each plain choice and each row of the status worked it out anew; a long prompt before 112 engines did so for every size of its group. They read the load's now, which is of the same moment, and Row has no field of its own for it. No behaviour changes.

--- a/controller/status.go
+++ b/controller/status.go
@@ -19,7 +19,7 @@
 		status.Engines = append(status.Engines, api.EngineStatus{
 			Name: row.Instance.ID, Service: row.Instance.Service, Address: row.Instance.Address, DataCentre: row.Instance.DataCentre,
 			State: state, PausedFor: row.PausedFor, MemoryTokens: row.MemoryTokens, UsedTokens: row.Load.Tokens, InFlight: row.Load.Running,
-			Failures: row.Failures,
+			Failures: row.Load.FailureRate,
 		})
 	}
 	status.LoadNews = c.news.status(c.current.Load())
--- a/dispatcher/candidate.go
+++ b/dispatcher/candidate.go
@@ -137,7 +137,7 @@
 	o.harm += c.slotPrice * float64(c.answers) * o.job.Prefill.Seconds()
 	o.cost = o.harm
 	worth := valueOf(d.Prompt)
-	o.cost += worth * failedLoss * w.health.rate(now)
+	o.cost += worth * failedLoss * c.load.FailureRate
 	slots := e.Slots - spareSlots
 	if waiting := c.load.Running + 1 - slots; answers && waiting > 0 {
 		pass := predictor.DecodePass(e, c.load.Running, c.load.Tokens)
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -59,7 +59,7 @@
 	best, least := workers[0], 0.0
 	for i, w := range workers {
 		l := w.load(now)
-		cost := float64(l.Running)/float64(max(1, w.instance.Slots)) + failingCost*w.health.rate(now) + slowCost*(w.health.pace(now)-1)
+		cost := float64(l.Running)/float64(max(1, w.instance.Slots)) + failingCost*l.FailureRate + slowCost*(w.health.pace(now)-1)
 		cost += spread * b.random.Float64()
 		if w.instance.DataCentre != b.dataCentre {
 			cost += farCost
--- a/dispatcher/status.go
+++ b/dispatcher/status.go
@@ -13,8 +13,6 @@
 	Load Load
 	// MemoryTokens is an engine's memory; 0 for plain services.
 	MemoryTokens int
-	// Failures is the part of requests that is expected to fail.
-	Failures float64
 	// PausedFor is how long yet it wants nothing from this entry.
 	PausedFor time.Duration
 }
@@ -26,7 +24,7 @@
 	var rows []Row
 	for _, workers := range b.services {
 		for _, w := range workers {
-			row := Row{Instance: w.instance, Load: w.load(now), Failures: w.health.rate(now)}
+			row := Row{Instance: w.instance, Load: w.load(now)}
 			row.Instance.Leaving = row.Instance.Leaving || w.wish.leaving
 			row.PausedFor = max(0, w.wish.pausedTo.Sub(now))
 			if w.engine != nil {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -554,7 +554,7 @@
 		f.is.Equal(a.status, 200)
 		f.is.Equal(runs(f.engines[first:first+1], "s2"), 1)
 		for _, row := range f.board.Rows(time.Now()) {
-			f.is.Equal(row.Failures > 0, row.Instance.ID == f.instances[2+helper].ID)
+			f.is.Equal(row.Load.FailureRate > 0, row.Instance.ID == f.instances[2+helper].ID)
 		}
 	})
 }
