--- a/dispatcher/outcome_test.go
+++ b/dispatcher/outcome_test.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -11,50 +10,17 @@
 	"github.com/sapphireramp/sapphireramp/matcher"
 )
 
-// fleet is a number of entries that tell each other of their load, without a network.
-type fleet []*Board
-
-func testFleet(t *testing.T, entries int) fleet {
-	t.Helper()
-	var f fleet
-	for i := range entries {
-		b := testBoard(t, 0)
-		b.random = rand.New(rand.NewPCG(uint64(i), 7))
-		b.SetPeers(entries-1, false)
-		f = append(f, b)
-	}
-	return f
-}
-
-// exchange has all entries hear what changed at each.
-func (f fleet) exchange(t *testing.T, now time.Time, all bool) {
-	t.Helper()
-	for i, from := range f {
-		for _, m := range EncodeShares(TokenOf(fmt.Sprint(i)), from.Export(now, all)) {
-			peer, shares, err := DecodeShares(m)
-			if err != nil {
-				t.Fatal(err)
-			}
-			for j, to := range f {
-				if j != i {
-					to.Import(now, peer, shares)
-				}
-			}
-		}
-	}
-}
-
 // call has one entry place a call that ends after a time.
-func (f fleet) call(t *testing.T, now time.Time, entry int, end func(Instance) (time.Duration, Result)) Result {
+func call(t *testing.T, boards []*Board, now time.Time, entry int, end func(Instance) (time.Duration, Result)) Result {
 	t.Helper()
-	p := place(t, f[entry], now, Demand{Service: "app"})
+	p := place(t, boards[entry], now, Demand{Service: "app"})
 	took, result := end(p.First)
 	if took > tellTime {
-		f.exchange(t, now, false)
+		tellAll(t, now, boards, false)
 	}
 	p.Began(now.Add(took))
 	p.End(now.Add(took), result)
-	f.exchange(t, now.Add(took), false)
+	tellAll(t, now.Add(took), boards, false)
 	return result
 }
 
@@ -67,12 +33,12 @@
 func TestEntriesTellOfFailingUpstream(t *testing.T) {
 	is := is.New(t)
 	const entries, perSecond, seconds = 15, 14, 7
-	f := testFleet(t, entries)
+	boards := entriesBefore(t, entries, 0)
 	random := rand.New(rand.NewPCG(3, 4))
 	now, failed, elsewhere := time.Now(), 0, map[string]int{}
 	for i := range perSecond * seconds {
 		now = now.Add(time.Second / perSecond)
-		result := f.call(t, now, i%entries, func(at Instance) (time.Duration, Result) {
+		result := call(t, boards, now, i%entries, func(at Instance) (time.Duration, Result) {
 			elsewhere[at.ID]++
 			if at.ID == "s0" && random.IntN(2) == 0 {
 				return time.Millisecond, Failed
@@ -92,12 +58,12 @@
 func TestCallsThatFailEverywhereKeepAllInUse(t *testing.T) {
 	is := is.New(t)
 	const entries, calls = 15, 2000
-	f := testFleet(t, entries)
+	boards := entriesBefore(t, entries, 0)
 	random := rand.New(rand.NewPCG(3, 4))
 	now, taken := time.Now(), map[string]int{}
 	for i := range calls {
 		now = now.Add(20 * time.Millisecond)
-		f.call(t, now, i%entries, func(at Instance) (time.Duration, Result) {
+		call(t, boards, now, i%entries, func(at Instance) (time.Duration, Result) {
 			taken[at.ID]++
 			if random.IntN(7) == 0 {
 				return 17 * time.Millisecond, Failed
@@ -116,13 +82,13 @@
 	is := is.New(t)
 	now := time.Now()
 	for result, want := range map[Result]float64{Failed: failureWeight, Broken: 0, Unreachable: 0, Full: 0, Abandoned: 0, Answered: 0} {
-		f := testFleet(t, 2)
-		p := place(t, f[0], now, Demand{Service: "app"})
+		boards := entriesBefore(t, 2, 0)
+		p := place(t, boards[0], now, Demand{Service: "app"})
 		p.End(now, result)
-		f.exchange(t, now, false)
-		f.exchange(t, now, true)
-		f.exchange(t, now, true)
-		is.Equal(f[1].workers[p.First.ID].health.rate(now), want)
+		tellAll(t, now, boards, false)
+		tellAll(t, now, boards, true)
+		tellAll(t, now, boards, true)
+		is.Equal(boards[1].workers[p.First.ID].health.rate(now), want)
 	}
 }
 
--- a/dispatcher/settle_test.go
+++ b/dispatcher/settle_test.go
@@ -22,13 +22,19 @@
 	return boards
 }
 
-// tellAll has each board hear what changed at the others.
-func tellAll(now time.Time, boards []*Board) {
+// tellAll has each board hear what changed at the others, or all that they have.
+func tellAll(t *testing.T, now time.Time, boards []*Board, all bool) {
+	t.Helper()
 	for i, from := range boards {
-		shares := from.Export(now, false)
-		for j, to := range boards {
-			if j != i {
-				to.Import(now, TokenOf(fmt.Sprint(i)), shares)
+		for _, m := range EncodeShares(TokenOf(fmt.Sprint(i)), from.Export(now, all)) {
+			peer, shares, err := DecodeShares(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for j, to := range boards {
+				if j != i {
+					to.Import(now, peer, shares)
+				}
 			}
 		}
 	}
@@ -68,7 +74,7 @@
 			}
 			is.True(shared(placed[0], placed[1]) > 0)
 			now := start.Add(5 * time.Millisecond)
-			tellAll(now, boards)
+			tellAll(t, now, boards, false)
 			now = start.Add(SettleTime)
 			goes := 1 - c.stays
 			is.True(!placed[c.stays].Yields(now))
@@ -94,7 +100,7 @@
 			d.Admitted = true
 			placed[i] = place(t, b, start.Add(time.Duration(random.IntN(5000))*time.Microsecond), d)
 		}
-		tellAll(start.Add(8*time.Millisecond), boards)
+		tellAll(t, start.Add(8*time.Millisecond), boards, false)
 		var stay []*Placement
 		for _, p := range placed {
 			if !p.Yields(start.Add(SettleTime + 5*time.Millisecond)) {
@@ -131,7 +137,7 @@
 	boards := entriesBefore(t, 2, 2)
 	light := place(t, boards[0], start, tower)
 	place(t, boards[1], start, withPrompt(audit, 250_000))
-	tellAll(start.Add(5*time.Millisecond), boards)
+	tellAll(t, start.Add(5*time.Millisecond), boards, false)
 	is.True(!light.Settles())
 	heavy := place(t, testBoard(t, 17), start, withPrompt(audit, 250_000))
 	is.True(!heavy.Settles())
