logger: the test of late lines writes its early line before others

Cause: eight goroutines wrote 8,000 urgent lines while the test wrote one ordinary line. Where they had filled more than three quarters of the queue (768 lines), that line was dropped and counted, as the queue promises.

--- a/logger/queue_test.go
+++ b/logger/queue_test.go
@@ -79,6 +79,8 @@
 		output := &stuck{release: make(chan struct{})}
 		close(output.release)
 		q := logger.NewQueue(output)
+		_, err := io.WriteString(q, "event=early\n")
+		is.NoErr(err)
 		var writers sync.WaitGroup
 		for range 8 {
 			writers.Go(func() {
@@ -87,8 +89,6 @@
 				}
 			})
 		}
-		_, err := io.WriteString(q, "event=early\n")
-		is.NoErr(err)
 		is.NoErr(q.Close())
 		writers.Wait()
 		_, err = io.WriteString(q, "event=last\n")
