connector: connections without a call for 30 s are closed

Every entry sends half of its heartbeats to members drawn anew each 0.2 s, and its pool kept each connection for as long as it ran: after half a minute an entry of a hundred held one to nearly every other, and each of them one to it. That grows with entries x entries.

Chosen: 30 s. A fleet of a hundred uses nearly all of its connections again in that time and pays no new openings; from 300 entries on their number is bounded by the 300 calls made in it, however large the fleet.

A connection is not closed under a call. Both tests were red first: with nothing closed, and with calls in progress not counted.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -177,6 +177,8 @@
 red partition-stop server/server.go 's/for s\.inFlight\(\) > 0/for false/; s/busy\.Await\(time\.Time\{\}, drainPoll\)/_ = busy/; s/web\.Shutdown\(context\.Background\(\)\)/web.Close()/' $s 'TestScenarios/stop-entry-(partition|faults)'
 red foreign-late relayer/relayer.go 's/if c\.ID != r\.requestID/if false/; s/if c\.AttemptID != r\.attemptID \|\| r\.whole/if r.whole/' $s TestScenarios/answer-late-service
 red late-lines logger/queue.go 's/close\(q\.closing\)/close(q.closing); close(q.lines)/' ./logger TestLinesAfterTheEndAreDropped
+red idle-connections connector/pool.go 's/c\.calls == 0 && now\.Sub\(c\.used\) >= idleTime/false/' ./connector TestConnectionsWithoutCallsAreClosed
+red used-connections connector/pool.go 's/c\.calls == 0 && now/now/' ./connector TestConnectionInUseStaysOpen
 red told-failures dispatcher/share.go 's/b\.learn\(now, r, s\)/_ = s/' ./dispatcher TestEntriesTellOfFailingUpstream
 red told-own-links dispatcher/placement.go 's/return OutcomeUnknown/return OutcomeFailed/' ./dispatcher TestOutcomeIsToldOnce
 red middle-packed dispatcher/search.go 's/return openCost \* valueOf/return 0 * valueOf/' ./dispatcher TestSpanReviewsLeaveEnginesToAudits
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -19,30 +19,43 @@
 // DialFunc opens a connection, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Pool holds a connection to each peer that was called. It is safe for
+// idleTime is how long a connection is kept without a call. A fleet whose entries call peers
+// drawn at random would otherwise hold a connection between every two of them.
+const idleTime = 30 * time.Second
+
+// Pool holds a connection to each peer that was called lately. It is safe for
 // concurrent use.
 type Pool struct {
 	dial    DialFunc
 	lock    sync.Mutex
-	clients map[netip.AddrPort]*rpc.Client
+	clients map[netip.AddrPort]*client
 	closed  bool
 }
 
+// client is one connection of a pool, whose lock guards its fields.
+type client struct {
+	*rpc.Client
+	// calls is how many calls are in progress, used when the last one ended.
+	calls int
+	used  time.Time
+}
+
 // New returns a pool without connections.
 func New(dial DialFunc) *Pool {
-	return &Pool{dial: dial, clients: map[netip.AddrPort]*rpc.Client{}}
+	return &Pool{dial: dial, clients: map[netip.AddrPort]*client{}}
 }
 
 // Call makes a call bounded in time. A connection that failed or was silent
 // is not used again.
 func (p *Pool) Call(address netip.AddrPort, method string, args, reply any, timeout time.Duration) error {
-	client, err := p.client(address, timeout)
+	c, err := p.client(address, timeout)
 	if err != nil {
 		return fmt.Errorf("connect to peer: %w", err)
 	}
+	defer p.release(c)
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		err = call.Error
@@ -51,7 +64,7 @@
 	}
 	var refused rpc.ServerError
 	if err != nil && !errors.As(err, &refused) {
-		p.drop(address, client)
+		p.drop(address, c)
 	}
 	if err != nil {
 		return fmt.Errorf("call peer: %w", err)
@@ -59,12 +72,10 @@
 	return nil
 }
 
-func (p *Pool) client(address netip.AddrPort, timeout time.Duration) (*rpc.Client, error) {
-	p.lock.Lock()
-	client, ok := p.clients[address]
-	p.lock.Unlock()
-	if ok {
-		return client, nil
+// client returns the connection to a peer, for one call. The caller releases it.
+func (p *Pool) client(address netip.AddrPort, timeout time.Duration) (*client, error) {
+	if c := p.acquire(address); c != nil {
+		return c, nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -72,27 +83,59 @@
 	if err != nil {
 		return nil, err
 	}
-	client = rpc.NewClient(NewQueued(connection))
+	opened := &client{Client: rpc.NewClient(NewQueued(connection)), calls: 1}
 	p.lock.Lock()
 	defer p.lock.Unlock()
+	p.closeIdle(time.Now())
 	if other, raced := p.clients[address]; raced || p.closed {
-		_ = client.Close()
+		_ = opened.Close()
 		if raced {
+			other.calls++
 			return other, nil
 		}
 		return nil, net.ErrClosed
 	}
-	p.clients[address] = client
-	return client, nil
+	p.clients[address] = opened
+	return opened, nil
+}
+
+// acquire returns the connection to a peer, for one more call; nil if there is none.
+func (p *Pool) acquire(address netip.AddrPort) *client {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	c, ok := p.clients[address]
+	if !ok {
+		return nil
+	}
+	c.calls++
+	return c
+}
+
+func (p *Pool) release(c *client) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	c.calls--
+	c.used = time.Now()
+}
+
+// closeIdle closes connections that had no call for idleTime. It is called as others are opened, so that
+// their number is bounded by the peers called in that time.
+func (p *Pool) closeIdle(now time.Time) {
+	for address, c := range p.clients {
+		if c.calls == 0 && now.Sub(c.used) >= idleTime {
+			delete(p.clients, address)
+			_ = c.Close()
+		}
+	}
 }
 
-func (p *Pool) drop(address netip.AddrPort, client *rpc.Client) {
+func (p *Pool) drop(address netip.AddrPort, c *client) {
 	p.lock.Lock()
-	if p.clients[address] == client {
+	if p.clients[address] == c {
 		delete(p.clients, address)
 	}
 	p.lock.Unlock()
-	_ = client.Close()
+	_ = c.Close()
 }
 
 // Close closes all connections; later calls fail.
--- /dev/null
+++ b/connector/pool_test.go
@@ -0,0 +1,86 @@
+package connector
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Echo is a peer that answers at once, or after a time.
+type Echo struct{}
+
+// Call answers after a time.
+func (Echo) Call(after time.Duration, reply *time.Duration) error {
+	time.Sleep(after)
+	*reply = after
+	return nil
+}
+
+// open counts the connections that peers have open.
+type open struct{ connections atomic.Int64 }
+
+func (o *open) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	calls := rpc.NewServer()
+	if err := calls.Register(Echo{}); err != nil {
+		return nil, err
+	}
+	o.connections.Add(1)
+	go func() {
+		calls.ServeConn(far)
+		o.connections.Add(-1)
+	}()
+	return near, nil
+}
+
+func peerAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80)
+}
+
+// A fleet of a thousand entries, each of which calls another one each 0.1 s: an entry held a connection to
+// every other one for as long as it ran, with a queue, buffers and codecs of some 50 KB at either end, most
+// of its memory.
+func TestConnectionsWithoutCallsAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var o open
+		p := New(o.dial)
+		defer p.Close()
+		const peers, period = 1000, 100 * time.Millisecond
+		for i := range 2 * peers {
+			var reply time.Duration
+			is.NoErr(p.Call(peerAddress(i%peers), "Echo.Call", 0, &reply, time.Second))
+			time.Sleep(period)
+			synctest.Wait()
+			is.True(o.connections.Load() <= int64(idleTime/period)+1) // those called within idleTime
+		}
+	})
+}
+
+// A connection is not closed under a call that lasts longer than one is kept without.
+func TestConnectionInUseStaysOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var o open
+		p := New(o.dial)
+		defer p.Close()
+		ended := make(chan error)
+		go func() {
+			var reply time.Duration
+			ended <- p.Call(peerAddress(0), "Echo.Call", 3*idleTime, &reply, 4*idleTime)
+		}()
+		for i := range 20 {
+			time.Sleep(idleTime / 10)
+			var reply time.Duration
+			is.NoErr(p.Call(peerAddress(1+i), "Echo.Call", 0, &reply, time.Second))
+		}
+		is.NoErr(<-ended)
+	})
+}
