prober: that an entry stops, or takes callers again, is spread to all

An entry that stops told 16 others at once, and from then on whom it exchanged heartbeats with. Callers who come by such an answer are refused at an entry that stops, and find nobody once it has ended.

Cause: only deaths and what follows them were spread as notices; a stop and a return without a death between were known to those who heard them. The number of entries that one hears in a second does not grow with the fleet.

Whoever hears a member stop, or take callers after it was dead or stopping, spreads that; so does one that has run for 50 rounds and hears a member for the first time, so that instances that are added get callers. A run that stops is not live again, whatever comes late. Entries name one to callers that they have not heard themselves, where somebody told that it takes them.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -180,6 +180,10 @@
 red idle-connections connector/pool.go 's/c\.calls == 0 && now\.Sub\(c\.used\) >= idleTime/false/' ./connector TestConnectionsWithoutCallsAreClosed
 red used-connections connector/pool.go 's/c\.calls == 0 && now/now/' ./connector TestConnectionInUseStaysOpen
 red idle-queue connector/queue.go 's/wake: make\(chan struct\{\}, 1\)/wake: make(chan struct{}, 1), pending: make([][]byte, 0, maxQueued)/' ./connector TestIdleQueueTakesLittleMemory
+red stop-unspread prober/prober.go 's/p\.announce\(now, m, api\.NoticeLeaving\)/_ = now/' ./prober TestStopAndReturnSpread
+red return-unspread prober/prober.go 's/before == Dead \|\| before == Stopping/before == Dead/' ./prober TestStopAndReturnSpread
+red late-beat prober/prober.go 's/m\.State == Stopping && !beat\.Stopping/false/' ./prober TestLateHeartbeatOfAStoppingMember
+red told-ready controller/view.go 's/ \|\| m\.State == prober\.Listed\)/)/' ./controller TestAddressesFollowAStop
 red told-failures dispatcher/share.go 's/b\.learn\(now, r, s\)/_ = s/' ./dispatcher TestEntriesTellOfFailingUpstream
 red told-own-links dispatcher/placement.go 's/return OutcomeUnknown/return OutcomeFailed/' ./dispatcher TestOutcomeIsToldOnce
 red middle-packed dispatcher/search.go 's/return openCost \* valueOf/return 0 * valueOf/' ./dispatcher TestSpanReviewsLeaveEnginesToAudits
--- a/api/entry.go
+++ b/api/entry.go
@@ -127,6 +127,8 @@
 	State       string
 	// Sequence orders the notices about one incarnation.
 	Sequence uint64
+	// Ready says of a live entry that it takes callers.
+	Ready bool
 }
 
 // States that a notice can carry.
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -485,6 +486,29 @@
 	})
 }
 
+// An entry of sixty stops, ends and starts again. Three quarters of the others went on naming its address to
+// callers, who were refused there, and then found nobody; once it was back and known to have
+// stopped, it had no callers until each of the others had heard it.
+func TestAddressesFollowAStop(t *testing.T) {
+	withFleet(t, 60, func(f *fleet) {
+		time.Sleep(10 * time.Second) // until all have heard each other
+		one := f.entries[7]
+		address := netip.AddrPortFrom(one.host, 80)
+		named := func(wanted bool) func(*entry) bool {
+			return func(e *entry) bool { return slices.Contains(e.Addresses("dc-0"), address) == wanted }
+		}
+		f.within(10*time.Second, "address of an entry that serves", named(true))
+		one.Stop(time.Now().Add(3*time.Second), time.Now().Add(8*time.Second))
+		f.within(time.Second, "address of an entry that stops gone", named(false))
+		time.Sleep(3 * time.Second)
+		one.end()
+		f.net.Kill(one.host)
+		time.Sleep(500 * time.Millisecond)
+		f.entries[7] = f.start(7)
+		f.within(2*time.Second, "address of an entry that is back", named(true))
+	})
+}
+
 // Operators see whom an entry tells of load, who passes it on, and what that costs.
 func TestStatusTellsOfLoadNews(t *testing.T) {
 	withFleet(t, 24, func(f *fleet) {
--- a/controller/view.go
+++ b/controller/view.go
@@ -76,7 +76,7 @@
 func (s *state) addMembers(v *view) int {
 	c, heard := s.controller, 0
 	for _, m := range s.prober.Members() {
-		if m.State == prober.Live && m.Ready {
+		if m.Ready && (m.State == prober.Live || m.State == prober.Listed) {
 			v.takers = append(v.takers, taker{name: m.Name, address: m.Address, dataCentre: m.DataCentre, capacity: s.capacities[m.Name]})
 		}
 		if m.State == prober.Live || m.State == prober.Stopping {
--- a/prober/example_test.go
+++ b/prober/example_test.go
@@ -31,6 +31,9 @@
 	now     time.Time
 	probers []*prober.Prober
 	silent  map[int]bool
+	// runs is the incarnation of each less one, stopping are those that stop.
+	runs     map[int]uint64
+	stopping map[int]bool
 	// knows is who has heard of a new document.
 	knows map[int]bool
 	// place is the data centre of each; all the same where it is nil.
@@ -45,7 +48,7 @@
 
 // newPlacedRing is a ring in several data centres.
 func newPlacedRing(size, neighbours int, place func(int) string) *testRing {
-	r := &testRing{now: time.Now(), silent: map[int]bool{}, knows: map[int]bool{}, place: place}
+	r := &testRing{now: time.Now(), silent: map[int]bool{}, runs: map[int]uint64{}, stopping: map[int]bool{}, knows: map[int]bool{}, place: place}
 	var list []api.Instance
 	for i := range size {
 		list = append(list, api.Instance{Name: name(i), Kind: api.KindEntry, Address: address(i).String(), PeerAddress: address(i).String(), DataCentre: place(i), State: api.InstanceLive})
@@ -65,7 +68,7 @@
 }
 
 func (r *testRing) beat(i int) api.Heartbeat {
-	return api.Heartbeat{From: name(i), Incarnation: 1, Ready: true, PeerAddress: address(i), DataCentre: r.place(i), Notices: r.probers[i].Notices()}
+	return api.Heartbeat{From: name(i), Incarnation: 1 + r.runs[i], Ready: !r.stopping[i], Stopping: r.stopping[i], PeerAddress: address(i), DataCentre: r.place(i), Notices: r.probers[i].Notices()}
 }
 
 // round lets a second pass in which everyone who is not silent sends its
@@ -140,6 +143,64 @@
 	is.Equal(r.believe(7, prober.Dead), 0)
 }
 
+// An entry of 380 stops and starts again. Only those that exchanged a heartbeat with it knew: the others
+// named its address to callers while it stopped and while it was gone, and sent it messages to pass on.
+func TestStopAndReturnSpread(t *testing.T) {
+	is := is.New(t)
+	const size, mostRounds = 380, 10
+	r := newTestRing(size, 4)
+	for range 5 {
+		r.round()
+	}
+	ready := func() int {
+		n := 0
+		for i, p := range r.probers {
+			if m, ok := p.Find(name(7)); i != 7 && ok && m.Ready {
+				n++
+			}
+		}
+		return n
+	}
+	r.stopping[7] = true
+	rounds := 0
+	for r.believe(7, prober.Stopping) < size-1 {
+		r.round()
+		rounds++
+		is.True(rounds <= mostRounds)
+	}
+	t.Logf("stop known to all after %d rounds", rounds)
+	is.Equal(ready(), 0)
+	for range mostRounds {
+		r.round()
+	}
+	is.Equal(r.believe(7, prober.Stopping), size-1) // nothing late takes it back
+	r.stopping[7], r.runs[7] = false, 1
+	rounds = 0
+	for ready() < size-1 {
+		r.round()
+		rounds++
+		is.True(rounds <= mostRounds)
+	}
+	t.Logf("return known to all after %d rounds", rounds)
+	is.Equal(r.believe(7, prober.Stopping), 0)
+}
+
+// A heartbeat that was sent before a member began to stop, and comes after it was heard to stop, says nothing.
+func TestLateHeartbeatOfAStoppingMember(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	p := prober.New(prober.Config{Name: "a", Incarnation: 1, Neighbours: 2, Suspect: time.Second})
+	beat := api.Heartbeat{From: "b", Incarnation: 1, Ready: true, PeerAddress: address(1)}
+	p.Heard(now, beat)
+	stops := beat
+	stops.Stopping = true
+	p.Heard(now, stops)
+	p.Heard(now, beat)
+	m, _ := p.Find("b")
+	is.Equal(m.State, prober.Stopping)
+	is.True(!m.Ready)
+}
+
 // Nobody is taken for dead while all speak.
 func TestNoFalseDeath(t *testing.T) {
 	r := newTestRing(60, 3)
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -43,6 +43,9 @@
 	// leastUnanswered is how many heartbeats go unanswered before silence
 	// counts: one may be lost.
 	leastUnanswered = 2
+	// settledRounds is after how many rounds most of the others were heard. A member that is heard for the
+	// first time then is news; before, notices of all would hold up those of deaths.
+	settledRounds = 50
 	// noticeLife is how long a repeated notice is recognised as old.
 	noticeLife = 5 * time.Minute
 )
@@ -168,7 +171,8 @@
 }
 
 // Heard takes in a heartbeat, sent or answered by another entry. A heartbeat
-// of an earlier incarnation is late and is dropped.
+// of an earlier incarnation is late and is dropped. That a member stops, or begins
+// to take callers, is spread to all: in a large fleet most are seldom heard.
 func (p *Prober) Heard(now time.Time, beat api.Heartbeat) []Change {
 	if beat.From == p.config.Name {
 		return nil
@@ -177,21 +181,29 @@
 	if beat.Incarnation < m.Incarnation {
 		return nil
 	}
+	if beat.Incarnation == m.Incarnation && m.State == Stopping && !beat.Stopping {
+		return nil // sent before the member began to stop, which it never takes back
+	}
 	if beat.Incarnation > m.Incarnation {
 		m.Incarnation, m.sequence = beat.Incarnation, 0
 	}
-	if m.State == Dead {
-		p.announce(now, m, api.NoticeLive)
+	state := Live
+	if beat.Stopping {
+		state = Stopping
 	}
+	before := m.State
+	wasReady := m.Ready
 	m.Address, m.PeerAddress, m.DataCentre = beat.Address, beat.PeerAddress, beat.DataCentre
 	m.Ready = beat.Ready && !beat.Stopping
 	m.Heard = now
 	m.unanswered = 0
-	state := Live
-	if beat.Stopping {
-		state = Stopping
-	}
 	changes := p.move(m, state, "heartbeat")
+	switch {
+	case state == Stopping && before != Stopping:
+		p.announce(now, m, api.NoticeLeaving)
+	case state == Live && (before == Dead || before == Stopping || m.Ready && !wasReady && p.round > settledRounds):
+		p.announce(now, m, api.NoticeLive)
+	}
 	for _, n := range beat.Notices {
 		changes = append(changes, p.Notice(now, n)...)
 	}
@@ -213,12 +225,18 @@
 		r.heard = now
 		return nil
 	}
+	m, ok := p.members[n.Name]
+	if n.Kind == api.KindEntry && !ok && n.Name != p.config.Name {
+		return nil // it can be used once the member is known
+	}
 	p.spread(now, n)
-	if n.Kind != api.KindEntry || n.Name == p.config.Name {
+	if n.Kind != api.KindEntry || n.Name == p.config.Name || n.Incarnation < m.Incarnation {
 		return nil
 	}
-	m, ok := p.members[n.Name]
-	if !ok || n.Incarnation < m.Incarnation || p.overtaken(m, n) {
+	if n.Incarnation > m.Incarnation {
+		// Another run, of which this entry has heard nothing itself.
+		m.Incarnation, m.sequence, m.Heard = n.Incarnation, 0, time.Time{}
+	} else if p.overtaken(m, n) {
 		return nil
 	}
 	m.sequence = n.Sequence
@@ -232,21 +250,23 @@
 		p.announce(now, m, api.NoticeLive)
 		return nil
 	}
-	if heard {
-		return nil
-	}
 	if n.State == api.NoticeDead {
 		m.Ready = false
 		return p.move(m, Dead, "notice")
 	}
+	if m.State == Live {
+		m.Ready = m.Ready || n.Ready // a run that is ready stays so until it stops
+		return nil
+	}
+	m.Ready = n.Ready
 	return p.move(m, Listed, "notice")
 }
 
 // overtaken reports whether newer word about the member was heard. Of two
 // notices with one sequence death goes first: a neighbour that still hears
-// the member answers it with the next sequence.
+// the member answers it with the next sequence. A run that stops is not live again.
 func (p *Prober) overtaken(m *Member, n api.Notice) bool {
-	if n.State == api.NoticeLeaving {
+	if n.State == api.NoticeLeaving || m.State == Stopping && n.State == api.NoticeLive {
 		return m.State == Stopping
 	}
 	if n.Sequence == m.sequence {
@@ -258,7 +278,7 @@
 // announce makes a notice about a member and spreads it.
 func (p *Prober) announce(now time.Time, m *Member, state string) {
 	m.sequence++
-	p.spread(now, api.Notice{Kind: api.KindEntry, Name: m.Name, Incarnation: m.Incarnation, State: state, Sequence: m.sequence})
+	p.spread(now, api.Notice{Kind: api.KindEntry, Name: m.Name, Incarnation: m.Incarnation, State: state, Sequence: m.sequence, Ready: m.Ready})
 }
 
 func (p *Prober) spread(now time.Time, n api.Notice) {
