controller: that a heavy prompt was placed goes by two relays

Cause: news of load crosses to each other data centre by one datagram to an entry drawn there. One that has just been killed is drawn for a second and more, and what it is sent is lost for its data centre until the next repeat, up to 0.7 s later. For a short prompt that is hardly worth a byte; a heavy one that is not known draws others to its engines.

News of a heavy prompt without an answer goes to two entries of each other data centre: with one in six dead, one in six was lost, and one in forty is. TestHeavyPromptsAreToldInSpiteOfADeadRelay, red with one relay.

--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -153,11 +153,18 @@
 			"stream-resume": false, "gap-aim-ms": 0,
 		})
 	}
-	f.store.Put("op/config", map[string]any{"version": version, "routes": routes, "services": []any{map[string]any{"name": "app"}}})
+	engine := map[string]any{
+		"slots": 12, "kv-capacity-tokens": 400000, "stride": 50, "step_ms": 1, "read_per_s": 250000, "pairs_per_m": 0.1, "chunk": 2048,
+		"usual": map[string]any{"prompt": 5000, "answer": 1000},
+	}
+	services := []any{map[string]any{"name": "app"}, map[string]any{"name": "lm", "engine": engine}}
+	f.store.Put("op/config", map[string]any{"version": version, "routes": routes, "services": services})
 }
 
-func (f *fleet) list(id, state string) {
-	u := store.NewUpstream("app", netip.MustParseAddrPort("10.1.0.200:80"))
+func (f *fleet) list(id, state string) { f.listOf("app", id, state) }
+
+func (f *fleet) listOf(service, id, state string) {
+	u := store.NewUpstream(service, netip.MustParseAddrPort("10.1.0.200:80"))
 	u.Slots, u.State = 4, state
 	f.store.Put("servers/"+id, u)
 }
@@ -523,6 +530,30 @@
 	})
 }
 
+// A burst of long prompts at a fleet in which one entry of each data centre has just been killed: each prompt is known
+// to all within 20 ms. One relay was drawn for each message, and what it lost was known only with the
+// next repeat: an entry placed a prompt of 153,000 tokens on the engine that had got 251,000 from another
+// one 0.4 s before, where it waited 5 s for memory.
+func TestHeavyPromptsAreToldInSpiteOfADeadRelay(t *testing.T) {
+	withFleet(t, 24, func(f *fleet) {
+		for i := range 20 {
+			f.listOf("lm", fmt.Sprintf("e-%d", i), "ready")
+		}
+		time.Sleep(5 * time.Second) // until most have heard each other
+		for _, e := range f.entries[21:] {
+			f.net.Kill(e.host)
+			e.end()
+		}
+		f.entries = f.entries[:21]
+		for n := 1; n <= 20; n++ {
+			d := dispatcher.Demand{Service: "lm", Prompt: 250000, Answer: 500, FirstByteTarget: 4 * time.Second, PauseTarget: time.Second, Patience: 15 * time.Second, Admitted: true}
+			_, refusal := f.entries[0].board.Place(time.Now(), d)
+			f.is.True(refusal == nil)
+			f.within(20*time.Millisecond, "heavy prompt told", knowing(n))
+		}
+	})
+}
+
 // An entry of sixty stops, ends and starts again. Three quarters of the others went on naming its address to
 // callers, who were refused there, and then found nobody; once it was back and known to have
 // stopped, it had no callers until each of the others had heard it.
--- a/controller/shares.go
+++ b/controller/shares.go
@@ -20,6 +20,9 @@
 	shareTime = 5 * time.Millisecond
 	// shareAll is how often all load is told again, since datagrams are lost.
 	shareAll = 700 * time.Millisecond
+	// heavyRelays is how many entries of another data centre pass on that a heavy prompt was placed: where a sixth of
+	// them have just died, unnoticed yet, one relay loses one in six.
+	heavyRelays = 2
 	// shareSize is the largest message read.
 	shareSize = 2048
 )
@@ -44,10 +47,31 @@
 				return
 			}
 		}
-		c.spread(socket, c.encodeShares(c.config.Board.Export(time.Now(), all)), all)
+		c.tellChanges(socket, all)
 	}
 }
 
+// tellChanges tells what changed, or all of the load. A heavy prompt that others don't know of costs what they place
+// at its engines seconds, so that news of one goes by several relays.
+func (c *Controller) tellChanges(socket net.PacketConn, all bool) {
+	shares := c.config.Board.Export(time.Now(), all)
+	if all {
+		c.spread(socket, c.encodeShares(shares), c.current.Load().paths, dispatcher.RelayToAll, 1)
+		return
+	}
+	var heavy, others []dispatcher.Share
+	for _, s := range shares {
+		if s.Heavy {
+			heavy = append(heavy, s)
+		} else {
+			others = append(others, s)
+		}
+	}
+	placing := c.current.Load().placing
+	c.spread(socket, c.encodeShares(heavy), placing, dispatcher.RelayToPlacing, heavyRelays)
+	c.spread(socket, c.encodeShares(others), placing, dispatcher.RelayToPlacing, 1)
+}
+
 func (c *Controller) encodeShares(shares []dispatcher.Share) [][]byte {
 	if len(shares) == 0 {
 		return nil
@@ -56,18 +80,17 @@
 }
 
 // spread sends messages to entries: changes to those that place requests, all of the load
-// to each. One datagram goes to each other data centre that has many entries, and on from
-// there. Bytes between data centres then grow with their number and not with that of
+// to each. One datagram goes to each other data centre that has many entries, or as many as there are to be
+// relays, and on from there. Bytes between data centres then grow with their number and not with that of
 // entries.
-func (c *Controller) spread(socket net.PacketConn, messages [][]byte, all bool) {
-	paths, relayed := c.current.Load().placing, dispatcher.RelayToPlacing
-	if all {
-		paths, relayed = c.current.Load().paths, dispatcher.RelayToAll
-	}
+func (c *Controller) spread(socket net.PacketConn, messages [][]byte, paths sharePaths, to dispatcher.Relay, relays int) {
 	for _, m := range messages {
 		c.sendEach(socket, m, paths.near, &c.news.told)
 		for _, group := range paths.far {
-			c.send(socket, dispatcher.ForRelay(relayed, m), group[rand.IntN(len(group))], &c.news.told)
+			first := rand.IntN(len(group))
+			for i := range min(relays, len(group)) {
+				c.send(socket, dispatcher.ForRelay(to, m), group[(first+i)%len(group)], &c.news.told)
+			}
 		}
 	}
 }
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -37,6 +37,8 @@
 	Prompt, Answer int
 	// Target and Pause are those of the route; Pause is 0 for plain requests.
 	Target, Pause time.Duration
+	// Heavy is true of a prompt that takes an engine long and has no answer yet; it is not on the wire.
+	Heavy bool
 	// Parts has an element for each upstream, the one that answers first.
 	Parts []SharePart
 }
@@ -142,7 +144,7 @@
 func (r *request) share(now time.Time) Share {
 	s := Share{
 		Request: r.token, Begun: r.begun, Age: now.Sub(r.placed), Waited: r.placed.Sub(r.since), Left: r.left, Prompt: r.prompt, Answer: r.answer, Target: r.target, Pause: r.pause,
-		Parts: make([]SharePart, len(r.parts)),
+		Heavy: !r.begun && r.heavy(), Parts: make([]SharePart, len(r.parts)),
 	}
 	for i, p := range r.parts {
 		s.Parts[i] = SharePart{Upstream: p.worker.token, Held: p.held, Answers: i == 0}
