prober: a member that is back is told of once, when it takes callers

A return was told of twice, in variants that each spread by themselves: with the first heartbeat of the new run, which has no configuration yet, and when it had one. It is now told once it takes callers, which is what others need to know; entries are ready some milliseconds after their start. A member that was dead and is heard again without taking callers stays dead to those that don't hear it.

TestStopAndReturnSpread, TestAddressesFollowAStop, TestDeathSpreads: as before (2, 2 and 7 rounds).

--- a/prober/prober.go
+++ b/prober/prober.go
@@ -71,6 +71,9 @@
 	unansweredSince time.Time
 	// sequence is that of the newest notice about this incarnation.
 	sequence uint64
+	// unannounced is true of one that is live again, or new, until it takes callers: only
+	// then others are told.
+	unannounced bool
 }
 
 // Config of a prober.
@@ -191,17 +194,18 @@
 	if beat.Stopping {
 		state = Stopping
 	}
-	before := m.State
-	wasReady := m.Ready
+	isNews := m.State == Dead || m.State == Stopping || m.State == Listed && p.round > settledRounds
+	m.unannounced = state == Live && (m.unannounced || isNews)
 	m.Address, m.PeerAddress, m.DataCentre = beat.Address, beat.PeerAddress, beat.DataCentre
 	m.Ready = beat.Ready && !beat.Stopping
 	m.Heard = now
 	m.unanswered = 0
 	changes := p.move(m, state, "heartbeat")
 	switch {
-	case state == Stopping && before != Stopping:
+	case state == Stopping && len(changes) > 0:
 		p.announce(now, m, api.NoticeLeaving)
-	case state == Live && (before == Dead || before == Stopping || m.Ready && !wasReady && p.round > settledRounds):
+	case m.unannounced && m.Ready:
+		m.unannounced = false
 		p.announce(now, m, api.NoticeLive)
 	}
 	for _, n := range beat.Notices {
