--- a/connector/pool_test.go
+++ b/connector/pool_test.go
@@ -23,19 +23,19 @@
 	return nil
 }
 
-// open counts the connections that peers have open.
-type open struct{ connections atomic.Int64 }
+// fakePeers answer on connections in memory, and count those that are open.
+type fakePeers struct{ open atomic.Int64 }
 
-func (o *open) dial(context.Context, string, string) (net.Conn, error) {
+func (f *fakePeers) dial(context.Context, string, string) (net.Conn, error) {
 	near, far := net.Pipe()
 	calls := rpc.NewServer()
 	if err := calls.Register(Echo{}); err != nil {
 		return nil, err
 	}
-	o.connections.Add(1)
+	f.open.Add(1)
 	go func() {
 		calls.ServeConn(far)
-		o.connections.Add(-1)
+		f.open.Add(-1)
 	}()
 	return near, nil
 }
@@ -50,16 +50,16 @@
 func TestConnectionsWithoutCallsAreClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var o open
-		p := New(o.dial)
+		var peers fakePeers
+		p := New(peers.dial)
 		defer p.Close()
-		const peers, period = 1000, 100 * time.Millisecond
-		for i := range 2 * peers {
+		const size, period = 1000, 100 * time.Millisecond
+		for i := range 2 * size {
 			var reply time.Duration
-			is.NoErr(p.Call(peerAddress(i%peers), "Echo.Call", 0, &reply, time.Second))
+			is.NoErr(p.Call(peerAddress(i%size), "Echo.Call", 0, &reply, time.Second))
 			time.Sleep(period)
 			synctest.Wait()
-			is.True(o.connections.Load() <= int64(idleTime/period)+1) // those called within idleTime
+			is.True(peers.open.Load() <= int64(idleTime/period)+1) // those called within idleTime
 		}
 	})
 }
@@ -68,8 +68,8 @@
 func TestConnectionInUseStaysOpen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var o open
-		p := New(o.dial)
+		var peers fakePeers
+		p := New(peers.dial)
 		defer p.Close()
 		ended := make(chan error)
 		go func() {
--- a/controller/view.go
+++ b/controller/view.go
@@ -77,6 +77,7 @@
 func (s *state) addMembers(v *view) int {
 	c, heard := s.controller, 0
 	for _, m := range s.prober.Members() {
+		// Others have told of those that are ready and were not heard here.
 		if m.Ready && (m.State == prober.Live || m.State == prober.Listed) {
 			v.takers = append(v.takers, taker{name: m.Name, address: m.Address, dataCentre: m.DataCentre, capacity: s.capacities[m.Name]})
 		}
