--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -185,7 +185,7 @@
 red news-again prober/prober.go 's/isNews := !m\.Ready && /isNews := /' ./prober TestAMemberIsNewsOnce
 red late-beat prober/prober.go 's/m\.State == Stopping && !beat\.Stopping/false/' ./prober TestLateHeartbeatOfAStoppingMember
 red told-ready controller/view.go 's/ \|\| m\.State == prober\.Listed\)/)/' ./controller TestAddressesFollowAStop
-red stopping-relay controller/paths.go 's/case p\.dead \|\| p\.stopping:/case p.dead:/' ./controller TestLoadIsToldBesideEntriesThatStop
+red stopping-relay controller/paths.go 's/!p\.dead && !p\.stopping/!p.dead/' ./controller TestLoadIsToldBesideEntriesThatStop
 red one-relay controller/shares.go 's/heavyRelays = 4/heavyRelays = 1/' ./controller TestHeavyPromptsAreToldInSpiteOfDeadRelays
 red told-failures dispatcher/share.go 's/b\.learn\(now, r, s\)/_ = s/' ./dispatcher TestEntriesTellOfFailingUpstream
 red told-own-links dispatcher/placement.go 's/return OutcomeUnknown/return OutcomeFailed/' ./dispatcher TestOutcomeIsToldOnce
--- a/connector/pool_test.go
+++ b/connector/pool_test.go
@@ -40,6 +40,12 @@
 	return near, nil
 }
 
+// call asks a peer to answer after a time.
+func call(p *Pool, peer int, after, timeout time.Duration) error {
+	var reply time.Duration
+	return p.Call(peerAddress(peer), "Echo.Call", after, &reply, timeout)
+}
+
 func peerAddress(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80)
 }
@@ -55,8 +61,7 @@
 		defer p.Close()
 		const size, period = 1000, 100 * time.Millisecond
 		for i := range 2 * size {
-			var reply time.Duration
-			is.NoErr(p.Call(peerAddress(i%size), "Echo.Call", 0, &reply, time.Second))
+			is.NoErr(call(p, i%size, 0, time.Second))
 			time.Sleep(period)
 			synctest.Wait()
 			is.True(peers.open.Load() <= int64(idleTime/period)+1) // those called within idleTime
@@ -72,14 +77,10 @@
 		p := New(peers.dial)
 		defer p.Close()
 		ended := make(chan error)
-		go func() {
-			var reply time.Duration
-			ended <- p.Call(peerAddress(0), "Echo.Call", 3*idleTime, &reply, 4*idleTime)
-		}()
+		go func() { ended <- call(p, 0, 3*idleTime, 4*idleTime) }()
 		for i := range 20 {
 			time.Sleep(idleTime / 10)
-			var reply time.Duration
-			is.NoErr(p.Call(peerAddress(1+i), "Echo.Call", 0, &reply, time.Second))
+			is.NoErr(call(p, 1+i, 0, time.Second))
 		}
 		is.NoErr(<-ended)
 	})
--- a/controller/paths.go
+++ b/controller/paths.go
@@ -21,18 +21,18 @@
 func pathsOf(dataCentre string, peers []peer, listens func(peer) bool) sharePaths {
 	var paths sharePaths
 	live := map[string]int{}
-	listeners, ending := map[string][]netip.AddrPort{}, map[string][]netip.AddrPort{}
+	listeners, direct := map[string][]netip.AddrPort{}, map[string][]netip.AddrPort{}
 	for _, p := range peers {
 		far := p.dataCentre != dataCentre
-		if far && !p.dead && !p.stopping {
+		if far && p.relays() {
 			live[p.dataCentre]++
 		}
 		switch {
 		case !listens(p):
 		case !far:
 			paths.own = append(paths.own, p.shares)
-		case p.dead || p.stopping:
-			ending[p.dataCentre] = append(ending[p.dataCentre], p.shares)
+		case !p.relays():
+			direct[p.dataCentre] = append(direct[p.dataCentre], p.shares)
 		default:
 			listeners[p.dataCentre] = append(listeners[p.dataCentre], p.shares)
 		}
@@ -44,9 +44,9 @@
 			continue
 		}
 		paths.far = append(paths.far, group)
-		delete(ending, name) // the relay tells them too
+		delete(direct, name) // the relay tells them too
 	}
-	for _, group := range ending {
+	for _, group := range direct {
 		paths.near = append(paths.near, group...)
 	}
 	return paths
@@ -61,6 +61,9 @@
 	return n
 }
 
+// relays reports whether a peer passes messages on. One that is stopping ends without a word.
+func (p peer) relays() bool { return !p.dead && !p.stopping }
+
 func everyone(peer) bool { return true }
 
 func places(p peer) bool { return p.places }
--- a/controller/view.go
+++ b/controller/view.go
@@ -25,8 +25,7 @@
 	beats       netip.AddrPort
 	shares      netip.AddrPort
 	dataCentre  string
-	// dead entries are told of load, but relay none and count as no peers. Those that are
-	// stopping relay none either: they end without a word.
+	// dead entries are told of load, but count as no peers.
 	dead, stopping bool
 	// places is false of entries that take no callers now, as far as is known here.
 	places bool
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -229,12 +229,16 @@
 		r.heard = now
 		return nil
 	}
+	if n.Kind != api.KindEntry || n.Name == p.config.Name {
+		p.spread(now, n)
+		return nil
+	}
 	m, ok := p.members[n.Name]
-	if n.Kind == api.KindEntry && !ok && n.Name != p.config.Name {
+	if !ok {
 		return nil // it can be used once the member is known
 	}
 	p.spread(now, n)
-	if n.Kind != api.KindEntry || n.Name == p.config.Name || n.Incarnation < m.Incarnation {
+	if n.Incarnation < m.Incarnation {
 		return nil
 	}
 	if n.Incarnation > m.Incarnation {
