dispatcher, forwarder, platform: what a response states about a rate limit is read and logged

A response's limit is now kept with what else the incarnation said of itself, in the order in which it can have been in force, and each change is logged as upstream_limit. Nothing acts on it yet. A value that can't be read leaves what is in force, and is logged; of several the lowest counts.

Only a response of an upstream that ran the request ends a limit: a refusal need not repeat what the others say.

--- a/dispatcher/backpressure.go
+++ b/dispatcher/backpressure.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// leavingTTL is the time for which a leaving incarnation is remembered after it was last listed, as
-// an outage of the store can bring back an older list that still contains it.
-const leavingTTL = 5 * time.Minute
+// unlistedTTL is the time for which an incarnation that is leaving or has a rate limit is remembered
+// after it was last listed, as an outage of the store can bring back an older list that contains it.
+const unlistedTTL = 5 * time.Minute
 
 // backpressure is what an incarnation of an upstream has reported in its responses about accepting
 // requests. It takes precedence over the instance list from the store, which may be outdated while
@@ -15,6 +15,8 @@
 	// backoffUntil is the time until which the incarnation asks this entry to send nothing; zero if
 	// it never did.
 	backoffUntil time.Time
+	// rateLimit is the report with the rate limit in force; zero if no response stated a limit.
+	rateLimit RateLimitReport
 	// reportedAt is the time at which the incarnation last reported that it is leaving or asked for
 	// a backoff, listedAt the time at which the instance list last contained it.
 	reportedAt, listedAt time.Time
@@ -24,10 +26,10 @@
 func (p *backpressure) isRefusing(now time.Time) bool { return p.leaving || p.backoffUntil.After(now) }
 
 // isRetained reports whether the backpressure must still be remembered once the incarnation is no
-// longer listed: for leavingTTL after it was last listed if it is leaving, and in any case until
-// its backoff ends.
+// longer listed: for unlistedTTL after it was last listed if it is leaving or has a rate limit, and in
+// any case until its backoff ends.
 func (p *backpressure) isRetained(now time.Time) bool {
-	return p.leaving && now.Sub(p.listedAt) < leavingTTL || p.backoffUntil.After(now)
+	return (p.leaving || p.rateLimit.Limit.Limited) && now.Sub(p.listedAt) < unlistedTTL || p.backoffUntil.After(now)
 }
 
 // MarkLeaving records that an incarnation of an upstream reported that it is leaving. It returns
@@ -68,13 +70,18 @@
 }
 
 // afterRestart returns the backpressure of the incarnation that replaced this one at restartedAt.
-// If the last report came after that time, the new incarnation sent it before this entry's instance
-// list contained that incarnation, so all of the backpressure is kept; otherwise none is.
+// What was reported after that time came from the new incarnation, before this entry's instance list
+// contained that incarnation, and is kept; the rest is not.
 func (p backpressure) afterRestart(restartedAt time.Time) backpressure {
+	carried := backpressure{}
 	if p.reportedAt.After(restartedAt) {
-		return p
+		carried = p
 	}
-	return backpressure{}
+	carried.rateLimit = RateLimitReport{}
+	if p.rateLimit.ReceivedAt.After(restartedAt) {
+		carried.rateLimit = p.rateLimit
+	}
+	return carried
 }
 
 // refuseNoneUsable returns the refusal of a request whose service has no usable upstream.
--- a/forwarder/protocol.go
+++ b/forwarder/protocol.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/matcher"
 )
 
@@ -84,6 +85,11 @@
 	// Backoff is the time, from the response on, for which the upstream asks this entry to send it no
 	// requests; 0 for none.
 	Backoff time.Duration
+	// RateLimit is the rate limit that the upstream states; zero if it states none or RateLimitError is
+	// set.
+	RateLimit dispatcher.RateLimit
+	// RateLimitError is why the stated rate limit can't be read; nil if it can, and if none is stated.
+	RateLimitError error
 }
 
 // Protocol reads and writes the headers that callers and upstreams use.
