--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -132,6 +132,10 @@
 	// UpstreamLeaving is true if that answer announced that the upstream is leaving.
 	Upstream        string
 	UpstreamLeaving bool
+	// UpstreamLimited is true if that answer stated a rate limit of the upstream.
+	UpstreamLimited bool
+	// HeaderAt is when the header of the response arrived; zero if none did.
+	HeaderAt time.Time
 	// Err is not nil if no complete response arrived.
 	Err       error
 	StartedAt time.Time
@@ -248,6 +252,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	r.Upstream, r.UpstreamLeaving = response.Header.Get("X-Engine-Stamp"), response.Header.Get("Server-Leaving") != ""
+	r.UpstreamLimited, r.HeaderAt = response.Header.Get("Server-Limit") != "", time.Now()
 	answer, err := io.ReadAll(response.Body)
 	r.Status, r.Body, r.RetryAfter = response.StatusCode, string(answer), response.Header.Get("Retry-After")
 	if err != nil {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -143,6 +143,8 @@
 	reservations map[string]int
 	// usedTickets holds the tickets passed to MarkTicketUsed.
 	usedTickets map[string]bool
+	// rateLimits are the periods in which responses state a rate limit, earliest first.
+	rateLimits []RateLimitPeriod
 	// onCrash is called when a request crashes the worker; if nil, requests
 	// don't crash it.
 	onCrash func()
@@ -193,6 +195,9 @@
 // worker. It must be called before the first request.
 func (w *Worker) OnCrash(onCrash func()) { w.onCrash = onCrash }
 
+// ID returns the instance ID.
+func (w *Worker) ID() string { return w.id }
+
 // SetFault sets the fault with which the worker answers new requests.
 func (w *Worker) SetFault(f Fault) {
 	w.lock.Lock()
@@ -242,6 +247,7 @@
 	close(w.current.ended)
 	w.current = newIncarnation()
 	w.restarts++
+	w.endRateLimit()
 	clear(w.reservations)
 }
 
@@ -331,6 +337,7 @@
 	}
 	if refuses {
 		response.Header().Set("X-Not-Executed", "1")
+		w.stateRateLimit(response.Header())
 		response.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -354,6 +361,7 @@
 	if !current.wait(r, workTime) {
 		return
 	}
+	w.stateRateLimit(response.Header())
 	switch fault {
 	case FaultServerError:
 		response.WriteHeader(http.StatusInternalServerError)
