dispatcher, controller: entries tell each other of rate limits

An entry that has just started sends each such upstream a request to learn of its limit, and drawn entries that learned of a limit at once sent their first requests at once.

Now rate limits go to all other entries with the load updates, in messages of their own, so that entries of the version before still read each other's load. The entry that has read a change tells it; those that send the upstream requests repeat what they have read, its end for ten seconds. Reports carry ages, and the order in which they can have been in force holds across entries; after a suspension, when ages are unknown, nothing is repeated. Reports of upstreams that are not listed yet are kept. Drawn entries begin one after the other.

Evidence: TestEndOfRateLimitsReachesAllEntries and TestStartingEntryLearnsOfRateLimits failed before; red.sh.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -208,6 +208,9 @@
 red rate-memory dispatcher/memory.go 's/if c\.upstream\.backpressure\.rateLimit\.Limit\.Limited/if false/' ./forwarder TestEnginesWithRateLimitHoldNoMemoryForOthers
 red rate-order dispatcher/ratelimit.go 's/return r\.SentAt\.After\(applied\.ReceivedAt\)/return true/' ./dispatcher TestOvertakenRateLimitsAreIgnored
 red rate-at-once forwarder/place.go 's/\+r\.Wait//' ./forwarder TestRequestsOverAllRateLimitsAreRefusedAtOnce
+red rate-end controller/loadupdates.go 's/c\.sendAlong\(socket, dispatcher\.EncodeRateLimits/_ = len(dispatcher.EncodeRateLimits/; s/dispatcher\.EncodeRateLimits\(c\.config\.Dispatcher\.TakeRateLimits\(time\.Now\(\), all\)\), c\.current\.Load\(\)\.allPaths, dispatcher\.RelayToAll, 1\)/dispatcher.EncodeRateLimits(c.config.Dispatcher.TakeRateLimits(time.Now(), all)))/' ./launcher TestEndOfRateLimitsReachesAllEntries
+red rate-start controller/loadupdates.go 's/dispatcher\.EncodeRateLimits\(c\.config\.Dispatcher\.RateLimits\(time\.Now\(\)\)\)\.\.\./nil.../; s/append\((c\.encodeUpdate\(c\.config\.Dispatcher\.OwnRequestLoads\(time\.Now\(\)\)\)), nil\.\.\.\)/$1/' ./launcher TestStartingEntryLearnsOfRateLimits
+red rate-deferred dispatcher/dispatcher.go 's/b\.applyDeferredRateLimits\(now\)\n//' ./dispatcher TestRateLimitsReachPeers
 red cold-drawn dispatcher/cold.go 's/if heavier < senders/if true/' ./dispatcher TestColdUpstreamsGetFewRequests
 red cold-new dispatcher/cold.go 's/b\.isolated \|\| //' ./dispatcher TestNewEntriesLeaveColdUpstreamsAlone
 red cold-at-once dispatcher/cold.go 's/min\(untilWarm, max\(0, u\.warmUp\.nextAt\.Sub\(now\)\)\)/untilWarm/' ./dispatcher TestColdUpstreamsGetWorkAtOnce
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -272,6 +272,7 @@
 		s.controller.config.Log.Warn("woke", zap.Duration("paused_ms", paused))
 		s.prober.RestartSilenceDetection(now)
 		s.follower.ClearConfirmation()
+		s.controller.config.Dispatcher.DisownRateLimits()
 		s.dirty = true
 	}
 	s.applyMemberChanges(s.prober.Tick(now))
--- a/controller/loadupdates.go
+++ b/controller/loadupdates.go
@@ -58,10 +58,11 @@
 }
 
 // sendChanges sends the full load to all peers if all is true, else the changes of load since the
-// last call to the placing peers. Updates about long prompts that await their first byte go through
+// last call to the placing peers. In both cases it sends rate limits of upstreams to all peers. Updates about long prompts that await their first byte go through
 // several relays per data centre: an entry that misses such an update places requests on the same
 // engines, which delays these requests by seconds.
 func (c *Controller) sendChanges(socket net.PacketConn, all bool) {
+	c.sendAlong(socket, dispatcher.EncodeRateLimits(c.config.Dispatcher.TakeRateLimits(time.Now(), all)), c.current.Load().allPaths, dispatcher.RelayToAll, 1)
 	loads := c.config.Dispatcher.TakeLoadChanges(time.Now(), all)
 	if all {
 		c.sendAlong(socket, c.encodeUpdate(loads), c.current.Load().allPaths, dispatcher.RelayToAll, 1)
@@ -104,7 +105,7 @@
 	}
 }
 
-// sendAllToNewPeers sends the full load to each peer of the view whose incarnation differs from the
+// sendAllToNewPeers sends the full load and all known rate limits to each peer of the view whose incarnation differs from the
 // one in sent under the peer's name, or that is not in sent. It returns the incarnations of all
 // current peers by name, to be passed as sent to the next call.
 func (c *Controller) sendAllToNewPeers(socket net.PacketConn, sent map[string]uint64) map[string]uint64 {
@@ -115,7 +116,7 @@
 			continue
 		}
 		if messages == nil {
-			messages = c.encodeUpdate(c.config.Dispatcher.OwnRequestLoads(time.Now()))
+			messages = append(c.encodeUpdate(c.config.Dispatcher.OwnRequestLoads(time.Now())), dispatcher.EncodeRateLimits(c.config.Dispatcher.RateLimits(time.Now()))...)
 		}
 		for _, m := range messages {
 			c.send(socket, m, p.loadAddress, &c.loadCounts.sent)
@@ -157,7 +158,7 @@
 		}
 		c.loadCounts.received.add(n)
 		relay, message := dispatcher.UnwrapRelay(buffer[:n])
-		peer, loads, err := dispatcher.DecodeLoadUpdate(message)
+		apply, err := c.decodeUpdate(message, from)
 		if err != nil {
 			c.loadCounts.malformed.Add(1)
 			if skipped, ok := malformed.allow(time.Now()); ok {
@@ -165,16 +166,37 @@
 			}
 			continue
 		}
-		now := time.Now()
 		switch relay {
 		case dispatcher.RelayToAll:
 			c.sendEach(socket, message, c.current.Load().allPaths.local, &c.loadCounts.relayed)
 		case dispatcher.RelayToPlacing:
 			c.sendEach(socket, message, c.current.Load().placingPaths.local, &c.loadCounts.relayed)
 		}
+		apply()
+	}
+}
+
+// decodeUpdate decodes a load update or a rate limit update from an address and returns the function that
+// applies it. The error is dispatcher.ErrMalformedLoadUpdate for any malformed message.
+func (c *Controller) decodeUpdate(message []byte, from net.Addr) (apply func(), err error) {
+	now := time.Now()
+	if dispatcher.IsRateLimitUpdate(message) {
+		limits, err := dispatcher.DecodeRateLimits(message)
+		return func() { c.logRateLimits(c.config.Dispatcher.ApplyPeerRateLimits(now, limits), from) }, err
+	}
+	peer, loads, err := dispatcher.DecodeLoadUpdate(message)
+	return func() {
 		if c.loadSenders.received(now, peer) {
 			c.do(func(s *state) { s.dirty = true })
 		}
 		c.config.Dispatcher.ApplyPeerLoads(now, peer, loads)
+	}, err
+}
+
+// logRateLimits logs the rate limits of upstreams that an update from an address has changed.
+func (c *Controller) logRateLimits(changed []dispatcher.InstanceRateLimit, from net.Addr) {
+	for _, l := range changed {
+		c.config.Log.Info("upstream_limit", zap.String("upstream", l.Instance.ID), zap.Stringer("address", l.Instance.Address),
+			zap.Bool("limited", l.Limit.Limited), zap.Float64("per_second", l.Limit.PerSecond), zap.Stringer("source", from))
 	}
 }
--- a/dispatcher/backpressure.go
+++ b/dispatcher/backpressure.go
@@ -17,6 +17,10 @@
 	backoffUntil time.Time
 	// rateLimit is the report with the rate limit in force; zero if no response stated a limit.
 	rateLimit RateLimitReport
+	// ownRateLimit is true if this entry itself has received the response of rateLimit. limitEndedAt is
+	// the time at which a limit was last found to have ended.
+	ownRateLimit bool
+	limitEndedAt time.Time
 	// reportedAt is the time at which the incarnation last reported that it is leaving or asked for
 	// a backoff, listedAt the time at which the instance list last contained it.
 	reportedAt, listedAt time.Time
@@ -77,7 +81,7 @@
 	if p.reportedAt.After(restartedAt) {
 		carried = p
 	}
-	carried.rateLimit = RateLimitReport{}
+	carried.rateLimit, carried.ownRateLimit = RateLimitReport{}, false
 	if p.rateLimit.ReceivedAt.After(restartedAt) {
 		carried.rateLimit = p.rateLimit
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -33,6 +33,12 @@
 	// ownRequests holds the requests placed by this entry, peerRequests those that peers report.
 	ownRequests  map[CompactID]*request
 	peerRequests map[peerRequestKey]*request
+	// changedLimits holds the upstreams of which this entry has read another rate limit in a response since
+	// the last call of TakeRateLimits.
+	changedLimits map[*upstream]bool
+	// deferredLimits holds rate limits reported by peers of upstreams that are not listed yet, by the
+	// compact ID of their incarnation.
+	deferredLimits map[CompactID]RateLimitReport
 	// peerCount is the number of other entries that place requests, as set by SetPeers.
 	peerCount int
 	// isolated is true while this entry receives no load updates from its peers, isolatedAt is when it
@@ -69,7 +75,7 @@
 func New(dataCentre string, random *rand.Rand) *Dispatcher {
 	return &Dispatcher{
 		dataCentre: dataCentre, random: random, upstreams: map[string]*upstream{}, byCompactID: map[CompactID]*upstream{}, services: map[string][]*upstream{},
-		ownRequests: map[CompactID]*request{}, peerRequests: map[peerRequestKey]*request{}, rankSalt: sharedRankSalt, changed: map[*request]bool{}, LoadChanged: make(chan struct{}, 1),
+		ownRequests: map[CompactID]*request{}, peerRequests: map[peerRequestKey]*request{}, changedLimits: map[*upstream]bool{}, deferredLimits: map[CompactID]RateLimitReport{}, rankSalt: sharedRankSalt, changed: map[*request]bool{}, LoadChanged: make(chan struct{}, 1),
 	}
 }
 
@@ -103,6 +109,7 @@
 			b.resolveUpstreams(now, r)
 		}
 	}
+	b.applyDeferredRateLimits(now)
 	for id, u := range b.upstreams {
 		if !listed[id] && len(u.assignments) == 0 && !u.backpressure.isRetained(now) {
 			delete(b.upstreams, id)
--- a/dispatcher/ratelimit.go
+++ b/dispatcher/ratelimit.go
@@ -68,18 +68,31 @@
 	if !ok || !u.instance.SameIncarnation(i) {
 		return false
 	}
-	return u.applyRateLimit(r)
+	if !b.applyRateLimit(u, r, true) {
+		return false
+	}
+	if !b.isUnreported {
+		b.changedLimits[u] = true
+		b.signalChange()
+	}
+	return true
 }
 
-// applyRateLimit applies a report unless a newer one was applied before. It reports whether the limit in
-// force has changed.
-func (u *upstream) applyRateLimit(r RateLimitReport) bool {
+// applyRateLimit applies a report unless a newer one was applied before; own is true if this entry itself
+// has received the response. It reports whether the limit in force has changed.
+func (b *Dispatcher) applyRateLimit(u *upstream, r RateLimitReport, own bool) bool {
 	p := &u.backpressure
 	if !r.supersedes(p.rateLimit) {
 		return false
 	}
 	changed := r.Limit != p.rateLimit.Limit
-	p.rateLimit = r
+	p.rateLimit, p.ownRateLimit = r, own
+	switch {
+	case changed && r.Limit.Limited:
+		b.scheduleFirst(time.Now(), u)
+	case changed:
+		p.limitEndedAt = time.Now()
+	}
 	return changed
 }
 
@@ -113,8 +126,8 @@
 // without telling each other of requests: rendezvous hashing over the upstream's incarnation draws the
 // entries that share it, and each has a token bucket with an equal part.
 type rateShare struct {
-	// tokens is the content of the bucket at updatedAt, the time of this entry's last request to the
-	// upstream, limited or not; both are zero before the first.
+	// tokens is the content of the bucket at updatedAt: the time of this entry's last request to the
+	// upstream, or of the begin of the limit.
 	tokens    float64
 	updatedAt time.Time
 	// heavier is the number of sharers that are drawn before this entry. It is valid for the version of
@@ -193,12 +206,18 @@
 // tokenTolerance is the part of a token that may be missing, as times are rounded to nanoseconds.
 const tokenTolerance = 1e-6
 
+// scheduleFirst fills the bucket at the begin of a rate limit so that the entries that share it send their
+// first requests one after the other.
+func (b *Dispatcher) scheduleFirst(now time.Time, u *upstream) {
+	_, senders := b.sharedRate(u)
+	u.rateShare.tokens = max(0, 1-float64(b.drawnBefore(u)+1)/float64(max(1, senders)))
+	u.rateShare.updatedAt = now
+}
+
 // takeRateToken records that a request was placed on an upstream, which delays this entry's next one if
 // the upstream has a rate limit.
 func (b *Dispatcher) takeRateToken(now time.Time, u *upstream) {
-	remaining := 0.0
 	if u.backpressure.rateLimit.Limit.Limited {
-		remaining = max(0, u.rateShare.available(now, b.ownRate(now, u))-1)
+		u.rateShare.tokens, u.rateShare.updatedAt = max(0, u.rateShare.available(now, b.ownRate(now, u))-1), now
 	}
-	u.rateShare.tokens, u.rateShare.updatedAt = remaining, now
 }
--- a/dispatcher/ratelimit_test.go
+++ b/dispatcher/ratelimit_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 // Responses overtake each other. A late response of the time before a limit or of a laxer one does not
@@ -176,6 +178,7 @@
 		is.Equal(refusal.Reason, "upstreams_limited")
 		d.SetPeers(1, false)
 		d.SetPlacingEntries(f.names[0], []string{f.names[0], "entry-1"})
+		time.Sleep(100 * time.Millisecond)
 		_, refusal = d.Place(time.Now(), Demand{Service: "app"})
 		is.Equal(refusal, nil)
 	})
@@ -221,3 +224,76 @@
 		is.Equal(refusal, nil)
 	})
 }
+
+// What an entry knows of rate limits reaches others, also those that list the upstream only later; the end
+// of a limit is repeated for a while, and what was read before a suspension is not.
+func TestRateLimitsReachPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLimitedFleet(2, 1.5, -1)
+		reader, peer := f.entries[0], New("a", rand.New(rand.NewPCG(1, 2)))
+		deliver := func(updates []RateLimitUpdate) (changed []InstanceRateLimit) {
+			for _, m := range EncodeRateLimits(updates) {
+				decoded, err := DecodeRateLimits(m)
+				is.NoErr(err)
+				changed = append(changed, peer.ApplyPeerRateLimits(time.Now(), decoded)...)
+			}
+			return changed
+		}
+		is.Equal(len(reader.TakeRateLimits(time.Now(), false)), 1)
+		is.Equal(len(reader.TakeRateLimits(time.Now(), false)), 0)
+		time.Sleep(time.Second)
+		is.Equal(len(reader.RateLimits(time.Now())), 1)
+		is.Equal(len(deliver(reader.TakeRateLimits(time.Now(), true))), 0)
+		peer.UpdateUpstreams(coldTable, []Instance{reader.upstreams["warm-0"].instance})
+		is.Equal(peer.upstreams["warm-0"].backpressure.rateLimit, RateLimitReport{Limit: RateLimit{Limited: true, PerSecond: 1.5}, SentAt: time.Now().Add(-time.Second), ReceivedAt: time.Now().Add(-time.Second)})
+
+		f.state(0, -1)
+		reader.TakeRateLimits(time.Now(), false) // lost on the way
+		time.Sleep(time.Second)
+		changed := deliver(reader.TakeRateLimits(time.Now(), true))
+		is.Equal(len(changed), 1)
+		is.Equal(changed[0].Limit, RateLimit{})
+		is.Equal(len(peer.TakeRateLimits(time.Now(), true)), 0) // each entry repeats only what it has read itself
+		time.Sleep(endedLimitTTL)
+		is.Equal(len(reader.TakeRateLimits(time.Now(), true)), 0)
+		f.state(0, 2)
+		reader.DisownRateLimits()
+		is.Equal(len(reader.TakeRateLimits(time.Now(), true)), 0)
+	})
+}
+
+// Any rate limit updates are the same after encoding and decoding, in datagrams of limited size, and no
+// message makes the decoder fail otherwise than by its error.
+func TestRateLimitUpdatesRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var updates []RateLimitUpdate
+		for range rapid.IntRange(0, 200).Draw(t, "updates") {
+			u := RateLimitUpdate{Upstream: CompactID(rapid.Uint32().Draw(t, "upstream"))}
+			if rapid.Bool().Draw(t, "limited") {
+				u.Limit = RateLimit{Limited: true, PerSecond: rapid.Float64Range(0, 1e300).Draw(t, "limit")}
+			}
+			u.SentAge = time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "sent")) * time.Millisecond
+			u.ReceivedAge = time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "received")) * time.Millisecond
+			updates = append(updates, u)
+		}
+		var got []RateLimitUpdate
+		for _, m := range EncodeRateLimits(updates) {
+			if len(m) > maxLoadUpdate {
+				t.Fatalf("rate limit update has %d bytes, more than maxLoadUpdate", len(m))
+			}
+			decoded, err := DecodeRateLimits(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got = append(got, decoded...)
+			if _, _, err := DecodeLoadUpdate(m); err == nil {
+				t.Fatal("decoded as a load update")
+			}
+		}
+		if !slices.Equal(got, updates) {
+			t.Fatalf("got %+v, want %+v", got, updates)
+		}
+		_, _ = DecodeRateLimits(append([]byte{rateLimitFormat}, rapid.SliceOf(rapid.Byte()).Draw(t, "bytes")...))
+	})
+}
--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -163,6 +163,17 @@
 	return id
 }
 
+// uint64 decodes an unsigned integer of 8 bytes. It returns 0 after an error.
+func (r *loadReader) uint64() uint64 {
+	if len(r.rest) < 8 {
+		r.failed, r.rest = true, nil
+		return 0
+	}
+	n := binary.LittleEndian.Uint64(r.rest)
+	r.rest = r.rest[8:]
+	return n
+}
+
 // load decodes one request load.
 func (r *loadReader) load() RequestLoad {
 	load := RequestLoad{ID: r.compactID()}
--- a/forwarder/backpressure.go
+++ b/forwarder/backpressure.go
@@ -41,6 +41,6 @@
 	}
 	if f.dispatcher.RecordRateLimit(first, dispatcher.RateLimitReport{Limit: r.RateLimit, SentAt: a.startedAt, ReceivedAt: time.Now()}) {
 		f.log.Info("upstream_limit", zap.String("request", x.metadata.ID), zap.String("upstream", first.ID), zap.Stringer("address", first.Address),
-			zap.Bool("limited", r.RateLimit.Limited), zap.Float64("per_second", r.RateLimit.PerSecond))
+			zap.Bool("limited", r.RateLimit.Limited), zap.Float64("per_second", r.RateLimit.PerSecond), zap.String("source", "response"))
 	}
 }
--- a/launcher/soak_test.go
+++ b/launcher/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -123,6 +124,11 @@
 		w.SetFault(worker.FaultNone) // accepts requests again, except from entries that it asked for a backoff
 		return func() {}
 	}},
+	{"upstream with a rate limit", func(f *fleet, t *rapid.T) func() {
+		w := f.workers[rapid.SampledFrom([]string{"i-app-1", "i-app-3", "i-lm-2", "i-lm-4"}).Draw(t, "worker")]
+		w.SetRateLimit(rapid.SampledFrom([]float64{0, 0.5, 1.2, 5}).Draw(t, "limit"))
+		return w.EndRateLimit
+	}},
 	{"outage of upstreams", func(f *fleet, t *rapid.T) func() {
 		for range rapid.IntRange(2, 5).Draw(t, "upstreams") {
 			id := rapid.SampledFrom([]string{"i-app-1", "i-lm-2", "i-app-3", "i-lm-4", "i-lm-6"}).Draw(t, "worker")
@@ -267,7 +273,8 @@
 }
 
 // checkBackpressure fails the test for every request that an entry sent to an upstream after the
-// upstream had stated to that entry that it is leaving, or had asked that entry for a backoff.
+// upstream had stated to that entry that it is leaving, or had asked that entry for a backoff, and for
+// every rate limit of an upstream that entries exceeded.
 func (f *fleet) checkBackpressure(x *traffic) {
 	all := append([]*caller.Traffic{x.Traffic}, f.repeaters...)
 	for _, x := range f.bursts {
@@ -276,6 +283,9 @@
 	for _, b := range caller.BackpressureViolations(f.evidence(), all...) {
 		f.t.Error(b)
 	}
+	for _, b := range caller.RateLimitViolations(f.evidence(), slices.Collect(maps.Values(f.workers)), all...) {
+		f.t.Error(b)
+	}
 }
 
 // disruptionNames returns the names of the disruptions in a plan.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,10 +4,12 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"os/exec"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -160,6 +162,11 @@
 		upstream.SetFault(worker.FaultNone) // the backoff applies only to entries that were asked for it meanwhile
 		return func() {}
 	},
+	"upstream with a rate limit": func(f *fleet, r *rand.Rand) func() {
+		upstream := f.upstreams[pick(r, "i-app-0", "i-lm-1", "i-app-2", "i-lm-3")]
+		upstream.SetRateLimit(pick(r, 0, 0.5, 1.2, 5))
+		return upstream.EndRateLimit
+	},
 	"outage of upstreams": func(f *fleet, r *rand.Rand) func() {
 		for range 2 + r.IntN(4) {
 			f.crashUpstream(pick(r, "i-app-0", "i-lm-1", "i-app-2", "i-lm-3", "i-lm-5"))
@@ -270,7 +277,7 @@
 	"entry killed", "entry stopped", "entry paused", "settings changed", "way to the store", "way to an upstream",
 	"connections reset", "upstream fails", "store fails", "history dropped", "configuration", "upstream leaves", "upstream starts anew",
 	"entries stopped in series", "burst", "request that crashes upstreams", "outage of upstreams",
-	"upstream says that it leaves", "upstream pauses",
+	"upstream says that it leaves", "upstream pauses", "upstream with a rate limit",
 }
 
 // recoveryTime is the time after the end of the faults within which entries retry the
@@ -315,6 +322,9 @@
 	for _, violation := range caller.BackpressureViolations(f.observations(), append(f.traffics, f.crashTraffics...)...) {
 		t.Errorf("seed %d: %s", seed, violation)
 	}
+	for _, violation := range caller.RateLimitViolations(f.observations(), slices.Collect(maps.Values(f.upstreams)), append(f.traffics, f.crashTraffics...)...) {
+		t.Errorf("seed %d: %s", seed, violation)
+	}
 	for _, x := range f.crashTraffics {
 		for _, violation := range x.RepeatViolations(f.observations()) {
 			t.Errorf("seed %d: %s", seed, violation)
