--- a/api/entry.go
+++ b/api/entry.go
@@ -148,6 +148,9 @@
 	// PausedFor is the time for which the reporting entry still sends the upstream no requests, because
 	// the upstream asked it to; 0 if no such time is running.
 	PausedFor time.Duration `json:",omitempty"`
+	// RateLimit is the number of requests per second that the upstream accepts from all entries together;
+	// nil if it states no limit.
+	RateLimit *float64 `json:",omitempty"`
 	// Heard is true if the reporting entry is the engine's keeper and has received a list of holds from
 	// the engine.
 	Heard bool
--- a/controller/status.go
+++ b/controller/status.go
@@ -17,10 +17,14 @@
 		if row.Instance.Leaving {
 			state = api.InstanceLeaving
 		}
+		var rateLimit *float64
+		if row.RateLimit.Limited {
+			rateLimit = &row.RateLimit.PerSecond
+		}
 		status.Engines = append(status.Engines, api.EngineStatus{
 			Name: row.Instance.ID, Service: row.Instance.Service, Address: row.Instance.Address, DataCentre: row.Instance.DataCentre,
 			State: state, PausedFor: row.Backoff, MemoryTokens: row.MemoryTokens, UsedTokens: row.Load.MemoryTokens, InFlight: row.Load.Running,
-			Failures: row.Load.FailureRate,
+			Failures: row.Load.FailureRate, RateLimit: rateLimit,
 		})
 	}
 	status.LoadNews = c.loadCounts.status(c.current.Load())
--- a/dispatcher/status.go
+++ b/dispatcher/status.go
@@ -16,6 +16,8 @@
 	// Backoff is the time for which the upstream still asks this entry to send nothing; 0 if it
 	// does not.
 	Backoff time.Duration
+	// RateLimit is the rate limit that the upstream states.
+	RateLimit RateLimit
 }
 
 // Upstreams returns the status of all listed upstreams, sorted by service and ID.
@@ -27,6 +29,7 @@
 		for _, u := range upstreams {
 			status := UpstreamStatus{Instance: u.instance, Load: u.load(now)}
 			status.Instance.Leaving = status.Instance.Leaving || u.backpressure.leaving
+			status.RateLimit = u.backpressure.rateLimit.Limit
 			status.Backoff = max(0, u.backpressure.backoffUntil.Sub(now))
 			if u.engine != nil {
 				status.MemoryTokens = u.engine.MemoryTokens
