platform, controller: the era of the store and reads that are behind are logged

The log of the incident can't tell a store that went back to an older copy from one that lags behind. The era that the store states is read with each response, and a complete read with an older revision than the entry's own is logged with both. Nothing acts on it yet.

--- a/controller/follow.go
+++ b/controller/follow.go
@@ -177,6 +177,9 @@
 	}
 	changed := c.applyState(got, "store", func(s *state, now time.Time, got follower.State) []follower.Change {
 		s.recordStoreSuccess()
+		if readAll && got.Revision < s.follower.Revision() {
+			c.config.Log.Warn("store_behind", zap.Int64("revision", s.follower.Revision()), zap.Int64("read_revision", got.Revision), zap.Int64("era", got.Era))
+		}
 		s.logUnreadableItems(got.Faults)
 		return s.follower.ApplyStoreRead(now, got, readAll)
 	})
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -59,6 +59,10 @@
 // State is the content of the store as of a revision, or only the changes up to that
 // revision since an earlier one.
 type State struct {
+	// Era is the number of times that the store has gone back to an older copy of its content. Each
+	// time it continues to count revisions from that of the copy, so revisions of different eras are
+	// not comparable. It is 0 if the store did not state it.
+	Era int64
 	// Revision is the store revision up to which the state is current.
 	Revision int64
 	// Config holds the configuration's bytes as stored; nil if the state does not
