--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -60,8 +61,12 @@
 	// history has the changes after compactedRevision, the oldest first.
 	history           []item
 	compactedRevision int64
-	// revision is the number of changes so far.
+	// revision is the number of changes so far, not counting those that were lost by a restore.
 	revision int64
+	// era is the number of restores plus 1. garbledEra is the text that responses state instead; empty
+	// for none.
+	era        int64
+	garbledEra string
 	// changed is closed and replaced on each change of an item or of the mode.
 	changed chan struct{}
 	// callCount is the number of HTTP calls received, in all modes.
@@ -70,7 +75,7 @@
 
 // New returns an empty store in the mode Available.
 func New() *Store {
-	return &Store{items: map[string]item{}, changed: make(chan struct{})}
+	return &Store{era: 1, items: map[string]item{}, changed: make(chan struct{})}
 }
 
 // Put writes a value, encoded as JSON, to a key and returns the store's new revision. It
@@ -144,6 +149,54 @@
 	s.history, s.compactedRevision = nil, s.revision
 }
 
+// Copy is a copy of the content of a store.
+type Copy struct {
+	items    map[string]item
+	revision int64
+}
+
+// Copy returns a copy of the store's content, to be passed to Restore.
+func (s *Store) Copy() Copy {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return Copy{items: maps.Clone(s.items), revision: s.revision}
+}
+
+// Restore replaces the store's content by a copy and begins a new era. All changes since the copy are lost,
+// and their revisions will be given to other changes. Watches in progress are aborted.
+func (s *Store) Restore(c Copy) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.items, s.revision, s.compactedRevision, s.history = maps.Clone(c.items), c.revision, c.revision, nil
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Era returns the number of restores plus 1.
+func (s *Store) Era() int64 {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.era
+}
+
+// GarbleEra makes the responses state the given text instead of the era, or the era again if it is empty.
+func (s *Store) GarbleEra(text string) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.garbledEra = text
+}
+
+// stateEra sets the header with the era in a response.
+func (s *Store) stateEra(h http.Header) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	h.Set("Store-Era", strconv.FormatInt(s.era, 10))
+	if s.garbledEra != "" {
+		h.Set("Store-Era", s.garbledEra)
+	}
+}
+
 // CallCount returns the number of HTTP calls received so far, in all modes.
 func (s *Store) CallCount() int {
 	s.lock.Lock()
@@ -161,6 +214,7 @@
 	if !applyMode(w, r, mode) {
 		return
 	}
+	s.stateEra(w.Header())
 	switch r.URL.Path {
 	case "/kv-range":
 		s.serveRange(w, r)
@@ -224,16 +278,17 @@
 	wait, _ := strconv.Atoi(query.Get("wait-ms"))
 	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timeout.Stop()
+	era := s.Era()
 	for {
 		s.lock.Lock()
-		changed, asOf, gone := s.changed, s.revision, after < s.compactedRevision
+		changed, asOf, gone := s.changed, s.revision, after < s.compactedRevision || after > s.revision
 		var events []item
 		for _, i := range s.history {
 			if i.Revision > after && strings.HasPrefix(i.Key, query.Get("prefix")) {
 				events = append(events, i)
 			}
 		}
-		up := s.mode == Available || s.mode == Slow
+		up := (s.mode == Available || s.mode == Slow) && s.era == era
 		s.lock.Unlock()
 		waited := false
 		switch {
