follower, controller, platform: a store that has gone back begins a new era

What callers saw: after the store had been away for two seconds, requests were handled by a configuration that was three seconds older than allowed, one with a key that had been taken away, and an upstream got requests 2.2 s after it had reported that it leaves.

Cause: in such an outage the store returns from a copy, and counts revisions on from there (hypothesis 1; the store's answers state another era). Entries order by revision alone: they ignored each complete read as older than what they had, and took it for a confirmation, until the store's revision had grown past theirs. From then on a watch succeeded, and what had been given the revisions before was never read.

Now the state of the store is ordered by era, then by revision, at entries and between them. A watch that is answered in another era counts as one whose history is gone, and only a complete read begins an era. What is known of earlier eras holds on where the store may have lost it: the configuration in force until a newer version comes, that an incarnation has left, an upstream without registration for as long as after an outage, an evacuation for ten seconds. An upstream that was removed and that the copy lists is used once it shows that it still renews its registration. An era that can't be read is taken for the present one, unless a complete read is older than what the entry had before it asked. A state that is not applied confirms nothing.

--- a/controller/changes.go
+++ b/controller/changes.go
@@ -75,9 +75,8 @@
 	}
 }
 
-// checkRevision asserts that the revision of the follower's configuration is at least the
-// revision before.
-func (s *state) checkRevision(before int64) {
+// checkConfig asserts that the follower's configuration is the one before or a newer one.
+func (s *state) checkConfig(before follower.ConfigStamp) {
 	_, after := s.follower.Config()
-	s.controller.config.Asserter.Check(after >= before, asserter.RevisionWentBack, "configuration revision went back to %d from %d", after, before)
+	s.controller.config.Asserter.Check(after == before || after.IsNewerThan(before), asserter.RevisionWentBack, "configuration went back to %+v from %+v", after, before)
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -34,9 +34,9 @@
 type Store struct {
 	// Read returns the complete state.
 	Read func(context.Context) (follower.State, error)
-	// Watch returns the changes after a revision. It waits for the first one for
-	// at most the given time.
-	Watch func(ctx context.Context, after int64, wait time.Duration) (follower.State, error)
+	// Watch returns the changes after a position in the store's history. It waits for the
+	// first one for at most the given time.
+	Watch func(ctx context.Context, after follower.Position, wait time.Duration) (follower.State, error)
 	// DecodeConfig parses a configuration from the bytes that the store holds. It
 	// returns an error if they are not a valid configuration.
 	DecodeConfig func([]byte) (*matcher.Table, error)
@@ -109,6 +109,7 @@
 type metrics struct {
 	storeCalls, storeFailures                                      tally.Counter
 	configRevision, confirmationAge, members, upstreams, evacuated tally.Gauge
+	storeEra                                                       tally.Gauge
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -116,7 +117,7 @@
 		storeCalls: scope.Counter("store_calls"), storeFailures: scope.Counter("store_failures"),
 		configRevision: scope.Gauge("configuration_revision"), confirmationAge: scope.Gauge("list_age_seconds"),
 		members: scope.Gauge("members_live"), upstreams: scope.Gauge("upstreams"),
-		evacuated: scope.Gauge("data_centres_evacuated"),
+		evacuated: scope.Gauge("data_centres_evacuated"), storeEra: scope.Gauge("store_era"),
 	}
 }
 
@@ -157,9 +158,9 @@
 	// dirty is true if the state has changed since the latest view was published, at publishedAt.
 	dirty       bool
 	publishedAt time.Time
-	// unreadableRevision is the newest revision of the configuration that this entry
-	// could not decode; 0 if there was none.
-	unreadableRevision int64
+	// unreadableConfig is the stamp, without version, of the last configuration that this entry
+	// could not decode; zero if there was none.
+	unreadableConfig follower.ConfigStamp
 }
 
 const (
--- a/controller/fetch.go
+++ b/controller/fetch.go
@@ -38,9 +38,12 @@
 // FetchArgs holds the arguments of the net/rpc call Fetch, which returns a peer's copy of the
 // store's state.
 type FetchArgs struct {
-	// Have is the store revision up to which the calling entry has all changes,
-	// HaveConfig the revision of its configuration. Each is 0 if it has none.
-	Have, HaveConfig int64
+	// Have is the store revision, of the era Era, up to which the calling entry has all changes.
+	// Both are 0 if it has none.
+	Era, Have int64
+	// HaveConfig, HaveConfigEra and HaveConfigVersion are the fields of the follower.ConfigStamp of
+	// the configuration that the calling entry has; all are 0 if it has none.
+	HaveConfig, HaveConfigEra, HaveConfigVersion int64
 }
 
 // FetchReply is the reply to FetchArgs: the store's state as the called entry knows it.
@@ -52,7 +55,7 @@
 	Config []byte
 	// Whole is true if the reply holds all registrations instead of the changes. Snapshot is
 	// then the state, encoded with gob and compressed with DEFLATE, and State has only the
-	// revision of the configuration.
+	// era and the revision of the configuration.
 	Whole    bool
 	Snapshot []byte
 	// Known is true if the called entry has a complete state that the store has
@@ -74,7 +77,8 @@
 		age, ok := s.follower.ConfirmationAge(now)
 		reply.Known = ok && s.follower.HasState()
 		reply.Confirmed = age
-		reply.State, reply.Whole = s.follower.ChangesSince(args.Have, args.HaveConfig)
+		config := follower.ConfigStamp{Era: args.HaveConfigEra, Revision: args.HaveConfig, Version: args.HaveConfigVersion}
+		reply.State, reply.Whole = s.follower.ChangesSince(now, follower.Position{Era: args.Era, Revision: args.Have}, config)
 		reply.Disturbed = s.storeFailureAge(now)
 	})
 	if reply.Whole && reply.Known {
@@ -88,12 +92,12 @@
 	}
 	var err error
 	if reply.State.Config != nil {
-		reply.Config, err = p.controller.compressed.compress(reply.State.ConfigRevision, reply.State.Config)
+		reply.Config, err = p.controller.compressed.compress(reply.State)
 		reply.State.Config = nil
 	}
 	if err == nil && reply.Whole {
 		reply.Snapshot, err = p.controller.snapshots.pack(reply.State)
-		reply.State = follower.State{ConfigRevision: reply.State.ConfigRevision}
+		reply.State = follower.State{ConfigEra: reply.State.ConfigEra, ConfigRevision: reply.State.ConfigRevision}
 	}
 	return err
 }
@@ -107,8 +111,8 @@
 	data        []byte
 }
 
-// snapshotFingerprint returns a fingerprint of the revisions of a state and all its items. Two states with
-// equal revisions have equal items.
+// snapshotFingerprint returns a fingerprint of the era and the revisions of a state and all its items. Two
+// states with equal revisions in one era have equal items.
 func snapshotFingerprint(s follower.State) uint64 {
 	var d xxhash.Digest
 	d.Reset()
@@ -116,6 +120,7 @@
 		_, _ = d.WriteString(id)
 		_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(revision)))
 	}
+	add("", s.Era)
 	add("", s.Revision)
 	for _, l := range s.Instances {
 		add(l.Instance.ID, l.Revision)
@@ -135,7 +140,7 @@
 	if c.data != nil && c.fingerprint == fingerprint {
 		return c.data, nil
 	}
-	s.ConfigRevision = 0
+	s.ConfigEra, s.ConfigRevision, s.ConfigVersion = 0, 0, 0
 	var encoded bytes.Buffer
 	if err := gob.NewEncoder(&encoded).Encode(s); err != nil {
 		return nil, fmt.Errorf("encode upstreams: %w", err)
@@ -187,25 +192,26 @@
 // a configuration to a tenth of its size.
 type compressedConfig struct {
 	lock sync.Mutex
-	// revision is the revision of the configuration in data; 0 before the first.
-	revision int64
+	// position is the era and the revision of the configuration in data; zero before the first.
+	position follower.Position
 	data     []byte
 }
 
-// compress returns the configuration of a revision compressed with DEFLATE, from the cache if it
-// holds that revision. It holds the lock meanwhile, so that concurrent fetches wait for one
-// compression.
-func (c *compressedConfig) compress(revision int64, config []byte) ([]byte, error) {
+// compress returns the configuration of a state compressed with DEFLATE, from the cache if it
+// holds the one of the same era and revision. It holds the lock meanwhile, so that concurrent fetches
+// wait for one compression.
+func (c *compressedConfig) compress(s follower.State) ([]byte, error) {
+	position := follower.Position{Era: s.ConfigEra, Revision: s.ConfigRevision}
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	if c.revision == revision {
+	if c.data != nil && c.position == position {
 		return c.data, nil
 	}
-	data, err := deflate(config)
+	data, err := deflate(s.Config)
 	if err != nil {
 		return nil, fmt.Errorf("compress configuration: %w", err)
 	}
-	c.revision, c.data = revision, data
+	c.position, c.data = position, data
 	return c.data, nil
 }
 
@@ -250,9 +256,9 @@
 		reply.State.Config, err = inflate(reply.Config)
 	}
 	if err == nil && reply.Whole {
-		config, revision := reply.State.Config, reply.State.ConfigRevision
+		config := reply.State
 		reply.State, err = unpackSnapshot(reply.Snapshot)
-		reply.State.Config, reply.State.ConfigRevision = config, revision
+		reply.State.Config, reply.State.ConfigEra, reply.State.ConfigRevision = config.Config, config.ConfigEra, config.ConfigRevision
 	}
 	if err != nil {
 		c.config.Log.Warn("fetch_failed", zap.String("source", source), zap.Error(err))
@@ -264,10 +270,14 @@
 	now := time.Now()
 	c.do(func(s *state) { s.recordStoreFailure(now, reply.Disturbed) })
 	c.applyState(reply.State, source, func(s *state, now time.Time, got follower.State) []follower.Change {
-		defer s.follower.Confirm(now.Add(-reply.Confirmed))
+		apply := s.follower.ApplyChanges
 		if reply.Whole {
-			return s.follower.ApplyPeerSnapshot(now, got)
+			apply = s.follower.ApplyPeerSnapshot
 		}
-		return s.follower.ApplyChanges(now, got)
+		changes := apply(now, got)
+		if s.follower.Position().Era == got.Era {
+			s.follower.Confirm(now.Add(-reply.Confirmed))
+		}
+		return changes
 	})
 }
--- a/controller/follow.go
+++ b/controller/follow.go
@@ -65,16 +65,16 @@
 	readAll := false
 	failures := 0
 	for ctx.Err() == nil {
-		read, revision := false, int64(0)
-		c.do(func(s *state) { read, revision = s.shouldReadStore(time.Now()), s.follower.Revision() })
+		read, position := false, follower.Position{}
+		c.do(func(s *state) { read, position = s.shouldReadStore(time.Now()), s.follower.Position() })
 		if !read {
 			if !sleeper.Sleep(ctx, readCheckPeriod) {
 				return
 			}
 			continue
 		}
-		readAll = readAll || revision == 0
-		err := c.readStore(ctx, readAll, revision)
+		readAll = readAll || position.Revision == 0
+		err := c.readStore(ctx, readAll, position)
 		readAll = errors.Is(err, follower.ErrHistoryGone)
 		delay := watchPause
 		failures++
@@ -154,9 +154,10 @@
 func fractionOf(d time.Duration, p float64) time.Duration { return time.Duration(p * float64(d)) }
 
 // readStore makes one call to the store, a complete read if readAll is true, else a watch for
-// changes after a revision, and applies the reply. If anything changed, it requests heartbeats,
-// so that other entries fetch the change. It returns the error of the store or of the context.
-func (c *Controller) readStore(ctx context.Context, readAll bool, revision int64) error {
+// changes after a position, and applies the reply. The position is that of this entry before the call.
+// If anything changed, it requests heartbeats, so that other entries fetch the change. It returns the
+// error of the store or of the context.
+func (c *Controller) readStore(ctx context.Context, readAll bool, before follower.Position) error {
 	c.metrics.storeCalls.Inc(1)
 	var got follower.State
 	var err error
@@ -165,7 +166,7 @@
 		got, err = c.config.Store.Read(bounded)
 		cancel()
 	} else {
-		got, err = c.config.Store.Watch(ctx, revision, watchTimeout)
+		got, err = c.config.Store.Watch(ctx, before, watchTimeout)
 	}
 	if ctx.Err() != nil {
 		return ctx.Err()
@@ -175,10 +176,11 @@
 		c.do(func(s *state) { s.recordStoreError(time.Now(), err) })
 		return err
 	}
+	got = got.ResolveEra(before, readAll)
 	changed := c.applyState(got, "store", func(s *state, now time.Time, got follower.State) []follower.Change {
 		s.recordStoreSuccess()
-		if readAll && got.Revision < s.follower.Revision() {
-			c.config.Log.Warn("store_behind", zap.Int64("revision", s.follower.Revision()), zap.Int64("read_revision", got.Revision), zap.Int64("era", got.Era))
+		if readAll && got.Revision < before.Revision {
+			c.config.Log.Warn("store_behind", zap.Int64("revision", before.Revision), zap.Int64("read_revision", got.Revision), zap.Int64("era", got.Era))
 		}
 		s.logUnreadableItems(got.Faults)
 		return s.follower.ApplyStoreRead(now, got, readAll)
@@ -223,42 +225,49 @@
 	changed := false
 	c.do(func(s *state) {
 		now := time.Now()
-		_, before := s.follower.Config()
+		_, configBefore := s.follower.Config()
+		before := s.follower.Position()
 		changes := apply(s, now, got)
-		s.checkRevision(before)
-		if _, after := s.follower.Config(); after > before && table != nil {
+		s.checkConfig(configBefore)
+		if _, config := s.follower.Config(); config != configBefore && table != nil {
 			s.table = table
 		}
+		after := s.follower.Position()
+		if after.Era != before.Era {
+			c.config.Log.Info("store_era", zap.Int64("era", after.Era), zap.Int64("previous", before.Era), zap.Int64("revision", after.Revision),
+				zap.Int64("previous_revision", before.Revision), zap.String("source", source))
+		}
 		s.logStoreChanges(changes, source)
 		s.dirty = true
-		changed = len(changes) > 0
+		changed = len(changes) > 0 || after.Era != before.Era
 	})
 	return changed
 }
 
-// decodeConfig returns the decoded configuration of a state, or nil if the state has none. If
-// the configuration is not newer than the current one and the last unreadable one, or is itself
-// unreadable, decodeConfig removes it from the state and returns nil, so that the current one
-// stays in force.
+// decodeConfig returns the decoded configuration of a state, whose ConfigVersion it sets, or nil if the
+// state has none. If the configuration is not newer than the current one, or is unreadable, decodeConfig
+// removes it from the state and returns nil, so that the current one stays in force.
 func (c *Controller) decodeConfig(got *follower.State, source string) *matcher.Table {
 	if got.Config == nil {
 		return nil
 	}
-	newer := false
+	stamp := follower.ConfigStamp{Era: got.ConfigEra, Revision: got.ConfigRevision}
+	isKnown := false
 	c.do(func(s *state) {
-		_, have := s.follower.Config()
-		newer = got.ConfigRevision > max(have, s.unreadableRevision)
+		_, current := s.follower.Config()
+		isKnown = stamp == s.unreadableConfig || current.Era == stamp.Era && current.Revision >= stamp.Revision
 	})
-	if !newer {
+	if isKnown {
 		got.Config = nil
 		return nil
 	}
 	table, err := c.config.Store.DecodeConfig(got.Config)
 	if err != nil {
-		c.do(func(s *state) { s.unreadableRevision = max(s.unreadableRevision, got.ConfigRevision) })
+		c.do(func(s *state) { s.unreadableConfig = stamp })
 		c.config.Log.Error("configuration_unreadable", zap.Int64("revision", got.ConfigRevision), zap.String("source", source), zap.Error(err))
 		got.Config = nil
 		return nil
 	}
+	got.ConfigVersion = table.Config.Version
 	return table
 }
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -57,11 +57,12 @@
 	Contacts []Contact
 	Knows    int
 	// Known is true if the sender has the store's complete state and the store has
-	// confirmed it as current. Content is the revision of the newest change in that
-	// state, Confirmed the time since the last confirmation.
-	Known     bool
-	Content   int64
-	Confirmed time.Duration
+	// confirmed it as current. Era is the era of the store in which Content, the revision of
+	// the newest change in that state, counts, ConfigVersion the operator's version of the
+	// configuration, and Confirmed the time since the last confirmation.
+	Known                       bool
+	Era, Content, ConfigVersion int64
+	Confirmed                   time.Duration
 	// Disturbed is how long ago a call to the store last failed, at the sender or
 	// at an entry that reported a failure to it; negative if no failure is known.
 	Disturbed time.Duration
@@ -196,14 +197,14 @@
 // It takes the notices in it from the prober, so the heartbeat must be sent.
 func (s *state) heartbeat(now time.Time, limit int) Beat {
 	c := s.controller.config
-	_, revision := s.follower.Config()
+	_, config := s.follower.Config()
 	age, ok := s.follower.ConfirmationAge(now)
 	b := Beat{
 		Heartbeat: api.Heartbeat{
 			From: c.Name, Incarnation: c.Incarnation, PeerAddress: c.PeerAddress, Address: c.CallerAddress, DataCentre: c.DataCentre,
-			Stopping: s.stopping, Ready: s.table != nil, Revision: uint64(revision), Notices: s.prober.TakeNotices(),
+			Stopping: s.stopping, Ready: s.table != nil, Revision: uint64(config.Revision), Notices: s.prober.TakeNotices(),
 		},
-		Knows: s.upCount, Known: ok && s.follower.HasState(), Content: s.follower.NewestRevision(), Confirmed: age,
+		Knows: s.upCount, Known: ok && s.follower.HasState(), Era: s.follower.Position().Era, Content: s.follower.NewestRevision(), ConfigVersion: config.Version, Confirmed: age,
 		Disturbed: s.storeFailureAge(now), Speed: c.Speed, Strained: s.lagMeter.overloaded,
 	}
 	for m := range s.prober.Random(rand.IntN) {
@@ -231,13 +232,14 @@
 		s.applyHeartbeat(now, b)
 		s.recordStoreFailure(now, b.Disturbed)
 		s.logQuarantined(now, c.config.Quarantine.ApplyUpdate(now, b.Quarantine), b.From)
-		have.Have = s.follower.Revision()
-		_, have.HaveConfig = s.follower.Config()
-		fetch = b.Known && (b.Content > s.follower.NewestRevision() || !s.follower.HasState()) && s.fetching < maxFetches
+		position := s.follower.Position()
+		_, config := s.follower.Config()
+		have = FetchArgs{Era: position.Era, Have: position.Revision, HaveConfig: config.Revision, HaveConfigEra: config.Era, HaveConfigVersion: config.Version}
+		fetch = b.Known && (s.isBehind(b) || !s.follower.HasState()) && s.fetching < maxFetches
 		if fetch {
 			s.fetching++
 		}
-		if b.Known && b.Content == s.follower.NewestRevision() {
+		if b.Known && b.Era == position.Era && b.Content == s.follower.NewestRevision() && b.ConfigVersion == config.Version {
 			s.follower.Confirm(now.Add(-b.Confirmed))
 		}
 	})
@@ -246,6 +248,18 @@
 	}
 }
 
+// isBehind reports whether the sender of a heartbeat has a newer state of the store than this entry. In one
+// era it may have a newer configuration with the same newest change: one of an earlier era, which the store
+// has lost.
+func (s *state) isBehind(b Beat) bool {
+	era := s.follower.Position().Era
+	if b.Era != era {
+		return b.Era > era
+	}
+	_, config := s.follower.Config()
+	return b.Content > s.follower.NewestRevision() || b.Content == s.follower.NewestRevision() && b.ConfigVersion > config.Version
+}
+
 // applyHeartbeat updates the prober and the sender's capacity from a heartbeat, and those of the
 // entries in its contacts, and sets dirty if that changes what is published of other entries.
 func (s *state) applyHeartbeat(now time.Time, b Beat) {
--- a/controller/status.go
+++ b/controller/status.go
@@ -36,10 +36,10 @@
 // the revision and age of the configuration, and the members.
 func (s *state) status(now time.Time) api.Status {
 	c := s.controller.config
-	_, revision := s.follower.Config()
+	_, config := s.follower.Config()
 	status := api.Status{
 		Name: c.Name, DataCentre: c.DataCentre, Incarnation: c.Incarnation, Ready: s.table != nil && !s.stopping,
-		Stopping: s.stopping, Revision: uint64(revision), Confirmed: -1, Evacuated: s.follower.EvacuatedDataCentres(),
+		Stopping: s.stopping, Revision: uint64(config.Revision), StoreEra: s.follower.Position().Era, Confirmed: -1, Evacuated: s.follower.EvacuatedDataCentres(),
 	}
 	if age, ok := s.follower.ConfirmationAge(now); ok {
 		status.Confirmed = age
--- a/controller/view.go
+++ b/controller/view.go
@@ -44,10 +44,10 @@
 func (s *state) publish() {
 	s.dirty, s.publishedAt = false, time.Now()
 	c := s.controller
-	_, configRevision := s.follower.Config()
+	_, config := s.follower.Config()
 	v := &view{
 		View: forwarder.View{
-			Table: s.table, ConfigRevision: configRevision, ConfirmedAt: s.follower.ConfirmedAt(), ConfirmationTTL: fractionOf(c.config.MaxPropagation, trustFraction),
+			Table: s.table, ConfigRevision: config.Revision, ConfirmedAt: s.follower.ConfirmedAt(), ConfirmationTTL: fractionOf(c.config.MaxPropagation, trustFraction),
 			StoreUnavailable: s.storeLost, RetryBudgetEntries: max(s.prober.Count()+1, 2*len(s.seeds)), Stopping: s.stopping, StopBy: s.exitAt, AddressValidUntil: s.addressValidUntil,
 		},
 		ready: s.table != nil && !s.stopping,
@@ -72,7 +72,8 @@
 		c.config.Dispatcher.UpdateUpstreams(s.table, usable)
 	}
 	c.config.Quarantine.SetUpstreamCount(len(usable))
-	c.metrics.configRevision.Update(float64(configRevision))
+	c.metrics.configRevision.Update(float64(config.Revision))
+	c.metrics.storeEra.Update(float64(s.follower.Position().Era))
 	c.metrics.members.Update(float64(s.upCount))
 	c.metrics.upstreams.Update(float64(len(usable)))
 	c.metrics.evacuated.Update(float64(len(s.follower.EvacuatedDataCentres())))
--- a/follower/evacuations_test.go
+++ b/follower/evacuations_test.go
@@ -132,8 +132,8 @@
 			if !from.HasState() || to.Revision() > from.Revision() {
 				return
 			}
-			_, configRevision := to.Config()
-			s, complete := from.ChangesSince(to.Revision(), configRevision)
+			_, config := to.Config()
+			s, complete := from.ChangesSince(now, to.Position(), config)
 			if complete {
 				to.ApplyPeerSnapshot(now, s)
 			} else {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -46,6 +46,10 @@
 	// Gone is true if the registration was removed; only Instance.ID is then certain to
 	// be set.
 	Gone bool
+	// UnusedFor is the time for which the upstream gets no work although it is listed,
+	// because its registration may be one that was removed before the store returned from an
+	// older copy; 0 for none, and in a state from the store.
+	UnusedFor time.Duration
 	// Doubtful is true for a removal that may be the lapse of a lease in an outage of
 	// the store, because reads of the entry that read the removal had failed or been
 	// interrupted before. An entry that receives the removal decides by its own record
@@ -66,16 +70,18 @@
 	// Revision is the store revision up to which the state is current.
 	Revision int64
 	// Config holds the configuration's bytes as stored; nil if the state does not
-	// include it. ConfigRevision is the store revision of its last change.
-	Config         []byte
-	ConfigRevision int64
+	// include it. ConfigRevision is the store revision of its last change, ConfigEra the era
+	// of that revision, which may be an earlier one than Era, and ConfigVersion the
+	// operator's version number in the configuration.
+	Config                                   []byte
+	ConfigRevision, ConfigEra, ConfigVersion int64
 	// Instances holds the registrations and removals, at most one for each ID.
 	Instances []Listed
 	// Evacuations holds the evacuations of data centres and the ends of evacuations, in any
 	// order; of several for one data centre that with the greatest revision applies.
 	Evacuations []Evacuation
-	// Faults holds the errors of unreadable items of the store that can't be attributed
-	// to an upstream; empty in a state from another entry.
+	// Faults holds the errors of unreadable headers and items of the store that can't be
+	// attributed to an upstream; empty in a state from another entry.
 	Faults []error
 }
 
@@ -128,11 +134,34 @@
 	retainedUntil time.Time
 	// removedAt is when the removal was applied; zero if the registration is present.
 	removedAt time.Time
+	// isOfEarlierEra is true for what was applied in an earlier era; its revision is then 0.
+	isOfEarlierEra bool
+	// hasLeft is true if the incarnation reported in an earlier era that it leaves.
+	hasLeft bool
+	// unusedUntil is the time until which the instance is not used (see Listed.UnusedFor);
+	// zero if it may be.
+	unusedUntil time.Time
+}
+
+// isLeaving reports whether the instance is leaving, by its registration or by one in an earlier era.
+func (k *knownInstance) isLeaving() bool { return k.listed.Instance.Leaving || k.hasLeft }
+
+// asListed returns the registration as it is passed on to another entry at the time now.
+func (k *knownInstance) asListed(now time.Time) Listed {
+	l := k.listed
+	l.Fault = nil
+	l.Instance.Leaving = k.isLeaving()
+	l.UnusedFor = max(0, k.unusedUntil.Sub(now))
+	return l
 }
 
 // Follower holds one entry's copy of the state of the store. It is not safe for concurrent
 // use.
 type Follower struct {
+	// era is the latest era of the store of which a state was applied; 0 if the store stated
+	// none. eraBegunAt is when its first state was applied. All revisions below are of that era.
+	era        int64
+	eraBegunAt time.Time
 	// revision is the store revision up to which all changes were applied; 0 at first.
 	revision int64
 	// baseRevision is the store revision after which instances has every removal. Earlier
@@ -140,8 +169,9 @@
 	baseRevision int64
 	// newestRevision is the store revision of the newest change applied; 0 at first.
 	newestRevision int64
-	config         []byte
-	configRevision int64
+	// config is the configuration in force as stored; nil before the first.
+	config      []byte
+	configStamp ConfigStamp
 	// instances holds the registrations, and removals for removalTTL, by instance ID.
 	instances map[string]*knownInstance
 	// evacuations holds the evacuations, and ended ones for removalTTL, by data centre.
@@ -180,20 +210,22 @@
 // mergeSnapshot merges a complete state and returns the changes. Upstreams that are missing from
 // it are retained for the given time. It ignores a state with a lower revision than the present one.
 func (f *Follower) mergeSnapshot(now time.Time, s State, retention time.Duration) []Change {
-	if s.Revision < f.revision {
+	if !f.enterEra(now, s, true) || s.Revision < f.revision {
 		return nil
 	}
 	if s.Revision > f.revision {
 		f.baseRevision = s.Revision
 	}
-	changes := f.ApplyChanges(now, s)
+	changes := f.merge(now, s, true)
 	listed := make(map[string]bool, len(s.Instances))
 	for _, l := range s.Instances {
 		listed[l.Instance.ID] = !l.Gone
 	}
 	for id, k := range f.instances {
 		if !listed[id] && !k.listed.Gone && k.listed.Revision <= s.Revision {
-			changes = append(changes, f.remove(now, id, s.Revision, retention)...)
+			eraRetention := f.eraRetention(now, k)
+			changes = append(changes, f.remove(now, id, s.Revision, max(retention, eraRetention))...)
+			k.listed.Doubtful = k.listed.Doubtful || eraRetention > 0
 		}
 	}
 	return append(changes, f.endMissingEvacuations(now, s)...)
@@ -207,6 +239,9 @@
 // the store failed only some entries, a removed upstream would get work for 2.3 s, more than the 2 s
 // that the platform allows.
 func (f *Follower) ApplyStoreRead(now time.Time, s State, complete bool) []Change {
+	if !f.enterEra(now, s, complete) {
+		return nil
+	}
 	doubtful := f.ownFailureAt.After(f.ownReadAt) || now.Sub(f.ownReadAt) > maxReadGap
 	retention := time.Duration(0)
 	if doubtful {
@@ -229,16 +264,20 @@
 
 // ApplyChanges merges changes read from the store or received from another entry, and returns
 // those that had an effect. It ignores a change whose revision is not greater than that of the
-// last applied change of the same upstream, or of the configuration.
+// last applied change of the same upstream, or of the configuration, and all changes of another era.
 func (f *Follower) ApplyChanges(now time.Time, s State) []Change {
-	var changes []Change
-	if s.Config != nil && s.ConfigRevision > f.configRevision {
-		f.config, f.configRevision = s.Config, s.ConfigRevision
-		f.newestRevision = max(f.newestRevision, s.ConfigRevision)
-		changes = append(changes, Change{Kind: KindConfig, Revision: s.ConfigRevision})
+	if !f.enterEra(now, s, false) {
+		return nil
 	}
+	return f.merge(now, s, false)
+}
+
+// merge merges changes of the present era, or a complete state if fromSnapshot is true, and returns the
+// changes that had an effect.
+func (f *Follower) merge(now time.Time, s State, fromSnapshot bool) []Change {
+	changes := f.applyConfig(s)
 	for _, l := range s.Instances {
-		changes = append(changes, f.applyListed(now, l)...)
+		changes = append(changes, f.applyListed(now, l, fromSnapshot)...)
 	}
 	for _, e := range s.Evacuations {
 		changes = append(changes, f.applyEvacuation(now, e)...)
@@ -248,8 +287,9 @@
 }
 
 // applyListed applies a registration or removal if its revision is greater than that of the last
-// one applied under the same ID, and returns the changes.
-func (f *Follower) applyListed(now time.Time, l Listed) []Change {
+// one applied under the same ID, and returns the changes. fromSnapshot is true for a registration in a
+// complete state.
+func (f *Follower) applyListed(now time.Time, l Listed, fromSnapshot bool) []Change {
 	id := l.Instance.ID
 	k, ok := f.instances[id]
 	if ok && l.Revision <= k.listed.Revision {
@@ -260,31 +300,42 @@
 		if l.Doubtful {
 			retention = f.retentionTime(now)
 		}
+		if l.Doubtful && ok {
+			retention = max(retention, f.eraRetention(now, k))
+		}
 		changes := f.remove(now, id, l.Revision, retention)
 		f.instances[id].listed.Doubtful = l.Doubtful
 		return changes
 	}
 	f.newestRevision = max(f.newestRevision, l.Revision)
-	changes := registrationChanges(k, l)
-	if l.Fault == nil && !l.Instance.Leaving && l.Instance.ColdFor > 0 && (!ok || !now.Before(k.coldUntil)) {
+	applied := &knownInstance{listed: l, coldUntil: now.Add(l.Instance.ColdFor), isOfEarlierEra: l.Revision == 0}
+	if l.UnusedFor > 0 {
+		applied.unusedUntil = now.Add(l.UnusedFor)
+	}
+	if ok {
+		applied.inherit(now, k, fromSnapshot)
+	}
+	changes := registrationChanges(k, applied)
+	if l.Fault == nil && !applied.isLeaving() && now.Before(applied.coldUntil) && (!ok || !now.Before(k.coldUntil)) {
 		changes = append(changes, Change{ID: id, Kind: KindCold, Revision: l.Revision})
 	}
-	f.instances[id] = &knownInstance{listed: l, coldUntil: now.Add(l.Instance.ColdFor)}
+	f.instances[id] = applied
 	return changes
 }
 
 // registrationChanges returns the changes by a registration that replaces what is known of its upstream;
 // known is nil for an upstream that is new.
-func registrationChanges(known *knownInstance, l Listed) []Change {
+func registrationChanges(known, applied *knownInstance) []Change {
+	l := applied.listed
 	change := Change{ID: l.Instance.ID, Revision: l.Revision}
 	switch {
 	case l.Fault != nil && known != nil && known.listed.Fault != nil:
 		return nil // only the first of several unreadable versions in a row is reported
 	case l.Fault != nil:
 		change.Kind, change.Err = KindUnreadable, l.Fault
-	case l.Instance.Leaving && known != nil && !known.listed.Instance.Leaving:
+	case applied.isLeaving() && known != nil && !known.isLeaving():
 		change.Kind = KindLeaving
-	case !l.Instance.Leaving && (known == nil || known.listed.Gone):
+	case !applied.isLeaving() && applied.unusedUntil.IsZero() && (known == nil || known.listed.Gone):
 		change.Kind = KindAppeared
 	default:
 		return nil
@@ -303,12 +354,13 @@
 	}
 	wasGone := k.listed.Gone
 	k.listed.Gone, k.listed.Revision = true, max(revision, k.listed.Revision)
+	k.isOfEarlierEra = k.listed.Revision == 0
 	f.newestRevision = max(f.newestRevision, revision)
 	if wasGone {
 		return nil
 	}
 	k.removedAt = now
-	if ok && !k.listed.Instance.Leaving && retention > 0 {
+	if ok && !k.isLeaving() && k.unusedUntil.IsZero() && retention > 0 {
 		k.retainedUntil = now.Add(retention)
 		return []Change{{ID: id, Kind: KindRetainedAfterOutage, Revision: revision}}
 	}
@@ -398,7 +450,7 @@
 		}
 	}
 	f.dropEndedEvacuations(now)
-	return changes
+	return append(changes, f.tickEra(now)...)
 }
 
 // UsableInstances returns the upstreams that may be sent new requests, sorted by ID: those that are
@@ -407,7 +459,7 @@
 func (f *Follower) UsableInstances() []dispatcher.Instance {
 	var out []dispatcher.Instance
 	for _, k := range f.instances {
-		if k.listed.Instance.Leaving || (k.listed.Gone && k.retainedUntil.IsZero()) || f.isEvacuated(k.listed.Instance.DataCentre) {
+		if k.isLeaving() || !k.unusedUntil.IsZero() || (k.listed.Gone && k.retainedUntil.IsZero()) || f.isEvacuated(k.listed.Instance.DataCentre) {
 			continue
 		}
 		usable := k.listed.Instance
@@ -418,38 +470,37 @@
 	return out
 }
 
-// Config returns the configuration as stored and its revision; nil and 0 before the first.
-func (f *Follower) Config() ([]byte, int64) { return f.config, f.configRevision }
+// Config returns the configuration as stored and its stamp; nil and zero before the first.
+func (f *Follower) Config() ([]byte, ConfigStamp) { return f.config, f.configStamp }
 
 // Revision returns the store revision up to which all changes were applied; 0 at first.
 func (f *Follower) Revision() int64 { return f.revision }
 
-// NewestRevision returns the store revision of the newest change applied; 0 at first. Two followers
-// with the same NewestRevision have the same configuration and registrations.
+// NewestRevision returns the store revision of the newest change applied in the present era; 0 at first.
+// Two followers with the same era, NewestRevision and version of the configuration have the same
+// configuration and registrations.
 func (f *Follower) NewestRevision() int64 { return f.newestRevision }
 
 // HasState reports whether a configuration was ever applied. Registrations alone do not count: a
 // complete state that was read from the store can lack the configuration if its value can't be decoded.
-func (f *Follower) HasState() bool { return f.configRevision > 0 }
-
-// ChangesSince returns the changes for another entry that has all changes up to a revision. If
-// a removal since then may have been dropped, it returns the complete state and complete is true.
-// The state omits the configuration if its revision is at most configRevision, the revision of the
-// other entry's configuration.
-func (f *Follower) ChangesSince(revision, configRevision int64) (s State, complete bool) {
-	s.Revision = f.revision
-	if f.configRevision > configRevision {
-		s.Config, s.ConfigRevision = f.config, f.configRevision
+func (f *Follower) HasState() bool { return f.config != nil }
+
+// ChangesSince returns the changes for another entry that has all changes up to a position. If it has
+// a state of another era, or a removal since then may have been dropped, ChangesSince returns the complete
+// state and complete is true. The state omits the configuration unless it is newer than the one that the
+// other entry has.
+func (f *Follower) ChangesSince(now time.Time, position Position, config ConfigStamp) (s State, complete bool) {
+	s.Era, s.Revision = f.era, f.revision
+	if f.config != nil && (config == ConfigStamp{} || f.configStamp.IsNewerThan(config)) {
+		s.Config, s.ConfigEra, s.ConfigRevision, s.ConfigVersion = f.config, f.configStamp.Era, f.configStamp.Revision, f.configStamp.Version
 	}
-	complete = revision < f.baseRevision
+	complete = position.Era != f.era || position.Revision < f.baseRevision
 	for _, id := range slices.Sorted(maps.Keys(f.instances)) {
-		l := f.instances[id].listed
-		if !complete && l.Revision <= revision {
-			continue
+		k := f.instances[id]
+		if complete || k.listed.Revision > position.Revision {
+			s.Instances = append(s.Instances, k.asListed(now))
 		}
-		l.Fault = nil
-		s.Instances = append(s.Instances, l)
 	}
-	s.Evacuations = f.evacuationsSince(revision, complete)
+	s.Evacuations = f.evacuationsSince(position.Revision, complete)
 	return s, complete
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -41,8 +41,8 @@
 	f := follower.New()
 	f.ApplyPeerSnapshot(start, follower.State{Revision: 5, Config: []byte("v1"), ConfigRevision: 2, Instances: []follower.Listed{ready("a", 3), ready("b", 4)}})
 	f.ApplyChanges(start, follower.State{Revision: 6, Instances: []follower.Listed{draining("b", 6)}})
-	config, revision := f.Config()
-	fmt.Println(string(config), revision, usableIDs(f))
+	config, stamp := f.Config()
+	fmt.Println(string(config), stamp.Revision, usableIDs(f))
 	// Output: v1 2 a
 }
 
@@ -149,7 +149,7 @@
 	f, peer := follower.New(), follower.New()
 	f.ApplyStoreRead(start, follower.State{Revision: 3, Instances: []follower.Listed{startedAt(first, 3)}}, true)
 	peer.ApplyStoreRead(start, follower.State{Revision: 5, Instances: []follower.Listed{startedAt(second, 5)}}, true)
-	reported, complete := peer.ChangesSince(3, 0)
+	reported, complete := peer.ChangesSince(start, follower.Position{Revision: 3}, follower.ConfigStamp{})
 	is.True(complete) // the peer does not know earlier changes
 	f.ApplyPeerSnapshot(start, reported)
 	is.Equal(f.UsableInstances()[0].Started, second)
--- a/follower/outage_test.go
+++ b/follower/outage_test.go
@@ -159,7 +159,7 @@
 			if from.NewestRevision() <= to.NewestRevision() {
 				continue
 			}
-			s, complete := from.ChangesSince(to.Revision(), 0)
+			s, complete := from.ChangesSince(o.now, to.Position(), follower.ConfigStamp{})
 			if complete {
 				to.ApplyPeerSnapshot(o.now, s)
 			} else {
--- a/follower/since_test.go
+++ b/follower/since_test.go
@@ -58,7 +58,7 @@
 			if from.Revision() == 0 || to.Revision() > from.Revision() {
 				return
 			}
-			s, complete := from.ChangesSince(to.Revision(), 0)
+			s, complete := from.ChangesSince(now, to.Position(), follower.ConfigStamp{})
 			if complete {
 				to.ApplyPeerSnapshot(now, s)
 				return
--- a/launcher/soak_test.go
+++ b/launcher/soak_test.go
@@ -55,6 +55,18 @@
 		f.store.Compact()
 		return func() {}
 	}},
+	{"store goes back", func(f *fleet, t *rapid.T) func() {
+		duration := func(name string, longest int) time.Duration {
+			return time.Duration(rapid.IntRange(0, longest).Draw(t, name)) * time.Millisecond
+		}
+		c := f.store.Copy()
+		f.putConfig(rapid.IntRange(10, 1000).Draw(t, "version"), "key-1")
+		time.Sleep(duration("age", 3000))
+		rewrite := f.restoreStore(c, duration("outage", 1500))
+		time.Sleep(duration("until rewritten", 1000))
+		rewrite()
+		return func() {}
+	}},
 	{"entry cut off from store", func(f *fleet, t *rapid.T) func() {
 		host := entryHost(rapid.IntRange(0, len(f.entries)-1).Draw(t, "entry"))
 		storeReturned := f.disruptionLog.RecordStoreOutage()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -132,6 +132,21 @@
 		f.store.Compact()
 		return func() {}
 	},
+	"store goes back": func(f *fleet, r *rand.Rand) func() {
+		sleep := func(longest int) { time.Sleep(time.Duration(r.IntN(longest)) * time.Millisecond) }
+		c := f.store.Copy()
+		f.putConfiguration("key-1")
+		sleep(2000)
+		endOutage := f.faultLog.RecordStoreOutage()
+		f.store.SetMode(store.ResetsConnections)
+		sleep(1500)
+		rewrite := f.store.Restore(c)
+		f.store.SetMode(store.Available)
+		sleep(1000)
+		rewrite()
+		endOutage()
+		return func() {}
+	},
 	"configuration": func(f *fleet, _ *rand.Rand) func() {
 		f.putConfiguration("key-1")
 		return func() {}
@@ -277,7 +292,7 @@
 	"entry killed", "entry stopped", "entry paused", "settings changed", "way to the store", "way to an upstream",
 	"connections reset", "upstream fails", "store fails", "history dropped", "configuration", "upstream leaves", "upstream starts anew",
 	"entries stopped in series", "burst", "request that crashes upstreams", "outage of upstreams",
-	"upstream says that it leaves", "upstream pauses", "upstream with a rate limit",
+	"upstream says that it leaves", "upstream pauses", "upstream with a rate limit", "store goes back",
 }
 
 // recoveryTime is the time after the end of the faults within which entries retry the
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -5,7 +5,6 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -149,54 +148,6 @@
 	s.history, s.compactedRevision = nil, s.revision
 }
 
-// Copy is a copy of the content of a store.
-type Copy struct {
-	items    map[string]item
-	revision int64
-}
-
-// Copy returns a copy of the store's content, to be passed to Restore.
-func (s *Store) Copy() Copy {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	return Copy{items: maps.Clone(s.items), revision: s.revision}
-}
-
-// Restore replaces the store's content by a copy and begins a new era. All changes since the copy are lost,
-// and their revisions will be given to other changes. Watches in progress are aborted.
-func (s *Store) Restore(c Copy) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	s.items, s.revision, s.compactedRevision, s.history = maps.Clone(c.items), c.revision, c.revision, nil
-	s.era++
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-// Era returns the number of restores plus 1.
-func (s *Store) Era() int64 {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	return s.era
-}
-
-// GarbleEra makes the responses state the given text instead of the era, or the era again if it is empty.
-func (s *Store) GarbleEra(text string) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	s.garbledEra = text
-}
-
-// stateEra sets the header with the era in a response.
-func (s *Store) stateEra(h http.Header) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	h.Set("Store-Era", strconv.FormatInt(s.era, 10))
-	if s.garbledEra != "" {
-		h.Set("Store-Era", s.garbledEra)
-	}
-}
-
 // CallCount returns the number of HTTP calls received so far, in all modes.
 func (s *Store) CallCount() int {
 	s.lock.Lock()
