controller: seeds read the store until its readers know that they are

Cause, by a trace of each call: when a whole fleet starts, the store readers know fewer entries than others report, and leave reading to others for 1.3 s; their first watch is answered 0.4 s later. The confirmations of all entries are stale by then, at the same moment, as in this deployment the bounds of the stale age are equal: 118 entries read the store at once.

--- a/controller/follow.go
+++ b/controller/follow.go
@@ -93,9 +93,10 @@
 	}
 }
 
-// shouldReadStore reports whether this entry has to read the store: it is a store reader, the
-// store has never confirmed its state, or the last confirmation is stale (see staleAge).
-// Shortly after its start it may leave that to others (see awaitsPeers and knowsFewer).
+// shouldReadStore reports whether this entry has to read the store: it is a store reader or a
+// seed that has just started, the store has never confirmed its state, or the last confirmation
+// is stale (see staleAge). Shortly after its start it may leave that to others (see awaitsPeers
+// and knowsFewer).
 func (s *state) shouldReadStore(now time.Time) bool {
 	age, ok := s.follower.ConfirmationAge(now)
 	if !ok && s.awaitsPeers(now) {
@@ -104,7 +105,7 @@
 	if !ok || age > staleAge(s.controller.config.Name, s.controller.config.MaxPropagation) {
 		return true
 	}
-	return !s.knowsFewer() && s.isReader()
+	return s.isStartingSeed(now) || !s.knowsFewer() && s.isReader()
 }
 
 // staleAge returns the age of a confirmation above which the entry with the given name reads the store
--- a/controller/startup.go
+++ b/controller/startup.go
@@ -57,6 +57,13 @@
 	s.upCountOfOthers = count
 }
 
+// isStartingSeed reports whether this entry is a seed that started less than minPeerWait ago. Such seeds
+// read the store for all: when a whole fleet starts, it takes more than a second until the store readers
+// know that they are, and the confirmations of all other entries would be stale by then.
+func (s *state) isStartingSeed(now time.Time) bool {
+	return s.isSeed() && now.Sub(s.started) < minPeerWait
+}
+
 // isSeed reports whether other entries find the fleet through this one, or there are no seeds.
 func (s *state) isSeed() bool {
 	return len(s.seeds) == 0 || slices.Contains(s.seeds, s.controller.config.PeerAddress)
