dispatcher, forwarder: placements that are given up take no turn; only successes end a rate limit

Read in the diff: a long prompt that yields to another entry's had used up a turn at each upstream with a limit, though nothing was sent, and a failure without the header would have ended a limit that successes go on to state.

--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -154,6 +154,18 @@
 	b.queueEnd(r, result.outcome())
 }
 
+// Withdraw ends a placement that was not sent to its upstreams, so that it does not count against their
+// rate limits.
+func (p *Placement) Withdraw(now time.Time) {
+	b := p.dispatcher
+	b.lock.Lock()
+	for _, a := range p.request.assignments {
+		a.upstream.rateShare.tokens++
+	}
+	b.lock.Unlock()
+	p.End(now, Abandoned)
+}
+
 // unassign removes a request's assignments from their upstreams.
 func (b *Dispatcher) unassign(now time.Time, r *request) {
 	for _, a := range r.assignments {
--- a/dispatcher/ratelimit.go
+++ b/dispatcher/ratelimit.go
@@ -100,7 +100,7 @@
 type sharers struct {
 	// placedAt holds the time at which each entry was last known to place requests.
 	placedAt map[string]time.Time
-	// names holds the entries in placedAt, sorted. version is incremented with each change of names.
+	// names holds the entries in placedAt, in any order. version is incremented with each change of names.
 	names   []string
 	version int
 }
@@ -114,10 +114,14 @@
 	for _, name := range placing {
 		s.placedAt[name] = now
 	}
-	maps.DeleteFunc(s.placedAt, func(_ string, at time.Time) bool { return now.Sub(at) > sharerTTL })
-	names := slices.Sorted(maps.Keys(s.placedAt))
-	if !slices.Equal(names, s.names) {
-		s.names = names
+	isChanged := len(s.placedAt) != len(s.names)
+	maps.DeleteFunc(s.placedAt, func(_ string, at time.Time) bool {
+		isExpired := now.Sub(at) > sharerTTL
+		isChanged = isChanged || isExpired
+		return isExpired
+	})
+	if isChanged {
+		s.names = slices.Collect(maps.Keys(s.placedAt))
 		s.version++
 	}
 }
--- a/dispatcher/ratelimit_test.go
+++ b/dispatcher/ratelimit_test.go
@@ -166,6 +166,25 @@
 	})
 }
 
+// A placement that is given up before it is sent leaves its turn to the next request.
+func TestWithdrawnPlacementTakesNoTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLimitedFleet(1, 1)
+		d := f.entries[0]
+		time.Sleep(time.Minute)
+		for range 5 {
+			p, refusal := d.Place(time.Now(), Demand{Service: "app"})
+			is.Equal(refusal, nil)
+			p.Withdraw(time.Now())
+		}
+		_, refusal := d.Place(time.Now(), Demand{Service: "app"})
+		is.Equal(refusal, nil)
+		_, refusal = d.Place(time.Now(), Demand{Service: "app"})
+		is.Equal(refusal.Reason, "upstreams_limited")
+	})
+}
+
 // An entry that has just started and knows no others sends nothing to an upstream with a rate limit until it
 // knows how many share the limit.
 func TestStartingEntryKeepsToRateLimits(t *testing.T) {
--- a/forwarder/backpressure.go
+++ b/forwarder/backpressure.go
@@ -29,14 +29,17 @@
 
 // recordRateLimit reports to the dispatcher what a response states about its upstream's rate limit, and
 // logs a limit that is new to the dispatcher. A response without a limit ends the one in force only if
-// the upstream ran the request. A limit that can't be read leaves the one in force.
+// it is a success: refusals and failures need not state it. A limit that can't be read leaves the one in
+// force.
 func (f *Forwarder) recordRateLimit(x *exchange, a *attempt, r ResponseMetadata) {
 	first := a.placement.First
 	if r.RateLimitError != nil {
 		f.log.Warn("upstream_limit_unreadable", zap.String("request", x.metadata.ID), zap.String("upstream", first.ID), zap.Error(r.RateLimitError))
 		return
 	}
-	if !r.RateLimit.Limited && !r.HasUpstreamStamp || r.RequestID != "" && r.RequestID != x.metadata.ID {
+	isSuccess := r.HasUpstreamStamp && a.response.StatusCode < http.StatusMultipleChoices
+	isForeign := r.RequestID != "" && r.RequestID != x.metadata.ID
+	if isForeign || !r.RateLimit.Limited && !isSuccess {
 		return
 	}
 	if f.dispatcher.RecordRateLimit(first, dispatcher.RateLimitReport{Limit: r.RateLimit, SentAt: a.startedAt, ReceivedAt: time.Now()}) {
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -101,7 +101,7 @@
 	}
 	f.log.Info("yield", zap.String("request", x.metadata.ID), zap.String("service", x.service), zap.String("upstream", p.First.ID),
 		zap.Int("helpers", len(p.Helpers)), zap.Duration("expected_ms", p.ExpectedFirstByte))
-	p.End(time.Now(), dispatcher.Abandoned)
+	p.Withdraw(time.Now())
 	return true
 }
 
