follower, controller: entries agree on the newest change, also where one ignores it

Found by reading the diff, and shown by TestLostConfigurationStaysInForce once the copy's newest change is its configuration: entries that keep a newer configuration of an earlier era did not count the copy's, had another newest revision than an entry that started with it, and fetched from it at each heartbeat, while it never fetched the newer one from them.

An ignored configuration counts now, and a state that an entry passes on tells the newest revision that it accounts for.

--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 FUZZTIME ?= 30s
 FUZZ = validator:FuzzParse loader:FuzzParse spender:FuzzParse sealer:FuzzVerify \
 	server:FuzzDecodePrompt platform:FuzzDecodeConfig platform:FuzzParseSettings \
-	platform:FuzzInstance platform:FuzzItems dispatcher:FuzzDecodeLoadUpdate splitter:FuzzFeed \
+	platform:FuzzInstance platform:FuzzItems dispatcher:FuzzDecodeLoadUpdate dispatcher:FuzzDecodeRateLimits splitter:FuzzFeed \
 	explainer:FuzzExplain
 # Minimizing an input of interest would take the rest of the time, hence 1x.
 fuzz:
--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -202,6 +202,7 @@
 red era platform/store.go 's/if era != 0 && era != after\.Era/if false/' ./launcher TestChangesWhileTheStoreWasAwayAreInForce
 red era-begin follower/era.go 's/f\.revision, f\.baseRevision, f\.newestRevision = 0, 0, 0//' ./launcher TestChangesAfterTheStoreWentBackAreInForce
 red era-config follower/era.go 's/return c\.Version > o\.Version \|\|/return true ||/' ./launcher TestLostConfigurationStaysInForce
+red era-newest "follower/era.go follower/follower.go" 's/if stamp\.Era == f\.era \{/if stamp.Era == f.era \&\& stamp.IsNewerThan(f.configStamp) {/; s/f\.newestRevision = max\(f\.newestRevision, s\.NewestRevision\)//' ./launcher TestLostConfigurationStaysInForce
 red era-order follower/era.go 's/case s\.Era < f\.era \|\| /case /' ./follower TestOlderConfigurationOfANewEraIsIgnored
 red era-left follower/era.go 's/k\.hasLeft = before\.hasLeft/_ = before/' ./launcher TestUpstreamThatLeftIsNotUsedAfterTheStoreWentBack
 red era-removed follower/era.go 's/k\.unusedUntil = now/_ = now/' ./launcher TestUpstreamThatLeftIsNotUsedAfterTheStoreWentBack
@@ -218,7 +219,7 @@
 red rate-memory dispatcher/memory.go 's/if c\.upstream\.backpressure\.rateLimit\.Limit\.Limited/if false/' ./forwarder TestEnginesWithRateLimitHoldNoMemoryForOthers
 red rate-order dispatcher/ratelimit.go 's/return r\.SentAt\.After\(applied\.ReceivedAt\)/return true/' ./dispatcher TestOvertakenRateLimitsAreIgnored
 red rate-at-once forwarder/place.go 's/\+r\.Wait//' ./forwarder TestRequestsOverAllRateLimitsAreRefusedAtOnce
-red rate-end controller/loadupdates.go 's/c\.sendAlong\(socket, dispatcher\.EncodeRateLimits/_ = len(dispatcher.EncodeRateLimits/; s/dispatcher\.EncodeRateLimits\(c\.config\.Dispatcher\.TakeRateLimits\(time\.Now\(\), all\)\), c\.current\.Load\(\)\.allPaths, dispatcher\.RelayToAll, 1\)/dispatcher.EncodeRateLimits(c.config.Dispatcher.TakeRateLimits(time.Now(), all)))/' ./launcher TestEndOfRateLimitsReachesAllEntries
+red rate-end controller/loadupdates.go 's/c\.sendAlong\(socket, limits,/_ = limits; c.sendAlong(socket, nil,/' ./launcher TestEndOfRateLimitsReachesAllEntries
 red rate-start controller/loadupdates.go 's/dispatcher\.EncodeRateLimits\(c\.config\.Dispatcher\.RateLimits\(time\.Now\(\)\)\)\.\.\./nil.../; s/append\((c\.encodeUpdate\(c\.config\.Dispatcher\.OwnRequestLoads\(time\.Now\(\)\)\)), nil\.\.\.\)/$1/' ./launcher TestStartingEntryLearnsOfRateLimits
 red rate-deferred dispatcher/dispatcher.go 's/b\.applyDeferredRateLimits\(now\)\n//' ./dispatcher TestRateLimitsReachPeers
 red cold-drawn dispatcher/cold.go 's/if heavier < senders/if true/' ./dispatcher TestColdUpstreamsGetFewRequests
--- a/controller/loadupdates.go
+++ b/controller/loadupdates.go
@@ -58,11 +58,13 @@
 }
 
 // sendChanges sends the full load to all peers if all is true, else the changes of load since the
-// last call to the placing peers. In both cases it sends rate limits of upstreams to all peers. Updates about long prompts that await their first byte go through
-// several relays per data centre: an entry that misses such an update places requests on the same
-// engines, which delays these requests by seconds.
+// last call to the placing peers. In both cases it sends rate limits of upstreams to all peers. Updates
+// about long prompts that await their first byte go through several relays per data centre: an entry
+// that misses such an update places requests on the same engines, which delays these requests by
+// seconds.
 func (c *Controller) sendChanges(socket net.PacketConn, all bool) {
-	c.sendAlong(socket, dispatcher.EncodeRateLimits(c.config.Dispatcher.TakeRateLimits(time.Now(), all)), c.current.Load().allPaths, dispatcher.RelayToAll, 1)
+	limits := dispatcher.EncodeRateLimits(c.config.Dispatcher.TakeRateLimits(time.Now(), all))
+	c.sendAlong(socket, limits, c.current.Load().allPaths, dispatcher.RelayToAll, 1)
 	loads := c.config.Dispatcher.TakeLoadChanges(time.Now(), all)
 	if all {
 		c.sendAlong(socket, c.encodeUpdate(loads), c.current.Load().allPaths, dispatcher.RelayToAll, 1)
@@ -105,8 +107,8 @@
 	}
 }
 
-// sendAllToNewPeers sends the full load and all known rate limits to each peer of the view whose incarnation differs from the
-// one in sent under the peer's name, or that is not in sent. It returns the incarnations of all
+// sendAllToNewPeers sends the full load and all known rate limits to each peer of the view whose
+// incarnation differs from the one in sent under the peer's name, or that is not in sent. It returns the incarnations of all
 // current peers by name, to be passed as sent to the next call.
 func (c *Controller) sendAllToNewPeers(socket net.PacketConn, sent map[string]uint64) map[string]uint64 {
 	peers := c.current.Load().peers
@@ -116,7 +118,8 @@
 			continue
 		}
 		if messages == nil {
-			messages = append(c.encodeUpdate(c.config.Dispatcher.OwnRequestLoads(time.Now())), dispatcher.EncodeRateLimits(c.config.Dispatcher.RateLimits(time.Now()))...)
+			messages = c.encodeUpdate(c.config.Dispatcher.OwnRequestLoads(time.Now()))
+			messages = append(messages, dispatcher.EncodeRateLimits(c.config.Dispatcher.RateLimits(time.Now()))...)
 		}
 		for _, m := range messages {
 			c.send(socket, m, p.loadAddress, &c.loadCounts.sent)
--- a/dispatcher/ratelimit_test.go
+++ b/dispatcher/ratelimit_test.go
@@ -282,6 +282,11 @@
 	})
 }
 
+func FuzzDecodeRateLimits(f *testing.F) {
+	f.Add(EncodeRateLimits([]RateLimitUpdate{{Upstream: 3, Limit: RateLimit{Limited: true, PerSecond: 2.5}, SentAge: time.Second}, {Upstream: 4}})[0])
+	f.Fuzz(func(_ *testing.T, m []byte) { _, _ = DecodeRateLimits(m) })
+}
+
 // Any rate limit updates are the same after encoding and decoding, in datagrams of limited size, and no
 // message makes the decoder fail otherwise than by its error.
 func TestRateLimitUpdatesRoundTrip(t *testing.T) {
--- a/dispatcher/ratelimitupdate.go
+++ b/dispatcher/ratelimitupdate.go
@@ -34,10 +34,11 @@
 	Limit    RateLimit
 }
 
-// TakeRateLimits returns the rate limits in force that this entry has read in responses since the last
-// call, for a rate limit update to peers. With all set, it returns all that it has read itself and
-// newest, and the ends of others within endedLimitTTL. Of the entries that know a limit, only those that
-// send the upstream requests report it each time, so that their number does not grow with the fleet.
+// TakeRateLimits returns the changes of rate limits that this entry has read in responses since the last
+// call, for a rate limit update to peers. With all set, it also returns the limits in force whose newest
+// report this entry has read itself, if it is one of those that send the upstream requests, and the limits
+// that ended within endedLimitTTL. The number of entries that repeat a limit thus does not grow with the
+// fleet.
 func (b *Dispatcher) TakeRateLimits(now time.Time, all bool) []RateLimitUpdate {
 	b.lock.Lock()
 	defer b.lock.Unlock()
@@ -45,12 +46,11 @@
 	for u := range b.changedLimits {
 		updates = append(updates, u.rateLimitUpdate(now))
 	}
-	for _, u := range b.upstreams {
-		if !all {
-			break
-		}
-		if !b.changedLimits[u] && b.repeatsRateLimit(now, u) {
-			updates = append(updates, u.rateLimitUpdate(now))
+	if all {
+		for _, u := range b.upstreams {
+			if !b.changedLimits[u] && b.repeatsRateLimit(now, u) {
+				updates = append(updates, u.rateLimitUpdate(now))
+			}
 		}
 	}
 	clear(b.changedLimits)
@@ -108,7 +108,8 @@
 }
 
 // deferRateLimit keeps a report about an upstream that is not listed yet: an entry that has just started
-// receives rate limits before it has a list of upstreams. Of more than maxDeferredLimits, none are kept.
+// receives rate limits before it has a list of upstreams. Once maxDeferredLimits are kept, reports about
+// other upstreams are dropped.
 func (b *Dispatcher) deferRateLimit(upstream CompactID, r RateLimitReport) {
 	if known, ok := b.deferredLimits[upstream]; ok && !r.supersedes(known) || !ok && len(b.deferredLimits) >= maxDeferredLimits {
 		return
--- a/follower/era.go
+++ b/follower/era.go
@@ -131,15 +131,18 @@
 // change. A store that has returned from an older copy may hold an older configuration until the operator
 // writes the newest one again; the one in force stays then.
 func (f *Follower) applyConfig(s State) []Change {
-	stamp := ConfigStamp{Era: s.ConfigEra, Revision: s.ConfigRevision, Version: s.ConfigVersion}
-	if s.Config == nil || f.config != nil && !stamp.IsNewerThan(f.configStamp) {
+	if s.Config == nil {
 		return nil
 	}
-	isRewritten := stamp.Era != f.configStamp.Era && bytes.Equal(s.Config, f.config)
-	f.config, f.configStamp = s.Config, stamp
+	stamp := ConfigStamp{Era: s.ConfigEra, Revision: s.ConfigRevision, Version: s.ConfigVersion}
 	if stamp.Era == f.era {
 		f.newestRevision = max(f.newestRevision, stamp.Revision)
 	}
+	if f.config != nil && !stamp.IsNewerThan(f.configStamp) {
+		return nil
+	}
+	isRewritten := stamp.Era != f.configStamp.Era && bytes.Equal(s.Config, f.config)
+	f.config, f.configStamp = s.Config, stamp
 	if isRewritten {
 		return nil
 	}
--- a/follower/era_test.go
+++ b/follower/era_test.go
@@ -347,6 +347,9 @@
 			if usableIDs(e) != want || config.Version != s.newest {
 				t.Fatalf("entry %d has upstreams %q and version %d, the store %q and %d", i, usableIDs(e), config.Version, want, s.newest)
 			}
+			if e.NewestRevision() != entries[0].NewestRevision() {
+				t.Fatalf("entry %d has the newest revision %d, entry 0 %d", i, e.NewestRevision(), entries[0].NewestRevision())
+			}
 		}
 	})
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -69,6 +69,9 @@
 	Era int64
 	// Revision is the store revision up to which the state is current.
 	Revision int64
+	// NewestRevision is Follower.NewestRevision of the entry that sent the state; 0 in a state from
+	// the store.
+	NewestRevision int64
 	// Config holds the configuration's bytes as stored; nil if the state does not
 	// include it. ConfigRevision is the store revision of its last change, ConfigEra the era
 	// of that revision, which may be an earlier one than Era, and ConfigVersion the
@@ -276,6 +279,7 @@
 // changes that had an effect.
 func (f *Follower) merge(now time.Time, s State, fromSnapshot bool) []Change {
 	changes := f.applyConfig(s)
+	f.newestRevision = max(f.newestRevision, s.NewestRevision)
 	for _, l := range s.Instances {
 		changes = append(changes, f.applyListed(now, l, fromSnapshot)...)
 	}
@@ -476,7 +480,8 @@
 // Revision returns the store revision up to which all changes were applied; 0 at first.
 func (f *Follower) Revision() int64 { return f.revision }
 
-// NewestRevision returns the store revision of the newest change applied in the present era; 0 at first.
+// NewestRevision returns the store revision of the newest change in the present era that was applied, or
+// was ignored because of what is known of an earlier era; 0 at first.
 // Two followers with the same era, NewestRevision and version of the configuration have the same
 // configuration and registrations.
 func (f *Follower) NewestRevision() int64 { return f.newestRevision }
@@ -490,7 +495,7 @@
 // state and complete is true. The state omits the configuration unless it is newer than the one that the
 // other entry has.
 func (f *Follower) ChangesSince(now time.Time, position Position, config ConfigStamp) (s State, complete bool) {
-	s.Era, s.Revision = f.era, f.revision
+	s.Era, s.Revision, s.NewestRevision = f.era, f.revision, f.newestRevision
 	if f.config != nil && (config == ConfigStamp{} || f.configStamp.IsNewerThan(config)) {
 		s.Config, s.ConfigEra, s.ConfigRevision, s.ConfigVersion = f.config, f.configStamp.Era, f.configStamp.Revision, f.configStamp.Version
 	}
--- a/forwarder/backpressure.go
+++ b/forwarder/backpressure.go
@@ -10,8 +10,8 @@
 )
 
 // applyBackpressure notifies the dispatcher if a response states that its upstream is leaving, asks for
-// a backoff or has a rate limit, and logs a state that is new to the dispatcher. What the response states overrides the
-// instance list, which is out of date if the store is unavailable while an upstream leaves.
+// a backoff or has a rate limit, and logs a state that is new to the dispatcher. What the response states
+// overrides the instance list, which is out of date if the store is unavailable while an upstream leaves.
 func (f *Forwarder) applyBackpressure(x *exchange, a *attempt, r ResponseMetadata) {
 	if a.response.StatusCode == http.StatusMisdirectedRequest {
 		return // sent by another upstream, which has taken over the address
--- a/launcher/storeera_test.go
+++ b/launcher/storeera_test.go
@@ -122,6 +122,7 @@
 // those that start then, and one that was cut off from the store and the others meanwhile.
 func TestLostConfigurationStaysInForce(t *testing.T) {
 	withFleet(t, 7, func(is *is.I, f *fleet) {
+		f.putConfig(2, "key-1", "key-2") // the newest change in the copy
 		c := f.store.Copy()
 		f.putConfig(50, "key-1", "key-3")
 		time.Sleep(maxPropagation)
