follower, controller: entries confirm each other by fingerprints of the state

Known red before (TestEqualNewestRevisionsMeanEqualEvacuations): an entry that starts after a removal or the end of an evacuation never hears of it, has the same newest revision as one that still has the item, and confirms its state until the next change. With eras the revision had to count what an entry ignores as well, so that two rules had to agree.

Entries now tell the position up to which they have all changes and a fingerprint of their state: the configuration, the registrations that are present and the evacuations that last, each with its revision. Equal fingerprints confirm; another one is fetched where the other's position is later, or its configuration newer. NewestRevision is gone.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -202,14 +202,14 @@
 red era platform/store.go 's/if era != 0 && era != after\.Era/if false/' ./launcher TestChangesWhileTheStoreWasAwayAreInForce
 red era-begin follower/era.go 's/f\.revision, f\.baseRevision, f\.newestRevision = 0, 0, 0//' ./launcher TestChangesAfterTheStoreWentBackAreInForce
 red era-config follower/era.go 's/return c\.Version > o\.Version \|\|/return true ||/' ./launcher TestLostConfigurationStaysInForce
-red era-newest "follower/era.go follower/follower.go" 's/if stamp\.Era == f\.era \{/if stamp.Era == f.era \&\& stamp.IsNewerThan(f.configStamp) {/; s/f\.newestRevision = max\(f\.newestRevision, s\.NewestRevision\)//' ./launcher TestLostConfigurationStaysInForce
 red era-order follower/era.go 's/case s\.Era < f\.era \|\| /case /' ./follower TestOlderConfigurationOfANewEraIsIgnored
 red era-left follower/era.go 's/k\.hasLeft = before\.hasLeft/_ = before/' ./launcher TestUpstreamThatLeftIsNotUsedAfterTheStoreWentBack
 red era-removed follower/era.go 's/k\.unusedUntil = now/_ = now/' ./launcher TestUpstreamThatLeftIsNotUsedAfterTheStoreWentBack
 red era-retained follower/era.go 's/return max\(0, reregisterTime-now\.Sub\(f\.eraBegunAt\)\)/return 0/' ./follower TestUpstreamThatTheStoreLostIsRetained
 red era-evacuation follower/evacuations.go 's/!known\.isOfEarlierEra && //' ./follower TestEvacuationThatTheStoreLostLasts
 red era-unreadable follower/era.go 's/s\.Era\+\+/_ = s/' ./launcher TestChangesAreInForceWithoutAReadableEra
-red era-starts controller/peers.go 's/ \|\| b\.Content == s\.follower\.NewestRevision\(\) && b\.ConfigVersion > config\.Version//; s/_, config := s\.follower\.Config\(\)\n\treturn/return/' ./launcher TestLostConfigurationStaysInForce
+red era-starts controller/peers.go 's/ \|\| b\.ConfigVersion > config\.Version//; s/_, config := s\.follower\.Config\(\)\n\treturn/return/' ./launcher TestLostConfigurationStaysInForce
+red fingerprint follower/fingerprint.go 's/if !known\.Ended \{/if false {/' ./follower TestEqualFingerprintsMeanEqualEvacuations
 red rate-limit dispatcher/dispatcher.go 's/, b\.rateLimitWait\(now, u\) > 0//' ./launcher TestUpstreamsGetNoMoreThanTheirRateLimit
 red rate-attempts dispatcher/dispatcher.go 's/, b\.rateLimitWait\(now, u\) > 0//' ./forwarder TestRateLimitAppliesToEveryAttempt
 red rate-shared dispatcher/ratelimit.go 's/return perSecond \/ float64\(senders\)/return perSecond/' ./dispatcher TestEntriesShareRateLimits
--- a/controller/fetch.go
+++ b/controller/fetch.go
@@ -122,7 +122,6 @@
 	}
 	add("", s.Era)
 	add("", s.Revision)
-	add("", s.NewestRevision)
 	for _, l := range s.Instances {
 		add(l.Instance.ID, l.Revision)
 	}
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -57,12 +57,14 @@
 	Contacts []Contact
 	Knows    int
 	// Known is true if the sender has the store's complete state and the store has
-	// confirmed it as current. Era is the era of the store in which Content, the revision of
-	// the newest change in that state, counts, ConfigVersion the operator's version of the
-	// configuration, and Confirmed the time since the last confirmation.
-	Known                       bool
-	Era, Content, ConfigVersion int64
-	Confirmed                   time.Duration
+	// confirmed it as current. Era and StoreRevision are the position in the store's history up
+	// to which the sender has all changes, StateFingerprint is follower.Fingerprint of the state,
+	// ConfigVersion the operator's version of the configuration, and Confirmed the time since the
+	// last confirmation.
+	Known                             bool
+	Era, StoreRevision, ConfigVersion int64
+	StateFingerprint                  uint64
+	Confirmed                         time.Duration
 	// Disturbed is how long ago a call to the store last failed, at the sender or
 	// at an entry that reported a failure to it; negative if no failure is known.
 	Disturbed time.Duration
@@ -198,13 +200,14 @@
 func (s *state) heartbeat(now time.Time, limit int) Beat {
 	c := s.controller.config
 	_, config := s.follower.Config()
+	position := s.follower.Position()
 	age, ok := s.follower.ConfirmationAge(now)
 	b := Beat{
 		Heartbeat: api.Heartbeat{
 			From: c.Name, Incarnation: c.Incarnation, PeerAddress: c.PeerAddress, Address: c.CallerAddress, DataCentre: c.DataCentre,
 			Stopping: s.stopping, Ready: s.table != nil, Revision: uint64(config.Revision), Notices: s.prober.TakeNotices(),
 		},
-		Knows: s.upCount, Known: ok && s.follower.HasState(), Era: s.follower.Position().Era, Content: s.follower.NewestRevision(), ConfigVersion: config.Version, Confirmed: age,
+		Knows: s.upCount, Known: ok && s.follower.HasState(), Era: position.Era, StoreRevision: position.Revision, StateFingerprint: s.follower.Fingerprint(), ConfigVersion: config.Version, Confirmed: age,
 		Disturbed: s.storeFailureAge(now), Speed: c.Speed, Strained: s.lagMeter.overloaded,
 	}
 	for m := range s.prober.Random(rand.IntN) {
@@ -239,7 +242,7 @@
 		if fetch {
 			s.fetching++
 		}
-		if b.Known && b.Era == position.Era && b.Content == s.follower.NewestRevision() && b.ConfigVersion == config.Version {
+		if b.Known && b.Era == position.Era && b.StateFingerprint == s.follower.Fingerprint() {
 			s.follower.Confirm(now.Add(-b.Confirmed))
 		}
 	})
@@ -249,15 +252,15 @@
 }
 
 // isBehind reports whether the sender of a heartbeat has a newer state of the store than this entry. In one
-// era it may have a newer configuration with the same newest change: one of an earlier era, which the store
+// era it may have a newer configuration without a later position: one of an earlier era, which the store
 // has lost.
 func (s *state) isBehind(b Beat) bool {
-	era := s.follower.Position().Era
-	if b.Era != era {
-		return b.Era > era
+	position := s.follower.Position()
+	if b.Era != position.Era {
+		return b.Era > position.Era
 	}
 	_, config := s.follower.Config()
-	return b.Content > s.follower.NewestRevision() || b.Content == s.follower.NewestRevision() && b.ConfigVersion > config.Version
+	return b.StateFingerprint != s.follower.Fingerprint() && (b.StoreRevision > position.Revision || b.ConfigVersion > config.Version)
 }
 
 // applyHeartbeat updates the prober and the sender's capacity from a heartbeat, and those of the
--- a/follower/era.go
+++ b/follower/era.go
@@ -72,7 +72,7 @@
 		return false
 	}
 	f.era, f.eraBegunAt = s.Era, now
-	f.revision, f.baseRevision, f.newestRevision = 0, 0, 0
+	f.revision, f.baseRevision, f.isFingerprinted = 0, 0, false
 	for _, k := range f.instances {
 		k.listed.Revision, k.isOfEarlierEra = 0, true
 		k.hasLeft = k.hasLeft || k.isKnownToLeave()
@@ -135,14 +135,11 @@
 		return nil
 	}
 	stamp := ConfigStamp{Era: s.ConfigEra, Revision: s.ConfigRevision, Version: s.ConfigVersion}
-	if stamp.Era == f.era {
-		f.newestRevision = max(f.newestRevision, stamp.Revision)
-	}
 	if f.config != nil && !stamp.IsNewerThan(f.configStamp) {
 		return nil
 	}
 	isRewritten := stamp.Era != f.configStamp.Era && bytes.Equal(s.Config, f.config)
-	f.config, f.configStamp = s.Config, stamp
+	f.config, f.configStamp, f.isFingerprinted = s.Config, stamp, false
 	if isRewritten {
 		return nil
 	}
--- a/follower/era_test.go
+++ b/follower/era_test.go
@@ -269,8 +269,8 @@
 		fetch := func(from, to *follower.Follower) {
 			_, fromConfig := from.Config()
 			_, toConfig := to.Config()
-			isBehind := from.Position().Era > to.Position().Era || from.Position().Era == to.Position().Era && (from.NewestRevision() > to.NewestRevision() || from.NewestRevision() == to.NewestRevision() && fromConfig.Version > toConfig.Version)
-			if !from.HasState() || !isBehind {
+			isBehind := from.Position().Era > to.Position().Era || from.Position().Era == to.Position().Era && (from.Revision() > to.Revision() || fromConfig.Version > toConfig.Version)
+			if !from.HasState() || !isBehind || from.Position().Era == to.Position().Era && from.Fingerprint() == to.Fingerprint() {
 				return
 			}
 			state, complete := from.ChangesSince(now, to.Position(), toConfig)
@@ -347,8 +347,8 @@
 			if usableIDs(e) != want || config.Version != s.newest {
 				t.Fatalf("entry %d has upstreams %q and version %d, the store %q and %d", i, usableIDs(e), config.Version, want, s.newest)
 			}
-			if e.NewestRevision() != entries[0].NewestRevision() {
-				t.Fatalf("entry %d has the newest revision %d, entry 0 %d", i, e.NewestRevision(), entries[0].NewestRevision())
+			if e.Fingerprint() != entries[0].Fingerprint() {
+				t.Fatalf("entry %d has another fingerprint than entry 0", i)
 			}
 		}
 	})
--- a/follower/evacuations.go
+++ b/follower/evacuations.go
@@ -38,7 +38,7 @@
 		applied.endedAt = now
 	}
 	f.evacuations[e.DataCentre] = applied
-	f.newestRevision = max(f.newestRevision, e.Revision)
+	f.isFingerprinted = false
 	switch {
 	case !e.Ended && !wasEvacuated:
 		return []Change{{ID: e.DataCentre, Kind: KindEvacuated, Revision: e.Revision}}
--- a/follower/evacuations_test.go
+++ b/follower/evacuations_test.go
@@ -129,8 +129,8 @@
 			f.ApplyStoreRead(now, s, true)
 		}
 		fetch := func(from, to *follower.Follower) {
-			if !from.HasState() || to.Revision() > from.Revision() {
-				return
+			if !from.HasState() || to.Revision() > from.Revision() || from.Fingerprint() == to.Fingerprint() {
+				return // as entries do
 			}
 			_, config := to.Config()
 			s, complete := from.ChangesSince(now, to.Position(), config)
@@ -175,3 +175,63 @@
 		}
 	})
 }
+
+// Two followers with the same fingerprint have the same evacuations, as entries with equal ones confirm each
+// other's state. One that starts after the end of an evacuation, of which it never knew, has the newest
+// revision in common with one that still has it.
+func TestEqualFingerprintsMeanEqualEvacuations(t *testing.T) {
+	is := is.New(t)
+	behind, started := newFollowerInThreeCentres(), newFollowerInThreeCentres()
+	behind.ApplyChanges(start, evacuation("x", 6))
+	behind.ApplyChanges(start, evacuation("y", 7))
+	started.ApplyChanges(start, evacuation("y", 7))
+	is.True(behind.Fingerprint() != started.Fingerprint())
+	behind.ApplyChanges(start, follower.State{Revision: 8, Evacuations: []follower.Evacuation{{DataCentre: "x", Revision: 8, Ended: true}}})
+	is.Equal(behind.EvacuatedDataCentres(), started.EvacuatedDataCentres())
+	is.Equal(behind.Fingerprint(), started.Fingerprint())
+}
+
+// Of two followers with any registrations, removals and evacuations, those have equal fingerprints that have
+// equal registrations and evacuations.
+func TestFingerprintsTellStatesApart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		followers := []*follower.Follower{follower.New(), follower.New()}
+		contents := []map[string]int64{{}, {}}
+		for range rapid.IntRange(0, 12).Draw(t, "changes") {
+			i, revision := rapid.IntRange(0, 1).Draw(t, "follower"), int64(rapid.IntRange(1, 4).Draw(t, "revision"))
+			name, kind := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name"), rapid.IntRange(0, 3).Draw(t, "kind")
+			s := follower.State{Revision: revision}
+			switch kind {
+			case 0:
+				s.Instances = []follower.Listed{ready(name, revision)}
+			case 1:
+				s.Instances = []follower.Listed{gone(name, revision)}
+			default:
+				s.Evacuations = []follower.Evacuation{{DataCentre: name, Revision: revision, Ended: kind == 3}}
+			}
+			if kind > 1 {
+				name = "evacuation " + name
+			}
+			if last, ok := contents[i][name]; ok && max(last, -last) >= revision {
+				continue
+			}
+			contents[i][name] = revision
+			if kind == 1 || kind == 3 {
+				contents[i][name] = -revision
+			}
+			followers[i].ApplyChanges(start, s)
+		}
+		present := func(i int) string {
+			out := ""
+			for _, name := range slices.Sorted(maps.Keys(contents[i])) {
+				if contents[i][name] > 0 {
+					out += fmt.Sprint(name, contents[i][name], " ")
+				}
+			}
+			return out
+		}
+		if (present(0) == present(1)) != (followers[0].Fingerprint() == followers[1].Fingerprint()) {
+			t.Fatalf("%q and %q, fingerprints %x and %x", present(0), present(1), followers[0].Fingerprint(), followers[1].Fingerprint())
+		}
+	})
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -69,9 +69,6 @@
 	Era int64
 	// Revision is the store revision up to which the state is current.
 	Revision int64
-	// NewestRevision is Follower.NewestRevision of the entry that sent the state; 0 in a state from
-	// the store.
-	NewestRevision int64
 	// Config holds the configuration's bytes as stored; nil if the state does not
 	// include it. ConfigRevision is the store revision of its last change, ConfigEra the era
 	// of that revision, which may be an earlier one than Era, and ConfigVersion the
@@ -170,8 +167,9 @@
 	// baseRevision is the store revision after which instances has every removal. Earlier
 	// removals may be missing: dropped after removalTTL, or not part of a complete state.
 	baseRevision int64
-	// newestRevision is the store revision of the newest change applied; 0 at first.
-	newestRevision int64
+	// fingerprint is the value that Fingerprint returns; valid if isFingerprinted is true.
+	fingerprint     uint64
+	isFingerprinted bool
 	// config is the configuration in force as stored; nil before the first.
 	config      []byte
 	configStamp ConfigStamp
@@ -279,7 +277,6 @@
 // changes that had an effect.
 func (f *Follower) merge(now time.Time, s State, fromSnapshot bool) []Change {
 	changes := f.applyConfig(s)
-	f.newestRevision = max(f.newestRevision, s.NewestRevision)
 	for _, l := range s.Instances {
 		changes = append(changes, f.applyListed(now, l, fromSnapshot)...)
 	}
@@ -311,7 +308,7 @@
 		f.instances[id].listed.Doubtful = l.Doubtful
 		return changes
 	}
-	f.newestRevision = max(f.newestRevision, l.Revision)
+	f.isFingerprinted = false
 	applied := &knownInstance{listed: l, coldUntil: now.Add(l.Instance.ColdFor), isOfEarlierEra: l.Revision == 0}
 	if l.UnusedFor > 0 {
 		applied.unusedUntil = now.Add(l.UnusedFor)
@@ -359,7 +356,7 @@
 	wasGone := k.listed.Gone
 	k.listed.Gone, k.listed.Revision = true, max(revision, k.listed.Revision)
 	k.isOfEarlierEra = k.listed.Revision == 0
-	f.newestRevision = max(f.newestRevision, revision)
+	f.isFingerprinted = false
 	if wasGone {
 		return nil
 	}
@@ -480,12 +477,6 @@
 // Revision returns the store revision up to which all changes were applied; 0 at first.
 func (f *Follower) Revision() int64 { return f.revision }
 
-// NewestRevision returns the store revision of the newest change in the present era that was applied, or
-// was ignored because of what is known of an earlier era; 0 at first.
-// Two followers with the same era, NewestRevision and version of the configuration have the same
-// configuration and registrations.
-func (f *Follower) NewestRevision() int64 { return f.newestRevision }
-
 // HasState reports whether a configuration was ever applied. Registrations alone do not count: a
 // complete state that was read from the store can lack the configuration if its value can't be decoded.
 func (f *Follower) HasState() bool { return f.config != nil }
@@ -495,7 +486,7 @@
 // state and complete is true. The state omits the configuration unless it is newer than the one that the
 // other entry has.
 func (f *Follower) ChangesSince(now time.Time, position Position, config ConfigStamp) (s State, complete bool) {
-	s.Era, s.Revision, s.NewestRevision = f.era, f.revision, f.newestRevision
+	s.Era, s.Revision = f.era, f.revision
 	if f.config != nil && (config == ConfigStamp{} || f.configStamp.IsNewerThan(config)) {
 		s.Config, s.ConfigEra, s.ConfigRevision, s.ConfigVersion = f.config, f.configStamp.Era, f.configStamp.Revision, f.configStamp.Version
 	}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -116,7 +116,7 @@
 			}
 			before = shuffled.Revision()
 		}
-		if usableIDs(ordered) != usableIDs(shuffled) || ordered.NewestRevision() != shuffled.NewestRevision() {
+		if usableIDs(ordered) != usableIDs(shuffled) || ordered.Fingerprint() != shuffled.Fingerprint() {
 			t.Fatalf("usable upstreams: %q in order, %q in shuffled order", usableIDs(ordered), usableIDs(shuffled))
 		}
 	})
--- a/follower/outage_test.go
+++ b/follower/outage_test.go
@@ -153,10 +153,11 @@
 			if failureAge, ever := from.StoreFailureAge(o.now); ever {
 				to.RecordStoreFailure(o.now.Add(-failureAge))
 			}
-			if from.NewestRevision() == to.NewestRevision() {
+			if from.Fingerprint() == to.Fingerprint() {
 				to.Confirm(o.now.Add(-age))
+				continue
 			}
-			if from.NewestRevision() <= to.NewestRevision() {
+			if from.Revision() <= to.Revision() {
 				continue
 			}
 			s, complete := from.ChangesSince(o.now, to.Position(), follower.ConfigStamp{})
