--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -94,7 +94,7 @@
 red turn dispatcher/place.go 's/if r := refuseTooEarly\(.*?\); r != nil/if r := (*Refusal)(nil); r != nil/' ./dispatcher TestLongPromptWaitsWhileEnginesAreBusy
 red later-upstream dispatcher/dispatcher.go 's/if len\(r\.unknownUpstreams\) > 0/if false/' ./dispatcher TestPeerRequestsResolveUpstreamsListedLater
 red urgent-lines logger/queue.go 's/len\(q\.lines\) >= ordinaryCapacity/false/' ./logger TestWarningsAreDroppedLast
-red since follower/follower.go 's/position\.Era != f\.era \|\| position\.Revision < f\.baseRevision/position.Revision == 0/' ./follower TestChangesSinceARevisionMissNothing
+red since follower/follower.go 's/position\.Epoch != f\.epoch \|\| position\.Revision < f\.baseRevision/position.Revision == 0/' ./follower TestChangesSinceARevisionMissNothing
 red linger launcher/launcher.go 's/earlier\(listenUntil, deadline\)/earlier(start, earlier(listenUntil, deadline))/' ./launcher TestRollingStopCutsOffNothing
 red removal follower/follower.go 's/doubtful := .*/doubtful := true/; s/!f\.ownFailureAt\.After\(f\.ownReadAt\) && !f\.confirmedAt/false \&\& !f.confirmedAt/' ./follower TestRemovalsAndLapsesInEveryOrder
 red lapse follower/follower.go 's/doubtful := .*/doubtful := false/' ./follower TestRemovalsAndLapsesInEveryOrder
@@ -199,16 +199,16 @@
 red evacuation-ends follower/follower.go 's/append\(changes, f\.endMissingEvacuations\(now, s\)\.\.\.\)/changes/' ./follower TestCompleteStateEndsEvacuations
 red evacuation-bound platform/settings.go 's/shortest = min\(shortest, /_ = min(shortest, /' ./platform TestMaxPropagationIncludesEvacuations
 red cold dispatcher/dispatcher.go 's/case b\.coldWait\(now, u\) > 0, /case /' ./dispatcher TestColdUpstreamsGetFewRequests
-red era platform/store.go 's/if era != 0 && era != after\.Era/if false/' ./launcher TestChangesWhileTheStoreWasAwayAreInForce
-red era-begin follower/era.go 's/f\.revision, f\.baseRevision, f\.isFingerprinted = 0, 0, false//' ./launcher TestChangesAfterTheStoreWentBackAreInForce
-red era-config follower/era.go 's/return c\.Version > o\.Version \|\|/return true ||/' ./launcher TestLostConfigurationStaysInForce
-red era-order follower/era.go 's/case s\.Era < f\.era \|\| /case /' ./follower TestOlderConfigurationOfANewEraIsIgnored
-red era-left follower/era.go 's/k\.hasLeft = before\.hasLeft/_ = before/' ./launcher TestUpstreamThatLeftIsNotUsedAfterTheStoreWentBack
-red era-removed follower/era.go 's/k\.unusedUntil = now/_ = now/' ./launcher TestUpstreamThatLeftIsNotUsedAfterTheStoreWentBack
-red era-retained follower/era.go 's/return max\(0, reregisterTime-now\.Sub\(f\.eraBegunAt\)\)/return 0/' ./follower TestUpstreamThatTheStoreLostIsRetained
-red era-evacuation follower/evacuations.go 's/!known\.isOfEarlierEra && //' ./follower TestEvacuationThatTheStoreLostLasts
-red era-unreadable follower/era.go 's/s\.Era\+\+/_ = s/' ./launcher TestChangesAreInForceWithoutAReadableEra
-red era-starts controller/peers.go 's/ \|\| b\.ConfigVersion > config\.Version//; s/_, config := s\.follower\.Config\(\)\n\treturn/return/' ./launcher TestLostConfigurationStaysInForce
+red epoch platform/store.go 's/if epoch != 0 && epoch != after\.Epoch/if false/' ./launcher TestChangesWhileTheStoreWasAwayAreInForce
+red epoch-begin follower/epoch.go 's/f\.revision, f\.baseRevision, f\.isFingerprinted = 0, 0, false//' ./launcher TestChangesAfterTheStoreWentBackAreInForce
+red epoch-config follower/epoch.go 's/return c\.Version > o\.Version \|\|/return true ||/' ./launcher TestLostConfigurationStaysInForce
+red epoch-order follower/epoch.go 's/case s\.Epoch < f\.epoch \|\| /case /' ./follower TestOlderConfigurationOfANewEpochIsIgnored
+red epoch-left follower/epoch.go 's/k\.hasLeft = before\.hasLeft/_ = before/' ./launcher TestUpstreamThatLeftIsNotUsedAfterTheStoreWentBack
+red epoch-removed follower/epoch.go 's/k\.unusedUntil = now/_ = now/' ./launcher TestUpstreamThatLeftIsNotUsedAfterTheStoreWentBack
+red epoch-retained follower/epoch.go 's/return max\(0, reregisterTime-now\.Sub\(f\.epochBegunAt\)\)/return 0/' ./follower TestUpstreamThatTheStoreLostIsRetained
+red epoch-evacuation follower/evacuations.go 's/!known\.isOfEarlierEpoch && //' ./follower TestEvacuationThatTheStoreLostLasts
+red epoch-unreadable follower/epoch.go 's/s\.Epoch\+\+/_ = s/' ./launcher TestChangesAreInForceWithoutAReadableEpoch
+red epoch-starts controller/peers.go 's/ \|\| b\.ConfigVersion > config\.Version//; s/_, config := s\.follower\.Config\(\)\n\treturn/return/' ./launcher TestLostConfigurationStaysInForce
 red fingerprint follower/fingerprint.go 's/if !known\.Ended \{/if false {/' ./follower TestEqualFingerprintsMeanEqualEvacuations
 red rate-limit dispatcher/dispatcher.go 's/, b\.rateLimitWait\(now, u\) > 0//' ./launcher TestUpstreamsGetNoMoreThanTheirRateLimit
 red rate-attempts dispatcher/dispatcher.go 's/, b\.rateLimitWait\(now, u\) > 0//' ./forwarder TestRateLimitAppliesToEveryAttempt
--- a/api/entry.go
+++ b/api/entry.go
@@ -52,9 +52,9 @@
 	// platform.
 	Revision uint64
 	Digest   string
-	// StoreEra is the number of times that the platform's store has gone back to an older copy, in whose
+	// StoreEpoch is the number of times that the platform's store has gone back to an older copy, in whose
 	// history Revision counts. Set on the users' platform only.
-	StoreEra int64 `json:",omitempty"`
+	StoreEpoch int64 `json:",omitempty"`
 	// Confirmed is how long ago the platform last confirmed that the entry's copy of the configuration
 	// and of the upstreams is current; negative if it never did. Set on the users' platform only.
 	Confirmed time.Duration `json:",omitempty"`
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -109,7 +109,7 @@
 type metrics struct {
 	storeCalls, storeFailures                                      tally.Counter
 	configRevision, confirmationAge, members, upstreams, evacuated tally.Gauge
-	storeEra                                                       tally.Gauge
+	storeEpoch                                                     tally.Gauge
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -117,7 +117,7 @@
 		storeCalls: scope.Counter("store_calls"), storeFailures: scope.Counter("store_failures"),
 		configRevision: scope.Gauge("configuration_revision"), confirmationAge: scope.Gauge("list_age_seconds"),
 		members: scope.Gauge("members_live"), upstreams: scope.Gauge("upstreams"),
-		evacuated: scope.Gauge("data_centres_evacuated"), storeEra: scope.Gauge("store_era"),
+		evacuated: scope.Gauge("data_centres_evacuated"), storeEpoch: scope.Gauge("store_epoch"),
 	}
 }
 
--- a/controller/fetch.go
+++ b/controller/fetch.go
@@ -38,12 +38,12 @@
 // FetchArgs holds the arguments of the net/rpc call Fetch, which returns a peer's copy of the
 // store's state.
 type FetchArgs struct {
-	// Have is the store revision, of the era Era, up to which the calling entry has all changes.
+	// Have is the store revision, of the epoch Epoch, up to which the calling entry has all changes.
 	// Both are 0 if it has none.
-	Era, Have int64
-	// HaveConfig, HaveConfigEra and HaveConfigVersion are the fields of the follower.ConfigStamp of
+	Epoch, Have int64
+	// HaveConfig, HaveConfigEpoch and HaveConfigVersion are the fields of the follower.ConfigStamp of
 	// the configuration that the calling entry has; all are 0 if it has none.
-	HaveConfig, HaveConfigEra, HaveConfigVersion int64
+	HaveConfig, HaveConfigEpoch, HaveConfigVersion int64
 }
 
 // FetchReply is the reply to FetchArgs: the store's state as the called entry knows it.
@@ -55,7 +55,7 @@
 	Config []byte
 	// Whole is true if the reply holds all registrations instead of the changes. Snapshot is
 	// then the state, encoded with gob and compressed with DEFLATE, and State has only the
-	// era and the revision of the configuration.
+	// epoch and the revision of the configuration.
 	Whole    bool
 	Snapshot []byte
 	// Known is true if the called entry has a complete state that the store has
@@ -77,8 +77,8 @@
 		age, ok := s.follower.ConfirmationAge(now)
 		reply.Known = ok && s.follower.HasState()
 		reply.Confirmed = age
-		config := follower.ConfigStamp{Era: args.HaveConfigEra, Revision: args.HaveConfig, Version: args.HaveConfigVersion}
-		reply.State, reply.Whole = s.follower.ChangesSince(now, follower.Position{Era: args.Era, Revision: args.Have}, config)
+		config := follower.ConfigStamp{Epoch: args.HaveConfigEpoch, Revision: args.HaveConfig, Version: args.HaveConfigVersion}
+		reply.State, reply.Whole = s.follower.ChangesSince(now, follower.Position{Epoch: args.Epoch, Revision: args.Have}, config)
 		reply.Disturbed = s.storeFailureAge(now)
 	})
 	if reply.Whole && reply.Known {
@@ -97,7 +97,7 @@
 	}
 	if err == nil && reply.Whole {
 		reply.Snapshot, err = p.controller.snapshots.pack(reply.State)
-		reply.State = follower.State{ConfigEra: reply.State.ConfigEra, ConfigRevision: reply.State.ConfigRevision}
+		reply.State = follower.State{ConfigEpoch: reply.State.ConfigEpoch, ConfigRevision: reply.State.ConfigRevision}
 	}
 	return err
 }
@@ -111,8 +111,8 @@
 	data        []byte
 }
 
-// snapshotFingerprint returns a fingerprint of the era and the revisions of a state and all its items. Two
-// states with equal revisions in one era have equal items.
+// snapshotFingerprint returns a fingerprint of the epoch and the revisions of a state and all its items. Two
+// states with equal revisions in one epoch have equal items.
 func snapshotFingerprint(s follower.State) uint64 {
 	var d xxhash.Digest
 	d.Reset()
@@ -120,7 +120,7 @@
 		_, _ = d.WriteString(id)
 		_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(revision)))
 	}
-	add("", s.Era)
+	add("", s.Epoch)
 	add("", s.Revision)
 	for _, l := range s.Instances {
 		add(l.Instance.ID, l.Revision)
@@ -140,7 +140,7 @@
 	if c.data != nil && c.fingerprint == fingerprint {
 		return c.data, nil
 	}
-	s.ConfigEra, s.ConfigRevision, s.ConfigVersion = 0, 0, 0
+	s.ConfigEpoch, s.ConfigRevision, s.ConfigVersion = 0, 0, 0
 	var encoded bytes.Buffer
 	if err := gob.NewEncoder(&encoded).Encode(s); err != nil {
 		return nil, fmt.Errorf("encode upstreams: %w", err)
@@ -192,16 +192,16 @@
 // a configuration to a tenth of its size.
 type compressedConfig struct {
 	lock sync.Mutex
-	// position is the era and the revision of the configuration in data; zero before the first.
+	// position is the epoch and the revision of the configuration in data; zero before the first.
 	position follower.Position
 	data     []byte
 }
 
 // compress returns the configuration of a state compressed with DEFLATE, from the cache if it
-// holds the one of the same era and revision. It holds the lock meanwhile, so that concurrent fetches
+// holds the one of the same epoch and revision. It holds the lock meanwhile, so that concurrent fetches
 // wait for one compression.
 func (c *compressedConfig) compress(s follower.State) ([]byte, error) {
-	position := follower.Position{Era: s.ConfigEra, Revision: s.ConfigRevision}
+	position := follower.Position{Epoch: s.ConfigEpoch, Revision: s.ConfigRevision}
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	if c.data != nil && c.position == position {
@@ -258,7 +258,7 @@
 	if err == nil && reply.Whole {
 		config := reply.State
 		reply.State, err = unpackSnapshot(reply.Snapshot)
-		reply.State.Config, reply.State.ConfigEra, reply.State.ConfigRevision = config.Config, config.ConfigEra, config.ConfigRevision
+		reply.State.Config, reply.State.ConfigEpoch, reply.State.ConfigRevision = config.Config, config.ConfigEpoch, config.ConfigRevision
 	}
 	if err != nil {
 		c.config.Log.Warn("fetch_failed", zap.String("source", source), zap.Error(err))
@@ -275,7 +275,7 @@
 			apply = s.follower.ApplyPeerSnapshot
 		}
 		changes := apply(now, got)
-		if s.follower.Position().Era == got.Era {
+		if s.follower.Position().Epoch == got.Epoch {
 			s.follower.Confirm(now.Add(-reply.Confirmed))
 		}
 		return changes
--- a/controller/follow.go
+++ b/controller/follow.go
@@ -177,11 +177,11 @@
 		c.do(func(s *state) { s.recordStoreError(time.Now(), err) })
 		return err
 	}
-	got = got.ResolveEra(before, readAll)
+	got = got.ResolveEpoch(before, readAll)
 	changed := c.applyState(got, "store", func(s *state, now time.Time, got follower.State) []follower.Change {
 		s.recordStoreSuccess()
 		if readAll && got.Revision < before.Revision {
-			c.config.Log.Warn("store_behind", zap.Int64("revision", before.Revision), zap.Int64("read_revision", got.Revision), zap.Int64("era", got.Era))
+			c.config.Log.Warn("store_behind", zap.Int64("revision", before.Revision), zap.Int64("read_revision", got.Revision), zap.Int64("epoch", got.Epoch))
 		}
 		s.logUnreadableItems(got.Faults)
 		return s.follower.ApplyStoreRead(now, got, readAll)
@@ -234,13 +234,13 @@
 			s.table = table
 		}
 		after := s.follower.Position()
-		if after.Era != before.Era {
-			c.config.Log.Info("store_era", zap.Int64("era", after.Era), zap.Int64("previous", before.Era), zap.Int64("revision", after.Revision),
+		if after.Epoch != before.Epoch {
+			c.config.Log.Info("store_epoch", zap.Int64("epoch", after.Epoch), zap.Int64("previous", before.Epoch), zap.Int64("revision", after.Revision),
 				zap.Int64("previous_revision", before.Revision), zap.String("source", source))
 		}
 		s.logStoreChanges(changes, source)
 		s.dirty = true
-		changed = len(changes) > 0 || after.Era != before.Era
+		changed = len(changes) > 0 || after.Epoch != before.Epoch
 	})
 	return changed
 }
@@ -252,11 +252,11 @@
 	if got.Config == nil {
 		return nil
 	}
-	stamp := follower.ConfigStamp{Era: got.ConfigEra, Revision: got.ConfigRevision}
+	stamp := follower.ConfigStamp{Epoch: got.ConfigEpoch, Revision: got.ConfigRevision}
 	isKnown := false
 	c.do(func(s *state) {
 		_, current := s.follower.Config()
-		isKnown = stamp == s.unreadableConfig || current.Era == stamp.Era && current.Revision >= stamp.Revision
+		isKnown = stamp == s.unreadableConfig || current.Epoch == stamp.Epoch && current.Revision >= stamp.Revision
 	})
 	if isKnown {
 		got.Config = nil
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -57,14 +57,14 @@
 	Contacts []Contact
 	Knows    int
 	// Known is true if the sender has the store's complete state and the store has
-	// confirmed it as current. Era and StoreRevision are the position in the store's history up
+	// confirmed it as current. Epoch and StoreRevision are the position in the store's history up
 	// to which the sender has all changes, StateFingerprint is follower.Fingerprint of the state,
 	// ConfigVersion the operator's version of the configuration, and Confirmed the time since the
 	// last confirmation.
-	Known                             bool
-	Era, StoreRevision, ConfigVersion int64
-	StateFingerprint                  uint64
-	Confirmed                         time.Duration
+	Known                               bool
+	Epoch, StoreRevision, ConfigVersion int64
+	StateFingerprint                    uint64
+	Confirmed                           time.Duration
 	// Disturbed is how long ago a call to the store last failed, at the sender or
 	// at an entry that reported a failure to it; negative if no failure is known.
 	Disturbed time.Duration
@@ -207,7 +207,7 @@
 			From: c.Name, Incarnation: c.Incarnation, PeerAddress: c.PeerAddress, Address: c.CallerAddress, DataCentre: c.DataCentre,
 			Stopping: s.stopping, Ready: s.table != nil, Revision: uint64(config.Revision), Notices: s.prober.TakeNotices(),
 		},
-		Knows: s.upCount, Known: ok && s.follower.HasState(), Era: position.Era, StoreRevision: position.Revision, StateFingerprint: s.follower.Fingerprint(), ConfigVersion: config.Version, Confirmed: age,
+		Knows: s.upCount, Known: ok && s.follower.HasState(), Epoch: position.Epoch, StoreRevision: position.Revision, StateFingerprint: s.follower.Fingerprint(), ConfigVersion: config.Version, Confirmed: age,
 		Disturbed: s.storeFailureAge(now), Speed: c.Speed, Strained: s.lagMeter.overloaded,
 	}
 	for m := range s.prober.Random(rand.IntN) {
@@ -237,12 +237,12 @@
 		s.logQuarantined(now, c.config.Quarantine.ApplyUpdate(now, b.Quarantine), b.From)
 		position := s.follower.Position()
 		_, config := s.follower.Config()
-		have = FetchArgs{Era: position.Era, Have: position.Revision, HaveConfig: config.Revision, HaveConfigEra: config.Era, HaveConfigVersion: config.Version}
+		have = FetchArgs{Epoch: position.Epoch, Have: position.Revision, HaveConfig: config.Revision, HaveConfigEpoch: config.Epoch, HaveConfigVersion: config.Version}
 		fetch = b.Known && (s.isBehind(b) || !s.follower.HasState()) && s.fetching < maxFetches
 		if fetch {
 			s.fetching++
 		}
-		if b.Known && b.Era == position.Era && b.StateFingerprint == s.follower.Fingerprint() {
+		if b.Known && b.Epoch == position.Epoch && b.StateFingerprint == s.follower.Fingerprint() {
 			s.follower.Confirm(now.Add(-b.Confirmed))
 		}
 	})
@@ -252,12 +252,12 @@
 }
 
 // isBehind reports whether the sender of a heartbeat has a newer state of the store than this entry. In one
-// era it may have a newer configuration without a later position: one of an earlier era, which the store
+// epoch it may have a newer configuration without a later position: one of an earlier epoch, which the store
 // has lost.
 func (s *state) isBehind(b Beat) bool {
 	position := s.follower.Position()
-	if b.Era != position.Era {
-		return b.Era > position.Era
+	if b.Epoch != position.Epoch {
+		return b.Epoch > position.Epoch
 	}
 	_, config := s.follower.Config()
 	return b.StateFingerprint != s.follower.Fingerprint() && (b.StoreRevision > position.Revision || b.ConfigVersion > config.Version)
--- a/controller/view.go
+++ b/controller/view.go
@@ -73,7 +73,7 @@
 	}
 	c.config.Quarantine.SetUpstreamCount(len(usable))
 	c.metrics.configRevision.Update(float64(config.Revision))
-	c.metrics.storeEra.Update(float64(s.follower.Position().Era))
+	c.metrics.storeEpoch.Update(float64(s.follower.Position().Epoch))
 	c.metrics.members.Update(float64(s.upCount))
 	c.metrics.upstreams.Update(float64(len(usable)))
 	c.metrics.evacuated.Update(float64(len(s.follower.EvacuatedDataCentres())))
--- a/follower/era.go
+++ b/follower/epoch.go
@@ -17,68 +17,68 @@
 	evacuationRewriteTime = 10 * time.Second
 )
 
-// Position is a point in the history of the store. Positions of different eras are only comparable by
-// their eras.
+// Position is a point in the history of the store. Positions of different epochs are only comparable by
+// their epochs.
 type Position struct {
-	// Era is as in State.Era, Revision as in State.Revision. Both are 0 before the first state.
-	Era, Revision int64
+	// Epoch is as in State.Epoch, Revision as in State.Revision. Both are 0 before the first state.
+	Epoch, Revision int64
 }
 
-// ConfigStamp identifies a configuration. Within an era, the configuration with the greater revision is
-// newer. A configuration of an earlier era has a revision that the store may have given to another change
+// ConfigStamp identifies a configuration. Within an epoch, the configuration with the greater revision is
+// newer. A configuration of an earlier epoch has a revision that the store may have given to another change
 // since; against such a one the operator's version decides.
 type ConfigStamp struct {
-	// Era and Revision are the position of the configuration's last change in the store.
-	Era, Revision int64
+	// Epoch and Revision are the position of the configuration's last change in the store.
+	Epoch, Revision int64
 	// Version is the operator's version number in the configuration, which increases with each change.
 	Version int64
 }
 
 // IsNewerThan reports whether the configuration with stamp c replaces the one with stamp o.
 func (c ConfigStamp) IsNewerThan(o ConfigStamp) bool {
-	if c.Era == o.Era {
+	if c.Epoch == o.Epoch {
 		return c.Revision > o.Revision
 	}
-	return c.Version > o.Version || c.Version == o.Version && c.Era > o.Era
+	return c.Version > o.Version || c.Version == o.Version && c.Epoch > o.Epoch
 }
 
-// ResolveEra returns the state with its era, where the store did not state it in a readable form: that of
+// ResolveEpoch returns the state with its epoch, where the store did not state it in a readable form: that of
 // the position that this entry had before the call to the store, or the next one if the state is complete
 // and its revision is lower. The reads of a store are linearizable, so only a store that has gone back
 // returns a lower revision than before.
-func (s State) ResolveEra(before Position, complete bool) State {
-	if s.Era != 0 {
+func (s State) ResolveEpoch(before Position, complete bool) State {
+	if s.Epoch != 0 {
 		return s
 	}
-	s.Era = before.Era
+	s.Epoch = before.Epoch
 	if complete && s.Revision < before.Revision {
-		s.Era++
+		s.Epoch++
 	}
-	s.ConfigEra = s.Era
+	s.ConfigEpoch = s.Epoch
 	return s
 }
 
 // Position returns the position in the store's history up to which all changes were applied.
-func (f *Follower) Position() Position { return Position{Era: f.era, Revision: f.revision} }
+func (f *Follower) Position() Position { return Position{Epoch: f.epoch, Revision: f.revision} }
 
-// enterEra reports whether a state may be merged as one of the present era. It begins the era of the state
-// if that is later and the state is complete, or if this follower has no state. Changes of a later era do
-// not suffice for that, and a state of an earlier era is out of date.
-func (f *Follower) enterEra(now time.Time, s State, complete bool) bool {
+// enterEpoch reports whether a state may be merged as one of the present epoch. It begins the epoch of the state
+// if that is later and the state is complete, or if this follower has no state. Changes of a later epoch do
+// not suffice for that, and a state of an earlier epoch is out of date.
+func (f *Follower) enterEpoch(now time.Time, s State, complete bool) bool {
 	switch {
-	case s.Era == f.era:
+	case s.Epoch == f.epoch:
 		return true
-	case s.Era < f.era || !complete && f.revision > 0:
+	case s.Epoch < f.epoch || !complete && f.revision > 0:
 		return false
 	}
-	f.era, f.eraBegunAt = s.Era, now
+	f.epoch, f.epochBegunAt = s.Epoch, now
 	f.revision, f.baseRevision, f.isFingerprinted = 0, 0, false
 	for _, k := range f.instances {
-		k.listed.Revision, k.isOfEarlierEra = 0, true
+		k.listed.Revision, k.isOfEarlierEpoch = 0, true
 		k.hasLeft = k.hasLeft || k.isKnownToLeave()
 	}
 	for dataCentre, known := range f.evacuations {
-		known.Revision, known.isOfEarlierEra = 0, true
+		known.Revision, known.isOfEarlierEpoch = 0, true
 		f.evacuations[dataCentre] = known
 	}
 	return true
@@ -91,17 +91,17 @@
 }
 
 // inherit completes the knowledge of an instance by what was known of the same incarnation before. An
-// incarnation that has reported in an earlier era that it leaves is not used, whatever the store lists:
+// incarnation that has reported in an earlier epoch that it leaves is not used, whatever the store lists:
 // the copy that the store returned from may be older than the report. One whose registration was removed
-// in an earlier era is not used until endedRegistrationTime after a complete state lists it, which shows
+// in an earlier epoch is not used until endedRegistrationTime after a complete state lists it, which shows
 // that it still renews its registration. fromSnapshot is true for a registration in a complete state; any
-// other was written in the present era.
+// other was written in the present epoch.
 func (k *knownInstance) inherit(now time.Time, before *knownInstance, fromSnapshot bool) {
 	if !before.listed.Instance.SameIncarnation(k.listed.Instance) {
 		return
 	}
 	k.hasLeft = before.hasLeft
-	if !before.isOfEarlierEra {
+	if !before.isOfEarlierEpoch {
 		return
 	}
 	if isUnchanged(before.listed.Instance, k.listed.Instance) {
@@ -118,13 +118,13 @@
 	return a == b
 }
 
-// eraRetention returns for how much longer an upstream is used that is missing in the first states of an
-// era: the store may have lost its registration, which the upstream writes again.
-func (f *Follower) eraRetention(now time.Time, k *knownInstance) time.Duration {
-	if !k.isOfEarlierEra {
+// epochRetention returns for how much longer an upstream is used that is missing in the first states of an
+// epoch: the store may have lost its registration, which the upstream writes again.
+func (f *Follower) epochRetention(now time.Time, k *knownInstance) time.Duration {
+	if !k.isOfEarlierEpoch {
 		return 0
 	}
-	return max(0, reregisterTime-now.Sub(f.eraBegunAt))
+	return max(0, reregisterTime-now.Sub(f.epochBegunAt))
 }
 
 // applyConfig applies the configuration of a state if it is newer than the one in force, and returns the
@@ -134,11 +134,11 @@
 	if s.Config == nil {
 		return nil
 	}
-	stamp := ConfigStamp{Era: s.ConfigEra, Revision: s.ConfigRevision, Version: s.ConfigVersion}
+	stamp := ConfigStamp{Epoch: s.ConfigEpoch, Revision: s.ConfigRevision, Version: s.ConfigVersion}
 	if f.config != nil && !stamp.IsNewerThan(f.configStamp) {
 		return nil
 	}
-	isRewritten := stamp.Era != f.configStamp.Era && bytes.Equal(s.Config, f.config)
+	isRewritten := stamp.Epoch != f.configStamp.Epoch && bytes.Equal(s.Config, f.config)
 	f.config, f.configStamp, f.isFingerprinted = s.Config, stamp, false
 	if isRewritten {
 		return nil
@@ -146,8 +146,8 @@
 	return []Change{{Kind: KindConfig, Revision: stamp.Revision}}
 }
 
-// tickEra ends what holds only for a while after the begin of an era, and returns the changes.
-func (f *Follower) tickEra(now time.Time) []Change {
+// tickEpoch ends what holds only for a while after the begin of an epoch, and returns the changes.
+func (f *Follower) tickEpoch(now time.Time) []Change {
 	var changes []Change
 	for id, k := range f.instances {
 		if !k.unusedUntil.IsZero() && !now.Before(k.unusedUntil) {
@@ -157,9 +157,9 @@
 			}
 		}
 	}
-	if now.Sub(f.eraBegunAt) >= evacuationRewriteTime {
+	if now.Sub(f.epochBegunAt) >= evacuationRewriteTime {
 		for dataCentre, known := range f.evacuations {
-			if known.isOfEarlierEra && !known.Ended {
+			if known.isOfEarlierEpoch && !known.Ended {
 				changes = append(changes, f.applyEvacuation(now, Evacuation{DataCentre: dataCentre, Revision: f.revision, Ended: true})...)
 			}
 		}
--- a/follower/era_test.go
+++ b/follower/epoch_test.go
@@ -20,11 +20,11 @@
 	return follower.Listed{Revision: revision, Instance: dispatcher.Instance{ID: id, Address: netip.MustParseAddrPort("10.0.0.1:80"), Leaving: leaving}}
 }
 
-// eraState returns a state of an era with a configuration of that era.
-func eraState(era, revision, configRevision, version int64, instances ...follower.Listed) follower.State {
+// epochState returns a state of an epoch with a configuration of that epoch.
+func epochState(epoch, revision, configRevision, version int64, instances ...follower.Listed) follower.State {
 	return follower.State{
-		Era: era, Revision: revision, Instances: instances,
-		Config: []byte(fmt.Sprint("v", version)), ConfigEra: era, ConfigRevision: configRevision, ConfigVersion: version,
+		Epoch: epoch, Revision: revision, Instances: instances,
+		Config: []byte(fmt.Sprint("v", version)), ConfigEpoch: epoch, ConfigRevision: configRevision, ConfigVersion: version,
 	}
 }
 
@@ -35,45 +35,45 @@
 
 // The store may return with an older configuration and write the lost one again under another revision. The
 // one in force stays until a newer one comes, whatever revisions they have.
-func TestOlderConfigurationOfANewEraIsIgnored(t *testing.T) {
+func TestOlderConfigurationOfANewEpochIsIgnored(t *testing.T) {
 	is := is.New(t)
 	f := follower.New()
-	f.ApplyStoreRead(start, eraState(1, 25, 25, 22), true)
-	is.Equal(len(f.ApplyStoreRead(start, eraState(2, 22, 21, 16), true)), 0)
+	f.ApplyStoreRead(start, epochState(1, 25, 25, 22), true)
+	is.Equal(len(f.ApplyStoreRead(start, epochState(2, 22, 21, 16), true)), 0)
 	is.Equal(configOf(f), "v22")
-	is.Equal(f.Position(), follower.Position{Era: 2, Revision: 22})
-	is.Equal(len(f.ApplyStoreRead(start, eraState(2, 23, 23, 22), false)), 0) // written again
+	is.Equal(f.Position(), follower.Position{Epoch: 2, Revision: 22})
+	is.Equal(len(f.ApplyStoreRead(start, epochState(2, 23, 23, 22), false)), 0) // written again
 	is.Equal(configOf(f), "v22")
-	is.Equal(len(f.ApplyStoreRead(start, eraState(2, 24, 24, 26), false)), 1)
+	is.Equal(len(f.ApplyStoreRead(start, epochState(2, 24, 24, 26), false)), 1)
 	is.Equal(configOf(f), "v26")
-	f.ApplyStoreRead(start, eraState(1, 60, 60, 24), true) // a late response
-	f.ApplyStoreRead(start, eraState(1, 60, 60, 30), false)
+	f.ApplyStoreRead(start, epochState(1, 60, 60, 24), true) // a late response
+	f.ApplyStoreRead(start, epochState(1, 60, 60, 30), false)
 	is.Equal(configOf(f), "v26")
-	is.Equal(f.Position(), follower.Position{Era: 2, Revision: 24})
+	is.Equal(f.Position(), follower.Position{Epoch: 2, Revision: 24})
 }
 
-// Changes of a later era do not tell what the store has lost; the complete state does.
-func TestChangesDoNotBeginAnEra(t *testing.T) {
+// Changes of a later epoch do not tell what the store has lost; the complete state does.
+func TestChangesDoNotBeginAnEpoch(t *testing.T) {
 	is := is.New(t)
 	f := follower.New()
-	f.ApplyStoreRead(start, eraState(1, 5, 5, 1, registered("a", 2, false)), true)
-	is.Equal(len(f.ApplyChanges(start, eraState(2, 9, 9, 3, registered("b", 8, false)))), 0)
-	is.Equal(f.Position(), follower.Position{Era: 1, Revision: 5})
+	f.ApplyStoreRead(start, epochState(1, 5, 5, 1, registered("a", 2, false)), true)
+	is.Equal(len(f.ApplyChanges(start, epochState(2, 9, 9, 3, registered("b", 8, false)))), 0)
+	is.Equal(f.Position(), follower.Position{Epoch: 1, Revision: 5})
 	age, _ := f.ConfirmationAge(start.Add(time.Second))
-	f.ApplyStoreRead(start.Add(time.Second), eraState(2, 9, 9, 3), false)
+	f.ApplyStoreRead(start.Add(time.Second), epochState(2, 9, 9, 3), false)
 	later, _ := f.ConfirmationAge(start.Add(time.Second))
 	is.Equal(age, later) // a state that is not applied confirms nothing
 }
 
 // The copy that the store returns from may be older than the report of an upstream that it leaves. The
 // upstream is not used again, also if its registrations are replayed; a new incarnation is.
-func TestUpstreamThatLeftInAnEarlierEraIsNotUsed(t *testing.T) {
+func TestUpstreamThatLeftInAnEarlierEpochIsNotUsed(t *testing.T) {
 	is := is.New(t)
 	f := follower.New()
-	f.ApplyStoreRead(start, eraState(1, 9, 1, 1, registered("a", 8, true), registered("b", 3, false)), true)
-	f.ApplyStoreRead(start, eraState(2, 4, 1, 1, registered("a", 2, false), registered("b", 3, false)), true)
+	f.ApplyStoreRead(start, epochState(1, 9, 1, 1, registered("a", 8, true), registered("b", 3, false)), true)
+	f.ApplyStoreRead(start, epochState(2, 4, 1, 1, registered("a", 2, false), registered("b", 3, false)), true)
 	is.Equal(usableIDs(f), "b")
-	f.ApplyChanges(start, follower.State{Era: 2, Revision: 5, Instances: []follower.Listed{registered("a", 5, false)}})
+	f.ApplyChanges(start, follower.State{Epoch: 2, Revision: 5, Instances: []follower.Listed{registered("a", 5, false)}})
 	is.Equal(usableIDs(f), "b")
 	peer := follower.New()
 	s, complete := f.ChangesSince(start, peer.Position(), follower.ConfigStamp{})
@@ -84,25 +84,25 @@
 	anew.Instance.Started = start
 	known := registered("a", 7, false)
 	known.Instance.Started = start.Add(time.Minute)
-	f.ApplyChanges(start, follower.State{Era: 2, Revision: 6, Instances: []follower.Listed{anew}})
-	f.ApplyChanges(start, follower.State{Era: 2, Revision: 7, Instances: []follower.Listed{known}})
+	f.ApplyChanges(start, follower.State{Epoch: 2, Revision: 6, Instances: []follower.Listed{anew}})
+	f.ApplyChanges(start, follower.State{Epoch: 2, Revision: 7, Instances: []follower.Listed{known}})
 	is.Equal(usableIDs(f), "ab")
 }
 
 // The copy may list an upstream that was removed since. It gets no work until its registration would have
 // lapsed, unless the upstream writes it again; entries that fetch the state wait as long.
-func TestUpstreamRemovedInAnEarlierEraIsUsedOnceItIsKnownToRun(t *testing.T) {
+func TestUpstreamRemovedInAnEarlierEpochIsUsedOnceItIsKnownToRun(t *testing.T) {
 	is := is.New(t)
 	f, peer := follower.New(), follower.New()
-	f.ApplyStoreRead(start, eraState(1, 4, 1, 1, registered("a", 2, false), registered("b", 3, false), registered("c", 4, false)), true)
-	f.ApplyStoreRead(start, follower.State{Era: 1, Revision: 6, Instances: []follower.Listed{gone("a", 5), gone("b", 6)}}, false)
+	f.ApplyStoreRead(start, epochState(1, 4, 1, 1, registered("a", 2, false), registered("b", 3, false), registered("c", 4, false)), true)
+	f.ApplyStoreRead(start, follower.State{Epoch: 1, Revision: 6, Instances: []follower.Listed{gone("a", 5), gone("b", 6)}}, false)
 	is.Equal(usableIDs(f), "c")
-	f.ApplyStoreRead(start, eraState(2, 4, 1, 1, registered("a", 2, false), registered("b", 3, false), registered("c", 4, false)), true)
+	f.ApplyStoreRead(start, epochState(2, 4, 1, 1, registered("a", 2, false), registered("b", 3, false), registered("c", 4, false)), true)
 	s, _ := f.ChangesSince(start, peer.Position(), follower.ConfigStamp{})
 	peer.ApplyPeerSnapshot(start, s)
 	is.Equal(usableIDs(f), "c")
 	is.Equal(usableIDs(peer), "c")
-	f.ApplyStoreRead(start, follower.State{Era: 2, Revision: 5, Instances: []follower.Listed{registered("a", 5, false)}}, false)
+	f.ApplyStoreRead(start, follower.State{Epoch: 2, Revision: 5, Instances: []follower.Listed{registered("a", 5, false)}}, false)
 	is.Equal(usableIDs(f), "ac")
 	for _, e := range []*follower.Follower{f, peer} {
 		e.Tick(start.Add(4400 * time.Millisecond))
@@ -119,15 +119,15 @@
 func TestUpstreamThatTheStoreLostIsRetained(t *testing.T) {
 	is := is.New(t)
 	f, peer := follower.New(), follower.New()
-	old := eraState(1, 4, 1, 1, registered("a", 2, false), registered("b", 3, false), registered("c", 4, false))
+	old := epochState(1, 4, 1, 1, registered("a", 2, false), registered("b", 3, false), registered("c", 4, false))
 	f.ApplyStoreRead(start, old, true)
 	peer.ApplyPeerSnapshot(start, old)
-	f.ApplyStoreRead(start, eraState(2, 2, 1, 1, registered("a", 2, false)), true)
+	f.ApplyStoreRead(start, epochState(2, 2, 1, 1, registered("a", 2, false)), true)
 	s, _ := f.ChangesSince(start, peer.Position(), follower.ConfigStamp{})
 	peer.ApplyPeerSnapshot(start, s)
 	for _, e := range []*follower.Follower{f, peer} {
 		is.Equal(usableIDs(e), "abc")
-		e.ApplyChanges(start, follower.State{Era: 2, Revision: 3, Instances: []follower.Listed{registered("c", 3, false)}})
+		e.ApplyChanges(start, follower.State{Epoch: 2, Revision: 3, Instances: []follower.Listed{registered("c", 3, false)}})
 		e.Tick(start.Add(2200 * time.Millisecond))
 		is.Equal(usableIDs(e), "abc")
 		e.Tick(start.Add(2300 * time.Millisecond))
@@ -136,14 +136,14 @@
 }
 
 // An upstream that is cold stays so for as long as its registration said, and no longer because the store
-// lists the same registration in another era.
+// lists the same registration in another epoch.
 func TestColdTimeIsOfTheFirstRegistration(t *testing.T) {
 	is := is.New(t)
 	cold := registered("a", 2, false)
 	cold.Instance.ColdFor = 3 * time.Second
 	f := follower.New()
-	f.ApplyStoreRead(start, eraState(1, 2, 1, 1, cold), true)
-	f.ApplyStoreRead(start.Add(2*time.Second), eraState(2, 2, 1, 1, cold), true)
+	f.ApplyStoreRead(start, epochState(1, 2, 1, 1, cold), true)
+	f.ApplyStoreRead(start.Add(2*time.Second), epochState(2, 2, 1, 1, cold), true)
 	is.Equal(f.UsableInstances()[0].ColdUntil, start.Add(3*time.Second))
 }
 
@@ -152,69 +152,69 @@
 func TestEvacuationThatTheStoreLostLasts(t *testing.T) {
 	is := is.New(t)
 	f := follower.New()
-	evacuated := eraState(1, 9, 1, 1)
+	evacuated := epochState(1, 9, 1, 1)
 	evacuated.Evacuations = []follower.Evacuation{{DataCentre: "x", Revision: 8}, {DataCentre: "y", Revision: 9}}
 	f.ApplyStoreRead(start, evacuated, true)
-	f.ApplyStoreRead(start, eraState(2, 5, 1, 1), true)
+	f.ApplyStoreRead(start, epochState(2, 5, 1, 1), true)
 	is.Equal(fmt.Sprint(f.EvacuatedDataCentres()), "[x y]")
-	f.ApplyChanges(start, follower.State{Era: 2, Revision: 6, Evacuations: []follower.Evacuation{{DataCentre: "y", Revision: 6}}})
+	f.ApplyChanges(start, follower.State{Epoch: 2, Revision: 6, Evacuations: []follower.Evacuation{{DataCentre: "y", Revision: 6}}})
 	f.Tick(start.Add(9 * time.Second))
 	is.Equal(fmt.Sprint(f.EvacuatedDataCentres()), "[x y]")
 	is.Equal(len(f.Tick(start.Add(10*time.Second))), 1)
 	is.Equal(fmt.Sprint(f.EvacuatedDataCentres()), "[y]")
 }
 
-// Where the store does not state its era in a readable form, a complete state that is older than what this
+// Where the store does not state its epoch in a readable form, a complete state that is older than what this
 // entry had before it asked shows that the store has gone back.
-func TestResolveEra(t *testing.T) {
+func TestResolveEpoch(t *testing.T) {
 	is := is.New(t)
-	before := follower.Position{Era: 3, Revision: 40}
-	is.Equal(follower.State{Era: 7, Revision: 2}.ResolveEra(before, true).Era, int64(7))
-	is.Equal(follower.State{Revision: 40}.ResolveEra(before, true).Era, int64(3))
-	back := follower.State{Revision: 39}.ResolveEra(before, true)
-	is.Equal(back.Era, int64(4))
-	is.Equal(back.ConfigEra, int64(4))
-	is.Equal(follower.State{Revision: 39}.ResolveEra(before, false).Era, int64(3))
-	is.Equal(follower.State{Revision: 1}.ResolveEra(follower.Position{}, true).Era, int64(0))
+	before := follower.Position{Epoch: 3, Revision: 40}
+	is.Equal(follower.State{Epoch: 7, Revision: 2}.ResolveEpoch(before, true).Epoch, int64(7))
+	is.Equal(follower.State{Revision: 40}.ResolveEpoch(before, true).Epoch, int64(3))
+	back := follower.State{Revision: 39}.ResolveEpoch(before, true)
+	is.Equal(back.Epoch, int64(4))
+	is.Equal(back.ConfigEpoch, int64(4))
+	is.Equal(follower.State{Revision: 39}.ResolveEpoch(before, false).Epoch, int64(3))
+	is.Equal(follower.State{Revision: 1}.ResolveEpoch(follower.Position{}, true).Epoch, int64(0))
 }
 
-// eraStore is a store that goes back to copies. Its operator and upstreams write again what it has lost.
-type eraStore struct {
-	era, revision, version, configRevision int64
-	instances                              map[string]follower.Listed
-	changes                                []follower.Listed
-	copies                                 []eraStore
+// epochStore is a store that goes back to copies. Its operator and upstreams write again what it has lost.
+type epochStore struct {
+	epoch, revision, version, configRevision int64
+	instances                                map[string]follower.Listed
+	changes                                  []follower.Listed
+	copies                                   []epochStore
 	// leaving holds the upstreams that have reported that they leave, lost whether a report or the
 	// configuration was lost and has not been written again.
 	leaving map[string]bool
 	newest  int64
 }
 
-func (s *eraStore) put(id string) {
+func (s *epochStore) put(id string) {
 	s.revision++
 	s.instances[id] = registered(id, s.revision, s.leaving[id])
 	s.changes = append(s.changes, s.instances[id])
 }
 
-func (s *eraStore) putConfig(version int64) {
+func (s *epochStore) putConfig(version int64) {
 	s.revision++
 	s.version, s.configRevision, s.newest = version, s.revision, max(s.newest, version)
 }
 
-func (s *eraStore) saveCopy() {
+func (s *epochStore) saveCopy() {
 	c := *s
 	c.instances, c.changes, c.copies = maps.Clone(s.instances), slices.Clone(s.changes), nil
 	s.copies = append(s.copies, c)
 }
 
-func (s *eraStore) restore(c eraStore) {
-	s.era++
+func (s *epochStore) restore(c epochStore) {
+	s.epoch++
 	s.revision, s.version, s.configRevision = c.revision, c.version, c.configRevision
 	s.instances, s.changes, s.copies = maps.Clone(c.instances), slices.Clone(c.changes), nil
 }
 
 // rewrite writes again what was lost.
-func (s *eraStore) rewrite() {
+func (s *epochStore) rewrite() {
 	if s.version < s.newest {
 		s.putConfig(s.newest)
 	}
@@ -225,8 +225,8 @@
 	}
 }
 
-func (s *eraStore) snapshot() follower.State {
-	state := eraState(s.era, s.revision, s.configRevision, s.version)
+func (s *epochStore) snapshot() follower.State {
+	state := epochState(s.epoch, s.revision, s.configRevision, s.version)
 	for _, l := range s.instances {
 		state.Instances = append(state.Instances, l)
 	}
@@ -234,13 +234,13 @@
 }
 
 // watch returns the changes after a position, or false if the store does not have them.
-func (s *eraStore) watch(after follower.Position) (follower.State, bool) {
-	if after.Era != s.era || after.Revision > s.revision {
+func (s *epochStore) watch(after follower.Position) (follower.State, bool) {
+	if after.Epoch != s.epoch || after.Revision > s.revision {
 		return follower.State{}, false
 	}
-	state := follower.State{Era: s.era, Revision: s.revision}
+	state := follower.State{Epoch: s.epoch, Revision: s.revision}
 	if s.configRevision > after.Revision {
-		state = eraState(s.era, s.revision, s.configRevision, s.version)
+		state = epochState(s.epoch, s.revision, s.configRevision, s.version)
 	}
 	for _, l := range s.changes {
 		if l.Revision > after.Revision {
@@ -253,10 +253,10 @@
 // Entries that read a store which goes back again and again, and fetch from each other, in any order, never
 // go back to an older configuration, never use an upstream that they knew to leave, and end with the newest
 // state once what was lost is written again.
-func TestErasInEveryOrder(t *testing.T) {
+func TestEpochsInEveryOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := start
-		s := &eraStore{era: 1, instances: map[string]follower.Listed{}, leaving: map[string]bool{}}
+		s := &epochStore{epoch: 1, instances: map[string]follower.Listed{}, leaving: map[string]bool{}}
 		entries := []*follower.Follower{follower.New(), follower.New(), follower.New()}
 		versions, left := make([]int64, len(entries)), []map[string]bool{{}, {}, {}}
 		read := func(e *follower.Follower) {
@@ -269,8 +269,8 @@
 		fetch := func(from, to *follower.Follower) {
 			_, fromConfig := from.Config()
 			_, toConfig := to.Config()
-			isBehind := from.Position().Era > to.Position().Era || from.Position().Era == to.Position().Era && (from.Revision() > to.Revision() || fromConfig.Version > toConfig.Version)
-			if !from.HasState() || !isBehind || from.Position().Era == to.Position().Era && from.Fingerprint() == to.Fingerprint() {
+			isBehind := from.Position().Epoch > to.Position().Epoch || from.Position().Epoch == to.Position().Epoch && (from.Revision() > to.Revision() || fromConfig.Version > toConfig.Version)
+			if !from.HasState() || !isBehind || from.Position().Epoch == to.Position().Epoch && from.Fingerprint() == to.Fingerprint() {
 				return
 			}
 			state, complete := from.ChangesSince(now, to.Position(), toConfig)
--- a/follower/evacuations.go
+++ b/follower/evacuations.go
@@ -21,8 +21,8 @@
 	Evacuation
 	// endedAt is when the end was applied; zero while the evacuation lasts.
 	endedAt time.Time
-	// isOfEarlierEra is true for what was applied in an earlier era; its revision is then 0.
-	isOfEarlierEra bool
+	// isOfEarlierEpoch is true for what was applied in an earlier epoch; its revision is then 0.
+	isOfEarlierEpoch bool
 }
 
 // applyEvacuation applies the begin or the end of an evacuation if its revision is greater than that
@@ -33,7 +33,7 @@
 		return nil
 	}
 	wasEvacuated := ok && !known.Ended
-	applied := knownEvacuation{Evacuation: e, isOfEarlierEra: e.Revision == 0}
+	applied := knownEvacuation{Evacuation: e, isOfEarlierEpoch: e.Revision == 0}
 	if e.Ended {
 		applied.endedAt = now
 	}
@@ -50,7 +50,7 @@
 
 // endMissingEvacuations ends the evacuations that a complete state does not contain, and returns the
 // changes. Unlike the registration of an upstream, a request of the operator does not lapse in an
-// outage of the store. Those of an earlier era, which the store may have lost, end later (see tickEra).
+// outage of the store. Those of an earlier epoch, which the store may have lost, end later (see tickEpoch).
 func (f *Follower) endMissingEvacuations(now time.Time, s State) []Change {
 	requested := map[string]bool{}
 	for _, e := range s.Evacuations {
@@ -59,7 +59,7 @@
 	var changes []Change
 	for _, dataCentre := range slices.Sorted(maps.Keys(f.evacuations)) {
 		known := f.evacuations[dataCentre]
-		if !known.Ended && !known.isOfEarlierEra && !requested[dataCentre] && known.Revision < s.Revision {
+		if !known.Ended && !known.isOfEarlierEpoch && !requested[dataCentre] && known.Revision < s.Revision {
 			changes = append(changes, f.applyEvacuation(now, Evacuation{DataCentre: dataCentre, Revision: s.Revision, Ended: true})...)
 		}
 	}
--- a/follower/fingerprint.go
+++ b/follower/fingerprint.go
@@ -7,7 +7,7 @@
 )
 
 // Fingerprint returns a hash of the state: of the configuration in force, the registrations that are
-// present and the evacuations that last, each with its revision. Two followers in one era with equal
+// present and the evacuations that last, each with its revision. Two followers in one epoch with equal
 // fingerprints have the same state, in whatever order they have learned of it.
 func (f *Follower) Fingerprint() uint64 {
 	if !f.isFingerprinted {
@@ -19,7 +19,7 @@
 // computeFingerprint combines the hashes of all items by exclusive or, which does not depend on their
 // order.
 func (f *Follower) computeFingerprint() uint64 {
-	sum := hashItem("config", "", f.configStamp.Era, f.configStamp.Revision)
+	sum := hashItem("config", "", f.configStamp.Epoch, f.configStamp.Revision)
 	for id, k := range f.instances {
 		if !k.listed.Gone {
 			sum ^= hashItem("instance", id, k.listed.Revision)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -50,16 +50,16 @@
 	retainedUntil time.Time
 	// removedAt is when the removal was applied; zero if the registration is present.
 	removedAt time.Time
-	// isOfEarlierEra is true for what was applied in an earlier era; its revision is then 0.
-	isOfEarlierEra bool
-	// hasLeft is true if the incarnation reported in an earlier era that it leaves.
+	// isOfEarlierEpoch is true for what was applied in an earlier epoch; its revision is then 0.
+	isOfEarlierEpoch bool
+	// hasLeft is true if the incarnation reported in an earlier epoch that it leaves.
 	hasLeft bool
 	// unusedUntil is the time until which the instance is not used (see Listed.UnusedFor);
 	// zero if it may be.
 	unusedUntil time.Time
 }
 
-// isLeaving reports whether the instance is leaving, by its registration or by one in an earlier era.
+// isLeaving reports whether the instance is leaving, by its registration or by one in an earlier epoch.
 func (k *knownInstance) isLeaving() bool { return k.listed.Instance.Leaving || k.hasLeft }
 
 // asListed returns the registration as it is passed on to another entry at the time now.
@@ -74,10 +74,10 @@
 // Follower holds one entry's copy of the state of the store. It is not safe for concurrent
 // use.
 type Follower struct {
-	// era is the latest era of the store of which a state was applied; 0 if the store stated
-	// none. eraBegunAt is when its first state was applied. All revisions below are of that era.
-	era        int64
-	eraBegunAt time.Time
+	// epoch is the latest epoch of the store of which a state was applied; 0 if the store stated
+	// none. epochBegunAt is when its first state was applied. All revisions below are of that epoch.
+	epoch        int64
+	epochBegunAt time.Time
 	// revision is the store revision up to which all changes were applied; 0 at first.
 	revision int64
 	// baseRevision is the store revision after which instances has every removal. Earlier
@@ -127,7 +127,7 @@
 // mergeSnapshot merges a complete state and returns the changes. Upstreams that are missing from
 // it are retained for the given time. It ignores a state with a lower revision than the present one.
 func (f *Follower) mergeSnapshot(now time.Time, s State, retention time.Duration) []Change {
-	if !f.enterEra(now, s, true) || s.Revision < f.revision {
+	if !f.enterEpoch(now, s, true) || s.Revision < f.revision {
 		return nil
 	}
 	if s.Revision > f.revision {
@@ -140,9 +140,9 @@
 	}
 	for id, k := range f.instances {
 		if !listed[id] && !k.listed.Gone && k.listed.Revision <= s.Revision {
-			eraRetention := f.eraRetention(now, k)
-			changes = append(changes, f.remove(now, id, s.Revision, max(retention, eraRetention))...)
-			k.listed.Doubtful = k.listed.Doubtful || eraRetention > 0
+			epochRetention := f.epochRetention(now, k)
+			changes = append(changes, f.remove(now, id, s.Revision, max(retention, epochRetention))...)
+			k.listed.Doubtful = k.listed.Doubtful || epochRetention > 0
 		}
 	}
 	return append(changes, f.endMissingEvacuations(now, s)...)
@@ -156,7 +156,7 @@
 // the store failed only some entries, a removed upstream would get work for 2.3 s, more than the 2 s
 // that the platform allows.
 func (f *Follower) ApplyStoreRead(now time.Time, s State, complete bool) []Change {
-	if !f.enterEra(now, s, complete) {
+	if !f.enterEpoch(now, s, complete) {
 		return nil
 	}
 	doubtful := f.ownFailureAt.After(f.ownReadAt) || now.Sub(f.ownReadAt) > maxReadGap
@@ -181,15 +181,15 @@
 
 // ApplyChanges merges changes read from the store or received from another entry, and returns
 // those that had an effect. It ignores a change whose revision is not greater than that of the
-// last applied change of the same upstream, or of the configuration, and all changes of another era.
+// last applied change of the same upstream, or of the configuration, and all changes of another epoch.
 func (f *Follower) ApplyChanges(now time.Time, s State) []Change {
-	if !f.enterEra(now, s, false) {
+	if !f.enterEpoch(now, s, false) {
 		return nil
 	}
 	return f.merge(now, s, false)
 }
 
-// merge merges changes of the present era, or a complete state if fromSnapshot is true, and returns the
+// merge merges changes of the present epoch, or a complete state if fromSnapshot is true, and returns the
 // changes that had an effect.
 func (f *Follower) merge(now time.Time, s State, fromSnapshot bool) []Change {
 	changes := f.applyConfig(s)
@@ -218,14 +218,14 @@
 			retention = f.retentionTime(now)
 		}
 		if l.Doubtful && ok {
-			retention = max(retention, f.eraRetention(now, k))
+			retention = max(retention, f.epochRetention(now, k))
 		}
 		changes := f.remove(now, id, l.Revision, retention)
 		f.instances[id].listed.Doubtful = l.Doubtful
 		return changes
 	}
 	f.isFingerprinted = false
-	applied := &knownInstance{listed: l, coldUntil: now.Add(l.Instance.ColdFor), isOfEarlierEra: l.Revision == 0}
+	applied := &knownInstance{listed: l, coldUntil: now.Add(l.Instance.ColdFor), isOfEarlierEpoch: l.Revision == 0}
 	if l.UnusedFor > 0 {
 		applied.unusedUntil = now.Add(l.UnusedFor)
 	}
@@ -271,7 +271,7 @@
 	}
 	wasGone := k.listed.Gone
 	k.listed.Gone, k.listed.Revision = true, max(revision, k.listed.Revision)
-	k.isOfEarlierEra = k.listed.Revision == 0
+	k.isOfEarlierEpoch = k.listed.Revision == 0
 	f.isFingerprinted = false
 	if wasGone {
 		return nil
@@ -367,7 +367,7 @@
 		}
 	}
 	f.dropEndedEvacuations(now)
-	return append(changes, f.tickEra(now)...)
+	return append(changes, f.tickEpoch(now)...)
 }
 
 // UsableInstances returns the upstreams that may be sent new requests, sorted by ID: those that are
@@ -398,15 +398,15 @@
 func (f *Follower) HasState() bool { return f.config != nil }
 
 // ChangesSince returns the changes for another entry that has all changes up to a position. If it has
-// a state of another era, or a removal since then may have been dropped, ChangesSince returns the complete
+// a state of another epoch, or a removal since then may have been dropped, ChangesSince returns the complete
 // state and complete is true. The state omits the configuration unless it is newer than the one that the
 // other entry has.
 func (f *Follower) ChangesSince(now time.Time, position Position, config ConfigStamp) (s State, complete bool) {
-	s.Era, s.Revision = f.era, f.revision
+	s.Epoch, s.Revision = f.epoch, f.revision
 	if f.config != nil && (config == ConfigStamp{} || f.configStamp.IsNewerThan(config)) {
-		s.Config, s.ConfigEra, s.ConfigRevision, s.ConfigVersion = f.config, f.configStamp.Era, f.configStamp.Revision, f.configStamp.Version
+		s.Config, s.ConfigEpoch, s.ConfigRevision, s.ConfigVersion = f.config, f.configStamp.Epoch, f.configStamp.Revision, f.configStamp.Version
 	}
-	complete = position.Era != f.era || position.Revision < f.baseRevision
+	complete = position.Epoch != f.epoch || position.Revision < f.baseRevision
 	for _, id := range slices.Sorted(maps.Keys(f.instances)) {
 		k := f.instances[id]
 		if complete || k.listed.Revision > position.Revision {
--- a/follower/state.go
+++ b/follower/state.go
@@ -31,18 +31,18 @@
 // State is the content of the store as of a revision, or only the changes up to that
 // revision since an earlier one.
 type State struct {
-	// Era is the number of times that the store has gone back to an older copy of its content. Each
-	// time it continues to count revisions from that of the copy, so revisions of different eras are
+	// Epoch is the number of times that the store has gone back to an older copy of its content. Each
+	// time it continues to count revisions from that of the copy, so revisions of different epochs are
 	// not comparable. It is 0 if the store did not state it.
-	Era int64
+	Epoch int64
 	// Revision is the store revision up to which the state is current.
 	Revision int64
 	// Config holds the configuration's bytes as stored; nil if the state does not
-	// include it. ConfigRevision is the store revision of its last change, ConfigEra the era
-	// of that revision, which may be an earlier one than Era, and ConfigVersion the
+	// include it. ConfigRevision is the store revision of its last change, ConfigEpoch the epoch
+	// of that revision, which may be an earlier one than Epoch, and ConfigVersion the
 	// operator's version number in the configuration.
-	Config                                   []byte
-	ConfigRevision, ConfigEra, ConfigVersion int64
+	Config                                     []byte
+	ConfigRevision, ConfigEpoch, ConfigVersion int64
 	// Instances holds the registrations and removals, at most one for each ID.
 	Instances []Listed
 	// Evacuations holds the evacuations of data centres and the ends of evacuations, in any
--- a/launcher/storeera_test.go
+++ b/launcher/storeepoch_test.go
@@ -151,10 +151,10 @@
 	})
 }
 
-// A store that goes back without stating its era in a readable form is noticed by its lower revision.
-func TestChangesAreInForceWithoutAReadableEra(t *testing.T) {
+// A store that goes back without stating its epoch in a readable form is noticed by its lower revision.
+func TestChangesAreInForceWithoutAReadableEpoch(t *testing.T) {
 	withFleet(t, 5, func(is *is.I, f *fleet) {
-		f.store.GarbleEra("unknown")
+		f.store.GarbleEpoch("unknown")
 		c := f.store.Copy()
 		for n := range 6 {
 			f.putConfig(2+n, "key-1", "key-2")
@@ -166,7 +166,7 @@
 		f.putConfig(100, "key-1")
 		time.Sleep(maxPropagation)
 		f.checkStatus("revoked", "key-2", http.StatusUnauthorized)
-		f.store.GarbleEra("")
+		f.store.GarbleEpoch("")
 		f.putConfig(101, "key-1", "key-3")
 		time.Sleep(maxPropagation)
 		f.checkStatus("added", "key-3", http.StatusOK)
--- a/standin/store/era.go
+++ b/standin/store/epoch.go
@@ -21,7 +21,7 @@
 	return Copy{items: maps.Clone(s.items), revision: s.revision}
 }
 
-// Restore replaces the store's content by a copy and begins a new era. All changes since the copy are lost,
+// Restore replaces the store's content by a copy and begins a new epoch. All changes since the copy are lost,
 // and their revisions will be given to other changes. Watches in progress are aborted. The returned
 // function writes again what was lost, but for keys that have been changed since.
 func (s *Store) Restore(c Copy) (rewrite func()) {
@@ -30,7 +30,7 @@
 	lost := s.items
 	rewrite = func() { s.rewrite(lost, c) }
 	s.items, s.revision, s.compactedRevision, s.history = maps.Clone(c.items), c.revision, c.revision, nil
-	s.era++
+	s.epoch++
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return rewrite
@@ -62,26 +62,26 @@
 	}
 }
 
-// Era returns the number of restores plus 1.
-func (s *Store) Era() int64 {
+// Epoch returns the number of restores plus 1.
+func (s *Store) Epoch() int64 {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	return s.era
+	return s.epoch
 }
 
-// GarbleEra makes the responses state the given text instead of the era, or the era again if it is empty.
-func (s *Store) GarbleEra(text string) {
+// GarbleEpoch makes the responses state the given text instead of the epoch, or the epoch again if it is empty.
+func (s *Store) GarbleEpoch(text string) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	s.garbledEra = text
+	s.garbledEpoch = text
 }
 
-// stateEra sets the header with the era in a response.
-func (s *Store) stateEra(h http.Header) {
+// stateEpoch sets the header with the epoch in a response.
+func (s *Store) stateEpoch(h http.Header) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	h.Set("Store-Era", strconv.FormatInt(s.era, 10))
-	if s.garbledEra != "" {
-		h.Set("Store-Era", s.garbledEra)
+	h.Set("Store-Era", strconv.FormatInt(s.epoch, 10))
+	if s.garbledEpoch != "" {
+		h.Set("Store-Era", s.garbledEpoch)
 	}
 }
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -62,10 +62,10 @@
 	compactedRevision int64
 	// revision is the number of changes so far, not counting those that were lost by a restore.
 	revision int64
-	// era is the number of restores plus 1. garbledEra is the text that responses state instead; empty
+	// epoch is the number of restores plus 1. garbledEpoch is the text that responses state instead; empty
 	// for none.
-	era        int64
-	garbledEra string
+	epoch        int64
+	garbledEpoch string
 	// changed is closed and replaced on each change of an item or of the mode.
 	changed chan struct{}
 	// callCount is the number of HTTP calls received, in all modes.
@@ -74,7 +74,7 @@
 
 // New returns an empty store in the mode Available.
 func New() *Store {
-	return &Store{era: 1, items: map[string]item{}, changed: make(chan struct{})}
+	return &Store{epoch: 1, items: map[string]item{}, changed: make(chan struct{})}
 }
 
 // Put writes a value, encoded as JSON, to a key and returns the store's new revision. It
@@ -165,7 +165,7 @@
 	if !applyMode(w, r, mode) {
 		return
 	}
-	s.stateEra(w.Header())
+	s.stateEpoch(w.Header())
 	switch r.URL.Path {
 	case "/kv-range":
 		s.serveRange(w, r)
@@ -229,7 +229,7 @@
 	wait, _ := strconv.Atoi(query.Get("wait-ms"))
 	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timeout.Stop()
-	era := s.Era()
+	epoch := s.Epoch()
 	for {
 		s.lock.Lock()
 		changed, asOf, gone := s.changed, s.revision, after < s.compactedRevision || after > s.revision
@@ -239,7 +239,7 @@
 				events = append(events, i)
 			}
 		}
-		up := (s.mode == Available || s.mode == Slow) && s.era == era
+		up := (s.mode == Available || s.mode == Slow) && s.epoch == epoch
 		s.lock.Unlock()
 		waited := false
 		switch {
