dispatcher, follower: one count of the entries drawn before this one

Read once more: the draw of entries for rate limits had a copy of the loop that the draw for cold upstreams has, and a state that is read from the store passed the check of its epoch twice. No change of behaviour; cold-drawn of red.sh follows the code.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -222,7 +222,7 @@
 red rate-end controller/loadupdates.go 's/c\.sendAlong\(socket, limits,/_ = limits; c.sendAlong(socket, nil,/' ./launcher TestEndOfRateLimitsReachesAllEntries
 red rate-start controller/loadupdates.go 's/dispatcher\.EncodeRateLimits\(c\.config\.Dispatcher\.RateLimits\(time\.Now\(\)\)\)\.\.\./nil.../; s/append\((c\.encodeUpdate\(c\.config\.Dispatcher\.OwnRequestLoads\(time\.Now\(\)\)\)), nil\.\.\.\)/$1/' ./launcher TestStartingEntryLearnsOfRateLimits
 red rate-deferred dispatcher/dispatcher.go 's/b\.applyDeferredRateLimits\(now\)\n//' ./dispatcher TestRateLimitsReachPeers
-red cold-drawn dispatcher/cold.go 's/if heavier < senders/if true/' ./dispatcher TestColdUpstreamsGetFewRequests
+red cold-drawn dispatcher/cold.go 's/if b\.countDrawnBefore\(u, b\.placingEntries\) < senders/if true/' ./dispatcher TestColdUpstreamsGetFewRequests
 red cold-new dispatcher/cold.go 's/b\.isolated \|\| //' ./dispatcher TestNewEntriesLeaveColdUpstreamsAlone
 red cold-at-once dispatcher/cold.go 's/min\(untilWarm, max\(0, u\.warmUp\.nextAt\.Sub\(now\)\)\)/untilWarm/' ./dispatcher TestColdUpstreamsGetWorkAtOnce
 red cold-time follower/follower.go 's/usable\.ColdUntil = k\.coldUntil/_ = k.coldUntil/' ./follower TestColdTimeFollowsTheRegistration
--- a/dispatcher/cold.go
+++ b/dispatcher/cold.go
@@ -75,17 +75,23 @@
 	if !slices.Contains(b.placingEntries, b.name) {
 		return 0
 	}
+	if b.countDrawnBefore(u, b.placingEntries) < senders {
+		w.interval = time.Duration(math.Ceil(float64(senders) / rate * float64(time.Second)))
+	}
+	return w.interval
+}
+
+// countDrawnBefore returns how many of the entries with the given names rendezvous hashing over an
+// upstream's incarnation draws before this one.
+func (b *Dispatcher) countDrawnBefore(u *upstream, names []string) int {
 	key := strconv.FormatUint(uint64(u.compactID), 16)
-	ownWeight, heavier := assigner.Weight(b.name, key), 0
-	for _, name := range b.placingEntries {
+	ownWeight, count := assigner.Weight(b.name, key), 0
+	for _, name := range names {
 		if assigner.Weight(name, key) > ownWeight {
-			heavier++
+			count++
 		}
 	}
-	if heavier < senders {
-		w.interval = time.Duration(math.Ceil(float64(senders) / rate * float64(time.Second)))
-	}
-	return w.interval
+	return count
 }
 
 // recordColdRequest records that a request was placed on an upstream, which delays this entry's next one
--- a/dispatcher/ratelimit.go
+++ b/dispatcher/ratelimit.go
@@ -4,10 +4,7 @@
 	"maps"
 	"math"
 	"slices"
-	"strconv"
 	"time"
-
-	"github.com/sapphireramp/sapphireramp/assigner"
 )
 
 const (
@@ -134,10 +131,10 @@
 	// upstream, or of the begin of the limit.
 	tokens    float64
 	updatedAt time.Time
-	// heavier is the number of sharers that are drawn before this entry. It is valid for the version of
-	// the sharers in version.
-	heavier int
-	version int
+	// drawnBefore is the number of sharers that are drawn before this entry. It is valid for the version
+	// of the sharers in version.
+	drawnBefore int
+	version     int
 }
 
 // sharedRate returns the number of requests per second that all entries together send to an upstream
@@ -168,18 +165,10 @@
 // upstream.
 func (b *Dispatcher) drawnBefore(u *upstream) int {
 	s := &u.rateShare
-	if s.version == b.sharers.version {
-		return s.heavier
-	}
-	s.version, s.heavier = b.sharers.version, 0
-	key := strconv.FormatUint(uint64(u.compactID), 16)
-	ownWeight := assigner.Weight(b.name, key)
-	for _, name := range b.sharers.names {
-		if assigner.Weight(name, key) > ownWeight {
-			s.heavier++
-		}
-	}
-	return s.heavier
+	if s.version != b.sharers.version {
+		s.version, s.drawnBefore = b.sharers.version, b.countDrawnBefore(u, b.sharers.names)
+	}
+	return s.drawnBefore
 }
 
 // available returns the content of the bucket, which is filled at a rate in requests per second.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -172,7 +172,7 @@
 	if complete {
 		changes = f.mergeSnapshot(now, s, retention)
 	} else {
-		changes = f.ApplyChanges(now, s)
+		changes = f.merge(now, s, false)
 	}
 	f.ownReadAt = now
 	f.Confirm(now)
