--- a/follower/evacuations_test.go
+++ b/follower/evacuations_test.go
@@ -191,6 +191,28 @@
 	is.Equal(behind.Fingerprint(), started.Fingerprint())
 }
 
+// Guards against entries that confirm each other by what their states have in common: an entry that starts
+// after the end of an evacuation never knew of it, and shares the newest change with one that still has it.
+func TestEqualFingerprintsOfOneThatStartsMeanEqualEvacuations(t *testing.T) {
+	is := is.New(t)
+	behind, started := newFollowerInThreeCentres(), follower.New()
+	behind.ApplyChanges(start, evacuation("x", 6))
+	behind.ApplyChanges(start, evacuation("y", 7))
+	// The evacuation of x ends at revision 8.
+	state := evacuation("y", 7)
+	state.Revision, state.Config, state.ConfigRevision = 8, []byte("v1"), 1
+	state.Instances = []follower.Listed{readyIn("x", "a", 2), readyIn("y", "b", 3), readyIn("z", "c", 4)}
+	started.ApplyStoreRead(start, state, true)
+	if started.Fingerprint() == behind.Fingerprint() {
+		is.Equal(behind.EvacuatedDataCentres(), started.EvacuatedDataCentres())
+	}
+	changes, complete := started.ChangesSince(start, behind.Position(), follower.ConfigStamp{Revision: 1})
+	is.True(complete)
+	is.Equal(kinds(behind.ApplyPeerSnapshot(start, changes)), "x evacuation_ended")
+	is.Equal(behind.EvacuatedDataCentres(), started.EvacuatedDataCentres())
+	is.Equal(behind.Fingerprint(), started.Fingerprint())
+}
+
 // Of two followers with any registrations, removals and evacuations, those have equal fingerprints that have
 // equal registrations and evacuations.
 func TestFingerprintsTellStatesApart(t *testing.T) {
