follower, controller: entries tell each other what the store has lost

Callers of an entry that started after the store had gone back to an older copy, and had read the store itself, were served by upstreams that had left and by an evacuated data centre: 40 of 40 requests in TestStartedEntryLearnsWhatTheStoreLost.

Cause: entries that run know from the earlier epoch what the copy lacks, and pass it on only with the complete state that another one fetches. One that has read the copy itself has their position, so it is not behind and fetches nothing. Reports of leaving were in no fingerprint either: both confirmed each other's state, by what the states had in common. An upstream that was told as leaving was used again by those who had only been told of it, when its registration was replayed.

Heartbeats have a fingerprint of what is known from earlier epochs. Where another entry in the epoch has another one, this is fetched, at most twice a second, and merged: it only adds, ends for all at the same time after the begin of the epoch, and is bounded by it, so that entries do not prolong it by telling each other. Upstreams that are leaving are part of the fingerprint of the state.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -155,6 +155,9 @@
 	storeLost bool
 	// fetching is the number of fetches from peers in progress; at most maxFetches.
 	fetching int
+	// inheritedFetchedAt is when the last fetch because of Beat.InheritedFingerprint began; zero before
+	// the first.
+	inheritedFetchedAt time.Time
 	// dirty is true if the state has changed since the latest view was published, at publishedAt.
 	dirty       bool
 	publishedAt time.Time
--- a/controller/fetch.go
+++ b/controller/fetch.go
@@ -58,6 +58,8 @@
 	// epoch and the revision of the configuration.
 	Whole    bool
 	Snapshot []byte
+	// Inherited is what the called entry knows from earlier epochs of the store.
+	Inherited follower.Inherited
 	// Known is true if the called entry has a complete state that the store has
 	// confirmed as current, and was not serving too many fetches; otherwise the calling entry
 	// ignores the reply. Confirmed is the time since the last such confirmation.
@@ -79,6 +81,7 @@
 		reply.Confirmed = age
 		config := follower.ConfigStamp{Epoch: args.HaveConfigEpoch, Revision: args.HaveConfig, Version: args.HaveConfigVersion}
 		reply.State, reply.Whole = s.follower.ChangesSince(now, follower.Position{Epoch: args.Epoch, Revision: args.Have}, config)
+		reply.Inherited = s.follower.Inherited(now)
 		reply.Disturbed = s.storeFailureAge(now)
 	})
 	if reply.Whole && reply.Known {
@@ -276,6 +279,7 @@
 		}
 		changes := apply(now, got)
 		if s.follower.Position().Epoch == got.Epoch {
+			changes = append(changes, s.follower.ApplyInherited(now, reply.Inherited)...)
 			s.follower.Confirm(now.Add(-reply.Confirmed))
 		}
 		return changes
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -27,6 +27,9 @@
 	// and because what contacts say of other entries changes.
 	maxContacts = 64
 	minContacts = 2
+	// inheritedFetchPeriod is the least time between two fetches of what others know from earlier epochs
+	// of the store.
+	inheritedFetchPeriod = 500 * time.Millisecond
 	// maxImmediateHeartbeats is the maximum number of heartbeats that an entry sends outside
 	// the period after the store's state changed or its own shutdown began. The remaining
 	// entries receive the change with the periodic heartbeats.
@@ -59,12 +62,12 @@
 	// Known is true if the sender has the store's complete state and the store has
 	// confirmed it as current. Epoch and StoreRevision are the position in the store's history up
 	// to which the sender has all changes, StateFingerprint is follower.Fingerprint of the state,
-	// ConfigVersion the operator's version of the configuration, and Confirmed the time since the
-	// last confirmation.
-	Known                               bool
-	Epoch, StoreRevision, ConfigVersion int64
-	StateFingerprint                    uint64
-	Confirmed                           time.Duration
+	// InheritedFingerprint that of what it knows from earlier epochs, ConfigVersion the operator's
+	// version of the configuration, and Confirmed the time since the last confirmation.
+	Known                                  bool
+	Epoch, StoreRevision, ConfigVersion    int64
+	StateFingerprint, InheritedFingerprint uint64
+	Confirmed                              time.Duration
 	// Disturbed is how long ago a call to the store last failed, at the sender or
 	// at an entry that reported a failure to it; negative if no failure is known.
 	Disturbed time.Duration
@@ -207,7 +210,7 @@
 			From: c.Name, Incarnation: c.Incarnation, PeerAddress: c.PeerAddress, Address: c.CallerAddress, DataCentre: c.DataCentre,
 			Stopping: s.stopping, Ready: s.table != nil, Revision: uint64(config.Revision), Notices: s.prober.TakeNotices(),
 		},
-		Knows: s.upCount, Known: ok && s.follower.HasState(), Epoch: position.Epoch, StoreRevision: position.Revision, StateFingerprint: s.follower.Fingerprint(), ConfigVersion: config.Version, Confirmed: age,
+		Knows: s.upCount, Known: ok && s.follower.HasState(), Epoch: position.Epoch, StoreRevision: position.Revision, StateFingerprint: s.follower.Fingerprint(), InheritedFingerprint: s.follower.InheritedFingerprint(), ConfigVersion: config.Version, Confirmed: age,
 		Disturbed: s.storeFailureAge(now), Speed: c.Speed, Strained: s.lagMeter.overloaded,
 	}
 	for m := range s.prober.Random(rand.IntN) {
@@ -238,10 +241,14 @@
 		position := s.follower.Position()
 		_, config := s.follower.Config()
 		have = FetchArgs{Epoch: position.Epoch, Have: position.Revision, HaveConfig: config.Revision, HaveConfigEpoch: config.Epoch, HaveConfigVersion: config.Version}
-		fetch = b.Known && (s.isBehind(b) || !s.follower.HasState()) && s.fetching < maxFetches
+		lacksInherited := s.lacksInherited(now, b)
+		fetch = b.Known && (s.isBehind(b) || !s.follower.HasState() || lacksInherited) && s.fetching < maxFetches
 		if fetch {
 			s.fetching++
 		}
+		if fetch && lacksInherited {
+			s.inheritedFetchedAt = now
+		}
 		if b.Known && b.Epoch == position.Epoch && b.StateFingerprint == s.follower.Fingerprint() {
 			s.follower.Confirm(now.Add(-b.Confirmed))
 		}
@@ -263,6 +270,14 @@
 	return b.StateFingerprint != s.follower.Fingerprint() && (b.StoreRevision > position.Revision || b.ConfigVersion > config.Version)
 }
 
+// lacksInherited reports whether the sender of a heartbeat, in the same epoch, may know more of earlier
+// ones than this entry, and the last fetch for that reason is long enough ago. An entry that knows less
+// has another fingerprint too, so the fetch may bring nothing new.
+func (s *state) lacksInherited(now time.Time, b Beat) bool {
+	return b.Epoch == s.follower.Position().Epoch && b.InheritedFingerprint != 0 && b.InheritedFingerprint != s.follower.InheritedFingerprint() &&
+		now.Sub(s.inheritedFetchedAt) >= inheritedFetchPeriod
+}
+
 // applyHeartbeat updates the prober and the sender's capacity from a heartbeat, and those of the
 // entries in its contacts, and sets dirty if that changes what is published of other entries.
 func (s *state) applyHeartbeat(now time.Time, b Beat) {
--- a/follower/epoch.go
+++ b/follower/epoch.go
@@ -151,7 +151,7 @@
 	var changes []Change
 	for id, k := range f.instances {
 		if !k.unusedUntil.IsZero() && !now.Before(k.unusedUntil) {
-			k.unusedUntil = time.Time{}
+			k.unusedUntil, f.isFingerprinted = time.Time{}, false
 			if !k.listed.Gone && !k.isLeaving() {
 				changes = append(changes, Change{ID: id, Kind: KindAppeared, Revision: k.listed.Revision})
 			}
@@ -159,7 +159,7 @@
 	}
 	if now.Sub(f.epochBegunAt) >= evacuationRewriteTime {
 		for dataCentre, known := range f.evacuations {
-			if known.isOfEarlierEpoch && !known.Ended {
+			if known.isInherited() {
 				changes = append(changes, f.applyEvacuation(now, Evacuation{DataCentre: dataCentre, Revision: f.revision, Ended: true})...)
 			}
 		}
--- a/follower/fingerprint.go
+++ b/follower/fingerprint.go
@@ -7,30 +7,52 @@
 )
 
 // Fingerprint returns a hash of the state: of the configuration in force, the registrations that are
-// present and the evacuations that last, each with its revision. Two followers in one epoch with equal
-// fingerprints have the same state, in whatever order they have learned of it.
+// present, which of their upstreams are leaving, and the evacuations that last, each with its revision.
+// Two followers in one epoch with equal fingerprints have the same state, in whatever order they have
+// learned of it.
 func (f *Follower) Fingerprint() uint64 {
-	if !f.isFingerprinted {
-		f.fingerprint, f.isFingerprinted = f.computeFingerprint(), true
-	}
+	f.updateFingerprints()
 	return f.fingerprint
 }
 
-// computeFingerprint combines the hashes of all items by exclusive or, which does not depend on their
-// order.
-func (f *Follower) computeFingerprint() uint64 {
-	sum := hashItem("config", "", f.configStamp.Epoch, f.configStamp.Revision)
+// InheritedFingerprint returns a hash of what is known from earlier epochs (see Inherited); 0 if nothing is.
+func (f *Follower) InheritedFingerprint() uint64 {
+	f.updateFingerprints()
+	return f.inheritedFingerprint
+}
+
+// updateFingerprints computes the fingerprints if the state has changed since. They combine the hashes
+// of all items by exclusive or, which does not depend on their order.
+func (f *Follower) updateFingerprints() {
+	if f.isFingerprinted {
+		return
+	}
+	sum, inherited := hashItem("config", "", f.configStamp.Epoch, f.configStamp.Revision), uint64(0)
 	for id, k := range f.instances {
-		if !k.listed.Gone {
-			sum ^= hashItem("instance", id, k.listed.Revision)
+		if k.listed.Gone {
+			continue
+		}
+		kind := "instance"
+		if k.isLeaving() {
+			kind = "leaving"
+		}
+		sum ^= hashItem(kind, id, k.listed.Revision)
+		if k.hasLeft {
+			inherited ^= hashItem("left", id)
+		}
+		if !k.unusedUntil.IsZero() {
+			inherited ^= hashItem("unused", id, k.listed.Revision)
 		}
 	}
 	for dataCentre, known := range f.evacuations {
 		if !known.Ended {
 			sum ^= hashItem("evacuation", dataCentre, known.Revision)
 		}
+		if known.isInherited() {
+			inherited ^= hashItem("evacuation", dataCentre)
+		}
 	}
-	return sum
+	f.fingerprint, f.inheritedFingerprint, f.isFingerprinted = sum, inherited, true
 }
 
 // hashItem returns a hash of one item of the state.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -83,9 +83,10 @@
 	// baseRevision is the store revision after which instances has every removal. Earlier
 	// removals may be missing: dropped after removalTTL, or not part of a complete state.
 	baseRevision int64
-	// fingerprint is the value that Fingerprint returns; valid if isFingerprinted is true.
-	fingerprint     uint64
-	isFingerprinted bool
+	// fingerprint and inheritedFingerprint are the values that Fingerprint and InheritedFingerprint
+	// return; valid if isFingerprinted is true.
+	fingerprint, inheritedFingerprint uint64
+	isFingerprinted                   bool
 	// config is the configuration in force as stored; nil before the first.
 	config      []byte
 	configStamp ConfigStamp
--- a/follower/state.go
+++ b/follower/state.go
@@ -78,6 +78,9 @@
 	// KindRetainedAfterOutage: a registration was removed, but its upstream is still used
 	// for a while, since the registration may have lapsed in an outage of the store.
 	KindRetainedAfterOutage = "held_after_outage"
+	// KindUnused: an upstream gets no work for a while, because its registration may be one that was
+	// removed before the store returned from an older copy.
+	KindUnused = "unused"
 	// KindConfig: the configuration has a new revision.
 	KindConfig = "configuration"
 	// KindCold: a usable upstream has become cold, and for a while tolerates few requests.
--- a/launcher/storeepoch_test.go
+++ b/launcher/storeepoch_test.go
@@ -194,3 +194,38 @@
 		is.Equal(executions(), before)
 	})
 }
+
+// Guards against an entry that starts after the store has gone back and reads the store itself: it has the
+// position of the others, and did not learn from them what the store has lost. It used a data centre
+// that is evacuated and an upstream that has left.
+func TestStartedEntryLearnsWhatTheStoreLost(t *testing.T) {
+	withFleet(t, 7, func(is *is.I, f *fleet) {
+		c := f.store.Copy()
+		f.evacuate("dc-1")
+		f.putWorker("i-app-3", "app", "draining")
+		time.Sleep(maxPropagation)
+		f.restoreStore(c, storeOutage)
+		f.killEntry(f.entries[0])
+		<-f.entries[0].exited
+		f.isolateEntry(0) // reads the store before it hears from others
+		f.entries[0] = f.startEntry(0)
+		time.Sleep(2 * time.Second)
+		f.rejoinEntry(0)
+		time.Sleep(2 * time.Second)
+		executions := func() int {
+			n := len(f.workers["i-app-3"].Executions())
+			for _, id := range f.workersIn("dc-1") {
+				n += len(f.workers[id].Executions())
+			}
+			return n
+		}
+		before := executions()
+		caller := f.newCaller(300)
+		defer caller.Close()
+		caller.SetFixedAddress(netip.AddrPortFrom(entryHost(0), entryPort))
+		for i := range 40 {
+			is.Equal(caller.Do("/safe/x", fmt.Sprint("inherited", i), "key-1", time.Second).Status, http.StatusOK)
+		}
+		is.Equal(executions(), before)
+	})
+}
--- a/logger/events.go
+++ b/logger/events.go
@@ -52,7 +52,7 @@
 	{"store_lost", "The store does not answer. The last known state stays in force, and changes are taken from other entries.", []string{"error", "revision"}},
 	{"store_regained", "The store answers again.", []string{"revision"}},
 	{"strained", "This entry is overloaded, or no longer is. It is overloaded when its timers fire late; lag_ms is by how much. Meanwhile callers are directed to other entries.", []string{"strained", "lag_ms"}},
-	{"upstream", "The state of an upstream, as seen by this entry, changed. Change is appeared, leaving, gone, cold, held_after_outage or unreadable; for unreadable, error names the invalid fields.", []string{"id", "change", "revision", "source", "error"}},
+	{"upstream", "The state of an upstream, as seen by this entry, changed. Change is appeared, leaving, gone, cold, held_after_outage, unused or unreadable; for unreadable, error names the invalid fields.", []string{"id", "change", "revision", "source", "error"}},
 	{"upstream_ended", "A response broke off and its upstream no longer accepts connections. Ran_ms is the time since the request was sent. Content is the fingerprint, which is equal for requests with equal content.", []string{"request", "content", "upstream", "address", "ran_ms"}},
 	{"upstream_leaving", "A response stated that its upstream is leaving.", []string{"request", "upstream", "address"}},
 	{"upstream_limit", "The rate limit of an upstream changed. Per_second is the number of requests per second that it accepts from all entries together; limited is false if it no longer has a limit. Source is response if the response to the request stated it, or the address of the entry that reported it.", []string{"request", "upstream", "address", "limited", "per_second", "source"}},
