--- a/controller/fetch.go
+++ b/controller/fetch.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"compress/flate"
-	"encoding/binary"
 	"encoding/gob"
 	"fmt"
 	"io"
@@ -109,45 +108,26 @@
 // that start at once fetch the same one.
 type packedSnapshot struct {
 	lock sync.Mutex
-	// fingerprint identifies the state in data; 0 before the first.
+	// fingerprint is a hash of the encoded state in data; 0 before the first. The revisions alone do not
+	// identify a state: what is known from earlier epochs changes without one.
 	fingerprint uint64
 	data        []byte
 }
 
-// snapshotFingerprint returns a fingerprint of the epoch and the revisions of a state and all its items. Two
-// states with equal revisions in one epoch have equal items.
-func snapshotFingerprint(s follower.State) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	add := func(id string, revision int64) {
-		_, _ = d.WriteString(id)
-		_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(revision)))
-	}
-	add("", s.Epoch)
-	add("", s.Revision)
-	for _, l := range s.Instances {
-		add(l.Instance.ID, l.Revision)
-	}
-	for _, e := range s.Evacuations {
-		add(e.DataCentre, e.Revision)
-	}
-	return d.Sum64()
-}
-
 // pack returns a state, without its configuration, encoded with gob and compressed with DEFLATE. It takes
-// the result from the cache if that holds the same state.
+// the result from the cache if that holds the same state. Most of the work is the compression.
 func (c *packedSnapshot) pack(s follower.State) ([]byte, error) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	fingerprint := snapshotFingerprint(s)
-	if c.data != nil && c.fingerprint == fingerprint {
-		return c.data, nil
-	}
 	s.ConfigEpoch, s.ConfigRevision, s.ConfigVersion = 0, 0, 0
 	var encoded bytes.Buffer
 	if err := gob.NewEncoder(&encoded).Encode(s); err != nil {
 		return nil, fmt.Errorf("encode upstreams: %w", err)
 	}
+	fingerprint := xxhash.Sum64(encoded.Bytes())
+	if c.data != nil && c.fingerprint == fingerprint {
+		return c.data, nil
+	}
 	data, err := deflate(encoded.Bytes())
 	if err != nil {
 		return nil, fmt.Errorf("compress upstreams: %w", err)
