server: a prompt that the document's engines can hold is never too long

Callers of long prompts were refused for good, "prompt_too_long: a group of at most 4 engines holds 200000", although the prompt fitted: as soon as the engines that were usable, or not tried yet, were too few. A caller does not come back after that.

Cause: the group is planned from the engines that are usable and that no attempt of the prompt was sent to, and a plan that fails for too little memory counted as a property of the prompt. Single engines are chosen from all again once all were tried; groups were not.

In virtual time: TestGroupOfAllEnginesIsResumed, TestPromptThatFitsTheDocumentIsNotTooLong, both red before with that code.

Engines that were tried are chosen again where the others do not suffice, and a prompt is too long only if it does not fit a group of all engines that the document lists. Otherwise it is refused as overloaded, with a time to come back.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -211,6 +211,8 @@
 red epoch-starts controller/peers.go 's/ \|\| b\.ConfigVersion > config\.Version//; s/_, config := s\.follower\.Config\(\)\n\treturn/return/' ./launcher TestLostConfigurationStaysInForce
 red newest-revision follower/fingerprint.go 's/sum \^= hashItem\((kind|"evacuation"), \w+, (k\.listed|known)\.Revision\)/_, sum = $1, max(sum, uint64($2.Revision))/g; s/hashItem\("config", "", [^)]*\), uint64/uint64(f.configStamp.Revision), uint64/' ./follower TestEqualFingerprintsOfOneThatStartsMeanEqualEvacuations
 red snapshot-cache controller/fetch.go 's/ && c\.fingerprint == fingerprint//' ./controller TestPackedSnapshotIsOfThePresentState
+red group-exclusion server/group.go 's/len\(needs\.Exclude\) > 0/false/' ./server TestGroupOfAllEnginesIsResumed
+red too-long server/group.go 's/ && !c\.fitsListedEngines\(needs\)//' ./server TestPromptThatFitsTheDocumentIsNotTooLong
 red inherited controller/peers.go 's/return b\.Epoch == s\.follower\.Position\(\)\.Epoch && b\.Inherited/return false \&\& b.Inherited/' ./launcher TestStartedEntryLearnsWhatTheStoreLost
 red inherited-bound follower/inherited.go 's/until\.After\(latest\)/false/; s/begunAt\.Before\(f\.epochBegunAt\)/false/' ./follower TestInheritedKnowledgeEnds
 red fingerprint follower/fingerprint.go 's/if !known\.Ended \{/if false {/' ./follower TestEqualFingerprintsMeanEqualEvacuations
--- a/server/fleet_test.go
+++ b/server/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,8 +39,9 @@
 	engines         []*testEngine
 	service         *service.Server
 	instanceList    api.InstanceList
-	log             *bytes.Buffer
 	lastIncarnation uint64
+	// log receives the log of entries that start once it is set, at level info.
+	log *lockedBuffer
 }
 
 type testEntry struct {
@@ -64,6 +66,24 @@
 	dead bool
 }
 
+// lockedBuffer is a buffer that several goroutines may use at once.
+type lockedBuffer struct {
+	lock   sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.buffer.String()
+}
+
 func host(kind, number int) netip.Addr {
 	return netip.AddrFrom4([4]byte{10, 0, byte(kind), byte(number)})
 }
@@ -82,7 +102,7 @@
 }
 
 func newTestFleet(t testing.TB, entries, engines int) *testFleet {
-	f := &testFleet{t: t, net: network.New(), platform: platform.New(0), log: &bytes.Buffer{}}
+	f := &testFleet{t: t, net: network.New(), platform: platform.New(0)}
 	f.serve(host(9, 1), f.platform.Handler())
 	f.service = &service.Server{Name: "dispatch", Delay: 50 * time.Millisecond}
 	f.serve(host(3, 1), f.service.Handler())
@@ -187,7 +207,11 @@
 
 func (f *testFleet) startEntry(e *testEntry) {
 	f.lastIncarnation++
-	logs, err := logger.New(logger.Config{Level: "error", Output: io.Discard})
+	logConfig := logger.Config{Level: "error", Output: io.Discard}
+	if f.log != nil {
+		logConfig = logger.Config{Level: "info", Output: f.log}
+	}
+	logs, err := logger.New(logConfig)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/server/group.go
+++ b/server/group.go
@@ -46,9 +46,14 @@
 func (c *completion) reserveGroup(ctx context.Context, needs router.Requirements, onLost func()) (*reserver.Reserver, *failure) {
 	x := c.x
 	s := x.server
-	shards, err := reserver.PlanShards(c.groupCandidates(needs), needs.MemoryTokens, x.view.accepted.Document.Limits.MaxGroup, newID)
+	shards, err := c.planShards(needs)
+	if err != nil && len(needs.Exclude) > 0 {
+		// A failed engine may have recovered.
+		needs.Exclude, c.triedEngines = nil, nil
+		shards, err = c.planShards(needs)
+	}
 	var tooLong reserver.TooLongError
-	if errors.As(err, &tooLong) {
+	if errors.As(err, &tooLong) && !c.fitsListedEngines(needs) {
 		f := newFailure(api.CodePromptTooLong, "%s", err)
 		f.param = "prompt"
 		return nil, f
@@ -69,6 +74,36 @@
 	return nil, f
 }
 
+// planShards chooses the engines of a group for the prompt and divides its memory among them. It returns the
+// errors of reserver.PlanShards.
+func (c *completion) planShards(needs router.Requirements) ([]reserver.Shard, error) {
+	return reserver.PlanShards(c.groupCandidates(needs), needs.MemoryTokens, c.x.view.accepted.Document.Limits.MaxGroup, newID)
+}
+
+// fitsListedEngines reports whether a group of the engines that the document lists can hold the prompt when all
+// of them are usable and empty. An engine without an instance may return in any data centre.
+func (c *completion) fitsListedEngines(needs router.Requirements) bool {
+	x := c.x
+	centres := map[string]bool{"": true}
+	for _, u := range x.view.engines {
+		centres[u.DataCentre] = true
+	}
+	var candidates []reserver.Candidate
+	for _, e := range x.view.accepted.Document.Engines {
+		if e.Model != needs.Model || needs.Adapter != "" && !slices.Contains(e.Adapters, needs.Adapter) {
+			continue
+		}
+		u, isListed := x.view.engines[e.Name]
+		for centre := range centres {
+			if !isListed || u.DataCentre == centre {
+				candidates = append(candidates, reserver.Candidate{Name: e.Name, DataCentre: centre, FreeTokens: e.MemoryTokens, MemoryTokens: e.MemoryTokens})
+			}
+		}
+	}
+	_, err := reserver.PlanShards(candidates, needs.MemoryTokens, x.view.accepted.Document.Limits.MaxGroup, newID)
+	return err == nil
+}
+
 func engineNames(shards []reserver.Shard) []string {
 	names := make([]string, len(shards))
 	for i, shard := range shards {
