server: a group avoids the engine that failed, not the one that streamed

Callers of long prompts got "no group of engines can hold the prompt now" after a quarter of their time, though three sound engines were free: one engine that could not be reached was planned again and again for a new prompt, and after a member of a group had lost its shard the new group had that member and not the engine that had streamed.

Cause: an attempt avoids the engines that attempts were sent to. In a group that is the one that streams, whichever member failed; a reservation that an engine did not reply to avoided nothing.

What ended the attempt names its engine, which is avoided instead; so is one that did not reply to a reservation.

--- a/server/group.go
+++ b/server/group.go
@@ -21,14 +21,19 @@
 
 // attemptGroup runs a prompt that is too large for any single engine on a group of engines. Until the
 // prompt's remaining time divided by groupWaitDivisor has passed, it retries a reservation that failed for
-// lack of free memory.
+// lack of free memory or because an engine could not be reached, which is then avoided.
 func (c *completion) attemptGroup(needs router.Requirements) *failure {
 	x := c.x
-	giveUpAt := time.Now().Add(x.remaining() / groupWaitDivisor)
+	wait := x.remaining() / groupWaitDivisor
+	giveUpAt, reuseAt := time.Now().Add(wait), time.Now().Add(wait/2)
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
 	for {
-		group, f := c.reserveGroup(ctx, needs, func() { cancel(errHoldLost) })
+		if time.Now().After(reuseAt) {
+			c.triedEngines = nil // the others have no room, and a failed engine may have recovered
+		}
+		needs.Exclude = c.triedEngines
+		group, f := c.reserveGroup(ctx, needs, func(lost holdLostError) { cancel(lost) })
 		if f == nil {
 			return c.runGroup(ctx, group)
 		}
@@ -43,16 +48,15 @@
 
 // reserveGroup chooses a group of engines for the prompt and reserves memory for every shard, or for none.
 // OnLost is called if an engine later reports that it does not have its shard's hold.
-func (c *completion) reserveGroup(ctx context.Context, needs router.Requirements, onLost func()) (*reserver.Reserver, *failure) {
+func (c *completion) reserveGroup(ctx context.Context, needs router.Requirements, onLost func(holdLostError)) (*reserver.Reserver, *failure) {
 	x := c.x
 	s := x.server
 	shards, err := c.planShards(needs)
-	if err != nil && len(needs.Exclude) > 0 {
-		// A failed engine may have recovered.
-		needs.Exclude, c.triedEngines = nil, nil
+	var tooLong reserver.TooLongError
+	if errors.As(err, &tooLong) && len(needs.Exclude) > 0 {
+		needs.Exclude, c.triedEngines = nil, nil // the others do not suffice
 		shards, err = c.planShards(needs)
 	}
-	var tooLong reserver.TooLongError
 	if errors.As(err, &tooLong) && !c.fitsListedEngines(needs) {
 		f := newFailure(api.CodePromptTooLong, "%s", err)
 		f.param = "prompt"
@@ -64,11 +68,15 @@
 		return nil, f
 	}
 	group := reserver.New(shards)
-	if s.runReservation(ctx, group, onLost) {
+	held, unreachable := s.runReservation(ctx, group, onLost)
+	if held {
 		s.logs.route.Info("group", zap.String("request", x.id), zap.Int("tokens", needs.MemoryTokens), zap.Strings("engines", engineNames(shards)))
 		return group, nil
 	}
-	s.logs.route.Info("group_refused", zap.String("request", x.id), zap.Int("tokens", needs.MemoryTokens), zap.Strings("engines", engineNames(shards)))
+	s.logs.route.Info("group_refused", zap.String("request", x.id), zap.Int("tokens", needs.MemoryTokens), zap.Strings("engines", engineNames(shards)), zap.String("unreachable", unreachable))
+	if unreachable != "" {
+		c.triedEngines = append(c.triedEngines, unreachable)
+	}
 	f := newFailure(api.CodeOverloaded, "no group of engines can hold the prompt now")
 	f.retryAfter = s.retryAfter()
 	return nil, f
@@ -131,15 +139,16 @@
 }
 
 // runReservation reserves or releases shards, as group.Next requires, and reports the results to group. It
-// returns true once all shards are held, and false once none is. OnLost is as for reserveGroup.
-func (s *Server) runReservation(ctx context.Context, group *reserver.Reserver, onLost func()) bool {
+// returns held as true once all shards are held, and as false once none is. Unreachable is the name of the
+// engine that did not reply, if that is why; otherwise empty. OnLost is as for reserveGroup.
+func (s *Server) runReservation(ctx context.Context, group *reserver.Reserver, onLost func(holdLostError)) (held bool, unreachable string) {
 	for {
 		action := group.Next()
 		switch {
 		case action.AllHeld:
-			return true
+			return true, ""
 		case action.Failed:
-			return false
+			return false, unreachable
 		case action.Release != nil:
 			s.releaseShard(*action.Release)
 			group.RecordReleased()
@@ -147,8 +156,11 @@
 			held, maybeHeld := s.reserveShard(ctx, *action.Reserve, onLost)
 			if held {
 				group.RecordReserved()
-			} else {
-				group.RecordRefused(maybeHeld)
+				continue
+			}
+			group.RecordRefused(maybeHeld)
+			if maybeHeld {
+				unreachable = action.Reserve.Engine
 			}
 		}
 	}
@@ -157,7 +169,7 @@
 // reserveShard requests a hold on memory for a shard from its engine and starts to renew the hold. Held
 // reports whether the engine confirmed the hold; if not, maybeHeld reports whether the engine may have made
 // it all the same, because no response arrived.
-func (s *Server) reserveShard(ctx context.Context, shard reserver.Shard, onLost func()) (held, maybeHeld bool) {
+func (s *Server) reserveShard(ctx context.Context, shard reserver.Shard, onLost func(holdLostError)) (held, maybeHeld bool) {
 	engine, ok := s.current.Load().engineIndex.Engine(shard.Engine)
 	if !ok {
 		return false, false
@@ -231,5 +243,12 @@
 	for _, shard := range shards {
 		holdIDs = append(holdIDs, shard.HoldID)
 	}
-	return c.runAttempt(ctx, engineAttempt{engine: engine, attemptID: newID(), holdIDs: holdIDs, groupSize: len(shards)})
+	f := c.runAttempt(ctx, engineAttempt{engine: engine, attemptID: newID(), holdIDs: holdIDs, groupSize: len(shards)})
+	var lost holdLostError
+	if f != nil && errors.As(context.Cause(ctx), &lost) {
+		// The engine that streamed is sound.
+		c.triedEngines = slices.DeleteFunc(c.triedEngines, func(name string) bool { return name == engine.Name })
+		c.triedEngines = append(c.triedEngines, lost.Engine)
+	}
+	return f
 }
--- a/server/group_test.go
+++ b/server/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -14,15 +15,19 @@
 	"github.com/sapphireramp/sapphireramp/client"
 )
 
+// groupResumeTime is the longest time that the tests allow for what is not the answer itself: two prefills, the
+// detection of the failure and a new group, but no wait for room.
+const groupResumeTime = 8 * time.Second
+
 // groupPrompt returns a prompt that needs the memory of three engines. Its answer takes 20 s.
 func groupPrompt() api.CompletionRequest {
 	return api.CompletionRequest{Model: "model", Prompt: strings.Repeat("word", 40_000), MaxTokens: 1000}
 }
 
 // withGroupAnswer runs a function while the first entry streams the answer to groupPrompt, and checks that the
-// answer is complete. Interrupt gets the engines of the group, the one that streams first. The result is the
-// log of the entry.
-func withGroupAnswer(t *testing.T, engines int, interrupt func(f *testFleet, group []*testEngine)) (log string) {
+// answer is complete. Interrupt gets the engines of the group, the one that streams first. The results are the
+// log of the entry and the time that the answer took.
+func withGroupAnswer(t *testing.T, engines int, interrupt func(f *testFleet, group []*testEngine)) (log string, took time.Duration) {
 	t.Helper()
 	withTestFleet(t, 2, engines, func(f *testFleet) {
 		is := is.New(t)
@@ -34,6 +39,7 @@
 		var result client.Result
 		var err error
 		answered := make(chan struct{})
+		asked := time.Now()
 		go func() {
 			defer close(answered)
 			result, err = f.directClient(entry, 1).Complete(context.Background(), groupPrompt(), client.Options{Timeout: 100 * time.Second}, nil)
@@ -43,22 +49,24 @@
 		is.Equal(len(group), 3)
 		interrupt(f, group)
 		<-answered
+		took = time.Since(asked)
 		is.NoErr(err)
 		is.Equal(result.Text, wholeAnswer(groupPrompt()))
 		log = f.log.String()
 	})
-	return log
+	return log, took
 }
 
 // Guards against a prompt that is refused as too long, although a group of all engines can hold it: the engine that
 // streamed is not chosen again for the next attempt, and the others are too few. All have recovered.
 func TestGroupOfAllEnginesIsResumed(t *testing.T) {
 	is := is.New(t)
-	log := withGroupAnswer(t, 3, func(f *testFleet, group []*testEngine) {
+	log, took := withGroupAnswer(t, 3, func(f *testFleet, group []*testEngine) {
 		f.killEngine(group[0])
 		f.startEngine(group[0])
 	})
-	is.Equal(strings.Count(log, "event=group "), 2)
+	is.Equal(len(groupsIn(log)), 2)
+	is.True(took < 20*time.Second+groupResumeTime)
 }
 
 // Guards against a final refusal of a prompt that fits the engines of the document, but not those that are usable
@@ -87,3 +95,42 @@
 		is.Equal(ask(longer).Code, api.CodePromptTooLong)
 	})
 }
+
+// Guards against a new group with the engine that has just lost its shard, and without the sound one that
+// streamed: where the former is gone for good, the group can't be reserved.
+func TestGroupAvoidsEngineThatLostItsShard(t *testing.T) {
+	is := is.New(t)
+	log, _ := withGroupAnswer(t, 4, func(f *testFleet, group []*testEngine) {
+		f.killEngine(group[1])
+		f.startEngine(group[1])
+	})
+	is.True(strings.Contains(log, "no longer has the hold"))
+	is.Equal(groupsIn(log), []string{"engine-1,engine-2,engine-3", "engine-1,engine-3,engine-4"})
+}
+
+// Guards against reserving the same group over and over while one of its engines can't be reached, though others
+// suffice.
+func TestGroupAvoidsUnreachableEngine(t *testing.T) {
+	is := is.New(t)
+	withTestFleet(t, 2, 4, func(f *testFleet) {
+		entry := f.entries[0]
+		f.killEntry(entry)
+		f.log = &lockedBuffer{}
+		f.startEntry(entry)
+		time.Sleep(8 * time.Second)
+		f.net.Disconnect(entry.host, f.engines[1].host)
+		_, err := f.directClient(entry, 1).Complete(context.Background(), groupPrompt(), client.Options{Timeout: 100 * time.Second}, nil)
+		is.NoErr(err)
+		is.Equal(groupsIn(f.log.String()), []string{"engine-1,engine-3,engine-4"})
+		is.Equal(strings.Count(f.log.String(), "event=group_refused"), 1)
+	})
+}
+
+// groupsIn returns the engines of the groups that a log tells of, in order.
+func groupsIn(log string) []string {
+	var groups []string
+	for _, found := range regexp.MustCompile(`event=group .*engines=(\S+)`).FindAllStringSubmatch(log, -1) {
+		groups = append(groups, found[1])
+	}
+	return groups
+}
--- a/server/renew.go
+++ b/server/renew.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -24,12 +25,19 @@
 	lastRenewed time.Time
 	// onLost is called, on the control goroutine, when the engine replies to two renewals that it does not
 	// have the hold.
-	onLost func()
+	onLost func(holdLostError)
+}
+
+// holdLostError reports that an engine no longer has a hold on memory that the attempt needs.
+type holdLostError struct{ Engine string }
+
+func (e holdLostError) Error() string {
+	return fmt.Sprintf("engine %s no longer has the hold", e.Engine)
 }
 
 // registerHold starts the periodic renewal of a hold at an engine, until unregisterHold. OnLost is called if
 // the engine reports that it does not have the hold (see reportLostHolds).
-func (s *Server) registerHold(engine, id string, onLost func()) {
+func (s *Server) registerHold(engine, id string, onLost func(holdLostError)) {
 	s.onControl(func(c *control) {
 		if c.ownHolds[engine] == nil {
 			c.ownHolds[engine] = map[string]*ownHold{}
@@ -113,7 +121,7 @@
 		for _, id := range missing.IDs {
 			if h, held := c.ownHolds[engine][id]; held {
 				s.logs.keep.Warn("hold_lost", zap.String("engine", engine), zap.String("hold", id))
-				h.onLost()
+				h.onLost(holdLostError{Engine: engine})
 			}
 		}
 	})
--- a/server/stream.go
+++ b/server/stream.go
@@ -41,9 +41,6 @@
 // token for that time plus prefillTimeoutFactor times the estimated time to first token.
 var errSilent = errors.New("engine sent nothing for too long")
 
-// errHoldLost reports that an engine no longer has a hold on memory that the attempt needs.
-var errHoldLost = errors.New("engine no longer has the hold")
-
 // runAttempt sends an attempt to its engine and relays the answer. It returns nil once the answer is
 // complete. If the attempt fails after it may have started, it checks for a crash of the engine.
 func (c *completion) runAttempt(ctx context.Context, attempt engineAttempt) *failure {
@@ -53,7 +50,7 @@
 	c.triedEngines = append(c.triedEngines, attempt.engine.Name)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.registerHold(attempt.engine.Name, attempt.attemptID, func() { cancel(errHoldLost) })
+	s.registerHold(attempt.engine.Name, attempt.attemptID, func(lost holdLostError) { cancel(lost) })
 	defer s.unregisterHold(attempt.engine.Name, attempt.attemptID)
 	load := attempt.engine.Load
 	prefill := int64(api.EstimatePromptTokens(len(x.completion.Prompt)))
