server: a group ends when the lease of a shard has expired

Callers got answers, as complete ones, that went on without a part of the prompt: where a member of a group was killed for good, or could not be reached, the engine that streams went on to the end.

Cause: a shard counted as held until its engine replied that it is not. A renewal that failed was logged and changed nothing, however often, although the engine's keeper frees a hold after a lease. Class: silence taken for consent. TestGroupWithoutAMemberIsReplaced, red before, kills a member for good.

A shard whose renewals have failed for a lease is lost, and the attempt is resumed at a group without that engine. The hold of a single engine's stream is left alone: that engine ends the stream with the hold. The other request path needs no such rule: the engines of the platform cut a request off whose memory expires.

A renewal that failed in the check of a missing hold was swallowed; it is logged.

--- a/server/group.go
+++ b/server/group.go
@@ -174,7 +174,7 @@
 	if !ok {
 		return false, false
 	}
-	s.registerHold(shard.Engine, shard.HoldID, onLost)
+	s.registerHold(shard.Engine, shard.HoldID, ownHold{isShard: true, onLost: onLost})
 	data, err := json.Marshal(api.EngineHold{
 		ID: shard.HoldID, Owner: s.settings.Name, Incarnation: s.config.Incarnation, Kind: api.HoldGroup, Tokens: shard.Tokens,
 	})
--- a/server/group_test.go
+++ b/server/group_test.go
@@ -134,3 +134,13 @@
 	}
 	return groups
 }
+
+// Guards against an answer that goes on without a shard of its prompt: a member of the group is killed for good,
+// so that it never replies that it lost the shard. The renewals fail, and the lease expires.
+func TestGroupWithoutAMemberIsReplaced(t *testing.T) {
+	is := is.New(t)
+	log, took := withGroupAnswer(t, 4, func(f *testFleet, group []*testEngine) { f.killEngine(group[1]) })
+	is.True(strings.Contains(log, "engine-2 no longer has the hold"))
+	is.Equal(groupsIn(log), []string{"engine-1,engine-2,engine-3", "engine-1,engine-3,engine-4"})
+	is.True(took < 20*time.Second+groupResumeTime)
+}
--- a/server/renew.go
+++ b/server/renew.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -23,26 +24,45 @@
 type ownHold struct {
 	// lastRenewed is the time at which the hold was registered or its last renewal was started.
 	lastRenewed time.Time
+	// confirmedAt is the time at which the hold was registered or the last renewal was started that the
+	// engine confirmed. hasFailed is true if a renewal has failed since.
+	confirmedAt time.Time
+	hasFailed   bool
+	// isShard is true for the hold of a shard, of which only renewals show that the engine has it. An engine
+	// that streams an attempt ends the stream when it loses the hold.
+	isShard bool
 	// onLost is called, on the control goroutine, when the engine replies to two renewals that it does not
-	// have the hold.
+	// have the hold, and for a shard when its lease has passed since confirmedAt and a renewal failed.
 	onLost func(holdLostError)
+	// isLost is true once onLost was called.
+	isLost bool
 }
 
 // holdLostError reports that an engine no longer has a hold on memory that the attempt needs.
-type holdLostError struct{ Engine string }
+type holdLostError struct {
+	Engine string
+	// Unconfirmed is the time since the engine last confirmed a hold whose lease has expired; 0 if the engine
+	// replied that it does not have the hold.
+	Unconfirmed time.Duration
+}
 
 func (e holdLostError) Error() string {
+	if e.Unconfirmed > 0 {
+		return fmt.Sprintf("engine %s no longer has the hold: its lease expired, last confirmed %s ago", e.Engine, e.Unconfirmed.Round(time.Millisecond))
+	}
 	return fmt.Sprintf("engine %s no longer has the hold", e.Engine)
 }
 
-// registerHold starts the periodic renewal of a hold at an engine, until unregisterHold. OnLost is called if
-// the engine reports that it does not have the hold (see reportLostHolds).
-func (s *Server) registerHold(engine, id string, onLost func(holdLostError)) {
+// registerHold starts the periodic renewal of a hold at an engine, until unregisterHold. The caller sets
+// isShard and onLost.
+func (s *Server) registerHold(engine, id string, hold ownHold) {
+	hold.lastRenewed = time.Now()
+	hold.confirmedAt = hold.lastRenewed
 	s.onControl(func(c *control) {
 		if c.ownHolds[engine] == nil {
 			c.ownHolds[engine] = map[string]*ownHold{}
 		}
-		c.ownHolds[engine][id] = &ownHold{lastRenewed: time.Now(), onLost: onLost}
+		c.ownHolds[engine][id] = &hold
 	})
 }
 
@@ -66,7 +86,11 @@
 		case <-tick.C:
 		}
 		var due map[string][]string
-		s.onControl(func(c *control) { due = c.dueHolds(time.Now()) })
+		s.onControl(func(c *control) {
+			now := time.Now()
+			c.loseExpiredShards(now)
+			due = c.dueHolds(now)
+		})
 		for engine, ids := range due {
 			go s.renewHolds(engine, ids)
 		}
@@ -89,18 +113,61 @@
 	return due
 }
 
+// loseExpiredShards reports the shards as lost that their engine has not confirmed for a lease: its keeper may have
+// freed them, or the engine may have ended. If this entry was suspended, they are renewed first.
+func (c *control) loseExpiredShards(now time.Time) {
+	for engine, holds := range c.ownHolds {
+		for id, h := range holds {
+			if age := now.Sub(h.confirmedAt); h.isShard && h.hasFailed && age >= c.server.settings.Timing.Lease {
+				c.loseHold(id, h, holdLostError{Engine: engine, Unconfirmed: age})
+			}
+		}
+	}
+}
+
+// loseHold calls onLost of a hold, unless it was called before.
+func (c *control) loseHold(id string, h *ownHold, lost holdLostError) {
+	if h.isLost {
+		return
+	}
+	h.isLost = true
+	c.server.logs.keep.Warn("hold_lost", zap.String("engine", lost.Engine), zap.String("hold", id), zap.Duration("unconfirmed_ms", lost.Unconfirmed))
+	h.onLost(lost)
+}
+
+// recordConfirmed records that an engine confirmed the holds that are not missing, in reply to a renewal that
+// was started at the given time.
+func (c *control) recordConfirmed(engine string, ids, missing []string, startedAt time.Time) {
+	for _, id := range ids {
+		if h, ok := c.ownHolds[engine][id]; ok && !slices.Contains(missing, id) && startedAt.After(h.confirmedAt) {
+			h.confirmedAt, h.hasFailed = startedAt, false
+		}
+	}
+}
+
+func (c *control) recordFailedRenewal(engine string, ids []string) {
+	for _, id := range ids {
+		if h, ok := c.ownHolds[engine][id]; ok {
+			h.hasFailed = true
+		}
+	}
+}
+
 func (s *Server) renewHolds(engine string, ids []string) {
 	u, ok := s.current.Load().engines[engine]
 	if !ok {
 		return
 	}
 	var missing api.EngineHoldRenewal
+	startedAt := time.Now()
 	base := sling.New().Client(s.engineClient).Base("http://" + u.Address.String())
 	_, err := base.Post(api.PathHolds + "/renew").BodyJSON(api.EngineHoldRenewal{IDs: ids}).ReceiveSuccess(&missing)
 	if err != nil {
 		s.logs.keep.Warn("renew_failed", zap.String("engine", engine), zap.Int("holds", len(ids)), zap.Error(err))
+		s.onControl(func(c *control) { c.recordFailedRenewal(engine, ids) })
 		return
 	}
+	s.onControl(func(c *control) { c.recordConfirmed(engine, ids, missing.IDs, startedAt) })
 	// A missing hold may not have been made yet, or may have been released meanwhile. It is lost only if it
 	// is still registered and missing after engineCallTimeout.
 	if len(missing.IDs) > 0 {
@@ -115,13 +182,13 @@
 	base := sling.New().Client(s.engineClient).Base("http://" + address)
 	_, err := base.Post(api.PathHolds + "/renew").BodyJSON(api.EngineHoldRenewal{IDs: ids}).ReceiveSuccess(&missing)
 	if err != nil {
+		s.logs.keep.Warn("renew_failed", zap.String("engine", engine), zap.Int("holds", len(ids)), zap.Error(err))
 		return
 	}
 	s.onControl(func(c *control) {
 		for _, id := range missing.IDs {
 			if h, held := c.ownHolds[engine][id]; held {
-				s.logs.keep.Warn("hold_lost", zap.String("engine", engine), zap.String("hold", id))
-				h.onLost(holdLostError{Engine: engine})
+				c.loseHold(id, h, holdLostError{Engine: engine})
 			}
 		}
 	})
--- a/server/stream.go
+++ b/server/stream.go
@@ -50,7 +50,7 @@
 	c.triedEngines = append(c.triedEngines, attempt.engine.Name)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.registerHold(attempt.engine.Name, attempt.attemptID, func(lost holdLostError) { cancel(lost) })
+	s.registerHold(attempt.engine.Name, attempt.attemptID, ownHold{onLost: func(lost holdLostError) { cancel(lost) }})
 	defer s.unregisterHold(attempt.engine.Name, attempt.attemptID)
 	load := attempt.engine.Load
 	prefill := int64(api.EstimatePromptTokens(len(x.completion.Prompt)))
