server, client, splitter: the event in which a stream is cut off is not read

Operators saw sound engines named as the cause: "the answer of engine engine-1 was cut off or invalid: unexpected end of JSON input" where the entry itself had ended the attempt, as a hold was lost or the engine was silent. Callers of a stream that broke saw a decoding error.

Cause: at an error of the connection a line scanner returns what it has of the last line, and that was decoded; the failed decoding hid the error.

TestLineOfCutStreamIsLeftOut and TestReasonOfEndedAttemptIsLogged, red before. The other request path splits events by itself and was right.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -216,6 +216,8 @@
 red group-lost server/group.go 's/errors\.As\(context\.Cause\(ctx\), &lost\)/false/' ./server TestGroupAvoidsEngineThatLostItsShard
 red group-unreachable server/group.go 's/if unreachable != ""/if false/' ./server TestGroupAvoidsUnreachableEngine
 red group-lease server/renew.go 's/h\.isShard && /false \&\& /' ./server TestGroupWithoutAMemberIsReplaced
+red cut-event splitter/lines.go 's/if atEOF &&/if false \&\&/' ./splitter TestLineOfCutStreamIsLeftOut
+red cut-event-server server/stream.go 's/.*scanner\.Split\(.*\n//; s/.*"github.com\/sapphireramp\/sapphireramp\/splitter"\n//' ./server TestReasonOfEndedAttemptIsLogged
 red inherited controller/peers.go 's/return b\.Epoch == s\.follower\.Position\(\)\.Epoch && b\.Inherited/return false \&\& b.Inherited/' ./launcher TestStartedEntryLearnsWhatTheStoreLost
 red inherited-bound follower/inherited.go 's/until\.After\(latest\)/false/; s/begunAt\.Before\(f\.epochBegunAt\)/false/' ./follower TestInheritedKnowledgeEnds
 red fingerprint follower/fingerprint.go 's/if !known\.Ended \{/if false {/' ./follower TestEqualFingerprintsMeanEqualEvacuations
--- a/client/client.go
+++ b/client/client.go
@@ -21,6 +21,7 @@
 
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/sleeper"
+	"github.com/sapphireramp/sapphireramp/splitter"
 )
 
 const (
@@ -407,6 +408,7 @@
 	isComplete := false
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	scanner.Split(splitter.ScanCompleteLines)
 	for scanner.Scan() {
 		data, isData := strings.CutPrefix(scanner.Text(), "data: ")
 		if !isData {
--- a/server/crash_test.go
+++ b/server/crash_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -61,11 +60,7 @@
 
 func (c *crashingPrompt) startEngine(e *testEngine) {
 	c.fleet.startEngine(e)
-	_ = e.httpServer.Close()
-	c.fleet.net.KillHost(e.host)
-	listener, _ := c.fleet.net.Listen(netip.AddrPortFrom(e.host, 80))
-	e.httpServer = &http.Server{Handler: c.wrap(e, e.server.Handler())}
-	go func() { _ = e.httpServer.Serve(listener) }()
+	c.fleet.replaceHandler(e, c.wrap(e, e.server.Handler()))
 }
 
 // Engines crash one after the other under one prompt that is sent repeatedly through all entries, as
--- a/server/fleet_test.go
+++ b/server/fleet_test.go
@@ -181,6 +181,13 @@
 	e.httpServer = f.serve(e.host, e.server.Handler())
 }
 
+// replaceHandler makes a running engine serve requests with another handler.
+func (f *testFleet) replaceHandler(e *testEngine, handler http.Handler) {
+	_ = e.httpServer.Close()
+	f.net.KillHost(e.host)
+	e.httpServer = f.serve(e.host, handler)
+}
+
 func (f *testFleet) killEngine(e *testEngine) {
 	e.dead = true
 	e.stop()
--- a/server/stream.go
+++ b/server/stream.go
@@ -18,6 +18,7 @@
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/relayer"
 	"github.com/sapphireramp/sapphireramp/router"
+	"github.com/sapphireramp/sapphireramp/splitter"
 )
 
 // maxEventBytes is the maximum size of one server-sent event of an engine.
@@ -198,6 +199,7 @@
 	defer func() { timer.reportTo(attempt.engine.Load, c.relayer.DeliveredTokens()) }()
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	scanner.Split(splitter.ScanCompleteLines)
 	for scanner.Scan() {
 		data, isData := strings.CutPrefix(scanner.Text(), "data: ")
 		if !isData || data == api.DoneMarker {
