watcher, server, forwarder: a pause of this process is not the silence of an upstream

Callers' streams were cut, resumed elsewhere, and given up after four attempts, with engines that had sent everything in time: two-at-once failed so, "a stream broke off with its engine", with processes that stand still for up to two seconds. Its log: "woke paused=1594", then 0.7 ms later "retry ... engine sent nothing for too long"; three times in a row, each at a sound engine, then the fourth attempt.

Cause: the timer of an engine's silence goes on while the entry does not run. When the entry runs again the timer is due, and the events of the engine wait unread in the connection. Class: an own pause taken for another's silence.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -218,6 +218,9 @@
 red group-lease server/renew.go 's/h\.isShard && /false \&\& /' ./server TestGroupWithoutAMemberIsReplaced
 red cut-event splitter/lines.go 's/if atEOF &&/if false \&\&/' ./splitter TestLineOfCutStreamIsLeftOut
 red cut-event-server server/stream.go 's/.*scanner\.Split\(.*\n//; s/.*"github.com\/sapphireramp\/sapphireramp\/splitter"\n//' ./server TestReasonOfEndedAttemptIsLogged
+red own-pause watcher/silence.go 's/now\.Sub\(t\.dueAt\) > maxLateness/false/' ./watcher TestOwnSuspensionIsNoSilence
+red own-pause-server watcher/silence.go 's/now\.Sub\(t\.dueAt\) > maxLateness/false/' $s TestScenarios/answer-frozen-entry
+red own-pause-stream watcher/silence.go 's/now\.Sub\(t\.dueAt\) > maxLateness/false/' ./soak TestStreamsOfFrozenEntryGoOn
 red inherited controller/peers.go 's/return b\.Epoch == s\.follower\.Position\(\)\.Epoch && b\.Inherited/return false \&\& b.Inherited/' ./launcher TestStartedEntryLearnsWhatTheStoreLost
 red inherited-bound follower/inherited.go 's/until\.After\(latest\)/false/; s/begunAt\.Before\(f\.epochBegunAt\)/false/' ./follower TestInheritedKnowledgeEnds
 red fingerprint follower/fingerprint.go 's/if !known\.Ended \{/if false {/' ./follower TestEqualFingerprintsMeanEqualEvacuations
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/dispatcher"
+	"github.com/sapphireramp/sapphireramp/watcher"
 )
 
 // verdict classifies an ended attempt by whether the upstream ran the request and whether a
@@ -255,7 +256,7 @@
 	if gap := time.Duration(a.longestGap.Load()); gap > 0 {
 		maxGap = min(maxGap, 2*gap)
 	}
-	time.AfterFunc(maxGap, func() {
+	watcher.NewSilenceTimer(maxGap, func() {
 		if a.eventCount.Load() == eventsBefore {
 			a.cancel(errUpstreamRestarted)
 		}
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -7,6 +7,7 @@
 
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/matcher"
+	"github.com/sapphireramp/sapphireramp/watcher"
 )
 
 // Limits on how long an upstream may send nothing. An attempt whose upstream exceeds them is cancelled
@@ -36,7 +37,7 @@
 // nil receiver, which stands for an attempt that may wait until the deadline of the request.
 type watchdog struct {
 	lock  sync.Mutex
-	timer *time.Timer
+	timer *watcher.SilenceTimer
 	// lastReadAt is when bytes of the response last arrived; the start of the attempt until then.
 	lastReadAt time.Time
 	// silenceLimit is the time for which any upstream may send nothing. busySilenceLimit is the longest
@@ -75,7 +76,7 @@
 	}
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	w.timer = time.AfterFunc(w.silenceLimit, w.checkSilence)
+	w.timer = watcher.NewSilenceTimer(w.silenceLimit, w.checkSilence)
 	return w
 }
 
--- a/server/renew.go
+++ b/server/renew.go
@@ -145,7 +145,11 @@
 	}
 }
 
-func (c *control) recordFailedRenewal(engine string, ids []string) {
+// recordFailedRenewal records that a renewal failed. It ignores one that failed because this process was suspended.
+func (c *control) recordFailedRenewal(now time.Time, engine string, ids []string) {
+	if c.hasJustResumed(now) {
+		return
+	}
 	for _, id := range ids {
 		if h, ok := c.ownHolds[engine][id]; ok {
 			h.hasFailed = true
@@ -164,7 +168,7 @@
 	_, err := base.Post(api.PathHolds + "/renew").BodyJSON(api.EngineHoldRenewal{IDs: ids}).ReceiveSuccess(&missing)
 	if err != nil {
 		s.logs.keep.Warn("renew_failed", zap.String("engine", engine), zap.Int("holds", len(ids)), zap.Error(err))
-		s.onControl(func(c *control) { c.recordFailedRenewal(engine, ids) })
+		s.onControl(func(c *control) { c.recordFailedRenewal(time.Now(), engine, ids) })
 		return
 	}
 	s.onControl(func(c *control) { c.recordConfirmed(engine, ids, missing.IDs, startedAt) })
--- a/server/stream.go
+++ b/server/stream.go
@@ -19,6 +19,7 @@
 	"github.com/sapphireramp/sapphireramp/relayer"
 	"github.com/sapphireramp/sapphireramp/router"
 	"github.com/sapphireramp/sapphireramp/splitter"
+	"github.com/sapphireramp/sapphireramp/watcher"
 )
 
 // maxEventBytes is the maximum size of one server-sent event of an engine.
@@ -116,7 +117,7 @@
 		client = s.singleUseClient
 	}
 	x.unresolvedAttempts++
-	silenceTimer := time.AfterFunc(s.settings.Timing.Silence, func() { cancel(errSilent) })
+	silenceTimer := watcher.NewSilenceTimer(s.settings.Timing.Silence, func() { cancel(errSilent) })
 	response, err := client.Do(request)
 	silenceTimer.Stop()
 	if err != nil {
@@ -193,7 +194,7 @@
 	prefill := router.Engine{PrefillRate: attempt.engine.PrefillRate * max(1, attempt.groupSize), Load: &router.Load{}}
 	estimated := prefill.PredictFirstToken(time.Now(), router.Longest, api.EstimatePromptTokens(len(c.x.completion.Prompt))) +
 		attempt.engine.PredictFirstToken(time.Now(), router.Longest, 0)
-	silenceTimer := time.AfterFunc(silence+prefillTimeoutFactor*estimated, func() { cancel(errSilent) })
+	silenceTimer := watcher.NewSilenceTimer(silence+prefillTimeoutFactor*estimated, func() { cancel(errSilent) })
 	defer silenceTimer.Stop()
 	timer := tokenTimer{startOffset: c.relayer.DeliveredTokens()}
 	defer func() { timer.reportTo(attempt.engine.Load, c.relayer.DeliveredTokens()) }()
