connector, quarantiner, controller, server: crashes behind an address that goes on listening

A request that crashes upstreams went on to reach them: 42 and 113 times late in 12 s in TestRequestThatCrashesUpstreamsBehindAListenerIsQuarantined, where the address of a crashed engine goes on listening and closes each connection, or the engine runs again before a connection could be refused. Callers of others had 12 of 53 requests not served.

Cause: a refused connection was the only sign of a crash. Class: a belief with one source. Two more signs: a connection that is accepted and closed at once, and another incarnation of the upstream that registers within ten seconds after a response broke off, or that an engine reports on the own interface. What broke off is remembered until then, bounded.

What judges crashes is unchanged, so that outages refuse nothing.

--- a/connector/exitdetector.go
+++ b/connector/exitdetector.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -17,6 +19,9 @@
 	probeDelay = 50 * time.Millisecond
 	// probeTimeout is the timeout of the connection attempt that probes an address.
 	probeTimeout = 250 * time.Millisecond
+	// dropTime is the time in which whatever else listens at the address of a process that has exited, such
+	// as a proxy, closes a new connection. A server keeps an idle connection open for longer.
+	dropTime = 100 * time.Millisecond
 )
 
 // ExitDetector detects, after a connection broke, whether the process at its other end has exited.
@@ -31,18 +36,29 @@
 func NewExitDetector(dial DialFunc) *ExitDetector { return &ExitDetector{dial: dial} }
 
 // HasExited reports whether the process at an address has exited, that is, whether connections to
-// the address are refused. It is called after a connection to the address broke, and blocks for at
-// most probeDelay plus probeTimeout. Concurrent calls for one address share a probe.
+// the address are refused, or accepted and closed at once. It is called after a connection to the address
+// broke, and blocks for at most probeDelay, probeTimeout and dropTime. Concurrent calls for one address share a
+// probe.
 func (d *ExitDetector) HasExited(address string) bool {
-	refused, _, _ := d.probes.Do(address, func() (any, error) {
+	exited, _, _ := d.probes.Do(address, func() (any, error) {
 		sleeper.Sleep(context.Background(), probeDelay)
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
 		connection, err := d.dial(ctx, "tcp", address)
-		if err == nil {
-			_ = connection.Close()
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED), nil
 		}
-		return errors.Is(err, syscall.ECONNREFUSED), nil
+		defer func() { _ = connection.Close() }()
+		return isDropped(connection), nil
 	})
-	return refused.(bool)
+	return exited.(bool)
+}
+
+// isDropped reports whether the other end closes a new connection within dropTime.
+func isDropped(connection net.Conn) bool {
+	if err := connection.SetReadDeadline(time.Now().Add(dropTime)); err != nil {
+		return true
+	}
+	_, err := connection.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
--- a/controller/view.go
+++ b/controller/view.go
@@ -4,8 +4,12 @@
 	"net/netip"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/forwarder"
 	"github.com/sapphireramp/sapphireramp/prober"
+	"github.com/sapphireramp/sapphireramp/quarantiner"
 )
 
 // view is a snapshot of the control state, from which requests are served. It is immutable once
@@ -69,7 +73,7 @@
 	c.config.Dispatcher.SetPlacingEntries(c.config.Name, names(v.callerEntries))
 	usable := s.follower.UsableInstances()
 	if s.table != nil {
-		c.config.Dispatcher.UpdateUpstreams(s.table, usable)
+		s.confirmExits(c.config.Dispatcher.UpdateUpstreams(s.table, usable))
 	}
 	c.config.Quarantine.SetUpstreamCount(len(usable))
 	c.metrics.configRevision.Update(float64(config.Revision))
@@ -84,6 +88,17 @@
 	}
 }
 
+// confirmExits reports incarnations of upstreams that were replaced by others to the quarantiner: responses of
+// theirs that broke off shortly before were broken off by a crash.
+func (s *state) confirmExits(replaced []dispatcher.Instance) {
+	for _, i := range replaced {
+		for _, crash := range s.controller.config.Quarantine.ConfirmExit(time.Now(), quarantiner.IncarnationHash(i.IncarnationID())) {
+			s.controller.config.Log.Warn("upstream_ended", zap.Stringer("content", crash.Fingerprint), zap.String("upstream", i.ID),
+				zap.Stringer("address", i.Address), zap.Duration("ran_ms", crash.Ended.Sub(crash.LastSent)))
+		}
+	}
+}
+
 // addMembers adds the other entries to a view: those that accept callers to callerEntries, and all
 // but those that died more than deadUpdateTime ago to peers. It returns the number of entries that
 // are up or stopping.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -89,14 +89,18 @@
 
 // UpdateUpstreams replaces the services and the list of upstreams that may be sent requests. An
 // upstream that is no longer listed is kept until its last request ends, and longer while it is
-// leaving or has asked for a backoff (see backpressure.isRetained).
-func (b *Dispatcher) UpdateUpstreams(table *matcher.Table, instances []Instance) {
+// leaving or has asked for a backoff (see backpressure.isRetained). UpdateUpstreams returns the incarnations
+// that another one of the same upstream has replaced.
+func (b *Dispatcher) UpdateUpstreams(table *matcher.Table, instances []Instance) (replaced []Instance) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	now := time.Now()
 	b.services = map[string][]*upstream{}
 	listed := map[string]bool{}
 	for _, i := range instances {
+		if u, ok := b.upstreams[i.ID]; ok && !u.instance.SameIncarnation(i) {
+			replaced = append(replaced, u.instance)
+		}
 		u := b.upstreamFor(i)
 		u.backpressure.listedAt = now
 		s, _ := table.Service(i.Service)
@@ -116,6 +120,7 @@
 			delete(b.byCompactID, u.compactID)
 		}
 	}
+	return replaced
 }
 
 // upstreamFor returns the upstream of an instance, and creates one for an incarnation that is not
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -29,7 +29,8 @@
 }
 
 // detectCrash checks in the background whether an attempt lost its connection because the first
-// upstream exited, and if so logs the exit and reports it to the quarantiner as a crash. Attempts that
+// upstream exited, and if so logs the exit and reports it to the quarantiner as a crash. If another process
+// listens at the address, the exit shows once the upstream is registered as another incarnation. Attempts that
 // this entry cancelled are ignored: one cancelled because of an upstream's restart may have reached
 // the new incarnation.
 func (f *Forwarder) detectCrash(x *exchange, a *attempt) {
@@ -37,13 +38,15 @@
 		return
 	}
 	first, brokeAt := a.placement.First, time.Now()
+	crash := quarantiner.Crash{Fingerprint: x.fingerprint, Incarnation: quarantiner.IncarnationHash(first.IncarnationID()), LastSent: a.startedAt, Ended: brokeAt}
+	f.quarantine.RecordInterruption(brokeAt, crash)
 	go func() {
 		if !f.exitDetector.HasExited(first.Address.String()) {
 			return
 		}
 		f.log.Warn("upstream_ended", zap.String("request", x.metadata.ID), zap.Stringer("content", x.fingerprint), zap.String("upstream", first.ID),
 			zap.Stringer("address", first.Address), zap.Duration("ran_ms", brokeAt.Sub(a.startedAt)))
-		f.quarantine.RecordCrash(time.Now(), quarantiner.Crash{Fingerprint: x.fingerprint, Incarnation: quarantiner.IncarnationHash(first.IncarnationID()), LastSent: a.startedAt, Ended: brokeAt})
+		f.quarantine.RecordCrash(time.Now(), crash)
 	}()
 }
 
--- a/launcher/crash_test.go
+++ b/launcher/crash_test.go
@@ -68,6 +68,33 @@
 	})
 }
 
+// The address of an engine that has crashed goes on listening, as behind a proxy, or listens again before a
+// connection to it could be refused. Guards against crashes that are only seen by a refused connection.
+func TestRequestThatCrashesUpstreamsBehindAListenerIsQuarantined(t *testing.T) {
+	for name, kind := range map[string]crashKind{"connections dropped": dropsConnections, "restarts at once": restartsAtOnce} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newCrashFleet(t)
+				defer f.shutDown()
+				f.crashKind = kind
+				others := f.startDistinctTraffic(8)
+				x := f.startRepeater(3, 150*time.Millisecond)
+				time.Sleep(12 * time.Second)
+				x.Stop()
+				for _, b := range x.RepeatViolations(f.evidence()) {
+					t.Error(b)
+				}
+				others.stopAndCheck()
+				trafficAfter := f.startDistinctTraffic(4)
+				time.Sleep(2 * time.Second)
+				if served, sent := trafficAfter.stopAndCheck(); served < sent {
+					t.Errorf("after the crashes %d of %d requests are served", served, sent)
+				}
+			})
+		})
+	}
+}
+
 // A restarted entry receives the quarantined fingerprints from the other entries. Guards against the
 // restarted entry sending the request that crashes engines to more engines.
 func TestRestartedEntryReceivesQuarantines(t *testing.T) {
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -90,6 +90,8 @@
 	// started. They make instance and request IDs unique.
 	lastWorker   int
 	trafficCount int
+	// crashKind is what becomes of the address of a worker that crashes.
+	crashKind crashKind
 	// responsePlan sets how long responses take; if nil, all take the same short time.
 	responsePlan *worker.AnswerPlan
 	// idSalt is appended to the names in request IDs. The response plan derives lengths from request IDs, so
@@ -169,8 +171,20 @@
 	f.putWorker(id, service, "ready")
 }
 
-// crashWorker simulates a crash of a worker: its connections break and new ones are refused. After
-// crashDowntime the worker restarts under the same instance ID. A worker that is down is left alone.
+// crashKind is what becomes of the address of a worker that crashes.
+type crashKind int
+
+const (
+	// refusesConnections: connections to the address are refused until the worker restarts.
+	refusesConnections crashKind = iota
+	// dropsConnections: something else accepts connections to the address, and closes them at once.
+	dropsConnections
+	// restartsAtOnce: the next incarnation listens at the address before a connection can be refused.
+	restartsAtOnce
+)
+
+// crashWorker simulates a crash of a worker: its connections break, and new ones fail as crashKind says. After
+// a while the worker restarts under the same instance ID. A worker that is down is left alone.
 func (f *fleet) crashWorker(id, service string) {
 	if !f.downWorkers.MarkDown(id) {
 		return
@@ -178,17 +192,45 @@
 	endOutage := f.disruptionLog.RecordCut(id)
 	f.workers[id].Restart()
 	f.net.KillHost(f.workerHosts[id])
+	downtime, stopDropping := crashDowntime, func() {}
+	switch f.crashKind {
+	case dropsConnections:
+		downtime, stopDropping = proxyDowntime, f.dropConnections(f.workerHosts[id])
+	case restartsAtOnce:
+		downtime = time.Millisecond
+	}
 	go func() {
 		defer f.downWorkers.MarkUp(id)
-		time.Sleep(crashDowntime)
+		time.Sleep(downtime)
+		stopDropping()
 		f.disruptionLog.RecordRestart(id)
 		f.startWorker(id, service)
 		endOutage()
 	}()
 }
 
-// crashDowntime is the time until a crashed worker restarts.
-const crashDowntime = 2500 * time.Millisecond
+// dropConnections accepts connections to a host and closes them, until the returned function is called.
+func (f *fleet) dropConnections(host netip.Addr) (stop func()) {
+	listener, err := f.net.Listen(netip.AddrPortFrom(host, 80))
+	if err != nil {
+		f.t.Error(err)
+		return func() {}
+	}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = connection.Close()
+		}
+	}()
+	return func() { _ = listener.Close() }
+}
+
+// crashDowntime is the time until a crashed worker restarts, proxyDowntime that of one whose address goes on
+// listening: longer than it takes to quarantine a request by refused connections.
+const crashDowntime, proxyDowntime = 2500 * time.Millisecond, 8 * time.Second
 
 // putWorker writes a worker to the store's list of upstreams with the given state.
 func (f *fleet) putWorker(id, service, state string) {
--- a/server/control.go
+++ b/server/control.go
@@ -253,8 +253,13 @@
 // recordIncarnation records the incarnation that an engine reported. A new incarnation of an engine that
 // was leaving may be used again.
 func (c *control) recordIncarnation(engine string, incarnation uint64) {
-	before := c.drainer.IsUsable(engine)
+	before, last := c.drainer.IsUsable(engine), c.drainer.LatestIncarnation(engine)
 	c.drainer.ObserveIncarnation(engine, incarnation)
+	if last != 0 && incarnation > last {
+		for _, crash := range c.server.quarantine.ConfirmExit(time.Now(), upstreamHash(engine)) {
+			c.server.logs.route.Warn("upstream_ended", zap.Stringer("content", crash.Fingerprint), zap.String("upstream", engine), zap.Duration("ran_ms", crash.Ended.Sub(crash.LastSent)))
+		}
+	}
 	if c.drainer.IsUsable(engine) != before {
 		c.dirty = true
 	}
--- a/server/crash.go
+++ b/server/crash.go
@@ -51,7 +51,8 @@
 }
 
 // detectCrash sets x.interrupted and checks in the background whether an interrupted attempt ended because
-// its upstream's process exited. If so, it records a crash for the quarantine; but if the answer had lasted
+// its upstream's process exited, which also shows once another incarnation reports. If so, it records a crash
+// for the quarantine; but if the answer had lasted
 // for quarantiner.MinSuccessRunTime, it records a success, as the upstream evidently could run the request. If
 // ctx, the attempt's context, has ended, as on a timeout or if the caller disconnects, the interruption shows
 // nothing about the upstream and detectCrash does nothing.
@@ -61,21 +62,31 @@
 	}
 	x.interrupted = true
 	s, id, fingerprint, interruptedAt := x.server, x.id, x.fingerprint, time.Now()
+	hasRun := !attempt.answerStartedAt.IsZero() && interruptedAt.Sub(attempt.answerStartedAt) >= quarantiner.MinSuccessRunTime
+	crash := quarantiner.Crash{Fingerprint: fingerprint, Incarnation: upstreamHash(attempt.upstream), LastSent: attempt.sentAt, Ended: interruptedAt}
+	if !hasRun {
+		s.quarantine.RecordInterruption(interruptedAt, crash)
+	}
 	go func() {
 		if !s.exitDetector.HasExited(attempt.address) {
 			return
 		}
 		s.logs.route.Warn("upstream_ended", zap.String("request", id), zap.Stringer("content", fingerprint), zap.String("upstream", attempt.upstream),
 			zap.Duration("ran_ms", interruptedAt.Sub(attempt.sentAt)))
-		if !attempt.answerStartedAt.IsZero() && interruptedAt.Sub(attempt.answerStartedAt) >= quarantiner.MinSuccessRunTime {
+		if hasRun {
 			s.quarantine.RecordSuccess(interruptedAt, fingerprint)
 			return
 		}
-		incarnation := quarantiner.IncarnationHash(quarantiner.FingerprintOf([]byte(attempt.upstream)))
-		s.quarantine.RecordCrash(time.Now(), quarantiner.Crash{Fingerprint: fingerprint, Incarnation: incarnation, LastSent: attempt.sentAt, Ended: interruptedAt})
+		s.quarantine.RecordCrash(time.Now(), crash)
 	}()
 }
 
+// upstreamHash identifies an upstream for the quarantine. It does not depend on the incarnation, which attempts
+// do not know.
+func upstreamHash(name string) quarantiner.IncarnationHash {
+	return quarantiner.IncarnationHash(quarantiner.FingerprintOf([]byte(name)))
+}
+
 // logQuarantineDecisions logs the given decisions to quarantine a fingerprint. Source is the name of the
 // entry that made them, "own" for this entry.
 func (s *Server) logQuarantineDecisions(now time.Time, decisions []quarantiner.Decision, source string) {
--- a/server/crash_test.go
+++ b/server/crash_test.go
@@ -17,11 +17,12 @@
 )
 
 // crashingPrompt makes each engine that runs a certain prompt crash 60 ms after receiving it. The engine
-// restarts after 2.5 s.
+// restarts after downtime.
 type crashingPrompt struct {
-	fleet *testFleet
-	text  string
-	lock  sync.Mutex
+	fleet    *testFleet
+	text     string
+	downtime time.Duration
+	lock     sync.Mutex
 	// arrivals holds the times at which an engine received the prompt.
 	arrivals []time.Time
 }
@@ -51,7 +52,7 @@
 		return
 	}
 	c.fleet.killEngine(e)
-	time.AfterFunc(2500*time.Millisecond, func() {
+	time.AfterFunc(c.downtime, func() {
 		c.lock.Lock()
 		defer c.lock.Unlock()
 		c.startEngine(e)
@@ -66,9 +67,22 @@
 // Engines crash one after the other under one prompt that is sent repeatedly through all entries, as
 // happened on the users' platform. Guards against one prompt crashing engine after engine.
 func TestPromptThatCrashesEnginesIsQuarantined(t *testing.T) {
+	checkCrashingPrompt(t, 2500*time.Millisecond)
+}
+
+// Guards against crashes that are only seen by a refused connection: the next incarnation of the engine listens
+// before one could be refused.
+func TestPromptThatCrashesEnginesThatRestartAtOnceIsQuarantined(t *testing.T) {
+	checkCrashingPrompt(t, time.Millisecond)
+}
+
+// checkCrashingPrompt checks that a prompt that crashes engines, which restart after downtime, is quarantined, and
+// that other prompts are not.
+func checkCrashingPrompt(t *testing.T, downtime time.Duration) {
+	t.Helper()
 	withTestFleet(t, 3, 6, func(f *testFleet) {
 		is := is.New(t)
-		c := &crashingPrompt{fleet: f, text: "crash "}
+		c := &crashingPrompt{fleet: f, text: "crash ", downtime: downtime}
 		for _, e := range f.engines {
 			f.killEngine(e)
 			c.startEngine(e)
