controller: an entry whose clock was ahead is heard again

An entry that had started while its clock was ahead, and started again, was dead to all others: they ignored its heartbeats as those of an older process, kept its address from callers and its load from their placements, until its clock had passed the earlier time.

Cause: an incarnation is the time of day of the start. A reply to a heartbeat now tells the incarnation by which the entry is known, and the entry goes on above it, at most three times, so that two processes with one name do not outbid each other for ever. The own interface is left open: its tickets name the incarnation that issued them, so that it can't be raised.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -155,6 +155,9 @@
 	storeLost bool
 	// fetching is the number of fetches from peers in progress; at most maxFetches.
 	fetching int
+	// incarnation is Config.Incarnation unless it was raised, incarnationRaises how often that was.
+	incarnation       uint64
+	incarnationRaises int
 	// inheritedFetchedAt is when the last fetch because of Beat.InheritedFingerprint began; zero before
 	// the first.
 	inheritedFetchedAt time.Time
@@ -202,7 +205,7 @@
 		heartbeatRequests: make(chan struct{}, 1), newPeers: make(chan struct{}, 1), fetchSlots: make(chan struct{}, maxServedFetches), metrics: newMetrics(c.Scope),
 	}
 	ctl.loadCounts.registerMetrics(c.Scope)
-	ctl.current.Store(&view{View: forwarder.View{RetryBudgetEntries: 1}})
+	ctl.current.Store(&view{View: forwarder.View{RetryBudgetEntries: 1}, incarnation: c.Incarnation})
 	return ctl
 }
 
@@ -213,7 +216,7 @@
 	now := time.Now()
 	s := &state{
 		controller: c, follower: follower.New(), capacities: map[string]reportedCapacity{}, diedAt: map[string]time.Time{},
-		seeds: seeds, started: now, lastTick: now, lastSinceBoot: c.config.SinceBoot(),
+		seeds: seeds, started: now, incarnation: c.config.Incarnation, lastTick: now, lastSinceBoot: c.config.SinceBoot(),
 		prober: prober.New(prober.Config{Name: c.config.Name, Incarnation: c.config.Incarnation, DataCentre: c.config.DataCentre, Neighbours: heartbeatNeighbours, SuspectAfter: deadTimeout}),
 	}
 	s.follower.SetMaxUseAfterRemoval(c.config.MaxPropagation)
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/controller"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
@@ -830,3 +831,29 @@
 		f.eventually(1500*time.Millisecond, "load of all received", hasRequests(placed))
 	})
 }
+
+// Guards against an entry that the others ignore until it starts once more: its clock was ahead when it last
+// started, and is right now, so that its incarnation is lower than before.
+func TestEntryWhoseClockWasAheadIsHeard(t *testing.T) {
+	withFleet(t, 5, func(f *fleet) {
+		restart := func(incarnation int) {
+			f.entries[4].end()
+			f.net.KillHost(f.entries[4].host)
+			f.started = incarnation - 1
+			f.entries[4] = f.startEntry(4)
+			time.Sleep(3 * time.Second)
+			for i, e := range f.entries[:4] {
+				isHeard := slices.ContainsFunc(e.Status().Members, func(m api.MemberStatus) bool {
+					return m.Name == "entry-4" && m.State == "live" && m.Heard < time.Second
+				})
+				if !isHeard {
+					t.Errorf("entry-%d does not hear entry-4, started with incarnation %d", i, incarnation)
+				}
+			}
+		}
+		restart(1000) // the clock is ahead
+		restart(10)
+		restart(20)
+		restart(1000)
+	})
+}
--- a/controller/loadupdates.go
+++ b/controller/loadupdates.go
@@ -88,7 +88,7 @@
 	if len(loads) == 0 {
 		return nil
 	}
-	return dispatcher.EncodeLoadUpdates(incarnationToken(c.config.Name, c.config.Incarnation), loads)
+	return dispatcher.EncodeLoadUpdates(incarnationToken(c.config.Name, c.current.Load().incarnation), loads)
 }
 
 // sendAlong sends messages to the peers in paths.direct, and to the given number of relays, chosen
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -68,6 +68,9 @@
 	Epoch, StoreRevision, ConfigVersion    int64
 	StateFingerprint, InheritedFingerprint uint64
 	Confirmed                              time.Duration
+	// KnownAs is, in a reply, the highest incarnation of the entry that it answers that the sender knows; 0 in
+	// any other heartbeat.
+	KnownAs uint64
 	// Disturbed is how long ago a call to the store last failed, at the sender or
 	// at an entry that reported a failure to it; negative if no failure is known.
 	Disturbed time.Duration
@@ -95,6 +98,9 @@
 		}
 		now := time.Now()
 		*reply = s.heartbeat(now, limit)
+		if known, ok := s.prober.Find(beat.From); ok {
+			reply.KnownAs = known.Incarnation
+		}
 		reply.Quarantine = s.controller.config.Quarantine.TakeReplyUpdate(now, beat.Quarantine)
 	})
 	if reply.From == "" {
@@ -207,7 +213,7 @@
 	age, ok := s.follower.ConfirmationAge(now)
 	b := Beat{
 		Heartbeat: api.Heartbeat{
-			From: c.Name, Incarnation: c.Incarnation, PeerAddress: c.PeerAddress, Address: c.CallerAddress, DataCentre: c.DataCentre,
+			From: c.Name, Incarnation: s.incarnation, PeerAddress: c.PeerAddress, Address: c.CallerAddress, DataCentre: c.DataCentre,
 			Stopping: s.stopping, Ready: s.table != nil, Revision: uint64(config.Revision), Notices: s.prober.TakeNotices(),
 		},
 		Knows: s.upCount, Known: ok && s.follower.HasState(), Epoch: position.Epoch, StoreRevision: position.Revision, StateFingerprint: s.follower.Fingerprint(), InheritedFingerprint: s.follower.InheritedFingerprint(), ConfigVersion: config.Version, Confirmed: age,
@@ -235,6 +241,7 @@
 	var have FetchArgs
 	c.do(func(s *state) {
 		now := time.Now()
+		s.raiseIncarnation(b)
 		s.applyHeartbeat(now, b)
 		s.recordStoreFailure(now, b.Disturbed)
 		s.logQuarantined(now, c.config.Quarantine.ApplyUpdate(now, b.Quarantine), b.From)
@@ -258,6 +265,23 @@
 	}
 }
 
+// maxIncarnationRaises is the maximum number of times that an entry raises its incarnation. Without a limit, two
+// processes with one name would do so in turn.
+const maxIncarnationRaises = 3
+
+// raiseIncarnation raises this entry's incarnation above the one that the sender of a reply knows it by, if that is
+// greater. The sender ignores the heartbeats of this process otherwise: incarnations are taken from the clock at
+// the start, which was ahead when an earlier process started.
+func (s *state) raiseIncarnation(b Beat) {
+	if b.KnownAs <= s.incarnation || s.incarnationRaises == maxIncarnationRaises {
+		return
+	}
+	s.incarnationRaises++
+	s.controller.config.Log.Warn("incarnation_raised", zap.Uint64("incarnation", s.incarnation), zap.Uint64("known", b.KnownAs), zap.String("source", b.From))
+	s.incarnation, s.dirty = b.KnownAs+1, true
+	s.controller.requestFullLoad()
+}
+
 // isBehind reports whether the sender of a heartbeat has a newer state of the store than this entry. In one
 // epoch it may have a newer configuration without a later position: one of an earlier epoch, which the store
 // has lost.
--- a/controller/status.go
+++ b/controller/status.go
@@ -38,7 +38,7 @@
 	c := s.controller.config
 	_, config := s.follower.Config()
 	status := api.Status{
-		Name: c.Name, DataCentre: c.DataCentre, Incarnation: c.Incarnation, Ready: s.table != nil && !s.stopping,
+		Name: c.Name, DataCentre: c.DataCentre, Incarnation: s.incarnation, Ready: s.table != nil && !s.stopping,
 		Stopping: s.stopping, Revision: uint64(config.Revision), StoreEpoch: s.follower.Position().Epoch, Confirmed: -1, Evacuated: s.follower.EvacuatedDataCentres(),
 	}
 	if age, ok := s.follower.ConfirmationAge(now); ok {
--- a/controller/view.go
+++ b/controller/view.go
@@ -16,6 +16,8 @@
 // published.
 type view struct {
 	forwarder.View
+	// incarnation is this entry's incarnation, with which it sends heartbeats and load updates.
+	incarnation uint64
 	// ready is true if this entry accepts callers.
 	ready bool
 	// callerEntries are the entries whose addresses callers are given.
@@ -54,7 +56,7 @@
 			Table: s.table, ConfigRevision: config.Revision, ConfirmedAt: s.follower.ConfirmedAt(), ConfirmationTTL: fractionOf(c.config.MaxPropagation, trustFraction),
 			StoreUnavailable: s.storeLost, RetryBudgetEntries: max(s.prober.Count()+1, 2*len(s.seeds)), Stopping: s.stopping, StopBy: s.exitAt, AddressValidUntil: s.addressValidUntil,
 		},
-		ready: s.table != nil && !s.stopping,
+		incarnation: s.incarnation, ready: s.table != nil && !s.stopping,
 	}
 	if v.ready {
 		v.callerEntries = append(v.callerEntries, readyEntry{name: c.config.Name, address: c.config.CallerAddress, dataCentre: c.config.DataCentre, capacity: s.capacity()})
--- a/logger/events.go
+++ b/logger/events.go
@@ -20,6 +20,7 @@
 	{"configuration_unreadable", "A newer revision of the configuration could not be read. The one in force stays.", []string{"revision", "source", "error"}},
 	{"evacuation", "The operator evacuates the data centre id, or no longer does. Change is evacuated or evacuation_ended. While it lasts, the upstreams of that data centre get no new requests. Source is the store, or the entry that the change was fetched from.", []string{"id", "change", "revision", "source"}},
 	{"fetch_failed", "Another entry has newer state of the store, and it could not be fetched in time. The next heartbeat tries again.", []string{"source", "error"}},
+	{"incarnation_raised", "Another entry, named by source, knows this one by a higher incarnation, as this entry's clock was ahead when it started before. This entry goes on with a higher one.", []string{"incarnation", "known", "source"}},
 	{"invariant_violated", "An invariant was violated, or an operation that would have violated it was refused. The request concerned fails. Report this as a fault of the program.", []string{"invariant", "detail"}},
 	{"item_unreadable", "An item of the store that does not belong to an upstream could not be read. All other items are applied.", []string{"error"}},
 	{"items_unreadable", "A response of the store held more unreadable items than are logged one by one. Count is the number of all of them, logged the number of those logged.", []string{"count", "logged"}},
