--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -194,6 +194,7 @@
 	f.net.KillHost(f.workerHosts[id])
 	downtime, stopDropping := crashDowntime, func() {}
 	switch f.crashKind {
+	case refusesConnections:
 	case dropsConnections:
 		downtime, stopDropping = proxyDowntime, f.dropConnections(f.workerHosts[id])
 	case restartsAtOnce:
