server, placer: an answer that has begun is not given up half-way

Callers' streams broke off with most of their time left: after four attempts, though each had brought the answer further ("attempt 4" after 18 of 60 s, 437, 450, 473 tokens delivered), or since no group, room or engine was free for a quarter of the time that was left.

Cause: limits that send a waiting caller elsewhere early applied to resumed answers too, for whose callers elsewhere means from the start. Class: a rule for what has not begun, applied to what has. Attempts count in a row and without a token; an answer that has begun waits for room, a group or an engine until its deadline. Requests that crash engines are still held back by the quarantine, and prompts that no engine can prefill in time are still given up at once.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -225,6 +225,9 @@
 red listening-restart controller/view.go 's/for _, i := range replaced/for _, i := range replaced[:0]/' ./launcher 'TestRequestThatCrashesUpstreamsBehindAListenerIsQuarantined/restarts'
 red listening-engine server/control.go 's/last != 0 && incarnation > last/last != 0 \&\& false/' ./server TestPromptThatCrashesEnginesThatRestartAtOnceIsQuarantined
 red clock-ahead controller/peers.go 's/b\.KnownAs <= s\.incarnation \|\|/true ||/' ./controller TestEntryWhoseClockWasAheadIsHeard
+red begun-group server/group.go 's/if c\.hasBegun\(\)/if false/' ./server TestBegunAnswerWaitsForItsGroup
+red begun-progress server/complete.go 's/c\.fruitlessAttempts = 0/_ = delivered/' ./server TestAnswerThatProgressesIsNotGivenUp
+red begun-wait placer/placer.go 's/p\.roomDeadline, p\.waitsForEngine = deadline, true/p.waitsForEngine = false/' ./placer TestBegunAnswerWaitsUntilItsDeadline
 red inherited controller/peers.go 's/return b\.Epoch == s\.follower\.Position\(\)\.Epoch && b\.Inherited/return false \&\& b.Inherited/' ./launcher TestStartedEntryLearnsWhatTheStoreLost
 red inherited-bound follower/inherited.go 's/until\.After\(latest\)/false/; s/begunAt\.Before\(f\.epochBegunAt\)/false/' ./follower TestInheritedKnowledgeEnds
 red fingerprint follower/fingerprint.go 's/if !known\.Ended \{/if false {/' ./follower TestEqualFingerprintsMeanEqualEvacuations
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -36,7 +36,8 @@
 	// Placed means that the keeper of Step.Candidate's engine granted memory for the prompt. The search
 	// ends.
 	Placed
-	// NoEngine means that there is no candidate engine. The search ends.
+	// NoEngine means that there is no candidate engine, also after the time for which the prompt waits for
+	// one. The search ends.
 	NoEngine
 	// TooLate means that every candidate engine would finish the prefill after the deadline. The
 	// search ends.
@@ -74,6 +75,9 @@
 	hasCandidates bool
 	// granted is true once a keeper granted memory for the prompt.
 	granted bool
+	// waitsForEngine is true if the prompt also waits for an engine until roomDeadline while there is no
+	// candidate.
+	waitsForEngine bool
 }
 
 // New returns a placer for a prompt whose deadline is remaining after now. The length of pauses is
@@ -82,6 +86,10 @@
 	return &Placer{random: random, roomDeadline: now.Add(remaining / roomWaitDivisor)}
 }
 
+// WaitUntil makes the search wait until the deadline for room, and for an engine if there is no candidate. It is
+// for a prompt whose answer has begun at an engine that failed.
+func (p *Placer) WaitUntil(deadline time.Time) { p.roomDeadline, p.waitsForEngine = deadline, true }
+
 // SetCandidates starts a round, in which the keepers of the given engines are asked in this order.
 func (p *Placer) SetCandidates(candidates []router.Candidate) {
 	p.candidates, p.refused, p.tooLate = candidates, 0, 0
@@ -107,11 +115,11 @@
 		return Step{Kind: Placed, Candidate: p.candidates[p.refused]}
 	case !p.hasCandidates:
 		return Step{Kind: Choose}
-	case len(p.candidates) == 0:
+	case len(p.candidates) == 0 && !(p.waitsForEngine && now.Before(p.roomDeadline)):
 		return Step{Kind: NoEngine}
 	case p.refused < len(p.candidates):
 		return Step{Kind: Ask, Candidate: p.candidates[p.refused]}
-	case p.tooLate == len(p.candidates):
+	case p.tooLate == len(p.candidates) && p.tooLate > 0:
 		return Step{Kind: TooLate}
 	case !now.Before(p.roomDeadline):
 		return Step{Kind: NoRoom}
--- a/server/complete.go
+++ b/server/complete.go
@@ -18,13 +18,14 @@
 )
 
 const (
-	// maxAttempts is the maximum number of attempts per request, whichever upstreams they are sent to.
+	// maxAttempts is the maximum number of attempts per request, whichever upstreams they are sent to. For a
+	// prompt, it is that of attempts in a row that bring the answer no further.
 	maxAttempts = 4
 	// maxKeepersAsked is the maximum number of engines whose keepers are asked for memory before the prompt
 	// pauses and new engines are chosen.
 	maxKeepersAsked = 3
 	// A prompt that needs a group of engines is refused if none could be reserved within the prompt's
-	// remaining time divided by groupWaitDivisor. Between two tries to reserve a group, it waits for a random
+	// remaining time divided by groupWaitDivisor, or by its deadline if its answer has begun. Between two tries to reserve a group, it waits for a random
 	// time of one to two minGroupRetryInterval.
 	groupWaitDivisor      = 4
 	minGroupRetryInterval = 80 * time.Millisecond
@@ -46,8 +47,9 @@
 	// version is the model version that generated the answer so far, which later attempts must use too;
 	// empty before the first chunk.
 	version string
-	// attempts is the number of attempts made.
-	attempts int
+	// attempts is the number of attempts made, fruitlessAttempts that of the last ones in a row that brought
+	// the answer no further.
+	attempts, fruitlessAttempts int
 	// answerStartedAt is the time of the last attempt's first accepted chunk, zero before it. After an
 	// attempt without any, it is the time at which the attempt ended.
 	answerStartedAt time.Time
@@ -67,7 +69,11 @@
 		if f := x.checkQuarantine(); f != nil {
 			return f
 		}
+		delivered := c.relayer.DeliveredTokens()
 		f := c.attempt()
+		if c.relayer.DeliveredTokens() > delivered {
+			c.fruitlessAttempts = 0
+		}
 		if f == nil {
 			s.quarantine.RecordSuccess(time.Now(), x.fingerprint)
 			return c.finishAnswer()
@@ -87,11 +93,11 @@
 }
 
 // canRetry reports whether a prompt whose last attempt ended with f may be sent again: an upstream failed,
-// the request's context has not ended, fewer than maxAttempts attempts were made, the prompt is not suspected
-// of crashing engines, and it is repeatable or no attempt of it can have started.
+// the request's context has not ended, fewer than maxAttempts attempts in a row were fruitless, the prompt is not
+// suspected of crashing engines, and it is repeatable or no attempt of it can have started.
 func (c *completion) canRetry(f *failure) bool {
 	x := c.x
-	if f.code != api.CodeUpstreamFailed || c.attempts >= maxAttempts || x.ctx.Err() != nil {
+	if f.code != api.CodeUpstreamFailed || c.fruitlessAttempts >= maxAttempts || x.ctx.Err() != nil {
 		return false
 	}
 	if x.isCrashSuspect() {
@@ -129,6 +135,10 @@
 	return c.runAttempt(c.x.ctx, engineAttempt{engine: engine, attemptID: attemptID})
 }
 
+// hasBegun reports whether the answer has begun. Its caller can't do better elsewhere then: the answer would begin
+// anew. So it is given up only if no engine can end it in time, or if nothing brings it further.
+func (c *completion) hasBegun() bool { return c.relayer.DeliveredTokens() > 0 }
+
 func (c *completion) requirements() router.Requirements {
 	r := c.x.completion
 	prompt := api.EstimatePromptTokens(len(r.Prompt))
@@ -165,6 +175,9 @@
 func (c *completion) placePrompt(needs router.Requirements) (*router.Engine, string, *failure) {
 	x := c.x
 	p := placer.New(time.Now(), x.remaining(), c.random)
+	if c.hasBegun() {
+		p.WaitUntil(x.deadline)
+	}
 	attemptID := newID()
 	for {
 		step := p.Next(time.Now())
--- a/server/group.go
+++ b/server/group.go
@@ -26,6 +26,9 @@
 	x := c.x
 	wait := x.remaining() / groupWaitDivisor
 	giveUpAt, reuseAt := time.Now().Add(wait), time.Now().Add(wait/2)
+	if c.hasBegun() {
+		giveUpAt = x.deadline
+	}
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
 	for {
--- a/server/group_test.go
+++ b/server/group_test.go
@@ -144,3 +144,15 @@
 	is.Equal(groupsIn(log), []string{"engine-1,engine-2,engine-3", "engine-1,engine-3,engine-4"})
 	is.True(took < 20*time.Second+groupResumeTime)
 }
+
+// Guards against an answer that is given up half-way, although its caller would wait: its group needs all engines,
+// and one of them is away for longer than a prompt may wait that has not begun.
+func TestBegunAnswerWaitsForItsGroup(t *testing.T) {
+	is := is.New(t)
+	log, _ := withGroupAnswer(t, 3, func(f *testFleet, group []*testEngine) {
+		f.killEngine(group[1])
+		time.Sleep(40 * time.Second)
+		f.startEngine(group[1])
+	})
+	is.Equal(len(groupsIn(log)), 2)
+}
--- a/server/stream.go
+++ b/server/stream.go
@@ -49,6 +49,7 @@
 	x := c.x
 	s := x.server
 	c.attempts++
+	c.fruitlessAttempts++
 	c.triedEngines = append(c.triedEngines, attempt.engine.Name)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
