client, cmd: a request that was not sent completely goes to another entry

Callers got "outcome=unknown", without another try, for requests that no entry can have received: the connection was refused, or reset while a long prompt was written.

Cause: the client sent again only what an entry reported as not run. It now follows how much of the body was taken to be sent: without a connection or the last byte the request did not run, since an entry runs none of which it lacks a byte. The budget of retries bounds these tries too. The commands report not_run, unless a ticket was sent before. TestUnsentRequestIsSentToAnotherEntry is red before in both cases.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -228,6 +228,7 @@
 red begun-group server/group.go 's/if c\.hasBegun\(\)/if false/' ./server TestBegunAnswerWaitsForItsGroup
 red begun-progress server/complete.go 's/c\.fruitlessAttempts = 0/_ = delivered/' ./server TestAnswerThatProgressesIsNotGivenUp
 red begun-wait placer/placer.go 's/p\.roomDeadline, p\.waitsForEngine = deadline, true/p.waitsForEngine = false/' ./placer TestBegunAnswerWaitsUntilItsDeadline
+red unsent client/client.go 's/if !isSent\(\) \{/if !isSent() \&\& false {/' ./client TestUnsentRequestIsSentToAnotherEntry
 red inherited controller/peers.go 's/return b\.Epoch == s\.follower\.Position\(\)\.Epoch && b\.Inherited/return false \&\& b.Inherited/' ./launcher TestStartedEntryLearnsWhatTheStoreLost
 red inherited-bound follower/inherited.go 's/until\.After\(latest\)/false/; s/begunAt\.Before\(f\.epochBegunAt\)/false/' ./follower TestInheritedKnowledgeEnds
 red fingerprint follower/fingerprint.go 's/if !known\.Ended \{/if false {/' ./follower TestEqualFingerprintsMeanEqualEvacuations
--- a/client/client.go
+++ b/client/client.go
@@ -237,13 +237,15 @@
 }
 
 // post sends a POST request to an entry and returns a response with status 200, whose body must be closed. It
-// returns an EntryError if the entry reports an error. It adds the entry to avoidedEntries if no response arrives,
+// returns an EntryError if the entry reports an error, and an UnsentError if the entry can't have received the
+// whole request. It adds the entry to avoidedEntries if no response arrives,
 // or if the entry reports that it is shutting down or not ready.
 func (c *Client) post(ctx context.Context, entry netip.AddrPort, path string, body []byte, o Options) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.String()+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("create request: %w", err)
 	}
+	request, isSent := trackSending(request)
 	h := request.Header
 	h.Set("Authorization", "Bearer "+c.config.APIKey)
 	h.Set("Content-Type", "application/json")
@@ -257,6 +259,9 @@
 	response, err := c.config.HTTPClient.Do(request)
 	if err != nil {
 		c.avoidEntry(entry)
+		if !isSent() {
+			return nil, &UnsentError{Entry: entry, Err: err}
+		}
 		return nil, fmt.Errorf("send request to entry %s: %w", entry, err)
 	}
 	if response.StatusCode == http.StatusOK {
@@ -275,8 +280,8 @@
 
 // Complete sends a prompt, with retries, and returns the complete response. If the response is streamed, onText,
 // unless nil, is called with the text of each chunk in order; a retry starts again with the first chunk. The error
-// wraps an EntryError if an entry refused the request or reported its failure, and is a TruncatedError if the
-// response was incomplete. Tries and Ticket of the result are set also on errors, except if the request can't be
+// wraps an EntryError if an entry refused the request or reported its failure, an UnsentError if the request could
+// not be sent, and is a TruncatedError if the response was incomplete. Tries and Ticket of the result are set also on errors, except if the request can't be
 // encoded.
 func (c *Client) Complete(ctx context.Context, r api.CompletionRequest, o Options, onText func(string)) (Result, error) {
 	body, err := json.Marshal(r)
@@ -351,9 +356,13 @@
 const connectionRetryDelay = 50 * time.Millisecond
 
 // retryDelay returns the delay before a retry, and whether the error permits a retry. An EntryError permits one if
-// it states a delay and either the request did not run or it has a ticket. Any other error permits one only if the
-// request has a ticket, since the request may have run.
+// it states a delay and either the request did not run or it has a ticket. An UnsentError permits one. Any other
+// error permits one only if the request has a ticket, since the request may have run.
 func retryDelay(err error, o Options) (time.Duration, bool) {
+	var unsent *UnsentError
+	if errors.As(err, &unsent) {
+		return connectionRetryDelay, true
+	}
 	var entryErr *EntryError
 	if !errors.As(err, &entryErr) {
 		// The connection failed or the response is incomplete: the request may have run.
--- a/cmd/sapphireramp/ask.go
+++ b/cmd/sapphireramp/ask.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -124,17 +125,26 @@
 	}}
 }
 
+// outcomeOf returns the outcome of a request: the one that the entry reported, not_run if the request was not sent,
+// and unknown if it failed otherwise. With a ticket, an earlier try of the request may have run.
+func outcomeOf(r client.Result, err error) api.Outcome {
+	var unsent *client.UnsentError
+	entryErr, isReported := asEntryError(err)
+	switch {
+	case err == nil:
+		return api.OutcomeAnswered
+	case isReported:
+		return entryErr.Detail.Outcome
+	case errors.As(err, &unsent) && r.Ticket == "":
+		return api.OutcomeNotRun
+	}
+	return api.OutcomeUnknown
+}
+
 // reportResult returns err. If printSummary is set, it first prints the result of a request as one line of
-// key=value pairs. The outcome is the one that the entry reported, or unknown if the request failed without
-// such a report.
+// key=value pairs.
 func reportResult(r client.Result, err error, printSummary bool) error {
-	outcome := api.OutcomeAnswered
-	if err != nil {
-		outcome = api.OutcomeUnknown
-	}
-	if entryErr, ok := asEntryError(err); ok {
-		outcome = entryErr.Detail.Outcome
-	}
+	outcome := outcomeOf(r, err)
 	if printSummary {
 		_, _ = fmt.Printf("outcome=%s tokens=%d first_token_ms=%d took_ms=%d entry=%s tries=%d\n",
 			outcome, r.Tokens, r.TimeToFirstToken.Milliseconds(), r.Elapsed.Milliseconds(), r.Entry, r.Tries)
--- a/cmd/sapphireramp/load.go
+++ b/cmd/sapphireramp/load.go
@@ -180,22 +180,14 @@
 }
 
 // sendRequest sends a prompt of the given number of tokens and records the outcome in the results of the
-// class with the given index in lengthClasses. The outcome is unknown if the request failed without an error
-// reported by an entry.
+// class with the given index in lengthClasses.
 func (l *loadTest) sendRequest(ctx context.Context, class, tokens int) {
 	r := l.request
 	r.Prompt = strings.Repeat(fillerToken, tokens)
 	result, err := l.client.Complete(ctx, r, client.Options{Timeout: l.timeout}, nil)
-	outcome := api.OutcomeAnswered
-	if err != nil {
-		outcome = api.OutcomeUnknown
-	}
-	if entryErr, ok := asEntryError(err); ok {
-		outcome = entryErr.Detail.Outcome
-	}
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	l.results[class].outcomes[outcome]++
+	l.results[class].outcomes[outcomeOf(result, err)]++
 	if err == nil {
 		_ = l.results[class].timeToFirstToken.RecordValue(result.TimeToFirstToken.Microseconds())
 	}
