--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test build lint slopes soak processes fuzz
+.PHONY: demo test build lint slopes soak processes stops fuzz
 
 build:
 	go build -o bin/ ./cmd/...
@@ -32,6 +32,14 @@
 	@echo "seeds $(SEED) and on"
 	go test ./soak -timeout 60m -soak.seeds=$(SEEDS) -soak.seed=$$(( $(SEED) % 100000 ))
 
+# The scenarios named by SCENARIOS with processes that run for 0.1 s and stand still for up to STOP, at random:
+# make stops SEED=7 STOP=900ms. Their bounds are those of processes that run, so that long stops break them.
+SCENARIOS ?= two-at-once|memory-killed-entry|group-lost-share
+STOP ?= 400ms
+stops:
+	@echo "seed $(SEED)"
+	go test ./scenario -count=1 -run 'TestScenarios/($(SCENARIOS))$$' -stops.pause $(STOP) -stops.seed $(SEED)
+
 # The slopes that docs/CAPACITY.md is worked out from. Takes some minutes.
 slopes:
 	go test ./router ./validator ./server -run XXX -bench . -benchtime 500ms | grep -E '^(Benchmark|FAIL)'
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -301,6 +301,7 @@
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
+	go stopAtRandom(name, p.cmd.Process)
 	exited := make(chan error, 1)
 	p.exited = exited
 	go func(c *exec.Cmd) { exited <- c.Wait(); _ = log.Close() }(p.cmd)
