server: a renewal with an error status, or of an engine that is not listed, confirms nothing

Found when the mend of expiring shards was read: a reply with a status of an error was read as an empty list of missing holds, so that it confirmed them, and holds at an engine that had left the list were not renewed at all, which counted as no failure. Other calls to engines check the status.

--- a/client/client.go
+++ b/client/client.go
@@ -281,8 +281,8 @@
 // Complete sends a prompt, with retries, and returns the complete response. If the response is streamed, onText,
 // unless nil, is called with the text of each chunk in order; a retry starts again with the first chunk. The error
 // wraps an EntryError if an entry refused the request or reported its failure, an UnsentError if the request could
-// not be sent, and is a TruncatedError if the response was incomplete. Tries and Ticket of the result are set also on errors, except if the request can't be
-// encoded.
+// not be sent, and is a TruncatedError if the response was incomplete. Tries and Ticket of the result are set
+// also on errors, except if the request can't be encoded.
 func (c *Client) Complete(ctx context.Context, r api.CompletionRequest, o Options, onText func(string)) (Result, error) {
 	body, err := json.Marshal(r)
 	if err != nil {
--- a/server/complete.go
+++ b/server/complete.go
@@ -25,8 +25,8 @@
 	// pauses and new engines are chosen.
 	maxKeepersAsked = 3
 	// A prompt that needs a group of engines is refused if none could be reserved within the prompt's
-	// remaining time divided by groupWaitDivisor, or by its deadline if its answer has begun. Between two tries to reserve a group, it waits for a random
-	// time of one to two minGroupRetryInterval.
+	// remaining time divided by groupWaitDivisor, or by its deadline if its answer has begun. Between two
+	// tries to reserve a group, it waits for a random time of one to two minGroupRetryInterval.
 	groupWaitDivisor      = 4
 	minGroupRetryInterval = 80 * time.Millisecond
 )
--- a/server/group_test.go
+++ b/server/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"regexp"
 	"slices"
 	"strings"
@@ -136,13 +137,35 @@
 }
 
 // Guards against an answer that goes on without a shard of its prompt: a member of the group is killed for good,
-// so that it never replies that it lost the shard. The renewals fail, and the lease expires.
+// so that it never replies that it lost the shard, or its hold can't be renewed for another reason. The
+// lease expires.
 func TestGroupWithoutAMemberIsReplaced(t *testing.T) {
-	is := is.New(t)
-	log, took := withGroupAnswer(t, 4, func(f *testFleet, group []*testEngine) { f.killEngine(group[1]) })
-	is.True(strings.Contains(log, "engine-2 no longer has the hold"))
-	is.Equal(groupsIn(log), []string{"engine-1,engine-2,engine-3", "engine-1,engine-3,engine-4"})
-	is.True(took < 20*time.Second+groupResumeTime)
+	cases := map[string]func(f *testFleet, member *testEngine){
+		"killed": func(f *testFleet, member *testEngine) { f.killEngine(member) },
+		"renewals fail": func(f *testFleet, member *testEngine) {
+			whole := member.server.Handler()
+			f.replaceHandler(member, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if strings.HasSuffix(r.URL.Path, "/renew") {
+					http.Error(w, "unavailable", http.StatusServiceUnavailable)
+					return
+				}
+				whole.ServeHTTP(w, r)
+			}))
+		},
+		"no longer listed": func(f *testFleet, member *testEngine) {
+			f.instanceList.Instances = slices.DeleteFunc(f.instanceList.Instances, func(i api.Instance) bool { return i.Name == member.name })
+			f.publishList()
+		},
+	}
+	for name, interrupt := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			log, took := withGroupAnswer(t, 4, func(f *testFleet, group []*testEngine) { interrupt(f, group[1]) })
+			is.True(strings.Contains(log, "engine-2 no longer has the hold"))
+			is.Equal(groupsIn(log), []string{"engine-1,engine-2,engine-3", "engine-1,engine-3,engine-4"})
+			is.True(took < 20*time.Second+groupResumeTime)
+		})
+	}
 }
 
 // Guards against an answer that is given up half-way, although its caller would wait: its group needs all engines,
--- a/server/renew.go
+++ b/server/renew.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -157,40 +158,51 @@
 	}
 }
 
+// renewHolds renews holds at an engine and records the result. An engine that is no longer listed is not asked.
 func (s *Server) renewHolds(engine string, ids []string) {
 	u, ok := s.current.Load().engines[engine]
 	if !ok {
+		s.onControl(func(c *control) { c.recordFailedRenewal(time.Now(), engine, ids) })
 		return
 	}
-	var missing api.EngineHoldRenewal
 	startedAt := time.Now()
-	base := sling.New().Client(s.engineClient).Base("http://" + u.Address.String())
-	_, err := base.Post(api.PathHolds + "/renew").BodyJSON(api.EngineHoldRenewal{IDs: ids}).ReceiveSuccess(&missing)
+	missing, err := s.requestRenewal(engine, u.Address.String(), ids)
 	if err != nil {
-		s.logs.keep.Warn("renew_failed", zap.String("engine", engine), zap.Int("holds", len(ids)), zap.Error(err))
 		s.onControl(func(c *control) { c.recordFailedRenewal(time.Now(), engine, ids) })
 		return
 	}
-	s.onControl(func(c *control) { c.recordConfirmed(engine, ids, missing.IDs, startedAt) })
+	s.onControl(func(c *control) { c.recordConfirmed(engine, ids, missing, startedAt) })
 	// A missing hold may not have been made yet, or may have been released meanwhile. It is lost only if it
 	// is still registered and missing after engineCallTimeout.
-	if len(missing.IDs) > 0 {
-		time.AfterFunc(engineCallTimeout, func() { s.reportLostHolds(engine, u.Address.String(), missing.IDs) })
+	if len(missing) > 0 {
+		time.AfterFunc(engineCallTimeout, func() { s.reportLostHolds(engine, u.Address.String(), missing) })
+	}
+}
+
+// requestRenewal asks an engine to renew holds, and returns those that it does not have. It logs an error.
+func (s *Server) requestRenewal(engine, address string, ids []string) (missing []string, err error) {
+	var reply api.EngineHoldRenewal
+	base := sling.New().Client(s.engineClient).Base("http://" + address)
+	response, err := base.Post(api.PathHolds + "/renew").BodyJSON(api.EngineHoldRenewal{IDs: ids}).ReceiveSuccess(&reply)
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d", response.StatusCode)
 	}
+	if err != nil {
+		s.logs.keep.Warn("renew_failed", zap.String("engine", engine), zap.Int("holds", len(ids)), zap.Error(err))
+		return nil, fmt.Errorf("renew holds: %w", err)
+	}
+	return reply.IDs, nil
 }
 
 // reportLostHolds asks the engine again to renew the holds that it did not have, and calls onLost for those
 // that are still missing and registered.
 func (s *Server) reportLostHolds(engine, address string, ids []string) {
-	var missing api.EngineHoldRenewal
-	base := sling.New().Client(s.engineClient).Base("http://" + address)
-	_, err := base.Post(api.PathHolds + "/renew").BodyJSON(api.EngineHoldRenewal{IDs: ids}).ReceiveSuccess(&missing)
+	missing, err := s.requestRenewal(engine, address, ids)
 	if err != nil {
-		s.logs.keep.Warn("renew_failed", zap.String("engine", engine), zap.Int("holds", len(ids)), zap.Error(err))
-		return
+		return // logged; the next renewal finds out
 	}
 	s.onControl(func(c *control) {
-		for _, id := range missing.IDs {
+		for _, id := range missing {
 			if h, held := c.ownHolds[engine][id]; held {
 				c.loseHold(id, h, holdLostError{Engine: engine})
 			}
