--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -229,7 +229,7 @@
 red begun-progress server/complete.go 's/c\.fruitlessAttempts = 0/_ = delivered/' ./server TestAnswerThatProgressesIsNotGivenUp
 red begun-wait placer/placer.go 's/p\.roomDeadline, p\.waitsForEngine = deadline, true/p.waitsForEngine = false/' ./placer TestBegunAnswerWaitsUntilItsDeadline
 red unsent client/client.go 's/if !isSent\(\) \{/if !isSent() \&\& false {/' ./client TestUnsentRequestIsSentToAnotherEntry
-red group-lease-status server/renew.go 's/response\.StatusCode != http\.StatusOK/response.StatusCode == 0/' ./server 'TestGroupWithoutAMemberIsReplaced/renewals'
+red group-lease-status server/renew.go 's/response\.StatusCode != http\.StatusOK/response.StatusCode == http.StatusTeapot/' ./server 'TestGroupWithoutAMemberIsReplaced/renewals'
 red group-lease-listed server/renew.go 's/if !ok \{\n.*\n/if !ok {\n/' ./server 'TestGroupWithoutAMemberIsReplaced/no'
 red inherited controller/peers.go 's/return b\.Epoch == s\.follower\.Position\(\)\.Epoch && b\.Inherited/return false \&\& b.Inherited/' ./launcher TestStartedEntryLearnsWhatTheStoreLost
 red inherited-bound follower/inherited.go 's/until\.After\(latest\)/false/; s/begunAt\.Before\(f\.epochBegunAt\)/false/' ./follower TestInheritedKnowledgeEnds
