quarantiner: late confirmed crashes wait for the reports of others like any other

A request that only was there could be refused for five minutes: TestConfirmedCrashesAwaitReportsOfOthers, red without this.

The second for which a crash waits counts from when it was recorded, if that was over a second after it.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -231,6 +231,7 @@
 red unsent client/client.go 's/if !isSent\(\) \{/if !isSent() \&\& false {/' ./client TestUnsentRequestIsSentToAnotherEntry
 red group-lease-status server/renew.go 's/response\.StatusCode != http\.StatusOK/response.StatusCode == http.StatusTeapot/' ./server 'TestGroupWithoutAMemberIsReplaced/renewals'
 red group-lease-listed server/renew.go 's/if !ok \{\n.*\n/if !ok {\n/' ./server 'TestGroupWithoutAMemberIsReplaced/no'
+red confirmed-age quarantiner/quarantiner.go 's/if k\.recordedAt\.Sub\(k\.Ended\) > minCrashAge/if false/' ./quarantiner TestConfirmedCrashesAwaitReportsOfOthers
 red inherited controller/peers.go 's/return b\.Epoch == s\.follower\.Position\(\)\.Epoch && b\.Inherited/return false \&\& b.Inherited/' ./launcher TestStartedEntryLearnsWhatTheStoreLost
 red inherited-later follower/inherited.go 's/isUnknown && k\.listed\.Revision > l\.Revision/isUnknown \&\& false/' ./follower TestLaterIncarnationIsNotTakenForOneThatLeft
 red inherited-bound follower/inherited.go 's/until\.After\(latest\)/false/; s/begunAt\.Before\(f\.epochBegunAt\)/false/' ./follower TestInheritedKnowledgeEnds
--- a/quarantiner/evaluate.go
+++ b/quarantiner/evaluate.go
@@ -15,7 +15,7 @@
 	// if another fingerprint that ran on the same incarnations has as many crashes, or if half of
 	// all upstreams exited at the time.
 	conclusiveCrashes = 4
-	// minCrashAge is the age from which assess includes a crash: by then every entry has reported
+	// minCrashAge is the age (see knownCrash.age) from which assess includes a crash: by then every entry has reported
 	// which other requests the incarnation ran. For a fingerprint with conclusiveCrashes the age is
 	// conclusiveMinCrashAge, because other requests matter less and each retry crashes one more
 	// upstream.
@@ -68,7 +68,7 @@
 		return nil
 	}
 	exits := q.collectExits()
-	q.needsEvaluation = slices.ContainsFunc(exits.all, func(e *incarnationExit) bool { return now.Sub(e.at) < minCrashAge })
+	q.needsEvaluation = q.hasYoungCrash(now)
 	var out []Decision
 	for {
 		d, ok := q.mostSignificant(now, exits)
@@ -82,6 +82,16 @@
 	}
 }
 
+// hasYoungCrash reports whether a crash is still too young to be judged. The lock must be held.
+func (q *Quarantiner) hasYoungCrash(now time.Time) bool {
+	for _, p := range q.suspects {
+		if slices.ContainsFunc(p.crashes, func(k knownCrash) bool { return k.age(now) < minCrashAge }) {
+			return true
+		}
+	}
+	return false
+}
+
 // incarnationExits holds the exits of upstream incarnations that the recorded crashes report.
 type incarnationExits struct {
 	// all holds every exit, in no particular order.
@@ -155,7 +165,7 @@
 	}
 	for _, s := range p.crashes {
 		e := exits.find(s.Crash)
-		if now.Sub(s.Ended) < minAge || q.ranQuarantinedOther(fp, e) {
+		if s.age(now) < minAge || q.ranQuarantinedOther(fp, e) {
 			continue
 		}
 		counted = append(counted, e)
--- a/quarantiner/interruptions_test.go
+++ b/quarantiner/interruptions_test.go
@@ -37,3 +37,31 @@
 	}
 	is.Equal(len(q.ConfirmExit(now, 1)), 1024)
 }
+
+// Guards against a request that is quarantined because it was sent to the same upstreams as one that crashes them:
+// interruptions are confirmed seconds after the crashes, several at once, and what other entries had sent there
+// has not been received yet.
+func TestConfirmedCrashesAwaitReportsOfOthers(t *testing.T) {
+	is := is.New(t)
+	q, start := quarantiner.New(), time.Unix(1000, 0)
+	q.SetUpstreamCount(20)
+	innocent, crashing := quarantiner.FingerprintOf([]byte("innocent")), quarantiner.FingerprintOf([]byte("crashing"))
+	crash := func(fp quarantiner.Fingerprint, i int, ran time.Duration) quarantiner.Crash {
+		ended := start.Add(time.Duration(i) * 1500 * time.Millisecond)
+		return quarantiner.Crash{Fingerprint: fp, Incarnation: quarantiner.IncarnationHash(i + 1), LastSent: ended.Add(-ran), Ended: ended}
+	}
+	for i := range 3 {
+		q.RecordInterruption(start, crash(innocent, i, time.Second))
+	}
+	now := start.Add(6 * time.Second)
+	for i := range 3 {
+		is.Equal(len(q.ConfirmExit(now, quarantiner.IncarnationHash(i+1))), 1)
+	}
+	is.Equal(len(q.Evaluate(now)), 0)
+	for i := range 3 {
+		q.RecordCrash(now.Add(500*time.Millisecond), crash(crashing, i, 60*time.Millisecond))
+	}
+	is.Equal(len(q.Evaluate(now.Add(time.Second))), 0)
+	_, isRefused := q.QuarantinedUntil(now.Add(2*time.Second), innocent)
+	is.True(!isRefused)
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -77,6 +77,17 @@
 type knownCrash struct {
 	Crash
 	broadcastsLeft int
+	// recordedAt is when this entry recorded the crash.
+	recordedAt time.Time
+}
+
+// age returns for how long the entries have been able to report what else the incarnation ran: since it ended, or
+// since the crash was recorded if that was more than minCrashAge later.
+func (k knownCrash) age(now time.Time) time.Duration {
+	if k.recordedAt.Sub(k.Ended) > minCrashAge {
+		return now.Sub(k.recordedAt)
+	}
+	return now.Sub(k.Ended)
 }
 
 // lastActivity returns the time of the last crash, or of the last success if there is no crash.
@@ -171,7 +182,7 @@
 	if isRefuted(p.lastSuccess, crash.Ended) || now.Sub(crash.Ended) > crashTTL {
 		return
 	}
-	p.crashes = append(p.crashes, knownCrash{Crash: crash, broadcastsLeft: broadcastsPerItem})
+	p.crashes = append(p.crashes, knownCrash{Crash: crash, broadcastsLeft: broadcastsPerItem, recordedAt: now})
 	slices.SortFunc(p.crashes, func(a, b knownCrash) int { return a.Ended.Compare(b.Ended) })
 	p.crashes = p.crashes[max(0, len(p.crashes)-maxCrashesPerSuspect):]
 	q.needsEvaluation = true
