--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -61,7 +61,7 @@
 red tie validator/document.go 's/return v\.Digest < o\.Digest/return false/' $s TestScenarios/config-operators
 red list server/control.go 's/if !c\.lister\.Offer\(now, data, age\)/if age > 0 || !c.lister.Offer(now, data, age)/' $s TestScenarios/platform-down
 red fence planner/planner.go 's/next := lastSeen>>keeperBits \+ 1/next := uint64(1)/' $s TestScenarios/orders-version
-red lost-share server/group.go 's/s\.registerHold\(shard\.Engine, shard\.HoldID, onLost\)/s.registerHold(shard.Engine, shard.HoldID, func() {})/' $s TestScenarios/group-lost-share
+red lost-share server/group.go 's/ownHold\{isShard: true, onLost: onLost\}/ownHold{onLost: func(holdLostError) {}}/' $s TestScenarios/group-lost-share
 red body-deadline server/filters.go 's/connection\.SetReadDeadline\(x\.deadline\)/connection.SetReadDeadline(time.Time{})/' $s TestScenarios/finish-stalled-body
 red waking server/filters.go 's/_ = connection\.SetWriteDeadline\(time\.Now\(\)\.Add\(deadlineSlack\)\)//' $s TestScenarios/finish-woken-entry
 red seal server/control.go 's/len\(s\.sealKeys\) > 0/false/' $s TestScenarios/console-operators
