controller: one cache for what is sent compressed

Both use the hash now, which is the safe one, and the position goes. No change of behaviour; encoding the list no longer holds the lock.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -210,7 +210,7 @@
 red epoch-unreadable follower/epoch.go 's/s\.Epoch\+\+/_ = s/' ./launcher TestChangesAreInForceWithoutAReadableEpoch
 red epoch-starts controller/peers.go 's/ \|\| b\.ConfigVersion > config\.Version//; s/_, config := s\.follower\.Config\(\)\n\treturn/return/' ./launcher TestLostConfigurationStaysInForce
 red newest-revision follower/fingerprint.go 's/sum \^= hashItem\((kind|"evacuation"), \w+, (k\.listed|known)\.Revision\)/_, sum = $1, max(sum, uint64($2.Revision))/g; s/hashItem\("config", "", [^)]*\), uint64/uint64(f.configStamp.Revision), uint64/' ./follower TestEqualFingerprintsOfOneThatStartsMeanEqualEvacuations
-red snapshot-cache controller/fetch.go 's/ && c\.fingerprint == fingerprint//' ./controller TestPackedSnapshotIsOfThePresentState
+red snapshot-cache controller/fetch.go 's/ && c\.fingerprint == fingerprint/ \&\& fingerprint != 0/' ./controller TestPackedSnapshotIsOfThePresentState
 red group-exclusion server/group.go 's/len\(needs\.Exclude\) > 0/false/' ./server TestGroupOfAllEnginesIsResumed
 red too-long server/group.go 's/ && !c\.fitsListedEngines\(needs\)//' ./server TestPromptThatFitsTheDocumentIsNotTooLong
 red group-lost server/group.go 's/errors\.As\(context\.Cause\(ctx\), &lost\)/false/' ./server TestGroupAvoidsEngineThatLostItsShard
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -87,11 +87,11 @@
 	// of the store's state from peers. They are separate because a heartbeat queued
 	// behind a large reply on the same connection would arrive late.
 	heartbeatPool, fetchPool *connector.Pool
-	// compressed caches the configuration in the form in which it is sent to peers.
-	compressed compressedConfig
+	// configs caches the configuration in the form in which it is sent to peers.
+	configs deflateCache
 	// snapshots caches the complete list of upstreams in that form. fetchSlots limits the fetches of it
 	// that are served at the same time.
-	snapshots   packedSnapshot
+	snapshots   deflateCache
 	fetchSlots  chan struct{}
 	loadSenders loadSenders
 	loadCounts  loadCounts
--- a/controller/fetch.go
+++ b/controller/fetch.go
@@ -94,49 +94,61 @@
 	}
 	var err error
 	if reply.State.Config != nil {
-		reply.Config, err = p.controller.compressed.compress(reply.State)
+		if reply.Config, err = p.controller.configs.deflate(reply.State.Config); err != nil {
+			err = fmt.Errorf("compress configuration: %w", err)
+		}
 		reply.State.Config = nil
 	}
 	if err == nil && reply.Whole {
-		reply.Snapshot, err = p.controller.snapshots.pack(reply.State)
+		reply.Snapshot, err = p.controller.snapshots.packSnapshot(reply.State)
 		reply.State = follower.State{ConfigEpoch: reply.State.ConfigEpoch, ConfigRevision: reply.State.ConfigRevision}
 	}
 	return err
 }
 
-// packedSnapshot caches the latest fetched list of all upstreams as it is sent to peers. Many entries
-// that start at once fetch the same one.
-type packedSnapshot struct {
+// deflateCache caches the data that was compressed last. Many entries fetch the same configuration, and, when
+// they start at once, the same list of all upstreams. Routes resemble each other, so that compression reduces
+// a configuration to a tenth of its size. The key is a hash of the data: neither revisions nor
+// positions identify a state, as what is known from earlier epochs changes without one.
+type deflateCache struct {
 	lock sync.Mutex
-	// fingerprint is a hash of the encoded state in data; 0 before the first. The revisions alone do not
-	// identify a state: what is known from earlier epochs changes without one.
+	// fingerprint is a hash of the uncompressed data, compressed the result; nil before the first.
 	fingerprint uint64
-	data        []byte
+	compressed  []byte
 }
 
-// pack returns a state, without its configuration, encoded with gob and compressed with DEFLATE. It takes
-// the result from the cache if that holds the same state. Most of the work is the compression.
-func (c *packedSnapshot) pack(s follower.State) ([]byte, error) {
+// deflate returns data compressed with DEFLATE, from the cache if it holds the same data. It holds the lock
+// meanwhile, so that concurrent fetches wait for one compression.
+func (c *deflateCache) deflate(data []byte) ([]byte, error) {
+	fingerprint := xxhash.Sum64(data)
 	c.lock.Lock()
 	defer c.lock.Unlock()
+	if c.compressed != nil && c.fingerprint == fingerprint {
+		return c.compressed, nil
+	}
+	compressed, err := deflate(data)
+	if err != nil {
+		return nil, err
+	}
+	c.fingerprint, c.compressed = fingerprint, compressed
+	return compressed, nil
+}
+
+// packSnapshot returns a state, without its configuration, encoded with gob and compressed with DEFLATE.
+func (c *deflateCache) packSnapshot(s follower.State) ([]byte, error) {
 	s.ConfigEpoch, s.ConfigRevision, s.ConfigVersion = 0, 0, 0
 	var encoded bytes.Buffer
 	if err := gob.NewEncoder(&encoded).Encode(s); err != nil {
 		return nil, fmt.Errorf("encode upstreams: %w", err)
 	}
-	fingerprint := xxhash.Sum64(encoded.Bytes())
-	if c.data != nil && c.fingerprint == fingerprint {
-		return c.data, nil
-	}
-	data, err := deflate(encoded.Bytes())
+	data, err := c.deflate(encoded.Bytes())
 	if err != nil {
 		return nil, fmt.Errorf("compress upstreams: %w", err)
 	}
-	c.fingerprint, c.data = fingerprint, data
 	return data, nil
 }
 
-// unpackSnapshot returns the state that packedSnapshot.pack encoded as data.
+// unpackSnapshot returns the state that deflateCache.packSnapshot encoded as data.
 func unpackSnapshot(data []byte) (follower.State, error) {
 	encoded, err := inflate(data)
 	if err != nil {
@@ -170,34 +182,6 @@
 	}
 }
 
-// compressedConfig caches the latest fetched configuration in compressed form, so that each
-// revision is compressed once for all peers. Routes resemble each other, so compression reduces
-// a configuration to a tenth of its size.
-type compressedConfig struct {
-	lock sync.Mutex
-	// position is the epoch and the revision of the configuration in data; zero before the first.
-	position follower.Position
-	data     []byte
-}
-
-// compress returns the configuration of a state compressed with DEFLATE, from the cache if it
-// holds the one of the same epoch and revision. It holds the lock meanwhile, so that concurrent fetches
-// wait for one compression.
-func (c *compressedConfig) compress(s follower.State) ([]byte, error) {
-	position := follower.Position{Epoch: s.ConfigEpoch, Revision: s.ConfigRevision}
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	if c.data != nil && c.position == position {
-		return c.data, nil
-	}
-	data, err := deflate(s.Config)
-	if err != nil {
-		return nil, fmt.Errorf("compress configuration: %w", err)
-	}
-	c.position, c.data = position, data
-	return c.data, nil
-}
-
 // deflate returns data compressed with DEFLATE.
 func deflate(data []byte) ([]byte, error) {
 	var out bytes.Buffer
--- a/controller/fetch_test.go
+++ b/controller/fetch_test.go
@@ -30,15 +30,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			var cache packedSnapshot
+			var cache deflateCache
 			for _, s := range change {
 				s.Epoch, s.Revision = 2, 9
-				data, err := cache.pack(s)
+				data, err := cache.packSnapshot(s)
 				is.NoErr(err)
 				got, err := unpackSnapshot(data)
 				is.NoErr(err)
 				is.Equal(got, s)
-				again, err := cache.pack(s)
+				again, err := cache.packSnapshot(s)
 				is.NoErr(err)
 				is.True(&again[0] == &data[0]) // from the cache
 			}
