--- a/follower/inherited.go
+++ b/follower/inherited.go
@@ -24,6 +24,9 @@
 // Inherited returns what is known from earlier epochs at the time now, sorted by ID and by name.
 func (f *Follower) Inherited(now time.Time) Inherited {
 	in := Inherited{EpochAge: max(0, now.Sub(f.epochBegunAt))}
+	if f.InheritedFingerprint() == 0 {
+		return in // nothing is inherited
+	}
 	for _, id := range slices.Sorted(maps.Keys(f.instances)) {
 		k := f.instances[id]
 		if k.isRegisteredLeft() {
