--- a/server/fleet_test.go
+++ b/server/fleet_test.go
@@ -239,6 +239,17 @@
 	}(e.server)
 }
 
+// restartWithLog restarts the first entry, whose log is f.log from then on, and waits until keepers have received
+// reports of their engines.
+func (f *testFleet) restartWithLog() *testEntry {
+	entry := f.entries[0]
+	f.killEntry(entry)
+	f.log = &lockedBuffer{}
+	f.startEntry(entry)
+	time.Sleep(8 * time.Second)
+	return entry
+}
+
 // killEntry cuts all connections of an entry and then ends it, so that no other process receives anything
 // from its shutdown.
 func (f *testFleet) killEntry(e *testEntry) {
--- a/server/group.go
+++ b/server/group.go
@@ -50,7 +50,7 @@
 }
 
 // reserveGroup chooses a group of engines for the prompt and reserves memory for every shard, or for none.
-// OnLost is called if an engine later reports that it does not have its shard's hold.
+// OnLost is called if an engine later loses its shard's hold (see ownHold.onLost).
 func (c *completion) reserveGroup(ctx context.Context, needs router.Requirements, onLost func(holdLostError)) (*reserver.Reserver, *failure) {
 	x := c.x
 	s := x.server
--- a/server/group_test.go
+++ b/server/group_test.go
@@ -32,11 +32,7 @@
 	t.Helper()
 	withTestFleet(t, 2, engines, func(f *testFleet) {
 		is := is.New(t)
-		entry := f.entries[0]
-		f.killEntry(entry)
-		f.log = &lockedBuffer{}
-		f.startEntry(entry)
-		time.Sleep(8 * time.Second) // keepers receive reports of their engines
+		entry := f.restartWithLog()
 		var result client.Result
 		var err error
 		answered := make(chan struct{})
@@ -114,11 +110,7 @@
 func TestGroupAvoidsUnreachableEngine(t *testing.T) {
 	is := is.New(t)
 	withTestFleet(t, 2, 4, func(f *testFleet) {
-		entry := f.entries[0]
-		f.killEntry(entry)
-		f.log = &lockedBuffer{}
-		f.startEntry(entry)
-		time.Sleep(8 * time.Second)
+		entry := f.restartWithLog()
 		f.net.Disconnect(entry.host, f.engines[1].host)
 		_, err := f.directClient(entry, 1).Complete(context.Background(), groupPrompt(), client.Options{Timeout: 100 * time.Second}, nil)
 		is.NoErr(err)
--- a/server/stream_test.go
+++ b/server/stream_test.go
@@ -19,11 +19,7 @@
 func TestReasonOfEndedAttemptIsLogged(t *testing.T) {
 	withTestFleet(t, 1, 3, func(f *testFleet) {
 		is := is.New(t)
-		entry := f.entries[0]
-		f.killEntry(entry)
-		f.log = &lockedBuffer{}
-		f.startEntry(entry)
-		time.Sleep(8 * time.Second)
+		entry := f.restartWithLog()
 		for _, e := range f.engines {
 			whole := e.server.Handler()
 			f.replaceHandler(e, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
