tunneler, launcher: an entry tells when it is cut off from all upstreams

Whether an entry reaches any upstream could be told neither from its log nor from its metrics: each attempt was told by itself. All connections to upstreams are opened by one part now, which sees that different ones fail one after the other and none is reached in between: events upstreams_lost and upstreams_regained, and the gauge upstreams_cut_off. Requests are served as before.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -27,6 +27,7 @@
 	"github.com/sapphireramp/sapphireramp/prober"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/sequencer"
+	"github.com/sapphireramp/sapphireramp/tunneler"
 )
 
 // Store holds the functions that read the platform's store. Each returns an error
@@ -68,6 +69,8 @@
 	// Quarantine exchanges reports of requests that crash upstreams with other
 	// entries, as part of heartbeats.
 	Quarantine *quarantiner.Quarantiner
+	// Tunneler opens the connections to upstreams, and receives their addresses.
+	Tunneler *tunneler.Tunneler
 	// Dial opens the connections to other entries.
 	Dial  connector.DialFunc
 	Log   *zap.Logger
--- a/controller/scale_test.go
+++ b/controller/scale_test.go
@@ -17,6 +17,7 @@
 	"github.com/sapphireramp/sapphireramp/follower"
 	"github.com/sapphireramp/sapphireramp/prober"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
+	"github.com/sapphireramp/sapphireramp/tunneler"
 )
 
 // The tests in this file guard against work of an entry that grows with the size of the fleet. They compare
@@ -27,7 +28,7 @@
 // entries, all of which have sent it a heartbeat.
 func newTestState(members int) *state {
 	c := New(Config{
-		Name: "self", DataCentre: "dc-0", Dispatcher: dispatcher.New("dc-0", rand.New(rand.NewPCG(1, 1))), Quarantine: quarantiner.New(),
+		Name: "self", DataCentre: "dc-0", Dispatcher: dispatcher.New("dc-0", rand.New(rand.NewPCG(1, 1))), Quarantine: quarantiner.New(), Tunneler: tunneler.New(tunneler.Config{Log: zap.NewNop(), Scope: tally.NoopScope}),
 		MaxPropagation: 2 * time.Second, Log: zap.NewNop(), Scope: tally.NoopScope,
 	})
 	s := &state{
--- a/controller/view.go
+++ b/controller/view.go
@@ -78,6 +78,7 @@
 		s.confirmExits(c.config.Dispatcher.UpdateUpstreams(s.table, usable))
 	}
 	c.config.Quarantine.SetUpstreamCount(len(usable))
+	c.config.Tunneler.SetUpstreams(addresses(usable))
 	c.metrics.configRevision.Update(float64(config.Revision))
 	c.metrics.storeEpoch.Update(float64(s.follower.Position().Epoch))
 	c.metrics.members.Update(float64(s.upCount))
@@ -148,6 +149,15 @@
 	return hasNewPeers
 }
 
+// addresses returns the addresses of upstreams, in the same order.
+func addresses(instances []dispatcher.Instance) []netip.AddrPort {
+	out := make([]netip.AddrPort, len(instances))
+	for i, instance := range instances {
+		out[i] = instance.Address
+	}
+	return out
+}
+
 // names returns the names of entries, in the same order.
 func names(entries []readyEntry) []string {
 	out := make([]string, len(entries))
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -26,6 +26,7 @@
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/forwarder"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
+	"github.com/sapphireramp/sapphireramp/tunneler"
 )
 
 // Settings holds the settings that can change while the entry runs.
@@ -147,13 +148,14 @@
 	sharedDispatcher := dispatcher.New(c.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	l := &Launcher{config: c, retryBudget: budgeter.New(c.Settings.RetryBudget), activeConns: connector.NewActiveConns(), acceptDone: make(chan struct{})}
 	l.settings.Store(&c.Settings)
+	upstreamTunneler := tunneler.New(tunneler.Config{Dial: c.Dial, Log: c.Log, Scope: c.Scope})
 	l.controller = controller.New(controller.Config{
 		Name: c.Name, DataCentre: c.DataCentre, Incarnation: uint64(time.Now().UnixNano()),
-		CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, LoadAddress: c.LoadAddress, Store: c.Store, MaxPropagation: c.MaxPropagation, Speed: c.Speed, SinceBoot: c.SinceBoot, Dispatcher: sharedDispatcher, Quarantine: quarantine, Dial: c.Dial,
+		CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, LoadAddress: c.LoadAddress, Store: c.Store, MaxPropagation: c.MaxPropagation, Speed: c.Speed, SinceBoot: c.SinceBoot, Dispatcher: sharedDispatcher, Quarantine: quarantine, Tunneler: upstreamTunneler, Dial: c.Dial,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	l.forwarder = forwarder.New(forwarder.Config{
-		Protocol: c.Protocol, Reservations: c.Reservations, ReservationTTL: c.ReservationTTL, MaxIdle: c.MaxIdle, View: l.controller.View, Dispatcher: sharedDispatcher, RetryBudget: l.retryBudget, Quarantine: quarantine, Dial: c.Dial,
+		Protocol: c.Protocol, Reservations: c.Reservations, ReservationTTL: c.ReservationTTL, MaxIdle: c.MaxIdle, View: l.controller.View, Dispatcher: sharedDispatcher, RetryBudget: l.retryBudget, Quarantine: quarantine, Dial: upstreamTunneler.Dial,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	return l
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -31,8 +31,9 @@
 	// changed is signalled when a link is closed or hosts are reconnected.
 	changed   *sync.Cond
 	listeners map[netip.AddrPort]*listener
-	// cuts has the pairs of hosts that are disconnected, in both orders.
-	cuts map[[2]netip.Addr]bool
+	// cuts has the pairs of hosts that are disconnected, in both orders. refusals has those of which
+	// either refuses new connections from the other, while open ones go on.
+	cuts, refusals map[[2]netip.Addr]bool
 	// links has the open connections.
 	links       map[*link]bool
 	packetConns map[netip.AddrPort]*packetConn
@@ -68,7 +69,7 @@
 // reach each other.
 func New() *Network {
 	n := &Network{
-		listeners: map[netip.AddrPort]*listener{}, cuts: map[[2]netip.Addr]bool{}, links: map[*link]bool{},
+		listeners: map[netip.AddrPort]*listener{}, cuts: map[[2]netip.Addr]bool{}, refusals: map[[2]netip.Addr]bool{}, links: map[*link]bool{},
 		packetConns: map[netip.AddrPort]*packetConn{}, sendRates: map[netip.Addr]int{}, idleAt: map[netip.Addr]time.Time{},
 	}
 	n.changed = sync.NewCond(&n.lock)
@@ -108,7 +109,8 @@
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		to := netip.MustParseAddrPort(address)
 		n.lock.Lock()
-		l, cut := n.listeners[to], n.cuts[[2]netip.Addr{from, to.Addr()}]
+		pair := [2]netip.Addr{from, to.Addr()}
+		l, cut, refused := n.listeners[to], n.cuts[pair], n.refusals[pair]
 		n.lock.Unlock()
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
@@ -116,7 +118,7 @@
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
-		if l == nil {
+		if l == nil || refused {
 			return nil, errRefused
 		}
 		dialerEnd, dialerPipe := net.Pipe()
@@ -216,6 +218,27 @@
 	delete(n.cuts, [2]netip.Addr{b, a})
 	n.changed.Broadcast()
 	n.lock.Unlock()
+	n.ResetConnections(a, b)
+}
+
+// RefuseConnections makes two hosts refuse new connections from each other until
+// AllowConnections. Open connections go on.
+func (n *Network) RefuseConnections(a, b netip.Addr) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	n.refusals[[2]netip.Addr{a, b}], n.refusals[[2]netip.Addr{b, a}] = true, true
+}
+
+// AllowConnections ends RefuseConnections of two hosts.
+func (n *Network) AllowConnections(a, b netip.Addr) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	delete(n.refusals, [2]netip.Addr{a, b})
+	delete(n.refusals, [2]netip.Addr{b, a})
+}
+
+// ResetConnections closes the open connections between two hosts.
+func (n *Network) ResetConnections(a, b netip.Addr) {
 	n.closeLinks(func(l *link) bool { return l.from == a && l.to == b || l.from == b && l.to == a })
 }
 
