--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -168,7 +170,8 @@
 // copyBytes copies the bytes of a link in one direction, at the sender's rate, until an
 // end is closed. While the hosts are disconnected, it holds the bytes back.
 func (n *Network) copyBytes(l *link, sender netip.Addr, from, to net.Conn) {
-	defer n.closeLink(l)
+	ends := l.ends[:]
+	defer func() { n.closeLink(l, ends) }()
 	buffer := make([]byte, 64<<10)
 	for {
 		size, err := from.Read(buffer)
@@ -186,18 +189,26 @@
 			}
 		}
 		if err != nil {
+			if errors.Is(err, io.EOF) {
+				ends = l.ends[1:3] // the other host reads the end, as of a connection that was closed
+			}
 			return
 		}
 	}
 }
 
-// closeLink closes all ends of a link.
-func (n *Network) closeLink(l *link) {
+// closeLink removes a link and closes ends of it, unless it was removed before. If the ends of the hosts are
+// among them, reads there fail as on a connection that was reset.
+func (n *Network) closeLink(l *link, ends []net.Conn) {
 	n.lock.Lock()
+	isOpen := n.links[l]
 	delete(n.links, l)
 	n.changed.Broadcast()
 	n.lock.Unlock()
-	for _, c := range l.ends {
+	if !isOpen {
+		return
+	}
+	for _, c := range ends {
 		_ = c.Close()
 	}
 }
@@ -272,6 +283,6 @@
 	}
 	n.lock.Unlock()
 	for _, l := range found {
-		n.closeLink(l)
+		n.closeLink(l, l.ends[:])
 	}
 }
