tunneler, forwarder, controller, launcher: an entry that reaches no upstream goes through others

Cause: an entry knew upstreams only one by one, over its own links. It took the cut for a failure of upstream after upstream, had no other way to any, and went on to be named to callers.

A connection to an upstream goes through another entry now where the direct one fails or is late. The relay forwards bytes and decides nothing: the entry that received the request goes on placing it, so that limits, budgets, quarantines and cold rates are counted once, a request is sent on one connection as before, and a relay connects directly only. An upstream is at fault only if whoever failed to connect to it has reached another one since. An entry that failed to reach several different ones is cut off: it asks relays first, tries its own links in the background, forgets what it had held against upstreams, tells other entries, and is not named to callers. Where nobody reaches an upstream, requests are refused at once, with the time that the cut has lasted so far.

--- a/cmd/sapphireramp/gateway.go
+++ b/cmd/sapphireramp/gateway.go
@@ -63,9 +63,6 @@
 	invariants := asserter.New(func(name, detail string) {
 		log.Error("invariant_violated", zap.String("invariant", name), zap.String("detail", detail))
 	})
-	// Each reservation request uses a new connection: engines may close idle connections without notice, and
-	// a request sent on a closed connection can't be distinguished from one that the engine refused.
-	reservationHTTPClient := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	store := platform.NewStore(&http.Client{}, settings.StoreAddress)
 	config := launcher.Config{
 		Name: settings.Name, DataCentre: settings.DataCentre, CallerAddress: settings.CallerAddress, ReadinessAddress: settings.ReadinessAddress,
@@ -76,7 +73,7 @@
 			return reloadableSettings(s), err
 		},
 		Store:    controller.Store{Read: store.Read, Watch: store.Watch, DecodeConfig: platform.DecodeConfig},
-		Protocol: platform.Protocol(), Reservations: platform.NewReservationClient(reservationHTTPClient),
+		Protocol: platform.Protocol(), NewReservationClient: platform.NewReservationClient,
 		MaxPropagation:   settings.MaxPropagation,
 		Speed:            settings.Speed,
 		MaxIdle:          settings.MaxIdle,
--- a/controller/callerentries.go
+++ b/controller/callerentries.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/sapphireramp/sapphireramp/tunneler"
 )
 
 const (
@@ -34,9 +36,9 @@
 // readyEntry is an entry that accepts callers.
 type readyEntry struct {
 	name string
-	// address is where the entry accepts callers.
-	address    netip.AddrPort
-	dataCentre string
+	// address is where the entry accepts callers, peerAddress where it accepts calls of other entries.
+	address, peerAddress netip.AddrPort
+	dataCentre           string
 	capacity
 }
 
@@ -46,6 +48,8 @@
 	speed float64
 	// overloaded is true if the entry's timers fire late.
 	overloaded bool
+	// cutOff is true if the entry reaches no upstream directly.
+	cutOff bool
 }
 
 // lagMeter detects overload of this entry by the delay of its ticks: by how much more than
@@ -74,8 +78,12 @@
 // preferredEntries returns those ready entries whose addresses callers are given: the ones
 // that are fast and not overloaded if there are enough of them (see minFastEntries); otherwise
 // all that are not overloaded; if all are overloaded, all. An entry with a fifth of a core
-// takes five times as long for the work per request as one with a whole core.
+// takes five times as long for the work per request as one with a whole core. Entries that reach no
+// upstream are left out, unless the others have too little speed in total.
 func preferredEntries(ready []readyEntry) []readyEntry {
+	if inContact := withoutCutOff(ready); len(inContact) > 0 && totalSpeed(inContact) >= minFastSpeedFraction*totalSpeed(ready) {
+		ready = inContact
+	}
 	candidates := slices.DeleteFunc(slices.Clone(ready), func(e readyEntry) bool { return e.overloaded })
 	if len(candidates) == 0 {
 		return ready
@@ -91,6 +99,11 @@
 	return fast
 }
 
+// withoutCutOff returns the entries that reach upstreams directly.
+func withoutCutOff(entries []readyEntry) []readyEntry {
+	return slices.DeleteFunc(slices.Clone(entries), func(e readyEntry) bool { return e.cutOff })
+}
+
 // withoutCallers returns the names of the ready entries that are not among the preferred ones, so
 // that callers are not given their addresses.
 func withoutCallers(ready, preferred []readyEntry) map[string]bool {
@@ -113,6 +126,18 @@
 	return sum
 }
 
+// Relays returns the other entries that callers are given and that reach upstreams directly, as far as this
+// entry knows.
+func (c *Controller) Relays() []tunneler.Relay {
+	var out []tunneler.Relay
+	for _, e := range c.current.Load().callerEntries {
+		if !e.cutOff && e.name != c.config.Name {
+			out = append(out, tunneler.Relay{Name: e.name, Address: e.peerAddress, DataCentre: e.dataCentre})
+		}
+	}
+	return out
+}
+
 // CallerAddresses returns the addresses of up to maxAddresses (64) entries to which a caller in
 // the given data centre may connect. Entries of that data centre come first.
 func (c *Controller) CallerAddresses(dataCentre string) []netip.AddrPort {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -69,7 +69,8 @@
 	// Quarantine exchanges reports of requests that crash upstreams with other
 	// entries, as part of heartbeats.
 	Quarantine *quarantiner.Quarantiner
-	// Tunneler opens the connections to upstreams, and receives their addresses.
+	// Tunneler opens the connections to upstreams. It receives their addresses, and serves other entries as a
+	// relay on the connections that they open to this one.
 	Tunneler *tunneler.Tunneler
 	// Dial opens the connections to other entries.
 	Dial  connector.DialFunc
@@ -143,6 +144,8 @@
 	upCount, upCountOfOthers int
 	// hearsOthers is true once this entry has received a heartbeat of another one or a reply.
 	hearsOthers bool
+	// isCutOff is true if this entry reached no upstream directly at the last tick.
+	isCutOff bool
 	// stopping is true once the shutdown of this entry was announced.
 	stopping bool
 	// exitAt is when this entry exits. Callers may use its address until
@@ -264,7 +267,7 @@
 	}
 }
 
-// tick detects overload and suspensions of this process, entries that answer no heartbeats,
+// tick detects overload and suspensions of this process, that it is cut off from upstreams, entries that answer no heartbeats,
 // upstreams that are no longer retained after an outage of the store, and requests to
 // quarantine. It runs once per tickPeriod.
 func (s *state) tick(now time.Time) {
@@ -285,6 +288,10 @@
 		s.controller.config.Dispatcher.DisownRateLimits()
 		s.dirty = true
 	}
+	if isCutOff := s.controller.config.Tunneler.IsCutOff(); isCutOff != s.isCutOff {
+		s.isCutOff, s.dirty = isCutOff, true
+		s.controller.requestHeartbeats()
+	}
 	s.applyMemberChanges(s.prober.Tick(now))
 	s.logStoreChanges(s.follower.Tick(now), "hold_ended")
 	s.logQuarantined(now, s.controller.config.Quarantine.Evaluate(now), "own")
@@ -314,7 +321,7 @@
 
 // capacity returns the capacity that this entry reports to the others.
 func (s *state) capacity() capacity {
-	return capacity{speed: s.controller.config.Speed, overloaded: s.lagMeter.overloaded}
+	return capacity{speed: s.controller.config.Speed, overloaded: s.lagMeter.overloaded, cutOff: s.isCutOff}
 }
 
 // View returns the latest published view, from which requests are served. It must not be
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -44,11 +44,12 @@
 	// At Callers the entry accepts callers, at Peers heartbeats and fetches.
 	Callers, Peers netip.AddrPort
 	DataCentre     string
-	// Ready, Speed and Strained are those of the entry's own heartbeats. Age is the time
+	// Ready, Speed, Strained and CutOff are those of the entry's own heartbeats. Age is the time
 	// since the entry sent them.
 	Ready    bool
 	Speed    float64
 	Strained bool
+	CutOff   bool
 	Age      time.Duration
 }
 
@@ -75,9 +76,11 @@
 	// at an entry that reported a failure to it; negative if no failure is known.
 	Disturbed time.Duration
 	// Speed is the processor capacity of the sender in cores; 0 if unknown.
-	// Strained is true if the sender is overloaded: its timers fire late.
+	// Strained is true if the sender is overloaded: its timers fire late. CutOff is true if it reaches
+	// no upstream directly.
 	Speed    float64
 	Strained bool
+	CutOff   bool
 }
 
 // errStopped is the error that peers receive for a heartbeat to an entry whose control goroutine
@@ -109,13 +112,17 @@
 	return nil
 }
 
-// servePeers serves the calls of other entries until the listener is closed.
+// servePeers serves the calls of other entries, those for tunnels too, until the listener is closed.
 func (c *Controller) servePeers(listener net.Listener) {
 	calls := rpc.NewServer()
 	if err := calls.RegisterName(rpcName, &PeerService{controller: c}); err != nil {
 		c.config.Log.Error("serve_peers", zap.Error(err))
 		return
 	}
+	if err := c.config.Tunneler.Register(calls); err != nil {
+		c.config.Log.Error("serve_peers", zap.Error(err))
+		return
+	}
 	for {
 		connection, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -217,7 +224,7 @@
 			Stopping: s.stopping, Ready: s.table != nil, Revision: uint64(config.Revision), Notices: s.prober.TakeNotices(),
 		},
 		Knows: s.upCount, Known: ok && s.follower.HasState(), Epoch: position.Epoch, StoreRevision: position.Revision, StateFingerprint: s.follower.Fingerprint(), InheritedFingerprint: s.follower.InheritedFingerprint(), ConfigVersion: config.Version, Confirmed: age,
-		Disturbed: s.storeFailureAge(now), Speed: c.Speed, Strained: s.lagMeter.overloaded,
+		Disturbed: s.storeFailureAge(now), Speed: c.Speed, Strained: s.lagMeter.overloaded, CutOff: s.isCutOff,
 	}
 	for m := range s.prober.Random(rand.IntN) {
 		if len(b.Contacts) == limit {
@@ -226,7 +233,7 @@
 		if known, ok := s.capacities[m.Name]; ok && m.IsUp() {
 			b.Contacts = append(b.Contacts, Contact{
 				Name: m.Name, Incarnation: m.Incarnation, Callers: m.Address, Peers: m.PeerAddress, DataCentre: m.DataCentre,
-				Ready: m.Ready, Speed: known.speed, Strained: known.overloaded, Age: now.Sub(known.reportedAt),
+				Ready: m.Ready, Speed: known.speed, Strained: known.overloaded, CutOff: known.cutOff, Age: now.Sub(known.reportedAt),
 			})
 		}
 	}
@@ -310,7 +317,7 @@
 	before, wasKnown := s.prober.Find(b.From)
 	s.applyMemberChanges(s.prober.ReceiveHeartbeat(now, b.Heartbeat))
 	after, _ := s.prober.Find(b.From)
-	s.applyCapacity(b.From, reportedCapacity{capacity{speed: b.Speed, overloaded: b.Strained}, now})
+	s.applyCapacity(b.From, reportedCapacity{capacity{speed: b.Speed, overloaded: b.Strained, cutOff: b.CutOff}, now})
 	if !wasKnown || before.Ready != after.Ready || before.Incarnation != after.Incarnation || before.Address != after.Address {
 		s.dirty = true
 	}
@@ -330,7 +337,7 @@
 		Name: k.Name, Incarnation: k.Incarnation, Address: k.Callers, PeerAddress: k.Peers, DataCentre: k.DataCentre, Ready: k.Ready,
 	}))
 	after, _ := s.prober.Find(k.Name)
-	s.applyCapacity(k.Name, reportedCapacity{capacity{speed: k.Speed, overloaded: k.Strained}, now.Add(-k.Age)})
+	s.applyCapacity(k.Name, reportedCapacity{capacity{speed: k.Speed, overloaded: k.Strained, cutOff: k.CutOff}, now.Add(-k.Age)})
 	if !wasKnown || before.Ready != after.Ready || before.Incarnation != after.Incarnation {
 		s.dirty = true
 	}
--- a/controller/view.go
+++ b/controller/view.go
@@ -10,6 +10,7 @@
 	"github.com/sapphireramp/sapphireramp/forwarder"
 	"github.com/sapphireramp/sapphireramp/prober"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
+	"github.com/sapphireramp/sapphireramp/tunneler"
 )
 
 // view is a snapshot of the control state, from which requests are served. It is immutable once
@@ -59,7 +60,7 @@
 		incarnation: s.incarnation, ready: s.table != nil && !s.stopping,
 	}
 	if v.ready {
-		v.callerEntries = append(v.callerEntries, readyEntry{name: c.config.Name, address: c.config.CallerAddress, dataCentre: c.config.DataCentre, capacity: s.capacity()})
+		v.callerEntries = append(v.callerEntries, readyEntry{name: c.config.Name, address: c.config.CallerAddress, peerAddress: c.config.PeerAddress, dataCentre: c.config.DataCentre, capacity: s.capacity()})
 	}
 	s.upCount = s.addMembers(v)
 	ready := v.callerEntries
@@ -78,7 +79,7 @@
 		s.confirmExits(c.config.Dispatcher.UpdateUpstreams(s.table, usable))
 	}
 	c.config.Quarantine.SetUpstreamCount(len(usable))
-	c.config.Tunneler.SetUpstreams(addresses(usable))
+	c.config.Tunneler.SetUpstreams(tunnelUpstreams(usable))
 	c.metrics.configRevision.Update(float64(config.Revision))
 	c.metrics.storeEpoch.Update(float64(s.follower.Position().Epoch))
 	c.metrics.members.Update(float64(s.upCount))
@@ -112,7 +113,7 @@
 		// Entries whose readiness other entries reported are included even if this entry has
 		// received no heartbeat from them.
 		if m.Ready && (m.State == prober.Live || m.State == prober.Listed) {
-			v.callerEntries = append(v.callerEntries, readyEntry{name: m.Name, address: m.Address, dataCentre: m.DataCentre, capacity: s.capacities[m.Name].capacity})
+			v.callerEntries = append(v.callerEntries, readyEntry{name: m.Name, address: m.Address, peerAddress: m.PeerAddress, dataCentre: m.DataCentre, capacity: s.capacities[m.Name].capacity})
 		}
 		if m.IsUp() || m.State == prober.Stopping {
 			live++
@@ -149,11 +150,11 @@
 	return hasNewPeers
 }
 
-// addresses returns the addresses of upstreams, in the same order.
-func addresses(instances []dispatcher.Instance) []netip.AddrPort {
-	out := make([]netip.AddrPort, len(instances))
+// tunnelUpstreams returns what the tunneler needs to know of upstreams, in the same order.
+func tunnelUpstreams(instances []dispatcher.Instance) []tunneler.Upstream {
+	out := make([]tunneler.Upstream, len(instances))
 	for i, instance := range instances {
-		out[i] = instance.Address
+		out[i] = tunneler.Upstream{Address: instance.Address, DataCentre: instance.DataCentre}
 	}
 	return out
 }
--- a/dispatcher/health.go
+++ b/dispatcher/health.go
@@ -82,6 +82,12 @@
 	h.blockCount++
 }
 
+// forgetFailures drops what earlier failures have shown of the upstream.
+func (h *health) forgetFailures() {
+	h.lastFailureRate, h.lastFailureRateAt = 0, time.Time{}
+	h.blockCount, h.blockedUntil = 0, time.Time{}
+}
+
 // isBlocked reports whether the upstream is avoided because it accepted no connection.
 func (h *health) isBlocked(now time.Time) bool { return now.Before(h.blockedUntil) }
 
--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -196,6 +196,16 @@
 	}
 }
 
+// ForgetFailures drops what failures have shown of all upstreams, as when it turns out that the links of this
+// entry were at fault.
+func (b *Dispatcher) ForgetFailures() {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	for _, u := range b.upstreams {
+		u.health.forgetFailures()
+	}
+}
+
 // RecordHelperFailure raises the failure rate of an engine that failed a request as a helper. It
 // does nothing if the engine has restarted since.
 func (b *Dispatcher) RecordHelperFailure(now time.Time, helper Instance) {
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -35,7 +35,8 @@
 	// identifies requests with equal content).
 	Lines []string
 	// Cause is a text without line breaks: the meaning of the request's outcome, its HTTP status, its duration,
-	// the revision of the configuration that it used, and the verdict of each attempt that was logged.
+	// the revision of the configuration that it used, the verdict of each attempt that was logged, and what each
+	// relay answered.
 	Cause string
 	// MissingLines has a text for each log line that the logs should contain for this request but don't.
 	MissingLines []string
@@ -165,6 +166,7 @@
 	"too_costly":                "refused, not run: its displacement cost to requests in progress would have exceeded its value",
 	"refused_by_upstream":       "refused, not run: every upstream that was sent the request stated that it did not run it",
 	"upstream_unreachable":      "refused, not run: no connection to an upstream could be established",
+	"upstreams_cut_off":         "refused, not run: neither this entry nor any other reaches upstreams; see event=upstreams_lost",
 	"upstream_failed":           "failed: an upstream broke off its response or responded with an error, and no other upstream could be tried",
 	"deadline":                  "failed: the time limit of the route or the caller passed before an upstream had responded",
 	"caller_left":               "ended: the caller closed its connection",
@@ -193,18 +195,24 @@
 		if line.fields["event"] == "attempt" {
 			cause += fmt.Sprintf("; at %s: %s (%s)", line.fields["upstream"], line.fields["verdict"], line.fields["error"])
 		}
+		if line.fields["event"] == "relay" {
+			cause += fmt.Sprintf("; through %s to %s: %s", line.fields["relay"], line.fields["address"], cmp.Or(line.fields["outcome"], "no answer"))
+		}
 	}
 	return cause
 }
 
 // missingLines returns a text for each line that is absent from the log lines of a request: the line
-// event=request, which is logged when the request ends, and, if that line counts any attempts, a line event=place,
-// which is logged when an upstream is selected.
+// event=request, which is logged when the request ends, if that line counts any attempts, a line event=place,
+// which is logged when an upstream is selected, and for each answer of a relay its line event=tunnel.
 func missingLines(requestLines []logLine) []string {
 	count := map[string]int{}
-	attempts := ""
+	attempts, relayAnswers := "", 0
 	for _, line := range requestLines {
 		count[line.fields["event"]]++
+		if line.fields["event"] == "relay" && line.fields["outcome"] != "" {
+			relayAnswers++
+		}
 		if line.fields["event"] == "request" {
 			attempts = line.fields["attempts"]
 		}
@@ -216,5 +224,8 @@
 	if attempts != "" && attempts != "0" && count["place"] == 0 {
 		missing = append(missing, "event=place: "+attempts+" attempts were made, but none of these lines was found")
 	}
+	if count["tunnel"] < relayAnswers {
+		missing = append(missing, fmt.Sprintf("event=tunnel: %d relays answered, but %d of their lines were found; read the logs of all entries", relayAnswers, count["tunnel"]))
+	}
 	return missing
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
@@ -14,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/dispatcher"
+	"github.com/sapphireramp/sapphireramp/tunneler"
 	"github.com/sapphireramp/sapphireramp/watcher"
 )
 
@@ -57,6 +59,11 @@
 	// connectionLost is true if the response was cut short by the end of the connection, and not
 	// because this entry cancelled the attempt.
 	connectionLost bool
+	// connection is the connection on which the request was sent; nil if none was opened.
+	connection net.Conn
+	// isLinkAtFault is true if the attempt failed because of the links of this entry or of a relay, and not
+	// because of the upstream.
+	isLinkAtFault bool
 	// startedAt is when send was called for the attempt. firstEventAt and lastEventAt are when the
 	// first and the latest event of the response arrived; zero before the first event.
 	startedAt, firstEventAt, lastEventAt time.Time
@@ -81,7 +88,7 @@
 // classifies the response header. A resumed stream continues after the event with id lastEventID,
 // empty for a whole response. Each attempt must be ended with endAttempt, whatever its verdict.
 func (f *Forwarder) send(x *exchange, p *dispatcher.Placement, lastEventID string) *attempt {
-	ctx, cancel := context.WithCancelCause(x.ctx)
+	ctx, cancel := context.WithCancelCause(tunneler.WithRequestID(x.ctx, x.metadata.ID))
 	a := &attempt{placement: p, cancel: cancel, startedAt: time.Now()}
 	a.watchdog = f.startWatchdog(x, p, func() { cancel(errUpstreamSilent) })
 	p.OnRestart(func() { a.onUpstreamRestart(x.route.GapTarget) })
@@ -94,15 +101,21 @@
 	}
 	// The trace covers the connection of the request itself, not the connections on which memory
 	// was reserved.
-	connected := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		a.connection = info.Conn
+		if !a.isTunnelled() {
+			a.watchdog.watchContact(f.tunneler.Contact(), x.route.GapTarget)
+		}
+	}})
 	request, err := f.buildRequest(ctx, x, a, lastEventID)
 	if err != nil {
 		a.verdict, a.err = verdictUnsent, err
 		return a
 	}
 	a.response, err = f.transport.RoundTrip(request)
-	if !connected {
+	if a.connection == nil {
+		var cutOff tunneler.CutOffError
+		a.isLinkAtFault = errors.As(err, &cutOff)
 		a.verdict, a.err = verdictUnsent, fmt.Errorf("connect: %w", cancellationCause(ctx, err))
 		return a
 	}
@@ -263,12 +276,20 @@
 	})
 }
 
+// isTunnelled reports whether the request was sent through another entry.
+func (a *attempt) isTunnelled() bool {
+	_, ok := a.connection.(*tunneler.Tunnel)
+	return ok
+}
+
 // isLostToRestart reports whether the attempt was cancelled by onUpstreamRestart.
 func (a *attempt) isLostToRestart() bool { return errors.Is(a.err, errUpstreamRestarted) }
 
 // hasOtherCause reports whether an attempt failed for a reason that says nothing about the present
-// incarnation of its first upstream: a helper failed, or an upstream of the attempt restarted.
-func (a *attempt) hasOtherCause() bool { return a.helperAtFault || a.isLostToRestart() }
+// incarnation of its first upstream: a helper or a link failed, or an upstream of the attempt restarted.
+func (a *attempt) hasOtherCause() bool {
+	return a.helperAtFault || a.isLinkAtFault || a.isLostToRestart()
+}
 
 // avoidFailedUpstream excludes the first upstream of a failed attempt from further attempts of the
 // request, unless hasOtherCause returns true for the attempt.
@@ -283,6 +304,9 @@
 // verdictAnswered.
 func (f *Forwarder) endAttempt(x *exchange, a *attempt) {
 	a.watchdog.stop()
+	if a.verdict == verdictBroken && !a.isTunnelled() && f.tunneler.IsCutOff() {
+		a.isLinkAtFault, a.connectionLost = true, false
+	}
 	if a.response != nil {
 		_ = a.response.Body.Close()
 	}
@@ -301,7 +325,7 @@
 	}
 	f.log.Warn("attempt", zap.String("request", x.metadata.ID), zap.String("verdict", string(a.verdict)),
 		zap.String("upstream", a.placement.First.ID), zap.Stringer("address", a.placement.First.Address),
-		zap.Int("helpers", len(a.placement.Helpers)), zap.Duration("left_ms", time.Until(x.deadline)), zap.Stringer("content", x.fingerprint), zap.Error(a.err))
+		zap.Int("helpers", len(a.placement.Helpers)), zap.Bool("tunnelled", a.isTunnelled()), zap.Bool("link_at_fault", a.isLinkAtFault), zap.Duration("left_ms", time.Until(x.deadline)), zap.Stringer("content", x.fingerprint), zap.Error(a.err))
 }
 
 // dispatchResult returns the result of an ended attempt that the dispatcher records for its first
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
+	"github.com/sapphireramp/sapphireramp/tunneler"
 )
 
 // fingerprintOf returns the fingerprint of a request: a hash of its method, host, path and query, body
@@ -22,10 +24,12 @@
 }
 
 // markBroken sets the verdict of an attempt to verdictBroken with the error err. It sets connectionLost
-// unless ctx, the context of the attempt, was cancelled.
+// unless ctx, the context of the attempt, was cancelled or a tunnel was lost.
 func (a *attempt) markBroken(ctx context.Context, err error) {
 	a.verdict, a.err = verdictBroken, err
-	a.connectionLost = context.Cause(ctx) == nil
+	var lost tunneler.TunnelLostError
+	a.isLinkAtFault = errors.As(err, &lost)
+	a.connectionLost = context.Cause(ctx) == nil && !a.isLinkAtFault
 }
 
 // detectCrash checks in the background whether an attempt lost its connection because the first
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -35,6 +35,7 @@
 	reasonBroken         = "stream_broken"
 	reasonPanic          = "internal_error"
 	reasonQuarantined    = "quarantined"
+	reasonCutOffLinks    = "upstreams_cut_off"
 )
 
 // Values of Retry-After in responses to refused requests.
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -47,8 +47,8 @@
 }
 
 // allowRetry reports whether a request may be sent once more after the failed attempt a. An attempt with
-// the verdict verdictUnsent may be repeated maxUnsentAttempts times; unsentCount is the number of such
-// attempts before a. After any other attempt, the route must allow the request to run again if it may
+// the verdict verdictUnsent may be repeated maxUnsentAttempts times while upstreams can be reached; unsentCount
+// is the number of such attempts before a. After any other attempt, the route must allow the request to run again if it may
 // have run, MaxAttempts must not be reached, and isSuspect must return false. Such a retry is taken
 // from the retry budget, and is not allowed if the budget is used up. No retry is allowed once the
 // request is cancelled or past its deadline.
@@ -57,7 +57,8 @@
 		return false
 	}
 	if a.verdict == verdictUnsent {
-		return unsentCount < maxUnsentAttempts
+		_, isUnavailable := f.tunneler.Unavailable()
+		return !isUnavailable && unsentCount < maxUnsentAttempts
 	}
 	if x.pendingCount > 0 && !x.route.IsRepeatable() {
 		return false
@@ -75,7 +76,10 @@
 
 // lastAttemptFailure returns the failure of a request after its last attempt a: status 503 if the
 // request has not run, 502 if it may have.
-func lastAttemptFailure(x *exchange, a *attempt) *failure {
+func (f *Forwarder) lastAttemptFailure(x *exchange, a *attempt) *failure {
+	if retryAfter, ok := f.tunneler.Unavailable(); ok && x.pendingCount == 0 && a.verdict == verdictUnsent {
+		return notRunFailure(reasonCutOffLinks, retryAfter, a.err)
+	}
 	if x.pendingCount == 0 && a.verdict == verdictUnsent {
 		return notRunFailure(reasonUnreachable, fullRetry, a.err)
 	}
@@ -107,7 +111,7 @@
 		}
 		f.endAttempt(x, a)
 		if !retry {
-			return lastAttemptFailure(x, a)
+			return f.lastAttemptFailure(x, a)
 		}
 		if a.verdict == verdictUnsent {
 			unsentCount++
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,7 +12,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -28,6 +27,7 @@
 	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/sleeper"
+	"github.com/sapphireramp/sapphireramp/tunneler"
 )
 
 // defaultTimeout is the timeout of routes that set none; the caller may set a shorter one.
@@ -55,8 +55,8 @@
 	RetryBudget *budgeter.Budgeter
 	// Quarantine decides which requests are refused because they crash upstreams.
 	Quarantine *quarantiner.Quarantiner
-	// Dial opens connections to upstreams.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Tunneler opens connections to upstreams.
+	Tunneler *tunneler.Tunneler
 	// Log receives the log lines about requests and attempts, whose events logger.Events describes.
 	Log *zap.Logger
 	// Scope receives the metrics of the forwarder.
@@ -75,6 +75,7 @@
 	dispatcher        *dispatcher.Dispatcher
 	retryBudget       *budgeter.Budgeter
 	quarantine        *quarantiner.Quarantiner
+	tunneler          *tunneler.Tunneler
 	transport         *http.Transport
 	exitDetector      *connector.ExitDetector
 	log               *zap.Logger
@@ -88,7 +89,7 @@
 func New(c Config) *Forwarder {
 	f := &Forwarder{
 		protocol: c.Protocol, reservationClient: c.Reservations, reservationTTL: c.ReservationTTL, maxIdle: c.MaxIdle, view: c.View, dispatcher: c.Dispatcher, retryBudget: c.RetryBudget, quarantine: c.Quarantine, log: c.Log,
-		metrics: newMetrics(c.Scope), asserter: c.Asserter, transport: newTransport(c.Dial), exitDetector: connector.NewExitDetector(c.Dial),
+		metrics: newMetrics(c.Scope), asserter: c.Asserter, tunneler: c.Tunneler, transport: newTransport(c.Tunneler.Dial), exitDetector: connector.NewExitDetector(c.Tunneler.Dial),
 	}
 	f.handler = chain(f.forward, f.respond, f.recoverPanic, f.requireConfig, f.limitHeader, f.matchRoute, f.readBody)
 	return f
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -27,6 +27,7 @@
 	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/standin/network"
 	"github.com/sapphireramp/sapphireramp/standin/worker"
+	"github.com/sapphireramp/sapphireramp/tunneler"
 )
 
 var (
@@ -99,11 +100,16 @@
 		f.dispatcher.UpdateUpstreams(table, f.instances)
 		f.dispatcher.SetPlacingEntries("entry", []string{"entry"})
 		invariants := asserter.New(func(name, detail string) { t.Errorf("%s: %s", name, detail) })
+		links := tunneler.New(tunneler.Config{
+			Name: "entry", DataCentre: "a", Dial: f.net.Dialer(entryHost), Relays: func() []tunneler.Relay { return nil }, OnCutOff: func(time.Time) {}, Log: zap.NewNop(), Scope: tally.NoopScope,
+		})
+		defer links.Close()
+		links.SetUpstreams(tunnelUpstreams(f.instances))
 		handler := forwarder.New(forwarder.Config{
 			Protocol: platform.Protocol(), Reservations: platform.NewReservationClient(&http.Client{Transport: &http.Transport{DialContext: f.net.Dialer(entryHost), DisableKeepAlives: true}}),
 			ReservationTTL: 3 * time.Second, MaxIdle: 9 * time.Second, View: f.view.Load, Dispatcher: f.dispatcher, Quarantine: f.quarantine,
 			RetryBudget: budgeter.New(budgeter.Config{Ratio: 0.2, Window: 10 * time.Second, BaseRetries: 100}),
-			Dial:        f.net.Dialer(entryHost), Log: zap.NewNop(), Scope: tally.NoopScope, Asserter: invariants,
+			Tunneler:    links, Log: zap.NewNop(), Scope: tally.NoopScope, Asserter: invariants,
 		})
 		servers = append(servers, f.serve(netip.AddrPortFrom(entryHost, 80), handler))
 		transport := &http.Transport{DialContext: f.net.Dialer(callerHost)}
@@ -123,6 +129,15 @@
 	})
 }
 
+// tunnelUpstreams returns what a tunneler needs to know of upstreams.
+func tunnelUpstreams(instances []dispatcher.Instance) []tunneler.Upstream {
+	var out []tunneler.Upstream
+	for _, i := range instances {
+		out = append(out, tunneler.Upstream{Address: i.Address, DataCentre: i.DataCentre})
+	}
+	return out
+}
+
 // serve starts an HTTP server on the simulated network.
 func (f *fixture) serve(address netip.AddrPort, h http.Handler) *http.Server {
 	listener, err := f.net.Listen(address)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -60,7 +60,7 @@
 			return unknownOutcomeFailure(reasonBroken, a.err)
 		}
 		if !retry {
-			return lastAttemptFailure(x, a)
+			return f.lastAttemptFailure(x, a)
 		}
 		if a.verdict == verdictUnsent {
 			unsentCount++
@@ -183,7 +183,7 @@
 func (f *Forwarder) relayFailure(x *exchange, a *attempt) *failure {
 	buffered := f.bufferResponse(x, a)
 	if buffered == nil {
-		return lastAttemptFailure(x, a)
+		return f.lastAttemptFailure(x, a)
 	}
 	return f.writeResponse(x, a, buffered)
 }
--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -7,13 +7,8 @@
 	"net/textproto"
 	"net/url"
 	"strings"
-	"time"
 )
 
-// dialTimeout bounds the time for connecting to an upstream. It allows many round trips within a
-// region, and is short enough for an attempt at another upstream within the shortest latency targets.
-const dialTimeout = 250 * time.Millisecond
-
 // maxResponseHeaderBytes is the maximum size of the header of an upstream's response. An attempt
 // whose response has a larger header fails.
 const maxResponseHeaderBytes = 64 << 10
@@ -23,11 +18,7 @@
 // next request, and a request sent while the upstream closes the connection may or may not have run.
 func newTransport(dial func(context.Context, string, string) (net.Conn, error)) *http.Transport {
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-			defer cancel()
-			return dial(ctx, network, address)
-		},
+		DialContext:            dial,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -52,6 +53,8 @@
 	// acceptedElsewhere reports whether another upstream would accept the request and the retry budget
 	// allows the retry. It is passed responseBegun.
 	acceptedElsewhere func(begun bool) bool
+	// stopWatchingContact ends the effect of watchContact; nil unless that was called.
+	stopWatchingContact func() bool
 	// cancelAttempt cancels the attempt with the cause errUpstreamSilent.
 	cancelAttempt func()
 }
@@ -80,6 +83,23 @@
 	return w
 }
 
+// watchContact makes the watchdog allow at most maxGap of silence, besides the expected prefill, once contact is
+// done: the entry is cut off from all upstreams then, and the connection probably broken too. If maxGap is 0, or
+// the watchdog nil, nothing changes.
+func (w *watchdog) watchContact(contact context.Context, maxGap time.Duration) {
+	if w == nil || maxGap <= 0 {
+		return
+	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.stopWatchingContact = context.AfterFunc(contact, func() {
+		w.lock.Lock()
+		w.silenceLimit = min(w.silenceLimit, maxGap)
+		w.lock.Unlock()
+		w.checkSilence()
+	})
+}
+
 // checkSilence is called when the timer fires. It cancels the attempt if its upstream has sent nothing
 // for longer than allowed and another upstream accepts the request. Otherwise it schedules the next
 // check.
@@ -129,5 +149,10 @@
 	if w == nil {
 		return
 	}
+	w.lock.Lock()
+	if w.stopWatchingContact != nil {
+		w.stopWatchingContact()
+	}
+	w.lock.Unlock()
 	w.timer.Stop()
 }
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -306,7 +306,7 @@
 		PeerAddress: onPort(peerPort), DirectoryAddress: onPort(directoryPort), LoadAddress: onPort(loadPort), AddressTTL: time.Second, Settings: settings,
 		ReadSettings: func() (launcher.Settings, error) { return settings, nil },
 		Store:        controller.Store{Read: storeClient.Read, Watch: storeClient.Watch, DecodeConfig: platform.DecodeConfig}, MaxPropagation: maxPropagation,
-		Protocol: platform.Protocol(), Reservations: platform.NewReservationClient(client), ReservationTTL: 3 * time.Second, MaxIdle: 9 * time.Second,
+		Protocol: platform.Protocol(), NewReservationClient: platform.NewReservationClient, ReservationTTL: 3 * time.Second, MaxIdle: 9 * time.Second,
 		DirectoryHandler: platform.DirectoryHandler, ReadinessHandler: platform.ReadinessHandler,
 		Log: zap.NewNop(), Scope: tally.NoopScope, MetricsHandler: http.NotFoundHandler(),
 		Asserter: asserter.New(func(name, detail string) { f.t.Errorf("%s: %s", name, detail) }),
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -70,8 +70,9 @@
 	Speed float64
 	// Protocol reads and writes the headers of requests and responses.
 	Protocol forwarder.Protocol
-	// Reservations reserves memory at engines, for prompts that do not fit into the memory of one engine.
-	Reservations forwarder.ReservationClient
+	// NewReservationClient returns the functions that reserve memory at engines, for prompts that do not fit into
+	// the memory of one engine. They send their requests through the HTTP client.
+	NewReservationClient func(*http.Client) forwarder.ReservationClient
 	// ReservationTTL is the time for which memory is reserved at engines unless the reservation is renewed.
 	ReservationTTL time.Duration
 	// MaxIdle is how long memory may stay reserved at engines before a request uses it.
@@ -126,6 +127,7 @@
 	controller  *controller.Controller
 	forwarder   *forwarder.Forwarder
 	retryBudget *budgeter.Budgeter
+	tunneler    *tunneler.Tunneler
 	// settings points to the settings that were applied last, at first Config.Settings. A reload stores a
 	// new pointer.
 	settings atomic.Pointer[Settings]
@@ -148,14 +150,24 @@
 	sharedDispatcher := dispatcher.New(c.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	l := &Launcher{config: c, retryBudget: budgeter.New(c.Settings.RetryBudget), activeConns: connector.NewActiveConns(), acceptDone: make(chan struct{})}
 	l.settings.Store(&c.Settings)
-	upstreamTunneler := tunneler.New(tunneler.Config{Dial: c.Dial, Log: c.Log, Scope: c.Scope})
+	l.tunneler = tunneler.New(tunneler.Config{
+		Name: c.Name, DataCentre: c.DataCentre, Dial: c.Dial, Relays: func() []tunneler.Relay { return l.controller.Relays() },
+		OnCutOff: func(lastContact time.Time) {
+			sharedDispatcher.ForgetFailures()
+			quarantine.ForgetInterruptions(lastContact)
+		},
+		Log: c.Log, Scope: c.Scope,
+	})
+	// Each request uses a new connection: engines may close idle connections without notice, and a request sent
+	// on a closed connection can't be distinguished from one that the engine refused.
+	reservationHTTPClient := &http.Client{Transport: &http.Transport{DialContext: l.tunneler.Dial, DisableKeepAlives: true}}
 	l.controller = controller.New(controller.Config{
 		Name: c.Name, DataCentre: c.DataCentre, Incarnation: uint64(time.Now().UnixNano()),
-		CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, LoadAddress: c.LoadAddress, Store: c.Store, MaxPropagation: c.MaxPropagation, Speed: c.Speed, SinceBoot: c.SinceBoot, Dispatcher: sharedDispatcher, Quarantine: quarantine, Tunneler: upstreamTunneler, Dial: c.Dial,
+		CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, LoadAddress: c.LoadAddress, Store: c.Store, MaxPropagation: c.MaxPropagation, Speed: c.Speed, SinceBoot: c.SinceBoot, Dispatcher: sharedDispatcher, Quarantine: quarantine, Tunneler: l.tunneler, Dial: c.Dial,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	l.forwarder = forwarder.New(forwarder.Config{
-		Protocol: c.Protocol, Reservations: c.Reservations, ReservationTTL: c.ReservationTTL, MaxIdle: c.MaxIdle, View: l.controller.View, Dispatcher: sharedDispatcher, RetryBudget: l.retryBudget, Quarantine: quarantine, Dial: upstreamTunneler.Dial,
+		Protocol: c.Protocol, Reservations: c.NewReservationClient(reservationHTTPClient), ReservationTTL: c.ReservationTTL, MaxIdle: c.MaxIdle, View: l.controller.View, Dispatcher: sharedDispatcher, RetryBudget: l.retryBudget, Quarantine: quarantine, Tunneler: l.tunneler,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	return l
@@ -214,6 +226,7 @@
 		l.shutDown()
 	}
 	cancel()
+	l.tunneler.Close()
 	<-controllerDone
 	l.config.Log.Info("stopped", zap.String("name", l.config.Name))
 	return err
@@ -286,7 +299,8 @@
 }
 
 // shutDown removes the entry from the directory, and goes on serving callers for
-// maxAddressTTLs times AddressTTL plus half an AddressTTL. Then it stops listening and waits until all requests are complete, and closes all servers.
+// maxAddressTTLs times AddressTTL plus half an AddressTTL. Then it stops listening and waits until all requests are complete, those of other entries
+// that pass through this one too, and closes all servers.
 // Requests still in progress exitMargin before the end of ShutdownGrace are
 // cancelled.
 func (l *Launcher) shutDown() {
@@ -296,6 +310,7 @@
 	l.config.Log.Info("stopping", zap.Int("in_flight", l.forwarder.InFlight()), zap.Duration("grace_ms", shutdownGrace))
 	addressValidUntil := start.Add(maxAddressTTLs * l.config.AddressTTL)
 	l.controller.AnnounceShutdown(addressValidUntil, deadline)
+	l.tunneler.Stop()
 	listenUntil := addressValidUntil.Add(l.config.AddressTTL / 2)
 	for time.Now().Before(earlier(listenUntil, deadline)) {
 		time.Sleep(drainPollPeriod)
@@ -303,6 +318,9 @@
 	_ = l.callerListener.Close()
 	<-l.acceptDone // from here on activeConns tracks every accepted connection
 	l.activeConns.WaitIdle(deadline, drainPollPeriod)
+	for l.tunneler.Served() > 0 && time.Now().Before(deadline) {
+		time.Sleep(drainPollPeriod)
+	}
 	l.cancelCallerRequests()
 	for _, s := range l.servers {
 		_ = s.Close()
--- a/quarantiner/interruptions.go
+++ b/quarantiner/interruptions.go
@@ -42,6 +42,14 @@
 	return confirmed
 }
 
+// ForgetInterruptions drops the interruptions since a time, as when it turns out that the links of this entry
+// were at fault.
+func (q *Quarantiner) ForgetInterruptions(since time.Time) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	q.interruptions = slices.DeleteFunc(q.interruptions, func(c Crash) bool { return !c.Ended.Before(since) })
+}
+
 // expireInterruptions drops the interruptions that are older than interruptionTTL. The lock must be held.
 func (q *Quarantiner) expireInterruptions(now time.Time) {
 	q.interruptions = slices.DeleteFunc(q.interruptions, func(c Crash) bool { return now.Sub(c.Ended) > interruptionTTL })
--- a/tunneler/monitor.go
+++ b/tunneler/monitor.go
@@ -99,9 +99,9 @@
 	return now.Sub(m.cutOffSince), !m.cutOffSince.IsZero()
 }
 
-// contactAge returns the time since an upstream was last reached; a very long one if none ever was.
-func (m *monitor) contactAge(now time.Time) time.Duration {
+// lastContactAt returns the time at which an upstream was last reached; zero if none ever was.
+func (m *monitor) lastContactAt() time.Time {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	return now.Sub(m.lastContact)
+	return m.lastContact
 }
