--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -99,6 +99,8 @@
 	idSalt string
 	// disruptionLog records what the test does to entries and upstreams, and when.
 	disruptionLog caller.FaultLog
+	// log is the logger of all entries started from now on.
+	log *zap.Logger
 	// bursts holds the traffic started in addition to the steady one. downEntries holds the indexes of entries
 	// that were killed or stopped and not started again.
 	bursts      []*traffic
@@ -115,7 +117,7 @@
 // newFleetWithPlan starts a fleet whose responses follow a plan, if it is not nil.
 func newFleetWithPlan(t *testing.T, entries int, plan *worker.AnswerPlan) *fleet {
 	t.Helper()
-	f := &fleet{t: t, responsePlan: plan, downEntries: map[int]bool{}, net: network.New(), store: store.New(), workers: map[string]*worker.Worker{}, workerHosts: map[string]netip.Addr{}, startedAt: map[string]int64{}, coldUntil: map[string]time.Time{}}
+	f := &fleet{t: t, log: zap.NewNop(), responsePlan: plan, downEntries: map[int]bool{}, net: network.New(), store: store.New(), workers: map[string]*worker.Worker{}, workerHosts: map[string]netip.Addr{}, startedAt: map[string]int64{}, coldUntil: map[string]time.Time{}}
 	f.serve(netip.AddrPortFrom(storeHost, 80), f.store)
 	f.putConfig(1, "key-1", "key-2")
 	for range 3 {
@@ -279,6 +281,7 @@
 			route("safe", "/safe/", "idempotent", "app", map[string]any{"max-attempts": 2}),
 			route("stream", "/stream/", "streaming", "lm", map[string]any{"max-attempts": 2, "stream-resume": true, "sticky": true, "gap-aim-ms": 250}),
 			route("fixed", "/fixed/", "streaming", "lm", map[string]any{"sticky": true, "gap-aim-ms": 250}),
+			route("long", "/long/", "streaming", "lm", map[string]any{"sticky": true, "target-latency-ms": 3000, "gap-aim-ms": 1000}),
 		},
 		"services": []any{
 			map[string]any{"name": "app", "cold-per-s": toleratedColdRate},
@@ -308,7 +311,7 @@
 		Store:        controller.Store{Read: storeClient.Read, Watch: storeClient.Watch, DecodeConfig: platform.DecodeConfig}, MaxPropagation: maxPropagation,
 		Protocol: platform.Protocol(), NewReservationClient: platform.NewReservationClient, ReservationTTL: 3 * time.Second, MaxIdle: 9 * time.Second,
 		DirectoryHandler: platform.DirectoryHandler, ReadinessHandler: platform.ReadinessHandler,
-		Log: zap.NewNop(), Scope: tally.NoopScope, MetricsHandler: http.NotFoundHandler(),
+		Log: f.log, Scope: tally.NoopScope, MetricsHandler: http.NotFoundHandler(),
 		Asserter: asserter.New(func(name, detail string) { f.t.Errorf("%s: %s", name, detail) }),
 		Dial:     f.net.Dialer(host), Listen: f.net.Listen, ListenPacket: f.net.ListenPacket,
 	})
--- a/launcher/partition_test.go
+++ b/launcher/partition_test.go
@@ -116,6 +116,19 @@
 	}
 }
 
+// cutOffAll separates the entries with the given indexes from all upstreams.
+func (f *fleet) cutOffAll(entries []int, kind cutKind) (reconnect func()) {
+	var ends []func()
+	for _, i := range entries {
+		ends = append(ends, f.cutOff(i, kind))
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
 // servedBetween returns how many requests that were sent to entries for which includes returns true, in a
 // span of time, were served, how many were sent, and how many of these ran more than once.
 func (x *firstTries) servedBetween(from, to time.Time, includes func(entry netip.Addr) bool) (served, sent, ranTwice int) {
@@ -170,15 +183,10 @@
 					x := f.startFirstTries("p", []int{0, 1, 2, 3, 4, 5}, time.Second+partitionTime+2*contactTime)
 					time.Sleep(time.Second)
 					began := time.Now()
-					var reconnects []func()
-					for _, i := range cut {
-						reconnects = append(reconnects, f.cutOff(i, kind))
-					}
+					reconnect := f.cutOffAll(cut, kind)
 					time.Sleep(partitionTime)
 					ended := time.Now()
-					for _, reconnect := range reconnects {
-						reconnect()
-					}
+					reconnect()
 					x.wait()
 					served, sent, ranTwice := x.servedBetween(began, began.Add(contactTime), isCut)
 					t.Logf("cut off entries before contactTime served %d of %d, %d ran more than once", served, sent, ranTwice)
