server, tunneler: an entry of the own interface that reaches no upstream goes through others too

Calls that are pooled on connections change their way at once, as idle ones are closed. Requests to other entries and to the platform have clients of their own, which no tunnel takes.

--- a/api/entry.go
+++ b/api/entry.go
@@ -195,6 +195,8 @@
 	// it needs to accept callers.
 	Stopping bool
 	Ready    bool
+	// CutOff is true if the sender reaches no upstream directly.
+	CutOff bool
 	// Revision and Digest identify the configuration in force at the sender. Digest is a prefix of the
 	// digest of the configuration document; empty on the users' platform.
 	Revision uint64
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -76,11 +76,9 @@
 	// at an entry that reported a failure to it; negative if no failure is known.
 	Disturbed time.Duration
 	// Speed is the processor capacity of the sender in cores; 0 if unknown.
-	// Strained is true if the sender is overloaded: its timers fire late. CutOff is true if it reaches
-	// no upstream directly.
+	// Strained is true if the sender is overloaded: its timers fire late.
 	Speed    float64
 	Strained bool
-	CutOff   bool
 }
 
 // errStopped is the error that peers receive for a heartbeat to an entry whose control goroutine
@@ -221,10 +219,10 @@
 	b := Beat{
 		Heartbeat: api.Heartbeat{
 			From: c.Name, Incarnation: s.incarnation, PeerAddress: c.PeerAddress, Address: c.CallerAddress, DataCentre: c.DataCentre,
-			Stopping: s.stopping, Ready: s.table != nil, Revision: uint64(config.Revision), Notices: s.prober.TakeNotices(),
+			Stopping: s.stopping, Ready: s.table != nil, CutOff: s.isCutOff, Revision: uint64(config.Revision), Notices: s.prober.TakeNotices(),
 		},
 		Knows: s.upCount, Known: ok && s.follower.HasState(), Epoch: position.Epoch, StoreRevision: position.Revision, StateFingerprint: s.follower.Fingerprint(), InheritedFingerprint: s.follower.InheritedFingerprint(), ConfigVersion: config.Version, Confirmed: age,
-		Disturbed: s.storeFailureAge(now), Speed: c.Speed, Strained: s.lagMeter.overloaded, CutOff: s.isCutOff,
+		Disturbed: s.storeFailureAge(now), Speed: c.Speed, Strained: s.lagMeter.overloaded,
 	}
 	for m := range s.prober.Random(rand.IntN) {
 		if len(b.Contacts) == limit {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -156,6 +156,7 @@
 			sharedDispatcher.ForgetFailures()
 			quarantine.ForgetInterruptions(lastContact)
 		},
+		OnRegained: func() {},
 		Log: c.Log, Scope: c.Scope,
 	})
 	// Each request uses a new connection: engines may close idle connections without notice, and a request sent
--- a/server/complete.go
+++ b/server/complete.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -66,7 +67,7 @@
 	}
 	defer func() { s.metrics.droppedChunks.Inc(int64(c.droppedChunks())) }()
 	for {
-		if f := x.checkQuarantine(); f != nil {
+		if f := cmp.Or(x.checkQuarantine(), x.checkUnavailable()); f != nil {
 			return f
 		}
 		delivered := c.relayer.DeliveredTokens()
--- a/server/control.go
+++ b/server/control.go
@@ -82,6 +82,10 @@
 	engineLoads map[string]*router.Load
 	// ownHolds holds this entry's holds, by engine name and hold ID.
 	ownHolds map[string]map[string]*ownHold
+	// isCutOff is true if this entry reached no upstream directly at the last tick. cutOffMembers holds the
+	// names of the other entries whose last heartbeat stated that of them.
+	isCutOff      bool
+	cutOffMembers map[string]bool
 	// stopping is true once this entry is shutting down.
 	stopping bool
 	// lastTick is the time of the last call of tick, at first that of the start.
@@ -115,8 +119,8 @@
 		instances:   map[string]api.Instance{},
 		lister:      lister.New(t.Watch + listSlack),
 		engineLoads: map[string]*router.Load{},
-		ownHolds:    map[string]map[string]*ownHold{},
-		lastTick:    now,
+		ownHolds:    map[string]map[string]*ownHold{}, cutOffMembers: map[string]bool{},
+		lastTick: now,
 	}
 }
 
@@ -138,6 +142,9 @@
 		c.prober.RestartSilenceDetection(now)
 	}
 	c.lastTick = now
+	if isCutOff := c.server.tunneler.IsCutOff(); isCutOff != c.isCutOff {
+		c.isCutOff, c.dirty = isCutOff, true
+	}
 	c.recordMemberChanges(c.prober.Tick(now))
 	c.server.logQuarantineDecisions(now, c.server.quarantine.Evaluate(now), "own")
 	c.server.metrics.inFlight.Update(float64(c.admitter.InFlight()))
@@ -228,9 +235,13 @@
 	before, wasKnown := c.prober.Find(heartbeat.From)
 	c.recordMemberChanges(c.prober.ReceiveHeartbeat(now, heartbeat))
 	after, _ := c.prober.Find(heartbeat.From)
-	if !wasKnown || before.Ready != after.Ready || before.Incarnation != after.Incarnation {
+	if !wasKnown || before.Ready != after.Ready || before.Incarnation != after.Incarnation || c.cutOffMembers[heartbeat.From] != heartbeat.CutOff {
 		c.dirty = true
 	}
+	delete(c.cutOffMembers, heartbeat.From)
+	if heartbeat.CutOff {
+		c.cutOffMembers[heartbeat.From] = true
+	}
 	for _, n := range heartbeat.Notices {
 		if n.Kind != api.KindEntry && n.State == api.NoticeLeaving && c.drainer.MarkLeaving(n.Name, n.Incarnation) {
 			c.announceLeaving(n.Name, drainer.FromPeer)
@@ -327,7 +338,7 @@
 	heartbeat := api.Heartbeat{
 		From: c.server.settings.Name, Incarnation: c.server.config.Incarnation,
 		PeerAddress: c.server.settings.PeerAddress, Address: c.server.settings.Address,
-		DataCentre: c.server.settings.DataCentre, Stopping: c.stopping, Ready: c.adopter.IsReady(),
+		DataCentre: c.server.settings.DataCentre, Stopping: c.stopping, Ready: c.adopter.IsReady(), CutOff: c.isCutOff,
 		Revision: version.Revision, Digest: validator.ShortenDigest(version.Digest), Notices: c.prober.TakeNotices(),
 		ListDigest: validator.ShortenDigest(c.lister.Digest()), ListAge: c.lister.ConfirmationAge(now),
 	}
--- a/server/crash.go
+++ b/server/crash.go
@@ -54,10 +54,10 @@
 // its upstream's process exited, which also shows once another incarnation reports. If so, it records a crash
 // for the quarantine; but if the answer had lasted
 // for quarantiner.MinSuccessRunTime, it records a success, as the upstream evidently could run the request. If
-// ctx, the attempt's context, has ended, as on a timeout or if the caller disconnects, the interruption shows
-// nothing about the upstream and detectCrash does nothing.
+// ctx, the attempt's context, has ended, as on a timeout or if the caller disconnects, or a link may be at fault,
+// the interruption shows nothing about the upstream and detectCrash does nothing.
 func (x *exchange) detectCrash(ctx context.Context, attempt attemptInfo) {
-	if context.Cause(ctx) != nil {
+	if context.Cause(ctx) != nil || x.isLinkAtFault() {
 		return
 	}
 	x.interrupted = true
--- a/server/exchange.go
+++ b/server/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -36,6 +37,8 @@
 	// may have started and ended without a complete answer before its context had ended.
 	fingerprint quarantiner.Fingerprint
 	interrupted bool
+	// connection is the connection on which the last attempt was sent; nil if none was opened.
+	connection net.Conn
 
 	// timeout is the value of the header api.HeaderTimeout; it is valid only if timeoutGiven is true.
 	timeout      time.Duration
--- a/server/peers.go
+++ b/server/peers.go
@@ -39,6 +39,10 @@
 		s.logs.entry.Error("serve_peers", zap.Error(err))
 		return
 	}
+	if err := s.tunneler.Register(calls); err != nil {
+		s.logs.entry.Error("serve_peers", zap.Error(err))
+		return
+	}
 	for {
 		connection, err := s.peerListener.Accept()
 		if errors.Is(err, net.ErrClosed) {
--- a/server/server.go
+++ b/server/server.go
@@ -28,6 +28,7 @@
 	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/sealer"
 	"github.com/sapphireramp/sapphireramp/sequencer"
+	"github.com/sapphireramp/sapphireramp/tunneler"
 )
 
 // Config configures a Server. All fields but Dial, Listen and OnViolation are required.
@@ -80,11 +81,16 @@
 
 	// peerPool holds the connections for RPCs to other entries.
 	peerPool *connector.Pool
-	// engineClient makes short calls to engines; trafficClient sends attempts and reads the platform;
-	// singleUseClient sends the attempts of requests that may run at most once, each on a new connection.
+	// tunneler opens the connections to engines and services.
+	tunneler *tunneler.Tunneler
+	// engineClient makes short calls to engines; trafficClient sends attempts; singleUseClient sends the
+	// attempts of requests that may run at most once, each on a new connection. entryClient forwards requests
+	// to other entries, each on a new connection, and platformClient reads the platform.
 	engineClient    *http.Client
 	trafficClient   *http.Client
 	singleUseClient *http.Client
+	entryClient     *http.Client
+	platformClient  *http.Client
 
 	callerListener net.Listener
 	peerListener   net.Listener
@@ -140,15 +146,22 @@
 		parseLock:      make(chan struct{}, 1),
 		peerPool:       connector.NewPool(dial),
 		callDispatcher: newCallDispatcher(c.Settings.DataCentre),
-		quarantine:     quarantiner.New(), exitDetector: connector.NewExitDetector(dial),
-		engineClient:    &http.Client{Transport: newTransport(dial, false), Timeout: engineCallTimeout},
-		trafficClient:   &http.Client{Transport: newTransport(dial, false)},
-		singleUseClient: &http.Client{Transport: newTransport(dial, true)},
+		quarantine:     quarantiner.New(),
+		entryClient:    &http.Client{Transport: newTransport(dial, true)},
+		platformClient: &http.Client{Transport: newTransport(dial, false)},
 		logs: logs{
 			entry: c.Logs.Layer(logger.LayerEntry), route: c.Logs.Layer(logger.LayerRouter), keep: c.Logs.Layer(logger.LayerKeeper),
 			members: c.Logs.Layer(logger.LayerMembers), document: c.Logs.Layer(logger.LayerDocument),
 		},
 	}
+	s.tunneler = tunneler.New(tunneler.Config{
+		Name: c.Settings.Name, DataCentre: c.Settings.DataCentre, Dial: dial, Relays: s.relays, OnCutOff: s.onCutOff, OnRegained: s.closeIdleConnections,
+		Log: s.logs.route, Scope: c.MetricScope,
+	})
+	s.exitDetector = connector.NewExitDetector(s.tunneler.Dial)
+	s.engineClient = &http.Client{Transport: newTransport(s.tunneler.Dial, false), Timeout: engineCallTimeout}
+	s.trafficClient = &http.Client{Transport: newTransport(s.tunneler.Dial, false)}
+	s.singleUseClient = &http.Client{Transport: newTransport(s.tunneler.Dial, true)}
 	for _, text := range c.Settings.SealKeys {
 		key, err := sealer.ParsePublicKey(text)
 		if err != nil {
@@ -264,6 +277,7 @@
 	cancel()
 	_ = s.peerListener.Close()
 	s.peerPool.Close()
+	s.tunneler.Close()
 	s.background.Wait()
 	<-s.control.Stopped()
 	s.logs.entry.Info("stopped", zap.String("name", s.settings.Name))
@@ -279,13 +293,14 @@
 }
 
 // drain announces the shutdown to peers and callers, and returns once the entry addresses last given to
-// callers have expired and no request is in progress. It calls http.Server.Shutdown last, as requests read
+// callers have expired and no request is in progress, nor one of another entry that passes through this one. It calls http.Server.Shutdown last, as requests read
 // after that call get no answer.
 func (s *Server) drain(httpServer *http.Server, connections *connector.ActiveConns, serveErr <-chan error) {
 	s.onControl(func(c *control) {
 		c.stopping = true
 		c.publishView()
 	})
+	s.tunneler.Stop()
 	s.logs.entry.Info("stopping", zap.Int("in_flight", s.inFlight()))
 	s.sendHeartbeats(context.Background())
 	callers := s.settings.Callers
@@ -296,6 +311,9 @@
 	_ = s.callerListener.Close()
 	<-serveErr // connections has counted every accepted connection by now
 	connections.WaitIdle(time.Time{}, drainPollInterval)
+	for s.tunneler.Served() > 0 {
+		time.Sleep(drainPollInterval)
+	}
 	if err := httpServer.Shutdown(context.Background()); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		s.logs.entry.Warn("shutdown", zap.Error(err))
 	}
--- a/server/stream.go
+++ b/server/stream.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"time"
@@ -101,9 +100,7 @@
 	if err != nil {
 		return nil, &failure{code: api.CodeBadRequest, message: "the request could not be encoded", err: err}
 	}
-	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
+	request = request.WithContext(x.traceConnection(ctx))
 	// The clock and the view are read again, as this process may have been suspended since the engine was
 	// chosen, and the engine may be leaving by now.
 	if x.remaining() <= 0 {
@@ -122,7 +119,7 @@
 	response, err := client.Do(request)
 	silenceTimer.Stop()
 	if err != nil {
-		if !connected {
+		if x.connection == nil {
 			x.unresolvedAttempts-- // no byte was sent to the engine
 		}
 		f := newFailure(api.CodeUpstreamFailed, "engine %s did not answer", attempt.engine.Name)
--- a/server/ticket.go
+++ b/server/ticket.go
@@ -230,7 +230,7 @@
 	}
 	r.Header.Set(api.HeaderTimeout, api.FormatSeconds(timeout))
 	r.Header.Set(api.HeaderForwardedByEntry, s.settings.Name)
-	response, err := s.singleUseClient.Do(r)
+	response, err := s.entryClient.Do(r)
 	if err != nil {
 		f := ownerGoneFailure("the entry that issued the ticket did not answer")
 		f.err, f.retryAfter = err, inProgressRetryAfter
--- a/server/view.go
+++ b/server/view.go
@@ -15,6 +15,7 @@
 	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/prober"
 	"github.com/sapphireramp/sapphireramp/router"
+	"github.com/sapphireramp/sapphireramp/tunneler"
 	"github.com/sapphireramp/sapphireramp/validator"
 )
 
@@ -38,8 +39,10 @@
 	// members holds the other entries, by name.
 	members map[string]prober.Member
 	// acceptingEntries are the entries, this one included, that are ready and not shutting down, as far as
-	// this entry can see, sorted by name.
+	// this entry can see, sorted by name. Those that reach no upstream directly are left out unless all do so.
 	acceptingEntries []api.EntryAddress
+	// relays are the other entries through which upstreams can be reached.
+	relays []tunneler.Relay
 	// ready is true once a document is in force and every source of documents has been tried.
 	ready bool
 	// stopping is true once this entry is shutting down.
@@ -79,10 +82,11 @@
 	c.updateKeepers(v)
 	c.server.quarantine.SetUpstreamCount(countUpstreams(v.engines, services))
 	c.server.callDispatcher.UpdateUpstreams(&matcher.Table{}, services)
+	c.server.tunneler.SetUpstreams(tunnelUpstreams(v.engines, services))
 	c.server.current.Store(v)
 }
 
-// fillMembers sets the view's members and acceptingEntries. It returns the entries that can be the keeper of
+// fillMembers sets the view's members, acceptingEntries and relays. It returns the entries that can be the keeper of
 // an engine: this one unless it is shutting down, and the others that are live or listed.
 func (c *control) fillMembers(v *view) []assigner.Member {
 	settings := c.server.settings
@@ -90,7 +94,10 @@
 	if !c.stopping {
 		candidates = append(candidates, assigner.Member{Name: settings.Name, DataCentre: settings.DataCentre})
 	}
-	if v.ready && !c.stopping {
+	var cutOff []api.EntryAddress
+	if v.ready && !c.stopping && c.isCutOff {
+		cutOff = append(cutOff, api.EntryAddress{Name: settings.Name, Address: settings.Address, DataCentre: settings.DataCentre})
+	} else if v.ready && !c.stopping {
 		v.acceptingEntries = append(v.acceptingEntries, api.EntryAddress{Name: settings.Name, Address: settings.Address, DataCentre: settings.DataCentre})
 	}
 	for _, m := range c.prober.Members() {
@@ -98,9 +105,19 @@
 		if m.State == prober.Live || m.State == prober.Listed {
 			candidates = append(candidates, assigner.Member{Name: m.Name, DataCentre: m.DataCentre})
 		}
-		if m.State == prober.Live && m.Ready {
-			v.acceptingEntries = append(v.acceptingEntries, api.EntryAddress{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre})
+		if m.State != prober.Live || !m.Ready {
+			continue
+		}
+		entry := api.EntryAddress{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre}
+		if c.cutOffMembers[m.Name] {
+			cutOff = append(cutOff, entry)
+			continue
 		}
+		v.acceptingEntries = append(v.acceptingEntries, entry)
+		v.relays = append(v.relays, tunneler.Relay{Name: m.Name, Address: m.PeerAddress, DataCentre: m.DataCentre})
+	}
+	if len(v.acceptingEntries) == 0 {
+		v.acceptingEntries = cutOff
 	}
 	slices.SortFunc(v.acceptingEntries, func(a, b api.EntryAddress) int { return strings.Compare(a.Name, b.Name) })
 	return candidates
@@ -172,6 +189,25 @@
 	return len(engines) + len(others)
 }
 
+// tunnelUpstreams returns the addresses of engines and service instances, each once.
+func tunnelUpstreams(engines map[string]upstream, services []dispatcher.Instance) []tunneler.Upstream {
+	var out []tunneler.Upstream
+	isKnown := map[netip.AddrPort]bool{}
+	add := func(address netip.AddrPort, dataCentre string) {
+		if !isKnown[address] {
+			isKnown[address] = true
+			out = append(out, tunneler.Upstream{Address: address, DataCentre: dataCentre})
+		}
+	}
+	for _, e := range engines {
+		add(e.Address, e.DataCentre)
+	}
+	for _, i := range services {
+		add(i.Address, i.DataCentre)
+	}
+	return out
+}
+
 // updateKeepers makes this entry the keeper of the engines assigned to it and of no others. A new keeper
 // grants nothing until its engine has reported its holds.
 func (c *control) updateKeepers(v *view) {
--- a/server/watch.go
+++ b/server/watch.go
@@ -85,7 +85,7 @@
 		request.Header.Set("If-None-Match", etag)
 		request.Header.Set("Prefer", fmt.Sprintf("wait=%d", max(1, int(wait.Seconds()))))
 	}
-	response, err := s.trafficClient.Do(request)
+	response, err := s.platformClient.Do(request)
 	if err != nil {
 		return nil, "", fmt.Errorf("read platform: %w", err)
 	}
--- a/tunneler/tunneler.go
+++ b/tunneler/tunneler.go
@@ -42,7 +42,9 @@
 	// OnCutOff is called when the entry finds that it is cut off from all upstreams, with the time at which it
 	// last reached one. What it has concluded about upstreams since then is unfounded.
 	OnCutOff func(lastContact time.Time)
-	Log      *zap.Logger
+	// OnRegained is called when the entry, which was cut off, reaches upstreams again.
+	OnRegained func()
+	Log        *zap.Logger
 	// Scope receives the metrics.
 	Scope tally.Scope
 }
@@ -197,6 +199,7 @@
 	t.lock.Unlock()
 	t.metrics.cutOff.Update(0)
 	t.config.Log.Info("upstreams_regained", zap.Stringer("address", upstream), zap.Duration("lost_ms", lost))
+	t.config.OnRegained()
 }
 
 // recordFailure records that an upstream could not be reached directly, for no known fault of its own.
