launcher, standin/caller: random runs cut entries off from upstreams

Every plan of the soak has one such cut, of some entries or all, in one of three kinds. What a request may lose by it: its connection at the beginning of the cut, and, at an entry that is cut off, the connection of the entry that it goes through.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -157,7 +157,7 @@
 			quarantine.ForgetInterruptions(lastContact)
 		},
 		OnRegained: func() {},
-		Log: c.Log, Scope: c.Scope,
+		Log:        c.Log, Scope: c.Scope,
 	})
 	// Each request uses a new connection: engines may close idle connections without notice, and a request sent
 	// on a closed connection can't be distinguished from one that the engine refused.
--- a/launcher/partition_test.go
+++ b/launcher/partition_test.go
@@ -44,6 +44,7 @@
 // The returned function ends the partition.
 func (f *fleet) cutOff(i int, kind cutKind) (reconnect func()) {
 	host := entryHost(i)
+	recordEnd := f.disruptionLog.RecordEntryCut(host, kind != cutRefuses)
 	for _, upstream := range f.workerHosts {
 		if kind == cutHangs {
 			f.net.Disconnect(host, upstream)
@@ -55,6 +56,7 @@
 		}
 	}
 	return func() {
+		recordEnd()
 		for _, upstream := range f.workerHosts {
 			if kind == cutHangs {
 				f.net.Reconnect(host, upstream)
--- a/launcher/soak_test.go
+++ b/launcher/soak_test.go
@@ -80,6 +80,15 @@
 		f.net.Disconnect(a, b)
 		return func() { f.net.Reconnect(a, b); partitionEnded() }
 	}},
+	{"entries cut off from upstreams", func(f *fleet, t *rapid.T) func() {
+		var cut []int
+		for i := range f.entries {
+			if rapid.IntRange(0, 2).Draw(t, "cut") > 0 {
+				cut = append(cut, i)
+			}
+		}
+		return f.cutOffAll(cut, rapid.SampledFrom(allCutKinds).Draw(t, "kind"))
+	}},
 	{"entry killed", func(f *fleet, t *rapid.T) func() {
 		if i, ok := f.takeDownEntry(t); ok {
 			f.killEntry(f.entries[i])
@@ -230,8 +239,10 @@
 			kind := slices.IndexFunc(disruptions, func(t disruption) bool { return t.name == name })
 			plan = slices.Insert(plan, rapid.IntRange(0, len(plan)).Draw(r, "place"), kind)
 		}
-		// Every plan contains a series of entry stops and a disruption of upstreams.
+		// Every plan contains a series of entry stops, entries that lose their links to upstreams, and a
+		// disruption of upstreams.
 		insert("entries stopped in series")
+		insert("entries cut off from upstreams")
 		insert(rapid.SampledFrom([]string{"request that crashes upstreams", "outage of upstreams", "upstream leaving", "upstream backoff"}).Draw(r, "upstream disruption"))
 		runSoak(t, r, plan)
 	})
--- a/standin/caller/faultlog.go
+++ b/standin/caller/faultlog.go
@@ -42,6 +42,8 @@
 	// storeOutages are the times in which entries could not read the store, in the order
 	// of their beginnings.
 	storeOutages []*outage
+	// entryCuts are the times in which entries could not reach any upstream directly.
+	entryCuts []*entryCut
 	// partitions are the times in which some entries could not reach others or were
 	// suspended.
 	partitions []*outage
@@ -152,6 +154,7 @@
 //   - The connection ended at once, and the request ran at no upstream: the entry closed a
 //     connection between two requests, which HTTP/1.1 can't announce.
 //   - The last attempt could not complete, see [FaultLog.couldNotComplete].
+//   - The connection of the last attempt broke with the links of an entry, see [FaultLog.lostLink].
 //   - The last attempt was refused by an upstream without capacity, see
 //     [endedAtFullUpstream].
 func (x *FaultLog) lossesByShutdown(r Result, executions, refusals []worker.Execution) []string {
@@ -216,6 +219,13 @@
 // upstream of the service whose connections were cut.
 func (x *FaultLog) couldNotComplete(r Result, executions []worker.Execution, s *Shutdown) bool {
 	from := r.StartedAt
+	if last, ok := lastAttemptExecution(executions); ok {
+		from = attemptStart(last, r)
+	}
+	if x.lostLink(r.Entry.Addr(), from, r.EndedAt()) {
+		return true
+	}
+	from = r.StartedAt
 	if last, ok := lastAttemptExecution(executions); ok {
 		// A process that exits long before SIGKILL has no unfinished requests.
 		wasKilled := s.exitedAt.IsZero() || s.exitedAt.After(s.killAt.Add(-forcedExitSlack))
