launcher: accepted connections of other entries fail within seconds too

An entry noticed only after two and a half minutes that the other end of a connection that it had accepted was out of reach: net.ListenTCP's connections are probed after 15 s, nine times. Those that it dials have had short timeouts, and a relay should know of an entry that is gone from either side. TestPeerConnectionsFailWithinSeconds was red on accepted connections (15 s, 15 s, no limit for unacknowledged data).

--- a/launcher/dial.go
+++ b/launcher/dial.go
@@ -1,8 +1,10 @@
 package launcher
 
 import (
+	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -23,17 +25,28 @@
 	ackTimeout = 1500 * time.Millisecond
 )
 
+// keepAlive makes idle connections fail within seconds if the remote instance is
+// unreachable. With ackTimeout, Linux ends them at the first probe that is due after
+// that time, whatever the number of probes.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: keepAliveProbes}
+
 // newDialer returns a dialer whose connections fail within seconds if the remote
 // instance disappears or becomes unreachable without closing them.
 func newDialer() *net.Dialer {
-	return &net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: keepAliveProbes},
-		Control:         setTCPUserTimeout,
-	}
+	return &net.Dialer{KeepAliveConfig: keepAlive, Control: setTCPUserTimeout}
+}
+
+// listenForPeers listens for connections of other entries, which fail as those of
+// newDialer do. Callers' connections do not: a caller may read slowly.
+func listenForPeers(address netip.AddrPort) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setTCPUserTimeout}
+	config.SetMultipathTCP(false) // kernels may not support the option there
+	return config.Listen(context.Background(), "tcp", address.String())
 }
 
 // setTCPUserTimeout sets the socket option TCP_USER_TIMEOUT of a connection to
-// ackTimeout. It is used as the Control function of a net.Dialer.
+// ackTimeout. It is used as the Control function of a net.Dialer or a net.ListenConfig,
+// whose accepted connections inherit the option.
 func setTCPUserTimeout(_, _ string, connection syscall.RawConn) error {
 	var sockoptErr error
 	err := connection.Control(func(fd uintptr) {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -184,7 +184,12 @@
 		c.Dial = newDialer().DialContext
 	}
 	if c.Listen == nil {
-		c.Listen = func(a netip.AddrPort) (net.Listener, error) { return net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a)) }
+		c.Listen = func(a netip.AddrPort) (net.Listener, error) {
+			if a == c.PeerAddress {
+				return listenForPeers(a)
+			}
+			return net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a))
+		}
 	}
 	if c.ListenPacket == nil {
 		c.ListenPacket = func(a netip.AddrPort) (net.PacketConn, error) {
