tunneler, controller, server: the status names entries that are cut off; refusals beside a relay's are true too

A request for which every relay that was asked was cut off, busy or stopping named 0.15 s, before other entries were known to be cut off: it names the time that the cut has lasted, as where nobody is left to ask. A relay's word that an upstream refuses connections goes before a direct connection's time-out. The race detector runs the tests of tunneler.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 test:
 	go test -count=1 ./...
-	_scripts/race.sh ./controller ./server ./launcher ./forwarder ./client ./console ./dispatcher ./watcher
+	_scripts/race.sh ./controller ./server ./launcher ./forwarder ./client ./console ./dispatcher ./watcher ./tunneler
 	_scripts/known-red.sh
 
 # A longer random run: make soak RUNS=500 SEED=7. It prints the seed, and the
--- a/api/entry.go
+++ b/api/entry.go
@@ -48,6 +48,10 @@
 	// the entry is shutting down.
 	Ready    bool
 	Stopping bool
+	// CutOff is true if the entry reaches no upstream directly. Tunnels is the number of connections to
+	// upstreams that it has open for other entries.
+	CutOff  bool `json:",omitempty"`
+	Tunnels int  `json:",omitempty"`
 	// Revision and Digest identify the configuration in force. Digest is empty on the users'
 	// platform.
 	Revision uint64
@@ -115,6 +119,8 @@
 	Speed float64
 	// Strained is true if the member reports that it is overloaded: that its timers fire late.
 	Strained bool
+	// CutOff is true if the member reports that it reaches no upstream directly.
+	CutOff bool `json:",omitempty"`
 	// Takes is true if the reporting entry gives callers the member's address.
 	Takes bool
 }
--- a/controller/status.go
+++ b/controller/status.go
@@ -39,7 +39,7 @@
 	_, config := s.follower.Config()
 	status := api.Status{
 		Name: c.Name, DataCentre: c.DataCentre, Incarnation: s.incarnation, Ready: s.table != nil && !s.stopping,
-		Stopping: s.stopping, Revision: uint64(config.Revision), StoreEpoch: s.follower.Position().Epoch, Confirmed: -1, Evacuated: s.follower.EvacuatedDataCentres(),
+		Stopping: s.stopping, CutOff: s.isCutOff, Tunnels: c.Tunneler.Served(), Revision: uint64(config.Revision), StoreEpoch: s.follower.Position().Epoch, Confirmed: -1, Evacuated: s.follower.EvacuatedDataCentres(),
 	}
 	if age, ok := s.follower.ConfirmationAge(now); ok {
 		status.Confirmed = age
@@ -51,7 +51,7 @@
 	for _, m := range s.prober.Members() {
 		reported := s.capacities[m.Name]
 		member := api.MemberStatus{
-			Name: m.Name, State: string(m.State), Incarnation: m.Incarnation, Speed: reported.speed, Strained: reported.overloaded, Takes: getsCallers[m.Name],
+			Name: m.Name, State: string(m.State), Incarnation: m.Incarnation, Speed: reported.speed, Strained: reported.overloaded, CutOff: reported.cutOff, Takes: getsCallers[m.Name],
 		}
 		if !m.LastHeartbeat.IsZero() {
 			member.Heard = now.Sub(m.LastHeartbeat)
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -57,8 +57,7 @@
 		return false
 	}
 	if a.verdict == verdictUnsent {
-		_, isUnavailable := f.tunneler.Unavailable()
-		return !isUnavailable && unsentCount < maxUnsentAttempts
+		return unsentCount < maxUnsentAttempts && !f.tunneler.IsUnavailable()
 	}
 	if x.pendingCount > 0 && !x.route.IsRepeatable() {
 		return false
@@ -77,8 +76,8 @@
 // lastAttemptFailure returns the failure of a request after its last attempt a: status 503 if the
 // request has not run, 502 if it may have.
 func (f *Forwarder) lastAttemptFailure(x *exchange, a *attempt) *failure {
-	if retryAfter, ok := f.tunneler.Unavailable(); ok && x.pendingCount == 0 && a.verdict == verdictUnsent {
-		return notRunFailure(reasonCutOffLinks, retryAfter, a.err)
+	if x.pendingCount == 0 && a.verdict == verdictUnsent && a.isLinkAtFault {
+		return notRunFailure(reasonCutOffLinks, f.tunneler.RetryAfter(), a.err)
 	}
 	if x.pendingCount == 0 && a.verdict == verdictUnsent {
 		return notRunFailure(reasonUnreachable, fullRetry, a.err)
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -46,8 +46,8 @@
 	d.Service, d.Avoid, d.NoHelpers = x.service, x.failedUpstreams, x.avoidGroups
 	d.FirstByteTarget, d.GapTarget = x.route.FirstByteTarget, x.route.GapTarget
 	d.SentBefore = x.sentCount > 0
-	if retryAfter, ok := f.tunneler.Unavailable(); ok {
-		return nil, notRunFailure(reasonCutOffLinks, retryAfter, nil)
+	if f.tunneler.IsUnavailable() {
+		return nil, notRunFailure(reasonCutOffLinks, f.tunneler.RetryAfter(), nil)
 	}
 	p, refusal := f.awaitPlacement(x, d)
 	for yields := 0; refusal == nil && yields < maxYields && f.yieldsPlacement(x, p); yields++ {
--- a/server/cutoff.go
+++ b/server/cutoff.go
@@ -49,11 +49,10 @@
 // checkUnavailable returns a failure if no entry reaches upstreams and no attempt of the request may have
 // started, and nil otherwise.
 func (x *exchange) checkUnavailable() *failure {
-	retryAfter, isUnavailable := x.server.tunneler.Unavailable()
-	if !isUnavailable || x.unresolvedAttempts > 0 || x.answerBegun {
+	if x.unresolvedAttempts > 0 || x.answerBegun || !x.server.tunneler.IsUnavailable() {
 		return nil
 	}
 	f := newFailure(api.CodeNoUpstream, "no entry reaches upstreams")
-	f.retryAfter = retryAfter
+	f.retryAfter = x.server.tunneler.RetryAfter()
 	return f
 }
--- a/server/status.go
+++ b/server/status.go
@@ -50,11 +50,11 @@
 	version := c.adopter.Version()
 	status := api.Status{
 		Name: settings.Name, DataCentre: settings.DataCentre, Incarnation: c.server.config.Incarnation,
-		Ready: c.adopter.IsReady(), Stopping: c.stopping, Revision: version.Revision, Digest: version.Digest,
+		Ready: c.adopter.IsReady(), Stopping: c.stopping, CutOff: c.isCutOff, Tunnels: c.server.tunneler.Served(), Revision: version.Revision, Digest: version.Digest,
 		Superseded: c.adopter.SupersededDigests(), InFlight: c.admitter.InFlight(),
 	}
 	for _, m := range c.prober.Members() {
-		member := api.MemberStatus{Name: m.Name, State: string(m.State), Incarnation: m.Incarnation}
+		member := api.MemberStatus{Name: m.Name, State: string(m.State), Incarnation: m.Incarnation, CutOff: c.cutOffMembers[m.Name]}
 		if !m.LastHeartbeat.IsZero() {
 			member.Heard = now.Sub(m.LastHeartbeat)
 		}
--- a/tunneler/dial.go
+++ b/tunneler/dial.go
@@ -32,8 +32,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("address of upstream: %w", err)
 	}
-	if retryAfter, ok := t.Unavailable(); ok {
-		return nil, CutOffError{Upstream: upstream, Cause: fmt.Errorf("no entry reaches upstreams, expected for %s", retryAfter)}
+	if t.IsUnavailable() {
+		return nil, CutOffError{Upstream: upstream, Cause: errNoRelay}
 	}
 	r := &race{Tunneler: t, upstream: upstream, isDirect: !t.IsCutOff(), mayUseRelays: true}
 	return r.run(ctx)
@@ -135,7 +135,7 @@
 	}
 }
 
-// errNoRelay is the error of a race in which no relay could be asked.
+// errNoRelay is the error of a connection for which no relay could be asked.
 var errNoRelay = errors.New("no other entry reaches upstreams")
 
 // listOtherWays returns the ways to connect after a direct one: through relays or, if there are none,
@@ -200,13 +200,15 @@
 // failure returns the error of a race without a connection.
 func (r *race) failure(ctx context.Context) error {
 	err := context.Cause(ctx)
-	if r.relayErr != nil {
-		err = r.relayErr
-	}
-	if r.directErr != nil {
+	switch {
+	case r.isAtFault:
+		return r.relayErr
+	case r.directErr != nil:
 		err = r.directErr
+	case r.relayErr != nil:
+		err = r.relayErr
 	}
-	if r.isAtFault || r.hasContact() || errors.Is(ctx.Err(), context.Canceled) {
+	if r.hasContact() || errors.Is(ctx.Err(), context.Canceled) {
 		return err
 	}
 	return CutOffError{Upstream: r.upstream, Cause: err}
--- a/tunneler/tunneler.go
+++ b/tunneler/tunneler.go
@@ -143,21 +143,20 @@
 	return t.contact
 }
 
-const (
-	// minUnavailable and maxUnavailable bound the time that Unavailable returns.
-	minUnavailable = time.Second
-	maxUnavailable = 5 * time.Second
-)
+// IsUnavailable reports whether no upstream can be reached at present, neither directly nor through a relay.
+func (t *Tunneler) IsUnavailable() bool { return t.IsCutOff() && len(t.config.Relays()) == 0 }
+
+// minRetryAfter and maxRetryAfter bound the time that RetryAfter returns.
+const minRetryAfter, maxRetryAfter = time.Second, 5 * time.Second
 
-// Unavailable reports whether no upstream can be reached at present, neither directly nor through a relay. It
-// returns the time after which a caller may try again: a partition that has lasted for some time is expected to
-// last as long again.
-func (t *Tunneler) Unavailable() (retryAfter time.Duration, ok bool) {
+// RetryAfter returns the time after which a caller may try again to whom no upstream could be reached. A
+// partition that has lasted for some time is expected to last as long again.
+func (t *Tunneler) RetryAfter() time.Duration {
 	age, isCutOff := t.monitor.cutOffFor(time.Now())
-	if !isCutOff || len(t.config.Relays()) > 0 {
-		return 0, false
+	if !isCutOff {
+		return minRetryAfter
 	}
-	return min(maxUnavailable, max(minUnavailable, age)), true
+	return min(maxRetryAfter, max(minRetryAfter, age))
 }
 
 // CutOffError is returned by Tunneler.Dial if neither the entry nor a relay could connect to an upstream, and
--- a/tunneler/tunneler_test.go
+++ b/tunneler/tunneler_test.go
@@ -10,6 +10,8 @@
 	"net/netip"
 	"net/rpc"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -36,7 +38,7 @@
 	// accepted receives each connection that an upstream accepts.
 	accepted chan net.Conn
 	// cutOffs counts the calls of OnCutOff.
-	cutOffs int
+	cutOffs atomic.Int64
 }
 
 func entryHost(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}) }
@@ -80,7 +82,7 @@
 func (f *fixture) startEntry(entry tunneler.Relay, dial connector.DialFunc) {
 	tunnels := tunneler.New(tunneler.Config{
 		Name: entry.Name, DataCentre: entry.DataCentre, Dial: dial, Relays: func() []tunneler.Relay { return f.relays[entry.Name] },
-		OnCutOff: func(time.Time) { f.cutOffs++ }, OnRegained: func() {}, Log: zap.NewNop(), Scope: tally.NoopScope,
+		OnCutOff: func(time.Time) { f.cutOffs.Add(1) }, OnRegained: func() {}, Log: zap.NewNop(), Scope: tally.NoopScope,
 	})
 	tunnels.SetUpstreams(f.upstreams)
 	f.tunnelers = append(f.tunnelers, tunnels)
@@ -240,7 +242,7 @@
 				}
 				time.Sleep(time.Second)
 				f.is.True(!f.tunnelers[0].IsCutOff())
-				f.is.Equal(f.cutOffs, 0)
+				f.is.Equal(f.cutOffs.Load(), int64(0))
 			})
 		})
 	}
@@ -260,7 +262,7 @@
 		}
 		f.is.True(f.tunnelers[0].IsCutOff())
 		f.is.True(f.tunnelers[0].Contact().Err() != nil)
-		f.is.Equal(f.cutOffs, 1)
+		f.is.Equal(f.cutOffs.Load(), int64(1))
 		began := time.Now()
 		connection, err := f.dial(0, 0)
 		f.is.NoErr(err)
@@ -300,12 +302,11 @@
 			_, _ = f.dial(0, 3)
 		}
 		f.is.True(f.tunnelers[0].IsCutOff())
-		_, isUnavailable := f.tunnelers[0].Unavailable()
-		f.is.True(!isUnavailable) // others may be in contact, as far as it knows
+		f.is.True(!f.tunnelers[0].IsUnavailable()) // others may be in contact, as far as it knows
 		f.relays["entry-0"] = nil
 		time.Sleep(2500 * time.Millisecond)
-		retryAfter, isUnavailable := f.tunnelers[0].Unavailable()
-		f.is.True(isUnavailable)
+		f.is.True(f.tunnelers[0].IsUnavailable())
+		retryAfter := f.tunnelers[0].RetryAfter()
 		f.is.True(retryAfter > 2*time.Second && retryAfter < 3*time.Second)
 		began := time.Now()
 		_, err := f.dial(0, 0)
@@ -360,6 +361,7 @@
 			name := fmt.Sprint("entry-", i)
 			f.relays[""] = append(f.relays[""], tunneler.Relay{Name: name, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(i / 200), byte(i % 200)}), 83), DataCentre: string(rune('a' + i%3))})
 		}
+		var lock sync.Mutex
 		uses := map[string]int{}
 		for i := range 50 {
 			name := fmt.Sprint("cut-off-", i)
@@ -369,8 +371,10 @@
 				if netip.MustParseAddrPort(address).Addr() == upstreamHost(1) {
 					return nil, syscall.ECONNREFUSED
 				}
+				lock.Lock()
 				own[address] = true
 				uses[address]++
+				lock.Unlock()
 				near, far := net.Pipe()
 				go func() {
 					calls := rpc.NewServer()
@@ -382,7 +386,9 @@
 			for range 100 {
 				_, _ = f.tunnelers[i].Dial(context.Background(), "tcp", f.upstreams[0].Address.String())
 			}
+			lock.Lock()
 			f.is.True(len(own) <= 12)
+			lock.Unlock()
 		}
 		for relay, n := range uses {
 			if n > 10 {
