--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -48,7 +48,7 @@
 red renewal server/renew.go 's/go s\.renewHolds\(engine, ids\)/_, _ = engine, ids/' $s TestScenarios/memory-renewed
 red foreign relayer/relayer.go 's/if c\.ID != r\.requestID/if false/; s/if c\.AttemptID != r\.attemptID \|\| r\.whole/if r.whole/' $s TestScenarios/answer-crossed
 red resume server/complete.go 's/return x\.repeatable \|\| x\.unresolvedAttempts == 0/return false/' $s TestScenarios/answer-killed-engine
-red honest server/call.go 's/if !\*connected/if true || !*connected/' $s TestScenarios/notrun-refused
+red honest server/call.go 's/if x\.connection == nil \{\n(\t+x\.unresolvedAttempts--)/if true {\n$1/' $s TestScenarios/notrun-refused
 red spent spender/spender.go 's/if !s\.isSpent\(t\.number\)/if true/' $s TestScenarios/once-resend
 red forward server/ticket.go 's/return s\.forwardToOwner\(x\)/return s.runWithTicket(x, next)/' $s TestScenarios/once-resend
 red incarnation server/ticket.go 's/ticket\.Owner != s\.settings\.Name \|\| ticket\.Incarnation != s\.config\.Incarnation/false/' $s TestScenarios/once-killed-entry
@@ -161,8 +161,8 @@
 red says-it-leaves dispatcher/backpressure.go 's/return p\.leaving \|\| p\.backoffUntil/return p.backoffUntil/' ./forwarder TestLeavingUpstreamGetsNoRequests
 red leaving-remembered dispatcher/backpressure.go 's/return \(p\.leaving[^\n]*/return false/' ./forwarder TestLeavingEngineGetsNoStreams
 red pauses dispatcher/backpressure.go 's/ \|\| p\.backoffUntil\.After\(now\) \}/ }/' ./forwarder TestUpstreamInBackoffGetsNoRequests
-red server-quarantined server/complete.go 's/if f := x\.checkQuarantine\(\); f != nil/if f := x.checkQuarantine(); false \&\& f != nil/' ./server TestPromptThatCrashesEnginesIsQuarantined
-red calls-quarantined server/call.go 's/if f := x\.checkQuarantine\(\); f != nil/if f := x.checkQuarantine(); false \&\& f != nil/' ./server TestCallThatCrashesServicesIsQuarantined
+red server-quarantined server/complete.go 's/cmp\.Or\(x\.checkQuarantine\(\), x\.checkUnavailable\(\)\)/cmp.Or(x.checkUnavailable())/' ./server TestPromptThatCrashesEnginesIsQuarantined
+red calls-quarantined server/call.go 's/cmp\.Or\(x\.checkQuarantine\(\), x\.checkUnavailable\(\)\)/cmp.Or(x.checkUnavailable())/' ./server TestCallThatCrashesServicesIsQuarantined
 red calls-spread dispatcher/place.go 's/cost \+= plainJitter \* b\.random\.Float64\(\)/_ = plainJitter/' ./server 'TestCallsAreSpreadOverInstances|TestCallBesideCrashingCallIsNotQuarantined'
 red calls-health server/call.go 's/return dispatcher\.Incomplete\n\}/return dispatcher.Answered\n}/' ./server TestCallsAvoidAFrozenInstance
 red local-board dispatcher/requestload.go 's/if b\.isUnreported \{/if false {/g' ./dispatcher TestUnreportedDispatcherHasNoLoadChanges
@@ -265,4 +265,21 @@
 red stale-ages controller/follow.go 's/math\.Sqrt\(math\.Sqrt\(drawn\)\)/math.Sqrt(math.Sqrt(0*drawn))/' ./controller TestFewEntriesReadAStaleStateEarly
 red many-deaths prober/prober.go 's/maxNotices = 128/maxNotices = 16/' ./prober TestManyDeathsArePassedOnAtOnce
 red isolated-deaths prober/prober.go 's/isIsolated := now\.Sub\(p\.lastHeard\) > p\.config\.SuspectAfter/isIsolated := now.Before(p.lastHeard)/' ./prober TestIsolatedEntrySpreadsNoDeaths
+red tunnels tunneler/dial.go 's/if r\.mayUseRelays \{/if false {/' ./launcher TestEntriesWithoutUpstreamsServeFirstTries
+red tunnels-own tunneler/dial.go 's/if r\.mayUseRelays \{/if false {/' ./server TestEntryWithoutUpstreamsAnswersThroughOthers
+red tunnels-orders launcher/launcher.go 's/DialContext: l\.tunneler\.Dial, Dis/DialContext: c.Dial, Dis/' ./launcher TestCutOffEntriesServePromptsOverOneEnginesMemory
+red tunnels-end tunneler/tunnel.go 's/u\.end\(TunnelLostError\{[^}]*\}\)/u.end(io.EOF)/g' ./tunneler TestOnlyUpstreamEndsAnswer
+red tunnels-lease tunneler/relay.go 's/func\(\) \{ t\.endServed\(id, "lease_expired"\) \}/func() {}/' ./tunneler TestUpstreamLearnsOfEnd
+red tunnels-slow tunneler/tunnel.go 's/if err := u\.call\("Read", ReadArgs\{ID: u\.id\}, new\(ReadReply\)\); err != nil/if err := error(nil); err != nil/' ./tunneler TestSlowReaderKeepsTunnel
+red tunnels-listed tunneler/relay.go 's/case !isListed:/case false \&\& !isListed:/' ./tunneler TestRelayIsNoOpenProxy
+red tunnels-few tunneler/relays.go 's/relaysPerDataCentre = 4/relaysPerDataCentre = 400/' ./tunneler TestRelaysAreSpread
+red tunnels-avoid tunneler/dial.go 's/case <-late\.C:\n\t\t\tr\.beginNext\(ctx\)/case <-late.C:/' ./tunneler TestRelayThatCannotServeIsReplaced
+red cut-off-blame tunneler/dial.go 's/return CutOffError\{Upstream: r\.upstream, Cause: err\}/return err/' ./tunneler TestNobodyIsBlamedWhereAllAreCutOff
+red cut-off-fault tunneler/dial.go 's/if r\.hasContact\(\) \|\| errors/if errors/' ./tunneler TestUnreachableUpstreamIsAtFault
+red cut-off-several tunneler/monitor.go 's/minFailedUpstreams = 3/minFailedUpstreams = 1/' ./launcher TestSilentUpstreamIsNoPartition
+red cut-off-probe tunneler/tunneler.go 's/go t\.probe\(\)/_ = t.probe/' ./tunneler TestCutOffEntryConnectsThroughOthers
+red cut-off-directory controller/callerentries.go 's/ready = inContact/_ = inContact/' ./launcher TestDirectoryLeavesOutCutOffEntries
+red cut-off-refusal "forwarder/place.go tunneler/dial.go" 's/if (f\.tunneler|t)\.IsUnavailable\(\)/if false/' ./launcher TestAllEntriesCutOff
+red cut-off-story tunneler/relay.go 's/s\.tunneler\.config\.Log\.Info\("tunnel",/_ = zap.String; zap.NewNop().Info("tunnel",/' ./launcher TestExplainJoinsBothEntries
+red peer-timeouts launcher/launcher.go 's/if a == c\.PeerAddress/if false/' ./launcher TestPeerConnectionsFailWithinSeconds
 exit $wrong
