connector, forwarder, platform: crashes behind a listener that takes requests are seen

What callers saw: an upstream that had crashed behind an address that goes on to accept connections, takes a request and then closes, and that returns without registering anew, was not taken for crashed. Cause: the probe of such an address sent nothing, so that it looked like a server that keeps connections open. It asks for the health path that the configuration names for the service now, which a running upstream answers; a connection that ends without a byte means that the upstream has exited. A tunnel that is lost on the way is no such end. The own interface probes engines alike.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -282,4 +282,6 @@
 red cut-off-refusal "forwarder/place.go tunneler/dial.go" 's/if (f\.tunneler|t)\.IsUnavailable\(\)/if false/' ./launcher TestAllEntriesCutOff
 red cut-off-story tunneler/relay.go 's/s\.tunneler\.config\.Log\.Info\("tunnel",/_ = zap.String; zap.NewNop().Info("tunnel",/' ./launcher TestExplainJoinsBothEntries
 red peer-timeouts launcher/launcher.go 's/if a == c\.PeerAddress/if false/' ./launcher TestPeerConnectionsFailWithinSeconds
+red exit-request connector/exitdetector.go 's/if healthPath == ""/if true/' ./launcher TestRequestThatCrashesUpstreamsBehindAListenerIsQuarantined/requests_dropped
+red exit-lost connector/exitdetector.go 's/ok \&\& lossy\.IsLost\(\)/ok \&\& false \&\& lossy.IsLost()/' ./connector TestLostConnectionIsNoExit
 exit $wrong
--- a/connector/exitdetector_test.go
+++ b/connector/exitdetector_test.go
@@ -1,6 +1,7 @@
 package connector_test
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -24,8 +25,8 @@
 	}
 	server := httptest.NewServer(http.NotFoundHandler())
 	defer server.Close()
-	is.True(!detector.HasExited(server.Listener.Addr().String())) // runs
-	is.True(!detector.HasExited(listen().Addr().String()))        // accepts nothing, as a frozen process
+	is.True(!detector.HasExited(server.Listener.Addr().String(), "/health")) // runs
+	is.True(!detector.HasExited(listen().Addr().String(), "/health"))        // accepts nothing, as a frozen process
 	dropping := listen()
 	go func() {
 		for {
@@ -36,8 +37,37 @@
 			_ = connection.Close()
 		}
 	}()
-	is.True(detector.HasExited(dropping.Addr().String()))
+	is.True(detector.HasExited(dropping.Addr().String(), ""))
+	reading := listen()
+	go func() {
+		for {
+			connection, err := reading.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = connection.Read(make([]byte, 1024))
+			_ = connection.Close()
+		}
+	}()
+	is.True(detector.HasExited(reading.Addr().String(), "/health"))
+	is.True(!detector.HasExited(reading.Addr().String(), "")) // as of a server that keeps connections open
 	refusing := listen()
 	is.NoErr(refusing.Close())
-	is.True(detector.HasExited(refusing.Addr().String()))
+	is.True(detector.HasExited(refusing.Addr().String(), ""))
+}
+
+// lostConn is a connection that ends, while nothing is known of the process at its other end.
+type lostConn struct{ net.Conn }
+
+func (lostConn) IsLost() bool { return true }
+
+// Guards against a process being taken for one that has exited, because a connection through another one was lost.
+func TestLostConnectionIsNoExit(t *testing.T) {
+	is := is.New(t)
+	detector := connector.NewExitDetector(func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		_ = far.Close()
+		return lostConn{near}, nil
+	})
+	is.True(!detector.HasExited("10.0.0.1:80", "/health"))
 }
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -45,7 +45,7 @@
 	crash := quarantiner.Crash{Fingerprint: x.fingerprint, Incarnation: quarantiner.IncarnationHash(first.IncarnationID()), LastSent: a.startedAt, Ended: brokeAt}
 	f.quarantine.RecordInterruption(brokeAt, crash)
 	go func() {
-		if !f.exitDetector.HasExited(first.Address.String()) {
+		if !f.exitDetector.HasExited(first.Address.String(), f.healthPath(first.Service)) {
 			return
 		}
 		f.log.Warn("upstream_ended", zap.String("request", x.metadata.ID), zap.Stringer("content", x.fingerprint), zap.String("upstream", first.ID),
@@ -54,6 +54,16 @@
 	}()
 }
 
+// healthPath returns the path of GET requests that running upstreams of a service answer; empty if there is none.
+func (f *Forwarder) healthPath(service string) string {
+	if table := f.view().Table; table != nil {
+		if s, ok := table.Service(service); ok {
+			return s.HealthPath
+		}
+	}
+	return ""
+}
+
 // recordEvent records the arrival of an event of the response. It returns true for the first event
 // after which hasRunLongEnough returns true.
 func (a *attempt) recordEvent(now time.Time) bool {
--- a/launcher/crash_test.go
+++ b/launcher/crash_test.go
@@ -75,10 +75,11 @@
 	})
 }
 
-// The address of an engine that has crashed goes on listening, as behind a proxy, or listens again before a
-// connection to it could be refused. Guards against crashes that are only seen by a refused connection.
+// The address of an engine that has crashed goes on listening, as behind a proxy, closes connections
+// at once or after a request, or listens again before a connection to it could be refused. Guards against crashes that are only seen
+// by a refused connection.
 func TestRequestThatCrashesUpstreamsBehindAListenerIsQuarantined(t *testing.T) {
-	for name, kind := range map[string]crashKind{"connections dropped": dropsConnections, "restarts at once": restartsAtOnce} {
+	for name, kind := range map[string]crashKind{"connections dropped": dropsConnections, "requests dropped": dropsRequests, "restarts at once": restartsAtOnce} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newCrashFleet(t)
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -181,6 +181,9 @@
 	refusesConnections crashKind = iota
 	// dropsConnections: something else accepts connections to the address, and closes them at once.
 	dropsConnections
+	// dropsRequests: something else accepts connections to the address, and closes each after it has read a
+	// request; the worker returns without being registered as another incarnation.
+	dropsRequests
 	// restartsAtOnce: the next incarnation listens at the address before a connection can be refused.
 	restartsAtOnce
 )
@@ -198,7 +201,9 @@
 	switch f.crashKind {
 	case refusesConnections:
 	case dropsConnections:
-		downtime, stopDropping = proxyDowntime, f.dropConnections(f.workerHosts[id])
+		downtime, stopDropping = proxyDowntime, f.dropConnections(f.workerHosts[id], false)
+	case dropsRequests:
+		downtime, stopDropping = proxyDowntime, f.dropConnections(f.workerHosts[id], true)
 	case restartsAtOnce:
 		downtime = time.Millisecond
 	}
@@ -207,13 +212,18 @@
 		time.Sleep(downtime)
 		stopDropping()
 		f.disruptionLog.RecordRestart(id)
-		f.startWorker(id, service)
+		if f.crashKind == dropsRequests {
+			f.serve(netip.AddrPortFrom(f.workerHosts[id], 80), f.workers[id])
+		} else {
+			f.startWorker(id, service)
+		}
 		endOutage()
 	}()
 }
 
-// dropConnections accepts connections to a host and closes them, until the returned function is called.
-func (f *fleet) dropConnections(host netip.Addr) (stop func()) {
+// dropConnections accepts connections to a host and closes them, until the returned function is called. If
+// readsRequests is true, it reads from each before.
+func (f *fleet) dropConnections(host netip.Addr, readsRequests bool) (stop func()) {
 	listener, err := f.net.Listen(netip.AddrPortFrom(host, 80))
 	if err != nil {
 		f.t.Error(err)
@@ -225,7 +235,12 @@
 			if err != nil {
 				return
 			}
-			_ = connection.Close()
+			go func() {
+				if readsRequests {
+					_, _ = connection.Read(make([]byte, 1024))
+				}
+				_ = connection.Close()
+			}()
 		}
 	}()
 	return func() { _ = listener.Close() }
@@ -284,8 +299,8 @@
 			route("long", "/long/", "streaming", "lm", map[string]any{"sticky": true, "target-latency-ms": 3000, "gap-aim-ms": 1000}),
 		},
 		"services": []any{
-			map[string]any{"name": "app", "cold-per-s": toleratedColdRate},
-			map[string]any{"name": "lm", "cold-per-s": toleratedColdRate, "engine": json.RawMessage(`{"slots":16,"kv-capacity-tokens":315000,"stride":51,"step_ms":0.85,"per_seq_ms":0.004,"context_per_k":0.003,"read_per_s":177000,"pairs_per_m":0.18,"chunk":2048}`)},
+			map[string]any{"name": "app", "health-path": "/health", "cold-per-s": toleratedColdRate},
+			map[string]any{"name": "lm", "health-path": "/health", "cold-per-s": toleratedColdRate, "engine": json.RawMessage(`{"slots":16,"kv-capacity-tokens":315000,"stride":51,"step_ms":0.85,"per_seq_ms":0.004,"context_per_k":0.003,"read_per_s":177000,"pairs_per_m":0.18,"chunk":2048}`)},
 		},
 		"limits":  map[string]any{"max-body-bytes": 100000, "idle-timeout-ms": 15000},
 		"tenants": []any{map[string]any{"name": "crew", "api-keys": keys}},
--- a/matcher/config.go
+++ b/matcher/config.go
@@ -121,6 +121,8 @@
 // Service is a set of interchangeable upstreams.
 type Service struct {
 	Name string
+	// HealthPath is the path of GET requests that an upstream answers while it runs; empty if there is none.
+	HealthPath string
 	// Engine is nil if the upstreams are not model engines.
 	Engine *EngineProfile
 	// ColdRequestsPerSecond is the number of requests per second, from all callers together, that an
--- a/server/crash.go
+++ b/server/crash.go
@@ -45,6 +45,8 @@
 	// upstream is the name of the upstream, address its IP:port.
 	upstream string
 	address  string
+	// healthPath is the path of GET requests that the upstream answers while it runs; empty if there is none.
+	healthPath string
 	// sentAt is the time at which the attempt was sent, answerStartedAt the time of an engine's first token
 	// or of a service's response header; zero if neither arrived.
 	sentAt, answerStartedAt time.Time
@@ -68,7 +70,7 @@
 		s.quarantine.RecordInterruption(interruptedAt, crash)
 	}
 	go func() {
-		if !s.exitDetector.HasExited(attempt.address) {
+		if !s.exitDetector.HasExited(attempt.address, attempt.healthPath) {
 			return
 		}
 		s.logs.route.Warn("upstream_ended", zap.String("request", id), zap.Stringer("content", fingerprint), zap.String("upstream", attempt.upstream),
--- a/server/stream.go
+++ b/server/stream.go
@@ -88,7 +88,7 @@
 }
 
 func (c *completion) attemptInfo(attempt engineAttempt, sentAt time.Time) attemptInfo {
-	return attemptInfo{upstream: attempt.engine.Name, address: attempt.engine.Address, sentAt: sentAt, answerStartedAt: c.answerStartedAt}
+	return attemptInfo{upstream: attempt.engine.Name, address: attempt.engine.Address, healthPath: api.PathLoad, sentAt: sentAt, answerStartedAt: c.answerStartedAt}
 }
 
 // sendAttempt sends an attempt and returns the engine's response if its status is OK. On failure,
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -229,7 +229,7 @@
 func StreamEvent(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
 
 // ServeHTTP serves one HTTP request. Requests to /order reserve or release memory
-// and those to /report list the reservations; all others are executed or refused as
+// those to /report list the reservations, and those to /health are answered; all others are executed or refused as
 // the fault determines, or refused with 421 if X-Expect-Instance names another
 // instance.
 func (w *Worker) ServeHTTP(response http.ResponseWriter, r *http.Request) {
@@ -244,6 +244,9 @@
 	case "/report":
 		w.serveReport(response)
 		return
+	case "/health":
+		response.Header().Set("X-Instance-Id", w.id)
+		return
 	}
 	id := r.Header.Get("X-Attempt-Id")
 	if expect := r.Header.Get("X-Expect-Instance"); expect != "" && expect != w.id {
