tunneler: many upstreams that are down are no partition

An entry tells a fault of an upstream from one of its own links by trying others. It tried three at random: where most upstreams have just crashed, all three may be down, and the entry took itself for cut off. Those reached last, also through relays, are tried first, until one answers, and count only if none does; probes for the end of a partition go there as well. TestManyDownUpstreamsAreNoPartition: red before.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -284,4 +284,5 @@
 red peer-timeouts launcher/launcher.go 's/if a == c\.PeerAddress/if false/' ./launcher TestPeerConnectionsFailWithinSeconds
 red exit-request connector/exitdetector.go 's/if healthPath == ""/if true/' ./launcher TestRequestThatCrashesUpstreamsBehindAListenerIsQuarantined/requests_dropped
 red exit-lost connector/exitdetector.go 's/ok \&\& lossy\.IsLost\(\)/ok \&\& false \&\& lossy.IsLost()/' ./connector TestLostConnectionIsNoExit
+red cut-off-many tunneler/tunneler.go 's/t\.monitor\.sortLastSeenFirst\(out\)\n//; s/min\(n, len\(out\)\)/min(n, 3, len(out))/' ./tunneler TestManyDownUpstreamsAreNoPartition
 exit $wrong
--- a/tunneler/dial.go
+++ b/tunneler/dial.go
@@ -18,9 +18,10 @@
 	maxDialLateness = 100 * time.Millisecond
 	// maxRelaysPerDial is the maximum number of relays that are asked for one connection.
 	maxRelaysPerDial = 3
-	// maxControls is the maximum number of different upstreams that are tried to find out whether this
-	// entry's own links work.
-	maxControls = 3
+	// maxControls is the maximum number of other upstreams that are tried one after the other to find out
+	// whether this entry's own links work. It is only reached where connections are refused, as where many
+	// upstreams are down: each that hangs takes a good part of dialTimeout.
+	maxControls = 16
 )
 
 // Dial opens a connection to an upstream, directly or through a relay. Its arguments and results are those of
@@ -65,6 +66,8 @@
 	// the last error of a relay.
 	directErr, relayErr error
 	directTook          time.Duration
+	// failedControls holds the other upstreams that could not be reached directly either.
+	failedControls []netip.AddrPort
 	// isReached is true once a relay has connected to the upstream, isAtFault once one has found that it
 	// can't and that it reaches others.
 	isReached, isAtFault bool
@@ -74,13 +77,16 @@
 type raceResult struct {
 	connection net.Conn
 	err        error
-	isDirect   bool
-	took       time.Duration
+	// isDirect is true for a direct connection, which took the given time.
+	isDirect bool
+	took     time.Duration
+	// failedControl is the other upstream that was tried and not reached; zero otherwise.
+	failedControl netip.AddrPort
 }
 
 // run returns the first connection that is opened.
 func (r *race) run(ctx context.Context) (net.Conn, error) {
-	r.began, r.results = time.Now(), make(chan raceResult, 1+max(maxRelaysPerDial, maxControls))
+	r.began, r.results = time.Now(), make(chan raceResult, 1+maxRelaysPerDial+maxControls)
 	if r.isDirect {
 		// Not ended with the race, so that its result is known.
 		detached := context.WithoutCancel(ctx)
@@ -138,20 +144,20 @@
 // errNoRelay is the error of a connection for which no relay could be asked.
 var errNoRelay = errors.New("no other entry reaches upstreams")
 
-// listOtherWays returns the ways to connect after a direct one: through relays or, if there are none,
-// connections to different upstreams, which are not returned but show whether this entry's own links work.
+// listOtherWays returns the ways to connect after a direct one: through relays and, if these know no better,
+// connections to other upstreams, which are not returned but show whether this entry's own links work.
 func (r *race) listOtherWays(ctx context.Context) []func() raceResult {
 	var ways []func() raceResult
 	if r.mayUseRelays {
 		ways = r.relayWays(ctx)
 	}
-	if len(ways) > 0 {
+	if !r.isDirect {
 		return ways
 	}
-	for _, other := range r.randomUpstreams(maxControls, r.upstream) {
+	for _, other := range r.likelyUpstreams(maxControls, r.upstream) {
 		ways = append(ways, func() raceResult {
-			if !r.hasContact() {
-				r.probeOne(other)
+			if !r.hasContact() && r.probeOne(other) != nil {
+				return raceResult{err: errNoRelay, failedControl: other}
 			}
 			return raceResult{err: errNoRelay}
 		})
@@ -186,6 +192,10 @@
 	case result.isDirect:
 		r.directErr, r.directTook = result.err, result.took
 		r.metrics.failed.Inc(1)
+	case errors.Is(result.err, errNoRelay):
+		if result.failedControl.IsValid() {
+			r.failedControls = append(r.failedControls, result.failedControl)
+		}
 	default:
 		r.relayErr = result.err
 		var refused RelayError
@@ -230,14 +240,18 @@
 	}()
 }
 
-// judge records a failed direct connection as a failure of this entry's links, unless the upstream is at fault
-// or the entry was suspended meanwhile.
+// judge records a failed direct connection, and those to other upstreams, as failures of this entry's links,
+// unless the upstream is at fault or the entry was suspended meanwhile.
 func (r *race) judge() {
 	wasSuspended := r.directTook > dialTimeout+maxDialLateness
 	if r.directErr == nil || wasSuspended || r.isAtFault || r.closed.Err() != nil {
 		return
 	}
-	if r.isReached || !r.hasContact() {
-		r.recordFailure(r.upstream, r.directErr)
+	if !r.isReached && r.hasContact() {
+		return
+	}
+	r.recordFailure(r.upstream, r.directErr)
+	for _, other := range r.failedControls {
+		r.recordFailure(other, r.directErr)
 	}
 }
--- a/tunneler/monitor.go
+++ b/tunneler/monitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -12,7 +13,7 @@
 	// off. One silent or crashed upstream is no partition.
 	minFailedUpstreams = 3
 	// minReachedUpstreams is the number of different upstreams, or all listed ones if these are fewer, that
-	// an entry that was cut off must reach without a failure in between to be in contact again.
+	// an entry that was cut off must reach to be in contact again.
 	minReachedUpstreams = 2
 	// failureTTL is the age at which a failure no longer counts.
 	failureTTL = 10 * time.Second
@@ -27,9 +28,11 @@
 	// failed holds the time of the last failure of each upstream that could not be reached since
 	// lastContact.
 	failed map[netip.AddrPort]time.Time
-	// reached holds the upstreams reached since the last failure while this entry is cut off; empty
+	// reached holds the upstreams reached while this entry is cut off that have not failed since; empty
 	// otherwise.
 	reached map[netip.AddrPort]bool
+	// seenAt holds the time at which each upstream was last reached, also through a relay.
+	seenAt map[netip.AddrPort]time.Time
 	// lastContact is the time at which an upstream was last reached; zero before the first.
 	lastContact time.Time
 	// cutOffSince is the time at which this entry was found to be cut off; zero while it is in contact.
@@ -37,14 +40,39 @@
 }
 
 func newMonitor() *monitor {
-	return &monitor{failed: map[netip.AddrPort]time.Time{}, reached: map[netip.AddrPort]bool{}}
+	return &monitor{failed: map[netip.AddrPort]time.Time{}, reached: map[netip.AddrPort]bool{}, seenAt: map[netip.AddrPort]time.Time{}}
 }
 
-// setUpstreamCount sets the number of listed upstreams.
-func (m *monitor) setUpstreamCount(n int) {
+// setUpstreams sets the listed upstreams.
+func (m *monitor) setUpstreams(listed []Upstream) {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	m.upstreams = n
+	m.upstreams = len(listed)
+	if len(m.seenAt) <= 2*len(listed) {
+		return
+	}
+	seenAt := map[netip.AddrPort]time.Time{}
+	for _, u := range listed {
+		if at, ok := m.seenAt[u.Address]; ok {
+			seenAt[u.Address] = at
+		}
+	}
+	m.seenAt = seenAt
+}
+
+// recordSeen records that an upstream accepted a connection of a relay.
+func (m *monitor) recordSeen(now time.Time, upstream netip.AddrPort) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.seenAt[upstream] = now
+}
+
+// sortLastSeenFirst sorts upstreams by when they were last reached, the latest first. Those that never were keep
+// their order.
+func (m *monitor) sortLastSeenFirst(upstreams []netip.AddrPort) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	slices.SortStableFunc(upstreams, func(a, b netip.AddrPort) int { return m.seenAt[b].Compare(m.seenAt[a]) })
 }
 
 // recordContact records that an upstream accepted a direct connection. It returns true, and for how long this
@@ -52,7 +80,7 @@
 func (m *monitor) recordContact(now time.Time, upstream netip.AddrPort) (regained bool, lost time.Duration) {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	m.lastContact = now
+	m.lastContact, m.seenAt[upstream] = now, now
 	if m.cutOffSince.IsZero() {
 		clear(m.failed)
 		return false, 0
@@ -74,8 +102,8 @@
 func (m *monitor) recordFailure(now time.Time, upstream netip.AddrPort) (lost bool, failed int) {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	clear(m.reached)
 	if !m.cutOffSince.IsZero() {
+		delete(m.reached, upstream)
 		return false, 0
 	}
 	for u, at := range m.failed {
--- a/tunneler/monitor_test.go
+++ b/tunneler/monitor_test.go
@@ -19,7 +19,7 @@
 func TestPartitionIsDetected(t *testing.T) {
 	is := is.New(t)
 	m := newMonitor()
-	m.setUpstreamCount(6)
+	m.setUpstreams(make([]Upstream, 6))
 	for i := range minFailedUpstreams {
 		_, isCutOff := m.cutOffFor(startTime)
 		is.True(!isCutOff)
@@ -45,7 +45,7 @@
 func TestFailuresOfUpstreamsAreNoPartition(t *testing.T) {
 	is := is.New(t)
 	m := newMonitor()
-	m.setUpstreamCount(6)
+	m.setUpstreams(make([]Upstream, 6))
 	for range 100 {
 		lost, _ := m.recordFailure(startTime, upstreamAddress(0))
 		is.True(!lost)
@@ -63,7 +63,7 @@
 		is.True(!lost)
 	}
 	few := newMonitor()
-	few.setUpstreamCount(2)
+	few.setUpstreams(make([]Upstream, 2))
 	lost, _ := few.recordFailure(startTime, upstreamAddress(0))
 	is.True(!lost)
 	lost, _ = few.recordFailure(startTime, upstreamAddress(1))
--- a/tunneler/tunnel.go
+++ b/tunneler/tunnel.go
@@ -66,6 +66,7 @@
 		return nil, fmt.Errorf("open tunnel: %w", err)
 	}
 	t.metrics.tunnelled.Inc(1)
+	t.monitor.recordSeen(time.Now(), upstream)
 	near, far := net.Pipe()
 	u := &Tunnel{Conn: near, far: far, tunneler: t, relay: relay, id: reply.ID}
 	go u.receive()
--- a/tunneler/tunneler.go
+++ b/tunneler/tunneler.go
@@ -103,7 +103,7 @@
 // SetUpstreams sets the listed upstreams. The slice must not be modified afterwards.
 func (t *Tunneler) SetUpstreams(upstreams []Upstream) {
 	t.upstreams.Store(&upstreams)
-	t.monitor.setUpstreamCount(len(upstreams))
+	t.monitor.setUpstreams(upstreams)
 }
 
 // dataCentreOf returns the data centre of the upstream at an address. It returns false if no such upstream is
@@ -117,16 +117,18 @@
 	return "", false
 }
 
-// randomUpstreams returns the addresses of up to n listed upstreams, chosen at random, without one address.
-func (t *Tunneler) randomUpstreams(n int, without netip.AddrPort) []netip.AddrPort {
+// likelyUpstreams returns the addresses of up to n listed upstreams, without one address: those that were last
+// reached first, also through a relay, as they are likely to run, then others at random.
+func (t *Tunneler) likelyUpstreams(n int, without netip.AddrPort) []netip.AddrPort {
 	listed := *t.upstreams.Load()
-	var out []netip.AddrPort
+	out := make([]netip.AddrPort, 0, len(listed))
 	for _, i := range rand.Perm(len(listed)) {
-		if len(out) < n && listed[i].Address != without {
+		if listed[i].Address != without {
 			out = append(out, listed[i].Address)
 		}
 	}
-	return out
+	t.monitor.sortLastSeenFirst(out)
+	return out[:min(n, len(out))]
 }
 
 // IsCutOff reports whether the entry is cut off from all upstreams.
@@ -225,27 +227,28 @@
 func (t *Tunneler) probe() {
 	for t.IsCutOff() && sleeper.Sleep(t.closed, probePeriod) {
 		var probes sync.WaitGroup
-		for _, upstream := range t.randomUpstreams(minReachedUpstreams, netip.AddrPort{}) {
+		for _, upstream := range t.likelyUpstreams(minReachedUpstreams, netip.AddrPort{}) {
 			probes.Add(1)
 			go func() {
 				defer probes.Done()
-				t.probeOne(upstream)
+				if err := t.probeOne(upstream); err != nil && t.closed.Err() == nil {
+					t.recordFailure(upstream, err)
+				}
 			}()
 		}
 		probes.Wait()
 	}
 }
 
-// probeOne connects directly to one upstream, closes the connection, and records the result.
-func (t *Tunneler) probeOne(upstream netip.AddrPort) {
+// probeOne connects directly to one upstream, closes the connection, and records the contact.
+func (t *Tunneler) probeOne(upstream netip.AddrPort) error {
 	connection, err := t.dialDirect(t.closed, upstream)
-	if err != nil && t.closed.Err() == nil {
-		t.recordFailure(upstream, err)
-	}
-	if err == nil {
-		_ = connection.Close()
-		t.recordContact(upstream)
+	if err != nil {
+		return err
 	}
+	_ = connection.Close()
+	t.recordContact(upstream)
+	return nil
 }
 
 // dialDirect opens a direct connection to an upstream within dialTimeout.
--- a/tunneler/tunneler_test.go
+++ b/tunneler/tunneler_test.go
@@ -397,3 +397,37 @@
 		}
 	})
 }
+
+// Guards against crashes of most upstreams being taken for a partition: those that refuse connections are at fault, at
+// an entry that has reached nobody yet and behind a relay that has not, and work is direct again soon after a partition.
+func TestManyDownUpstreamsAreNoPartition(t *testing.T) {
+	const upstreams, down = 11, 8
+	for range 20 {
+		withFixture(t, 2, upstreams, func(f *fixture) {
+			for i := range down {
+				f.net.KillHost(upstreamHost(i))
+			}
+			for i := range down {
+				_, err := f.dial(1, i)
+				f.is.True(errors.Is(err, syscall.ECONNREFUSED))
+			}
+			f.is.True(!f.tunnelers[1].IsCutOff())
+			f.cutOff(0)
+			for i := range upstreams {
+				_, _ = f.dial(0, i)
+			}
+			time.Sleep(time.Second)
+			f.is.True(f.tunnelers[0].IsCutOff())
+			for i := range down {
+				_, err := f.dial(0, i)
+				f.is.True(errors.Is(err, syscall.ECONNREFUSED))
+			}
+			f.is.True(!f.tunnelers[1].IsCutOff())
+			for i := range upstreams {
+				f.net.Reconnect(entryHost(0), upstreamHost(i))
+			}
+			time.Sleep(2 * time.Second)
+			f.is.True(!f.tunnelers[0].IsCutOff())
+		})
+	}
+}
