--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -285,4 +285,6 @@
 red exit-request connector/exitdetector.go 's/if healthPath == ""/if true/' ./launcher TestRequestThatCrashesUpstreamsBehindAListenerIsQuarantined/requests_dropped
 red exit-lost connector/exitdetector.go 's/ok \&\& lossy\.IsLost\(\)/ok \&\& false \&\& lossy.IsLost()/' ./connector TestLostConnectionIsNoExit
 red cut-off-many tunneler/tunneler.go 's/t\.monitor\.sortLastSeenFirst\(out\)\n//; s/min\(n, len\(out\)\)/min(n, 3, len(out))/' ./tunneler TestManyDownUpstreamsAreNoPartition
+red cut-off-forget launcher/launcher.go 's/sharedDispatcher\.ForgetFailures\(\)//' ./launcher TestCutBlamesNoUpstream
+red cut-off-silence forwarder/attempt.go 's/a\.isLinkAtFault, a\.connectionLost = true, false/_ = a/' ./launcher TestCutBlamesNoUpstream
 exit $wrong
--- a/launcher/partition_promises_test.go
+++ b/launcher/partition_promises_test.go
@@ -359,3 +359,36 @@
 		is.Equal(served, sent)
 	})
 }
+
+// Guards against upstreams being avoided because entries lost their links: from contactTime on no entry, cut off or not,
+// expects any request to fail, and none is quarantined, during the partition and after.
+func TestCutBlamesNoUpstream(t *testing.T) {
+	for _, kind := range allCutKinds {
+		t.Run(kind.String(), func(t *testing.T) {
+			withLoggedFleet(t, 6, func(f *fleet, logs *logBuffer) {
+				all := []int{0, 1, 2, 3, 4, 5}
+				x := f.startFirstTries("b", all, 10*time.Second)
+				time.Sleep(time.Second)
+				reconnect := f.cutOffAll([]int{1, 4, 5}, kind)
+				time.Sleep(contactTime)
+				before := len(logs.lines.String())
+				time.Sleep(3 * time.Second)
+				reconnect()
+				x.wait()
+				placed := 0
+				for line := range strings.Lines(logs.lines.String()[before:]) {
+					if !strings.Contains(line, "event=place ") {
+						continue
+					}
+					placed++
+					if !strings.Contains(line, "failure_rate=0 ") {
+						t.Errorf("an upstream is blamed: %s", line)
+					}
+				}
+				if placed == 0 || logs.contains("event=quarantined") || logs.contains("event=upstream_ended") {
+					t.Errorf("%d placements, and quarantines or crashes", placed)
+				}
+			})
+		})
+	}
+}
