--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -287,4 +287,5 @@
 red cut-off-many tunneler/tunneler.go 's/t\.monitor\.sortLastSeenFirst\(out\)\n//; s/min\(n, len\(out\)\)/min(n, 3, len(out))/' ./tunneler TestManyDownUpstreamsAreNoPartition
 red cut-off-forget launcher/launcher.go 's/sharedDispatcher\.ForgetFailures\(\)//' ./launcher TestCutBlamesNoUpstream
 red cut-off-silence forwarder/attempt.go 's/a\.isLinkAtFault, a\.connectionLost = true, false/_ = a/' ./launcher TestCutBlamesNoUpstream
+red cut-off-helpers forwarder/attempt.go 's/if !isCutOff\(s\)/if true/' ./forwarder TestCutOffEntryBlamesNoHelper
 exit $wrong
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -267,9 +267,9 @@
 	}
 }
 
-// tick detects overload and suspensions of this process, that it is cut off from upstreams, entries that answer no heartbeats,
-// upstreams that are no longer retained after an outage of the store, and requests to
-// quarantine. It runs once per tickPeriod.
+// tick detects overload and suspensions of this process, a cut from all upstreams, entries that
+// answer no heartbeats, upstreams that are no longer retained after an outage of the store, and
+// requests to quarantine. It runs once per tickPeriod.
 func (s *state) tick(now time.Time) {
 	sinceBoot := s.controller.config.SinceBoot()
 	// The monotonic clock stops while an instance is suspended; the time since
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -95,7 +95,7 @@
 	var err error
 	a.reservations, err = f.reserve(ctx, x, p, cancel)
 	if err != nil {
-		a.verdict, a.err = verdictUnsent, err
+		a.verdict, a.err, a.isLinkAtFault = verdictUnsent, err, isCutOff(err)
 		f.recordReservationFailures(x, a)
 		return a
 	}
@@ -114,8 +114,7 @@
 	}
 	a.response, err = f.transport.RoundTrip(request)
 	if a.connection == nil {
-		var cutOff tunneler.CutOffError
-		a.isLinkAtFault = errors.As(err, &cutOff)
+		a.isLinkAtFault = isCutOff(err)
 		a.verdict, a.err = verdictUnsent, fmt.Errorf("connect: %w", cancellationCause(ctx, err))
 		return a
 	}
@@ -245,13 +244,22 @@
 }
 
 // recordReservationFailures calls recordHelperFailure for each helper at which memory could not be
-// reserved.
+// reserved through its own fault.
 func (f *Forwarder) recordReservationFailures(x *exchange, a *attempt) {
 	for _, s := range reserveErrors(a.err) {
-		f.recordHelperFailure(x, a, s.Engine)
+		if !isCutOff(s) {
+			f.recordHelperFailure(x, a, s.Engine)
+		}
 	}
 }
 
+// isCutOff reports whether err is that of a connection that no entry could open, through no fault of the
+// upstream.
+func isCutOff(err error) bool {
+	var cutOff tunneler.CutOffError
+	return errors.As(err, &cutOff)
+}
+
 // onUpstreamRestart is called when the dispatcher finds that an upstream of the attempt has
 // restarted. It cancels the attempt, since the incarnation that ran the request is gone. Where a
 // network partition hides the end of the connection, the caller would otherwise wait for the
@@ -305,6 +313,7 @@
 func (f *Forwarder) endAttempt(x *exchange, a *attempt) {
 	a.watchdog.stop()
 	if a.verdict == verdictBroken && !a.isTunnelled() && f.tunneler.IsCutOff() {
+		// The connection broke or stalled with the links of this entry.
 		a.isLinkAtFault, a.connectionLost = true, false
 	}
 	if a.response != nil {
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -47,11 +47,11 @@
 }
 
 // allowRetry reports whether a request may be sent once more after the failed attempt a. An attempt with
-// the verdict verdictUnsent may be repeated maxUnsentAttempts times while upstreams can be reached; unsentCount
-// is the number of such attempts before a. After any other attempt, the route must allow the request to run again if it may
-// have run, MaxAttempts must not be reached, and isSuspect must return false. Such a retry is taken
-// from the retry budget, and is not allowed if the budget is used up. No retry is allowed once the
-// request is cancelled or past its deadline.
+// the verdict verdictUnsent may be repeated maxUnsentAttempts times while upstreams can be reached;
+// unsentCount is the number of such attempts before a. After any other attempt, the route must allow the
+// request to run again if it may have run, MaxAttempts must not be reached, and isSuspect must return
+// false. Such a retry is taken from the retry budget, and is not allowed if the budget is used up. No
+// retry is allowed once the request is cancelled or past its deadline.
 func (f *Forwarder) allowRetry(x *exchange, a *attempt, unsentCount int) bool {
 	if x.ctx.Err() != nil {
 		return false
@@ -74,10 +74,11 @@
 }
 
 // lastAttemptFailure returns the failure of a request after its last attempt a: status 503 if the
-// request has not run, 502 if it may have.
+// request has not run, 502 if it may have. If links were at fault, the caller is told to come back when
+// these may work again.
 func (f *Forwarder) lastAttemptFailure(x *exchange, a *attempt) *failure {
 	if x.pendingCount == 0 && a.verdict == verdictUnsent && a.isLinkAtFault {
-		return notRunFailure(reasonCutOffLinks, f.tunneler.RetryAfter(), a.err)
+		return notRunFailure(reasonUpstreamsCutOff, f.tunneler.RetryAfter(), a.err)
 	}
 	if x.pendingCount == 0 && a.verdict == verdictUnsent {
 		return notRunFailure(reasonUnreachable, fullRetry, a.err)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -106,7 +106,7 @@
 		defer links.Close()
 		links.SetUpstreams(tunnelUpstreams(f.instances))
 		handler := forwarder.New(forwarder.Config{
-			Protocol: platform.Protocol(), Reservations: platform.NewReservationClient(&http.Client{Transport: &http.Transport{DialContext: f.net.Dialer(entryHost), DisableKeepAlives: true}}),
+			Protocol: platform.Protocol(), Reservations: platform.NewReservationClient(&http.Client{Transport: &http.Transport{DialContext: links.Dial, DisableKeepAlives: true}}),
 			ReservationTTL: 3 * time.Second, MaxIdle: 9 * time.Second, View: f.view.Load, Dispatcher: f.dispatcher, Quarantine: f.quarantine,
 			RetryBudget: budgeter.New(budgeter.Config{Ratio: 0.2, Window: 10 * time.Second, BaseRetries: 100}),
 			Tunneler:    links, Log: zap.NewNop(), Scope: tally.NoopScope, Asserter: invariants,
@@ -552,6 +552,23 @@
 	})
 }
 
+// Guards against helpers being blamed for an entry that is cut off: where memory can't be reserved because the entry
+// reaches no engine, no failure is recorded, and the request is refused with a time that allows for the partition.
+func TestCutOffEntryBlamesNoHelper(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		for _, i := range f.instances {
+			f.net.Disconnect(entryHost, i.Address.Addr())
+		}
+		a := f.ask(request{path: "/long/x", id: "s1", usage: "400000,100"})
+		f.is.Equal(a.status, 503)
+		f.is.True(strings.Contains(a.body, "upstreams_cut_off"))
+		f.is.Equal(a.header.Get("Retry-After"), "1.000")
+		for _, row := range f.dispatcher.Upstreams(time.Now()) {
+			f.is.Equal(row.Load.FailureRate, 0.0)
+		}
+	})
+}
+
 // A helper that does not reserve memory is at fault, not the engine that was to answer: the prompt
 // is sent to the same engine with another helper.
 func TestFullHelperIsReplaced(t *testing.T) {
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -47,7 +47,7 @@
 	d.FirstByteTarget, d.GapTarget = x.route.FirstByteTarget, x.route.GapTarget
 	d.SentBefore = x.sentCount > 0
 	if f.tunneler.IsUnavailable() {
-		return nil, notRunFailure(reasonCutOffLinks, f.tunneler.RetryAfter(), nil)
+		return nil, notRunFailure(reasonUpstreamsCutOff, f.tunneler.RetryAfter(), nil)
 	}
 	p, refusal := f.awaitPlacement(x, d)
 	for yields := 0; refusal == nil && yields < maxYields && f.yieldsPlacement(x, p); yields++ {
