--- a/launcher/crash_test.go
+++ b/launcher/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,12 +27,16 @@
 }
 
 // startRepeater starts the given number of callers, which all send the same request again and again. It
-// crashes engines. Each caller waits for the duration pause between two sends.
-func (f *fleet) startRepeater(callers int, pause time.Duration) *caller.Traffic {
+// crashes engines. Each caller waits for the duration pause between two sends, and keeps to one of the entries with
+// the given indexes, if there are any.
+func (f *fleet) startRepeater(callers int, pause time.Duration, entries ...int) *caller.Traffic {
 	f.trafficCount++
 	return caller.NewRepeatingTraffic(fmt.Sprintf("r%d%s", f.trafficCount, f.idSalt), callers, caller.CrashPath, pause, func(n int) *caller.Caller {
 		c := f.newCaller(uint64(100 + n))
 		c.BodyOf = func(string) string { return "the same" }
+		if len(entries) > 0 {
+			c.SetFixedAddress(netip.AddrPortFrom(entryHost(entries[n%len(entries)]), entryPort))
+		}
 		return c
 	})
 }
--- a/launcher/evacuation_test.go
+++ b/launcher/evacuation_test.go
@@ -101,19 +101,25 @@
 			t.Errorf("%d of %d requests are served", served, sent)
 		}
 		for _, id := range f.workersIn("dc-1") {
-			var times []time.Time
-			for _, e := range f.workers[id].Executions() {
-				if e.Began.After(returned) && e.Began.Before(returned.Add(coldTime)) {
-					times = append(times, e.Began)
-				}
-			}
-			if most := mostInASecond(times); most == 0 || float64(most) > maxColdRequests {
+			if most := f.mostWhileCold(id, returned); most == 0 || float64(most) > maxColdRequests {
 				t.Errorf("%s got %d requests in a second while it was cold, want 1 to %g", id, most, maxColdRequests)
 			}
 		}
 	})
 }
 
+// mostWhileCold returns the largest number of requests that a worker which returned cold at a time began within any
+// second while it was cold.
+func (f *fleet) mostWhileCold(id string, returned time.Time) int {
+	var times []time.Time
+	for _, e := range f.workers[id].Executions() {
+		if e.Began.After(returned) && e.Began.Before(returned.Add(coldTime)) {
+			times = append(times, e.Began)
+		}
+	}
+	return mostInASecond(times)
+}
+
 // mostInASecond returns the largest number of times within any second.
 func mostInASecond(times []time.Time) int {
 	slices.SortFunc(times, time.Time.Compare)
--- a/launcher/partition_promises_test.go
+++ b/launcher/partition_promises_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -16,7 +17,6 @@
 
 	"github.com/sapphireramp/sapphireramp/explainer"
 	"github.com/sapphireramp/sapphireramp/logger"
-	"github.com/sapphireramp/sapphireramp/standin/caller"
 	"github.com/sapphireramp/sapphireramp/standin/worker"
 )
 
@@ -232,13 +232,7 @@
 		x.stopAndCheck()
 		f.checkRateLimits(x)
 		for _, id := range f.workersIn("dc-1") {
-			var times []time.Time
-			for _, e := range f.workers[id].Executions() {
-				if e.Began.After(returned) && e.Began.Before(returned.Add(coldTime)) {
-					times = append(times, e.Began)
-				}
-			}
-			is.True(float64(mostInASecond(times)) <= maxColdRequests)
+			is.True(float64(f.mostWhileCold(id, returned)) <= maxColdRequests)
 		}
 	})
 }
@@ -254,13 +248,7 @@
 				reconnect := f.cutOffAll([]int{1, 4}, kind)
 				defer reconnect()
 				time.Sleep(contactTime)
-				f.trafficCount++
-				x := caller.NewRepeatingTraffic("q", 3, caller.CrashPath, 150*time.Millisecond, func(n int) *caller.Caller {
-					c := f.newCaller(uint64(100 + n))
-					c.BodyOf = func(string) string { return "the same" }
-					c.SetFixedAddress(netip.AddrPortFrom(entryHost([]int{1, 4}[n%2]), entryPort))
-					return c
-				})
+				x := f.startRepeater(3, 150*time.Millisecond, 1, 4)
 				time.Sleep(12 * time.Second)
 				x.Stop()
 				for _, b := range x.RepeatViolations(f.evidence()) {
@@ -320,13 +308,7 @@
 			is.True(!r.IsServed())
 			c.Close()
 			time.Sleep(500 * time.Millisecond)
-			executions := worker.ExecutionsOf(func(yield func(*worker.Worker) bool) {
-				for _, w := range f.workers {
-					if !yield(w) {
-						return
-					}
-				}
-			}, id)
+			executions := worker.ExecutionsOf(maps.Values(f.workers), id)
 			is.True(len(executions) > 0)
 			for _, e := range executions {
 				is.True(e.Remaining <= 700*time.Millisecond)
