tunneler, server: a stopping relay does not wait for idle connections

On the own interface connections to engines and services are kept open between requests, also those through another entry. An entry that stopped waited for them as for requests: a minute, or as long as the other entry was cut off. It says that it stops in its replies, and the other entry closes what is idle. TestStoppingRelayLeavesIdleConnections was red. On the users' platform no connection to an upstream is kept open.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -288,4 +288,5 @@
 red cut-off-forget launcher/launcher.go 's/sharedDispatcher\.ForgetFailures\(\)//' ./launcher TestCutBlamesNoUpstream
 red cut-off-silence forwarder/attempt.go 's/a\.isLinkAtFault, a\.connectionLost = true, false/_ = a/' ./launcher TestCutBlamesNoUpstream
 red cut-off-helpers forwarder/attempt.go 's/if !isCutOff\(s\)/if true/' ./forwarder TestCutOffEntryBlamesNoHelper
+red tunnels-idle tunneler/tunnel.go 's/if reply\.IsStopping/if false/' ./server TestStoppingRelayLeavesIdleConnections
 exit $wrong
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -101,7 +101,7 @@
 		f.dispatcher.SetPlacingEntries("entry", []string{"entry"})
 		invariants := asserter.New(func(name, detail string) { t.Errorf("%s: %s", name, detail) })
 		links := tunneler.New(tunneler.Config{
-			Name: "entry", DataCentre: "a", Dial: f.net.Dialer(entryHost), Relays: func() []tunneler.Relay { return nil }, OnCutOff: func(time.Time) {}, OnRegained: func() {}, Log: zap.NewNop(), Scope: tally.NoopScope,
+			Name: "entry", DataCentre: "a", Dial: f.net.Dialer(entryHost), Relays: func() []tunneler.Relay { return nil }, OnCutOff: func(time.Time) {}, CloseIdle: func() {}, Log: zap.NewNop(), Scope: tally.NoopScope,
 		})
 		defer links.Close()
 		links.SetUpstreams(tunnelUpstreams(f.instances))
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -156,8 +156,8 @@
 			sharedDispatcher.ForgetFailures()
 			quarantine.ForgetInterruptions(lastContact)
 		},
-		OnRegained: func() {},
-		Log:        c.Log, Scope: c.Scope,
+		CloseIdle: func() {}, // no connection to an upstream is kept open
+		Log:       c.Log, Scope: c.Scope,
 	})
 	// Each request uses a new connection: engines may close idle connections without notice, and a request sent
 	// on a closed connection can't be distinguished from one that the engine refused.
--- a/server/partition_test.go
+++ b/server/partition_test.go
@@ -109,3 +109,25 @@
 		})
 	}
 }
+
+// Guards against an entry that stops waiting for connections that others keep open through it, without a request: it
+// exits as soon as any other, and an entry that is cut off uses another relay.
+func TestStoppingRelayLeavesIdleConnections(t *testing.T) {
+	withTestFleet(t, 3, 3, func(f *testFleet) {
+		is := is.New(t)
+		time.Sleep(5 * time.Second) // until keepers have reports of their engines
+		for _, upstream := range f.upstreamHosts() {
+			f.net.Disconnect(f.entries[1].host, upstream)
+		}
+		f.tryOnce(f.entries[1], 5*time.Second)
+		relay := f.entries[0]
+		if relay.server.tunneler.Served() == 0 {
+			relay = f.entries[2]
+		}
+		is.True(relay.server.tunneler.Served() > 0)
+		relay.stop()
+		answered, sent := f.tryOnce(f.entries[1], 5*time.Second)
+		is.True(float64(answered) >= 0.95*float64(sent))
+		is.True(relay.hasEnded(time.Second))
+	})
+}
--- a/server/server.go
+++ b/server/server.go
@@ -155,7 +155,7 @@
 		},
 	}
 	s.tunneler = tunneler.New(tunneler.Config{
-		Name: c.Settings.Name, DataCentre: c.Settings.DataCentre, Dial: dial, Relays: s.relays, OnCutOff: s.onCutOff, OnRegained: s.closeIdleConnections,
+		Name: c.Settings.Name, DataCentre: c.Settings.DataCentre, Dial: dial, Relays: s.relays, OnCutOff: s.onCutOff, CloseIdle: s.closeIdleConnections,
 		Log: s.logs.route, Scope: c.MetricScope,
 	})
 	s.exitDetector = connector.NewExitDetector(s.tunneler.Dial)
@@ -293,8 +293,8 @@
 }
 
 // drain announces the shutdown to peers and callers, and returns once the entry addresses last given to
-// callers have expired and no request is in progress, nor one of another entry that passes through this one. It calls http.Server.Shutdown last, as requests read
-// after that call get no answer.
+// callers have expired and no request is in progress, nor one of another entry that passes through this
+// one. It calls http.Server.Shutdown last, as requests read after that call get no answer.
 func (s *Server) drain(httpServer *http.Server, connections *connector.ActiveConns, serveErr <-chan error) {
 	s.onControl(func(c *control) {
 		c.stopping = true
--- a/tunneler/api.go
+++ b/tunneler/api.go
@@ -65,6 +65,8 @@
 	// IsEnded is true if the upstream has closed the connection after Data, and IsBroken if the connection
 	// has ended otherwise.
 	IsEnded, IsBroken bool
+	// IsStopping is true once the relay shuts down. It then waits for the tunnels that are in use.
+	IsStopping bool
 }
 
 // WriteArgs holds the arguments of the net/rpc call Write, which sends bytes to the upstream.
--- a/tunneler/bench_test.go
+++ b/tunneler/bench_test.go
@@ -40,7 +40,7 @@
 	var relays []tunneler.Relay
 	newEntry := func(name string, dial connector.DialFunc) *tunneler.Tunneler {
 		tunnels := tunneler.New(tunneler.Config{
-			Name: name, DataCentre: "a", Dial: dial, Relays: func() []tunneler.Relay { return relays }, OnCutOff: func(time.Time) {}, OnRegained: func() {},
+			Name: name, DataCentre: "a", Dial: dial, Relays: func() []tunneler.Relay { return relays }, OnCutOff: func(time.Time) {}, CloseIdle: func() {},
 			Log: zap.NewNop(), Scope: tally.NoopScope,
 		})
 		b.Cleanup(tunnels.Close)
--- a/tunneler/relay.go
+++ b/tunneler/relay.go
@@ -64,6 +64,13 @@
 	t.served.isStopping = true
 }
 
+// isStopping reports whether Stop was called.
+func (t *Tunneler) isStopping() bool {
+	t.served.lock.Lock()
+	defer t.served.lock.Unlock()
+	return t.served.isStopping
+}
+
 // Served returns the number of tunnels that are open for other entries.
 func (t *Tunneler) Served() int {
 	t.served.lock.Lock()
@@ -171,6 +178,7 @@
 	if err != nil || args.Wait <= 0 {
 		return err
 	}
+	reply.IsStopping = s.tunneler.isStopping()
 	reply.Data = make([]byte, tunnelBufferBytes)
 	_ = u.connection.SetReadDeadline(time.Now().Add(min(args.Wait, readWait))) // fails on a closed connection, as Read does
 	n, err := u.connection.Read(reply.Data)
--- a/tunneler/tunnel.go
+++ b/tunneler/tunnel.go
@@ -122,6 +122,9 @@
 			u.end(TunnelLostError{Relay: u.relay.Name, Cause: err})
 			return
 		}
+		if reply.IsStopping {
+			u.tunneler.config.CloseIdle()
+		}
 		if !u.deliver(reply.Data) {
 			return
 		}
--- a/tunneler/tunneler.go
+++ b/tunneler/tunneler.go
@@ -42,9 +42,10 @@
 	// OnCutOff is called when the entry finds that it is cut off from all upstreams, with the time at which it
 	// last reached one. What it has concluded about upstreams since then is unfounded.
 	OnCutOff func(lastContact time.Time)
-	// OnRegained is called when the entry, which was cut off, reaches upstreams again.
-	OnRegained func()
-	Log        *zap.Logger
+	// CloseIdle closes the connections of Dial that are kept open without a request. It is called when the entry,
+	// which was cut off, reaches upstreams again, and when a relay of such connections stops.
+	CloseIdle func()
+	Log       *zap.Logger
 	// Scope receives the metrics.
 	Scope tally.Scope
 }
@@ -200,7 +201,7 @@
 	t.lock.Unlock()
 	t.metrics.cutOff.Update(0)
 	t.config.Log.Info("upstreams_regained", zap.Stringer("address", upstream), zap.Duration("lost_ms", lost))
-	t.config.OnRegained()
+	t.config.CloseIdle()
 }
 
 // recordFailure records that an upstream could not be reached directly, for no known fault of its own.
--- a/tunneler/tunneler_test.go
+++ b/tunneler/tunneler_test.go
@@ -82,7 +82,7 @@
 func (f *fixture) startEntry(entry tunneler.Relay, dial connector.DialFunc) {
 	tunnels := tunneler.New(tunneler.Config{
 		Name: entry.Name, DataCentre: entry.DataCentre, Dial: dial, Relays: func() []tunneler.Relay { return f.relays[entry.Name] },
-		OnCutOff: func(time.Time) { f.cutOffs.Add(1) }, OnRegained: func() {}, Log: zap.NewNop(), Scope: tally.NoopScope,
+		OnCutOff: func(time.Time) { f.cutOffs.Add(1) }, CloseIdle: func() {}, Log: zap.NewNop(), Scope: tally.NoopScope,
 	})
 	tunnels.SetUpstreams(f.upstreams)
 	f.tunnelers = append(f.tunnelers, tunnels)
