--- a/launcher/partition_promises_test.go
+++ b/launcher/partition_promises_test.go
@@ -35,13 +35,16 @@
 	return b.lines.Write(p)
 }
 
-// contains reports whether a text was logged.
-func (b *logBuffer) contains(text string) bool {
+// text returns all lines.
+func (b *logBuffer) text() string {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	return strings.Contains(b.lines.String(), text)
+	return b.lines.String()
 }
 
+// contains reports whether a text was logged.
+func (b *logBuffer) contains(text string) bool { return strings.Contains(b.text(), text) }
+
 // withLoggedFleet runs a test in virtual time with a fleet whose entries all log to one buffer.
 func withLoggedFleet(t *testing.T, entries int, test func(f *fleet, logs *logBuffer)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -280,7 +283,7 @@
 		x := f.startFirstTries("e", []int{1}, contactTime)
 		x.wait()
 		for _, r := range x.results {
-			explanation, err := explainer.Explain(strings.NewReader(logs.lines.String()), r.ID)
+			explanation, err := explainer.Explain(strings.NewReader(logs.text()), r.ID)
 			is.NoErr(err)
 			is.Equal(len(explanation.MissingLines), 0)
 			story := strings.Join(explanation.Lines, "\n")
@@ -353,12 +356,12 @@
 				time.Sleep(time.Second)
 				reconnect := f.cutOffAll([]int{1, 4, 5}, kind)
 				time.Sleep(contactTime)
-				before := len(logs.lines.String())
+				before := len(logs.text())
 				time.Sleep(3 * time.Second)
 				reconnect()
 				x.wait()
 				placed := 0
-				for line := range strings.Lines(logs.lines.String()[before:]) {
+				for line := range strings.Lines(logs.text()[before:]) {
 					if !strings.Contains(line, "event=place ") {
 						continue
 					}
