--- a/launcher/partition_test.go
+++ b/launcher/partition_test.go
@@ -173,32 +173,40 @@
 
 // Guards against requests being refused at entries that reach no upstream while other entries do: their first
 // tries are served like those of the others, however the connections fail, and after the partition too.
-func TestEntriesWithoutUpstreamsServeFirstTries(t *testing.T) {
-	for name, cut := range map[string][]int{"two entries": {1, 4}, "a data centre": {2, 5}, "all but one": {0, 1, 2, 3, 4}} {
-		for _, kind := range allCutKinds {
-			t.Run(name+" "+kind.String(), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					f := newFleet(t, 6)
-					defer f.shutDown()
-					isCut := isOneOf(cut)
-					isOther := func(host netip.Addr) bool { return !isCut(host) }
-					x := f.startFirstTries("p", []int{0, 1, 2, 3, 4, 5}, time.Second+partitionTime+2*contactTime)
-					time.Sleep(time.Second)
-					began := time.Now()
-					reconnect := f.cutOffAll(cut, kind)
-					time.Sleep(partitionTime)
-					ended := time.Now()
-					reconnect()
-					x.wait()
-					served, sent, ranTwice := x.servedBetween(began.Add(-time.Second), began, isCut)
-					t.Logf("cut off entries, sent in the second before, served %d of %d, %d ran more than once", served, sent, ranTwice)
-					served, sent, ranTwice = x.servedBetween(began, began.Add(contactTime), isCut)
-					t.Logf("cut off entries before contactTime served %d of %d, %d ran more than once", served, sent, ranTwice)
-					x.checkServed("cut off entries", began.Add(contactTime), ended, isCut)
-					x.checkServed("other entries", began, ended, isOther)
-					x.checkServed("all entries after the partition", ended, ended.Add(2*contactTime), func(netip.Addr) bool { return true })
-				})
+func TestEntriesWithoutUpstreamsServeFirstTries(t *testing.T) { checkFirstTries(t, 1, 4) }
+
+// The same where a whole data centre is cut off.
+func TestDataCentreWithoutUpstreamsServesFirstTries(t *testing.T) { checkFirstTries(t, 2, 5) }
+
+// The same where one entry is left that reaches upstreams.
+func TestAllButOneWithoutUpstreamsServeFirstTries(t *testing.T) { checkFirstTries(t, 0, 1, 2, 3, 4) }
+
+// checkFirstTries checks, for each cutKind, that first tries are served where the entries with the given indexes
+// are cut off from upstreams for partitionTime.
+func checkFirstTries(t *testing.T, cut ...int) {
+	for _, kind := range allCutKinds {
+		t.Run(kind.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 6)
+				defer f.shutDown()
+				isCut := isOneOf(cut)
+				isOther := func(host netip.Addr) bool { return !isCut(host) }
+				x := f.startFirstTries("p", []int{0, 1, 2, 3, 4, 5}, time.Second+partitionTime+2*contactTime)
+				time.Sleep(time.Second)
+				began := time.Now()
+				reconnect := f.cutOffAll(cut, kind)
+				time.Sleep(partitionTime)
+				ended := time.Now()
+				reconnect()
+				x.wait()
+				served, sent, ranTwice := x.servedBetween(began.Add(-time.Second), began, isCut)
+				t.Logf("cut off entries, sent in the second before, served %d of %d, %d ran more than once", served, sent, ranTwice)
+				served, sent, ranTwice = x.servedBetween(began, began.Add(contactTime), isCut)
+				t.Logf("cut off entries before contactTime served %d of %d, %d ran more than once", served, sent, ranTwice)
+				x.checkServed("cut off entries", began.Add(contactTime), ended, isCut)
+				x.checkServed("other entries", began, ended, isOther)
+				x.checkServed("all entries after the partition", ended, ended.Add(2*contactTime), func(netip.Addr) bool { return true })
 			})
-		}
+		})
 	}
 }
