--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -323,6 +323,9 @@
 	f.releaseReservations(a.reservations)
 	f.metrics.recordAttempt(a.verdict)
 	a.placement.End(time.Now(), dispatchResult(x, a))
+	if a.verdict == verdictBroken && !a.isTunnelled() && !a.isLinkAtFault && f.tunneler.IsCutOff() {
+		f.dispatcher.ForgetFailures() // the cut was found between the check above and End
+	}
 	f.detectCrash(x, a)
 	// Only a successful response shows that the request does not crash upstreams: an upstream may
 	// respond with a failure to a request that it has not begun.
--- a/launcher/partition_test.go
+++ b/launcher/partition_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -40,29 +42,39 @@
 // allCutKinds holds every cutKind.
 var allCutKinds = []cutKind{cutHangs, cutResets, cutRefuses}
 
-// cutOff separates an entry from all upstreams; clients, the store and the other entries still reach it.
-// The returned function ends the partition.
-func (f *fleet) cutOff(i int, kind cutKind) (reconnect func()) {
-	host := entryHost(i)
-	recordEnd := f.disruptionLog.RecordEntryCut(host, kind != cutRefuses)
-	for _, upstream := range f.workerHosts {
-		if kind == cutHangs {
-			f.net.Disconnect(host, upstream)
-			continue
-		}
-		f.net.RefuseConnections(host, upstream)
-		if kind == cutResets {
-			f.net.ResetConnections(host, upstream)
+// cutOffAll separates the entries with the given indexes from all upstreams at one moment; clients, the store and
+// the other entries still reach them. The returned function ends the partition.
+func (f *fleet) cutOffAll(entries []int, kind cutKind) (reconnect func()) {
+	upstreams := slices.Collect(maps.Values(f.workerHosts))
+	var hosts []netip.Addr
+	var recordEnds []func()
+	for _, i := range entries {
+		hosts = append(hosts, entryHost(i))
+		recordEnds = append(recordEnds, f.disruptionLog.RecordEntryCut(entryHost(i), kind != cutRefuses))
+	}
+	if kind == cutHangs {
+		f.net.DisconnectAll(hosts, upstreams)
+	} else {
+		f.net.RefuseAll(hosts, upstreams)
+	}
+	forEachPair := func(call func(host, upstream netip.Addr)) {
+		for _, host := range hosts {
+			for _, upstream := range upstreams {
+				call(host, upstream)
+			}
 		}
 	}
+	if kind == cutResets {
+		forEachPair(f.net.ResetConnections)
+	}
 	return func() {
-		recordEnd()
-		for _, upstream := range f.workerHosts {
-			if kind == cutHangs {
-				f.net.Reconnect(host, upstream)
-				continue
-			}
-			f.net.AllowConnections(host, upstream)
+		for _, recordEnd := range recordEnds {
+			recordEnd()
+		}
+		if kind == cutHangs {
+			forEachPair(f.net.Reconnect)
+		} else {
+			forEachPair(f.net.AllowConnections)
 		}
 	}
 }
@@ -118,19 +130,6 @@
 	}
 }
 
-// cutOffAll separates the entries with the given indexes from all upstreams.
-func (f *fleet) cutOffAll(entries []int, kind cutKind) (reconnect func()) {
-	var ends []func()
-	for _, i := range entries {
-		ends = append(ends, f.cutOff(i, kind))
-	}
-	return func() {
-		for _, end := range ends {
-			end()
-		}
-	}
-}
-
 // servedBetween returns how many requests that were sent to entries for which includes returns true, in a
 // span of time, were served, how many were sent, and how many of these ran more than once.
 func (x *firstTries) servedBetween(from, to time.Time, includes func(entry netip.Addr) bool) (served, sent, ranTwice int) {
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -215,10 +215,22 @@
 
 // Disconnect cuts all traffic between two hosts, in both directions. Open connections
 // stall, new connections time out, and datagrams are lost.
-func (n *Network) Disconnect(a, b netip.Addr) {
+func (n *Network) Disconnect(a, b netip.Addr) { n.DisconnectAll([]netip.Addr{a}, []netip.Addr{b}) }
+
+// DisconnectAll is Disconnect of each of some hosts from each of others, at one moment.
+func (n *Network) DisconnectAll(some, others []netip.Addr) {
 	n.lock.Lock()
 	defer n.lock.Unlock()
-	n.cuts[[2]netip.Addr{a, b}], n.cuts[[2]netip.Addr{b, a}] = true, true
+	markPairs(n.cuts, some, others)
+}
+
+// markPairs adds each pair of two lists of hosts, in both orders.
+func markPairs(pairs map[[2]netip.Addr]bool, some, others []netip.Addr) {
+	for _, a := range some {
+		for _, b := range others {
+			pairs[[2]netip.Addr{a, b}], pairs[[2]netip.Addr{b, a}] = true, true
+		}
+	}
 }
 
 // Reconnect restores the traffic between two hosts and closes their open connections,
@@ -235,9 +247,14 @@
 // RefuseConnections makes two hosts refuse new connections from each other until
 // AllowConnections. Open connections go on.
 func (n *Network) RefuseConnections(a, b netip.Addr) {
+	n.RefuseAll([]netip.Addr{a}, []netip.Addr{b})
+}
+
+// RefuseAll is RefuseConnections of each of some hosts and each of others, at one moment.
+func (n *Network) RefuseAll(some, others []netip.Addr) {
 	n.lock.Lock()
 	defer n.lock.Unlock()
-	n.refusals[[2]netip.Addr{a, b}], n.refusals[[2]netip.Addr{b, a}] = true, true
+	markPairs(n.refusals, some, others)
 }
 
 // AllowConnections ends RefuseConnections of two hosts.
