platform, forwarder: log the shared parts of a prompt and for how long it was answered

Lines of attempts and of upstreams that ended told which request was there, and not what it shares with others, nor whether its answer had begun: nothing told a part of prompts that crashes engines from an engine that ends for another reason.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -337,7 +338,7 @@
 	}
 	f.log.Warn("attempt", zap.String("request", x.metadata.ID), zap.String("verdict", string(a.verdict)),
 		zap.String("upstream", a.placement.First.ID), zap.Stringer("address", a.placement.First.Address),
-		zap.Int("helpers", len(a.placement.Helpers)), zap.Bool("tunnelled", a.isTunnelled()), zap.Bool("link_at_fault", a.isLinkAtFault), zap.Duration("left_ms", time.Until(x.deadline)), zap.Stringer("content", x.fingerprint), zap.Error(a.err))
+		zap.Int("helpers", len(a.placement.Helpers)), zap.Bool("tunnelled", a.isTunnelled()), zap.Bool("link_at_fault", a.isLinkAtFault), zap.Duration("left_ms", time.Until(x.deadline)), zap.Stringer("content", x.fingerprint), zap.String("parts", strings.Join(x.metadata.SharedParts, ",")), zap.Duration("writing_ms", a.writingTime(time.Now())), zap.Error(a.err))
 }
 
 // dispatchResult returns the result of an ended attempt that the dispatcher records for its first
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -49,7 +50,8 @@
 			return
 		}
 		f.log.Warn("upstream_ended", zap.String("request", x.metadata.ID), zap.Stringer("content", x.fingerprint), zap.String("upstream", first.ID),
-			zap.Stringer("address", first.Address), zap.Duration("ran_ms", brokeAt.Sub(a.startedAt)))
+			zap.Stringer("address", first.Address), zap.Duration("ran_ms", brokeAt.Sub(a.startedAt)),
+			zap.String("parts", strings.Join(x.metadata.SharedParts, ",")), zap.Duration("writing_ms", a.writingTime(brokeAt)))
 		f.quarantine.RecordCrash(time.Now(), crash)
 	}()
 }
@@ -77,6 +79,14 @@
 	return !before && a.hasRunLongEnough()
 }
 
+// writingTime returns the time for which the upstream had been sending events; 0 before the first one.
+func (a *attempt) writingTime(now time.Time) time.Duration {
+	if a.firstEventAt.IsZero() {
+		return 0
+	}
+	return now.Sub(a.firstEventAt)
+}
+
 // hasRunLongEnough reports whether the upstream has run the request for long enough to show that the
 // request does not crash it: its first and its latest event arrived at least as far apart as package
 // quarantiner requires for a success.
--- a/forwarder/protocol.go
+++ b/forwarder/protocol.go
@@ -28,6 +28,9 @@
 	PromptTokens, MaxAnswerTokens int
 	// AnswerTokensHint is the caller's estimate of the length of the answer in tokens; 0 for none.
 	AnswerTokensHint int
+	// SharedParts holds the IDs of those parts of the prompt that other prompts may share, each once and in
+	// the order of the prompt; nil if not stated.
+	SharedParts []string
 }
 
 // AttemptMetadata holds what the forwarder adds to a request that it sends to an upstream.
