launcher: a part of prompts that crashes engines, red

What callers saw: requests without any fault failed or were late for as long as requests with one part came that crashes each engine that begins to write on it.

--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -52,6 +52,8 @@
 	// TokenUsageOf, if not nil, replaces TokenUsage. It returns, for a request id, the
 	// maximum of tokens in the answer and the caller's estimate of them.
 	TokenUsageOf func(id string) (maxTokens, hint int)
+	// PromptPartsOf, if not nil, returns the X-Prompt-Prefix header for a request id.
+	PromptPartsOf func(id string) string
 	// KeepsAddress makes the caller use one address until a request to it fails, even
 	// if newer responses of the directory no longer list it.
 	KeepsAddress bool
@@ -264,6 +266,9 @@
 // setUsageHeaders sets the headers that announce the token counts of a prompt.
 func (c *Caller) setUsageHeaders(h http.Header, id string) {
 	h.Set("X-Token-Usage", c.TokenUsage)
+	if c.PromptPartsOf != nil {
+		h.Set("X-Prompt-Prefix", c.PromptPartsOf(id))
+	}
 	if c.TokenUsageOf != nil {
 		maxTokens, hint := c.TokenUsageOf(id)
 		h.Set("X-Token-Usage", fmt.Sprintf("2000,%d", maxTokens))
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -107,6 +107,8 @@
 	rateLimits []RateLimitPeriod
 	// garbledRateLimit is the text that responses state instead of the rate limit; empty for none.
 	garbledRateLimit string
+	// writeCrash determines which streams crash the worker as it writes them; nil if none does.
+	writeCrash *WriteCrash
 	// onCrash is called when a request crashes the worker; if nil, requests
 	// don't crash it.
 	onCrash func()
@@ -302,7 +304,7 @@
 	case FaultNoAnswer:
 		<-r.Context().Done()
 	default:
-		w.writeAnswer(response, r, current, fault, id)
+		w.writeAnswer(response, r, current, index, fault, id)
 	}
 }
 
@@ -310,9 +312,18 @@
 // request of an incarnation calls onCrash, but all are recorded as crashed. None is
 // answered.
 func (w *Worker) serveCrash(r *http.Request, current *incarnation, index int) {
+	w.crash(r, current, index, func() {})
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+// crash crashes the incarnation after crashDelay, unless the client disconnects before. It calls end first, which
+// may close the connection of the request.
+func (w *Worker) crash(r *http.Request, current *incarnation, index int, end func()) {
 	if !current.wait(r, crashDelay) {
 		return
 	}
+	end()
 	w.lock.Lock()
 	first := !current.crashed
 	current.crashed, w.executions[index].Crashed = true, true
@@ -320,8 +331,6 @@
 	if first {
 		w.onCrash()
 	}
-	<-r.Context().Done()
-	panic(http.ErrAbortHandler)
 }
 
 // workTimeOf returns the time before the answer to r, or before the first event
@@ -382,9 +391,9 @@
 
 // writeAnswer writes the answer to a plain call or a stream, after the work time
 // and with those faults that affect the answer itself.
-func (w *Worker) writeAnswer(response http.ResponseWriter, r *http.Request, current *incarnation, fault Fault, id string) {
+func (w *Worker) writeAnswer(response http.ResponseWriter, r *http.Request, current *incarnation, index int, fault Fault, id string) {
 	if r.Header.Get("X-Token-Usage") != "" {
-		w.writeStream(response, r, current, fault, id)
+		w.writeStream(response, r, current, index, fault, id)
 		return
 	}
 	body := AnswerBody(id)
@@ -417,13 +426,26 @@
 }
 
 // writeStream sends the events of a stream after Last-Event-Id, eventGap apart.
-func (w *Worker) writeStream(response http.ResponseWriter, r *http.Request, current *incarnation, fault Fault, id string) {
+func (w *Worker) writeStream(response http.ResponseWriter, r *http.Request, current *incarnation, index int, fault Fault, id string) {
 	lastEventID, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	response.Header().Set("Content-Type", "text/event-stream")
+	crash, end := w.writeCrash.of(r), func() {}
+	if crash != nil && crash.Unframed {
+		response, r, end = newUnframedWriter(response, r)
+		defer end()
+	}
 	flusher := http.NewResponseController(response)
 	events, began := w.eventCountOf(id), time.Now()
 	for n := lastEventID + 1; n <= events; n++ {
 		event := StreamEvent(id, n)
+		if crash != nil && n-lastEventID > crash.EventsBefore && crash.IsDue(r.Header.Get("X-Prompt-Prefix")) {
+			if crash.EventsBefore > 0 || crash.Unframed {
+				_, _ = io.WriteString(response, event[:len(event)/2])
+				_ = flusher.Flush()
+			}
+			w.crash(r, current, index, end)
+			return
+		}
 		if half := lastEventID + (events-lastEventID+1)/2; n == half && (fault == FaultBrokenOff || fault == FaultEndsEarly) {
 			_, _ = io.WriteString(response, event[:len(event)/2])
 			_ = flusher.Flush()
