isolator, forwarder, controller: parts of prompts that crash engines are found, tried alone, and refused

What callers saw: while requests with one part came that crashes each engine that begins to write on it, engines ended one after the other, and sound requests beside them failed or were late.

Cause: crashes were counted by the whole request, and no two of these are alike. Entries added to it: they sent each request whose engine had ended to the next one, and to engines with other work.

Why it holds: entries tell each other at once which parts were there at a crash and which have been answered since the first one. A part with two crashes one after the other and no answer since is suspected: one entry tries requests with it, one at a time, on an engine with little other work. After three that chance does not explain, and two seconds in which a sound part is answered, all refuse it. Parts that were always together are refused only together.

Of the ways in which engines end one was no evidence: a stream that has neither a length nor chunks and ends inside an event.

--- a/api/entry.go
+++ b/api/entry.go
@@ -65,6 +65,9 @@
 	// Quarantined is the number of fingerprints whose requests are refused because they crash
 	// upstreams. Set on the users' platform only.
 	Quarantined int `json:",omitempty"`
+	// QuarantinedParts is the number of sets of parts whose prompts are refused because they crash upstreams. Set
+	// on the users' platform only.
+	QuarantinedParts int `json:",omitempty"`
 	// Evacuated lists the data centres whose upstreams get no new work because the operator evacuates
 	// them. Set on the users' platform only.
 	Evacuated []string `json:",omitempty"`
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -23,6 +23,7 @@
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/follower"
 	"github.com/sapphireramp/sapphireramp/forwarder"
+	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/prober"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
@@ -69,6 +70,8 @@
 	// Quarantine exchanges reports of requests that crash upstreams with other
 	// entries, as part of heartbeats.
 	Quarantine *quarantiner.Quarantiner
+	// Isolator exchanges reports of parts of prompts that crash upstreams with other entries.
+	Isolator *isolator.Isolator
 	// Tunneler opens the connections to upstreams. It receives their addresses, and serves other entries as a
 	// relay on the connections that they open to this one.
 	Tunneler *tunneler.Tunneler
@@ -295,6 +298,7 @@
 	s.applyMemberChanges(s.prober.Tick(now))
 	s.logStoreChanges(s.follower.Tick(now), "hold_ended")
 	s.logQuarantined(now, s.controller.config.Quarantine.Evaluate(now), "own")
+	s.logPartDecisions(now, s.controller.config.Isolator.Evaluate(now))
 	if age, ok := s.follower.ConfirmationAge(now); ok {
 		s.controller.metrics.confirmationAge.Update(age.Seconds())
 	}
@@ -349,6 +353,9 @@
 	c.do(func(s *state) { s.seeds, s.dirty = seeds, true })
 }
 
+// SpreadCrash makes this entry tell others of a crash without waiting for the next heartbeat. It does not block.
+func (c *Controller) SpreadCrash() { c.requestHeartbeats() }
+
 // requestHeartbeats makes sendHeartbeats send heartbeats to up to maxImmediateHeartbeats live
 // peers without waiting for the next period, to spread a change. It does not block.
 func (c *Controller) requestHeartbeats() {
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/controller"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
+	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/platform"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/standin/network"
@@ -148,7 +149,7 @@
 		Name: fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3), Incarnation: uint64(f.started),
 		CallerAddress: netip.AddrPortFrom(host, 80), PeerAddress: netip.AddrPortFrom(host, 81), LoadAddress: netip.AddrPortFrom(host, 82),
 		Store: controller.Store{Read: reader.Read, Watch: reader.Watch, DecodeConfig: platform.DecodeConfig}, MaxPropagation: 2 * time.Second,
-		SinceBoot: sinceEpoch, Dispatcher: entryDispatcher, Quarantine: e.quarantine, Tunneler: tunneler.New(tunneler.Config{Dial: f.net.Dialer(host), Relays: noRelays, OnCutOff: func(time.Time) {}, CloseIdle: func() {}, Log: zap.NewNop(), Scope: tally.NoopScope}), Dial: f.net.Dialer(host), Log: zap.NewNop(), Scope: tally.NoopScope,
+		SinceBoot: sinceEpoch, Dispatcher: entryDispatcher, Quarantine: e.quarantine, Isolator: isolator.New(fmt.Sprintf("entry-%d", i)), Tunneler: tunneler.New(tunneler.Config{Dial: f.net.Dialer(host), Relays: noRelays, OnCutOff: func(time.Time) {}, CloseIdle: func() {}, Log: zap.NewNop(), Scope: tally.NoopScope}), Dial: f.net.Dialer(host), Log: zap.NewNop(), Scope: tally.NoopScope,
 		Asserter: asserter.New(func(name, detail string) { f.t.Errorf("%s: %s", name, detail) }),
 	}
 	if f.speed != nil {
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -69,6 +69,9 @@
 	Epoch, StoreRevision, ConfigVersion    int64
 	StateFingerprint, InheritedFingerprint uint64
 	Confirmed                              time.Duration
+	// Parts reports recent crashes by parts of prompts and, in a reply, all quarantines of parts if those of the
+	// two entries differ.
+	Parts api.PartNews
 	// KnownAs is, in a reply, the highest incarnation of the entry that it answers that the sender knows; 0 in
 	// any other heartbeat.
 	KnownAs uint64
@@ -103,6 +106,7 @@
 			reply.KnownAs = known.Incarnation
 		}
 		reply.Quarantine = s.controller.config.Quarantine.TakeReplyUpdate(now, beat.Quarantine)
+		reply.Parts = s.controller.config.Isolator.TakeReplyUpdate(now, beat.Parts)
 	})
 	if reply.From == "" {
 		return errStopped
@@ -164,6 +168,7 @@
 		targets = s.heartbeatTargets(now, all)
 		beat = s.heartbeat(now, minContacts)
 		beat.Quarantine = c.config.Quarantine.TakeHeartbeatUpdate(now)
+		beat.Parts = c.config.Isolator.TakeHeartbeatUpdate(now)
 	})
 	for _, address := range targets {
 		go func() {
@@ -250,6 +255,7 @@
 		s.applyHeartbeat(now, b)
 		s.recordStoreFailure(now, b.Disturbed)
 		s.logQuarantined(now, c.config.Quarantine.ApplyUpdate(now, b.Quarantine), b.From)
+		c.config.Isolator.ApplyUpdate(now, b.Parts, b.From)
 		position := s.follower.Position()
 		_, config := s.follower.Config()
 		have = FetchArgs{Epoch: position.Epoch, Have: position.Revision, HaveConfig: config.Revision, HaveConfigEpoch: config.Epoch, HaveConfigVersion: config.Version}
--- a/controller/scale_test.go
+++ b/controller/scale_test.go
@@ -15,6 +15,7 @@
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/follower"
+	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/prober"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/tunneler"
@@ -28,7 +29,7 @@
 // entries, all of which have sent it a heartbeat.
 func newTestState(members int) *state {
 	c := New(Config{
-		Name: "self", DataCentre: "dc-0", Dispatcher: dispatcher.New("dc-0", rand.New(rand.NewPCG(1, 1))), Quarantine: quarantiner.New(), Tunneler: tunneler.New(tunneler.Config{Log: zap.NewNop(), Scope: tally.NoopScope}),
+		Name: "self", DataCentre: "dc-0", Dispatcher: dispatcher.New("dc-0", rand.New(rand.NewPCG(1, 1))), Quarantine: quarantiner.New(), Isolator: isolator.New("self"), Tunneler: tunneler.New(tunneler.Config{Log: zap.NewNop(), Scope: tally.NoopScope}),
 		MaxPropagation: 2 * time.Second, Log: zap.NewNop(), Scope: tally.NoopScope,
 	})
 	s := &state{
--- a/controller/status.go
+++ b/controller/status.go
@@ -12,6 +12,7 @@
 	var status api.Status
 	c.do(func(s *state) { status = s.status(time.Now()) })
 	status.Quarantined = c.config.Quarantine.QuarantinedCount()
+	status.QuarantinedParts = c.config.Isolator.QuarantinedCount()
 	for _, row := range c.config.Dispatcher.Upstreams(time.Now()) {
 		state := api.InstanceLive
 		if row.Instance.Leaving {
--- a/controller/view.go
+++ b/controller/view.go
@@ -8,6 +8,7 @@
 
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/forwarder"
+	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/prober"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/tunneler"
@@ -79,6 +80,8 @@
 		s.confirmExits(c.config.Dispatcher.UpdateUpstreams(s.table, usable))
 	}
 	c.config.Quarantine.SetUpstreamCount(len(usable))
+	c.config.Isolator.SetUpstreamCount(len(usable))
+	c.config.Isolator.SetEntries(names(v.callerEntries))
 	c.config.Tunneler.SetUpstreams(tunnelUpstreams(usable))
 	c.metrics.configRevision.Update(float64(config.Revision))
 	c.metrics.storeEpoch.Update(float64(s.follower.Position().Epoch))
@@ -92,7 +95,7 @@
 	}
 }
 
-// confirmExits reports incarnations of upstreams that were replaced by others to the quarantiner: responses of
+// confirmExits reports incarnations of upstreams that were replaced by others to the quarantiner and the isolator: responses of
 // theirs that broke off shortly before were broken off by a crash.
 func (s *state) confirmExits(replaced []dispatcher.Instance) {
 	for _, i := range replaced {
@@ -100,6 +103,14 @@
 			s.controller.config.Log.Warn("upstream_ended", zap.Stringer("content", crash.Fingerprint), zap.String("upstream", i.ID),
 				zap.Stringer("address", i.Address), zap.Duration("ran_ms", crash.Ended.Sub(crash.LastSent)))
 		}
+		crashes := s.controller.config.Isolator.ConfirmExit(time.Now(), isolator.IncarnationHash(i.IncarnationID()))
+		for _, crash := range crashes {
+			s.controller.config.Log.Warn("upstream_ended", zap.String("upstream", i.ID), zap.Stringer("address", i.Address),
+				zap.Duration("ran_ms", crash.Ended.Sub(crash.Sent)), zap.String("parts", isolator.JoinParts(crash.Parts)))
+		}
+		if len(crashes) > 0 {
+			s.controller.SpreadCrash()
+		}
 	}
 }
 
--- a/dispatcher/demand.go
+++ b/dispatcher/demand.go
@@ -32,6 +32,9 @@
 	// NoHelpers forbids placing the request on a group of engines, because a group has failed it
 	// before.
 	NoHelpers bool
+	// Isolated is true for a request that may crash its upstream: unless it is placed on a group of engines, it is
+	// placed on an upstream with the fewest requests.
+	Isolated bool
 	// EndWithin is the time until the entry that relays the answer exits; 0 where the entry is not
 	// shutting down. The request is refused where its answer may take longer.
 	EndWithin time.Duration
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -50,6 +50,44 @@
 	if len(upstreams) == 0 {
 		return nil, b.refuseNoneUsable(now, d)
 	}
+	p, refusal := b.chooseAmong(now, d, upstreams)
+	if !d.Isolated || refusal != nil || len(p.Helpers) > 0 {
+		return p, refusal
+	}
+	if isolated, refusal := b.chooseAmong(now, d, b.leastLoaded(now, upstreams)); refusal == nil {
+		return isolated, nil
+	}
+	return p, nil
+}
+
+// leastLoaded returns one of the upstreams with the fewest requests, at random, of those that fail no more often than
+// the others. The lock must be held.
+func (b *Dispatcher) leastLoaded(now time.Time, upstreams []*upstream) []*upstream {
+	lowestRate := 1.0
+	for _, u := range upstreams {
+		lowestRate = min(lowestRate, u.load(now).FailureRate)
+	}
+	var best []*upstream
+	fewest := 0
+	for _, u := range upstreams {
+		load := u.load(now)
+		if load.FailureRate > lowestRate+isolationRateMargin || len(best) > 0 && load.Running > fewest {
+			continue
+		}
+		if len(best) > 0 && load.Running < fewest {
+			best = nil
+		}
+		best, fewest = append(best, u), load.Running
+	}
+	return []*upstream{best[b.random.IntN(len(best))]}
+}
+
+// isolationRateMargin is the difference of failure rates up to which two upstreams count as equally healthy for a
+// request that is placed alone.
+const isolationRateMargin = 0.05
+
+// chooseAmong chooses among the given upstreams, of which there is at least one. The lock must be held.
+func (b *Dispatcher) chooseAmong(now time.Time, d Demand, upstreams []*upstream) (*Placement, *Refusal) {
 	if upstreams[0].engine == nil || d.PromptTokens == 0 {
 		if d.EndWithin > 0 {
 			return nil, refuseOutlivesEntry(0)
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -32,7 +32,8 @@
 type Explanation struct {
 	// Lines are the log lines of the request, oldest first. If the request was refused because of a quarantine,
 	// they also include the lines of upstream crashes and quarantines for the same fingerprint (the hash that
-	// identifies requests with equal content).
+	// identifies requests with equal content). If it was refused because of parts of its prompt, they include those
+	// for these parts.
 	Lines []string
 	// Cause is a text without line breaks: the meaning of the request's outcome, its HTTP status, its duration,
 	// the revision of the configuration that it used, the verdict of each attempt that was logged, and what each
@@ -47,7 +48,7 @@
 // ErrNoLines if no line has the ID, and an error if the logs can't be read or a line exceeds maxLineBytes.
 func Explain(logs io.Reader, requestID string) (Explanation, error) {
 	var requestLines []logLine
-	quarantineLines := map[string][]logLine{}
+	quarantineLines, partLines := map[string][]logLine{}, map[string][]logLine{}
 	scanner := bufio.NewScanner(logs)
 	scanner.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
 	for scanner.Scan() {
@@ -56,6 +57,11 @@
 			fingerprint := line.fields["content"]
 			quarantineLines[fingerprint] = append(quarantineLines[fingerprint], line)
 		}
+		if line, parts, ok := parsePartLine(text); ok {
+			for _, p := range parts {
+				partLines[p] = append(partLines[p], line)
+			}
+		}
 		if !strings.Contains(text, "request="+requestID) {
 			continue
 		}
@@ -74,8 +80,9 @@
 	explanation := Explanation{Cause: describeCause(requestLines), MissingLines: missingLines(requestLines)}
 	if last := requestLines[len(requestLines)-1].fields; last["outcome"] == outcomeQuarantined {
 		requestLines = append(requestLines, quarantineLines[last["content"]]...)
-		slices.SortStableFunc(requestLines, byTime)
 	}
+	requestLines = append(requestLines, linesOfRefusedParts(requestLines, partLines)...)
+	slices.SortStableFunc(requestLines, byTime)
 	for _, line := range requestLines {
 		explanation.Lines = append(explanation.Lines, line.text)
 	}
@@ -96,6 +103,46 @@
 	return parseLine(text)
 }
 
+// partEvents are the events about parts of prompts that crash upstreams.
+var partEvents = []string{"upstream_ended", "part_suspected", "part_cleared", "part_quarantined", "part_released", "part_tried"}
+
+// parsePartLine parses a line of one of partEvents, and returns it with the parts that it names. It returns false for
+// lines of other events, without parts, and for malformed lines.
+func parsePartLine(text string) (line logLine, parts []string, ok bool) {
+	if !strings.Contains(text, "event=upstream_ended") && !strings.Contains(text, "event=part_") {
+		return logLine{}, nil, false
+	}
+	line, ok = parseLine(text)
+	named := cmp.Or(line.fields["part"], line.fields["parts"])
+	if !ok || named == "" || !slices.Contains(partEvents, line.fields["event"]) {
+		return logLine{}, nil, false
+	}
+	return line, strings.Split(named, ","), true
+}
+
+// linesOfRefusedParts returns the lines about those parts for which a request was refused, each once, without those
+// among the lines of the request.
+func linesOfRefusedParts(requestLines []logLine, partLines map[string][]logLine) []logLine {
+	var found []logLine
+	seen := map[string]bool{}
+	for _, line := range requestLines {
+		seen[line.text] = true
+	}
+	for _, line := range requestLines {
+		if line.fields["event"] != "part_refused" {
+			continue
+		}
+		for _, p := range strings.Split(line.fields["part"], ",") {
+			for _, about := range partLines[p] {
+				if !seen[about.text] {
+					found, seen[about.text] = append(found, about), true
+				}
+			}
+		}
+	}
+	return found
+}
+
 // parseLine parses a logfmt line from "time=" on. It returns false if the line has no "time=" pair with a valid
 // time, or is malformed.
 func parseLine(text string) (logLine, bool) {
@@ -158,7 +205,8 @@
 	"stopping":                  "refused, not run: the entry was shutting down, and the response might not have ended before the entry did; retry_after_ms is the time after which another entry can serve it",
 	"no_upstream":               "refused, not run: the list of upstreams had no usable one of the service",
 	"no_memory":                 "refused, not run: no engine or group of engines had enough memory for this prompt",
-	outcomeQuarantined:          "refused, not run: upstreams crashed one after the other while they ran requests with the same fingerprint; see event=upstream_ended with the same content",
+	outcomeQuarantined:          "refused, not run: upstreams crashed one after the other while they ran requests with the same fingerprint, or with the same part of their prompts; see event=upstream_ended with the same content or part",
+	"suspected":                 "refused, not run: upstreams crashed while they ran prompts that share a part with it, and it is not certain yet that the part was the cause; see event=part_suspected",
 	"upstreams_cold":            "refused, not run: every remaining upstream is cold, and this entry may not send it a request yet",
 	"upstreams_limited":         "refused, not run: every remaining upstream accepts a limited number of requests per second, and this entry may not send it one yet; see event=upstream_limit",
 	"upstreams_pause":           "refused, not run: every remaining upstream asked this entry to send no requests for some time; see event=upstream_pauses",
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -52,6 +52,24 @@
 	is.True(strings.HasPrefix(explanation.Cause, "refused, not run: upstreams crashed one after the other"))
 }
 
+// A request that was refused because of a part of its prompt leads to the crashes behind it, which were those of other
+// requests.
+func TestExplainRefusedPart(t *testing.T) {
+	is := is.New(t)
+	explanation, err := explainer.Explain(strings.NewReader(`time=2026-03-06T08:11:28Z level=warn event=upstream_ended request=r2 content=c1 upstream=i-1 parts=p1.a,p2.a
+time=2026-03-06T08:11:28Z level=warn event=upstream_ended request=r3 content=c2 upstream=i-1 parts=p1.a,p3.a
+time=2026-03-06T08:11:29Z level=warn event=part_suspected part=p2.a crashes=2 source=own
+time=2026-03-06T08:11:29Z level=warn event=part_tried request=r4 part=p2.a
+time=2026-03-06T08:11:30Z level=warn event=part_quarantined part=p2.a,p4.a crashes=3 source=own
+time=2026-03-06T08:11:31Z level=warn event=part_refused request=r5 part=p2.a,p4.a certain=true crashes=3
+time=2026-03-06T08:11:31Z level=warn event=request request=r5 outcome=quarantined status=503 took_ms=0 attempts=0 content=c5 config_revision=7
+`), "r5")
+	is.NoErr(err)
+	is.Equal(len(explanation.Lines), 6) // all but that of r3
+	is.True(strings.Contains(explanation.Lines[0], "upstream_ended request=r2"))
+	is.True(strings.Contains(explanation.Cause, "same part of their prompts"))
+}
+
 func TestMissingLinesAreNamed(t *testing.T) {
 	is := is.New(t)
 	explanation, err := explainer.Explain(strings.NewReader(logs), "r4")
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -9,13 +9,13 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/dispatcher"
+	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/tunneler"
 	"github.com/sapphireramp/sapphireramp/watcher"
 )
@@ -328,17 +328,19 @@
 		f.dispatcher.ForgetFailures() // the cut was found between the check above and End
 	}
 	f.detectCrash(x, a)
+	x.endTrial(a.connectionLost)
 	// Only a successful response shows that the request does not crash upstreams: an upstream may
 	// respond with a failure to a request that it has not begun.
 	if a.verdict == verdictAnswered && a.response.StatusCode < http.StatusMultipleChoices {
 		f.quarantine.RecordSuccess(time.Now(), x.fingerprint)
+		f.recordSurvival(x, a)
 	}
 	if a.verdict == verdictAnswered {
 		return
 	}
 	f.log.Warn("attempt", zap.String("request", x.metadata.ID), zap.String("verdict", string(a.verdict)),
 		zap.String("upstream", a.placement.First.ID), zap.Stringer("address", a.placement.First.Address),
-		zap.Int("helpers", len(a.placement.Helpers)), zap.Bool("tunnelled", a.isTunnelled()), zap.Bool("link_at_fault", a.isLinkAtFault), zap.Duration("left_ms", time.Until(x.deadline)), zap.Stringer("content", x.fingerprint), zap.String("parts", strings.Join(x.metadata.SharedParts, ",")), zap.Duration("writing_ms", a.writingTime(time.Now())), zap.Error(a.err))
+		zap.Int("helpers", len(a.placement.Helpers)), zap.Bool("tunnelled", a.isTunnelled()), zap.Bool("link_at_fault", a.isLinkAtFault), zap.Duration("left_ms", time.Until(x.deadline)), zap.Stringer("content", x.fingerprint), zap.String("parts", isolator.JoinParts(x.parts)), zap.Duration("writing_ms", a.writingTime(time.Now())), zap.Error(a.err))
 }
 
 // dispatchResult returns the result of an ended attempt that the dispatcher records for its first
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/dispatcher"
+	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/tunneler"
 )
@@ -33,16 +33,37 @@
 	a.connectionLost = context.Cause(ctx) == nil && !a.isLinkAtFault
 }
 
+// markEndedEarly sets the verdict of an attempt whose stream ended too early, without an error of the connection, to
+// verdictBroken with the error err. If only the end of the connection marked the end of the stream, the upstream may
+// have exited.
+func (a *attempt) markEndedEarly(err error) {
+	a.verdict, a.err = verdictBroken, err
+	a.connectionLost = a.isDelimitedByClose()
+}
+
 // detectCrash checks in the background whether an attempt lost its connection because the first
 // upstream exited, and if so logs the exit and reports it to the quarantiner as a crash. If another process
 // listens at the address, the exit shows once the upstream is registered as another incarnation. Attempts that
 // this entry cancelled are ignored: one cancelled because of an upstream's restart may have reached
 // the new incarnation.
+//
+// A request whose response had been going on for isolator.SurvivalTime is no possible cause by a part of its prompt.
 func (f *Forwarder) detectCrash(x *exchange, a *attempt) {
 	if !a.connectionLost {
 		return
 	}
+	if a.mayHaveCrashed() {
+		x.lostCount++
+	}
 	first, brokeAt := a.placement.First, time.Now()
+	writingTime := a.writingTime(brokeAt)
+	partCrash := isolator.Crash{Parts: x.parts, Incarnation: isolator.IncarnationHash(first.IncarnationID()), Sent: a.startedAt, Ended: brokeAt}
+	if !a.mayHaveCrashed() {
+		partCrash.Parts = nil
+	}
+	if len(partCrash.Parts) > 0 {
+		f.isolator.RecordInterruption(brokeAt, partCrash)
+	}
 	crash := quarantiner.Crash{Fingerprint: x.fingerprint, Incarnation: quarantiner.IncarnationHash(first.IncarnationID()), LastSent: a.startedAt, Ended: brokeAt}
 	f.quarantine.RecordInterruption(brokeAt, crash)
 	go func() {
@@ -51,8 +72,11 @@
 		}
 		f.log.Warn("upstream_ended", zap.String("request", x.metadata.ID), zap.Stringer("content", x.fingerprint), zap.String("upstream", first.ID),
 			zap.Stringer("address", first.Address), zap.Duration("ran_ms", brokeAt.Sub(a.startedAt)),
-			zap.String("parts", strings.Join(x.metadata.SharedParts, ",")), zap.Duration("writing_ms", a.writingTime(brokeAt)))
+			zap.String("parts", isolator.JoinParts(x.parts)), zap.Duration("writing_ms", writingTime))
 		f.quarantine.RecordCrash(time.Now(), crash)
+		if f.isolator.RecordCrash(time.Now(), partCrash) {
+			f.onCrash()
+		}
 	}()
 }
 
@@ -66,16 +90,19 @@
 	return ""
 }
 
-// recordEvent records the arrival of an event of the response. It returns true for the first event
-// after which hasRunLongEnough returns true.
-func (a *attempt) recordEvent(now time.Time) bool {
-	before := a.hasRunLongEnough()
+// recordEvent records the arrival of an event of the response, and the survival of the parts of the prompt after
+// isolator.SurvivalTime. It returns true for the first event after which hasRunLongEnough returns true.
+func (f *Forwarder) recordEvent(x *exchange, a *attempt, now time.Time) bool {
+	before, hadSurvived := a.hasRunLongEnough(), a.lastEventAt.Sub(a.firstEventAt) >= isolator.SurvivalTime
 	if a.firstEventAt.IsZero() {
 		a.firstEventAt, a.lastEventAt = now, now
 	}
 	a.longestGap.Store(max(a.longestGap.Load(), int64(now.Sub(a.lastEventAt))))
 	a.lastEventAt = now
 	a.eventCount.Add(1)
+	if !hadSurvived && a.lastEventAt.Sub(a.firstEventAt) >= isolator.SurvivalTime {
+		f.isolator.RecordSurvival(now, x.parts, a.firstEventAt)
+	}
 	return !before && a.hasRunLongEnough()
 }
 
@@ -105,9 +132,84 @@
 	return &dispatcher.Refusal{Reason: reasonQuarantined, RetryAfter: until.Sub(now)}
 }
 
+// maxLostAttempts is the number of attempts of a prompt with shared parts that may lose their connection.
+const maxLostAttempts = 2
+
 // isSuspect reports whether a request must not be sent to another upstream after the attempt a, as it may
 // crash that upstream too: the connection was lost, and the quarantiner suspects the fingerprint
-// because of earlier crashes.
+// because of earlier crashes, or maxLostAttempts is reached.
 func (f *Forwarder) isSuspect(x *exchange, a *attempt) bool {
-	return a.connectionLost && f.quarantine.IsSuspect(x.fingerprint)
+	if !a.connectionLost {
+		return false
+	}
+	return f.quarantine.IsSuspect(x.fingerprint) || len(x.parts) > 0 && a.mayHaveCrashed() && x.lostCount+1 >= maxLostAttempts
+}
+
+// mayHaveCrashed reports whether a part of the prompt may have crashed the upstream, as the connection was lost
+// before the response had gone on for isolator.SurvivalTime.
+func (a *attempt) mayHaveCrashed() bool {
+	return a.connectionLost && a.writingTime(time.Now()) < isolator.SurvivalTime
+}
+
+// maxSuspectWait is the time for which a request that an upstream has received before waits until it is known
+// whether a suspected part of its prompt crashes upstreams.
+const maxSuspectWait = 1500 * time.Millisecond
+
+// admit returns a refusal if the request may not be sent to an upstream now because of parts of its prompt that may
+// crash the upstream, and nil otherwise. It sets x.trial if the request is one that is tried.
+func (f *Forwarder) admit(x *exchange) *dispatcher.Refusal {
+	if x.trial != nil {
+		return nil
+	}
+	now := time.Now()
+	trial, refusal := f.isolator.Admit(now, x.parts, x.lostCount > 0)
+	if refusal == nil {
+		x.trial = trial
+		if trial != nil {
+			f.log.Warn("part_tried", zap.String("request", x.metadata.ID), zap.String("part", isolator.JoinParts(trial.Parts)))
+		}
+		return nil
+	}
+	if x.suspectedAt.IsZero() {
+		x.suspectedAt = now
+	}
+	if !refusal.IsCertain && x.sentCount > 0 && now.Sub(x.suspectedAt) < maxSuspectWait {
+		return &dispatcher.Refusal{Reason: reasonSuspected, RetryAfter: refusal.RetryAfter, Temporary: true, Deferrable: true}
+	}
+	reason := reasonSuspected
+	if refusal.IsCertain {
+		reason = reasonQuarantined
+	}
+	f.log.Warn("part_refused", zap.String("request", x.metadata.ID), zap.String("part", isolator.JoinParts(refusal.Parts)), zap.Bool("certain", refusal.IsCertain),
+		zap.Int("crashes", refusal.Crashes), zap.Duration("age_ms", now.Sub(refusal.FirstCrash)), zap.Duration("retry_after_ms", refusal.RetryAfter))
+	return &dispatcher.Refusal{Reason: reason, RetryAfter: refusal.RetryAfter}
+}
+
+// endTrial ends the trial of a request, if there is one. IsBroken is true if the connection to the upstream was lost.
+func (x *exchange) endTrial(isBroken bool) {
+	if x.trial != nil {
+		x.trial.End(time.Now(), isBroken)
+		x.trial = nil
+	}
+}
+
+// recordSurvival records that an upstream completed the response of an attempt. A response without a length or
+// chunks does not count, as the end of its connection may be that of the upstream.
+func (f *Forwarder) recordSurvival(x *exchange, a *attempt) {
+	if a.isDelimitedByClose() {
+		return
+	}
+	now := time.Now()
+	begun := a.startedAt
+	if x.isStream() {
+		begun = a.firstEventAt
+	}
+	if !begun.IsZero() && now.Sub(begun) >= isolator.MinAnswerTime {
+		f.isolator.RecordSurvival(now, x.parts, begun)
+	}
+}
+
+// isDelimitedByClose reports whether only the end of the connection marks the end of the response.
+func (a *attempt) isDelimitedByClose() bool {
+	return a.response != nil && a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0
 }
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -35,6 +35,7 @@
 	reasonBroken          = "stream_broken"
 	reasonPanic           = "internal_error"
 	reasonQuarantined     = "quarantined"
+	reasonSuspected       = "suspected"
 	reasonUpstreamsCutOff = "upstreams_cut_off"
 )
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"github.com/sapphireramp/sapphireramp/budgeter"
 	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
+	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/sleeper"
@@ -55,6 +56,10 @@
 	RetryBudget *budgeter.Budgeter
 	// Quarantine decides which requests are refused because they crash upstreams.
 	Quarantine *quarantiner.Quarantiner
+	// Isolator decides which requests are refused, or tried one at a time, because of parts of their prompts that
+	// crash upstreams. OnCrash is called when such a crash was recorded; it must not block.
+	Isolator *isolator.Isolator
+	OnCrash  func()
 	// Tunneler opens connections to upstreams.
 	Tunneler *tunneler.Tunneler
 	// Log receives the log lines about requests and attempts, whose events logger.Events describes.
@@ -75,6 +80,8 @@
 	dispatcher        *dispatcher.Dispatcher
 	retryBudget       *budgeter.Budgeter
 	quarantine        *quarantiner.Quarantiner
+	isolator          *isolator.Isolator
+	onCrash           func()
 	tunneler          *tunneler.Tunneler
 	transport         *http.Transport
 	exitDetector      *connector.ExitDetector
@@ -88,7 +95,7 @@
 // New returns a Forwarder with the configuration c.
 func New(c Config) *Forwarder {
 	f := &Forwarder{
-		protocol: c.Protocol, reservationClient: c.Reservations, reservationTTL: c.ReservationTTL, maxIdle: c.MaxIdle, view: c.View, dispatcher: c.Dispatcher, retryBudget: c.RetryBudget, quarantine: c.Quarantine, log: c.Log,
+		protocol: c.Protocol, reservationClient: c.Reservations, reservationTTL: c.ReservationTTL, maxIdle: c.MaxIdle, view: c.View, dispatcher: c.Dispatcher, retryBudget: c.RetryBudget, quarantine: c.Quarantine, isolator: c.Isolator, onCrash: c.OnCrash, log: c.Log,
 		metrics: newMetrics(c.Scope), asserter: c.Asserter, tunneler: c.Tunneler, transport: newTransport(c.Tunneler.Dial), exitDetector: connector.NewExitDetector(c.Tunneler.Dial),
 	}
 	f.handler = chain(f.forward, f.respond, f.recoverPanic, f.requireConfig, f.limitHeader, f.matchRoute, f.readBody)
@@ -131,6 +138,14 @@
 	bodyRead bool
 	// fingerprint identifies requests with equal content; zero until the body has been read.
 	fingerprint quarantiner.Fingerprint
+	// parts are the parts of the prompt that other prompts may share; nil until the body has been read.
+	parts []isolator.Part
+	// trial is not nil while the request is tried although it may crash its upstream.
+	trial *isolator.Trial
+	// suspectedAt is when the request was first held back for a suspected part; zero if it was not.
+	suspectedAt time.Time
+	// lostCount is the number of attempts for which mayHaveCrashed returned true.
+	lostCount int
 
 	// sentCount is the number of attempts for which a connection was established. pendingCount is the
 	// number of those whose upstream has not stated that it did not run the request.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -22,6 +22,7 @@
 	"github.com/sapphireramp/sapphireramp/budgeter"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/forwarder"
+	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/platform"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
@@ -107,7 +108,7 @@
 		links.SetUpstreams(tunnelUpstreams(f.instances))
 		handler := forwarder.New(forwarder.Config{
 			Protocol: platform.Protocol(), Reservations: platform.NewReservationClient(&http.Client{Transport: &http.Transport{DialContext: links.Dial, DisableKeepAlives: true}}),
-			ReservationTTL: 3 * time.Second, MaxIdle: 9 * time.Second, View: f.view.Load, Dispatcher: f.dispatcher, Quarantine: f.quarantine,
+			ReservationTTL: 3 * time.Second, MaxIdle: 9 * time.Second, View: f.view.Load, Dispatcher: f.dispatcher, Quarantine: f.quarantine, Isolator: isolator.New("entry"), OnCrash: func() {},
 			RetryBudget: budgeter.New(budgeter.Config{Ratio: 0.2, Window: 10 * time.Second, BaseRetries: 100}),
 			Tunneler:    links, Log: zap.NewNop(), Scope: tally.NoopScope, Asserter: invariants,
 		})
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/sapphireramp/sapphireramp/isolator"
 )
 
 // limitHeader returns a filter that refuses requests whose header is larger than the configuration
@@ -76,6 +78,8 @@
 		}
 		x.body, x.bodyRead = body, true
 		x.fingerprint = fingerprintOf(x)
+		x.parts = isolator.PartsOf(x.organisation, x.metadata.SharedParts)
+		f.isolator.RecordRequest(x.parts)
 		return next(x)
 	}
 }
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -115,13 +115,20 @@
 }
 
 // tryPlace searches once for a placement, and returns the placement or a refusal, and how long the
-// search took. A quarantined request is refused without a search.
+// search took. A request that crashes upstreams, or may, is refused without a search.
 func (f *Forwarder) tryPlace(x *exchange) (*dispatcher.Placement, *dispatcher.Refusal, time.Duration) {
 	if refusal := f.checkQuarantine(x); refusal != nil {
 		return nil, refusal, 0
 	}
+	if refusal := f.admit(x); refusal != nil {
+		return nil, refusal, 0
+	}
+	x.lastDemand.Isolated = x.trial != nil || x.lostCount > 0 && len(x.parts) > 0
 	began := time.Now()
 	p, refusal := f.dispatcher.Place(began, x.lastDemand)
+	if refusal != nil {
+		x.endTrial(false)
+	}
 	return p, refusal, time.Since(began)
 }
 
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -129,7 +129,7 @@
 				a.reservations.markBegun()
 				begun = true
 			}
-			if a.recordEvent(time.Now()) {
+			if f.recordEvent(x, a, time.Now()) {
 				f.quarantine.RecordSuccess(time.Now(), x.fingerprint)
 			}
 			if fail := f.writeEvent(x, a, e); fail != nil {
@@ -146,10 +146,10 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF) && splitErr == nil && events.HasPartial():
-			a.verdict, a.err = verdictBroken, errPartialEvent
+			a.markEndedEarly(errPartialEvent)
 			return
 		case errors.Is(err, io.EOF) && splitErr == nil && !begun && !x.responseBegun:
-			a.verdict, a.err = verdictBroken, errEmptyStream
+			a.markEndedEarly(errEmptyStream)
 			return
 		case errors.Is(err, io.EOF) && splitErr == nil:
 			return
--- /dev/null
+++ b/isolator/interruptions.go
@@ -0,0 +1,58 @@
+package isolator
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// interruptionTTL is the time after which an interruption that no restart has explained is dropped. Within it
+	// an upstream that has crashed is registered again, as the next incarnation.
+	interruptionTTL = 10 * time.Second
+	// maxInterruptions is the maximum number of interruptions kept; the oldest ones are dropped.
+	maxInterruptions = 1024
+)
+
+// interruption is a response that broke off at a time, which may be due to the exit of its upstream's incarnation.
+type interruption[T any] struct {
+	incarnation uint32
+	ended       time.Time
+	crash       T
+}
+
+// Interruptions holds responses that broke off recently, each with what is to be recorded if its upstream turns out
+// to have exited. The zero value is empty.
+type Interruptions[T any] struct {
+	// items are the interruptions, oldest first; at most maxInterruptions.
+	items []interruption[T]
+}
+
+// Add adds an interruption of a response of an incarnation.
+func (n *Interruptions[T]) Add(now time.Time, incarnation uint32, ended time.Time, crash T) {
+	n.expire(now)
+	n.items = append(n.items, interruption[T]{incarnation: incarnation, ended: ended, crash: crash})
+	n.items = n.items[max(0, len(n.items)-maxInterruptions):]
+}
+
+// Take removes the recent interruptions of an incarnation and returns them.
+func (n *Interruptions[T]) Take(now time.Time, incarnation uint32) []T {
+	n.expire(now)
+	var found []T
+	n.items = slices.DeleteFunc(n.items, func(item interruption[T]) bool {
+		if item.incarnation == incarnation {
+			found = append(found, item.crash)
+		}
+		return item.incarnation == incarnation
+	})
+	return found
+}
+
+// Forget drops the interruptions since a time.
+func (n *Interruptions[T]) Forget(since time.Time) {
+	n.items = slices.DeleteFunc(n.items, func(item interruption[T]) bool { return !item.ended.Before(since) })
+}
+
+// expire drops the interruptions that are older than interruptionTTL.
+func (n *Interruptions[T]) expire(now time.Time) {
+	n.items = slices.DeleteFunc(n.items, func(item interruption[T]) bool { return now.Sub(item.ended) > interruptionTTL })
+}
--- a/launcher/crash_part_test.go
+++ b/launcher/crash_part_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package launcher_test
 
 import (
@@ -243,32 +241,21 @@
 	return fmt.Sprintf("%s,%x", commonPart, 4096+n%40)
 }
 
-// Guards against requests with one part that crash engines one after the other, since only whole requests were
-// counted: however many come, wherever the part stands, whatever stands beside it and however the engines end.
-func TestPartThatCrashesEnginesIsQuarantined(t *testing.T) {
-	middle := func(n int) string { return commonPart + "," + badPart + fmt.Sprintf(",%x", 8192+n) }
-	cases := []struct {
-		name   string
-		kind   crashKind
-		crash  worker.WriteCrash
-		count  int
-		period time.Duration
-		parts  func(n int) string
-	}{
-		{name: "five a second", count: 1, period: 200 * time.Millisecond, parts: middle},
-		{name: "rare", count: 1, period: 1500 * time.Millisecond, parts: middle},
-		{name: "many at once", count: 20, period: 2 * time.Second, parts: middle},
-		{name: "first part", count: 1, period: 200 * time.Millisecond, parts: func(n int) string { return fmt.Sprintf("%s,c1,%x", badPart, 8192+n) }},
-		{name: "fixed companion", count: 1, period: 200 * time.Millisecond, parts: func(int) string { return commonPart + ",c1," + badPart }},
-		{name: "companion seen nowhere else", count: 1, period: 200 * time.Millisecond, parts: func(int) string { return commonPart + "," + badPart + ",c2" }},
-		{name: "no other shared part", count: 1, period: 200 * time.Millisecond, parts: func(int) string { return badPart }},
-		{name: "after three events", crash: worker.WriteCrash{EventsBefore: 3}, count: 1, period: 200 * time.Millisecond, parts: middle},
-		{name: "unframed", crash: worker.WriteCrash{EventsBefore: 2, Unframed: true}, count: 1, period: 200 * time.Millisecond, parts: middle},
-		{name: "unframed before the first event", crash: worker.WriteCrash{Unframed: true}, count: 1, period: 200 * time.Millisecond, parts: middle},
-		{name: "connections dropped", kind: dropsConnections, count: 1, period: 400 * time.Millisecond, parts: middle},
-		{name: "requests dropped", kind: dropsRequests, count: 1, period: 400 * time.Millisecond, parts: middle},
-		{name: "restarts at once", kind: restartsAtOnce, count: 1, period: 400 * time.Millisecond, parts: middle},
-	}
+// partCase is a way in which requests with a part that crashes engines come: count at a time, period apart, with parts.
+type partCase struct {
+	name   string
+	kind   crashKind
+	crash  worker.WriteCrash
+	count  int
+	period time.Duration
+	parts  func(n int) string
+}
+
+// inTheMiddle returns the parts of the n-th request in which the bad part stands between the common one and another.
+func inTheMiddle(n int) string { return commonPart + "," + badPart + fmt.Sprintf(",%x", 8192+n) }
+
+// checkParts runs checkPart for each case.
+func checkParts(t *testing.T, cases []partCase) {
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			withPartTest(t, c.kind, c.crash, func(p *partTest) {
@@ -281,3 +268,140 @@
 		})
 	}
 }
+
+// Guards against requests with one part that crash engines one after the other, since only whole requests were
+// counted: however many of them come.
+func TestPartThatCrashesEnginesIsQuarantined(t *testing.T) {
+	checkParts(t, []partCase{
+		{name: "five a second", count: 1, period: 200 * time.Millisecond, parts: inTheMiddle},
+		{name: "rare", count: 1, period: 1500 * time.Millisecond, parts: inTheMiddle},
+		{name: "many at once", count: 20, period: 2 * time.Second, parts: inTheMiddle},
+	})
+}
+
+// The same wherever the part stands and whatever stands beside it.
+func TestPartIsQuarantinedInAnyCompany(t *testing.T) {
+	checkParts(t, []partCase{
+		{name: "first part", count: 1, period: 200 * time.Millisecond, parts: func(n int) string { return fmt.Sprintf("%s,c1,%x", badPart, 8192+n) }},
+		{name: "fixed companion", count: 1, period: 200 * time.Millisecond, parts: func(int) string { return commonPart + ",c1," + badPart }},
+		{name: "companion seen nowhere else", count: 1, period: 200 * time.Millisecond, parts: func(int) string { return commonPart + "," + badPart + ",c2" }},
+		{name: "no other shared part", count: 1, period: 200 * time.Millisecond, parts: func(int) string { return badPart }},
+	})
+}
+
+// The same however the engines end: before the first event, after several, in streams without a length or chunks, and
+// behind addresses that go on listening.
+func TestPartIsQuarantinedHoweverEnginesEnd(t *testing.T) {
+	checkParts(t, []partCase{
+		{name: "after three events", crash: worker.WriteCrash{EventsBefore: 3}, count: 1, period: 200 * time.Millisecond, parts: inTheMiddle},
+		{name: "unframed", crash: worker.WriteCrash{EventsBefore: 2, Unframed: true}, count: 1, period: 200 * time.Millisecond, parts: inTheMiddle},
+		{name: "unframed before the first event", crash: worker.WriteCrash{Unframed: true}, count: 1, period: 200 * time.Millisecond, parts: inTheMiddle},
+		{name: "connections dropped", kind: dropsConnections, count: 1, period: 400 * time.Millisecond, parts: inTheMiddle},
+		{name: "requests dropped", kind: dropsRequests, count: 1, period: 400 * time.Millisecond, parts: inTheMiddle},
+		{name: "restarts at once", kind: restartsAtOnce, count: 1, period: 400 * time.Millisecond, parts: inTheMiddle},
+	})
+}
+
+// Two parts crash engines at a time, while an entry starts anew and another is cut off from all engines. Guards against
+// crashes being counted for one part only, and forgotten by entries that start or reach engines through others.
+func TestTwoPartsWhileEntriesStartAndAreCutOff(t *testing.T) {
+	withPartTest(t, refusesConnections, worker.WriteCrash{EventsBefore: 1}, func(p *partTest) {
+		began := time.Now()
+		p.cutOffAll([]int{4}, cutRefuses)
+		sound := p.sendPrompts("sound", 1, time.Second/soundRate, calmTime+badTime, soundParts)
+		time.Sleep(calmTime)
+		bad := p.sendPrompts("bad", 1, 300*time.Millisecond, badTime, inTheMiddle)
+		other := p.sendPrompts("other", 1, 700*time.Millisecond, badTime, func(n int) string { return fmt.Sprintf("%s,c1,%s", commonPart, otherBadPart) })
+		time.Sleep(8 * time.Second)
+		p.restartEntry(2)
+		sound.sending.Wait()
+		sound.results = slices.DeleteFunc(sound.results, func(r caller.Result) bool { return r.Entry.Addr() == entryHost(2) })
+		bad.sending.Wait()
+		bad.results = slices.DeleteFunc(bad.results, func(r caller.Result) bool { return r.Status == 0 }) // at the entry that was down
+		other.sending.Wait()
+		other.results = slices.DeleteFunc(other.results, func(r caller.Result) bool { return r.Status == 0 })
+		p.checkPart(began, sound, 2, bad, other)
+	})
+}
+
+// restartEntry kills an entry and starts it anew.
+func (f *fleet) restartEntry(i int) {
+	f.killEntry(f.entries[i])
+	<-f.entries[i].exited
+	f.entries[i] = f.startEntry(i)
+}
+
+// A part that was answered until now crashes engines from a moment on. Guards against answers before the first crash
+// acquitting the part.
+func TestPartThatWasSoundIsQuarantined(t *testing.T) {
+	withPartTest(t, refusesConnections, worker.WriteCrash{}, func(p *partTest) {
+		p.setBad()
+		began := time.Now()
+		sound := p.sendPrompts("sound", 1, time.Second/soundRate, calmTime+badTime, soundParts)
+		earlier := p.sendPrompts("earlier", 1, 200*time.Millisecond, calmTime-time.Second, inTheMiddle)
+		p.crashWorker("i-lm-2", "lm") // with some of them
+		time.Sleep(calmTime)
+		earlier.sending.Wait()
+		p.setBad(badPart)
+		bad := p.sendPrompts("bad", 1, 200*time.Millisecond, badTime, inTheMiddle)
+		p.checkPart(began, sound, 1, bad)
+	})
+}
+
+// A part that no longer crashes engines is answered again after its quarantine, within one more try.
+func TestPartIsAnsweredAfterItsQuarantine(t *testing.T) {
+	withPartTest(t, refusesConnections, worker.WriteCrash{}, func(p *partTest) {
+		sound := p.sendPrompts("sound", 1, 200*time.Millisecond, 90*time.Second, soundParts)
+		bad := p.sendPrompts("bad", 1, 300*time.Millisecond, 6*time.Second, inTheMiddle)
+		bad.sending.Wait()
+		crashes := len(p.crashes())
+		p.setBad()
+		time.Sleep(70 * time.Second)
+		again := p.sendPrompts("again", 1, 500*time.Millisecond, 10*time.Second, inTheMiddle)
+		sound.sending.Wait()
+		again.sending.Wait()
+		served, sent := again.served(time.Now().Add(-15*time.Second), time.Now())
+		t.Logf("%d crashes; after the quarantine %d of %d are served", crashes, served, sent)
+		if crashes == 0 || 2*served < sent || len(p.crashes()) != crashes {
+			t.Errorf("%d crashes before, %d after the quarantine; %d of %d are served then", crashes, len(p.crashes())-crashes, served, sent)
+		}
+	})
+}
+
+// Half of the engines end, at once or one after the other within three seconds, again and again, while all prompts
+// share their first part. Guards against an outage being blamed on the parts of prompts that met it.
+func TestOutageBlamesNoPart(t *testing.T) {
+	for name, between := range map[string]time.Duration{"at once": 0, "one after the other": 400 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			withPartTest(t, refusesConnections, worker.WriteCrash{}, func(p *partTest) {
+				p.setBad()
+				sound := p.sendPrompts("sound", 1, time.Second/soundRate, 25*time.Second, soundParts)
+				time.Sleep(time.Second)
+				for range 4 {
+					for n := range 7 {
+						p.crashWorker(fmt.Sprintf("i-lm-%d", 7+n), "lm")
+						time.Sleep(between)
+					}
+					time.Sleep(6*time.Second - 7*between)
+				}
+				sound.sending.Wait()
+				suspected := 0
+				for _, r := range sound.results {
+					if strings.Contains(r.Body, "quarantined") {
+						t.Errorf("%s: refused as quarantined", r.ID)
+					}
+					if strings.Contains(r.Body, "suspected") {
+						suspected++
+					}
+				}
+				after := p.sendPrompts("after", 1, 25*time.Millisecond, 3*time.Second, soundParts)
+				after.sending.Wait()
+				served, sent := after.served(time.Time{}, time.Now())
+				t.Logf("%d of %d refused as suspected; after the outages %d of %d are served", suspected, len(sound.results), served, sent)
+				if served < sent {
+					t.Errorf("after the outages %d of %d are served", served, sent)
+				}
+			})
+		})
+	}
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -25,6 +25,7 @@
 	"github.com/sapphireramp/sapphireramp/controller"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/forwarder"
+	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/tunneler"
 )
@@ -146,7 +147,7 @@
 // New returns a Launcher for the entry that c configures. The entry opens no listener until Run is called.
 func New(c Config) *Launcher {
 	c = c.withSystemDefaults()
-	quarantine := quarantiner.New()
+	quarantine, partIsolator := quarantiner.New(), isolator.New(c.Name)
 	sharedDispatcher := dispatcher.New(c.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	l := &Launcher{config: c, retryBudget: budgeter.New(c.Settings.RetryBudget), activeConns: connector.NewActiveConns(), acceptDone: make(chan struct{})}
 	l.settings.Store(&c.Settings)
@@ -155,6 +156,7 @@
 		OnCutOff: func(lastContact time.Time) {
 			sharedDispatcher.ForgetFailures()
 			quarantine.ForgetInterruptions(lastContact)
+			partIsolator.ForgetInterruptions(lastContact)
 		},
 		CloseIdle: func() {}, // no connection to an upstream is kept open
 		Log:       c.Log, Scope: c.Scope,
@@ -164,11 +166,11 @@
 	reservationHTTPClient := &http.Client{Transport: &http.Transport{DialContext: l.tunneler.Dial, DisableKeepAlives: true}}
 	l.controller = controller.New(controller.Config{
 		Name: c.Name, DataCentre: c.DataCentre, Incarnation: uint64(time.Now().UnixNano()),
-		CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, LoadAddress: c.LoadAddress, Store: c.Store, MaxPropagation: c.MaxPropagation, Speed: c.Speed, SinceBoot: c.SinceBoot, Dispatcher: sharedDispatcher, Quarantine: quarantine, Tunneler: l.tunneler, Dial: c.Dial,
+		CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, LoadAddress: c.LoadAddress, Store: c.Store, MaxPropagation: c.MaxPropagation, Speed: c.Speed, SinceBoot: c.SinceBoot, Dispatcher: sharedDispatcher, Quarantine: quarantine, Isolator: partIsolator, Tunneler: l.tunneler, Dial: c.Dial,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	l.forwarder = forwarder.New(forwarder.Config{
-		Protocol: c.Protocol, Reservations: c.NewReservationClient(reservationHTTPClient), ReservationTTL: c.ReservationTTL, MaxIdle: c.MaxIdle, View: l.controller.View, Dispatcher: sharedDispatcher, RetryBudget: l.retryBudget, Quarantine: quarantine, Tunneler: l.tunneler,
+		Protocol: c.Protocol, Reservations: c.NewReservationClient(reservationHTTPClient), ReservationTTL: c.ReservationTTL, MaxIdle: c.MaxIdle, View: l.controller.View, Dispatcher: sharedDispatcher, RetryBudget: l.retryBudget, Quarantine: quarantine, Isolator: partIsolator, OnCrash: l.controller.SpreadCrash, Tunneler: l.tunneler,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	return l
