--- a/api/entry.go
+++ b/api/entry.go
@@ -221,6 +221,9 @@
 	// response to a heartbeat it includes all quarantines of the sender if those of the two entries
 	// differ.
 	Quarantine QuarantineNews
+	// Parts reports recent crashes by parts of prompts. In the response to a heartbeat it includes all quarantines
+	// of parts of the sender if those of the two entries differ.
+	Parts PartNews
 }
 
 // FetchArgs holds the arguments of the net/rpc call Fetch, by which an entry gets the configuration
--- a/controller/changes.go
+++ b/controller/changes.go
@@ -7,7 +7,6 @@
 
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/follower"
-	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/prober"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
 )
@@ -20,23 +19,6 @@
 	}
 }
 
-// logPartDecisions logs decisions about parts of prompts that may crash upstreams.
-func (s *state) logPartDecisions(now time.Time, decisions []isolator.Decision) {
-	log := s.controller.config.Log
-	for _, d := range decisions {
-		switch d.Kind {
-		case isolator.Suspected:
-			log.Warn("part_suspected", d.LogFields(now)...)
-		case isolator.Cleared:
-			log.Info("part_cleared", d.LogFields(now)...)
-		case isolator.Quarantined:
-			log.Warn("part_quarantined", d.LogFields(now)...)
-		case isolator.Released:
-			log.Warn("part_released", d.LogFields(now)...)
-		}
-	}
-}
-
 // applyMemberChanges logs state changes of other entries, records the times of deaths in diedAt,
 // and sets dirty if there is any change.
 func (s *state) applyMemberChanges(changes []prober.Change) {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -298,7 +298,7 @@
 	s.applyMemberChanges(s.prober.Tick(now))
 	s.logStoreChanges(s.follower.Tick(now), "hold_ended")
 	s.logQuarantined(now, s.controller.config.Quarantine.Evaluate(now), "own")
-	s.logPartDecisions(now, s.controller.config.Isolator.Evaluate(now))
+	isolator.LogDecisions(s.controller.config.Log, now, s.controller.config.Isolator.Evaluate(now))
 	if age, ok := s.follower.ConfirmationAge(now); ok {
 		s.controller.metrics.confirmationAge.Update(age.Seconds())
 	}
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -69,9 +69,6 @@
 	Epoch, StoreRevision, ConfigVersion    int64
 	StateFingerprint, InheritedFingerprint uint64
 	Confirmed                              time.Duration
-	// Parts reports recent crashes by parts of prompts and, in a reply, all quarantines of parts if those of the
-	// two entries differ.
-	Parts api.PartNews
 	// KnownAs is, in a reply, the highest incarnation of the entry that it answers that the sender knows; 0 in
 	// any other heartbeat.
 	KnownAs uint64
--- a/controller/view.go
+++ b/controller/view.go
@@ -103,7 +103,7 @@
 			s.controller.config.Log.Warn("upstream_ended", zap.Stringer("content", crash.Fingerprint), zap.String("upstream", i.ID),
 				zap.Stringer("address", i.Address), zap.Duration("ran_ms", crash.Ended.Sub(crash.LastSent)))
 		}
-		crashes := s.controller.config.Isolator.ConfirmExit(time.Now(), isolator.IncarnationHash(i.IncarnationID()))
+		crashes := s.controller.config.Isolator.ConfirmExit(time.Now(), quarantiner.IncarnationHash(i.IncarnationID()))
 		for _, crash := range crashes {
 			s.controller.config.Log.Warn("upstream_ended", zap.String("upstream", i.ID), zap.Stringer("address", i.Address),
 				zap.Duration("ran_ms", crash.Ended.Sub(crash.Sent)), zap.String("parts", isolator.JoinParts(crash.Parts)))
--- a/isolator/evaluate.go
+++ b/isolator/evaluate.go
@@ -4,10 +4,9 @@
 	"cmp"
 	"math"
 	"slices"
-	"strings"
 	"time"
 
-	"go.uber.org/zap"
+	"github.com/sapphireramp/sapphireramp/quarantiner"
 )
 
 const (
@@ -62,24 +61,6 @@
 	Source string
 }
 
-// LogFields returns the log fields of a decision.
-func (d Decision) LogFields(now time.Time) []zap.Field {
-	fields := []zap.Field{zap.String("part", JoinParts(d.Parts)), zap.Int("crashes", d.Crashes), zap.Float64("chance", d.Probability), zap.Duration("age_ms", now.Sub(d.FirstCrash)), zap.String("source", d.Source)}
-	if !d.Until.IsZero() {
-		fields = append(fields, zap.Duration("left_ms", d.Until.Sub(now)))
-	}
-	return fields
-}
-
-// JoinParts returns parts as they are logged, separated by commas.
-func JoinParts(parts []Part) string {
-	texts := make([]string, len(parts))
-	for i, p := range parts {
-		texts[i] = p.String()
-	}
-	return strings.Join(texts, ",")
-}
-
 // decide adds a decision to those that Evaluate returns. The lock must be held.
 func (i *Isolator) decide(d Decision) {
 	if len(i.decisions) < maxDecisions {
@@ -108,12 +89,12 @@
 // exits holds the exits of upstream incarnations that the recorded crashes report.
 type exits struct {
 	all           []*exit
-	byIncarnation map[IncarnationHash][]*exit
+	byIncarnation map[quarantiner.IncarnationHash][]*exit
 }
 
 // collectExits groups the recorded crashes by the exit that they report. The lock must be held.
 func (i *Isolator) collectExits() exits {
-	x := exits{byIncarnation: map[IncarnationHash][]*exit{}}
+	x := exits{byIncarnation: map[quarantiner.IncarnationHash][]*exit{}}
 	for p, s := range i.suspects {
 		for _, k := range s.crashes {
 			e := x.find(k)
--- a/isolator/gossip.go
+++ b/isolator/gossip.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/quarantiner"
 )
 
 const (
@@ -99,7 +100,7 @@
 	defer i.lock.Unlock()
 	for _, c := range update.Crashes[:min(len(update.Crashes), maxItemsPerUpdate)] {
 		ended := ago(now, c.Age)
-		i.recordPartCrash(now, Part{ID: c.ID, Organisation: c.Organisation}, Crash{Incarnation: IncarnationHash(c.Run), Sent: ago(ended, c.Ran), Ended: ended})
+		i.recordPartCrash(now, Part{ID: c.ID, Organisation: c.Organisation}, Crash{Incarnation: quarantiner.IncarnationHash(c.Run), Sent: ago(ended, c.Ran), Ended: ended})
 	}
 	for _, s := range update.Survivals[:min(len(update.Survivals), maxItemsPerUpdate)] {
 		i.recordSurvival(now, partOf(s.Part), ago(now, s.Age))
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -16,16 +16,15 @@
 	"maps"
 	"sync"
 	"time"
-)
 
-// IncarnationHash is a hash that identifies an incarnation of an upstream, that is, one lifetime of its process.
-type IncarnationHash uint32
+	"github.com/sapphireramp/sapphireramp/quarantiner"
+)
 
 // Crash is the exit of an upstream incarnation while it ran a request.
 type Crash struct {
 	// Parts are the parts of the request's prompt that other prompts may share, of the organisation that sent it.
 	Parts       []Part
-	Incarnation IncarnationHash
+	Incarnation quarantiner.IncarnationHash
 	// Sent is when the request was sent to the incarnation, Ended when its response broke off.
 	Sent, Ended time.Time
 }
@@ -70,11 +69,11 @@
 	// quarantines holds the active quarantines by the key of their parts; at most maxQuarantines.
 	quarantines map[quarantineKey]*quarantine
 	// exitedAt holds the time of the recent exits of incarnations; at most maxExits.
-	exitedAt map[IncarnationHash]time.Time
+	exitedAt map[quarantiner.IncarnationHash]time.Time
 	// popularity counts parts in the recent requests of this entry.
 	popularity popularity
 	// interruptions holds recent crashes that were not confirmed.
-	interruptions Interruptions[Crash]
+	interruptions quarantiner.Interruptions[Crash]
 	// upstreamCount is the number of upstreams of the whole deployment.
 	upstreamCount int
 	// name is the name of this entry, entries the names of all that accept callers.
@@ -88,7 +87,7 @@
 
 // New returns an isolator without crashes or quarantines, for the entry with a name.
 func New(name string) *Isolator {
-	return &Isolator{name: name, suspects: map[Part]*suspect{}, exitedAt: map[IncarnationHash]time.Time{}, quarantines: map[quarantineKey]*quarantine{}}
+	return &Isolator{name: name, suspects: map[Part]*suspect{}, exitedAt: map[quarantiner.IncarnationHash]time.Time{}, quarantines: map[quarantineKey]*quarantine{}}
 }
 
 // SetUpstreamCount sets the number of upstreams of the whole deployment.
@@ -223,15 +222,15 @@
 func (i *Isolator) RecordInterruption(now time.Time, possible Crash) {
 	i.lock.Lock()
 	defer i.lock.Unlock()
-	i.interruptions.Add(now, uint32(possible.Incarnation), possible.Ended, possible)
+	i.interruptions.Add(now, possible.Incarnation, possible.Ended, possible)
 }
 
 // ConfirmExit records the recent interruptions of an incarnation as crashes, since its upstream runs as another
 // incarnation now, and returns them.
-func (i *Isolator) ConfirmExit(now time.Time, incarnation IncarnationHash) []Crash {
+func (i *Isolator) ConfirmExit(now time.Time, incarnation quarantiner.IncarnationHash) []Crash {
 	i.lock.Lock()
 	defer i.lock.Unlock()
-	confirmed := i.interruptions.Take(now, uint32(incarnation))
+	confirmed := i.interruptions.Take(now, incarnation)
 	for _, c := range confirmed {
 		i.recordCrash(now, c)
 	}
@@ -255,7 +254,7 @@
 			delete(i.suspects, p)
 		}
 	}
-	maps.DeleteFunc(i.exitedAt, func(_ IncarnationHash, at time.Time) bool { return now.Sub(at) > downTime })
+	maps.DeleteFunc(i.exitedAt, func(_ quarantiner.IncarnationHash, at time.Time) bool { return now.Sub(at) > downTime })
 	for key, q := range i.quarantines {
 		if now.Sub(q.until) > halfOpenTTL {
 			delete(i.quarantines, key)
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/isolator"
+	"github.com/sapphireramp/sapphireramp/quarantiner"
 )
 
 var start = time.Date(2026, 3, 6, 8, 0, 0, 0, time.UTC)
@@ -25,7 +26,7 @@
 	names   []string
 	random  *rand.Rand
 	// lastIncarnation is the number of incarnations that have crashed.
-	lastIncarnation isolator.IncarnationHash
+	lastIncarnation quarantiner.IncarnationHash
 	upstreams       int
 	decisions       []isolator.Decision
 	// onSend, if not nil, is called with every update that is sent.
--- a/isolator/suspect.go
+++ b/isolator/suspect.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/sapphireramp/sapphireramp/quarantiner"
 )
 
 const (
@@ -15,7 +17,7 @@
 
 // knownCrash is the exit of an incarnation that ran requests with a part.
 type knownCrash struct {
-	incarnation IncarnationHash
+	incarnation quarantiner.IncarnationHash
 	// sent is when the last of these requests was sent, ended when their responses broke off.
 	sent, ended time.Time
 	// organisations are hashes of those that sent the requests; at most minOrganisations.
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -133,9 +133,8 @@
 	// successes holds the times of the successes that this entry recorded itself, of all
 	// fingerprints.
 	successes successCache
-	// interruptions holds the recent interruptions that were not confirmed as crashes, oldest first; at most
-	// maxInterruptions.
-	interruptions []Crash
+	// interruptions holds the recent interruptions that were not confirmed as crashes.
+	interruptions Interruptions[Crash]
 	// upstreamCount is the number of upstreams of the whole deployment.
 	upstreamCount int
 	// needsEvaluation is true if a crash was recorded since the last call of Evaluate, or was younger
