server: prompts that share a crashing adapter or beginning are quarantined

The incident's cause in the own interface: crashes were counted by equal prompts. Its prompts have no list of parts; their adapter and their beginnings of 1 to 256 KiB stand for it. Calls of services have no parts: what their arguments share is not known.

--- a/server/complete.go
+++ b/server/complete.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/keeper"
 	"github.com/sapphireramp/sapphireramp/placer"
 	"github.com/sapphireramp/sapphireramp/relayer"
@@ -60,7 +61,8 @@
 // another engine, as long as canRetry permits. The failure is nil once the whole answer has been written.
 func (s *Server) complete(x *exchange) *failure {
 	x.body = nil // only the decoded prompt is needed from here on
-	x.fingerprint = fingerprintOf(x)
+	x.fingerprint, x.parts = fingerprintOf(x), partsOf(x.organisation.Name, x.completion)
+	s.isolator.RecordRequest(x.parts)
 	c := &completion{x: x, relayer: relayer.New(x.id), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	if x.completion.Seed == 0 {
 		x.completion.Seed = c.random.Uint64()>>1 | 1
@@ -70,13 +72,18 @@
 		if f := cmp.Or(x.checkQuarantine(), x.checkUnavailable()); f != nil {
 			return f
 		}
+		if f := x.admitParts(); f != nil {
+			return f
+		}
 		delivered := c.relayer.DeliveredTokens()
 		f := c.attempt()
+		x.endTrial()
 		if c.relayer.DeliveredTokens() > delivered {
 			c.fruitlessAttempts = 0
 		}
 		if f == nil {
 			s.quarantine.RecordSuccess(time.Now(), x.fingerprint)
+			x.recordSurvival(c.answerStartedAt, isolator.MinAnswerTime)
 			return c.finishAnswer()
 		}
 		if !c.canRetry(f) {
--- a/server/control.go
+++ b/server/control.go
@@ -14,6 +14,7 @@
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/drainer"
+	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/keeper"
 	"github.com/sapphireramp/sapphireramp/lister"
 	"github.com/sapphireramp/sapphireramp/planner"
@@ -147,6 +148,7 @@
 	}
 	c.recordMemberChanges(c.prober.Tick(now))
 	c.server.logQuarantineDecisions(now, c.server.quarantine.Evaluate(now), "own")
+	isolator.LogDecisions(c.server.logs.route, now, c.server.isolator.Evaluate(now))
 	c.server.metrics.inFlight.Update(float64(c.admitter.InFlight()))
 }
 
@@ -270,6 +272,9 @@
 		for _, crash := range c.server.quarantine.ConfirmExit(time.Now(), upstreamHash(engine)) {
 			c.server.logs.route.Warn("upstream_ended", zap.Stringer("content", crash.Fingerprint), zap.String("upstream", engine), zap.Duration("ran_ms", crash.Ended.Sub(crash.LastSent)))
 		}
+		for _, crash := range c.server.isolator.ConfirmExit(time.Now(), upstreamHash(engine)) {
+			c.server.logs.route.Warn("upstream_ended", zap.String("upstream", engine), zap.Duration("ran_ms", crash.Ended.Sub(crash.Sent)), zap.String("parts", isolator.JoinParts(crash.Parts)))
+		}
 	}
 	if c.drainer.IsUsable(engine) != before {
 		c.dirty = true
--- a/server/crash.go
+++ b/server/crash.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
 )
 
@@ -34,10 +35,11 @@
 }
 
 // isCrashSuspect reports whether the last attempt was interrupted and several crashes of upstreams that ran
-// requests with the same fingerprint are recorded (see quarantiner.Quarantiner.IsSuspect). Such a request is
+// requests with the same fingerprint are recorded (see quarantiner.Quarantiner.IsSuspect), or maxLostAttempts were
+// interrupted of a prompt that shares something with others. Such a request is
 // not retried, so that it can't crash another upstream.
 func (x *exchange) isCrashSuspect() bool {
-	return x.interrupted && x.server.quarantine.IsSuspect(x.fingerprint)
+	return x.interrupted && (x.server.quarantine.IsSuspect(x.fingerprint) || x.lostCount >= maxLostAttempts)
 }
 
 // attemptInfo describes an attempt for crash detection.
@@ -64,6 +66,14 @@
 	}
 	x.interrupted = true
 	s, id, fingerprint, interruptedAt := x.server, x.id, x.fingerprint, time.Now()
+	partCrash := isolator.Crash{Parts: x.parts, Incarnation: upstreamHash(attempt.upstream), Sent: attempt.sentAt, Ended: interruptedAt}
+	if !attempt.answerStartedAt.IsZero() && interruptedAt.Sub(attempt.answerStartedAt) >= isolator.SurvivalTime {
+		partCrash.Parts = nil
+	}
+	if len(partCrash.Parts) > 0 {
+		x.lostCount++
+		s.isolator.RecordInterruption(interruptedAt, partCrash)
+	}
 	hasRun := !attempt.answerStartedAt.IsZero() && interruptedAt.Sub(attempt.answerStartedAt) >= quarantiner.MinSuccessRunTime
 	crash := quarantiner.Crash{Fingerprint: fingerprint, Incarnation: upstreamHash(attempt.upstream), LastSent: attempt.sentAt, Ended: interruptedAt}
 	if !hasRun {
@@ -74,7 +84,8 @@
 			return
 		}
 		s.logs.route.Warn("upstream_ended", zap.String("request", id), zap.Stringer("content", fingerprint), zap.String("upstream", attempt.upstream),
-			zap.Duration("ran_ms", interruptedAt.Sub(attempt.sentAt)))
+			zap.Duration("ran_ms", interruptedAt.Sub(attempt.sentAt)), zap.String("parts", isolator.JoinParts(partCrash.Parts)))
+		s.isolator.RecordCrash(time.Now(), partCrash)
 		if hasRun {
 			s.quarantine.RecordSuccess(interruptedAt, fingerprint)
 			return
--- a/server/cutoff.go
+++ b/server/cutoff.go
@@ -18,6 +18,7 @@
 func (s *Server) onCutOff(lastContact time.Time) {
 	s.callDispatcher.ForgetFailures()
 	s.quarantine.ForgetInterruptions(lastContact)
+	s.isolator.ForgetInterruptions(lastContact)
 	s.closeIdleConnections()
 }
 
--- a/server/exchange.go
+++ b/server/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/spender"
 	"github.com/sapphireramp/sapphireramp/validator"
@@ -37,6 +38,15 @@
 	// may have started and ended without a complete answer before its context had ended.
 	fingerprint quarantiner.Fingerprint
 	interrupted bool
+	// parts stand for what the prompt shares with others (see partsOf), nil for service calls. trial is not nil while
+	// the prompt is tried although it may crash its engine. heldSince is when it was first held back for that; zero
+	// if it was not.
+	parts     []isolator.Part
+	trial     *isolator.Trial
+	heldSince time.Time
+	// lostCount is the number of attempts that were interrupted before the answer had gone on for
+	// isolator.SurvivalTime.
+	lostCount int
 	// connection is the connection on which the last attempt was sent; nil if none was opened.
 	connection net.Conn
 
--- a/server/heartbeat.go
+++ b/server/heartbeat.go
@@ -37,6 +37,7 @@
 		targets = c.heartbeatTargets(now)
 		heartbeat = c.buildHeartbeat(now)
 		heartbeat.Quarantine = s.quarantine.TakeHeartbeatUpdate(now)
+		heartbeat.Parts = s.isolator.TakeHeartbeatUpdate(now)
 	})
 	var calls sync.WaitGroup
 	for _, address := range targets {
@@ -88,6 +89,7 @@
 		now := time.Now()
 		c.recordHeartbeat(now, heartbeat)
 		s.logQuarantineDecisions(now, s.quarantine.ApplyUpdate(now, heartbeat.Quarantine), heartbeat.From)
+		s.isolator.ApplyUpdate(now, heartbeat.Parts, heartbeat.From)
 		hasNewer = c.adopter.ShouldFetch(validator.DocumentVersion{Revision: heartbeat.Revision, Digest: heartbeat.Digest}) ||
 			c.lister.ShouldFetch(now, heartbeat.ListDigest, heartbeat.ListAge)
 	})
--- a/server/peers.go
+++ b/server/peers.go
@@ -67,6 +67,7 @@
 		now := time.Now()
 		*reply = c.buildHeartbeat(now)
 		reply.Quarantine = e.server.quarantine.TakeReplyUpdate(now, heartbeat.Quarantine)
+		reply.Parts = e.server.isolator.TakeReplyUpdate(now, heartbeat.Parts)
 	})
 	return nil
 }
--- a/server/server.go
+++ b/server/server.go
@@ -23,6 +23,7 @@
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
+	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/loader"
 	"github.com/sapphireramp/sapphireramp/logger"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
@@ -76,7 +77,10 @@
 	callDispatcher *dispatcher.Dispatcher
 	// quarantine decides which requests are refused because they crash upstreams. exitDetector detects
 	// whether an upstream's process has exited.
-	quarantine   *quarantiner.Quarantiner
+	quarantine *quarantiner.Quarantiner
+	// isolator decides which prompts are refused, or tried one at a time, because of what they share with prompts
+	// that crashed engines.
+	isolator     *isolator.Isolator
 	exitDetector *connector.ExitDetector
 
 	// peerPool holds the connections for RPCs to other entries.
@@ -147,6 +151,7 @@
 		peerPool:       connector.NewPool(dial),
 		callDispatcher: newCallDispatcher(c.Settings.DataCentre),
 		quarantine:     quarantiner.New(),
+		isolator:       isolator.New(c.Settings.Name),
 		entryClient:    &http.Client{Transport: newTransport(dial, true)},
 		platformClient: &http.Client{Transport: newTransport(dial, false)},
 		logs: logs{
--- a/server/stream.go
+++ b/server/stream.go
@@ -15,6 +15,7 @@
 
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/asserter"
+	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/relayer"
 	"github.com/sapphireramp/sapphireramp/router"
 	"github.com/sapphireramp/sapphireramp/splitter"
@@ -199,6 +200,7 @@
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	scanner.Split(splitter.ScanCompleteLines)
+	hasSurvived := false
 	for scanner.Scan() {
 		data, isData := strings.CutPrefix(scanner.Text(), "data: ")
 		if !isData || data == api.DoneMarker {
@@ -219,6 +221,7 @@
 		c.x.server.asserter.Check(chunk.ID == c.x.id, asserter.ForeignChunk, "request %s received a chunk of request %s", c.x.id, chunk.ID)
 		silenceTimer.Reset(silence)
 		onChunk()
+		hasSurvived = hasSurvived || c.x.recordSurvival(c.answerStartedAt, isolator.SurvivalTime)
 		timer.recordFirst()
 		c.version = attempt.engine.Version
 		c.deliver(offset, text, chunk.Usage)
--- a/server/view.go
+++ b/server/view.go
@@ -81,11 +81,22 @@
 	}
 	c.updateKeepers(v)
 	c.server.quarantine.SetUpstreamCount(countUpstreams(v.engines, services))
+	c.server.isolator.SetUpstreamCount(len(v.engines))
+	c.server.isolator.SetEntries(v.acceptingNames())
 	c.server.callDispatcher.UpdateUpstreams(&matcher.Table{}, services)
 	c.server.tunneler.SetUpstreams(tunnelUpstreams(v.engines, services))
 	c.server.current.Store(v)
 }
 
+// acceptingNames returns the names of acceptingEntries.
+func (v *view) acceptingNames() []string {
+	names := make([]string, len(v.acceptingEntries))
+	for i, e := range v.acceptingEntries {
+		names[i] = e.Name
+	}
+	return names
+}
+
 // fillMembers sets the view's members, acceptingEntries and relays. It returns the entries that can be the keeper of
 // an engine: this one unless it is shutting down, and the others that are live or listed.
 func (c *control) fillMembers(v *view) []assigner.Member {
