isolator: outages of all engines, and crashes by whole requests, blame no part

Cause: a part that was at every crash and not answered since was taken for the cause, also where nothing was answered at all, where a whole request explained the crashes as well, and where no request with the part had been tried alone. Only one entry tried suspected parts, so that a sound one was held back at the others until a request with it came there.

Now a part is quarantined only after a request with it was tried alone, and others were answered meanwhile; exits that a quarantined request explains count against no part, and the other way round; entries may try in turn, half a second apart, and suspicion ends ten seconds after the last crash. A stream without a length or chunks counts as answered if its engine still runs.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -297,7 +297,9 @@
 	}
 	s.applyMemberChanges(s.prober.Tick(now))
 	s.logStoreChanges(s.follower.Tick(now), "hold_ended")
+	s.controller.config.Quarantine.SetOtherExplainedExits(s.controller.config.Isolator.ExplainedExits())
 	s.logQuarantined(now, s.controller.config.Quarantine.Evaluate(now), "own")
+	s.controller.config.Isolator.SetExplanations(s.controller.config.Quarantine.Explanations())
 	isolator.LogDecisions(s.controller.config.Log, now, s.controller.config.Isolator.Evaluate(now))
 	if age, ok := s.follower.ConfirmationAge(now); ok {
 		s.controller.metrics.confirmationAge.Update(age.Seconds())
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -194,19 +194,28 @@
 }
 
 // recordSurvival records that an upstream completed the response of an attempt. A response without a length or
-// chunks does not count, as the end of its connection may be that of the upstream.
+// chunks counts only if the upstream turns out to run still, as the end of its connection may be that of the upstream.
 func (f *Forwarder) recordSurvival(x *exchange, a *attempt) {
-	if a.isDelimitedByClose() {
-		return
-	}
-	now := time.Now()
 	begun := a.startedAt
 	if x.isStream() {
 		begun = a.firstEventAt
 	}
-	if !begun.IsZero() && now.Sub(begun) >= isolator.MinAnswerTime {
-		f.isolator.RecordSurvival(now, x.parts, begun)
+	if begun.IsZero() || time.Since(begun) < isolator.MinAnswerTime {
+		return
+	}
+	if !a.isDelimitedByClose() {
+		f.isolator.RecordSurvival(time.Now(), x.parts, begun)
+		return
+	}
+	first := a.placement.First
+	if !f.isolator.HasCrashed(time.Now(), x.parts) {
+		return
 	}
+	go func() {
+		if !f.exitDetector.HasExited(first.Address.String(), f.healthPath(first.Service)) {
+			f.isolator.RecordSurvival(time.Now(), x.parts, begun)
+		}
+	}()
 }
 
 // isDelimitedByClose reports whether only the end of the connection marks the end of the response.
--- a/isolator/admit.go
+++ b/isolator/admit.go
@@ -14,6 +14,13 @@
 	// halfOpenRetry is the Retry-After of requests with parts whose quarantine has ended while another request
 	// is tried.
 	halfOpenRetry = 2 * time.Second
+	// suspicionTime is the time after its last crash for which a part is suspected. The next crash after that counts
+	// with those before.
+	suspicionTime = 10 * time.Second
+	// suspectStagger and halfOpenStagger are the times after which one more entry may try requests with a suspected
+	// part, or with parts whose quarantine has ended: longer than it takes to learn of a crash.
+	suspectStagger  = 500 * time.Millisecond
+	halfOpenStagger = 5 * time.Second
 	// maxTrialTime is the time after which a trial that has not ended no longer prevents another.
 	maxTrialTime = 10 * time.Second
 	// confirmTime is the time after a trial that broke off in which the crash becomes known.
@@ -60,7 +67,7 @@
 		if now.Before(q.until) {
 			return nil, &Refusal{Parts: q.parts, IsCertain: true, Crashes: q.crashes, FirstCrash: q.firstCrash, RetryAfter: q.until.Sub(now)}
 		}
-		if now.Before(q.trialUntil) || !i.isResponsible(q.parts[0]) {
+		if now.Before(q.trialUntil) || !i.mayTry(now, q.parts[0], q.until, halfOpenStagger) {
 			return nil, &Refusal{Parts: q.parts, Crashes: q.crashes, FirstCrash: q.firstCrash, RetryAfter: halfOpenRetry}
 		}
 		t.quarantines, t.Parts = append(t.quarantines, q), append(t.Parts, q.parts...)
@@ -71,11 +78,11 @@
 			if !ok || i.popularity.isPopular(p) || slices.Contains(t.Parts, part) || !i.isJudged(part, s) {
 				continue
 			}
-			if s.sequential < minSuspectCrashes {
+			if s.sequential < minSuspectCrashes || now.Sub(s.lastCrash) > suspicionTime {
 				continue
 			}
 			isDecided := s.sequential >= minCrashes && now.Sub(s.crashes[0].ended) < evidenceTime
-			if isDecided || now.Before(s.trialUntil) || !i.isResponsible(part) {
+			if isDecided || now.Before(s.trialUntil) || !i.mayTry(now, part, s.lastCrash, suspectStagger) {
 				return nil, &Refusal{Parts: []Part{part}, Crashes: s.sequential, FirstCrash: s.crashes[0].ended, RetryAfter: suspectRetry}
 			}
 			t.suspects, t.Parts = append(t.suspects, s), append(t.Parts, part)
@@ -113,16 +120,18 @@
 	return nil
 }
 
-// isResponsible reports whether this entry tries requests with a part that may crash upstreams: one of the entries
-// that accept callers does so, on which all agree that know the same entries. The lock must be held.
-func (i *Isolator) isResponsible(p Part) bool {
-	key, responsible, highest := p.String(), i.name, uint64(0)
+// mayTry reports whether this entry may try requests with a part that may crash upstreams, where trials were allowed
+// since a time. The entries that accept callers may do so one after the other, stagger apart, in an order on which all
+// agree that know the same entries. The lock must be held.
+func (i *Isolator) mayTry(now time.Time, p Part, since time.Time, stagger time.Duration) bool {
+	key, before := p.String(), 0
+	own := assigner.Weight(i.name, key)
 	for _, name := range i.entries {
-		if weight := assigner.Weight(name, key); weight > highest {
-			responsible, highest = name, weight
+		if name != i.name && assigner.Weight(name, key) > own {
+			before++
 		}
 	}
-	return responsible == i.name
+	return now.Sub(since) >= time.Duration(before)*stagger
 }
 
 // setUntil sets when another request with the parts of the trial may be tried. The lock must be held.
--- a/isolator/evaluate.go
+++ b/isolator/evaluate.go
@@ -70,7 +70,8 @@
 
 // exit is the exit of an upstream incarnation.
 type exit struct {
-	at time.Time
+	incarnation quarantiner.IncarnationHash
+	at          time.Time
 	// isExplained is true if a part that is quarantined, or has minCrashes one after the other, was running.
 	isExplained bool
 	// running holds the parts that the incarnation ran, of each organisation and of all.
@@ -99,7 +100,7 @@
 		for _, k := range s.crashes {
 			e := x.find(k)
 			if e == nil {
-				e = &exit{at: k.ended, running: map[Part]bool{}}
+				e = &exit{incarnation: k.incarnation, at: k.ended, running: map[Part]bool{}}
 				x.all = append(x.all, e)
 				x.byIncarnation[k.incarnation] = append(x.byIncarnation[k.incarnation], e)
 			}
@@ -135,6 +136,11 @@
 
 // evaluate judges the recorded crashes. The lock must be held.
 func (i *Isolator) evaluate(now time.Time) {
+	for _, s := range i.suspects {
+		s.drop(func(k knownCrash) bool {
+			return slices.ContainsFunc(i.explanations, func(x quarantiner.Explanation) bool { return x.IsCertain && x.IsSame(k.exit()) })
+		})
+	}
 	exits := i.collectExits()
 	i.renewFailed(now, exits)
 	for {
@@ -185,7 +191,7 @@
 // by chance, and whether there is any. The lock must be held.
 func (i *Isolator) mostSignificant(now time.Time, exits exits) (best *quarantine, bestProbability float64, found bool) {
 	for p, s := range i.suspects {
-		if s.sequential < minCrashes || !i.isJudged(p, s) || now.Sub(s.crashes[0].ended) < evidenceTime {
+		if s.sequential < minCrashes || !i.isJudged(p, s) || now.Sub(s.crashes[0].ended) < evidenceTime || !s.wasTried() || !s.hasControl || i.popularity.isPopular(p) {
 			continue
 		}
 		crashes, probability := i.assess(now, p, s, exits)
@@ -218,7 +224,7 @@
 
 // assess returns the number of a part's crashes, one after the other, that no other part explains better, and the
 // estimated probability of these if the part caused none of them. Another part explains an exit better if more
-// crashes, one after the other, are recorded for it. The lock must be held.
+// crashes, one after the other, are recorded for it, and a request as a whole if as many are. The lock must be held.
 func (i *Isolator) assess(now time.Time, p Part, s *suspect, exits exits) (crashes int, probability float64) {
 	probability = 1
 	crashes = s.countSequential(func(k knownCrash) bool {
@@ -226,6 +232,9 @@
 		if now.Sub(k.ended) < minCrashAge || e == nil {
 			return false
 		}
+		if slices.ContainsFunc(i.explanations, func(x quarantiner.Explanation) bool { return x.Crashes >= s.sequential && x.IsSame(k.exit()) }) {
+			return false
+		}
 		for other := range e.running {
 			if o := i.suspects[other]; (other.Organisation == 0) == (p.Organisation == 0) && o.sequential > s.sequential {
 				return false
@@ -290,6 +299,31 @@
 	return 0
 }
 
+// ExplainedExits returns the exits of incarnations that ran all parts of a quarantine, which are their probable cause.
+func (i *Isolator) ExplainedExits() []quarantiner.Exit {
+	i.lock.Lock()
+	defer i.lock.Unlock()
+	if len(i.quarantines) == 0 {
+		return nil
+	}
+	var explained []quarantiner.Exit
+	for _, e := range i.collectExits().all {
+		if i.isQuarantined(e.parts()...) {
+			explained = append(explained, quarantiner.Exit{Incarnation: e.incarnation, At: e.at})
+		}
+	}
+	return explained
+}
+
+// SetExplanations sets by which requests, as a whole, exits may be explained. An exit counts against no part if such a
+// request is quarantined, and not against parts with fewer crashes than the request. It keeps the slice.
+func (i *Isolator) SetExplanations(explanations []quarantiner.Explanation) {
+	i.lock.Lock()
+	defer i.lock.Unlock()
+	i.needsEvaluation = i.needsEvaluation || len(explanations) != len(i.explanations)
+	i.explanations = explanations
+}
+
 // quarantine adds a quarantine, and reports whether that was possible: if there are maxQuarantines, the oldest one
 // is dropped for it. The lock must be held.
 func (i *Isolator) quarantine(q *quarantine) bool {
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -4,7 +4,7 @@
 // Entries send each other, with heartbeats, the crashes that they observe, with the parts of the prompts that may
 // have caused them, and which of these parts an upstream has answered since. A part that was there at crashes one
 // after the other and was never answered since the first of them is suspected: requests with it are tried one at a
-// time, by one entry, on an upstream with little other work. Once it is certain, such requests are refused for a
+// time, on an upstream with little other work. Once it is certain, such requests are refused for a
 // while, at all entries, and then tried again in the same way. Parts that can't be told apart, because they were
 // there together at each crash, are quarantined as a set: requests that hold only some of them are admitted.
 //
@@ -14,6 +14,7 @@
 import (
 	"cmp"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -74,6 +75,8 @@
 	popularity popularity
 	// interruptions holds recent crashes that were not confirmed.
 	interruptions quarantiner.Interruptions[Crash]
+	// explanations tell by which requests, as a whole, exits may be explained.
+	explanations []quarantiner.Explanation
 	// upstreamCount is the number of upstreams of the whole deployment.
 	upstreamCount int
 	// name is the name of this entry, entries the names of all that accept callers.
@@ -196,6 +199,11 @@
 	for _, p := range parts {
 		i.recordSurvival(now, p, begun)
 	}
+	for p, s := range i.suspects {
+		if len(s.crashes) > 0 && begun.After(s.crashes[0].ended) && !containsPart(parts, p) {
+			s.hasControl = true
+		}
+	}
 }
 
 // recordSurvival records the survival of a part of an organisation's prompts, which clears the same part of all
@@ -217,6 +225,16 @@
 	}
 }
 
+// HasCrashed reports whether there was a recent crash by one of the parts, so that survivals of them matter.
+func (i *Isolator) HasCrashed(now time.Time, parts []Part) bool {
+	i.lock.Lock()
+	defer i.lock.Unlock()
+	return slices.ContainsFunc(parts, func(p Part) bool {
+		s, ok := i.suspects[p]
+		return ok && now.Sub(s.lastCrash) <= suspicionTime
+	})
+}
+
 // RecordInterruption records that the response to a request broke off, which may be a crash. ConfirmExit decides; a
 // crash that is certain is recorded with RecordCrash.
 func (i *Isolator) RecordInterruption(now time.Time, possible Crash) {
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -197,7 +197,8 @@
 	f := newFleet(7, 14)
 	for range 3 {
 		f.crash(parts("crew", "bad", "companion"))
-		f.advance(400 * time.Millisecond)
+		f.advance(600 * time.Millisecond)
+		f.survive(0, parts("crew", "other"))
 	}
 	f.advance(2 * time.Second)
 	refusing, _ := f.refusing(parts("crew", "bad", "another"))
@@ -219,12 +220,15 @@
 		f.advance(200 * time.Millisecond)
 	}
 	f.crash(parts("crew", "common", "bad"))
+	before := f.now.Add(-100 * time.Millisecond)
 	for range 3 {
-		f.survive(1, parts("crew", "common", "bad")) // begun before the crash
-		f.advance(200 * time.Millisecond)
+		f.entries[1].RecordSurvival(f.now, parts("crew", "common", "bad"), before)
+		f.advance(600 * time.Millisecond)
 		f.crash(parts("crew", "common", "bad", "x"))
 		f.survive(2, parts("crew", "common"))
 	}
+	f.advance(600 * time.Millisecond)
+	f.survive(2, parts("crew", "common"))
 	f.advance(3 * time.Second)
 	refusing, _ := f.refusing(parts("crew", "common", "bad"))
 	is.Equal(refusing, 7)
@@ -321,7 +325,8 @@
 	f := newFleet(7, 14)
 	for n := range 5 {
 		f.crash(parts(fmt.Sprint("organisation", n), "bad", fmt.Sprint(n)))
-		f.advance(400 * time.Millisecond)
+		f.advance(600 * time.Millisecond)
+		f.survive(0, parts("crew", "other"))
 	}
 	f.advance(2 * time.Second)
 	refusing, _ := f.refusing(parts("crew", "bad"))
--- a/isolator/popularity.go
+++ b/isolator/popularity.go
@@ -4,7 +4,7 @@
 	// recentRequests is the number of requests over which the popularity of a part is taken.
 	recentRequests = 128
 	// minRecentRequests is the number of requests below which no part counts as popular.
-	minRecentRequests = 16
+	minRecentRequests = 8
 	// popularShare is the fraction of requests from which a part counts as popular.
 	popularShare = 0.75
 )
@@ -48,7 +48,7 @@
 }
 
 // isPopular reports whether at least popularShare of the recent requests had the part, of whichever organisation. That such a part was there at
-// crashes shows nothing, and to hold back its requests would be an outage.
+// crashes shows nothing, as hardly any request is without it, and to refuse its requests would be an outage.
 func (u *popularity) isPopular(p Part) bool {
 	return len(u.requests) >= minRecentRequests && float64(u.counts[p.ofAll()]) >= popularShare*float64(len(u.requests))
 }
--- a/isolator/suspect.go
+++ b/isolator/suspect.go
@@ -38,8 +38,11 @@
 
 // isSameExit reports whether two crashes of a part report the same exit. Equal incarnations are not enough: while
 // the store is unavailable, entries use the ID of the previous incarnation for a restarted upstream.
-func (k knownCrash) isSameExit(o knownCrash) bool {
-	return k.incarnation == o.incarnation && k.ended.Sub(o.ended).Abs() <= coincidenceWindow
+func (k knownCrash) isSameExit(o knownCrash) bool { return k.exit().IsSame(o.exit()) }
+
+// exit returns the exit that the crash reports.
+func (k knownCrash) exit() quarantiner.Exit {
+	return quarantiner.Exit{Incarnation: k.incarnation, At: k.ended}
 }
 
 // suspect is the state kept of a part with a recent crash.
@@ -54,6 +57,9 @@
 	lastSurvival time.Time
 	// survivalBroadcastsLeft is the number of updates that are still to contain lastSurvival.
 	survivalBroadcastsLeft int
+	// hasControl is true once a prompt without the part was answered since the first of crashes, at this entry. In an
+	// outage of all upstreams nothing is answered, whatever its parts.
+	hasControl bool
 	// trialUntil is when another request with the part may be tried; at most the end of the trial in progress.
 	trialUntil time.Time
 	// sequential is the number of crashes that happened one after the other (see countSequential).
@@ -96,6 +102,28 @@
 	s.crashes = slices.DeleteFunc(s.crashes, matches)
 	s.sequential = s.countSequential(nil)
 	s.isSuspected = s.isSuspected && s.sequential >= minSuspectCrashes
+	if len(s.crashes) == 0 {
+		s.hasControl = false
+	}
+}
+
+// wasTried reports whether the last crash is that of a request that was sent after the part was suspected, so that the
+// request was tried alone. Crashes before can be due to what upstreams ran beside.
+func (s *suspect) wasTried() bool {
+	if s.sequential <= minSuspectCrashes {
+		return false
+	}
+	seen, last := 0, time.Time{}
+	for _, k := range s.crashes {
+		if k.sent.Before(last.Add(-timestampSlack)) {
+			continue
+		}
+		if seen >= minSuspectCrashes && k.sent.Sub(last) >= minCrashAge {
+			return true
+		}
+		seen, last = seen+1, k.ended
+	}
+	return false
 }
 
 // merge adds another report of the same exit. A later time of sending is sent to other entries again.
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"maps"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -84,8 +86,9 @@
 	coldUntil map[string]time.Time
 	// downWorkers holds the workers that crashed and have not restarted yet.
 	downWorkers worker.DownSet
-	// repeaters holds the callers that repeat requests that crash upstreams.
-	repeaters []*caller.Traffic
+	// repeaters holds the callers that repeat requests that crash upstreams, partSenders those whose prompts
+	// have a part that does.
+	repeaters, partSenders []*caller.Traffic
 	// lastWorker is the number of the worker added last, trafficCount the number of groups of callers
 	// started. They make instance and request IDs unique.
 	lastWorker   int
@@ -158,6 +161,9 @@
 	host := netip.AddrFrom4([4]byte{10, 100, byte(f.lastWorker >> 8), byte(f.lastWorker)})
 	w := worker.New(id, workTime, events, eventGap)
 	w.SetPlan(f.responsePlan)
+	if f.responsePlan != nil {
+		w.SetWriteCrash(&worker.WriteCrash{IsDue: func(promptParts string) bool { return strings.Contains(promptParts, badPart) }})
+	}
 	f.workers[id], f.workerHosts[id] = w, host
 	w.OnCrash(func() { f.crashWorker(id, service) })
 	f.startWorker(id, service)
@@ -382,11 +388,36 @@
 	if f.responsePlan != nil {
 		c.SetAddressReuse(int(seed))
 		c.BodyOf = caller.MixedBody
+		c.PromptPartsOf = func(id string) string { return topicOf(id) + ":300," + ownPart(id) }
 		c.TokenUsageOf = func(id string) (most, hint int) { return f.responsePlan.TokenUsage(id, tokensPerEvent) }
 	}
 	return c
 }
 
+// topicOf returns the common part of all prompts and, for two in three request ids, one of a few others.
+func topicOf(id string) string {
+	sum := sha256.Sum256([]byte(id))
+	if sum[0]%3 == 0 {
+		return commonPart
+	}
+	return fmt.Sprintf("%s:300,%x", commonPart, 64+sum[1]%8)
+}
+
+// ownPart returns the part of a prompt that belongs to a request id alone.
+func ownPart(id string) string { return fmt.Sprintf("%x:200", sha256.Sum256([]byte(id))) }
+
+// startPartSender starts the given number of callers, whose prompts share a part that crashes engines and are not alike
+// otherwise. Each waits for the duration pause between two sends.
+func (f *fleet) startPartSender(callers int, pause time.Duration) *caller.Traffic {
+	f.trafficCount++
+	return caller.NewRepeatingTraffic(fmt.Sprintf("p%d%s", f.trafficCount, f.idSalt), callers, "/stream/x", pause, func(n int) *caller.Caller {
+		c := f.newCaller(uint64(200 + n))
+		c.BodyOf = func(id string) string { return id }
+		c.PromptPartsOf = func(id string) string { return commonPart + ":300," + badPart + ":300," + ownPart(id) }
+		return c
+	})
+}
+
 // evidence returns the facts that the results of callers are checked against.
 func (f *fleet) evidence() caller.Observations {
 	events := func(string) int { return streamEvents }
--- a/launcher/soak_test.go
+++ b/launcher/soak_test.go
@@ -133,6 +133,12 @@
 		f.repeaters = append(f.repeaters, x)
 		return x.Stop
 	}},
+	{"part that crashes upstreams", func(f *fleet, t *rapid.T) func() {
+		pause := time.Duration(rapid.IntRange(50, 800).Draw(t, "pause")) * time.Millisecond
+		x := f.startPartSender(rapid.IntRange(1, 3).Draw(t, "callers"), pause)
+		f.partSenders = append(f.partSenders, x)
+		return x.Stop
+	}},
 	{"upstream leaving", func(f *fleet, t *rapid.T) func() {
 		id := rapid.SampledFrom([]string{"i-app-1", "i-app-3", "i-lm-2", "i-lm-4"}).Draw(t, "worker")
 		f.workers[id].SetLeaving()
@@ -222,7 +228,7 @@
 // TestSoak sends requests while random disruptions overlap. It guards against
 // incomplete answers, requests that run too often or although they are reported as
 // not run, requests sent to upstreams that are leaving or asked for a backoff, and
-// requests that crash engines not being quarantined. After the disruptions, all
+// requests that crash engines, as a whole or by a part of their prompts, not being quarantined. After the disruptions, all
 // requests must be served, and no request or reservation may be left at the
 // upstreams.
 //
@@ -243,7 +249,7 @@
 		// disruption of upstreams.
 		insert("entries stopped in series")
 		insert("entries cut off from upstreams")
-		insert(rapid.SampledFrom([]string{"request that crashes upstreams", "outage of upstreams", "upstream leaving", "upstream backoff"}).Draw(r, "upstream disruption"))
+		insert(rapid.SampledFrom([]string{"request that crashes upstreams", "part that crashes upstreams", "outage of upstreams", "upstream leaving", "upstream backoff"}).Draw(r, "upstream disruption"))
 		runSoak(t, r, plan)
 	})
 }
@@ -279,6 +285,11 @@
 				t.Error(b)
 			}
 		}
+		for _, x := range f.partSenders {
+			for _, b := range x.PartViolations(f.evidence()) {
+				t.Error(b)
+			}
+		}
 		time.Sleep(5 * time.Second)
 		trafficAfter := f.startTraffic(4)
 		time.Sleep(2 * time.Second)
--- a/quarantiner/evaluate.go
+++ b/quarantiner/evaluate.go
@@ -165,7 +165,7 @@
 	}
 	for _, s := range p.crashes {
 		e := exits.find(s.Crash)
-		if s.age(now) < minAge || q.ranQuarantinedOther(fp, e) {
+		if s.age(now) < minAge || q.ranQuarantinedOther(fp, e) || slices.ContainsFunc(q.otherExplained, Exit{Incarnation: s.Incarnation, At: s.Ended}.IsSame) {
 			continue
 		}
 		counted = append(counted, e)
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -135,6 +135,8 @@
 	successes successCache
 	// interruptions holds the recent interruptions that were not confirmed as crashes.
 	interruptions Interruptions[Crash]
+	// otherExplained are exits with another known cause than the content of requests.
+	otherExplained []Exit
 	// upstreamCount is the number of upstreams of the whole deployment.
 	upstreamCount int
 	// needsEvaluation is true if a crash was recorded since the last call of Evaluate, or was younger
--- a/server/control.go
+++ b/server/control.go
@@ -147,7 +147,9 @@
 		c.isCutOff, c.dirty = isCutOff, true
 	}
 	c.recordMemberChanges(c.prober.Tick(now))
+	c.server.quarantine.SetOtherExplainedExits(c.server.isolator.ExplainedExits())
 	c.server.logQuarantineDecisions(now, c.server.quarantine.Evaluate(now), "own")
+	c.server.isolator.SetExplanations(c.server.quarantine.Explanations())
 	isolator.LogDecisions(c.server.logs.route, now, c.server.isolator.Evaluate(now))
 	c.server.metrics.inFlight.Update(float64(c.admitter.InFlight()))
 }
--- a/standin/caller/repeat.go
+++ b/standin/caller/repeat.go
@@ -17,6 +17,9 @@
 	// quarantine equal requests. maxRequestsAfterQuarantine is the number of such
 	// requests that may still reach upstreams afterwards.
 	quarantineCrashes, maxRequestsAfterQuarantine = 3, 3
+	// quarantineCrashesByPart is the same number for requests that share a part of their
+	// prompts only.
+	quarantineCrashesByPart = 5
 	// convergenceTime is the time within which every entry has received the crashes that the
 	// others recorded, once no fault disrupts the exchange between entries.
 	convergenceTime = 3 * time.Second
@@ -28,12 +31,24 @@
 	return newTraffic(name, callers, newCaller, func(int) (string, time.Duration) { return path, pause })
 }
 
-// RepeatViolations checks a stopped repeating traffic whose requests crash upstreams. It
+// RepeatViolations checks a stopped repeating traffic whose requests are equal and crash
+// upstreams, as CrashViolations does.
+func (x *Traffic) RepeatViolations(observed Observations) (violations []string) {
+	return x.CrashViolations(observed, quarantineCrashes)
+}
+
+// PartViolations checks a stopped repeating traffic whose requests crash upstreams by a part
+// of their prompts, as CrashViolations does.
+func (x *Traffic) PartViolations(observed Observations) (violations []string) {
+	return x.CrashViolations(observed, quarantineCrashesByPart)
+}
+
+// CrashViolations checks a stopped repeating traffic whose requests crash upstreams. It
 // returns a violation if more than maxRequestsAfterQuarantine of the requests reached
-// upstreams after three incarnations had crashed. Requests are left out if their entry
+// upstreams after the given number of incarnations had crashed. Requests are left out if their entry
 // was stopped or killed, or any entries were partitioned, at the time: the entry may not
 // have received the crashes.
-func (x *Traffic) RepeatViolations(observed Observations) (violations []string) {
+func (x *Traffic) CrashViolations(observed Observations, quarantineCrashes int) (violations []string) {
 	var executions []worker.Execution
 	resultOf := map[string]Result{}
 	for _, r := range x.results {
