--- a/isolator/admit.go
+++ b/isolator/admit.go
@@ -17,10 +17,12 @@
 	// suspicionTime is the time after its last crash for which a part is suspected. The next crash after that counts
 	// with those before.
 	suspicionTime = 10 * time.Second
-	// suspectStagger and halfOpenStagger are the times after which one more entry may try requests with a suspected
-	// part, or with parts whose quarantine has ended: longer than it takes to learn of a crash.
-	suspectStagger  = 500 * time.Millisecond
-	halfOpenStagger = 5 * time.Second
+	// suspectSlot and halfOpenSlot are the times after which the next entry may try requests with a suspected part,
+	// or with parts whose quarantine has ended: longer than it takes to learn of a crash.
+	suspectSlot  = 500 * time.Millisecond
+	halfOpenSlot = 5 * time.Second
+	// concurrentTriers is the number of entries that may try requests at a time, after the first slot.
+	concurrentTriers = 2
 	// maxTrialTime is the time after which a trial that has not ended no longer prevents another.
 	maxTrialTime = 10 * time.Second
 	// confirmTime is the time after a trial that broke off in which the crash becomes known.
@@ -67,7 +69,7 @@
 		if now.Before(q.until) {
 			return nil, &Refusal{Parts: q.parts, IsCertain: true, Crashes: q.crashes, FirstCrash: q.firstCrash, RetryAfter: q.until.Sub(now)}
 		}
-		if now.Before(q.trialUntil) || !i.mayTry(now, q.parts[0], q.until, halfOpenStagger) {
+		if now.Before(q.trialUntil) || !i.mayTry(now, q.parts[0], q.until, halfOpenSlot) {
 			return nil, &Refusal{Parts: q.parts, Crashes: q.crashes, FirstCrash: q.firstCrash, RetryAfter: halfOpenRetry}
 		}
 		t.quarantines, t.Parts = append(t.quarantines, q), append(t.Parts, q.parts...)
@@ -82,7 +84,7 @@
 				continue
 			}
 			isDecided := s.sequential >= minCrashes && now.Sub(s.crashes[0].ended) < evidenceTime
-			if isDecided || now.Before(s.trialUntil) || !i.mayTry(now, part, s.lastCrash, suspectStagger) {
+			if isDecided || now.Before(s.trialUntil) || !i.mayTry(now, part, s.lastCrash, suspectSlot) {
 				return nil, &Refusal{Parts: []Part{part}, Crashes: s.sequential, FirstCrash: s.crashes[0].ended, RetryAfter: suspectRetry}
 			}
 			t.suspects, t.Parts = append(t.suspects, s), append(t.Parts, part)
@@ -121,9 +123,9 @@
 }
 
 // mayTry reports whether this entry may try requests with a part that may crash upstreams, where trials were allowed
-// since a time. The entries that accept callers may do so one after the other, stagger apart, in an order on which all
-// agree that know the same entries. The lock must be held.
-func (i *Isolator) mayTry(now time.Time, p Part, since time.Time, stagger time.Duration) bool {
+// since a time. The entries that accept callers may do so in turn, concurrentTriers at a time and for as many slots
+// each, in an order on which all agree that know the same entries. The lock must be held.
+func (i *Isolator) mayTry(now time.Time, p Part, since time.Time, slotTime time.Duration) bool {
 	key, before := p.String(), 0
 	own := assigner.Weight(i.name, key)
 	for _, name := range i.entries {
@@ -131,7 +133,8 @@
 			before++
 		}
 	}
-	return now.Sub(since) >= time.Duration(before)*stagger
+	slot := int(now.Sub(since) / slotTime)
+	return slot >= before && (slot-before)%max(1, len(i.entries)) < concurrentTriers
 }
 
 // setUntil sets when another request with the parts of the trial may be tried. The lock must be held.
--- a/isolator/suspect.go
+++ b/isolator/suspect.go
@@ -107,23 +107,20 @@
 	}
 }
 
-// wasTried reports whether the last crash is that of a request that was sent after the part was suspected, so that the
-// request was tried alone. Crashes before can be due to what upstreams ran beside.
+// wasTried reports whether enough of the crashes are those of requests that were sent after the part was suspected, or
+// there are manyCrashes. Few crashes before can be due to what upstreams ran beside.
 func (s *suspect) wasTried() bool {
-	if s.sequential <= minSuspectCrashes {
-		return false
-	}
-	seen, last := 0, time.Time{}
+	seen, tried, last := 0, 0, time.Time{}
 	for _, k := range s.crashes {
 		if k.sent.Before(last.Add(-timestampSlack)) {
 			continue
 		}
 		if seen >= minSuspectCrashes && k.sent.Sub(last) >= minCrashAge {
-			return true
+			tried++
 		}
 		seen, last = seen+1, k.ended
 	}
-	return false
+	return tried >= minTrials || len(s.crashes) >= manyCrashes
 }
 
 // merge adds another report of the same exit. A later time of sending is sent to other entries again.
