isolator: what was tried alone is told with the crash; the strongest suspect decides who tries

Requests with two suspects were tried by nobody where two entries were to try.

The stand-in's request that crashes engines as a whole has the same parts each time now, as equal requests have.

--- a/api/parts.go
+++ b/api/parts.go
@@ -29,6 +29,8 @@
 	Organisation uint32
 	// Run is the hash of the incarnation.
 	Run uint32
+	// Tried is true if one of the requests was tried alone, as it was suspected.
+	Tried bool
 	// Age is the time since the exit, Ran the time from when the last of the requests was sent until the exit.
 	Age, Ran uint32
 }
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -57,7 +57,7 @@
 	}
 	first, brokeAt := a.placement.First, time.Now()
 	writingTime := a.writingTime(brokeAt)
-	partCrash := isolator.Crash{Parts: x.parts, Incarnation: quarantiner.IncarnationHash(first.IncarnationID()), Sent: a.startedAt, Ended: brokeAt}
+	partCrash := isolator.Crash{Parts: x.parts, Incarnation: quarantiner.IncarnationHash(first.IncarnationID()), Tried: x.trial != nil && x.trial.IsOfSuspects, Sent: a.startedAt, Ended: brokeAt}
 	if !a.mayHaveCrashed() {
 		partCrash.Parts = nil
 	}
--- a/isolator/admit.go
+++ b/isolator/admit.go
@@ -1,6 +1,7 @@
 package isolator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -16,7 +17,7 @@
 	halfOpenRetry = 2 * time.Second
 	// suspicionTime is the time after its last crash for which a part is suspected. The next crash after that counts
 	// with those before.
-	suspicionTime = 10 * time.Second
+	suspicionTime = 5 * time.Second
 	// suspectSlot and halfOpenSlot are the times after which the next entry may try requests with a suspected part,
 	// or with parts whose quarantine has ended: longer than it takes to learn of a crash.
 	suspectSlot  = 500 * time.Millisecond
@@ -47,6 +48,9 @@
 	isolator *Isolator
 	// Parts are the parts that may crash upstreams.
 	Parts []Part
+	// IsOfSuspects is true if parts are suspected or their quarantine has ended, false if only a response to the request
+	// broke off before.
+	IsOfSuspects bool
 	// suspects and quarantines are those that the trial tests.
 	suspects    []*suspect
 	quarantines []*quarantine
@@ -74,22 +78,10 @@
 		}
 		t.quarantines, t.Parts = append(t.quarantines, q), append(t.Parts, q.parts...)
 	}
-	for _, p := range parts {
-		for _, part := range []Part{p, p.ofAll()} {
-			s, ok := i.suspects[part]
-			if !ok || i.popularity.isPopular(p) || slices.Contains(t.Parts, part) || !i.isJudged(part, s) {
-				continue
-			}
-			if s.sequential < minSuspectCrashes || now.Sub(s.lastCrash) > suspicionTime {
-				continue
-			}
-			isDecided := s.sequential >= minCrashes && now.Sub(s.crashes[0].ended) < evidenceTime
-			if isDecided || now.Before(s.trialUntil) || !i.mayTry(now, part, s.lastCrash, suspectSlot) {
-				return nil, &Refusal{Parts: []Part{part}, Crashes: s.sequential, FirstCrash: s.crashes[0].ended, RetryAfter: suspectRetry}
-			}
-			t.suspects, t.Parts = append(t.suspects, s), append(t.Parts, part)
-		}
+	if refusal := i.admitSuspects(now, parts, t); refusal != nil {
+		return nil, refusal
 	}
+	t.IsOfSuspects = len(t.Parts) > 0
 	if isRetry {
 		if refusal := i.admitRetry(now, parts, t); refusal != nil {
 			return nil, refusal
@@ -102,6 +94,39 @@
 	return t, nil
 }
 
+// admitSuspects adds the suspected ones of the parts to the trial t, or returns a refusal if the request may not be
+// tried now. The suspect with the most crashes decides which entries may try the request. The lock must be held.
+func (i *Isolator) admitSuspects(now time.Time, parts []Part, t *Trial) *Refusal {
+	var strongest Part
+	var of *suspect
+	for _, p := range parts {
+		for _, part := range []Part{p, p.ofAll()} {
+			s, ok := i.suspects[part]
+			isSuspect := ok && s.sequential >= minSuspectCrashes && now.Sub(s.lastCrash) <= suspicionTime && i.isJudged(part, s)
+			if !isSuspect || i.popularity.isPopular(p) || slices.Contains(t.Parts, part) {
+				continue
+			}
+			isDecided := s.sequential >= minCrashes && s.wasTried() && now.Sub(s.crashes[0].ended) < evidenceTime
+			if isDecided || now.Before(s.trialUntil) {
+				return refuseSuspect(part, s)
+			}
+			if of == nil || cmp.Or(cmp.Compare(s.sequential, of.sequential), strongest.compare(part)) > 0 {
+				strongest, of = part, s
+			}
+			t.suspects, t.Parts = append(t.suspects, s), append(t.Parts, part)
+		}
+	}
+	if of != nil && !i.mayTry(now, strongest, of.lastCrash, suspectSlot) {
+		return refuseSuspect(strongest, of)
+	}
+	return nil
+}
+
+// refuseSuspect returns the refusal of a request with a suspected part.
+func refuseSuspect(p Part, s *suspect) *Refusal {
+	return &Refusal{Parts: []Part{p}, Crashes: s.sequential, FirstCrash: s.crashes[0].ended, RetryAfter: suspectRetry}
+}
+
 // admitRetry lets this entry send requests with a part one after the other, after a response to each broke off: it
 // is not yet known whether an upstream has crashed. Parts that have survived since are left out. It adds the others to
 // the trial t or returns a refusal. The lock must be held.
--- a/isolator/evaluate.go
+++ b/isolator/evaluate.go
@@ -12,8 +12,8 @@
 const (
 	// minCrashes is the minimum number of crashes, one after the other, for which a part is quarantined.
 	minCrashes = 3
-	// minTrials is the number of these crashes by requests that were sent after the part was suspected, and thus tried
-	// alone. None is needed where manyCrashes were recorded, one after the other or not.
+	// minTrials is the number of these crashes by requests that were tried alone. None is needed where manyCrashes were
+	// recorded, one after the other or not.
 	minTrials   = 2
 	manyCrashes = 5
 	// evidenceTime is the time from the first crash of a part until the part can be quarantined: if it is sound,
@@ -194,6 +194,9 @@
 // mostSignificant returns the quarantine with the most crashes that is justified, the estimated probability of these
 // by chance, and whether there is any. The lock must be held.
 func (i *Isolator) mostSignificant(now time.Time, exits exits) (best *quarantine, bestProbability float64, found bool) {
+	if !i.popularity.isKnown() {
+		return nil, 0, false
+	}
 	for p, s := range i.suspects {
 		if s.sequential < minCrashes || !i.isJudged(p, s) || now.Sub(s.crashes[0].ended) < evidenceTime || !s.hasControl || !s.wasTried() || i.popularity.isPopular(p) {
 			continue
--- a/isolator/gossip.go
+++ b/isolator/gossip.go
@@ -78,7 +78,7 @@
 	for _, n := range items[:min(len(items), maxItemsPerUpdate)] {
 		n.crash.broadcastsLeft--
 		update.Crashes = append(update.Crashes, api.PartCrash{
-			ID: n.part.ID, Organisation: n.part.Organisation, Run: uint32(n.crash.incarnation),
+			ID: n.part.ID, Organisation: n.part.Organisation, Run: uint32(n.crash.incarnation), Tried: n.crash.tried,
 			Age: milliseconds(now.Sub(n.crash.ended)), Ran: milliseconds(n.crash.ended.Sub(n.crash.sent)),
 		})
 	}
@@ -100,7 +100,7 @@
 	defer i.lock.Unlock()
 	for _, c := range update.Crashes[:min(len(update.Crashes), maxItemsPerUpdate)] {
 		ended := ago(now, c.Age)
-		i.recordPartCrash(now, Part{ID: c.ID, Organisation: c.Organisation}, Crash{Incarnation: quarantiner.IncarnationHash(c.Run), Sent: ago(ended, c.Ran), Ended: ended})
+		i.recordPartCrash(now, Part{ID: c.ID, Organisation: c.Organisation}, Crash{Incarnation: quarantiner.IncarnationHash(c.Run), Tried: c.Tried, Sent: ago(ended, c.Ran), Ended: ended})
 	}
 	for _, s := range update.Survivals[:min(len(update.Survivals), maxItemsPerUpdate)] {
 		i.recordSurvival(now, partOf(s.Part), ago(now, s.Age))
@@ -123,6 +123,9 @@
 		}
 		q.parts = append(q.parts, p)
 	}
+	if slices.ContainsFunc(q.parts, i.popularity.isPopular) && len(q.parts) == 1 {
+		return // the sender has seen few requests
+	}
 	if len(q.parts) == 0 || now.Sub(q.until) > halfOpenTTL-minAdoptedRemaining {
 		return
 	}
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -26,6 +26,8 @@
 	// Parts are the parts of the request's prompt that other prompts may share, of the organisation that sent it.
 	Parts       []Part
 	Incarnation quarantiner.IncarnationHash
+	// Tried is true if the request was tried alone because of suspected parts (see Trial.IsOfSuspects).
+	Tried bool
 	// Sent is when the request was sent to the incarnation, Ended when its response broke off.
 	Sent, Ended time.Time
 }
@@ -144,7 +146,7 @@
 	if now.Sub(crash.Ended) > crashTTL || i.wasDown(crash) {
 		return false
 	}
-	k := knownCrash{incarnation: crash.Incarnation, sent: crash.Sent, ended: crash.Ended, organisations: []uint32{p.Organisation}, broadcastsLeft: broadcastsPerItem, recordedAt: now}
+	k := knownCrash{incarnation: crash.Incarnation, tried: crash.Tried, sent: crash.Sent, ended: crash.Ended, organisations: []uint32{p.Organisation}, broadcastsLeft: broadcastsPerItem, recordedAt: now}
 	isNew := i.ensureSuspect(p).add(k)
 	k.broadcastsLeft = 0 // it is derived from the one above
 	i.ensureSuspect(p.ofAll()).add(k)
@@ -199,6 +201,9 @@
 	for _, p := range parts {
 		i.recordSurvival(now, p, begun)
 	}
+	if len(parts) == 0 {
+		return // perhaps of another service
+	}
 	for p, s := range i.suspects {
 		if len(s.crashes) > 0 && begun.After(s.crashes[0].ended) && !containsPart(parts, p) {
 			s.hasControl = true
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -48,6 +48,9 @@
 	e := isolator.New(name)
 	e.SetUpstreamCount(f.upstreams)
 	e.SetEntries(f.names)
+	for n := range 8 {
+		e.RecordRequest(isolator.PartsOf("crew", []string{fmt.Sprint("earlier", n)}))
+	}
 	return e
 }
 
@@ -87,8 +90,20 @@
 func (f *fleet) crash(requests ...[]isolator.Part) {
 	f.lastIncarnation++
 	for n, p := range requests {
-		f.entries[(int(f.lastIncarnation)+n)%len(f.entries)].RecordCrash(f.now, isolator.Crash{Parts: p, Incarnation: f.lastIncarnation, Sent: f.now.Add(-100 * time.Millisecond), Ended: f.now})
+		f.entries[(int(f.lastIncarnation)+n)%len(f.entries)].RecordCrash(f.now, isolator.Crash{Parts: p, Incarnation: f.lastIncarnation, Tried: f.isTried(p), Sent: f.now.Add(-100 * time.Millisecond), Ended: f.now})
+	}
+}
+
+// isTried reports whether an entry tries a request with the given parts because it is suspected.
+func (f *fleet) isTried(p []isolator.Part) bool {
+	isTried := false
+	for _, e := range f.entries[:min(9, len(f.entries))] {
+		if trial, _ := e.Admit(f.now, p, false); trial != nil {
+			isTried = isTried || trial.IsOfSuspects
+			trial.End(f.now, false)
+		}
 	}
+	return isTried || len(f.entries) > 9
 }
 
 // survive simulates a request that an upstream began to answer 400 ms ago and has completed.
--- a/isolator/popularity.go
+++ b/isolator/popularity.go
@@ -47,8 +47,11 @@
 	}
 }
 
+// isKnown reports whether there are enough requests to tell which parts are popular.
+func (u *popularity) isKnown() bool { return len(u.requests) >= minRecentRequests }
+
 // isPopular reports whether at least popularShare of the recent requests had the part, of whichever organisation. That such a part was there at
 // crashes shows nothing, as hardly any request is without it, and to refuse its requests would be an outage.
 func (u *popularity) isPopular(p Part) bool {
-	return len(u.requests) >= minRecentRequests && float64(u.counts[p.ofAll()]) >= popularShare*float64(len(u.requests))
+	return u.isKnown() && float64(u.counts[p.ofAll()]) >= popularShare*float64(len(u.requests))
 }
--- a/isolator/suspect.go
+++ b/isolator/suspect.go
@@ -20,6 +20,8 @@
 	incarnation quarantiner.IncarnationHash
 	// sent is when the last of these requests was sent, ended when their responses broke off.
 	sent, ended time.Time
+	// tried is true if one of the requests was tried alone.
+	tried bool
 	// organisations are hashes of those that sent the requests; at most minOrganisations.
 	organisations []uint32
 	// broadcastsLeft is the number of updates that are still to contain the crash, recordedAt when this entry learned
@@ -107,27 +109,18 @@
 	}
 }
 
-// wasTried reports whether enough of the crashes are those of requests that were sent after the part was suspected, or
-// there are manyCrashes. Few crashes before can be due to what upstreams ran beside.
+// wasTried reports whether enough of the crashes are those of requests that were tried alone, or there are
+// manyCrashes. Others, if they are few, can be due to what the upstreams ran beside.
 func (s *suspect) wasTried() bool {
-	seen, tried, last := 0, 0, time.Time{}
-	for _, k := range s.crashes {
-		if k.sent.Before(last.Add(-timestampSlack)) {
-			continue
-		}
-		if seen >= minSuspectCrashes && k.sent.Sub(last) >= minCrashAge {
-			tried++
-		}
-		seen, last = seen+1, k.ended
-	}
-	return tried >= minTrials || len(s.crashes) >= manyCrashes
+	return len(s.crashes) >= manyCrashes || s.countSequential(func(k knownCrash) bool { return k.tried }) >= minTrials
 }
 
-// merge adds another report of the same exit. A later time of sending is sent to other entries again.
+// merge adds another report of the same exit. What it adds is sent to other entries again.
 func (k *knownCrash) merge(o knownCrash) {
-	if o.sent.Sub(k.sent) > timestampSlack {
+	if o.sent.Sub(k.sent) > timestampSlack || o.tried && !k.tried {
 		k.broadcastsLeft = o.broadcastsLeft
 	}
+	k.tried = k.tried || o.tried
 	if o.sent.After(k.sent) {
 		k.sent = o.sent
 	}
--- a/launcher/crash_test.go
+++ b/launcher/crash_test.go
@@ -34,6 +34,7 @@
 	return caller.NewRepeatingTraffic(fmt.Sprintf("r%d%s", f.trafficCount, f.idSalt), callers, caller.CrashPath, pause, func(n int) *caller.Caller {
 		c := f.newCaller(uint64(100 + n))
 		c.BodyOf = func(string) string { return "the same" }
+		c.PromptPartsOf = func(string) string { return commonPart + ":300,ab:200" }
 		if len(entries) > 0 {
 			c.SetFixedAddress(netip.AddrPortFrom(entryHost(entries[n%len(entries)]), entryPort))
 		}
--- a/server/crash.go
+++ b/server/crash.go
@@ -66,7 +66,7 @@
 	}
 	x.interrupted = true
 	s, id, fingerprint, interruptedAt := x.server, x.id, x.fingerprint, time.Now()
-	partCrash := isolator.Crash{Parts: x.parts, Incarnation: upstreamHash(attempt.upstream), Sent: attempt.sentAt, Ended: interruptedAt}
+	partCrash := isolator.Crash{Parts: x.parts, Incarnation: upstreamHash(attempt.upstream), Tried: x.trial != nil && x.trial.IsOfSuspects, Sent: attempt.sentAt, Ended: interruptedAt}
 	if !attempt.answerStartedAt.IsZero() && interruptedAt.Sub(attempt.answerStartedAt) >= isolator.SurvivalTime {
 		partCrash.Parts = nil
 	}
