--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -153,6 +153,18 @@
 red outage-half quarantiner/evaluate.go 's/ \&\& q\.isOutage\(counted, exits\)/ \&\& false/' $q TestOutageOfHalfOfUpstreams
 red strikes-at-once quarantiner/evaluate.go 's/if s\.LastSent\.Before\(lastExit/if false \&\& s.LastSent.Before(lastExit/' $q TestConcurrentCrashesCountOnce
 red answers-remembered quarantiner/quarantiner.go 's/; ok && isRefuted\(at, crash\.Ended\)/; false && ok && isRefuted(at, crash.Ended)/' $q TestOutageDuringPopularRequest
+i=./isolator
+red part-refused forwarder/place.go 's/if refusal := f\.admit\(x\); refusal != nil/if refusal := f.admit(x); false \&\& refusal != nil/' ./launcher TestPartThatCrashesEnginesIsQuarantined
+red part-unframed forwarder/crash.go 's/a\.connectionLost = a\.isDelimitedByClose\(\)/a.connectionLost = false/' ./launcher TestPartIsQuarantinedHoweverEnginesEnd
+red part-own server/crashpart.go 's/if refusal == nil \{/if refusal == nil || true {/' ./server TestPromptsThatShareACrashingPrefixAreQuarantined
+red part-survivals isolator/suspect.go 's/s\.lastSurvival = begun/_ = begun/' $i TestOutagesBlameNoPart
+red part-sound-before isolator/suspect.go 's/if !begun\.After\(s\.firstCrash\)/if false/' $i TestSurvivalsBeforeFirstCrashAcquitNothing
+red part-turns isolator/admit.go 's/return slot >= before \&\&/return slot >= 0 || before >= 0 \&\&/' $i TestSuspectedPartIsTriedByOneEntry
+red part-companions isolator/evaluate.go 's/parts = append\(parts\[:min\(len\(parts\), maxQuarantineParts-1\)\], p\)/parts = []Part{p}/' $i TestCompanionIsNotRefusedAlone
+red part-organisations isolator/suspect.go 's/\|\| s\.hasOrganisations\(\)/|| true/' $i TestPartOfSeveralOrganisations
+red part-down isolator/isolator.go 's/ \|\| i\.wasDown\(crash\)//' $i TestDownUpstreamBlamesNoPart
+red part-renewed isolator/quarantine.go 's/q\.renewals\+\+//' $i TestQuarantineIsTestedBeforeItEnds
+red part-told isolator/gossip.go 's/n\.crash\.broadcastsLeft--/continue/' $i TestPartIsFoundAmongChangingCompanions
 red suspects-bounded quarantiner/quarantiner.go 's/len\(q\.suspects\) >= maxSuspects/false/' $q TestMemoryAndUpdatesAreBounded
 red strikes-told-on quarantiner/gossip.go 's/s\.broadcastsLeft--/_ = s/' $q TestTrafficOfTargetFleet
 red proven forwarder/stream.go 's/if a\.recordEvent\(time\.Now\(\)\)/if a.recordEvent(time.Now()) \&\& false/' ./forwarder TestCrashCountsAgainstRequestJustBegun
--- a/isolator/evaluate.go
+++ b/isolator/evaluate.go
@@ -142,7 +142,7 @@
 func (i *Isolator) evaluate(now time.Time) {
 	for _, s := range i.suspects {
 		s.drop(func(k knownCrash) bool {
-			return slices.ContainsFunc(i.explanations, func(x quarantiner.Explanation) bool { return x.IsCertain && x.IsSame(k.exit()) })
+			return i.isExplainedByRequest(k, func(x quarantiner.Explanation) bool { return x.IsCertain })
 		})
 	}
 	exits := i.collectExits()
@@ -239,7 +239,7 @@
 		if now.Sub(k.ended) < minCrashAge || e == nil {
 			return false
 		}
-		if slices.ContainsFunc(i.explanations, func(x quarantiner.Explanation) bool { return x.Crashes >= s.sequential && x.IsSame(k.exit()) }) {
+		if i.isExplainedByRequest(k, func(x quarantiner.Explanation) bool { return x.Crashes >= s.sequential }) {
 			return false
 		}
 		for other := range e.running {
@@ -277,9 +277,9 @@
 }
 
 // withCompanions returns a part and those parts of the same organisation that were running at each of its crashes,
-// sorted. If there are too many, those that follow are left out.
+// sorted. If there are too many, some are left out.
 func (i *Isolator) withCompanions(p Part, s *suspect, exits exits) []Part {
-	parts := []Part{p}
+	var parts []Part
 	first := exits.find(s.crashes[0])
 	for other := range first.running {
 		isCompanion := other != p && other.Organisation == p.Organisation
@@ -290,22 +290,12 @@
 			parts = append(parts, other)
 		}
 	}
-	slices.SortFunc(parts, func(a, b Part) int {
-		return cmp.Or(cmp.Compare(boolToInt(a != p), boolToInt(b != p)), a.compare(b)) // p is never left out
-	})
-	parts = parts[:min(len(parts), maxQuarantineParts)]
+	slices.SortFunc(parts, Part.compare)
+	parts = append(parts[:min(len(parts), maxQuarantineParts-1)], p)
 	slices.SortFunc(parts, Part.compare)
 	return parts
 }
 
-// boolToInt returns 1 for true and 0 for false.
-func boolToInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // ExplainedExits returns the exits of incarnations that ran all parts of a quarantine, which are their probable cause.
 func (i *Isolator) ExplainedExits() []quarantiner.Exit {
 	i.lock.Lock()
@@ -323,12 +313,22 @@
 }
 
 // SetExplanations sets by which requests, as a whole, exits may be explained. An exit counts against no part if such a
-// request is quarantined, and not against parts with fewer crashes than the request. It keeps the slice.
+// request is quarantined, and not against parts with fewer crashes than the request.
 func (i *Isolator) SetExplanations(explanations []quarantiner.Explanation) {
+	byIncarnation := map[quarantiner.IncarnationHash][]quarantiner.Explanation{}
+	for _, x := range explanations {
+		byIncarnation[x.Incarnation] = append(byIncarnation[x.Incarnation], x)
+	}
 	i.lock.Lock()
 	defer i.lock.Unlock()
-	i.needsEvaluation = i.needsEvaluation || len(explanations) != len(i.explanations)
-	i.explanations = explanations
+	i.needsEvaluation = i.needsEvaluation || len(byIncarnation) != len(i.explanations)
+	i.explanations = byIncarnation
+}
+
+// isExplainedByRequest reports whether a crash is one of those that requests, as a whole, may explain, with an
+// explanation for which suffices returns true. The lock must be held.
+func (i *Isolator) isExplainedByRequest(k knownCrash, suffices func(quarantiner.Explanation) bool) bool {
+	return slices.ContainsFunc(i.explanations[k.incarnation], func(x quarantiner.Explanation) bool { return x.IsSame(k.exit()) && suffices(x) })
 }
 
 // quarantine adds a quarantine, and reports whether that was possible: if there are maxQuarantines, the oldest one
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -77,8 +77,8 @@
 	popularity popularity
 	// interruptions holds recent crashes that were not confirmed.
 	interruptions quarantiner.Interruptions[Crash]
-	// explanations tell by which requests, as a whole, exits may be explained.
-	explanations []quarantiner.Explanation
+	// explanations tell by which requests, as a whole, exits of incarnations may be explained.
+	explanations map[quarantiner.IncarnationHash][]quarantiner.Explanation
 	// upstreamCount is the number of upstreams of the whole deployment.
 	upstreamCount int
 	// name is the name of this entry, entries the names of all that accept callers.
