--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -324,6 +324,7 @@
 		return
 	}
 	end()
+	time.Sleep(time.Millisecond) // until the client has read the end
 	w.lock.Lock()
 	first := !current.crashed
 	current.crashed, w.executions[index].Crashed = true, true
