forwarder, server: a request is not given up because two of its engines ended

Suspicion of a part, which comes with the second crash, does what that was for: the request waits until it is known, and is tried alone.

--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -132,17 +132,11 @@
 	return &dispatcher.Refusal{Reason: reasonQuarantined, RetryAfter: until.Sub(now)}
 }
 
-// maxLostAttempts is the number of attempts of a prompt with shared parts that may lose their connection.
-const maxLostAttempts = 2
-
 // isSuspect reports whether a request must not be sent to another upstream after the attempt a, as it may
 // crash that upstream too: the connection was lost, and the quarantiner suspects the fingerprint
-// because of earlier crashes, or maxLostAttempts is reached.
+// because of earlier crashes. Whether parts of its prompt may crash the upstream, admit decides.
 func (f *Forwarder) isSuspect(x *exchange, a *attempt) bool {
-	if !a.connectionLost {
-		return false
-	}
-	return f.quarantine.IsSuspect(x.fingerprint) || len(x.parts) > 0 && a.mayHaveCrashed() && x.lostCount+1 >= maxLostAttempts
+	return a.connectionLost && f.quarantine.IsSuspect(x.fingerprint)
 }
 
 // mayHaveCrashed reports whether a part of the prompt may have crashed the upstream, as the connection was lost
--- a/server/crash.go
+++ b/server/crash.go
@@ -35,11 +35,10 @@
 }
 
 // isCrashSuspect reports whether the last attempt was interrupted and several crashes of upstreams that ran
-// requests with the same fingerprint are recorded (see quarantiner.Quarantiner.IsSuspect), or maxLostAttempts were
-// interrupted of a prompt that shares something with others. Such a request is
+// requests with the same fingerprint are recorded (see quarantiner.Quarantiner.IsSuspect). Such a request is
 // not retried, so that it can't crash another upstream.
 func (x *exchange) isCrashSuspect() bool {
-	return x.interrupted && (x.server.quarantine.IsSuspect(x.fingerprint) || x.lostCount >= maxLostAttempts)
+	return x.interrupted && x.server.quarantine.IsSuspect(x.fingerprint)
 }
 
 // attemptInfo describes an attempt for crash detection.
--- a/server/crashpart.go
+++ b/server/crashpart.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// maxLostAttempts is the number of interrupted attempts of a prompt that shares something with others.
-	maxLostAttempts = 2
 	// maxSuspectWait is the time for which a prompt that an engine has received before waits until it is known
 	// whether something that it shares with others crashes engines, suspectPollInterval the time between two checks.
 	maxSuspectWait      = 1500 * time.Millisecond
