--- a/controller/view.go
+++ b/controller/view.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// confirmExits reports incarnations of upstreams that were replaced by others to the quarantiner and the isolator: responses of
-// theirs that broke off shortly before were broken off by a crash.
+// confirmExits reports incarnations of upstreams that were replaced by others to the quarantiner and the isolator:
+// responses of theirs that broke off shortly before were broken off by a crash.
 func (s *state) confirmExits(replaced []dispatcher.Instance) {
 	for _, i := range replaced {
 		for _, crash := range s.controller.config.Quarantine.ConfirmExit(time.Now(), quarantiner.IncarnationHash(i.IncarnationID())) {
