--- a/isolator/evaluate.go
+++ b/isolator/evaluate.go
@@ -313,7 +313,7 @@
 }
 
 // SetExplanations sets by which requests, as a whole, exits may be explained. An exit counts against no part if such a
-// request is quarantined, and not against parts with fewer crashes than the request.
+// request is quarantined, and not against parts with no more crashes than the request.
 func (i *Isolator) SetExplanations(explanations []quarantiner.Explanation) {
 	byIncarnation := map[quarantiner.IncarnationHash][]quarantiner.Explanation{}
 	for _, x := range explanations {
