budgeter, forwarder, logger: log what a denied retry is measured by, count retries

An incident report of retries beyond the budget can't be traced: the line retry_budget_used_up named only the request and the service. It now has what this entry has spent and may spend, the number of entries that it shares with and the time for which it has counted. The metric retries counts those that were allowed. No decision changes. TestRequestCounterStartsAtZero is now TestCountersStartAtZero and asks for both counters of retries too.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -204,7 +204,7 @@
 red middle-packed dispatcher/search.go 's/return unpackedCost \* promptValue/return 0 * promptValue/' ./dispatcher TestMediumPromptsLeaveEnginesToLongOnes
 red middle-firsts dispatcher/search.go 's/if !s\.isPacking \{\n\t\treturn s\.order/if true {\n\t\treturn s.order/' ./dispatcher TestMediumPromptsLeaveEnginesToLongOnes
 red answer-of-first dispatcher/requestload.go 's/if a\.job\.Decodes/if a == r.assignments[0]/' ./dispatcher TestAnswerCountsForTheAnsweringEngine
-red counted-from-none forwarder/metrics.go 's/\tm\.requestCounter\(outcomeAnswered\).*\n//' ./forwarder TestRequestCounterStartsAtZero
+red counted-from-none forwarder/metrics.go 's/\tm\.requestCounter\(outcomeAnswered\).*\n//' ./forwarder TestCountersStartAtZero
 red evacuated follower/follower.go 's/ \|\| f\.isEvacuated\(k\.listed\.Instance\.DataCentre\)//' ./controller TestEvacuationReachesAllEntries
 red evacuated-requests follower/follower.go 's/ \|\| f\.isEvacuated\(k\.listed\.Instance\.DataCentre\)//' ./launcher TestEvacuatedDataCentreGetsNoRequests
 red evacuation-told follower/follower.go 's/s\.Evacuations = f\.evacuationsSince/_ = f.evacuationsSince/' ./controller TestEvacuationReachesAllEntries
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -31,17 +31,32 @@
 	BaseRetries int
 }
 
+// Decision says whether a retry is allowed, and on what grounds.
+type Decision struct {
+	Allowed bool
+	// Spent is the number of retries that this entry has made within the window, without this one. Limit is
+	// the number that it may make.
+	Spent int
+	Limit float64
+	// Entries is the number of entries that share the budget.
+	Entries int
+	// CountingFor is the time for which this entry has counted requests and retries.
+	CountingFor time.Duration
+}
+
 // Budgeter counts this entry's requests and retries by service, and decides whether a retry is
 // allowed. It is safe for concurrent use.
 type Budgeter struct {
 	lock     sync.Mutex
 	config   Config
 	services map[string]*slidingWindow
+	// startedAt is when this Budgeter began to count.
+	startedAt time.Time
 }
 
-// New returns a Budgeter that has counted no requests or retries.
-func New(c Config) *Budgeter {
-	return &Budgeter{config: c, services: map[string]*slidingWindow{}}
+// New returns a Budgeter that has counted no requests or retries before the time now.
+func New(now time.Time, c Config) *Budgeter {
+	return &Budgeter{config: c, services: map[string]*slidingWindow{}, startedAt: now}
 }
 
 // Configure replaces the configuration.
@@ -92,17 +107,17 @@
 	w.requests[w.newest%bucketCount]++
 }
 
-// SpendRetry reports whether the budget of a service allows a retry at the time now, and counts the
+// SpendRetry decides whether the budget of a service allows a retry at the time now, and counts the
 // retry if so. Entries is the number of entries that share the budget.
-func (b *Budgeter) SpendRetry(now time.Time, service string, entries int) bool {
+func (b *Budgeter) SpendRetry(now time.Time, service string, entries int) Decision {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	w := b.windowOf(now, service)
-	if !b.canRetry(w, entries) {
-		return false
+	d := b.decide(now, w, entries)
+	if d.Allowed {
+		w.retries[w.newest%bucketCount]++
 	}
-	w.retries[w.newest%bucketCount]++
-	return true
+	return d
 }
 
 // AllowsRetry reports whether the budget of a service allows a retry at the time now. It does not
@@ -110,14 +125,16 @@
 func (b *Budgeter) AllowsRetry(now time.Time, service string, entries int) bool {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	return b.canRetry(b.windowOf(now, service), entries)
+	return b.decide(now, b.windowOf(now, service), entries).Allowed
 }
 
-// canRetry reports whether this entry may make one more retry within the window w. The lock must be
+// decide decides whether this entry may make one more retry within the window w. The lock must be
 // held.
-func (b *Budgeter) canRetry(w *slidingWindow, entries int) bool {
+func (b *Budgeter) decide(now time.Time, w *slidingWindow, entries int) Decision {
 	budget := b.config.Ratio*float64(sum(w.requests)) + float64(b.config.BaseRetries)/float64(max(1, entries))
-	return float64(sum(w.retries)+1) <= usableFraction*budget
+	d := Decision{Spent: sum(w.retries), Limit: usableFraction * budget, Entries: entries, CountingFor: now.Sub(b.startedAt)}
+	d.Allowed = float64(d.Spent+1) <= d.Limit
+	return d
 }
 
 func sum(counts [bucketCount]int) int {
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -19,14 +19,14 @@
 	start := time.Unix(1000, 0)
 	var requested, retried []time.Time
 	for entry := range entries {
-		b := budgeter.New(config)
+		b := budgeter.New(start, config)
 		for tick := range 600 {
 			now := start.Add(time.Duration(tick) * 50 * time.Millisecond)
 			if tick%(entry+2) == 0 {
 				b.RecordRequest(now, "lm")
 				requested = append(requested, now)
 			}
-			if b.SpendRetry(now, "lm", entries) {
+			if b.SpendRetry(now, "lm", entries).Allowed {
 				retried = append(retried, now)
 			}
 		}
@@ -50,11 +50,11 @@
 
 func TestBudgetRefills(t *testing.T) {
 	is := is.New(t)
-	b := budgeter.New(config)
 	now := time.Unix(1000, 0)
-	for b.SpendRetry(now, "lm", 7) {
+	b := budgeter.New(now, config)
+	for b.SpendRetry(now, "lm", 7).Allowed {
 	}
-	is.True(!b.SpendRetry(now, "lm", 7))
-	is.True(b.SpendRetry(now, "app", 7)) // each service has a budget of its own
-	is.True(b.SpendRetry(now.Add(11*time.Second), "lm", 7))
+	is.True(!b.SpendRetry(now, "lm", 7).Allowed)
+	is.True(b.SpendRetry(now, "app", 7).Allowed) // each service has a budget of its own
+	is.True(b.SpendRetry(now.Add(11*time.Second), "lm", 7).Allowed)
 }
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -65,11 +65,14 @@
 	if x.sentCount >= x.route.MaxAttempts || f.isSuspect(x, a) {
 		return false
 	}
-	if !f.retryBudget.SpendRetry(time.Now(), x.service, f.view().RetryBudgetEntries) {
+	d := f.retryBudget.SpendRetry(time.Now(), x.service, f.view().RetryBudgetEntries)
+	if !d.Allowed {
 		f.metrics.retriesDenied.Inc(1)
-		f.log.Warn("retry_budget_used_up", zap.String("request", x.metadata.ID), zap.String("service", x.service))
+		f.log.Warn("retry_budget_used_up", zap.String("request", x.metadata.ID), zap.String("service", x.service), zap.Int("spent", d.Spent),
+			zap.Float64("allowed", d.Limit), zap.Int("entries", d.Entries), zap.Duration("counting_ms", d.CountingFor))
 		return false
 	}
+	f.metrics.retries.Inc(1)
 	return true
 }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -109,7 +109,7 @@
 		handler := forwarder.New(forwarder.Config{
 			Protocol: platform.Protocol(), Reservations: platform.NewReservationClient(&http.Client{Transport: &http.Transport{DialContext: links.Dial, DisableKeepAlives: true}}),
 			ReservationTTL: 3 * time.Second, MaxIdle: 9 * time.Second, View: f.view.Load, Dispatcher: f.dispatcher, Quarantine: f.quarantine, Isolator: isolator.New("entry"), OnCrash: func() {},
-			RetryBudget: budgeter.New(budgeter.Config{Ratio: 0.2, Window: 10 * time.Second, BaseRetries: 100}),
+			RetryBudget: budgeter.New(time.Now(), budgeter.Config{Ratio: 0.2, Window: 10 * time.Second, BaseRetries: 100}),
 			Tunneler:    links, Log: zap.NewNop(), Scope: tally.NoopScope, Asserter: invariants,
 		})
 		servers = append(servers, f.serve(netip.AddrPortFrom(entryHost, 80), handler))
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -20,10 +20,11 @@
 	requestDuration tally.Histogram
 	// firstByte holds, by the class of the prompt's length, a histogram of the time from the arrival
 	// of a request to the first byte of its response.
-	firstByte     map[string]tally.Histogram
-	longestGap    tally.Histogram
-	retriesDenied tally.Counter
-	reservations  tally.Counter
+	firstByte  map[string]tally.Histogram
+	longestGap tally.Histogram
+	// retries counts the retries that the retry budget allowed, retriesDenied those that it did not.
+	retries, retriesDenied tally.Counter
+	reservations           tally.Counter
 }
 
 // promptLengthClass returns the class of a prompt by its length in tokens: none, short, medium or
@@ -47,10 +48,14 @@
 		requestDuration: scope.Histogram("request_seconds", buckets),
 		firstByte:       map[string]tally.Histogram{},
 		longestGap:      scope.Histogram("longest_pause_seconds", buckets),
+		retries:         scope.Counter("retries"),
 		retriesDenied:   scope.Counter("retries_denied"),
 		reservations:    scope.Counter("reservations"),
 	}
-	m.requestCounter(outcomeAnswered) // exported as 0 from the start, so that rates include the first request
+	// Exported as 0 from the start, so that rates include the first increment.
+	m.requestCounter(outcomeAnswered)
+	m.retries.Inc(0)
+	m.retriesDenied.Inc(0)
 	for _, length := range []string{"none", "short", "medium", "long"} {
 		m.firstByte[length] = scope.Tagged(map[string]string{"length": length}).Histogram("first_byte_seconds", buckets)
 	}
--- a/forwarder/metrics_test.go
+++ b/forwarder/metrics_test.go
@@ -12,13 +12,15 @@
 )
 
 // A counter that first appears with the value 1 has no increase in a rate computed from the metrics.
-// Guards against the first request after a restart missing from rates.
-func TestRequestCounterStartsAtZero(t *testing.T) {
+// Guards against the first request or retry after a restart missing from rates.
+func TestCountersStartAtZero(t *testing.T) {
 	is := is.New(t)
 	m := meter.New()
 	defer func() { _ = m.Close() }()
 	newMetrics(m.Scope)
 	page := httptest.NewRecorder()
 	m.Handler.ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
-	is.True(strings.Contains(page.Body.String(), `sapphireramp_requests{outcome="answered"} 0`))
+	for _, line := range []string{`sapphireramp_requests{outcome="answered"} 0`, "sapphireramp_retries 0", "sapphireramp_retries_denied 0"} {
+		is.True(strings.Contains(page.Body.String(), line))
+	}
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -149,7 +149,7 @@
 	c = c.withSystemDefaults()
 	quarantine, partIsolator := quarantiner.New(), isolator.New(c.Name)
 	sharedDispatcher := dispatcher.New(c.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	l := &Launcher{config: c, retryBudget: budgeter.New(c.Settings.RetryBudget), activeConns: connector.NewActiveConns(), acceptDone: make(chan struct{})}
+	l := &Launcher{config: c, retryBudget: budgeter.New(time.Now(), c.Settings.RetryBudget), activeConns: connector.NewActiveConns(), acceptDone: make(chan struct{})}
 	l.settings.Store(&c.Settings)
 	l.tunneler = tunneler.New(tunneler.Config{
 		Name: c.Name, DataCentre: c.DataCentre, Dial: c.Dial, Relays: func() []tunneler.Relay { return l.controller.Relays() },
