--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"crypto/sha256"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +21,7 @@
 
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/budgeter"
+	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/controller"
 	"github.com/sapphireramp/sapphireramp/launcher"
 	"github.com/sapphireramp/sapphireramp/platform"
@@ -53,6 +57,9 @@
 	maxColdRequests   = 1.5*toleratedColdRate + 5
 )
 
+// retryBudget is the retry budget of each service.
+var retryBudget = budgeter.Config{Ratio: 0.2, Window: 10 * time.Second, BaseRetries: 100}
+
 // entry is one incarnation of an entry.
 type entry struct {
 	host netip.Addr
@@ -63,7 +70,7 @@
 	// exited is closed when Run has returned.
 	exited chan struct{}
 	// killed is true if the entry was killed; errors of Run are ignored then.
-	killed bool
+	killed atomic.Bool
 }
 
 // fleet holds entries and the stand-ins for what they use (network, store and
@@ -321,7 +328,7 @@
 	storeClient := platform.NewStore(client, netip.AddrPortFrom(storeHost, 80))
 	settings := launcher.Settings{
 		Seeds:       []netip.AddrPort{netip.AddrPortFrom(entryHost(0), peerPort), netip.AddrPortFrom(entryHost(1), peerPort)},
-		RetryBudget: budgeter.Config{Ratio: 0.2, Window: 10 * time.Second, BaseRetries: 100}, ShutdownGrace: shutdownGrace,
+		RetryBudget: retryBudget, ShutdownGrace: shutdownGrace,
 	}
 	e := &entry{host: host, reload: make(chan struct{}, 1), exited: make(chan struct{})}
 	l := launcher.New(launcher.Config{
@@ -334,23 +341,36 @@
 		DirectoryHandler: platform.DirectoryHandler, ReadinessHandler: platform.ReadinessHandler,
 		Log: f.log, Scope: tally.NoopScope, MetricsHandler: http.NotFoundHandler(),
 		Asserter: asserter.New(func(name, detail string) { f.t.Errorf("%s: %s", name, detail) }),
-		Dial:     f.net.Dialer(host), Listen: f.net.Listen, ListenPacket: f.net.ListenPacket,
+		Dial:     e.dialer(f.net.Dialer(host)), Listen: f.net.Listen, ListenPacket: f.net.ListenPacket,
 	})
 	var ctx context.Context
 	ctx, e.stop = context.WithCancel(context.Background())
 	go func() {
 		defer close(e.exited)
-		if err := l.Run(ctx, e.reload); err != nil && !e.killed {
+		if err := l.Run(ctx, e.reload); err != nil && !e.killed.Load() {
 			f.t.Errorf("entry-%d: %v", i, err)
 		}
 	}()
 	return e
 }
 
+// dialer returns dial, which fails once the entry was killed: its goroutines then still run beside those of
+// the entry that was started in its place.
+func (e *entry) dialer(dial connector.DialFunc) connector.DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if e.killed.Load() {
+			return nil, errKilled
+		}
+		return dial(ctx, network, address)
+	}
+}
+
+var errKilled = errors.New("the entry was killed")
+
 // killEntry simulates a power loss of an entry: all its connections break. The
 // entry's goroutines end later, after a normal shutdown without a network.
 func (f *fleet) killEntry(e *entry) {
-	e.killed = true
+	e.killed.Store(true)
 	f.disruptionLog.RecordKill(e.host)
 	f.net.KillHost(e.host)
 	e.stop()
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -5,9 +5,12 @@
 package worker
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"maps"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -89,8 +92,10 @@
 	plan *AnswerPlan
 
 	// lock guards the fields below, but for onCrash.
-	lock       sync.Mutex
-	fault      Fault
+	lock  sync.Mutex
+	fault Fault
+	// faultShare is the fraction of requests that have fault; 0 for all.
+	faultShare float64
 	executions []Execution
 	// refusals records the requests refused because of FaultFull or
 	// FaultBackoff.
@@ -166,7 +171,24 @@
 func (w *Worker) SetFault(f Fault) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	w.fault = f
+	w.fault, w.faultShare = f, 0
+}
+
+// SetFaultShare sets the fault with which the worker answers a fraction of new requests, chosen by hashes of their
+// IDs and the worker's.
+func (w *Worker) SetFaultShare(f Fault, share float64) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.fault, w.faultShare = f, share
+}
+
+// faultOf returns the fault with which the worker answers a request. The lock must be held.
+func (w *Worker) faultOf(requestID string) Fault {
+	sum := sha256.Sum256([]byte(w.id + " " + requestID))
+	if w.faultShare > 0 && float64(binary.BigEndian.Uint32(sum[:])) >= w.faultShare*math.MaxUint32 {
+		return FaultNone
+	}
+	return w.fault
 }
 
 // SetLeaving makes all responses to new requests announce that the worker is
@@ -257,7 +279,7 @@
 		return
 	}
 	w.lock.Lock()
-	fault := w.fault
+	fault := w.faultOf(id)
 	refuses, leaving := fault == FaultFull || fault == FaultBackoff, w.current.leaving
 	if refuses {
 		w.refusals = append(w.refusals, Execution{RequestID: id, WorkerID: w.id, Fault: fault, Began: time.Now(), Ended: time.Now(), Incarnation: w.restarts})
