budgeter: windows by the monotonic clock

Cause: buckets were numbered from the Unix epoch. A step ahead by more than the window emptied it; after the step back nothing aged until the time of day had caught up. Evidence: denials stop for 1.6 s at each entry at the first step, and again at the step that reaches further than any before; TestTimeOfDayStepsDoNotMoveTheWindow fails ahead and back on the code before. Buckets are numbered by the time since the start of the Budgeter now: the difference of two readings of the monotonic clock.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -70,7 +70,7 @@
 // buckets.
 type slidingWindow struct {
 	requests, retries [bucketCount]int
-	// newest is the number of the latest bucket, counted from the Unix epoch in buckets. Its counts
+	// newest is the number of the latest bucket, counted from the start of the Budgeter. Its counts
 	// are at index newest%bucketCount.
 	newest int64
 }
@@ -95,7 +95,8 @@
 		w = &slidingWindow{}
 		b.services[service] = w
 	}
-	w.advance(now.UnixNano() / max(1, int64(b.config.Window/(bucketCount-1))))
+	// The difference is that of the monotonic clock, which steps of the time of day do not move.
+	w.advance(int64(max(0, now.Sub(b.startedAt)) / max(1, b.config.Window/(bucketCount-1))))
 	return w
 }
 
