budgeter: what was counted stays valid when the window changes

A reload of settings with another window made an entry forget its retries, or stopped its window: the length of a bucket was a part of the window's, and so was each bucket's number. TestReloadWithAnotherWindowKeepsWhatWasCounted fails on the code before with 8 and 12 s for 10. Buckets have a length of their own now, and only those in which something was counted are held. Retries in a bucket of which a part is within the window count, requests do not.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -4,15 +4,15 @@
 package budgeter
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// bucketCount is the number of buckets in which requests and retries of a service are counted.
-	// Config.Window is bucketCount-1 buckets long; the additional one is the newest bucket, which
-	// has not ended yet.
-	bucketCount = 20
+	// bucketTime is the time whose requests and retries are counted in one bucket. It does not depend on
+	// Config.Window, so that what was counted stays valid when that changes.
+	bucketTime = 100 * time.Millisecond
 	// usableFraction is the fraction of the budget that entries use. The rest is a margin, because
 	// an entry may not know all other entries, and the windows of entries don't start at the same
 	// time.
@@ -66,46 +66,72 @@
 	b.config = c
 }
 
-// slidingWindow holds the numbers of requests and retries of a service in the latest bucketCount
-// buckets.
-type slidingWindow struct {
-	requests, retries [bucketCount]int
-	// newest is the number of the latest bucket, counted from the start of the Budgeter. Its counts
-	// are at index newest%bucketCount.
-	newest int64
+// bucket holds the numbers of requests and retries of a service in a time of length bucketTime.
+type bucket struct {
+	// number is the number of buckets from the start of the Budgeter to this one.
+	number            int64
+	requests, retries int
 }
 
-// advance makes the given bucket the latest one, and sets the counts of buckets that were skipped
-// or reused to 0. An older bucket changes nothing.
-func (w *slidingWindow) advance(bucket int64) {
-	if bucket-w.newest >= bucketCount {
-		*w = slidingWindow{newest: bucket}
-		return
+// slidingWindow holds the buckets of a service that overlap the window and in which something was counted, by
+// ascending number.
+type slidingWindow []bucket
+
+// advance drops the buckets that end at or before start, the time since the start of the Budgeter at which the
+// window begins.
+func (w *slidingWindow) advance(start time.Duration) {
+	expired := 0
+	for expired < len(*w) && time.Duration((*w)[expired].number+1)*bucketTime <= start {
+		expired++
 	}
-	for w.newest < bucket {
-		w.newest++
-		w.requests[w.newest%bucketCount], w.retries[w.newest%bucketCount] = 0, 0
+	*w = slices.Delete(*w, 0, expired)
+}
+
+// at returns the bucket with a number, or the latest one if that is later, as when two goroutines read the clock
+// and then take the lock in another order.
+func (w *slidingWindow) at(number int64) *bucket {
+	if n := len(*w); n > 0 && (*w)[n-1].number >= number {
+		return &(*w)[n-1]
+	}
+	*w = append(*w, bucket{number: number})
+	return &(*w)[len(*w)-1]
+}
+
+// sums returns the requests in the buckets that begin at or after start, and the retries in all buckets: a bucket that
+// has ended in part counts against the entry.
+func (w slidingWindow) sums(start time.Duration) (requests, retries int) {
+	for _, b := range w {
+		if time.Duration(b.number)*bucketTime >= start {
+			requests += b.requests
+		}
+		retries += b.retries
 	}
+	return requests, retries
 }
 
-// windowOf returns the window of a service, advanced to the time now. The lock must be held.
-func (b *Budgeter) windowOf(now time.Time, service string) *slidingWindow {
+// window returns the window of a service that ends at the time now, and when it begins, as the time since the
+// start of the Budgeter. Both times are those of the monotonic clock, which steps of the time of day do not move. The lock
+// must be held.
+func (b *Budgeter) window(now time.Time, service string) (w *slidingWindow, start time.Duration) {
 	w, ok := b.services[service]
 	if !ok {
 		w = &slidingWindow{}
 		b.services[service] = w
 	}
-	// The difference is that of the monotonic clock, which steps of the time of day do not move.
-	w.advance(int64(max(0, now.Sub(b.startedAt)) / max(1, b.config.Window/(bucketCount-1))))
-	return w
+	start = now.Sub(b.startedAt) - b.config.Window
+	w.advance(start)
+	return w, start
 }
 
+// bucketAt returns the number of the bucket of the time now.
+func (b *Budgeter) bucketAt(now time.Time) int64 { return int64(now.Sub(b.startedAt) / bucketTime) }
+
 // RecordRequest counts a request to a service at the time now.
 func (b *Budgeter) RecordRequest(now time.Time, service string) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	w := b.windowOf(now, service)
-	w.requests[w.newest%bucketCount]++
+	w, _ := b.window(now, service)
+	w.at(b.bucketAt(now)).requests++
 }
 
 // SpendRetry decides whether the budget of a service allows a retry at the time now, and counts the
@@ -113,10 +139,10 @@
 func (b *Budgeter) SpendRetry(now time.Time, service string, entries int) Decision {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	w := b.windowOf(now, service)
-	d := b.decide(now, w, entries)
+	d := b.decide(now, service, entries)
 	if d.Allowed {
-		w.retries[w.newest%bucketCount]++
+		w, _ := b.window(now, service)
+		w.at(b.bucketAt(now)).retries++
 	}
 	return d
 }
@@ -126,22 +152,15 @@
 func (b *Budgeter) AllowsRetry(now time.Time, service string, entries int) bool {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	return b.decide(now, b.windowOf(now, service), entries).Allowed
+	return b.decide(now, service, entries).Allowed
 }
 
-// decide decides whether this entry may make one more retry within the window w. The lock must be
-// held.
-func (b *Budgeter) decide(now time.Time, w *slidingWindow, entries int) Decision {
-	budget := b.config.Ratio*float64(sum(w.requests)) + float64(b.config.BaseRetries)/float64(max(1, entries))
-	d := Decision{Spent: sum(w.retries), Limit: usableFraction * budget, Entries: entries, CountingFor: now.Sub(b.startedAt)}
+// decide decides whether this entry may make one more retry at the time now. The lock must be held.
+func (b *Budgeter) decide(now time.Time, service string, entries int) Decision {
+	w, start := b.window(now, service)
+	requests, retries := w.sums(start)
+	budget := b.config.Ratio*float64(requests) + float64(b.config.BaseRetries)/float64(max(1, entries))
+	d := Decision{Spent: retries, Limit: usableFraction * budget, Entries: entries, CountingFor: now.Sub(b.startedAt)}
 	d.Allowed = float64(d.Spent+1) <= d.Limit
 	return d
 }
-
-func sum(counts [bucketCount]int) int {
-	total := 0
-	for _, n := range counts {
-		total += n
-	}
-	return total
-}
--- a/budgeter/reload_test.go
+++ b/budgeter/reload_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package budgeter_test
 
 import (
