budgeter, platform: a restarted entry has no whole budget again

Cause: what an entry counts over the window is gone with its process, and the next one had its share of the budget at once. Evidence: each process retries 10 to 24 times before its first denial, as its predecessor did; in virtual time 1.65 of the budget (all at once) and 1.42 (in turn). Nothing can be remembered where all are killed, so what an entry can use at once plus what it has after a restart must stay below the budget, while all of it is to be usable in a fleet that starts for the first time. The budget has two parts now. 0.36 of it is added evenly, by requests and time, and hardly stored: it adds up to no more however often entries restart. The rest may be used at once, but only by who knows the whole window: in a fleet that starts for the first time, as the platform's settings say (first-start), or a window after a restart, when retries of the predecessor no longer count. Base retries are added evenly over an entry's first window, as it does not know all others yet. A window that is made longer by a reload counts as one that is not known.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -13,10 +13,19 @@
 	// bucketTime is the time whose requests and retries are counted in one bucket. It does not depend on
 	// Config.Window, so that what was counted stays valid when that changes.
 	bucketTime = 100 * time.Millisecond
-	// usableFraction is the fraction of the budget that entries use. The rest is a margin, because
-	// an entry may not know all other entries, and the windows of entries don't start at the same
-	// time.
-	usableFraction = 0.8
+	// usableFraction is the fraction of the budget that entries use. The rest is a margin, because an entry may
+	// not know all other entries.
+	usableFraction = 0.92
+	// steadyFraction is the fraction of the budget that is added evenly, with each request and as time passes, and
+	// lost if it is not used soon. Any number of restarts within a window adds up to no more than that fraction of
+	// the window's budget. The rest may be used at once, but not within the first window after a restart,
+	// since the retries of the predecessor still count.
+	steadyFraction = 0.36
+	// maxStored is the number of retries of the steady part that an entry stores.
+	maxStored = 1
+	// minSteady is the smallest number of retries of the steady part in a window. An entry with fewer has no steady
+	// part: what it stored would be too large a part of it.
+	minSteady = 2
 )
 
 // Config is the retry budget that each service has, over all entries.
@@ -35,7 +44,7 @@
 type Decision struct {
 	Allowed bool
 	// Spent is the number of retries that this entry has made within the window, without this one. Limit is
-	// the number that it may make.
+	// the number that it may make within a window. A part of them becomes available as the window passes.
 	Spent int
 	Limit float64
 	// Entries is the number of entries that share the budget.
@@ -49,20 +58,36 @@
 type Budgeter struct {
 	lock     sync.Mutex
 	config   Config
-	services map[string]*slidingWindow
-	// startedAt is when this Budgeter began to count.
+	services map[string]*account
+	// startedAt is when this Budgeter was created, the origin of all times below.
 	startedAt time.Time
+	// countsFrom is the time from which on this Budgeter has counted. isHistoryUnknown is true if retries from
+	// before that time may exist.
+	countsFrom       time.Duration
+	isHistoryUnknown bool
 }
 
-// New returns a Budgeter that has counted no requests or retries before the time now.
+// New returns a Budgeter for an entry that starts at the time now, where no entry has made retries before.
 func New(now time.Time, c Config) *Budgeter {
-	return &Budgeter{config: c, services: map[string]*slidingWindow{}, startedAt: now}
+	return &Budgeter{config: c, services: map[string]*account{}, startedAt: now}
 }
 
-// Configure replaces the configuration.
-func (b *Budgeter) Configure(c Config) {
+// NewAfterRestart returns a Budgeter for an entry that starts at the time now, where it or another entry may have made
+// retries before. Nothing is known of them, so that the entry uses a small part of its budget until none of them is
+// within the window any more.
+func NewAfterRestart(now time.Time, c Config) *Budgeter {
+	b := New(now, c)
+	b.isHistoryUnknown = true
+	return b
+}
+
+// Configure replaces the configuration at the time now. Within a longer window than before, the history is unknown.
+func (b *Budgeter) Configure(now time.Time, c Config) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
+	if heldFrom := now.Sub(b.startedAt) - b.config.Window; c.Window > b.config.Window && heldFrom > b.countsFrom {
+		b.countsFrom, b.isHistoryUnknown = heldFrom, true
+	}
 	b.config = c
 }
 
@@ -71,12 +96,24 @@
 	// number is the number of buckets from the start of the Budgeter to this one.
 	number            int64
 	requests, retries int
+	// bursts is the number of those retries that were not taken from the steady part of the budget.
+	bursts int
 }
 
 // slidingWindow holds the buckets of a service that overlap the window and in which something was counted, by
 // ascending number.
 type slidingWindow []bucket
 
+// account is what is known of the requests and retries of a service.
+type account struct {
+	window slidingWindow
+	// stored is the number of retries of the steady part that were available at updatedAt, at most maxStored.
+	// newRequests is the number of requests since.
+	stored      float64
+	updatedAt   time.Duration
+	newRequests int
+}
+
 // advance drops the buckets that end at or before start, the time since the start of the Budgeter at which the
 // window begins.
 func (w *slidingWindow) advance(start time.Duration) {
@@ -87,9 +124,10 @@
 	*w = slices.Delete(*w, 0, expired)
 }
 
-// at returns the bucket with a number, or the latest one if that is later, as when two goroutines read the clock
-// and then take the lock in another order.
-func (w *slidingWindow) at(number int64) *bucket {
+// at returns the bucket of a time since the start of the Budgeter, or the latest one if that is later, as when two
+// goroutines read the clock and then take the lock in another order.
+func (w *slidingWindow) at(elapsed time.Duration) *bucket {
+	number := int64(elapsed / bucketTime)
 	if n := len(*w); n > 0 && (*w)[n-1].number >= number {
 		return &(*w)[n-1]
 	}
@@ -97,41 +135,39 @@
 	return &(*w)[len(*w)-1]
 }
 
-// sums returns the requests in the buckets that begin at or after start, and the retries in all buckets: a bucket that
-// has ended in part counts against the entry.
-func (w slidingWindow) sums(start time.Duration) (requests, retries int) {
+// sums returns the requests in the buckets that begin at or after start, and the retries and bursts in all buckets: a
+// bucket of which a part is older than the window counts against the entry.
+func (w slidingWindow) sums(start time.Duration) (requests, retries, bursts int) {
 	for _, b := range w {
 		if time.Duration(b.number)*bucketTime >= start {
 			requests += b.requests
 		}
 		retries += b.retries
+		bursts += b.bursts
 	}
-	return requests, retries
+	return requests, retries, bursts
 }
 
-// window returns the window of a service that ends at the time now, and when it begins, as the time since the
-// start of the Budgeter. Both times are those of the monotonic clock, which steps of the time of day do not move. The lock
-// must be held.
-func (b *Budgeter) window(now time.Time, service string) (w *slidingWindow, start time.Duration) {
-	w, ok := b.services[service]
+// accountOf returns the account of a service at the time now, which is also returned as the time since the start of
+// the Budgeter, by the monotonic clock: steps of the time of day do not move it. The lock must be held.
+func (b *Budgeter) accountOf(now time.Time, service string) (a *account, elapsed time.Duration) {
+	elapsed = now.Sub(b.startedAt)
+	a, ok := b.services[service]
 	if !ok {
-		w = &slidingWindow{}
-		b.services[service] = w
+		a = &account{updatedAt: b.countsFrom}
+		b.services[service] = a
 	}
-	start = now.Sub(b.startedAt) - b.config.Window
-	w.advance(start)
-	return w, start
+	a.window.advance(elapsed - b.config.Window)
+	return a, elapsed
 }
 
-// bucketAt returns the number of the bucket of the time now.
-func (b *Budgeter) bucketAt(now time.Time) int64 { return int64(now.Sub(b.startedAt) / bucketTime) }
-
 // RecordRequest counts a request to a service at the time now.
 func (b *Budgeter) RecordRequest(now time.Time, service string) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	w, _ := b.window(now, service)
-	w.at(b.bucketAt(now)).requests++
+	a, elapsed := b.accountOf(now, service)
+	a.window.at(elapsed).requests++
+	a.newRequests++
 }
 
 // SpendRetry decides whether the budget of a service allows a retry at the time now, and counts the
@@ -139,10 +175,17 @@
 func (b *Budgeter) SpendRetry(now time.Time, service string, entries int) Decision {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	d := b.decide(now, service, entries)
-	if d.Allowed {
-		w, _ := b.window(now, service)
-		w.at(b.bucketAt(now)).retries++
+	a, elapsed := b.accountOf(now, service)
+	d := b.decide(a, elapsed, entries)
+	if !d.Allowed {
+		return d
+	}
+	current := a.window.at(elapsed)
+	current.retries++
+	if a.stored >= 1 {
+		a.stored--
+	} else {
+		current.bursts++
 	}
 	return d
 }
@@ -152,15 +195,33 @@
 func (b *Budgeter) AllowsRetry(now time.Time, service string, entries int) bool {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	return b.decide(now, service, entries).Allowed
+	a, elapsed := b.accountOf(now, service)
+	return b.decide(a, elapsed, entries).Allowed
 }
 
-// decide decides whether this entry may make one more retry at the time now. The lock must be held.
-func (b *Budgeter) decide(now time.Time, service string, entries int) Decision {
-	w, start := b.window(now, service)
-	requests, retries := w.sums(start)
-	budget := b.config.Ratio*float64(requests) + float64(b.config.BaseRetries)/float64(max(1, entries))
-	d := Decision{Spent: retries, Limit: usableFraction * budget, Entries: entries, CountingFor: now.Sub(b.startedAt)}
-	d.Allowed = float64(d.Spent+1) <= d.Limit
-	return d
+// decide decides whether this entry may make one more retry, and updates a.stored. The lock must be held.
+func (b *Budgeter) decide(a *account, elapsed time.Duration, entries int) Decision {
+	requests, retries, bursts := a.window.sums(elapsed - b.config.Window)
+	base := float64(b.config.BaseRetries) / float64(max(1, entries))
+	counted := min(1, (elapsed-b.countsFrom).Seconds()/b.config.Window.Seconds())
+	// The base retries are added evenly over the first window: an entry that has just started doesn't know all
+	// others that share them.
+	budget := b.config.Ratio*float64(requests) + counted*base
+	burstLimit, steadyLimit := usableFraction*budget, 0.0
+	if steadyFraction*budget >= minSteady*counted {
+		steadyLimit = steadyFraction * budget
+		burstLimit -= steadyLimit + maxStored
+	}
+	if counted < 1 && b.isHistoryUnknown {
+		burstLimit = 0
+	}
+	added := b.config.Ratio*float64(a.newRequests) + base*(elapsed-a.updatedAt).Seconds()/b.config.Window.Seconds()
+	a.stored, a.updatedAt, a.newRequests = min(maxStored, a.stored+steadyFraction*added), elapsed, 0
+	if steadyLimit == 0 {
+		a.stored = 0
+	}
+	return Decision{
+		Allowed: a.stored >= 1 || float64(bursts+1) <= burstLimit,
+		Spent:   retries, Limit: burstLimit + steadyLimit, Entries: entries, CountingFor: elapsed - b.countsFrom,
+	}
 }
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -50,11 +50,80 @@
 
 func TestBudgetRefills(t *testing.T) {
 	is := is.New(t)
-	now := time.Unix(1000, 0)
-	b := budgeter.New(now, config)
+	start := time.Unix(1000, 0)
+	b := budgeter.New(start, config)
+	now := start.Add(config.Window)
 	for b.SpendRetry(now, "lm", 7).Allowed {
 	}
 	is.True(!b.SpendRetry(now, "lm", 7).Allowed)
 	is.True(b.SpendRetry(now, "app", 7).Allowed) // each service has a budget of its own
 	is.True(b.SpendRetry(now.Add(11*time.Second), "lm", 7).Allowed)
 }
+
+// spendAll makes every retry that the budget allows at the time now, and returns their number.
+func spendAll(b *budgeter.Budgeter, now time.Time, entries int) int {
+	n := 0
+	for b.SpendRetry(now, "lm", entries).Allowed {
+		n++
+	}
+	return n
+}
+
+// Guards against an entry that has a whole budget again with each restart, whatever its predecessors have used.
+func TestRestartsAddNoBudget(t *testing.T) {
+	const tick, requestsPerTick = 50 * time.Millisecond, 3
+	for _, lifetime := range []time.Duration{tick, time.Second, 3 * time.Second, 9 * time.Second} {
+		t.Run(lifetime.String(), func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			b := budgeter.New(now, config)
+			advance := func() {
+				now = now.Add(tick)
+				for range requestsPerTick {
+					b.RecordRequest(now, "lm")
+				}
+			}
+			for range 2 * config.Window / tick {
+				advance()
+			}
+			first := now
+			retries := spendAll(b, now, 1)
+			restartedAt := time.Time{}
+			for now.Sub(first) < config.Window-tick {
+				if now.Sub(restartedAt) >= lifetime {
+					restartedAt, b = now, budgeter.NewAfterRestart(now, config)
+				}
+				advance()
+				retries += spendAll(b, now, 1)
+			}
+			allowed := config.Ratio*float64(requestsPerTick*config.Window/tick) + float64(config.BaseRetries)
+			is.True(float64(retries) <= 0.95*allowed) // within one window
+			is.True(float64(retries) > 0.5*allowed)
+		})
+	}
+}
+
+// Guards against an entry that has no retries for longer than those of its predecessor count.
+func TestRestartedEntryHasItsBudgetAfterAWindow(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	restarted, first := budgeter.NewAfterRestart(start, config), budgeter.New(start, config)
+	is.True(spendAll(restarted, start.Add(config.Window-time.Second), 1) > 0)
+	is.Equal(spendAll(restarted, start.Add(2*config.Window), 1), spendAll(first, start.Add(2*config.Window), 1))
+}
+
+// Guards against an entry that retries too much after a start in which it knows few of many others.
+func TestBaseRetriesAreAddedEvenlyOverTheFirstWindow(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	b := budgeter.New(start, config)
+	retries, early := 0, 0
+	for age := time.Duration(0); age <= config.Window; age += 100 * time.Millisecond {
+		if age == config.Window/10 {
+			early = retries
+		}
+		retries += spendAll(b, start.Add(age), 1)
+	}
+	is.True(early <= config.BaseRetries/10)
+	is.True(retries >= config.BaseRetries*3/4)
+}
--- a/budgeter/reload_test.go
+++ b/budgeter/reload_test.go
@@ -22,7 +22,7 @@
 			}
 			changed := config
 			changed.Window = window
-			b.Configure(changed)
+			b.Configure(now, changed)
 			is.True(!b.SpendRetry(now.Add(time.Second), "lm", 7).Allowed)
 			is.True(b.SpendRetry(now.Add(30*time.Second), "lm", 7).Allowed)
 		})
--- a/cmd/sapphireramp/gateway.go
+++ b/cmd/sapphireramp/gateway.go
@@ -75,6 +75,7 @@
 		Store:    controller.Store{Read: store.Read, Watch: store.Watch, DecodeConfig: platform.DecodeConfig},
 		Protocol: platform.Protocol(), NewReservationClient: platform.NewReservationClient,
 		MaxPropagation:   settings.MaxPropagation,
+		IsFirstStart:     settings.IsFirstStart,
 		Speed:            settings.Speed,
 		MaxIdle:          settings.MaxIdle,
 		ReservationTTL:   min(settings.MaxReservationTTL, settings.MaxReservedAfterUse*leasePercent/100),
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -111,6 +111,8 @@
 	disruptionLog caller.FaultLog
 	// log is the logger of all entries started from now on.
 	log *zap.Logger
+	// hasStarted is true once the first incarnations of all entries have been started.
+	hasStarted bool
 	// bursts holds the traffic started in addition to the steady one. downEntries holds the indexes of entries
 	// that were killed or stopped and not started again.
 	bursts      []*traffic
@@ -137,6 +139,7 @@
 	for i := range entries {
 		f.entries = append(f.entries, f.startEntry(i))
 	}
+	f.hasStarted = true
 	time.Sleep(2 * time.Second)
 	return f
 }
@@ -334,7 +337,7 @@
 	l := launcher.New(launcher.Config{
 		SinceBoot: func() time.Duration { return time.Duration(time.Now().UnixNano()) }, // virtual time
 		Name:      fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3), CallerAddress: onPort(entryPort), ReadinessAddress: onPort(readyPort),
-		PeerAddress: onPort(peerPort), DirectoryAddress: onPort(directoryPort), LoadAddress: onPort(loadPort), AddressTTL: time.Second, Settings: settings,
+		PeerAddress: onPort(peerPort), DirectoryAddress: onPort(directoryPort), LoadAddress: onPort(loadPort), AddressTTL: time.Second, IsFirstStart: !f.hasStarted, Settings: settings,
 		ReadSettings: func() (launcher.Settings, error) { return settings, nil },
 		Store:        controller.Store{Read: storeClient.Read, Watch: storeClient.Watch, DecodeConfig: platform.DecodeConfig}, MaxPropagation: maxPropagation,
 		Protocol: platform.Protocol(), NewReservationClient: platform.NewReservationClient, ReservationTTL: 3 * time.Second, MaxIdle: 9 * time.Second,
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -42,7 +42,7 @@
 }
 
 // Config configures a Launcher. All fields are required, except that
-// MetricsAddress and Speed may be zero and SinceBoot, Dial, Listen and
+// MetricsAddress, IsFirstStart and Speed may be zero and SinceBoot, Dial, Listen and
 // ListenPacket may be nil.
 type Config struct {
 	// Name identifies the entry among all entries.
@@ -55,6 +55,8 @@
 	// receives load updates of other entries. MetricsAddress is the TCP address on which it serves the metrics
 	// and the status page; if it is the zero value, neither is served.
 	CallerAddress, ReadinessAddress, PeerAddress, DirectoryAddress, LoadAddress, MetricsAddress netip.AddrPort
+	// IsFirstStart is true if no entry of the fleet has run before those that start now.
+	IsFirstStart bool
 	// AddressTTL is how long callers may use the addresses in a response of the directory.
 	AddressTTL time.Duration
 	// Settings are the settings that apply until ReadSettings has returned others.
@@ -149,7 +151,11 @@
 	c = c.withSystemDefaults()
 	quarantine, partIsolator := quarantiner.New(), isolator.New(c.Name)
 	sharedDispatcher := dispatcher.New(c.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	l := &Launcher{config: c, retryBudget: budgeter.New(time.Now(), c.Settings.RetryBudget), activeConns: connector.NewActiveConns(), acceptDone: make(chan struct{})}
+	newBudgeter := budgeter.NewAfterRestart
+	if c.IsFirstStart {
+		newBudgeter = budgeter.New
+	}
+	l := &Launcher{config: c, retryBudget: newBudgeter(time.Now(), c.Settings.RetryBudget), activeConns: connector.NewActiveConns(), acceptDone: make(chan struct{})}
 	l.settings.Store(&c.Settings)
 	l.tunneler = tunneler.New(tunneler.Config{
 		Name: c.Name, DataCentre: c.DataCentre, Dial: c.Dial, Relays: func() []tunneler.Relay { return l.controller.Relays() },
@@ -221,7 +227,7 @@
 		return err
 	}
 	l.config.Log.Info("started", zap.String("name", l.config.Name), zap.String("data_centre", l.config.DataCentre),
-		zap.Stringer("callers", l.config.CallerAddress), zap.Stringer("peers", l.config.PeerAddress))
+		zap.Stringer("callers", l.config.CallerAddress), zap.Stringer("peers", l.config.PeerAddress), zap.Bool("first_start", l.config.IsFirstStart))
 	controllerDone := make(chan struct{})
 	go func() {
 		defer close(controllerDone)
@@ -370,7 +376,7 @@
 		case signalled || changed:
 			l.config.Log.Info("reload", zap.Bool("signalled", signalled), zap.Bool("changed", changed), zap.Int("seeds", len(s.Seeds)))
 			l.settings.Store(&s)
-			l.retryBudget.Configure(s.RetryBudget)
+			l.retryBudget.Configure(time.Now(), s.RetryBudget)
 			l.controller.SetSeeds(s.Seeds)
 		}
 		select {
--- a/launcher/retrybudget_kill_test.go
+++ b/launcher/retrybudget_kill_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package launcher_test
 
 import (
--- a/logger/events.go
+++ b/logger/events.go
@@ -50,7 +50,7 @@
 	{"share_malformed", "A load update of another entry could not be decoded; the entries may run different versions. Logged at most once a second; skipped is the number of malformed updates since the previous line.", []string{"from", "skipped", "error"}},
 	{"share_not_read", "A load update of another entry could not be received (debug).", []string{"error"}},
 	{"share_not_sent", "This entry's load update could not be sent to another entry (debug).", []string{"peer", "error"}},
-	{"started", "The entry listens on its addresses.", []string{"name", "data_centre", "callers", "peers"}},
+	{"started", "The entry listens on its addresses. First_start is true if, by the settings, no entry of the fleet has run before.", []string{"name", "data_centre", "callers", "peers", "first_start"}},
 	{"status_not_sent", "The status page could not be sent because the client closed the connection (debug).", []string{"error"}},
 	{"stopped", "The entry exits.", []string{"name"}},
 	{"stopping", "The entry received SIGTERM and starts to shut down. The directory no longer gives its address to callers.", []string{"in_flight", "grace_ms"}},
