controller, budgeter: entries remember how many of them share the retry budget

Cause: an entry divided the base retries by the number of entries that it had heard of since its start. One that starts within a partition hears of those on its side, one that hears nobody assumed four to six, and at a start of many entries with three seeds each took a sixth. Who starts learns it from whoever it hears; while it knows of nobody, or for the first 1.1 s, it uses no base retries. Only where nobody remembers, as all that are heard have restarted, twice the number of seeds is assumed as before. A change of the number is logged as retry_budget_entries.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -171,7 +171,8 @@
 }
 
 // SpendRetry decides whether the budget of a service allows a retry at the time now, and counts the
-// retry if so. Entries is the number of entries that share the budget.
+// retry if so. Entries is the number of entries that share the budget; while it is 0, the number is unknown, and
+// this entry uses no base retries.
 func (b *Budgeter) SpendRetry(now time.Time, service string, entries int) Decision {
 	b.lock.Lock()
 	defer b.lock.Unlock()
@@ -191,7 +192,7 @@
 }
 
 // AllowsRetry reports whether the budget of a service allows a retry at the time now. It does not
-// count a retry. Entries is the number of entries that share the budget.
+// count a retry. Entries is that of SpendRetry.
 func (b *Budgeter) AllowsRetry(now time.Time, service string, entries int) bool {
 	b.lock.Lock()
 	defer b.lock.Unlock()
@@ -202,24 +203,24 @@
 // decide decides whether this entry may make one more retry, and updates a.stored. The lock must be held.
 func (b *Budgeter) decide(a *account, elapsed time.Duration, entries int) Decision {
 	requests, retries, bursts := a.window.sums(elapsed - b.config.Window)
-	base := float64(b.config.BaseRetries) / float64(max(1, entries))
+	base := 0.0
+	if entries > 0 {
+		base = float64(b.config.BaseRetries) / float64(entries)
+	}
 	counted := min(1, (elapsed-b.countsFrom).Seconds()/b.config.Window.Seconds())
-	// The base retries are added evenly over the first window: an entry that has just started doesn't know all
-	// others that share them.
-	budget := b.config.Ratio*float64(requests) + counted*base
+	added := b.config.Ratio*float64(a.newRequests) + base*(elapsed-a.updatedAt).Seconds()/b.config.Window.Seconds()
+	a.stored, a.updatedAt, a.newRequests = min(maxStored, a.stored+steadyFraction*added), elapsed, 0
+	budget := b.config.Ratio*float64(requests) + base
 	burstLimit, steadyLimit := usableFraction*budget, 0.0
-	if steadyFraction*budget >= minSteady*counted {
+	if steadyFraction*(b.config.Ratio*float64(requests)+base*counted) >= minSteady*counted {
 		steadyLimit = steadyFraction * budget
 		burstLimit -= steadyLimit + maxStored
+	} else {
+		a.stored = 0
 	}
 	if counted < 1 && b.isHistoryUnknown {
 		burstLimit = 0
 	}
-	added := b.config.Ratio*float64(a.newRequests) + base*(elapsed-a.updatedAt).Seconds()/b.config.Window.Seconds()
-	a.stored, a.updatedAt, a.newRequests = min(maxStored, a.stored+steadyFraction*added), elapsed, 0
-	if steadyLimit == 0 {
-		a.stored = 0
-	}
 	return Decision{
 		Allowed: a.stored >= 1 || float64(bursts+1) <= burstLimit,
 		Spent:   retries, Limit: burstLimit + steadyLimit, Entries: entries, CountingFor: elapsed - b.countsFrom,
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -61,6 +61,8 @@
 	MaxPropagation time.Duration
 	// Speed is the processor capacity of this entry in cores; 0 if unknown.
 	Speed float64
+	// IsFirstStart is true if no entry of the fleet has run before those that start now.
+	IsFirstStart bool
 	// SinceBoot returns the time since the instance booted, including the time it
 	// was suspended. It is the SinceBoot of this package or a test clock.
 	SinceBoot func() time.Duration
@@ -145,6 +147,8 @@
 	// upCount is the number of other entries that are up, as of the latest view. upCountOfOthers is the
 	// number that others reported (see recordUpCount).
 	upCount, upCountOfOthers int
+	// fleet is what is remembered of the size of the fleet.
+	fleet fleetSize
 	// hearsOthers is true once this entry has received a heartbeat of another one or a reply.
 	hearsOthers bool
 	// isCutOff is true if this entry reached no upstream directly at the last tick.
@@ -214,7 +218,7 @@
 		heartbeatRequests: make(chan struct{}, 1), newPeers: make(chan struct{}, 1), fetchSlots: make(chan struct{}, maxServedFetches), metrics: newMetrics(c.Scope),
 	}
 	ctl.loadCounts.registerMetrics(c.Scope)
-	ctl.current.Store(&view{View: forwarder.View{RetryBudgetEntries: 1}, incarnation: c.Incarnation})
+	ctl.current.Store(&view{incarnation: c.Incarnation})
 	return ctl
 }
 
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -79,6 +79,8 @@
 	// Strained is true if the sender is overloaded: its timers fire late.
 	Speed    float64
 	Strained bool
+	// Fleet is what the sender remembers of the size of the fleet.
+	Fleet FleetSize
 }
 
 // errStopped is the error that peers receive for a heartbeat to an entry whose control goroutine
@@ -224,7 +226,7 @@
 			Stopping: s.stopping, Ready: s.table != nil, CutOff: s.isCutOff, Revision: uint64(config.Revision), Notices: s.prober.TakeNotices(),
 		},
 		Knows: s.upCount, Known: ok && s.follower.HasState(), Epoch: position.Epoch, StoreRevision: position.Revision, StateFingerprint: s.follower.Fingerprint(), InheritedFingerprint: s.follower.InheritedFingerprint(), ConfigVersion: config.Version, Confirmed: age,
-		Disturbed: s.storeFailureAge(now), Speed: c.Speed, Strained: s.lagMeter.overloaded,
+		Disturbed: s.storeFailureAge(now), Speed: c.Speed, Strained: s.lagMeter.overloaded, Fleet: s.reportedFleetSize(now),
 	}
 	for m := range s.prober.Random(rand.IntN) {
 		if len(b.Contacts) == limit {
@@ -315,6 +317,7 @@
 func (s *state) applyHeartbeat(now time.Time, b Beat) {
 	s.hearsOthers = true
 	s.recordUpCount(now, b.Knows)
+	s.applyFleetSize(now, b.Fleet)
 	before, wasKnown := s.prober.Find(b.From)
 	s.applyMemberChanges(s.prober.ReceiveHeartbeat(now, b.Heartbeat))
 	after, _ := s.prober.Find(b.From)
--- a/controller/retryshare_test.go
+++ b/controller/retryshare_test.go
@@ -1,10 +1,9 @@
-//go:build knownred
-
 package controller_test
 
 import (
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -61,3 +60,52 @@
 		}
 	})
 }
+
+// sumOfShares returns the sum of the parts of the base retries that the entries take, in units of all of them.
+func (f *fleet) sumOfShares() float64 {
+	sum := 0.0
+	for _, e := range f.entries {
+		if n := e.View().RetryBudgetEntries; n > 0 {
+			sum += 1 / float64(n)
+		}
+	}
+	return sum
+}
+
+// checkShares fails the test if the entries together take more than all base retries at any time within a duration, or
+// not all of them at its end.
+func (f *fleet) checkShares(what string, duration time.Duration) {
+	f.t.Helper()
+	const interval = 20 * time.Millisecond
+	for range duration / interval {
+		time.Sleep(interval)
+		if sum := f.sumOfShares(); sum > 1.0001 {
+			f.t.Errorf("%s: %.2f of the base retries are taken, want at most 1", what, sum)
+			return
+		}
+	}
+	if sum := f.sumOfShares(); sum < 0.95 {
+		f.t.Errorf("%s: %.2f of the base retries are taken, want all", what, sum)
+	}
+}
+
+// The entries of a fleet that starts, with two seeds, know how many they are, as do those that are added, or killed
+// and started again.
+func TestSharesOfTheRetryBudgetAddUp(t *testing.T) {
+	for _, size := range []int{2, 7, 60} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, nil)
+			f.putVersion(1)
+			for i := range size {
+				f.entries = append(f.entries, f.startEntry(i))
+			}
+			defer f.end()
+			f.checkShares("cold start", 4*time.Second)
+			for i := range size / 2 {
+				f.restart(i)
+				time.Sleep(20 * time.Millisecond)
+			}
+			f.checkShares("half restarted", 4*time.Second)
+		})
+	}
+}
--- a/controller/view.go
+++ b/controller/view.go
@@ -56,7 +56,7 @@
 	v := &view{
 		View: forwarder.View{
 			Table: s.table, ConfigRevision: config.Revision, ConfirmedAt: s.follower.ConfirmedAt(), ConfirmationTTL: fractionOf(c.config.MaxPropagation, trustFraction),
-			StoreUnavailable: s.storeLost, RetryBudgetEntries: max(s.prober.Count()+1, 2*len(s.seeds)), Stopping: s.stopping, StopBy: s.exitAt, AddressValidUntil: s.addressValidUntil,
+			StoreUnavailable: s.storeLost, Stopping: s.stopping, StopBy: s.exitAt, AddressValidUntil: s.addressValidUntil,
 		},
 		incarnation: s.incarnation, ready: s.table != nil && !s.stopping,
 	}
@@ -64,6 +64,11 @@
 		v.callerEntries = append(v.callerEntries, readyEntry{name: c.config.Name, address: c.config.CallerAddress, peerAddress: c.config.PeerAddress, dataCentre: c.config.DataCentre, capacity: s.capacity()})
 	}
 	s.upCount = s.addMembers(v)
+	s.updateFleetSize(s.publishedAt)
+	v.RetryBudgetEntries = s.retryBudgetEntries(s.publishedAt)
+	if before := c.current.Load().RetryBudgetEntries; v.RetryBudgetEntries != before {
+		c.config.Log.Info("retry_budget_entries", zap.Int("entries", v.RetryBudgetEntries), zap.Int("before", before), zap.Int("up", s.upCount+1), zap.Bool("confirmed", s.fleet.isConfirmed))
+	}
 	ready := v.callerEntries
 	v.OtherEntries = len(ready)
 	if v.ready {
--- a/forwarder/protocol.go
+++ b/forwarder/protocol.go
@@ -126,8 +126,8 @@
 	// StoreUnavailable is true while the latest call to the store has failed.
 	StoreUnavailable bool
 	// RetryBudgetEntries is the largest number of entries, including this one, that may share the retry
-	// budget at present. Retries that the budget allows whatever the number of requests are divided
-	// among that many entries.
+	// budget at present; 0 if it is unknown. Retries that the budget allows whatever the number of requests
+	// are divided among that many entries.
 	RetryBudgetEntries int
 	// Stopping is true while the entry shuts down: it asks callers to close their connections, and
 	// accepts only requests that end before it exits.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -171,7 +171,7 @@
 	// on a closed connection can't be distinguished from one that the engine refused.
 	reservationHTTPClient := &http.Client{Transport: &http.Transport{DialContext: l.tunneler.Dial, DisableKeepAlives: true}}
 	l.controller = controller.New(controller.Config{
-		Name: c.Name, DataCentre: c.DataCentre, Incarnation: uint64(time.Now().UnixNano()),
+		Name: c.Name, DataCentre: c.DataCentre, Incarnation: uint64(time.Now().UnixNano()), IsFirstStart: c.IsFirstStart,
 		CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, LoadAddress: c.LoadAddress, Store: c.Store, MaxPropagation: c.MaxPropagation, Speed: c.Speed, SinceBoot: c.SinceBoot, Dispatcher: sharedDispatcher, Quarantine: quarantine, Isolator: partIsolator, Tunneler: l.tunneler, Dial: c.Dial,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
