budgeter, forwarder: retries count when an upstream gets them

Cause: a retry was counted when it was decided. It reaches an upstream later, after a wait for a place, for memory or for a connection; those that waited over a window could be let go together, and those that reached no upstream used up the budget. A retry is reserved when it is decided, counts from then on, and is counted once more for a window when its connection is there; what reaches no upstream is released. The metric retries counts those that were sent.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -43,7 +43,7 @@
 // Decision says whether a retry is allowed, and on what grounds.
 type Decision struct {
 	Allowed bool
-	// Spent is the number of retries that this entry has made within the window, without this one. Limit is
+	// Spent is the number of retries that this entry has made within the window or reserved, without this one. Limit is
 	// the number that it may make within a window. A part of them becomes available as the window passes.
 	Spent int
 	Limit float64
@@ -112,6 +112,9 @@
 	stored      float64
 	updatedAt   time.Duration
 	newRequests int
+	// reservedSteady and reservedBursts are the numbers of retries that were allowed and not yet sent, by the part
+	// of the budget that they were taken from.
+	reservedSteady, reservedBursts int
 }
 
 // advance drops the buckets that end at or before start, the time since the start of the Budgeter at which the
@@ -170,29 +173,64 @@
 	a.newRequests++
 }
 
-// SpendRetry decides whether the budget of a service allows a retry at the time now, and counts the
-// retry if so. Entries is the number of entries that share the budget; while it is 0, the number is unknown, and
-// this entry uses no base retries.
-func (b *Budgeter) SpendRetry(now time.Time, service string, entries int) Decision {
+// Reservation is a retry that the budget allows. It counts against the budget until it is released and, if it was used,
+// for a window after that.
+type Reservation struct {
+	budgeter *Budgeter
+	account  *account
+	isSteady bool
+}
+
+// Reserve decides whether the budget of a service allows a retry at the time now, and returns a reservation of it if so,
+// nil otherwise. Entries is the number of entries that share the budget; while it is 0, the number is unknown, and this
+// entry uses no base retries.
+func (b *Budgeter) Reserve(now time.Time, service string, entries int) (*Reservation, Decision) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	a, elapsed := b.accountOf(now, service)
 	d := b.decide(a, elapsed, entries)
 	if !d.Allowed {
-		return d
+		return nil, d
 	}
-	current := a.window.at(elapsed)
-	current.retries++
-	if a.stored >= 1 {
+	r := &Reservation{budgeter: b, account: a, isSteady: a.stored >= 1}
+	if r.isSteady {
 		a.stored--
+		a.reservedSteady++
+	} else {
+		a.reservedBursts++
+	}
+	return r, d
+}
+
+// Use counts the retry as sent to an upstream at the time now. It must be called at most once.
+func (r *Reservation) Use(now time.Time) {
+	b := r.budgeter
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	current := r.account.window.at(now.Sub(b.startedAt))
+	current.retries++
+	if r.isSteady {
+		r.account.reservedSteady--
 	} else {
+		r.account.reservedBursts--
 		current.bursts++
 	}
-	return d
+}
+
+// Release returns a reservation that was not used to the budget.
+func (r *Reservation) Release() {
+	r.budgeter.lock.Lock()
+	defer r.budgeter.lock.Unlock()
+	if r.isSteady {
+		r.account.reservedSteady--
+		r.account.stored++
+	} else {
+		r.account.reservedBursts--
+	}
 }
 
 // AllowsRetry reports whether the budget of a service allows a retry at the time now. It does not
-// count a retry. Entries is that of SpendRetry.
+// reserve it. Entries is that of Reserve.
 func (b *Budgeter) AllowsRetry(now time.Time, service string, entries int) bool {
 	b.lock.Lock()
 	defer b.lock.Unlock()
@@ -209,7 +247,7 @@
 	}
 	counted := min(1, (elapsed-b.countsFrom).Seconds()/b.config.Window.Seconds())
 	added := b.config.Ratio*float64(a.newRequests) + base*(elapsed-a.updatedAt).Seconds()/b.config.Window.Seconds()
-	a.stored, a.updatedAt, a.newRequests = min(maxStored, a.stored+steadyFraction*added), elapsed, 0
+	a.stored, a.updatedAt, a.newRequests = min(float64(maxStored-a.reservedSteady), a.stored+steadyFraction*added), elapsed, 0
 	budget := b.config.Ratio*float64(requests) + base
 	burstLimit, steadyLimit := usableFraction*budget, 0.0
 	if steadyFraction*(b.config.Ratio*float64(requests)+base*counted) >= minSteady*counted {
@@ -222,7 +260,7 @@
 		burstLimit = 0
 	}
 	return Decision{
-		Allowed: a.stored >= 1 || float64(bursts+1) <= burstLimit,
-		Spent:   retries, Limit: burstLimit + steadyLimit, Entries: entries, CountingFor: elapsed - b.countsFrom,
+		Allowed: a.stored >= 1 || float64(bursts+a.reservedBursts+1) <= burstLimit,
+		Spent:   retries + a.reservedBursts + a.reservedSteady, Limit: burstLimit + steadyLimit, Entries: entries, CountingFor: elapsed - b.countsFrom,
 	}
 }
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -26,7 +26,7 @@
 				b.RecordRequest(now, "lm")
 				requested = append(requested, now)
 			}
-			if b.SpendRetry(now, "lm", entries).Allowed {
+			if spend(b, now, "lm", entries) {
 				retried = append(retried, now)
 			}
 		}
@@ -53,17 +53,26 @@
 	start := time.Unix(1000, 0)
 	b := budgeter.New(start, config)
 	now := start.Add(config.Window)
-	for b.SpendRetry(now, "lm", 7).Allowed {
+	for spend(b, now, "lm", 7) {
 	}
-	is.True(!b.SpendRetry(now, "lm", 7).Allowed)
-	is.True(b.SpendRetry(now, "app", 7).Allowed) // each service has a budget of its own
-	is.True(b.SpendRetry(now.Add(11*time.Second), "lm", 7).Allowed)
+	is.True(!spend(b, now, "lm", 7))
+	is.True(spend(b, now, "app", 7)) // each service has a budget of its own
+	is.True(spend(b, now.Add(11*time.Second), "lm", 7))
+}
+
+// spend makes a retry if the budget allows it at the time now, and reports whether it does.
+func spend(b *budgeter.Budgeter, now time.Time, service string, entries int) bool {
+	r, d := b.Reserve(now, service, entries)
+	if d.Allowed {
+		r.Use(now)
+	}
+	return d.Allowed
 }
 
 // spendAll makes every retry that the budget allows at the time now, and returns their number.
 func spendAll(b *budgeter.Budgeter, now time.Time, entries int) int {
 	n := 0
-	for b.SpendRetry(now, "lm", entries).Allowed {
+	for spend(b, now, "lm", entries) {
 		n++
 	}
 	return n
@@ -124,3 +133,42 @@
 	n := spendAll(b, start.Add(2*config.Window), 0)
 	is.True(n > 0 && float64(n) <= config.Ratio*100)
 }
+
+// Guards against retries that wait until they are sent and are then sent together, when those made before them are not
+// counted any more.
+func TestRetriesCountWhenTheyAreSent(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	b := budgeter.New(start, config)
+	now := start.Add(config.Window)
+	var waiting []*budgeter.Reservation
+	for range 400 { // two windows
+		now = now.Add(config.Window / 200)
+		if r, d := b.Reserve(now, "lm", 1); d.Allowed {
+			waiting = append(waiting, r)
+		}
+	}
+	for _, r := range waiting {
+		r.Use(now)
+	}
+	sent := len(waiting)
+	for range 190 {
+		now = now.Add(config.Window / 200)
+		sent += spendAll(b, now, 1)
+	}
+	is.True(sent <= config.BaseRetries)
+	is.True(sent > config.BaseRetries/2)
+}
+
+// Guards against retries that no upstream got and that are counted all the same.
+func TestReleasedReservationsDoNotCount(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	b := budgeter.New(start, config)
+	now := start.Add(config.Window)
+	for range 1000 {
+		r, d := b.Reserve(now, "lm", 1)
+		is.True(d.Allowed)
+		r.Release()
+	}
+}
--- a/budgeter/clock_test.go
+++ b/budgeter/clock_test.go
@@ -35,11 +35,11 @@
 			start := time.Now().Add(-time.Minute)
 			b := budgeter.New(start, config)
 			now := start.Add(20 * time.Second)
-			for b.SpendRetry(now, "lm", 7).Allowed {
+			for spend(b, now, "lm", 7) {
 			}
-			is.True(!b.SpendRetry(withTimeOfDayStepped(now.Add(time.Second), seconds), "lm", 7).Allowed)
-			is.True(!b.SpendRetry(now.Add(2*time.Second), "lm", 7).Allowed)                                // the step is over
-			is.True(b.SpendRetry(withTimeOfDayStepped(now.Add(11*time.Second), seconds), "lm", 7).Allowed) // a window later
+			is.True(!spend(b, withTimeOfDayStepped(now.Add(time.Second), seconds), "lm", 7))
+			is.True(!spend(b, now.Add(2*time.Second), "lm", 7))                                // the step is over
+			is.True(spend(b, withTimeOfDayStepped(now.Add(11*time.Second), seconds), "lm", 7)) // a window later
 		})
 	}
 }
--- a/budgeter/reload_test.go
+++ b/budgeter/reload_test.go
@@ -18,13 +18,13 @@
 			start := time.Unix(1000, 0)
 			b := budgeter.New(start, config)
 			now := start.Add(20 * time.Second)
-			for b.SpendRetry(now, "lm", 7).Allowed {
+			for spend(b, now, "lm", 7) {
 			}
 			changed := config
 			changed.Window = window
 			b.Configure(now, changed)
-			is.True(!b.SpendRetry(now.Add(time.Second), "lm", 7).Allowed)
-			is.True(b.SpendRetry(now.Add(30*time.Second), "lm", 7).Allowed)
+			is.True(!spend(b, now.Add(time.Second), "lm", 7))
+			is.True(spend(b, now.Add(30*time.Second), "lm", 7))
 		})
 	}
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -104,6 +104,7 @@
 	// was reserved.
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		a.connection = info.Conn
+		f.countRetry(x)
 		if !a.isTunnelled() {
 			a.watchdog.watchContact(f.tunneler.Contact(), x.route.GapTarget)
 		}
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -25,6 +25,7 @@
 	caller := x.ctx
 	x.ctx, x.hasCallerLeft = ctx, func() bool { return caller.Err() != nil }
 	f.retryBudget.RecordRequest(time.Now(), x.service)
+	defer x.releaseRetry()
 	var fail *failure
 	if x.isStream() {
 		fail = f.serveStream(x)
@@ -50,7 +51,7 @@
 // the verdict verdictUnsent may be repeated maxUnsentAttempts times while upstreams can be reached;
 // unsentCount is the number of such attempts before a. After any other attempt, the route must allow the
 // request to run again if it may have run, MaxAttempts must not be reached, and isSuspect must return
-// false. Such a retry is taken from the retry budget, and is not allowed if the budget is used up. No
+// false. Such a retry is reserved in the retry budget, and is not allowed if the budget is used up. No
 // retry is allowed once the request is cancelled or past its deadline.
 func (f *Forwarder) allowRetry(x *exchange, a *attempt, unsentCount int) bool {
 	if x.ctx.Err() != nil {
@@ -65,17 +66,36 @@
 	if x.sentCount >= x.route.MaxAttempts || f.isSuspect(x, a) {
 		return false
 	}
-	d := f.retryBudget.SpendRetry(time.Now(), x.service, f.view().RetryBudgetEntries)
+	reservation, d := f.retryBudget.Reserve(time.Now(), x.service, f.view().RetryBudgetEntries)
 	if !d.Allowed {
 		f.metrics.retriesDenied.Inc(1)
 		f.log.Warn("retry_budget_used_up", zap.String("request", x.metadata.ID), zap.String("service", x.service), zap.Int("spent", d.Spent),
 			zap.Float64("allowed", d.Limit), zap.Int("entries", d.Entries), zap.Duration("counting_ms", d.CountingFor))
 		return false
 	}
-	f.metrics.retries.Inc(1)
+	x.retry = reservation
 	return true
 }
 
+// countRetry counts a retry against the retry budget at the moment at which its upstream gets it. It does nothing for
+// the first attempt that reaches an upstream.
+func (f *Forwarder) countRetry(x *exchange) {
+	if x.retry == nil {
+		return
+	}
+	x.retry.Use(time.Now())
+	x.retry = nil
+	f.metrics.retries.Inc(1)
+}
+
+// releaseRetry returns a retry that reached no upstream to the retry budget.
+func (x *exchange) releaseRetry() {
+	if x.retry != nil {
+		x.retry.Release()
+		x.retry = nil
+	}
+}
+
 // lastAttemptFailure returns the failure of a request after its last attempt a: status 503 if the
 // request has not run, 502 if it may have. If links were at fault, the caller is told to come back when
 // these may work again.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -150,6 +150,9 @@
 	// sentCount is the number of attempts for which a connection was established. pendingCount is the
 	// number of those whose upstream has not stated that it did not run the request.
 	sentCount, pendingCount int
+	// retry is the reservation in the retry budget of an attempt that has reached no upstream yet; nil if there is
+	// none, also for a request that no upstream has received.
+	retry *budgeter.Reservation
 	// failedUpstreams are the upstreams that failed this request and get no further attempt of it.
 	failedUpstreams []dispatcher.Instance
 	// lastDemand is the demand of the latest search for a placement.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -38,12 +38,13 @@
 
 // fixture runs a Forwarder with two plain upstreams and three engines on a simulated network.
 type fixture struct {
-	is         *is.I
-	net        *network.Network
-	view       atomic.Pointer[forwarder.View]
-	dispatcher *dispatcher.Dispatcher
-	table      *matcher.Table
-	quarantine *quarantiner.Quarantiner
+	is          *is.I
+	net         *network.Network
+	view        atomic.Pointer[forwarder.View]
+	dispatcher  *dispatcher.Dispatcher
+	table       *matcher.Table
+	quarantine  *quarantiner.Quarantiner
+	retryBudget *budgeter.Budgeter
 	// instances lists all upstreams, the plain ones first.
 	instances []dispatcher.Instance
 	// client sends requests to the entry as a caller.
@@ -79,6 +80,7 @@
 func withForwarder(t *testing.T, test func(f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{is: is.New(t), net: network.New(), quarantine: quarantiner.New()}
+		f.retryBudget = budgeter.New(time.Now(), budgeter.Config{Ratio: 0.2, Window: 10 * time.Second, BaseRetries: 100})
 		table, err := matcher.New(testConfig())
 		f.is.NoErr(err)
 		f.table = table
@@ -109,7 +111,7 @@
 		handler := forwarder.New(forwarder.Config{
 			Protocol: platform.Protocol(), Reservations: platform.NewReservationClient(&http.Client{Transport: &http.Transport{DialContext: links.Dial, DisableKeepAlives: true}}),
 			ReservationTTL: 3 * time.Second, MaxIdle: 9 * time.Second, View: f.view.Load, Dispatcher: f.dispatcher, Quarantine: f.quarantine, Isolator: isolator.New("entry"), OnCrash: func() {},
-			RetryBudget: budgeter.New(time.Now(), budgeter.Config{Ratio: 0.2, Window: 10 * time.Second, BaseRetries: 100}),
+			RetryBudget: f.retryBudget,
 			Tunneler:    links, Log: zap.NewNop(), Scope: tally.NoopScope, Asserter: invariants,
 		})
 		servers = append(servers, f.serve(netip.AddrPortFrom(entryHost, 80), handler))
