dispatcher, controller: entries that fall silent keep their shares of rate limits

Cause: an entry divides a rate limit by those that place requests; ten seconds after the cut each half had forgotten the other, and used all of the limit. 57, 24, 21, 22 requests in the first four spans of 4 s, 48 and 47 in the next. TestRateLimitHoldsWhileEntriesAreCut- OffFromEachOther fails on the code before; TestPartsOfADividedFleetKeepToRateLimitsForLong fails without the loop over lost entries. Price: where entries are lost for good, the others use a smaller part of limits that upstreams state.

--- a/controller/changes.go
+++ b/controller/changes.go
@@ -19,7 +19,7 @@
 	}
 }
 
-// applyMemberChanges logs state changes of other entries, records the times of deaths in diedAt,
+// applyMemberChanges logs state changes of other entries, records the times of deaths in diedAt and lostAt,
 // and sets dirty if there is any change.
 func (s *state) applyMemberChanges(changes []prober.Change) {
 	for _, change := range changes {
@@ -28,6 +28,10 @@
 		if change.To == prober.Dead {
 			s.diedAt[change.Name] = time.Now()
 		}
+		delete(s.lostAt, change.Name)
+		if change.To == prober.Dead && change.From != prober.Stopping {
+			s.lostAt[change.Name] = time.Now()
+		}
 		s.dirty = true
 	}
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -142,6 +142,8 @@
 	lagMeter   lagMeter
 	// diedAt holds the time at which each other entry was last declared dead, by name.
 	diedAt map[string]time.Time
+	// lostAt holds the time at which each dead entry was declared dead that had not announced its shutdown, by name.
+	lostAt map[string]time.Time
 	// seeds are the configured peer addresses. Heartbeats to them discover other entries.
 	seeds []netip.AddrPort
 	// upCount is the number of other entries that are up, as of the latest view. upCountOfOthers is the
@@ -228,7 +230,7 @@
 func (c *Controller) Run(ctx context.Context, seeds []netip.AddrPort, peerListener net.Listener, loadSocket net.PacketConn) {
 	now := time.Now()
 	s := &state{
-		controller: c, follower: follower.New(), capacities: map[string]reportedCapacity{}, diedAt: map[string]time.Time{},
+		controller: c, follower: follower.New(), capacities: map[string]reportedCapacity{}, diedAt: map[string]time.Time{}, lostAt: map[string]time.Time{},
 		seeds: seeds, started: now, incarnation: c.config.Incarnation, lastTick: now, lastSinceBoot: c.config.SinceBoot(),
 		prober: prober.New(prober.Config{Name: c.config.Name, Incarnation: c.config.Incarnation, DataCentre: c.config.DataCentre, Neighbours: heartbeatNeighbours, SuspectAfter: deadTimeout}),
 	}
--- a/controller/scale_test.go
+++ b/controller/scale_test.go
@@ -33,7 +33,7 @@
 		MaxPropagation: 2 * time.Second, Log: zap.NewNop(), Scope: tally.NoopScope,
 	})
 	s := &state{
-		controller: c, follower: follower.New(), capacities: map[string]reportedCapacity{}, diedAt: map[string]time.Time{}, started: time.Now(),
+		controller: c, follower: follower.New(), capacities: map[string]reportedCapacity{}, diedAt: map[string]time.Time{}, lostAt: map[string]time.Time{}, started: time.Now(),
 		prober: prober.New(prober.Config{Name: "self", DataCentre: "dc-0", Neighbours: heartbeatNeighbours, SuspectAfter: deadTimeout}),
 	}
 	s.follower.Confirm(time.Now())
--- a/controller/view.go
+++ b/controller/view.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -79,6 +81,7 @@
 	v.allPaths, v.placingPaths = buildLoadPaths(c.config.DataCentre, v.peers, anyPeer), buildLoadPaths(c.config.DataCentre, v.peers, isPlacing)
 	hasNewPeers := s.forgetRestarted(v.peers)
 	c.config.Dispatcher.SetPeers(countLive(v.peers), s.isLoadIncomplete(s.upCount))
+	c.config.Dispatcher.SetLostEntries(s.lostEntries(s.publishedAt))
 	c.config.Dispatcher.SetPlacingEntries(c.config.Name, names(v.callerEntries))
 	usable := s.follower.UsableInstances()
 	if s.table != nil {
@@ -100,6 +103,13 @@
 	}
 }
 
+// lostEntries returns the names of the entries that have fallen silent within fleetSizeTTL without having announced
+// their shutdown, and drops earlier ones.
+func (s *state) lostEntries(now time.Time) []string {
+	maps.DeleteFunc(s.lostAt, func(_ string, at time.Time) bool { return now.Sub(at) > fleetSizeTTL })
+	return slices.Collect(maps.Keys(s.lostAt))
+}
+
 // confirmExits reports incarnations of upstreams that were replaced by others to the quarantiner and the isolator:
 // responses of theirs that broke off shortly before were broken off by a crash.
 func (s *state) confirmExits(replaced []dispatcher.Instance) {
--- a/dispatcher/ratelimit.go
+++ b/dispatcher/ratelimit.go
@@ -18,7 +18,7 @@
 	// rateBurstTime is the time whose share of requests an entry may send at once if it sent none before.
 	rateBurstTime = time.Second
 	// sharerTTL is the time for which an entry keeps its share of rate limits after it was last known to
-	// place requests: it may be cut off from this entry and still reach the upstreams.
+	// place requests, unless it is lost (see SetLostEntries).
 	sharerTTL = 10 * time.Second
 )
 
@@ -100,10 +100,20 @@
 	// names holds the entries in placedAt, in any order. version is incremented with each change of names.
 	names   []string
 	version int
+	// lost are the entries that may be cut off from this one and still reach the upstreams.
+	lost []string
+}
+
+// SetLostEntries sets the names of the entries that have fallen silent without having announced their shutdown. Those
+// that placed requests before keep their shares of rate limits: they may be cut off from this entry only.
+func (b *Dispatcher) SetLostEntries(names []string) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	b.sharers.lost = names
 }
 
 // update records that the given entries place requests now, and drops those that were last known to do so
-// more than sharerTTL ago.
+// more than sharerTTL ago and are not lost.
 func (s *sharers) update(now time.Time, placing []string) {
 	if s.placedAt == nil {
 		s.placedAt = map[string]time.Time{}
@@ -111,6 +121,11 @@
 	for _, name := range placing {
 		s.placedAt[name] = now
 	}
+	for _, name := range s.lost {
+		if _, ok := s.placedAt[name]; ok {
+			s.placedAt[name] = now
+		}
+	}
 	isChanged := len(s.placedAt) != len(s.names)
 	maps.DeleteFunc(s.placedAt, func(_ string, at time.Time) bool {
 		isExpired := now.Sub(at) > sharerTTL
--- a/dispatcher/ratelimit_test.go
+++ b/dispatcher/ratelimit_test.go
@@ -218,6 +218,25 @@
 	})
 }
 
+// Nor do they later, as long as the entries of the other parts have only fallen silent.
+func TestPartsOfADividedFleetKeepToRateLimitsForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLimitedFleet(9, 4)
+		f.run(time.Second, 200)
+		f.setViews(func(i int) []string { return []string{f.names[i%3], f.names[3+i%3], f.names[6+i%3]} })
+		for i, d := range f.entries {
+			d.SetLostEntries(slices.DeleteFunc(slices.Clone(f.names), func(name string) bool { return slices.Index(f.names, name)%3 == i%3 }))
+		}
+		for range 4 {
+			f.run(sharerTTL-time.Second, 200)
+			f.setViews(func(i int) []string { return []string{f.names[i%3], f.names[3+i%3], f.names[6+i%3]} })
+		}
+		if most := f.mostIn("warm-0", rateWindow); float64(most) > toleratedIn(4) {
+			t.Errorf("the upstream got %d requests in %s, want at most %g", most, rateWindow, toleratedIn(4))
+		}
+	})
+}
+
 // An entry that is cut off from all others keeps away from upstreams with a rate limit, since the others go
 // on with theirs. When it has been alone for long, it uses all of the limit.
 func TestEntryThatLosesContactKeepsToRateLimits(t *testing.T) {
--- a/launcher/ratelimit_test.go
+++ b/launcher/ratelimit_test.go
@@ -95,3 +95,33 @@
 		is.True(time.Since(started) < 2*time.Second)
 	})
 }
+
+// Guards against a rate limit that each part of a fleet uses in full: half of the entries are cut off from the other
+// half, and both reach the upstreams.
+func TestRateLimitHoldsWhileEntriesAreCutOffFromEachOther(t *testing.T) {
+	withFleet(t, 8, func(is *is.I, f *fleet) {
+		x := f.startTraffic(48)
+		time.Sleep(2 * time.Second)
+		for i := range 3 {
+			f.workers[fmt.Sprintf("i-app-%d", 2*i+1)].SetRateLimit(6)
+		}
+		time.Sleep(3 * time.Second)
+		var some, others []netip.Addr
+		for i := range f.entries {
+			if i < 4 {
+				some = append(some, entryHost(i))
+			} else {
+				others = append(others, entryHost(i))
+			}
+		}
+		f.net.DisconnectAll(some, others)
+		time.Sleep(25 * time.Second)
+		for _, a := range some {
+			for _, b := range others {
+				f.net.Reconnect(a, b)
+			}
+		}
+		x.stopAndCheck()
+		f.checkRateLimits(x)
+	})
+}
