router: ages of reports and measurements by the monotonic clock

A step of the time of day emptied an engine's queue in the forecast of the first token, lengthened it, or made a slow engine a fast one. Times are held with their monotonic reading.

--- a/router/router.go
+++ b/router/router.go
@@ -106,11 +106,11 @@
 	// timePerToken is a moving average of the time between answer tokens, in nanoseconds, as this
 	// entry measured it; 0 before the first measurement.
 	timePerToken atomic.Int64
-	// timePerTokenAt is the Unix time of the last measurement in nanoseconds, 0 before the first.
-	timePerTokenAt atomic.Int64
-	// ReportedAt is the Unix time of the keeper's last report in nanoseconds, by this entry's
-	// clock; 0 if there is none.
-	ReportedAt atomic.Int64
+	// timePerTokenAt is the time of the last measurement, nil before the first. Like ReportedAt it has a reading of the
+	// monotonic clock, which steps of the time of day do not move.
+	timePerTokenAt atomic.Pointer[time.Time]
+	// ReportedAt is the time of the keeper's last report, by this entry's clock; nil if there is none.
+	ReportedAt atomic.Pointer[time.Time]
 }
 
 // Engine is an engine that an attempt can be sent to.
@@ -243,8 +243,8 @@
 func (e *Engine) PredictFirstToken(now time.Time, class LengthClass, prefillTokens int) time.Duration {
 	rate := float64(max(1, e.PrefillRate))
 	queued := float64(sumUpTo(&e.Load.QueuedTokens, class))
-	if reportedAt := e.Load.ReportedAt.Load(); reportedAt != 0 {
-		queued = max(0, queued-rate*now.Sub(time.Unix(0, reportedAt)).Seconds())
+	if reportedAt := e.Load.ReportedAt.Load(); reportedAt != nil {
+		queued = max(0, queued-rate*now.Sub(*reportedAt).Seconds())
 	}
 	queued = max(queued, float64(sumUpTo(&e.Load.OwnPrefillTokens, class)))
 	seconds := (queued + float64(prefillTokens)) / rate
@@ -334,14 +334,14 @@
 		timePerToken = previous + time.Duration(newSampleWeight*float64(timePerToken-previous))
 	}
 	l.timePerToken.Store(int64(timePerToken))
-	l.timePerTokenAt.Store(now.UnixNano())
+	l.timePerTokenAt.Store(&now)
 }
 
 // recentTimePerToken returns the average time per token, or 0 if nothing was measured within
 // timePerTokenTTL.
 func (l *Load) recentTimePerToken(now time.Time) time.Duration {
 	at := l.timePerTokenAt.Load()
-	if at == 0 || now.Sub(time.Unix(0, at)) > timePerTokenTTL {
+	if at == nil || now.Sub(*at) > timePerTokenTTL {
 		return 0
 	}
 	return time.Duration(l.timePerToken.Load())
@@ -374,5 +374,5 @@
 		l.QueuedTokens[c].Store(int64(tokens))
 	}
 	l.FreeTokens.Store(int64(freeTokens))
-	l.ReportedAt.Store(now.UnixNano())
+	l.ReportedAt.Store(&now)
 }
--- a/server/group.go
+++ b/server/group.go
@@ -133,7 +133,7 @@
 			continue
 		}
 		free := e.MemoryTokens
-		if e.Load.ReportedAt.Load() != 0 {
+		if e.Load.ReportedAt.Load() != nil {
 			free = int(e.Load.FreeTokens.Load())
 		}
 		out = append(out, reserver.Candidate{Name: e.Name, DataCentre: e.DataCentre, FreeTokens: free, MemoryTokens: e.MemoryTokens})
--- a/standin/measurer/request.go
+++ b/standin/measurer/request.go
@@ -319,7 +319,7 @@
 		s := f.engineByName[e.Name]
 		if f.canReach(r.entry, s) {
 			free := f.deployment.MemoryTokens
-			if e.Load.ReportedAt.Load() != 0 {
+			if e.Load.ReportedAt.Load() != nil {
 				free = int(e.Load.FreeTokens.Load())
 			}
 			candidates = append(candidates, reserver.Candidate{Name: e.Name, DataCentre: e.DataCentre, FreeTokens: free, MemoryTokens: e.MemoryTokens})
