isolator, forwarder, server: a retry is held back for another one for a time, then sent

Cause, from a trace of trials: after a response has broken off, requests that share a part are sent again one after the other by an entry. The other one was a prompt of 250,000 tokens whose second attempt lasts; after 1.5 s the sound one was refused as if its part were suspected, though no upstream had crashed since. A request that waited for that precaution only is sent after 1.5 s. Whatever crashes meanwhile makes the part suspected, which is refused as before.

--- a/forwarder/crashpart.go
+++ b/forwarder/crashpart.go
@@ -40,6 +40,9 @@
 	if !refusal.IsCertain && x.sentCount > 0 && now.Sub(x.suspectedAt) < maxSuspectWait {
 		return &dispatcher.Refusal{Reason: reasonSuspected, RetryAfter: refusal.RetryAfter, Temporary: true, Deferrable: true}
 	}
+	if refusal.IsPrecaution {
+		return nil // no upstream has crashed meanwhile, and the other request may be a long one
+	}
 	reason := reasonSuspected
 	if refusal.IsCertain {
 		reason = reasonQuarantined
--- a/isolator/admit.go
+++ b/isolator/admit.go
@@ -36,7 +36,10 @@
 	Parts []Part
 	// IsCertain is true if the parts are quarantined, false if they are suspected or their quarantine has ended.
 	IsCertain bool
-	// Crashes is the number of crashes for which they are, FirstCrash the time of the first.
+	// IsPrecaution is true if the parts are not even suspected: another request with them is tried first, as the
+	// responses to both broke off.
+	IsPrecaution bool
+	// Crashes is the number of crashes for which the parts are quarantined or suspected, FirstCrash the time of the first.
 	Crashes    int
 	FirstCrash time.Time
 	// RetryAfter is the time after which the request may be admitted.
@@ -140,7 +143,7 @@
 			continue
 		}
 		if now.Before(s.trialUntil) {
-			return &Refusal{Parts: []Part{p}, FirstCrash: now, RetryAfter: suspectRetry}
+			return &Refusal{Parts: []Part{p}, IsPrecaution: true, FirstCrash: now, RetryAfter: suspectRetry}
 		}
 		t.suspects, t.Parts = append(t.suspects, s), append(t.Parts, p)
 	}
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -541,3 +541,23 @@
 	is.True(slices.Equal(parts("a"), nil))
 	is.True(parts("", "1")[0].Organisation != 0)
 }
+
+// Of two requests whose responses broke off, one is sent again first. Guards against the other one being refused for good,
+// like one with a suspected part, while the first one takes long.
+func TestRetriesWaitForEachOtherAsAPrecaution(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(7, 14)
+	trial, refusal := f.entries[0].Admit(f.now, parts("crew", "common", "sound"), true)
+	is.True(trial != nil && refusal == nil)
+	_, refusal = f.entries[0].Admit(f.now, parts("crew", "common", "other"), true)
+	is.True(refusal.IsPrecaution)
+	f.crashInTurn(2, "crew", "bad")
+	refused := 0
+	for _, e := range f.entries {
+		if _, refusal := e.Admit(f.now, parts("crew", "bad"), true); refusal != nil {
+			is.True(!refusal.IsPrecaution && refusal.Crashes > 0)
+			refused++
+		}
+	}
+	is.True(refused > 0)
+}
--- a/server/crashpart.go
+++ b/server/crashpart.go
@@ -62,6 +62,9 @@
 		if !refusal.IsCertain && x.lostCount > 0 && now.Sub(x.heldSince) < maxSuspectWait && sleeper.Sleep(x.ctx, suspectPollInterval) {
 			continue
 		}
+		if refusal.IsPrecaution && x.ctx.Err() == nil {
+			return nil // no upstream has crashed meanwhile, and the other request may be a long one
+		}
 		x.server.logs.route.Warn("part_refused", zap.String("request", x.id), zap.String("part", isolator.JoinParts(refusal.Parts)), zap.Bool("certain", refusal.IsCertain),
 			zap.Int("crashes", refusal.Crashes), zap.Duration("age_ms", now.Sub(refusal.FirstCrash)), zap.Duration("retry_after_ms", refusal.RetryAfter))
 		f := newFailure(api.CodeQuarantined, "engines crashed one after the other under prompts that share their beginning or adapter with this one")
