--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -302,3 +302,15 @@
 red cut-off-helpers forwarder/attempt.go 's/if !isCutOff\(s\)/if true/' ./forwarder TestCutOffEntryBlamesNoHelper
 red tunnels-idle tunneler/tunnel.go 's/if reply\.IsStopping/if false/' ./server TestStoppingRelayLeavesIdleConnections
 exit $wrong
+red budget-restart launcher/launcher.go 's/newBudgeter := budgeter\.NewAfterRestart/newBudgeter := budgeter.New/' ./launcher TestRetriesStayWithinBudgetWhileAllEntriesAreKilled
+red budget-restart-core budgeter/budgeter.go 's/b\.isHistoryUnknown = true/b.isHistoryUnknown = false/' ./budgeter TestRestartsAddNoBudget
+red budget-clock budgeter/budgeter.go 's/now\.Sub\(b\.startedAt\)/now.Round(0).Sub(b.startedAt.Round(0))/g' ./budgeter TestTimeOfDayStepsDoNotMoveTheWindow
+red budget-reload budgeter/budgeter.go 's/(\tb\.config = c\n\})/\tb.services = map[string]*account{}\n$1/' ./budgeter TestReloadWithAnotherWindowKeepsWhatWasCounted
+red budget-sent budgeter/budgeter.go 's/bursts\+a\.reservedBursts\+1/bursts+1/' ./budgeter TestRetriesCountWhenTheyAreSent
+red budget-unsent forwarder/forward.go 's/x\.retry\.Release\(\)/x.retry.Use(time.Now())/' ./forwarder TestRetriesThatReachNoUpstreamUseNoBudget
+red budget-told controller/peers.go 's/s\.applyFleetSize\(now, b\.Fleet\)/_ = b.Fleet/' ./controller TestRestartedEntriesKnowHowManyShareTheRetryBudget
+red budget-alone controller/fleetsize.go 's/!s\.hearsOthers \|\| //' ./controller TestEntryThatHearsNobodyHasNoShareOfTheRetryBudget
+red budget-early controller/fleetsize.go 's/ \|\| now\.Sub\(s\.started\) < startupTime//' ./controller TestSharesOfTheRetryBudgetAddUp
+red limit-lost controller/view.go 's/c\.config\.Dispatcher\.SetLostEntries\(s\.lostEntries\(s\.publishedAt\)\)//' ./launcher TestRateLimitHoldsWhileEntriesAreCutOffFromEachOther
+red report-clock router/router.go 's/now\.Sub\(\*reportedAt\)/now.Round(0).Sub(reportedAt.Round(0))/' ./router TestTimeOfDayStepsDoNotChangePredictions
+red precaution isolator/admit.go 's/IsPrecaution: true, //' ./isolator TestRetriesWaitForEachOtherAsAPrecaution
--- a/launcher/retrybudget_test.go
+++ b/launcher/retrybudget_test.go
@@ -173,3 +173,56 @@
 		}
 	}, (*retryTest).checkWithinBudget)
 }
+
+// restartAll kills all entries at once and starts them again.
+func restartAll(r *retryTest, _ int) {
+	for _, e := range r.entries {
+		r.killEntry(e)
+	}
+	time.Sleep(500 * time.Millisecond)
+	for i := range r.entries {
+		r.entries[i] = r.startEntry(i)
+	}
+}
+
+// All entries are killed at once, again and again.
+func TestRetriesStayWithinBudgetWhileAllEntriesAreKilled(t *testing.T) {
+	withRetryTest(t, during(2500*time.Millisecond, restartAll), (*retryTest).checkWithinBudget)
+}
+
+// Entries are killed one after the other.
+func TestRetriesStayWithinBudgetWhileEntriesAreKilledInTurn(t *testing.T) {
+	withRetryTest(t, during(500*time.Millisecond, func(r *retryTest, n int) {
+		r.restartEntry(n%len(r.entries), 200*time.Millisecond)
+	}), (*retryTest).checkWithinBudget)
+}
+
+// Entries are killed one after the other while half of them are cut off from the other half.
+func TestRetriesStayWithinBudgetWhileEntriesAreCutOffAndKilled(t *testing.T) {
+	withRetryTest(t, func(r *retryTest) {
+		time.Sleep(2 * time.Second)
+		var some, others []netip.Addr
+		for i := range r.entries {
+			if i%2 == 0 {
+				some = append(some, entryHost(i))
+			} else {
+				others = append(others, entryHost(i))
+			}
+		}
+		r.net.DisconnectAll(some, others)
+		for n := range 20 {
+			time.Sleep(time.Second)
+			r.restartEntry(n%len(r.entries), 200*time.Millisecond)
+		}
+	}, (*retryTest).checkWithinBudget)
+}
+
+// Entries that reach no upstream send retries through others.
+func TestRetriesStayWithinBudgetThroughTunnels(t *testing.T) {
+	withRetryTest(t, func(r *retryTest) {
+		time.Sleep(5 * time.Second)
+		reconnect := r.cutOffAll([]int{1, 4}, cutResets)
+		time.Sleep(15 * time.Second)
+		reconnect()
+	}, (*retryTest).checkWithinBudget)
+}
