--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -301,7 +301,6 @@
 red cut-off-silence forwarder/attempt.go 's/a\.isLinkAtFault, a\.connectionLost = true, false/_ = a/' ./launcher TestCutBlamesNoUpstream
 red cut-off-helpers forwarder/attempt.go 's/if !isCutOff\(s\)/if true/' ./forwarder TestCutOffEntryBlamesNoHelper
 red tunnels-idle tunneler/tunnel.go 's/if reply\.IsStopping/if false/' ./server TestStoppingRelayLeavesIdleConnections
-exit $wrong
 red budget-restart launcher/launcher.go 's/newBudgeter := budgeter\.NewAfterRestart/newBudgeter := budgeter.New/' ./launcher TestRetriesStayWithinBudgetWhileAllEntriesAreKilled
 red budget-restart-core budgeter/budgeter.go 's/b\.isHistoryUnknown = true/b.isHistoryUnknown = false/' ./budgeter TestRestartsAddNoBudget
 red budget-clock budgeter/budgeter.go 's/now\.Sub\(b\.startedAt\)/now.Round(0).Sub(b.startedAt.Round(0))/g' ./budgeter TestTimeOfDayStepsDoNotMoveTheWindow
@@ -314,3 +313,4 @@
 red limit-lost controller/view.go 's/c\.config\.Dispatcher\.SetLostEntries\(s\.lostEntries\(s\.publishedAt\)\)//' ./launcher TestRateLimitHoldsWhileEntriesAreCutOffFromEachOther
 red report-clock router/router.go 's/now\.Sub\(\*reportedAt\)/now.Round(0).Sub(reportedAt.Round(0))/' ./router TestTimeOfDayStepsDoNotChangePredictions
 red precaution isolator/admit.go 's/IsPrecaution: true, //' ./isolator TestRetriesWaitForEachOtherAsAPrecaution
+exit $wrong
