budgeter: both parts of the budget together keep to it where an entry has few retries

Found by reading, before the landing: an entry whose share is around 5.5 retries a window has no steady part below it and one above it. With one request more it used 5 of the burst part and 2 of the steady part, 7 of 5.7. Both together are limited as well now. TestPartsTogetherKeepToTheBudgetOfSmallEntries fails on the code before.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -1,6 +1,8 @@
 // Package budgeter limits retries. All entries share a retry budget for each service, without
 // exchanging messages about it: each entry allows itself retries in proportion to its own requests,
-// and the base number of retries divided by the number of entries.
+// and the base number of retries divided by the number of entries. What an entry has counted is gone when
+// it restarts, so each has a part of the budget that it may use at once, and one that it may use at any
+// time but only as it is added: the budget holds for all entries together however often they restart.
 package budgeter
 
 import (
@@ -33,7 +35,8 @@
 	// Ratio is the number of retries that each request to the service adds to the budget of its
 	// window.
 	Ratio float64
-	// Window is the length of the sliding window in which requests and retries are counted.
+	// Window is the length of the sliding window in which requests and retries are counted. It is at least
+	// bucketTime; a Budgeter takes a shorter one for that.
 	Window time.Duration
 	// BaseRetries is the number of retries allowed within a window, over all entries, in addition
 	// to those that requests add.
@@ -47,7 +50,7 @@
 	// the number that it may make within a window. A part of them becomes available as the window passes.
 	Spent int
 	Limit float64
-	// Entries is the number of entries that share the budget.
+	// Entries is the number of entries that share the budget; 0 if it is unknown.
 	Entries int
 	// CountingFor is the time for which this entry has counted requests and retries.
 	CountingFor time.Duration
@@ -69,6 +72,7 @@
 
 // New returns a Budgeter for an entry that starts at the time now, where no entry has made retries before.
 func New(now time.Time, c Config) *Budgeter {
+	c.Window = max(c.Window, bucketTime)
 	return &Budgeter{config: c, services: map[string]*account{}, startedAt: now}
 }
 
@@ -85,6 +89,7 @@
 func (b *Budgeter) Configure(now time.Time, c Config) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
+	c.Window = max(c.Window, bucketTime)
 	if heldFrom := now.Sub(b.startedAt) - b.config.Window; c.Window > b.config.Window && heldFrom > b.countsFrom {
 		b.countsFrom, b.isHistoryUnknown = heldFrom, true
 	}
@@ -240,27 +245,44 @@
 
 // decide decides whether this entry may make one more retry, and updates a.stored. The lock must be held.
 func (b *Budgeter) decide(a *account, elapsed time.Duration, entries int) Decision {
+	window := b.config.Window.Seconds()
 	requests, retries, bursts := a.window.sums(elapsed - b.config.Window)
+	spent, bursts := retries+a.reservedBursts+a.reservedSteady, bursts+a.reservedBursts
 	base := 0.0
 	if entries > 0 {
 		base = float64(b.config.BaseRetries) / float64(entries)
 	}
-	counted := min(1, (elapsed-b.countsFrom).Seconds()/b.config.Window.Seconds())
-	added := b.config.Ratio*float64(a.newRequests) + base*(elapsed-a.updatedAt).Seconds()/b.config.Window.Seconds()
-	a.stored, a.updatedAt, a.newRequests = min(float64(maxStored-a.reservedSteady), a.stored+steadyFraction*added), elapsed, 0
+	d := Decision{Spent: spent, Entries: entries, CountingFor: elapsed - b.countsFrom}
+	counted := min(1, d.CountingFor.Seconds()/window)
+	// Requests are known since countsFrom, a part of the first window, so that base is taken for the same part.
+	hasSteady := steadyFraction*(b.config.Ratio*float64(requests)+counted*base) >= counted*minSteady
+	a.addSteady(steadyFraction*(b.config.Ratio*float64(a.newRequests)+base*(elapsed-a.updatedAt).Seconds()/window), hasSteady)
+	a.updatedAt, a.newRequests = elapsed, 0
+
 	budget := b.config.Ratio*float64(requests) + base
-	burstLimit, steadyLimit := usableFraction*budget, 0.0
-	if steadyFraction*(b.config.Ratio*float64(requests)+base*counted) >= minSteady*counted {
+	steadyLimit := 0.0
+	if hasSteady {
 		steadyLimit = steadyFraction * budget
-		burstLimit -= steadyLimit + maxStored
-	} else {
-		a.stored = 0
 	}
-	if counted < 1 && b.isHistoryUnknown {
-		burstLimit = 0
+	burstLimit := 0.0
+	if counted >= 1 || !b.isHistoryUnknown {
+		d.Limit = usableFraction * budget
+		burstLimit = d.Limit - steadyLimit
+		if hasSteady {
+			burstLimit -= maxStored
+		}
+	} else {
+		d.Limit = steadyLimit
 	}
-	return Decision{
-		Allowed: a.stored >= 1 || float64(bursts+a.reservedBursts+1) <= burstLimit,
-		Spent:   retries + a.reservedBursts + a.reservedSteady, Limit: burstLimit + steadyLimit, Entries: entries, CountingFor: elapsed - b.countsFrom,
+	d.Allowed = float64(spent+1) <= d.Limit && (a.stored >= 1 || float64(bursts+1) <= burstLimit)
+	return d
+}
+
+// addSteady adds retries to those of the steady part that are stored, if the entry has one. Those that are reserved
+// take up the place of stored ones.
+func (a *account) addSteady(added float64, hasSteady bool) {
+	a.stored = min(float64(maxStored-a.reservedSteady), a.stored+added)
+	if !hasSteady {
+		a.stored = 0
 	}
 }
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -172,3 +172,23 @@
 		r.Release()
 	}
 }
+
+// Guards against an entry with few retries that uses the burst part as one without a steady part, and the latter too
+// once a few more requests have come.
+func TestPartsTogetherKeepToTheBudgetOfSmallEntries(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	c := config
+	c.BaseRetries = 11
+	const entries = 2
+	b := budgeter.New(start, c)
+	now := start.Add(2 * c.Window)
+	retries := spendAll(b, now, entries)
+	b.RecordRequest(now, "lm")
+	for range 99 {
+		now = now.Add(c.Window / 100)
+		retries += spendAll(b, now, entries)
+	}
+	is.True(float64(retries) <= 0.95*(c.Ratio+float64(c.BaseRetries)/entries))
+	is.True(retries >= 4)
+}
