forwarder: an attempt is cut for silence with a reserved retry

Cause: the watchdog asked whether the budget allows a retry and cut the attempt; the retry was reserved later. Of several attempts that were silent at one moment all were cut, and most were denied. AllowsRetry, which nothing asks any more, is gone. TestSilentCallsAreCutOffOnlyWithARetry: six calls, two retries; on the code before, fewer than four are answered.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -307,6 +307,7 @@
 red budget-reload budgeter/budgeter.go 's/(\tb\.config = c\n\})/\tb.services = map[string]*account{}\n$1/' ./budgeter TestReloadWithAnotherWindowKeepsWhatWasCounted
 red budget-sent budgeter/budgeter.go 's/bursts\+a\.reservedBursts\+1/bursts+1/' ./budgeter TestRetriesCountWhenTheyAreSent
 red budget-unsent forwarder/forward.go 's/x\.retry\.Release\(\)/x.retry.Use(time.Now())/' ./forwarder TestRetriesThatReachNoUpstreamUseNoBudget
+red budget-cut forwarder/forward.go 's/x\.retry = a\.watchdog\.takeRetry\(\); x\.retry != nil/false/' ./forwarder TestSilentCallsAreCutOffOnlyWithARetry
 red budget-told controller/peers.go 's/s\.applyFleetSize\(now, b\.Fleet\)/_ = b.Fleet/' ./controller TestRestartedEntriesKnowHowManyShareTheRetryBudget
 red budget-alone controller/fleetsize.go 's/!s\.hearsOthers \|\| //' ./controller TestEntryThatHearsNobodyHasNoShareOfTheRetryBudget
 red budget-early controller/fleetsize.go 's/ \|\| now\.Sub\(s\.started\) < startupTime//' ./controller TestSharesOfTheRetryBudgetAddUp
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -234,15 +234,6 @@
 	}
 }
 
-// AllowsRetry reports whether the budget of a service allows a retry at the time now. It does not
-// reserve it. Entries is that of Reserve.
-func (b *Budgeter) AllowsRetry(now time.Time, service string, entries int) bool {
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	a, elapsed := b.accountOf(now, service)
-	return b.decide(a, elapsed, entries).Allowed
-}
-
 // decide decides whether this entry may make one more retry, and updates a.stored. The lock must be held.
 func (b *Budgeter) decide(a *account, elapsed time.Duration, entries int) Decision {
 	window := b.config.Window.Seconds()
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -66,6 +66,9 @@
 	if x.sentCount >= x.route.MaxAttempts || f.isSuspect(x, a) {
 		return false
 	}
+	if x.retry = a.watchdog.takeRetry(); x.retry != nil {
+		return true
+	}
 	reservation, d := f.retryBudget.Reserve(time.Now(), x.service, f.view().RetryBudgetEntries)
 	if !d.Allowed {
 		f.metrics.retriesDenied.Inc(1)
--- a/forwarder/retrybudget_test.go
+++ b/forwarder/retrybudget_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,6 +26,35 @@
 			ran += len(f.engines[0].Executions())
 		}
 		f.is.True(ran > 0)
-		f.is.True(f.retryBudget.AllowsRetry(time.Now(), "lm", 1))
+		_, decision := f.retryBudget.Reserve(time.Now(), "lm", 1)
+		f.is.True(decision.Allowed)
+	})
+}
+
+// Several upstreams fall silent at one moment, and the budget allows to retry fewer of their calls. Guards against all
+// being cut off from upstreams that answer later.
+func TestSilentCallsAreCutOffOnlyWithARetry(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		const calls, allowed = 6, 2
+		f.retryBudget.Configure(time.Now(), budgeter.Config{Window: 10 * time.Second, BaseRetries: 3})
+		for _, w := range f.plain {
+			w.SetFault(worker.FaultSlow)
+		}
+		var asking sync.WaitGroup
+		var served atomic.Int64
+		for n := range calls {
+			asking.Go(func() {
+				if a := f.ask(request{path: "/safe/x", id: fmt.Sprintf("silent-%d", n)}); a.err == nil && a.status == 200 {
+					served.Add(1)
+				}
+			})
+		}
+		asking.Wait()
+		executions := 0
+		for _, w := range f.plain {
+			executions += len(w.Executions())
+		}
+		f.is.Equal(executions, calls+allowed)
+		f.is.True(served.Load() >= calls-allowed)
 	})
 }
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/sapphireramp/sapphireramp/budgeter"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/watcher"
@@ -50,9 +51,13 @@
 	// responseBegun is true once bytes of the response have arrived in this attempt, or an earlier
 	// attempt of the request began the response to the caller.
 	responseBegun bool
-	// acceptedElsewhere reports whether another upstream would accept the request and the retry budget
-	// allows the retry. It is passed responseBegun.
-	acceptedElsewhere func(begun bool) bool
+	// reserveElsewhere returns a reservation of the retry if another upstream would accept the request and the
+	// retry budget allows it, nil otherwise. It is passed responseBegun.
+	reserveElsewhere func(begun bool) *budgeter.Reservation
+	// isStopped is true once stop was called; the attempt is not cancelled any more.
+	isStopped bool
+	// retry is the reservation with which cancelAttempt was called, until takeRetry; nil before.
+	retry *budgeter.Reservation
 	// stopWatchingContact ends the effect of watchContact; nil unless that was called.
 	stopWatchingContact func() bool
 	// cancelAttempt cancels the attempt with the cause errUpstreamSilent.
@@ -68,7 +73,7 @@
 		return nil
 	}
 	w := &watchdog{lastReadAt: time.Now(), responseBegun: x.responseBegun, cancelAttempt: cancelAttempt, expectedBusy: func() time.Duration { return 0 }}
-	w.acceptedElsewhere = func(begun bool) bool { return f.isAcceptedElsewhere(x, p, begun) }
+	w.reserveElsewhere = func(begun bool) *budgeter.Reservation { return f.reserveElsewhere(x, p, begun) }
 	w.silenceLimit = plainSilenceFactor * x.route.FirstByteTarget
 	w.busySilenceLimit = w.silenceLimit
 	if x.isStream() {
@@ -111,16 +116,34 @@
 		w.timer.Reset(remaining)
 		return
 	}
-	if !w.acceptedElsewhere(w.responseBegun) {
+	if w.isStopped || w.retry != nil {
+		return // the attempt has ended, or is cancelled already
+	}
+	if w.retry = w.reserveElsewhere(w.responseBegun); w.retry == nil {
 		w.timer.Reset(recheckInterval)
 		return
 	}
 	w.cancelAttempt()
 }
 
-// isAcceptedElsewhere reports whether an upstream other than the first of placement p would accept the
-// request, and the retry budget allows the retry. begun is true if the response has begun.
-func (f *Forwarder) isAcceptedElsewhere(x *exchange, p *dispatcher.Placement, begun bool) bool {
+// takeRetry returns the reservation of the retry for which the watchdog cancelled the attempt, and leaves it to the
+// caller; nil if there is none. A nil watchdog is allowed.
+func (w *watchdog) takeRetry() *budgeter.Reservation {
+	if w == nil {
+		return nil
+	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	r := w.retry
+	w.retry = nil
+	return r
+}
+
+// reserveElsewhere reserves a retry of the request if an upstream other than the first of placement p would accept
+// the request, and the retry budget allows it; it returns nil otherwise. begun is true if the response has begun. The
+// retry is reserved before the attempt is cancelled: of several attempts that are silent at the same moment, the budget
+// may allow to retry one.
+func (f *Forwarder) reserveElsewhere(x *exchange, p *dispatcher.Placement, begun bool) *budgeter.Reservation {
 	d := x.lastDemand
 	d.Avoid = append(slices.Clone(d.Avoid), p.First)
 	d.SentBefore = false
@@ -131,7 +154,11 @@
 		// the stream of the silent engine anyway.
 		d = x.limitToStop(v, d)
 	}
-	return f.dispatcher.Accepts(now, d) && f.retryBudget.AllowsRetry(now, x.service, v.RetryBudgetEntries)
+	if !f.dispatcher.Accepts(now, d) {
+		return nil
+	}
+	r, _ := f.retryBudget.Reserve(now, x.service, v.RetryBudgetEntries)
+	return r
 }
 
 // recordRead records that bytes of the response have just arrived, from which the silence is measured.
@@ -150,6 +177,7 @@
 		return
 	}
 	w.lock.Lock()
+	w.isStopped = true
 	if w.stopWatchingContact != nil {
 		w.stopWatchingContact()
 	}
