budgeter, forwarder, launcher: one way to release a retry, one way to divide entries

Read once more, behaviour is the same. Reservation.Release takes nil, which its two callers tested each; two tests divided the entries of a fleet by the same lines (divideEntries). The metric retries is said to count what upstreams got, as it does; a test's comment no longer claims added entries. The red run of unsent retries follows the code.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -306,7 +306,7 @@
 red budget-clock budgeter/budgeter.go 's/now\.Sub\(b\.startedAt\)/now.Round(0).Sub(b.startedAt.Round(0))/g' ./budgeter TestTimeOfDayStepsDoNotMoveTheWindow
 red budget-reload budgeter/budgeter.go 's/(\tb\.config = c\n\})/\tb.services = map[string]*account{}\n$1/' ./budgeter TestReloadWithAnotherWindowKeepsWhatWasCounted
 red budget-sent budgeter/budgeter.go 's/bursts\+a\.reservedBursts\+1/bursts+1/' ./budgeter TestRetriesCountWhenTheyAreSent
-red budget-unsent forwarder/forward.go 's/x\.retry\.Release\(\)/x.retry.Use(time.Now())/' ./forwarder TestRetriesThatReachNoUpstreamUseNoBudget
+red budget-unsent forwarder/forward.go 's/x\.retry\.Release\(\)/f.countRetry(x)/' ./forwarder TestRetriesThatReachNoUpstreamUseNoBudget
 red budget-cut forwarder/forward.go 's/x\.retry = a\.watchdog\.takeRetry\(\); x\.retry != nil/false/' ./forwarder TestSilentCallsAreCutOffOnlyWithARetry
 red budget-told controller/peers.go 's/s\.applyFleetSize\(now, b\.Fleet\)/_ = b.Fleet/' ./controller TestRestartedEntriesKnowHowManyShareTheRetryBudget
 red budget-alone controller/fleetsize.go 's/!s\.hearsOthers \|\| //' ./controller TestEntryThatHearsNobodyHasNoShareOfTheRetryBudget
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -222,8 +222,11 @@
 	}
 }
 
-// Release returns a reservation that was not used to the budget.
+// Release returns a reservation that was not used to the budget. A nil reservation is allowed.
 func (r *Reservation) Release() {
+	if r == nil {
+		return
+	}
 	r.budgeter.lock.Lock()
 	defer r.budgeter.lock.Unlock()
 	if r.isSteady {
--- a/controller/retryshare_test.go
+++ b/controller/retryshare_test.go
@@ -89,8 +89,8 @@
 	}
 }
 
-// The entries of a fleet that starts, with two seeds, know how many they are, as do those that are added, or killed
-// and started again.
+// The entries of a fleet that starts, with two seeds, know how many they are, as do those that are killed and started
+// again.
 func TestSharesOfTheRetryBudgetAddUp(t *testing.T) {
 	for _, size := range []int{2, 7, 60} {
 		synctest.Test(t, func(t *testing.T) {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -314,9 +314,7 @@
 // verdictAnswered.
 func (f *Forwarder) endAttempt(x *exchange, a *attempt) {
 	a.watchdog.stop()
-	if unused := a.watchdog.takeRetry(); unused != nil {
-		unused.Release()
-	}
+	a.watchdog.takeRetry().Release()
 	if a.verdict == verdictBroken && !a.isTunnelled() && f.tunneler.IsCutOff() {
 		// The connection broke or stalled with the links of this entry.
 		a.isLinkAtFault, a.connectionLost = true, false
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -25,7 +25,7 @@
 	caller := x.ctx
 	x.ctx, x.hasCallerLeft = ctx, func() bool { return caller.Err() != nil }
 	f.retryBudget.RecordRequest(time.Now(), x.service)
-	defer x.releaseRetry()
+	defer func() { x.retry.Release() }() // of a retry that reached no upstream
 	var fail *failure
 	if x.isStream() {
 		fail = f.serveStream(x)
@@ -91,14 +91,6 @@
 	f.metrics.retries.Inc(1)
 }
 
-// releaseRetry returns a retry that reached no upstream to the retry budget.
-func (x *exchange) releaseRetry() {
-	if x.retry != nil {
-		x.retry.Release()
-		x.retry = nil
-	}
-}
-
 // lastAttemptFailure returns the failure of a request after its last attempt a: status 503 if the
 // request has not run, 502 if it may have. If links were at fault, the caller is told to come back when
 // these may work again.
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -22,7 +22,7 @@
 	// of a request to the first byte of its response.
 	firstByte  map[string]tally.Histogram
 	longestGap tally.Histogram
-	// retries counts the retries that the retry budget allowed, retriesDenied those that it did not.
+	// retries counts the retries that upstreams got, retriesDenied those that the retry budget did not allow.
 	retries, retriesDenied tally.Counter
 	reservations           tally.Counter
 }
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -379,6 +379,27 @@
 	e.stop()
 }
 
+// divideEntries cuts the entries for whose index isInPart returns true off from the others. The returned function ends
+// the partition.
+func (f *fleet) divideEntries(isInPart func(i int) bool) (reconnect func()) {
+	var part, others []netip.Addr
+	for i := range f.entries {
+		if isInPart(i) {
+			part = append(part, entryHost(i))
+		} else {
+			others = append(others, entryHost(i))
+		}
+	}
+	f.net.DisconnectAll(part, others)
+	return func() {
+		for _, a := range part {
+			for _, b := range others {
+				f.net.Reconnect(a, b)
+			}
+		}
+	}
+}
+
 // shutDown ends all entries, workers and the store, and waits until their
 // goroutines have ended.
 func (f *fleet) shutDown() {
--- a/launcher/ratelimit_test.go
+++ b/launcher/ratelimit_test.go
@@ -106,21 +106,9 @@
 			f.workers[fmt.Sprintf("i-app-%d", 2*i+1)].SetRateLimit(6)
 		}
 		time.Sleep(3 * time.Second)
-		var some, others []netip.Addr
-		for i := range f.entries {
-			if i < 4 {
-				some = append(some, entryHost(i))
-			} else {
-				others = append(others, entryHost(i))
-			}
-		}
-		f.net.DisconnectAll(some, others)
+		reconnect := f.divideEntries(func(i int) bool { return i < 4 })
 		time.Sleep(25 * time.Second)
-		for _, a := range some {
-			for _, b := range others {
-				f.net.Reconnect(a, b)
-			}
-		}
+		reconnect()
 		x.stopAndCheck()
 		f.checkRateLimits(x)
 	})
--- a/launcher/retrybudget_test.go
+++ b/launcher/retrybudget_test.go
@@ -201,15 +201,7 @@
 func TestRetriesStayWithinBudgetWhileEntriesAreCutOffAndKilled(t *testing.T) {
 	withRetryTest(t, func(r *retryTest) {
 		time.Sleep(2 * time.Second)
-		var some, others []netip.Addr
-		for i := range r.entries {
-			if i%2 == 0 {
-				some = append(some, entryHost(i))
-			} else {
-				others = append(others, entryHost(i))
-			}
-		}
-		r.net.DisconnectAll(some, others)
+		r.divideEntries(func(i int) bool { return i%2 == 0 })
 		for n := range 20 {
 			time.Sleep(time.Second)
 			r.restartEntry(n%len(r.entries), 200*time.Millisecond)
