--- a/dispatcher/demand.go
+++ b/dispatcher/demand.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/sapphireramp/sapphireramp/apportioner"
 )
 
 // Demand describes a request to be placed: its size, its latency targets and how long its caller
@@ -10,6 +12,10 @@
 type Demand struct {
 	// Service is the name of the service whose upstreams may serve the request.
 	Service string
+	// Organisation is the organisation that sent the request, Rank its urgency. While the service is short of
+	// capacity, they determine the order in which requests are served.
+	Organisation apportioner.Organisation
+	Rank         apportioner.Rank
 	// PromptTokens is the length of the prompt, AnswerTokens the expected length of the answer.
 	// PromptTokens is 0 for plain services.
 	PromptTokens, AnswerTokens int
