tunneler, forwarder: a silent attempt is kept until another upstream can be connected to

Cause: the watchdog asked the dispatcher whether another upstream would accept the request, which knows nothing of links; the retry then could not connect. Measured: TestSilentCallIsKeptWhileNoUpstreamCanBeReached fails without the check (502). Tests of forwarder and tunneler pass.

--- a/forwarder/retrybudget_test.go
+++ b/forwarder/retrybudget_test.go
@@ -58,3 +58,22 @@
 		f.is.True(served.Load() >= calls-allowed)
 	})
 }
+
+// Guards against a call that is given up at a silent upstream while no other can be connected to, although the upstream
+// answers later: the caller was told that the outcome is unknown.
+func TestSilentCallIsKeptWhileNoUpstreamCanBeReached(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		for _, w := range f.plain {
+			w.SetFault(worker.FaultSlow)
+		}
+		answered := make(chan answer, 1)
+		go func() { answered <- f.ask(request{path: "/safe/x", id: "kept"}) }()
+		time.Sleep(50 * time.Millisecond)
+		for _, i := range f.instances {
+			f.net.RefuseConnections(entryHost, i.Address.Addr())
+		}
+		a := <-answered
+		f.is.NoErr(a.err)
+		f.is.Equal(a.status, 200)
+	})
+}
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -140,7 +140,7 @@
 }
 
 // reserveElsewhere reserves a retry of the request if an upstream other than the first of placement p would accept
-// the request, and the retry budget allows it; it returns nil otherwise. begun is true if the response has begun. The
+// the request and can be connected to, and the retry budget allows it; it returns nil otherwise. begun is true if the response has begun. The
 // retry is reserved before the attempt is cancelled: of several attempts that are silent at the same moment, the budget
 // may allow to retry one.
 func (f *Forwarder) reserveElsewhere(x *exchange, p *dispatcher.Placement, begun bool) *budgeter.Reservation {
@@ -154,7 +154,7 @@
 		// the stream of the silent engine anyway.
 		d = x.limitToStop(v, d)
 	}
-	if !f.dispatcher.Accepts(now, d) {
+	if !f.dispatcher.Accepts(now, d) || !f.tunneler.ConfirmReach(p.First.Address) {
 		return nil
 	}
 	r, _ := f.retryBudget.Reserve(now, x.service, v.RetryBudgetEntries)
--- a/tunneler/monitor.go
+++ b/tunneler/monitor.go
@@ -33,8 +33,9 @@
 	reached map[netip.AddrPort]bool
 	// seenAt holds the time at which each upstream was last reached, also through a relay.
 	seenAt map[netip.AddrPort]time.Time
-	// lastContact is the time at which an upstream was last reached; zero before the first.
-	lastContact time.Time
+	// lastContact is the time at which an upstream was last reached; zero before the first. lastReached is the
+	// same, also through a relay.
+	lastContact, lastReached time.Time
 	// cutOffSince is the time at which this entry was found to be cut off; zero while it is in contact.
 	cutOffSince time.Time
 }
@@ -64,7 +65,14 @@
 func (m *monitor) recordSeen(now time.Time, upstream netip.AddrPort) {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	m.seenAt[upstream] = now
+	m.seenAt[upstream], m.lastReached = now, now
+}
+
+// lastReachedAt returns the time at which an upstream was last reached, also through a relay; zero before the first.
+func (m *monitor) lastReachedAt() time.Time {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return m.lastReached
 }
 
 // sortLastSeenFirst sorts upstreams by when they were last reached, the latest first. Those that never were keep
@@ -80,7 +88,7 @@
 func (m *monitor) recordContact(now time.Time, upstream netip.AddrPort) (regained bool, lost time.Duration) {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	m.lastContact, m.seenAt[upstream] = now, now
+	m.lastContact, m.lastReached, m.seenAt[upstream] = now, now, now
 	if m.cutOffSince.IsZero() {
 		clear(m.failed)
 		return false, 0
--- a/tunneler/tunneler.go
+++ b/tunneler/tunneler.go
@@ -63,6 +63,8 @@
 	served       servedTunnels
 	// upstreams are the listed upstreams; never nil.
 	upstreams atomic.Pointer[[]Upstream]
+	// isConfirming is true while a connection of confirmReach is being opened.
+	isConfirming atomic.Bool
 	// closed is done once Close was called.
 	closed context.Context
 	close  context.CancelFunc
