dispatcher, forwarder: entries know the organisation and rank of each request and admit by shares

Load updates did not say whose the requests at an upstream are, and admission knew neither organisations nor ranks. Requests now carry both (format byte 11 in place of 10; the round-trip and the fuzz test cover them, the list of earlier formats in the test has 10 too), each entry keeps the use of each service by organisation and rank, and Place refuses what is over its organisation's share while the service is short. Use is removed as it was added, whatever slots, engine profiles or upstream lists have become meanwhile.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -192,3 +192,12 @@
 	}
 	return over
 }
+
+// IsOnly reports whether no requests but those of one organisation and rank make any use.
+func (u *Uses) IsOnly(o Organisation, r Rank) bool {
+	if len(u.byOrganisation) == 0 {
+		return true
+	}
+	ranks, ok := u.byOrganisation[o]
+	return ok && len(u.byOrganisation) == 1 && len(ranks) == 1 && ranks[0].rank == r
+}
--- a/dispatcher/demand.go
+++ b/dispatcher/demand.go
@@ -16,6 +16,12 @@
 	// capacity, they determine the order in which requests are served.
 	Organisation apportioner.Organisation
 	Rank         apportioner.Rank
+	// Returns is true for a request that returns at a time that it was given for it; it counts as within its
+	// organisation's share.
+	Returns bool
+	// MayHaveRun is true for a request that an upstream may have run. It is never refused for its
+	// organisation's share.
+	MayHaveRun bool
 	// PromptTokens is the length of the prompt, AnswerTokens the expected length of the answer.
 	// PromptTokens is 0 for plain services.
 	PromptTokens, AnswerTokens int
@@ -69,6 +75,8 @@
 	Deferrable bool
 	// OutlivesEntry is true where the answer may end later than the entry that would relay it.
 	OutlivesEntry bool
+	// Share explains a refusal with ReasonOverShare; nil for others.
+	Share *ShareStatus
 }
 
 // Error implements error.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -39,8 +39,11 @@
 	// deferredLimits holds rate limits reported by peers of upstreams that are not listed yet, by the
 	// compact ID of their incarnation.
 	deferredLimits map[CompactID]RateLimitReport
-	// peerCount is the number of other entries that place requests, as set by SetPeers.
-	peerCount int
+	// peerCount is the number of other entries that place requests, as set by SetPeers, lastPeerCount that
+	// when this entry was last not isolated.
+	peerCount, lastPeerCount int
+	// uses holds the use that requests in progress make of services, by the service's name.
+	uses map[string]*serviceUse
 	// isolated is true while this entry receives no load updates from its peers, isolatedAt is when it
 	// last became so.
 	isolated   bool
@@ -74,7 +77,7 @@
 // need not be safe for concurrent use, for request IDs and jitter.
 func New(dataCentre string, random *rand.Rand) *Dispatcher {
 	return &Dispatcher{
-		dataCentre: dataCentre, random: random, upstreams: map[string]*upstream{}, byCompactID: map[CompactID]*upstream{}, services: map[string][]*upstream{},
+		dataCentre: dataCentre, random: random, upstreams: map[string]*upstream{}, byCompactID: map[CompactID]*upstream{}, services: map[string][]*upstream{}, uses: map[string]*serviceUse{},
 		ownRequests: map[CompactID]*request{}, peerRequests: map[peerRequestKey]*request{}, changedLimits: map[*upstream]bool{}, deferredLimits: map[CompactID]RateLimitReport{}, rankSalt: sharedRankSalt, changed: map[*request]bool{}, LoadChanged: make(chan struct{}, 1),
 	}
 }
@@ -120,6 +123,7 @@
 			delete(b.byCompactID, u.compactID)
 		}
 	}
+	b.dropUnusedServices()
 	return replaced
 }
 
@@ -190,7 +194,7 @@
 		b.rankSalt = strconv.FormatUint(b.random.Uint64(), 16)
 	}
 	if !isolated {
-		b.rankSalt = sharedRankSalt
+		b.rankSalt, b.lastPeerCount = sharedRankSalt, count
 	}
 	b.isolated = isolated
 }
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -22,6 +22,7 @@
 		b.recordColdRequest(now, a.upstream)
 		b.takeRateToken(now, a.upstream)
 	}
+	b.countUse(p.request)
 	b.queueUpdate(p.request)
 	return p, nil
 }
@@ -46,6 +47,9 @@
 
 // choose chooses upstreams for a request without recording the placement. The lock must be held.
 func (b *Dispatcher) choose(now time.Time, d Demand) (*Placement, *Refusal) {
+	if refusal := b.refuseOverShare(now, d); refusal != nil {
+		return nil, refusal
+	}
 	upstreams := b.usableUpstreams(now, d)
 	if len(upstreams) == 0 {
 		return nil, b.refuseNoneUsable(now, d)
@@ -114,6 +118,7 @@
 	}
 	p := b.newPlacement(now, d)
 	p.First, p.Load = best.instance, best.load(now)
+	p.request.ahead = best.slotsAhead(p.Load.Running)
 	p.request.assign(best, predictor.Job{Decodes: true, Arrived: now}, 0)
 	return p
 }
@@ -121,7 +126,7 @@
 // newPlacement returns a placement of a request that has no assignments yet.
 func (b *Dispatcher) newPlacement(now time.Time, d Demand) *Placement {
 	return &Placement{dispatcher: b, HelperMemoryTokens: map[string]int{}, request: &request{
-		compactID: CompactID(b.random.Uint32()), promptTokens: d.PromptTokens, answerTokens: d.AnswerTokens, firstByteTarget: d.FirstByteTarget, gapTarget: d.GapTarget, value: promptValue(d.PromptTokens), remaining: d.Remaining, placedAt: now, waitingSince: now.Add(-d.Waited),
+		compactID: CompactID(b.random.Uint32()), organisation: d.Organisation, rank: d.Rank, promptTokens: d.PromptTokens, answerTokens: d.AnswerTokens, firstByteTarget: d.FirstByteTarget, gapTarget: d.GapTarget, value: promptValue(d.PromptTokens), remaining: d.Remaining, placedAt: now, waitingSince: now.Add(-d.Waited),
 	}}
 }
 
--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -39,6 +39,10 @@
 		u.queue.RecordPassEnd(now)
 	}
 	r.recordFirstByte(now)
+	b.endPrefillUse(r)
+	if r.gapTarget == 0 {
+		b.recordWorkTime(now, r) // of a response that is read as a whole
+	}
 	if isJoint || r.assignments[0].job.PrefillTime > minReportedPrefill {
 		b.queueUpdate(r)
 	}
@@ -149,6 +153,9 @@
 	case Unreachable:
 		h.recordUnreachable(now)
 	}
+	if result == Answered {
+		b.recordWorkTime(now, r)
+	}
 	delete(b.ownRequests, r.compactID)
 	b.unassign(now, r)
 	b.queueEnd(r, result.outcome())
@@ -166,11 +173,12 @@
 	p.End(now, Abandoned)
 }
 
-// unassign removes a request's assignments from their upstreams.
+// unassign removes a request's assignments from their upstreams, and the request from the use of its service.
 func (b *Dispatcher) unassign(now time.Time, r *request) {
 	for _, a := range r.assignments {
 		a.upstream.remove(now, a)
 	}
+	b.uncountUse(r)
 }
 
 // OnRestart sets a function that is called once, when one of the request's upstreams is found to
--- a/dispatcher/request.go
+++ b/dispatcher/request.go
@@ -3,12 +3,22 @@
 import (
 	"time"
 
+	"github.com/sapphireramp/sapphireramp/apportioner"
 	"github.com/sapphireramp/sapphireramp/predictor"
 )
 
 // request is a request of this entry or of a peer, with its assignments to upstreams.
 type request struct {
 	compactID CompactID
+	// organisation sent the request, and rank is its urgency.
+	organisation apportioner.Organisation
+	rank         apportioner.Rank
+	// counted is what the request has added to the use of its service; nil if nothing.
+	counted *countedUse
+	// ahead is, for own requests, the slotsAhead of the first upstream at the placement; workTimeSeen is true once
+	// the work time was recorded.
+	ahead        float64
+	workTimeSeen bool
 	// promptTokens is the length of the prompt, answerTokens the expected length of the answer.
 	promptTokens, answerTokens int
 	// firstByteTarget and gapTarget are the latency targets of the route; gapTarget is 0 for plain
--- a/dispatcher/requestload.go
+++ b/dispatcher/requestload.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/sapphireramp/sapphireramp/apportioner"
 	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/predictor"
 )
@@ -29,6 +30,9 @@
 	Outcome ReportedOutcome
 	// FirstByteSeen is true once the first byte of the answer has arrived.
 	FirstByteSeen bool
+	// Organisation sent the request, and Rank is its urgency.
+	Organisation apportioner.Organisation
+	Rank         apportioner.Rank
 	// Age is the time since the placement.
 	Age time.Duration
 	// Waited is the time for which the caller had waited, at the placement, for its first byte or
@@ -159,7 +163,7 @@
 // load returns the load of the request as it is reported to peers.
 func (r *request) load(now time.Time) RequestLoad {
 	load := RequestLoad{
-		ID: r.compactID, FirstByteSeen: r.firstByteSeen, Age: now.Sub(r.placedAt), Waited: r.placedAt.Sub(r.waitingSince), Remaining: r.remaining, PromptTokens: r.promptTokens, AnswerTokens: r.answerTokens, FirstByteTarget: r.firstByteTarget, GapTarget: r.gapTarget,
+		ID: r.compactID, FirstByteSeen: r.firstByteSeen, Organisation: r.organisation, Rank: r.rank, Age: now.Sub(r.placedAt), Waited: r.placedAt.Sub(r.waitingSince), Remaining: r.remaining, PromptTokens: r.promptTokens, AnswerTokens: r.answerTokens, FirstByteTarget: r.firstByteTarget, GapTarget: r.gapTarget,
 		LongPrefill: !r.firstByteSeen && r.hasLongPrefill(), Assignments: make([]AssignmentLoad, len(r.assignments)),
 	}
 	for i, a := range r.assignments {
@@ -214,6 +218,7 @@
 		r.expiresAt = now.Add(requestLoadTTL)
 		if load.FirstByteSeen && !r.firstByteSeen {
 			r.recordFirstByte(now)
+			b.endPrefillUse(r)
 		}
 		if !load.FirstByteSeen {
 			r.lastPendingAt = now
@@ -250,7 +255,7 @@
 // newPeerRequest returns a peer's request without assignments; resolveUpstreams adds them.
 func newPeerRequest(now time.Time, load RequestLoad) *request {
 	return &request{
-		compactID: load.ID, firstReportedAt: now, promptTokens: load.PromptTokens, answerTokens: load.AnswerTokens, firstByteTarget: load.FirstByteTarget, gapTarget: load.GapTarget, value: promptValue(load.PromptTokens), remaining: load.Remaining, placedAt: now.Add(-load.Age), waitingSince: now.Add(-load.Age - load.Waited),
+		compactID: load.ID, organisation: load.Organisation, rank: load.Rank, firstReportedAt: now, promptTokens: load.PromptTokens, answerTokens: load.AnswerTokens, firstByteTarget: load.FirstByteTarget, gapTarget: load.GapTarget, value: promptValue(load.PromptTokens), remaining: load.Remaining, placedAt: now.Add(-load.Age), waitingSince: now.Add(-load.Age - load.Waited),
 		unknownUpstreams: load.Assignments, upstreamCount: len(load.Assignments),
 	}
 }
@@ -273,6 +278,7 @@
 	if r.firstByteSeen {
 		r.recordFirstByte(now)
 	}
+	b.countUse(r)
 }
 
 // newPeerJob returns the job of a peer's request at an upstream. The engine profile is nil for
--- a/dispatcher/requestload_test.go
+++ b/dispatcher/requestload_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/sapphireramp/sapphireramp/apportioner"
 	"github.com/sapphireramp/sapphireramp/matcher"
 )
 
@@ -25,6 +26,7 @@
 				s.Assignments = []AssignmentLoad{{Upstream: CompactID(rapid.Uint32().Draw(t, "failed")), Decodes: true}}
 			}
 			if !s.Ended {
+				s.Organisation, s.Rank = apportioner.Organisation(rapid.Uint32().Draw(t, "organisation")), apportioner.Rank(rapid.Uint32().Draw(t, "rank"))
 				s.Waited = time.Duration(rapid.IntRange(0, 60000).Draw(t, "waited")) * time.Millisecond
 				s.Remaining = time.Duration(rapid.IntRange(0, 60000).Draw(t, "remaining")) * time.Millisecond
 				s.FirstByteSeen = rapid.Bool().Draw(t, "begun")
@@ -75,7 +77,7 @@
 func TestEarlierFormatIsNoRelay(t *testing.T) {
 	is := is.New(t)
 	message := EncodeLoadUpdates(1, []RequestLoad{{ID: 2, Assignments: []AssignmentLoad{{Upstream: 3}}}})[0]
-	for _, before := range []byte{6, 8} {
+	for _, before := range []byte{6, 8, 10} {
 		old := append([]byte{before}, message[1:]...)
 		r, rest := UnwrapRelay(old)
 		is.Equal(r, RelayToNone)
--- /dev/null
+++ b/dispatcher/share.go
@@ -0,0 +1,231 @@
+package dispatcher
+
+import (
+	"math"
+	"time"
+
+	"github.com/sapphireramp/sapphireramp/apportioner"
+	"github.com/sapphireramp/sapphireramp/matcher"
+	"github.com/sapphireramp/sapphireramp/predictor"
+)
+
+// ReasonOverShare is the reason of a refusal because the service is short of capacity, and the
+// organisation has its share of it already.
+const ReasonOverShare = "over_share"
+
+const (
+	// queueTimePart is the part of what remains of a first-byte target after the work time that requests may
+	// be queued at upstreams on average. The rest covers requests that are placed on an upstream that is
+	// fuller than others, and work that takes longer than the mean.
+	queueTimePart = 0.5
+	// minQueueTime is the least queueing time that is allowed, so that slots do not idle where work takes as
+	// long as the target: entries learn within 10 ms that a request has ended, and a waiting request is
+	// placed within another 25 ms.
+	minQueueTime = 40 * time.Millisecond
+	// unmeasuredQueue is the allowed queueing time, in multiples of the work time, before the first
+	// measurement: that of a request whose work takes a third of its target.
+	unmeasuredQueue = 1.0
+	// maxOverLimit is the ratio of the requests in progress to the limit up to which requests are placed that
+	// are entitled. It bounds what is queued at upstreams when many organisations begin at once.
+	maxOverLimit = 2
+	// shortEngineUse is the fraction of the engines in use from which on a service of engines is short of
+	// capacity. The rest is the memory and the slots that are kept free at engines for requests that
+	// other entries have not reported yet (usableMemoryFraction and spareSlots).
+	shortEngineUse = 0.9
+	// overShareRetryAfter is the RetryAfter at plain services, that of requests that full upstreams refuse.
+	overShareRetryAfter = 150 * time.Millisecond
+)
+
+// ShareStatus is what a refusal because of an organisation's share is based on. The unit is that of
+// apportioner.Uses: slots of a plain service, or engines.
+type ShareStatus struct {
+	// Organisation and Rank are those of the request.
+	Organisation apportioner.Organisation
+	Rank         apportioner.Rank
+	// Share is the use up to which the organisation's requests of the rank are within its share, Use its
+	// present use by requests of all ranks.
+	Share, Use float64
+	// Limit is the use of all organisations from which on the service is short of capacity, Total that use.
+	Limit, Total float64
+	// PerSecond is the number of requests of the organisation and rank that this entry can expect to place
+	// per second.
+	PerSecond float64
+}
+
+// capacity returns the capacity of a service: the slots of the upstreams that accept requests, or the
+// number of such engines. An isolated entry that knows of no requests of others counts its part of it. It is
+// 0 if the capacity is unknown. The engine is nil for plain services.
+func (b *Dispatcher) capacity(now time.Time, service string) (capacity float64, engine *matcher.EngineProfile) {
+	usable, blocked := 0, 0
+	for _, u := range b.services[service] {
+		slots := max(0, u.instance.Slots)
+		if u.engine != nil {
+			slots, engine = 1, u.engine
+		}
+		switch {
+		case u.backpressure.isRefusing(now):
+		case u.health.isBlocked(now):
+			blocked += slots
+		default:
+			usable += slots
+		}
+	}
+	if usable == 0 {
+		usable = blocked
+	}
+	if b.isolated && len(b.peerRequests) == 0 {
+		return float64(usable) / float64(max(b.peerCount, b.lastPeerCount)+1), engine
+	}
+	return float64(usable), engine
+}
+
+// plainLimit returns the number of requests in progress from which on a plain service with a capacity is
+// short of it.
+func (s *serviceUse) plainLimit(capacity float64, firstByteTarget time.Duration) float64 {
+	if s.workTime.mean <= 0 {
+		return capacity * (1 + unmeasuredQueue)
+	}
+	queueTime := max(minQueueTime, time.Duration(queueTimePart*float64(firstByteTarget-s.workTime.mean)))
+	return capacity * (1 + float64(queueTime)/float64(s.workTime.mean))
+}
+
+// useCost returns the use that a request would make until its first event.
+func useCost(d Demand, e *matcher.EngineProfile) float64 {
+	if e == nil {
+		return 1
+	}
+	return engineUse(e, true, d.PromptTokens+d.AnswerTokens) + prefillUse(e, d.PromptTokens, d.FirstByteTarget)
+}
+
+// admission is the result of the admission control for a request.
+type admission struct {
+	isAdmitted bool
+	// The other fields are unset where the share does not matter.
+	use            *serviceUse
+	engine         *matcher.EngineProfile
+	capacity, cost float64
+	// limit is the use of all organisations from which on the service is short of capacity, total that use.
+	limit, total float64
+}
+
+// admit decides whether a request may be placed now as to its organisation's share of the service. The
+// lock must be held. While only requests of one organisation and rank are in progress, prompts are
+// limited by the state of the engines alone; so are all requests without organisation and rank.
+func (b *Dispatcher) admit(now time.Time, d Demand) admission {
+	s, ok := b.uses[d.Service]
+	if !ok || d.MayHaveRun {
+		return admission{isAdmitted: true}
+	}
+	isOnly := s.all.IsOnly(d.Organisation, d.Rank)
+	if isOnly && d.Organisation == 0 && d.Rank == 0 {
+		return admission{isAdmitted: true}
+	}
+	a := admission{use: s}
+	a.capacity, a.engine = b.capacity(now, d.Service)
+	if a.capacity <= 0 || a.engine != nil && isOnly {
+		return admission{isAdmitted: true}
+	}
+	a.cost = useCost(d, a.engine)
+	a.total = s.all.Total()
+	most := math.Inf(1)
+	if a.engine == nil {
+		a.limit = s.plainLimit(a.capacity, d.FirstByteTarget)
+		most = maxOverLimit * a.limit
+	} else {
+		a.limit = shortEngineUse * a.capacity
+	}
+	a.isAdmitted = a.total < a.limit || a.total < most && (d.Returns || s.all.IsEntitled(a.capacity, d.Organisation, d.Rank, a.cost))
+	return a
+}
+
+// refuseOverShare returns the refusal of a request that is over its organisation's share; nil if it may be
+// placed.
+func (b *Dispatcher) refuseOverShare(now time.Time, d Demand) *Refusal {
+	a := b.admit(now, d)
+	if a.isAdmitted {
+		return nil
+	}
+	r := &Refusal{Reason: ReasonOverShare, Temporary: true, RetryAfter: overShareRetryAfter}
+	if a.engine != nil {
+		r.RetryAfter = minRetryAfter
+	}
+	r.Share = &ShareStatus{
+		Organisation: d.Organisation, Rank: d.Rank, Share: a.use.all.Share(a.capacity, d.Organisation, d.Rank), Use: a.use.all.Of(d.Organisation), Limit: a.limit, Total: a.total,
+	}
+	// A share of the capacity is served at the rate share/cost. This entry's part is that of the
+	// organisation's requests that it has placed, or that of one entry among all.
+	part := 1 / float64(b.peerCount+1)
+	if r.Share.Use > 0 {
+		part = max(part, a.use.own.Of(d.Organisation)/r.Share.Use)
+	}
+	if cost := serviceCost(d, a.engine, a.use.workTime.mean); cost > 0 {
+		r.Share.PerSecond = part * r.Share.Share / cost
+	}
+	return r
+}
+
+// Admits reports whether a request is within its organisation's share of the service, or the service has
+// room. Place may still refuse it for another reason.
+func (b *Dispatcher) Admits(now time.Time, d Demand) bool {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.admit(now, d).isAdmitted
+}
+
+// UseOf returns the use that an organisation makes of a service at all entries.
+func (b *Dispatcher) UseOf(service string, o apportioner.Organisation) float64 {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	if s, ok := b.uses[service]; ok {
+		return s.all.Of(o)
+	}
+	return 0
+}
+
+// Share returns the present share of an organisation of a service for requests of the rank of d, in slots
+// or engines, and the cost of serving d, in seconds of a slot or an engine; the cost is 0 if it is
+// unknown. The share allows share/cost such requests per second at all entries together.
+func (b *Dispatcher) Share(now time.Time, d Demand) (share, cost float64) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	s := b.useOf(d.Service)
+	capacity, engine := b.capacity(now, d.Service)
+	return s.all.Share(capacity, d.Organisation, d.Rank), serviceCost(d, engine, s.workTime.mean)
+}
+
+// serviceCost returns the time for which a request occupies a slot of a plain service, or a whole engine, in
+// seconds. A prompt occupies an engine for its prefill, and its part of one while its answer is decoded.
+func serviceCost(d Demand, e *matcher.EngineProfile, work time.Duration) float64 {
+	if e == nil {
+		return work.Seconds()
+	}
+	events := float64(d.AnswerTokens/max(1, e.StepsPerPass) + 1)
+	pass := predictor.DecodePassTime(e, e.Slots, e.MemoryTokens/2) // at a usual load
+	return predictor.PrefillTime(e, d.PromptTokens).Seconds() + engineUse(e, true, d.PromptTokens+d.AnswerTokens)*events*pass.Seconds()
+}
+
+// ServiceShares is a snapshot of the use of one service, for metrics.
+type ServiceShares struct {
+	Service string
+	// InProgress is the number of requests in progress at all entries, Use the slots or engines that they use.
+	InProgress int
+	Use        float64
+	// Capacity is the number of slots or engines, 0 if unknown. Limit is the use from which on the service is
+	// short of capacity, for a request with the given first-byte target.
+	Capacity, Limit float64
+	// OverShare is the number of organisations whose use exceeds an equal part of the capacity.
+	OverShare int
+}
+
+// ServiceShares returns the use of a service. The limit is that of routes with the given first-byte target.
+func (b *Dispatcher) ServiceShares(now time.Time, service string, firstByteTarget time.Duration) ServiceShares {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	s := b.useOf(service)
+	capacity, engine := b.capacity(now, service)
+	out := ServiceShares{Service: service, InProgress: s.all.Count(), Use: s.all.Total(), Capacity: capacity, Limit: s.plainLimit(capacity, firstByteTarget), OverShare: s.all.CountOver(capacity)}
+	if engine != nil {
+		out.Limit = shortEngineUse * capacity
+	}
+	return out
+}
--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -3,14 +3,17 @@
 import (
 	"encoding/binary"
 	"errors"
+	"math"
 	"slices"
 	"time"
+
+	"github.com/sapphireramp/sapphireramp/apportioner"
 )
 
 const (
 	// loadUpdateFormat is the first byte of a load update. It changes whenever the layout of the
 	// message does.
-	loadUpdateFormat = 10
+	loadUpdateFormat = 11
 	// maxLoadUpdate is the maximum size of a load update in bytes, so that it fits into one
 	// datagram on a link with the usual MTU.
 	maxLoadUpdate = 1300
@@ -68,6 +71,8 @@
 	default:
 		to = append(to, kindPlaced)
 	}
+	to = binary.LittleEndian.AppendUint32(to, uint32(load.Organisation))
+	to = binary.AppendUvarint(to, uint64(load.Rank))
 	to = binary.AppendUvarint(to, uint64(max(0, load.Age/time.Millisecond)))
 	to = binary.AppendUvarint(to, uint64(max(0, load.Waited/time.Millisecond)))
 	to = binary.AppendUvarint(to, uint64(max(0, load.Remaining/time.Millisecond)))
@@ -141,6 +146,16 @@
 	return time.Duration(r.number()) * time.Millisecond
 }
 
+// rank decodes a rank. Values above 2^32-1 are errors.
+func (r *loadReader) rank() apportioner.Rank {
+	n := r.number()
+	if n > math.MaxUint32 {
+		r.failed, r.rest = true, nil
+		return 0
+	}
+	return apportioner.Rank(n)
+}
+
 // kind decodes the kind of a request load. It returns kindEnded after an error.
 func (r *loadReader) kind() byte {
 	if len(r.rest) == 0 || r.rest[0] > kindFailed {
@@ -190,6 +205,8 @@
 		return load
 	}
 	load.FirstByteSeen = kind == kindFirstByteSeen
+	load.Organisation = apportioner.Organisation(r.compactID())
+	load.Rank = r.rank()
 	load.Age, load.Waited, load.Remaining = r.milliseconds(), r.milliseconds(), r.milliseconds()
 	load.PromptTokens, load.AnswerTokens = r.number(), r.number()
 	load.FirstByteTarget, load.GapTarget = r.milliseconds(), r.milliseconds()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/apportioner"
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/budgeter"
 	"github.com/sapphireramp/sapphireramp/connector"
@@ -127,6 +128,8 @@
 	// priority is the priority of the organisation, or of the route if there is no organisation; 0
 	// is the most urgent.
 	priority int
+	// rank is the urgency of the request by the priorities of its organisation and route, in that order.
+	rank apportioner.Rank
 	// service is the name of the service that was chosen, at random by weight, among those of the
 	// route.
 	service string
@@ -285,9 +288,10 @@
 		if err != nil {
 			return x.denyByConfig(http.StatusUnauthorized, reasonUnknownKey, err)
 		}
-		x.route, x.priority = route, route.Priority
+		x.route, x.priority, x.rank = route, route.Priority, apportioner.NewRank(0, route.Priority)
 		if organisation != nil {
 			x.organisation, x.priority = organisation.Name, organisation.Priority
+			x.rank = apportioner.NewRank(organisation.Priority, route.Priority)
 		}
 		x.deadline = x.arrivedAt.Add(requestTimeout(x))
 		x.service = route.PickService(rand.Float64())
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/apportioner"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/sleeper"
 )
@@ -45,7 +46,8 @@
 func (f *Forwarder) place(x *exchange, d dispatcher.Demand) (*dispatcher.Placement, *failure) {
 	d.Service, d.Avoid, d.NoHelpers = x.service, x.failedUpstreams, x.avoidGroups
 	d.FirstByteTarget, d.GapTarget = x.route.FirstByteTarget, x.route.GapTarget
-	d.SentBefore = x.sentCount > 0
+	d.SentBefore, d.MayHaveRun = x.sentCount > 0, x.pendingCount > 0
+	d.Organisation, d.Rank = apportioner.NewOrganisation(x.organisation), x.rank
 	if f.tunneler.IsUnavailable() {
 		return nil, notRunFailure(reasonUpstreamsCutOff, f.tunneler.RetryAfter(), nil)
 	}
