forwarder, queuer, dispatcher: requests over their share wait in order, or are refused as over_share

A greedy organisation took the queues of all upstreams, and priorities had no effect at entries. Requests over their organisation's share now wait at their entry in a queue by rank, use and arrival (package queuer) for at most an eighth of the first-byte target, and are refused at once if those ahead can't be served in that time; the reason is over_share, with a log line, metrics and an explanation. The stand-in worker has slots and a queue, callers send at a fixed rate.

Load updates have format 12: 11 is that of rate limit updates, and the two were confused; a test guards against it.

--- a/dispatcher/requestload_test.go
+++ b/dispatcher/requestload_test.go
@@ -94,6 +94,15 @@
 	}
 }
 
+// Guards against a load update that its receiver takes for a rate limit update or a relayed message, and drops.
+func TestLoadUpdateIsNoOtherMessage(t *testing.T) {
+	is := is.New(t)
+	message := EncodeLoadUpdates(1, []RequestLoad{{ID: 2, Assignments: []AssignmentLoad{{Upstream: 3}}}})[0]
+	is.True(!IsRateLimitUpdate(message))
+	r, _ := UnwrapRelay(message)
+	is.Equal(r, RelayToNone)
+}
+
 func FuzzDecodeLoadUpdate(f *testing.F) {
 	f.Add(EncodeLoadUpdates(1, []RequestLoad{{ID: 2, Assignments: []AssignmentLoad{{Upstream: 3}}}})[0])
 	f.Add(EncodeLoadUpdates(1, []RequestLoad{{ID: 2, Ended: true, Outcome: OutcomeFailed, Assignments: []AssignmentLoad{{Upstream: 3}}}})[0])
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -25,13 +25,13 @@
 	// unmeasuredQueue is the allowed queueing time, in multiples of the work time, before the first
 	// measurement: that of a request whose work takes a third of its target.
 	unmeasuredQueue = 1.0
-	// maxOverLimit is the ratio of the requests in progress to the limit up to which requests are placed that
-	// are entitled. It bounds what is queued at upstreams when many organisations begin at once.
-	maxOverLimit = 2
-	// shortEngineUse is the fraction of the engines in use from which on a service of engines is short of
-	// capacity. The rest is the memory and the slots that are kept free at engines for requests that
-	// other entries have not reported yet (usableMemoryFraction and spareSlots).
-	shortEngineUse = 0.9
+	// maxOverUse is the ratio of the requests in progress at a plain service to the divided use up to which requests
+	// are placed that are entitled. It bounds what is queued at upstreams when many organisations begin at once.
+	maxOverUse = 2
+	// engineShortFraction is the fraction of the engines in use from which on a service of engines is short of capacity.
+	// The rest is the memory and the slots that are kept free at engines
+	// for requests that other entries have not reported yet (usableMemoryFraction and spareSlots).
+	engineShortFraction = 0.9
 	// overShareRetryAfter is the RetryAfter at plain services, that of requests that full upstreams refuse.
 	overShareRetryAfter = 150 * time.Millisecond
 )
@@ -79,9 +79,21 @@
 	return float64(usable), engine
 }
 
-// plainLimit returns the number of requests in progress from which on a plain service with a capacity is
-// short of it.
-func (s *serviceUse) plainLimit(capacity float64, firstByteTarget time.Duration) float64 {
+// divide returns the use of a service that is divided between organisations, and the limit from which on the service
+// is short of capacity. What is divided are the engines, or the requests in progress at a plain service with which
+// the slots are in use and requests are queued for the allowed time. Use there includes requests that are queued, in
+// proportion to those that are worked on.
+func (s *serviceUse) divide(capacity float64, e *matcher.EngineProfile, firstByteTarget time.Duration) (divided, limit float64) {
+	if e != nil {
+		return capacity, engineShortFraction * capacity
+	}
+	divided = s.plainUse(capacity, firstByteTarget)
+	return divided, divided
+}
+
+// plainUse returns the number of requests in progress with which the slots of a plain service are in use and requests
+// are queued for the allowed time.
+func (s *serviceUse) plainUse(capacity float64, firstByteTarget time.Duration) float64 {
 	if s.workTime.mean <= 0 {
 		return capacity * (1 + unmeasuredQueue)
 	}
@@ -106,6 +118,8 @@
 	capacity, cost float64
 	// limit is the use of all organisations from which on the service is short of capacity, total that use.
 	limit, total float64
+	// divided is the use that is divided between organisations.
+	divided float64
 }
 
 // admit decides whether a request may be placed now as to its organisation's share of the service. The
@@ -127,14 +141,14 @@
 	}
 	a.cost = useCost(d, a.engine)
 	a.total = s.all.Total()
+	a.divided, a.limit = s.divide(a.capacity, a.engine, d.FirstByteTarget)
 	most := math.Inf(1)
 	if a.engine == nil {
-		a.limit = s.plainLimit(a.capacity, d.FirstByteTarget)
-		most = maxOverLimit * a.limit
-	} else {
-		a.limit = shortEngineUse * a.capacity
+		// What others use beyond their shares can't be taken back, and lengthens the time for which all requests are in
+		// progress. Without it in what is divided, an organisation was refused whose share just sufficed.
+		most, a.divided = maxOverUse*a.divided, max(a.divided, a.total)
 	}
-	a.isAdmitted = a.total < a.limit || a.total < most && (d.Returns || s.all.IsEntitled(a.capacity, d.Organisation, d.Rank, a.cost))
+	a.isAdmitted = a.total < a.limit || a.total < most && (d.Returns || s.all.IsEntitled(a.divided, d.Organisation, d.Rank, a.cost))
 	return a
 }
 
@@ -145,21 +159,38 @@
 	if a.isAdmitted {
 		return nil
 	}
+	return b.overShare(d, a)
+}
+
+// OverShare returns the refusal with which a request that is over its organisation's share would be refused now; nil
+// if shares do not matter to the request. It is for a request that must not overtake others that wait.
+func (b *Dispatcher) OverShare(now time.Time, d Demand) *Refusal {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	a := b.admit(now, d)
+	if a.use == nil {
+		return nil
+	}
+	return b.overShare(d, a)
+}
+
+// overShare returns the refusal of a request for its organisation's share.
+func (b *Dispatcher) overShare(d Demand, a admission) *Refusal {
 	r := &Refusal{Reason: ReasonOverShare, Temporary: true, RetryAfter: overShareRetryAfter}
 	if a.engine != nil {
 		r.RetryAfter = minRetryAfter
 	}
 	r.Share = &ShareStatus{
-		Organisation: d.Organisation, Rank: d.Rank, Share: a.use.all.Share(a.capacity, d.Organisation, d.Rank), Use: a.use.all.Of(d.Organisation), Limit: a.limit, Total: a.total,
+		Organisation: d.Organisation, Rank: d.Rank, Share: a.use.all.Share(a.divided, d.Organisation, d.Rank), Use: a.use.all.Of(d.Organisation), Limit: a.limit, Total: a.total,
 	}
-	// A share of the capacity is served at the rate share/cost. This entry's part is that of the
-	// organisation's requests that it has placed, or that of one entry among all.
+	// A share of the capacity is served at the rate share/cost, and this entry's part of it is that
+	// of the organisation's requests that it has placed, at least that of one entry among all.
 	part := 1 / float64(b.peerCount+1)
 	if r.Share.Use > 0 {
 		part = max(part, a.use.own.Of(d.Organisation)/r.Share.Use)
 	}
 	if cost := serviceCost(d, a.engine, a.use.workTime.mean); cost > 0 {
-		r.Share.PerSecond = part * r.Share.Share / cost
+		r.Share.PerSecond = part * r.Share.Share * a.capacity / a.divided / cost
 	}
 	return r
 }
@@ -190,7 +221,10 @@
 	defer b.lock.Unlock()
 	s := b.useOf(d.Service)
 	capacity, engine := b.capacity(now, d.Service)
-	return s.all.Share(capacity, d.Organisation, d.Rank), serviceCost(d, engine, s.workTime.mean)
+	if divided, _ := s.divide(capacity, engine, d.FirstByteTarget); divided > 0 {
+		share = s.all.Share(divided, d.Organisation, d.Rank) * capacity / divided
+	}
+	return share, serviceCost(d, engine, s.workTime.mean)
 }
 
 // serviceCost returns the time for which a request occupies a slot of a plain service, or a whole engine, in
@@ -206,14 +240,12 @@
 
 // ServiceShares is a snapshot of the use of one service, for metrics.
 type ServiceShares struct {
-	Service string
 	// InProgress is the number of requests in progress at all entries, Use the slots or engines that they use.
 	InProgress int
 	Use        float64
-	// Capacity is the number of slots or engines, 0 if unknown. Limit is the use from which on the service is
-	// short of capacity, for a request with the given first-byte target.
-	Capacity, Limit float64
-	// OverShare is the number of organisations whose use exceeds an equal part of the capacity.
+	// Limit is the use from which on the service is short of capacity; 0 if unknown.
+	Limit float64
+	// OverShare is the number of organisations whose use exceeds an equal part of what is divided.
 	OverShare int
 }
 
@@ -223,9 +255,6 @@
 	defer b.lock.Unlock()
 	s := b.useOf(service)
 	capacity, engine := b.capacity(now, service)
-	out := ServiceShares{Service: service, InProgress: s.all.Count(), Use: s.all.Total(), Capacity: capacity, Limit: s.plainLimit(capacity, firstByteTarget), OverShare: s.all.CountOver(capacity)}
-	if engine != nil {
-		out.Limit = shortEngineUse * capacity
-	}
-	return out
+	divided, limit := s.divide(capacity, engine, firstByteTarget)
+	return ServiceShares{InProgress: s.all.Count(), Use: s.all.Total(), Limit: limit, OverShare: s.all.CountOver(divided)}
 }
--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -12,8 +12,8 @@
 
 const (
 	// loadUpdateFormat is the first byte of a load update. It changes whenever the layout of the
-	// message does.
-	loadUpdateFormat = 11
+	// message does, and differs from all values of RelayTarget and rateLimitFormat.
+	loadUpdateFormat = 12
 	// maxLoadUpdate is the maximum size of a load update in bytes, so that it fits into one
 	// datagram on a link with the usual MTU.
 	maxLoadUpdate = 1300
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -326,6 +326,7 @@
 	f.releaseReservations(a.reservations)
 	f.metrics.recordAttempt(a.verdict)
 	a.placement.End(time.Now(), dispatchResult(x, a))
+	f.callNext(x.service)
 	if a.verdict == verdictBroken && !a.isTunnelled() && !a.isLinkAtFault && f.tunneler.IsCutOff() {
 		f.dispatcher.ForgetFailures() // the cut was found between the check above and End
 	}
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -148,6 +148,7 @@
 		outcome = fail.reason
 	}
 	f.metrics.recordRequest(outcome, time.Since(x.arrivedAt))
+	f.updateShareGauges(x)
 	fields := []zap.Field{
 		zap.String("request", x.metadata.ID), zap.String("outcome", outcome), zap.Int("status", x.finalStatus(fail)),
 		zap.Duration("took_ms", time.Since(x.arrivedAt)), zap.Int("attempts", x.sentCount), zap.Int("prompt", x.metadata.PromptTokens), zap.Stringer("content", x.fingerprint),
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -28,6 +28,7 @@
 	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
+	"github.com/sapphireramp/sapphireramp/queuer"
 	"github.com/sapphireramp/sapphireramp/sleeper"
 	"github.com/sapphireramp/sapphireramp/tunneler"
 )
@@ -91,6 +92,7 @@
 	asserter          *asserter.Asserter
 	handler           handler
 	inFlight          atomic.Int64
+	queues            queues
 }
 
 // New returns a Forwarder with the configuration c.
@@ -160,6 +162,8 @@
 	failedUpstreams []dispatcher.Instance
 	// lastDemand is the demand of the latest search for a placement.
 	lastDemand dispatcher.Demand
+	// waiter is the request's place in the queue of its service; nil unless it waits for its organisation's share.
+	waiter *queuer.Waiter
 	// avoidGroups is true if further attempts use a single engine without helpers; see
 	// shouldAvoidGroups.
 	avoidGroups bool
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -25,6 +25,10 @@
 	// retries counts the retries that upstreams got, retriesDenied those that the retry budget did not allow.
 	retries, retriesDenied tally.Counter
 	reservations           tally.Counter
+	// overShare counts requests that were refused for their organisation's share, and shares are gauges of the use of
+	// services, both by service.
+	overShare func(service string) tally.Counter
+	shares    *shareGauges
 }
 
 // promptLengthClass returns the class of a prompt by its length in tokens: none, short, medium or
@@ -54,6 +58,10 @@
 	}
 	// Exported as 0 from the start, so that rates include the first increment.
 	m.requestCounter(outcomeAnswered)
+	m.overShare = func(service string) tally.Counter {
+		return scope.Tagged(map[string]string{"service": service}).Counter("refused_over_share")
+	}
+	m.shares = &shareGauges{scope: scope, updatedAt: map[string]time.Time{}}
 	m.retries.Inc(0)
 	m.retriesDenied.Inc(0)
 	for _, length := range []string{"none", "short", "medium", "long"} {
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -55,6 +55,9 @@
 	for yields := 0; refusal == nil && yields < maxYields && f.yieldsPlacement(x, p); yields++ {
 		p, refusal = f.awaitPlacement(x, d)
 	}
+	if refusal != nil && refusal.Share != nil {
+		f.recordOverShare(x, refusal)
+	}
 	if refusal != nil && refusal.OutlivesEntry {
 		return nil, refuseStopping(f.view(), refusal)
 	}
@@ -69,15 +72,17 @@
 }
 
 // awaitPlacement searches for a placement repeatedly until it finds one, mayWait returns false or the
-// request is cancelled. It returns the placement or the refusal of the last search.
+// request is cancelled. It returns the placement or the refusal of the last search. Requests over their
+// organisation's share wait for their turn in the queue of the service instead of an interval.
 func (f *Forwarder) awaitPlacement(x *exchange, d dispatcher.Demand) (*dispatcher.Placement, *dispatcher.Refusal) {
 	x.lastDemand = f.withCurrentTimes(x, d)
-	p, refusal, searchTime := f.tryPlace(x)
+	defer f.leaveQueue(x)
+	p, refusal, searchTime := f.tryPlaceInOrder(x)
 	if refusal != nil && f.mayWait(x, refusal) {
 		f.log.Info("wait", zap.String("request", x.metadata.ID), zap.String("service", x.service), zap.String("reason", refusal.Reason),
 			zap.Duration("expected_ms", refusal.ExpectedFirstByte), zap.Duration("patience_ms", x.lastDemand.MaxWait))
 	}
-	for refusal != nil && f.mayWait(x, refusal) && sleeper.Sleep(x.ctx, pollInterval(searchTime)) {
+	for refusal != nil && f.mayWait(x, refusal) && f.awaitNextTry(x, refusal, searchTime) {
 		x.lastDemand = f.withCurrentTimes(x, d)
 		p, refusal, searchTime = f.tryPlace(x)
 	}
@@ -110,6 +115,16 @@
 	return true
 }
 
+// awaitNextTry waits until the next search for a placement of a request that got the refusal r, and reports whether
+// there is one.
+func (f *Forwarder) awaitNextTry(x *exchange, r *dispatcher.Refusal, searchTime time.Duration) bool {
+	if r.Share != nil {
+		return f.awaitTurn(x, r)
+	}
+	f.leaveQueue(x)
+	return sleeper.Sleep(x.ctx, pollInterval(searchTime))
+}
+
 // pollInterval returns the time from the end of a search for a placement, which took searchTime, to
 // the start of the next one.
 func pollInterval(searchTime time.Duration) time.Duration {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -114,6 +114,10 @@
 	garbledRateLimit string
 	// writeCrash determines which streams crash the worker as it writes them; nil if none does.
 	writeCrash *WriteCrash
+	// slots holds an element for each request that is executed, if SetSlots was called; nil otherwise. QueueLength is
+	// the largest number of requests that are executed or wait for a slot, admitted that number now.
+	slots                 chan struct{}
+	queueLength, admitted int
 	// onCrash is called when a request crashes the worker; if nil, requests
 	// don't crash it.
 	onCrash func()
@@ -297,6 +301,13 @@
 		response.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	leave := w.enter(r, id)
+	if leave == nil {
+		response.Header().Set("X-Not-Executed", "1")
+		response.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer leave()
 	current, index := w.beginExecution(r, id, string(body), fault)
 	defer w.endExecution(current, index)
 	response.Header().Set("X-Attempt-Id", id)
