--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/apportioner"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/sleeper"
 )
@@ -45,7 +46,8 @@
 func (f *Forwarder) place(x *exchange, d dispatcher.Demand) (*dispatcher.Placement, *failure) {
 	d.Service, d.Avoid, d.NoHelpers = x.service, x.failedUpstreams, x.avoidGroups
 	d.FirstByteTarget, d.GapTarget = x.route.FirstByteTarget, x.route.GapTarget
-	d.SentBefore = x.sentCount > 0
+	d.SentBefore, d.MayHaveRun = x.sentCount > 0, x.pendingCount > 0
+	d.Organisation, d.Rank = apportioner.NewOrganisation(x.organisation), x.rank
 	if f.tunneler.IsUnavailable() {
 		return nil, notRunFailure(reasonUpstreamsCutOff, f.tunneler.RetryAfter(), nil)
 	}
@@ -53,6 +55,9 @@
 	for yields := 0; refusal == nil && yields < maxYields && f.yieldsPlacement(x, p); yields++ {
 		p, refusal = f.awaitPlacement(x, d)
 	}
+	if refusal != nil && refusal.Share != nil {
+		f.recordOverShare(x, refusal)
+	}
 	if refusal != nil && refusal.OutlivesEntry {
 		return nil, refuseStopping(f.view(), refusal)
 	}
@@ -67,15 +72,17 @@
 }
 
 // awaitPlacement searches for a placement repeatedly until it finds one, mayWait returns false or the
-// request is cancelled. It returns the placement or the refusal of the last search.
+// request is cancelled. It returns the placement or the refusal of the last search. Requests over their
+// organisation's share wait for their turn in the queue of the service instead of an interval.
 func (f *Forwarder) awaitPlacement(x *exchange, d dispatcher.Demand) (*dispatcher.Placement, *dispatcher.Refusal) {
 	x.lastDemand = f.withCurrentTimes(x, d)
-	p, refusal, searchTime := f.tryPlace(x)
+	defer f.leaveQueue(x)
+	p, refusal, searchTime := f.tryPlaceInOrder(x)
 	if refusal != nil && f.mayWait(x, refusal) {
 		f.log.Info("wait", zap.String("request", x.metadata.ID), zap.String("service", x.service), zap.String("reason", refusal.Reason),
 			zap.Duration("expected_ms", refusal.ExpectedFirstByte), zap.Duration("patience_ms", x.lastDemand.MaxWait))
 	}
-	for refusal != nil && f.mayWait(x, refusal) && sleeper.Sleep(x.ctx, pollInterval(searchTime)) {
+	for refusal != nil && f.mayWait(x, refusal) && f.awaitNextTry(x, refusal, searchTime) {
 		x.lastDemand = f.withCurrentTimes(x, d)
 		p, refusal, searchTime = f.tryPlace(x)
 	}
@@ -108,6 +115,16 @@
 	return true
 }
 
+// awaitNextTry waits until the next search for a placement of a request that got the refusal r, and reports whether
+// there is one.
+func (f *Forwarder) awaitNextTry(x *exchange, r *dispatcher.Refusal, searchTime time.Duration) bool {
+	if r.Share != nil {
+		return f.awaitTurn(x, r)
+	}
+	f.leaveQueue(x)
+	return sleeper.Sleep(x.ctx, pollInterval(searchTime))
+}
+
 // pollInterval returns the time from the end of a search for a placement, which took searchTime, to
 // the start of the next one.
 func pollInterval(searchTime time.Duration) time.Duration {
