--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 FUZZ = validator:FuzzParse loader:FuzzParse spender:FuzzParse sealer:FuzzVerify \
 	server:FuzzDecodePrompt platform:FuzzDecodeConfig platform:FuzzParseSettings \
 	platform:FuzzInstance platform:FuzzItems dispatcher:FuzzDecodeLoadUpdate dispatcher:FuzzDecodeRateLimits splitter:FuzzFeed \
-	explainer:FuzzExplain
+	explainer:FuzzExplain scheduler:FuzzDecode
 # Minimizing an input of interest would take the rest of the time, hence 1x.
 fuzz:
 	set -e; for t in $(FUZZ); do \
