controller, forwarder, launcher: refused callers get places and are recognised when they return

Cause: the Retry-After of a refusal reserved nothing, at no entry. Change: a request that is refused because capacity is short gets the time of a place, or of the next one with reason no_place_in_time. An arriving request with the key of a place claims it and sets Demand.Returns. Places and claims go to the placing peers with load updates, own places to peers that join. The launcher sets Dispatcher.ReservedUse and leaves forwarder.Config.Share unset until the dispatcher states shares, so that nothing changes yet.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -27,6 +27,7 @@
 	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/prober"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
+	"github.com/sapphireramp/sapphireramp/scheduler"
 	"github.com/sapphireramp/sapphireramp/sequencer"
 	"github.com/sapphireramp/sapphireramp/tunneler"
 )
@@ -44,7 +45,7 @@
 	DecodeConfig func([]byte) (*matcher.Table, error)
 }
 
-// Config configures a Controller. All fields are required, except that Speed may be 0.
+// Config configures a Controller. All fields are required, except that Speed may be 0 and Scheduler nil.
 type Config struct {
 	// Name identifies the entry among all entries.
 	Name       string
@@ -69,6 +70,9 @@
 	// Dispatcher receives the usable upstreams and the load of other entries,
 	// and provides this entry's own load to send to them.
 	Dispatcher *dispatcher.Dispatcher
+	// Scheduler receives the places that other entries reserved for returns of refused callers, and
+	// provides this entry's. If it is nil, there are none.
+	Scheduler *scheduler.Scheduler
 	// Quarantine exchanges reports of requests that crash upstreams with other
 	// entries, as part of heartbeats.
 	Quarantine *quarantiner.Quarantiner
@@ -215,6 +219,9 @@
 // New returns a controller without configuration, upstreams or peers. It reads the store and
 // exchanges heartbeats only while Run is running.
 func New(c Config) *Controller {
+	if c.Scheduler == nil {
+		c.Scheduler = scheduler.New(scheduler.Config{})
+	}
 	ctl := &Controller{
 		config: c, sequencer: sequencer.New[*state](), heartbeatPool: connector.NewPool(c.Dial), fetchPool: connector.NewPool(c.Dial),
 		heartbeatRequests: make(chan struct{}, 1), newPeers: make(chan struct{}, 1), fetchSlots: make(chan struct{}, maxServedFetches), metrics: newMetrics(c.Scope),
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -25,6 +25,7 @@
 	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/platform"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
+	"github.com/sapphireramp/sapphireramp/scheduler"
 	"github.com/sapphireramp/sapphireramp/standin/network"
 	"github.com/sapphireramp/sapphireramp/standin/store"
 	"github.com/sapphireramp/sapphireramp/tunneler"
@@ -37,6 +38,7 @@
 	quarantine *quarantiner.Quarantiner
 	*controller.Controller
 	dispatcher *dispatcher.Dispatcher
+	scheduler  *scheduler.Scheduler
 	host       netip.Addr
 	stop       context.CancelFunc
 	ended      chan struct{}
@@ -145,11 +147,12 @@
 	client := &http.Client{Transport: &http.Transport{DialContext: f.net.Dialer(host), DisableKeepAlives: true}}
 	reader := platform.NewStore(client, storeAddress)
 	e := &entry{dispatcher: entryDispatcher, quarantine: quarantiner.New(), host: host, ended: make(chan struct{})}
+	e.scheduler = scheduler.New(scheduler.Config{Random: rand.New(rand.NewPCG(2, uint64(f.started))), Part: entryDispatcher.PromisePart, StartedAt: time.Now(), IsFirstStart: i == len(f.entries)})
 	config := controller.Config{
 		Name: fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3), Incarnation: uint64(f.started),
 		CallerAddress: netip.AddrPortFrom(host, 80), PeerAddress: netip.AddrPortFrom(host, 81), LoadAddress: netip.AddrPortFrom(host, 82),
 		Store: controller.Store{Read: reader.Read, Watch: reader.Watch, DecodeConfig: platform.DecodeConfig}, MaxPropagation: 2 * time.Second,
-		IsFirstStart: i == len(f.entries), SinceBoot: sinceEpoch, Dispatcher: entryDispatcher, Quarantine: e.quarantine, Isolator: isolator.New(fmt.Sprintf("entry-%d", i)), Tunneler: tunneler.New(tunneler.Config{Dial: f.net.Dialer(host), Relays: noRelays, OnCutOff: func(time.Time) {}, CloseIdle: func() {}, Log: zap.NewNop(), Scope: tally.NoopScope}), Dial: f.net.Dialer(host), Log: zap.NewNop(), Scope: tally.NoopScope,
+		IsFirstStart: i == len(f.entries), SinceBoot: sinceEpoch, Dispatcher: entryDispatcher, Scheduler: e.scheduler, Quarantine: e.quarantine, Isolator: isolator.New(fmt.Sprintf("entry-%d", i)), Tunneler: tunneler.New(tunneler.Config{Dial: f.net.Dialer(host), Relays: noRelays, OnCutOff: func(time.Time) {}, CloseIdle: func() {}, Log: zap.NewNop(), Scope: tally.NoopScope}), Dial: f.net.Dialer(host), Log: zap.NewNop(), Scope: tally.NoopScope,
 		Asserter: asserter.New(func(name, detail string) { f.t.Errorf("%s: %s", name, detail) }),
 	}
 	if f.speed != nil {
--- a/controller/loadupdates.go
+++ b/controller/loadupdates.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/dispatcher"
+	"github.com/sapphireramp/sapphireramp/scheduler"
 	"github.com/sapphireramp/sapphireramp/sleeper"
 )
 
@@ -52,17 +53,23 @@
 			if !sleeper.Sleep(ctx, updateDelay) {
 				return
 			}
+		case <-c.config.Scheduler.Changed:
+			if !sleeper.Sleep(ctx, updateDelay) {
+				return
+			}
 		}
 		c.sendChanges(socket, all)
 	}
 }
 
 // sendChanges sends the full load to all peers if all is true, else the changes of load since the
-// last call to the placing peers. In both cases it sends rate limits of upstreams to all peers. Updates
+// last call to the placing peers. In both cases it sends rate limits of upstreams to all peers and changes
+// of places to the placing peers. Updates
 // about long prompts that await their first byte go through several relays per data centre: an entry
 // that misses such an update places requests on the same engines, which delays these requests by
 // seconds.
 func (c *Controller) sendChanges(socket net.PacketConn, all bool) {
+	c.sendPlaces(socket)
 	limits := dispatcher.EncodeRateLimits(c.config.Dispatcher.TakeRateLimits(time.Now(), all))
 	c.sendAlong(socket, limits, c.current.Load().allPaths, dispatcher.RelayToAll, 1)
 	loads := c.config.Dispatcher.TakeLoadChanges(time.Now(), all)
@@ -107,7 +114,7 @@
 	}
 }
 
-// sendAllToNewPeers sends the full load and all known rate limits to each peer of the view whose
+// sendAllToNewPeers sends the full load, this entry's places and all known rate limits to each peer of the view whose
 // incarnation differs from the one in sent under the peer's name, or that is not in sent. It returns the incarnations of all
 // current peers by name, to be passed as sent to the next call.
 func (c *Controller) sendAllToNewPeers(socket net.PacketConn, sent map[string]uint64) map[string]uint64 {
@@ -120,6 +127,7 @@
 		if messages == nil {
 			messages = c.encodeUpdate(c.config.Dispatcher.OwnRequestLoads(time.Now()))
 			messages = append(messages, dispatcher.EncodeRateLimits(c.config.Dispatcher.RateLimits(time.Now()))...)
+			messages = append(messages, scheduler.Encode(time.Now(), c.config.Scheduler.OwnPlaces(time.Now()))...)
 		}
 		for _, m := range messages {
 			c.send(socket, m, p.loadAddress, &c.loadCounts.sent)
@@ -179,10 +187,14 @@
 	}
 }
 
-// decodeUpdate decodes a load update or a rate limit update from an address and returns the function that
-// applies it. The error is dispatcher.ErrMalformedLoadUpdate for any malformed message.
+// decodeUpdate decodes a load update, a rate limit update or an update of places from an address and returns
+// the function that applies it. The error is scheduler.ErrMalformedUpdate for a malformed update of places,
+// and dispatcher.ErrMalformedLoadUpdate for any other malformed message.
 func (c *Controller) decodeUpdate(message []byte, from net.Addr) (apply func(), err error) {
 	now := time.Now()
+	if scheduler.IsUpdate(message) {
+		return c.decodePlaces(now, message)
+	}
 	if dispatcher.IsRateLimitUpdate(message) {
 		limits, err := dispatcher.DecodeRateLimits(message)
 		return func() { c.logRateLimits(c.config.Dispatcher.ApplyPeerRateLimits(now, limits), from) }, err
--- a/dispatcher/demand.go
+++ b/dispatcher/demand.go
@@ -35,6 +35,9 @@
 	// SentBefore is true for a request that was sent to an upstream before. It is not refused as
 	// overloaded, for its cost, or to defer it.
 	SentBefore bool
+	// Returns is true for a request that returns at the time for which its caller was given a place. It is
+	// placed as one within its organisation's share.
+	Returns bool
 	// NoHelpers forbids placing the request on a group of engines, because a group has failed it
 	// before.
 	NoHelpers bool
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/sapphireramp/sapphireramp/apportioner"
 	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/predictor"
 )
@@ -67,6 +68,11 @@
 	// LoadChanged is a channel of capacity 1. It is sent an element, unless it holds one, when a
 	// change is queued for the next call of TakeLoadChanges.
 	LoadChanged chan struct{}
+	// ReservedUse returns the capacity of a service that is reserved now for returns of an organisation
+	// which are as urgent as a rank or more. It counts as use of the organisation when a request with
+	// that rank that is not a return is admitted; nil if nothing is reserved. It is called with the lock
+	// held and must not call the Dispatcher. It is set before the first request.
+	ReservedUse func(now time.Time, service string, o apportioner.Organisation, r apportioner.Rank) float64
 	simulator   predictor.Simulator
 }
 
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -212,6 +212,7 @@
 	"upstreams_pause":           "refused, not run: every remaining upstream asked this entry to send no requests for some time; see event=upstream_pauses",
 	"overloaded":                "refused, not run: the first event was predicted for after the time that the caller waits for it",
 	"too_costly":                "refused, not run: its displacement cost to requests in progress would have exceeded its value",
+	"no_place_in_time":          "refused, not run: the organisation was over its share of the service, and the next time at which it can be served, retry_after_ms, is later than a third of the time left; nothing is reserved",
 	"refused_by_upstream":       "refused, not run: every upstream that was sent the request stated that it did not run it",
 	"upstream_unreachable":      "refused, not run: no connection to an upstream could be established",
 	"upstreams_cut_off":         "refused, not run: neither this entry nor any other reaches upstreams; see event=upstreams_lost",
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -24,6 +24,7 @@
 	defer cancel()
 	caller := x.ctx
 	x.ctx, x.hasCallerLeft = ctx, func() bool { return caller.Err() != nil }
+	f.recognizeReturn(x)
 	f.retryBudget.RecordRequest(time.Now(), x.service)
 	defer func() { x.retry.Release() }() // of a retry that reached no upstream
 	var fail *failure
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -27,6 +27,7 @@
 	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
+	"github.com/sapphireramp/sapphireramp/scheduler"
 	"github.com/sapphireramp/sapphireramp/sleeper"
 	"github.com/sapphireramp/sapphireramp/tunneler"
 )
@@ -34,7 +35,8 @@
 // defaultTimeout is the timeout of routes that set none; the caller may set a shorter one.
 const defaultTimeout = 30 * time.Second
 
-// Config holds the settings of a Forwarder and the objects that it uses. Every field is required.
+// Config holds the settings of a Forwarder and the objects that it uses. Every field is
+// required except Scheduler and Share.
 type Config struct {
 	// Protocol reads and writes the headers of requests and responses.
 	Protocol Protocol
@@ -60,6 +62,11 @@
 	// crash upstreams. OnCrash is called when such a crash was recorded; it must not block.
 	Isolator *isolator.Isolator
 	OnCrash  func()
+	// Scheduler reserves times for the returns of refused callers. Share returns what is known of the share
+	// of the organisation of a refused request at its service, and false if nothing is. If either is nil,
+	// no times are reserved.
+	Scheduler *scheduler.Scheduler
+	Share     func(now time.Time, d dispatcher.Demand) (Share, bool)
 	// Tunneler opens connections to upstreams.
 	Tunneler *tunneler.Tunneler
 	// Log receives the log lines about requests and attempts, whose events logger.Events describes.
@@ -82,6 +89,8 @@
 	quarantine        *quarantiner.Quarantiner
 	isolator          *isolator.Isolator
 	onCrash           func()
+	scheduler         *scheduler.Scheduler
+	share             func(now time.Time, d dispatcher.Demand) (Share, bool)
 	tunneler          *tunneler.Tunneler
 	transport         *http.Transport
 	exitDetector      *connector.ExitDetector
@@ -95,7 +104,7 @@
 // New returns a Forwarder with the configuration c.
 func New(c Config) *Forwarder {
 	f := &Forwarder{
-		protocol: c.Protocol, reservationClient: c.Reservations, reservationTTL: c.ReservationTTL, maxIdle: c.MaxIdle, view: c.View, dispatcher: c.Dispatcher, retryBudget: c.RetryBudget, quarantine: c.Quarantine, isolator: c.Isolator, onCrash: c.OnCrash, log: c.Log,
+		protocol: c.Protocol, reservationClient: c.Reservations, reservationTTL: c.ReservationTTL, maxIdle: c.MaxIdle, view: c.View, dispatcher: c.Dispatcher, retryBudget: c.RetryBudget, quarantine: c.Quarantine, isolator: c.Isolator, onCrash: c.OnCrash, scheduler: c.Scheduler, share: c.Share, log: c.Log,
 		metrics: newMetrics(c.Scope), asserter: c.Asserter, tunneler: c.Tunneler, transport: newTransport(c.Tunneler.Dial), exitDetector: connector.NewExitDetector(c.Tunneler.Dial),
 	}
 	f.handler = chain(f.forward, f.respond, f.recoverPanic, f.requireConfig, f.limitHeader, f.matchRoute, f.readBody)
@@ -142,6 +151,9 @@
 	parts []isolator.Part
 	// trial is not nil while the request is tried although it may crash its upstream.
 	trial *isolator.Trial
+	// isReturn is true if the caller returns at the time for which it was given a place, isReturnSettled
+	// once the return was counted as kept or refused.
+	isReturn, isReturnSettled bool
 	// suspectedAt is when the request was first held back for a suspected part; zero if it was not.
 	suspectedAt time.Time
 	// lostCount is the number of attempts for which mayHaveCrashed returned true.
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -25,6 +25,9 @@
 	// retries counts the retries that upstreams got, retriesDenied those that the retry budget did not allow.
 	retries, retriesDenied tally.Counter
 	reservations           tally.Counter
+	// placesPromised counts the places that refused callers were given, placesKept and placesRefused the
+	// returns that were placed on an upstream and those that were not.
+	placesPromised, placesKept, placesRefused tally.Counter
 }
 
 // promptLengthClass returns the class of a prompt by its length in tokens: none, short, medium or
@@ -51,6 +54,9 @@
 		retries:         scope.Counter("retries"),
 		retriesDenied:   scope.Counter("retries_denied"),
 		reservations:    scope.Counter("reservations"),
+		placesPromised:  scope.Counter("places_promised"),
+		placesKept:      scope.Counter("places_kept"),
+		placesRefused:   scope.Counter("places_refused"),
 	}
 	// Exported as 0 from the start, so that rates include the first increment.
 	m.requestCounter(outcomeAnswered)
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -42,10 +42,11 @@
 // place returns the upstreams for the next attempt of a request, and logs them, or the failure of the
 // request if no placement was found in time. The demand d states the lengths of prompt and answer;
 // place sets its other fields.
-func (f *Forwarder) place(x *exchange, d dispatcher.Demand) (*dispatcher.Placement, *failure) {
+func (f *Forwarder) place(x *exchange, d dispatcher.Demand) (placement *dispatcher.Placement, fail *failure) {
+	defer func() { f.settleReturn(x, fail) }()
 	d.Service, d.Avoid, d.NoHelpers = x.service, x.failedUpstreams, x.avoidGroups
 	d.FirstByteTarget, d.GapTarget = x.route.FirstByteTarget, x.route.GapTarget
-	d.SentBefore = x.sentCount > 0
+	d.SentBefore, d.Returns = x.sentCount > 0, x.isReturn
 	if f.tunneler.IsUnavailable() {
 		return nil, notRunFailure(reasonUpstreamsCutOff, f.tunneler.RetryAfter(), nil)
 	}
@@ -57,7 +58,7 @@
 		return nil, refuseStopping(f.view(), refusal)
 	}
 	if refusal != nil {
-		return nil, notRunFailure(refusal.Reason, refusal.RetryAfter, refusal)
+		return nil, f.refuse(x, refusal)
 	}
 	f.log.Info("place", zap.String("request", x.metadata.ID), zap.String("service", x.service), zap.String("upstream", p.First.ID),
 		zap.String("data_centre", p.First.DataCentre), zap.Int("helpers", len(p.Helpers)), zap.String("helper_ids", joinIDs(p.Helpers)), zap.Duration("expected_ms", p.ExpectedFirstByte),
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -27,6 +27,7 @@
 	"github.com/sapphireramp/sapphireramp/forwarder"
 	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
+	"github.com/sapphireramp/sapphireramp/scheduler"
 	"github.com/sapphireramp/sapphireramp/tunneler"
 )
 
@@ -149,8 +150,14 @@
 // New returns a Launcher for the entry that c configures. The entry opens no listener until Run is called.
 func New(c Config) *Launcher {
 	c = c.withSystemDefaults()
+	unclaimed := c.Scope.Counter("places_unclaimed")
 	quarantine, partIsolator := quarantiner.New(), isolator.New(c.Name)
 	sharedDispatcher := dispatcher.New(c.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	returns := scheduler.New(scheduler.Config{
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Part: sharedDispatcher.PromisePart, StartedAt: time.Now(), IsFirstStart: c.IsFirstStart,
+		OnUnclaimed: func() { unclaimed.Inc(1) },
+	})
+	sharedDispatcher.ReservedUse = returns.ReservedUse
 	newBudgeter := budgeter.NewAfterRestart
 	if c.IsFirstStart {
 		newBudgeter = budgeter.New
@@ -172,11 +179,11 @@
 	reservationHTTPClient := &http.Client{Transport: &http.Transport{DialContext: l.tunneler.Dial, DisableKeepAlives: true}}
 	l.controller = controller.New(controller.Config{
 		Name: c.Name, DataCentre: c.DataCentre, Incarnation: uint64(time.Now().UnixNano()), IsFirstStart: c.IsFirstStart,
-		CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, LoadAddress: c.LoadAddress, Store: c.Store, MaxPropagation: c.MaxPropagation, Speed: c.Speed, SinceBoot: c.SinceBoot, Dispatcher: sharedDispatcher, Quarantine: quarantine, Isolator: partIsolator, Tunneler: l.tunneler, Dial: c.Dial,
+		CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, LoadAddress: c.LoadAddress, Store: c.Store, MaxPropagation: c.MaxPropagation, Speed: c.Speed, SinceBoot: c.SinceBoot, Dispatcher: sharedDispatcher, Scheduler: returns, Quarantine: quarantine, Isolator: partIsolator, Tunneler: l.tunneler, Dial: c.Dial,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	l.forwarder = forwarder.New(forwarder.Config{
-		Protocol: c.Protocol, Reservations: c.NewReservationClient(reservationHTTPClient), ReservationTTL: c.ReservationTTL, MaxIdle: c.MaxIdle, View: l.controller.View, Dispatcher: sharedDispatcher, RetryBudget: l.retryBudget, Quarantine: quarantine, Isolator: partIsolator, OnCrash: l.controller.SpreadCrash, Tunneler: l.tunneler,
+		Protocol: c.Protocol, Reservations: c.NewReservationClient(reservationHTTPClient), ReservationTTL: c.ReservationTTL, MaxIdle: c.MaxIdle, View: l.controller.View, Dispatcher: sharedDispatcher, Scheduler: returns, RetryBudget: l.retryBudget, Quarantine: quarantine, Isolator: partIsolator, OnCrash: l.controller.SpreadCrash, Tunneler: l.tunneler,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	return l
