forwarder: tests of returns

Change: tests of a refused prompt whose caller comes back at another entry with another id, in time, late, with another content and twice; of a return that is refused again; of a caller without a place in time.

--- a/forwarder/returns_test.go
+++ b/forwarder/returns_test.go
@@ -64,14 +64,14 @@
 	return w.Code, w.Body.String(), time.Duration(seconds * float64(time.Second))
 }
 
-// setEnginesFull sets whether a peer's requests take all memory of all engines.
+// setEnginesFull sets whether long responses of a peer's requests take all slots of all engines.
 func (f *fixture) setEnginesFull(full bool) {
 	var loads []dispatcher.RequestLoad
-	for n, i := range f.instances[2:] {
+	for n := range 40 * len(f.engines) {
 		load := dispatcher.RequestLoad{ID: dispatcher.CompactID(n), Ended: !full}
 		if full {
-			load.PromptTokens, load.FirstByteSeen, load.AnswerTokens = 300000, true, 10000
-			load.Assignments = []dispatcher.AssignmentLoad{{Upstream: i.IncarnationID(), MemoryTokens: engineProfile.MemoryTokens, Decodes: true}}
+			load.PromptTokens, load.FirstByteSeen, load.AnswerTokens = 1000, true, 100000
+			load.Assignments = []dispatcher.AssignmentLoad{{Upstream: f.instances[2+n%len(f.engines)].IncarnationID(), MemoryTokens: 2000, Decodes: true}}
 		}
 		loads = append(loads, load)
 	}
@@ -106,20 +106,26 @@
 			withForwarder(t, func(f *fixture) {
 				first, second := f.newReturnEntry(t, 1), f.newReturnEntry(t, 2)
 				f.setEnginesFull(true)
-				status, answer, retryAfter := first.ask("try-1", "prompt", 5*time.Second)
+				status, answer, retryAfter := first.ask("try-1", "prompt", 10*time.Second)
 				f.is.Equal(status, http.StatusServiceUnavailable)
-				f.is.True(strings.Contains(answer, "no_memory"))
-				// Engines accept no prompt for 200 ms, and a step of the clock takes 12 ms.
-				f.is.True(retryAfter >= 200*time.Millisecond && retryAfter <= 212*time.Millisecond)
+				f.is.True(strings.Contains(answer, "overloaded"))
+				// Engines accept no prompt for 3 s, and a step of the clock takes 12 ms.
+				f.is.True(retryAfter >= 3*time.Second && retryAfter <= 3012*time.Millisecond)
 				first.deliver(second)
 				f.setEnginesFull(false)
 				time.Sleep(retryAfter + test.delay)
+				go func() {
+					select {
+					case <-second.scheduler.Changed:
+						second.deliver(first)
+					case <-time.After(time.Second):
+					}
+				}()
 				for n := range 2 {
-					status, _, _ = second.ask(fmt.Sprintf("try-%d", n+2), test.body, 5*time.Second)
+					status, _, _ = second.ask(fmt.Sprintf("try-%d", n+2), test.body, 10*time.Second)
 					f.is.Equal(status, http.StatusOK)
 				}
 				f.is.Equal(second.scheduler.Counts(time.Now()), scheduler.Counts{Kept: test.kept})
-				second.deliver(first)
 				f.is.Equal(first.scheduler.Counts(time.Now().Add(time.Second)), scheduler.Counts{Promised: 1, Unclaimed: 1 - test.kept})
 			})
 		})
@@ -131,11 +137,11 @@
 	withForwarder(t, func(f *fixture) {
 		e := f.newReturnEntry(t, 1)
 		f.setEnginesFull(true)
-		_, _, retryAfter := e.ask("try-1", "prompt", 5*time.Second)
+		_, _, retryAfter := e.ask("try-1", "prompt", 10*time.Second)
 		time.Sleep(retryAfter)
-		status, _, retryAfter := e.ask("try-2", "prompt", 5*time.Second)
+		status, _, retryAfter := e.ask("try-2", "prompt", 10*time.Second)
 		f.is.Equal(status, http.StatusServiceUnavailable)
-		f.is.True(retryAfter >= 200*time.Millisecond)
+		f.is.True(retryAfter >= 3*time.Second)
 		f.is.Equal(e.scheduler.Counts(time.Now()), scheduler.Counts{Promised: 2, Refused: 1})
 	})
 }
@@ -149,11 +155,11 @@
 		f.setEnginesFull(true)
 		promised := 0
 		for n := range 5 {
-			status, answer, retryAfter := e.ask(fmt.Sprintf("try-%d", n), "prompt", 3*time.Second)
+			status, answer, retryAfter := e.ask(fmt.Sprintf("try-%d", n), "prompt", 10*time.Second)
 			f.is.Equal(status, http.StatusServiceUnavailable)
-			f.is.True(retryAfter <= 3*time.Second)
+			f.is.True(retryAfter <= 10*time.Second)
 			if strings.Contains(answer, "no_place_in_time") {
-				f.is.True(retryAfter > time.Second)
+				f.is.True(retryAfter > 3300*time.Millisecond)
 			} else {
 				promised++
 			}
@@ -161,8 +167,8 @@
 		f.is.True(promised <= 1)
 		f.is.Equal(e.scheduler.Counts(time.Now()).Promised, promised)
 		e.share = forwarder.Share{}
-		_, answer, retryAfter := e.ask("unknown", "prompt", 3*time.Second)
-		f.is.True(strings.Contains(answer, "no_memory"))
-		f.is.Equal(retryAfter, 200*time.Millisecond)
+		_, answer, retryAfter := e.ask("unknown", "prompt", 10*time.Second)
+		f.is.True(strings.Contains(answer, "overloaded"))
+		f.is.Equal(retryAfter, 3*time.Second)
 	})
 }
