scheduler: no time is told where none is known; faster look-ups

Change: Promise returns no time then, and the refusal stays as it was. The bounds of due times are computed once a call.

--- a/forwarder/returns.go
+++ b/forwarder/returns.go
@@ -72,7 +72,8 @@
 }
 
 // refuse returns the failure of a request that no upstream can be sent. If it is refused because capacity
-// is short, its caller gets a place, or the time of the next one if that is beyond its patience.
+// is short, its caller gets a place, or the time of the next one if that is beyond its patience. Where no
+// share or no time is known, the refusal stays as it is.
 func (f *Forwarder) refuse(x *exchange, r *dispatcher.Refusal) *failure {
 	fail := notRunFailure(r.Reason, r.RetryAfter, r)
 	if f.scheduler == nil || f.share == nil || x.pendingCount > 0 || x.ctx.Err() != nil || !isShortOfCapacity(x, r) {
@@ -93,6 +94,9 @@
 		ask.Earliest = r.RetryAfter
 	}
 	p, promised := f.scheduler.Promise(now, ask)
+	if p.Due.IsZero() {
+		return fail
+	}
 	fail.retryAfter = min(p.Due.Sub(now), timeLeft)
 	if !promised {
 		fail.reason = reasonNoPlaceInTime
--- a/scheduler/clock.go
+++ b/scheduler/clock.go
@@ -67,7 +67,8 @@
 
 // Promise gives out a place for a refused request and returns true, if there is one within the caller's
 // patience and fewer than MaxPlaces are known. Otherwise it reserves nothing, and the place returned
-// states only the time of the next one.
+// states only the time of the next one; zero if that is unknown, because the share or this entry's part of
+// it is 0, or because this process may have had a predecessor whose promises have not ended yet.
 func (s *Scheduler) Promise(now time.Time, a Ask) (Place, bool) {
 	step := a.step(s.config.Part())
 	s.lock.Lock()
@@ -82,6 +83,9 @@
 		if a.Earliest <= minAhead {
 			*c = next
 		}
+		if step == maxStep || now.Before(s.firstStep(step)) {
+			p.Due = time.Time{}
+		}
 		return p, false
 	}
 	*c = clock{free: next.start.Add(step)}
@@ -117,10 +121,7 @@
 	if c, ok := s.clocks[key]; ok {
 		return c
 	}
-	c := &clock{}
-	if !s.config.IsFirstStart {
-		c.free = s.config.StartedAt.Add(MaxAhead + step)
-	}
+	c := &clock{free: s.firstStep(step)}
 	if len(s.clocks) >= maxClocks {
 		for k, other := range s.clocks {
 			if !other.free.After(now) {
@@ -134,6 +135,14 @@
 	return c
 }
 
+// firstStep returns when the first step of a clock may begin; zero for the first process of an entry.
+func (s *Scheduler) firstStep(step time.Duration) time.Time {
+	if s.config.IsFirstStart {
+		return time.Time{}
+	}
+	return s.config.StartedAt.Add(MaxAhead + step)
+}
+
 // newID returns an ID that no known place has. The lock must be held.
 func (s *Scheduler) newID() uint32 {
 	for {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -43,10 +43,11 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	queue := s.queues[queueKey{NewService(service), o}]
-	first, _ := slices.BinarySearchFunc(queue, now.Add(-closesAfter), compareDue)
+	firstDue, lastDue := openDues(now)
+	first, _ := slices.BinarySearchFunc(queue, firstDue, compareDue)
 	sum := 0.0
 	for _, p := range queue[first:] {
-		if !p.isOpen(now) {
+		if p.Due.After(lastDue) {
 			break
 		}
 		if p.Rank <= r {
@@ -63,8 +64,12 @@
 	defer s.lock.Unlock()
 	s.expire(now)
 	var nearest *knownPlace
+	firstDue, lastDue := openDues(now)
 	for _, p := range s.byKey[k] {
-		if p.isOpen(now) && (nearest == nil || p.Due.Sub(now).Abs() < nearest.Due.Sub(now).Abs()) {
+		if p.Due.Before(firstDue) || p.Due.After(lastDue) {
+			continue
+		}
+		if nearest == nil || p.Due.Sub(now).Abs() < nearest.Due.Sub(now).Abs() {
 			nearest = p
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -65,9 +65,10 @@
 	Use float64
 }
 
-// isOpen reports whether a return for the place is recognised now, and its capacity reserved.
-func (p *Place) isOpen(now time.Time) bool {
-	return !now.Before(p.Due.Add(-opensBefore)) && !now.After(p.Due.Add(closesAfter))
+// openDues returns the first and the last due time of places whose returns are recognised now, and whose
+// capacity is reserved.
+func openDues(now time.Time) (first, last time.Time) {
+	return now.Add(-closesAfter), now.Add(opensBefore)
 }
 
 // Config holds the settings of a Scheduler.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -227,8 +227,8 @@
 	is.True(ok) // once the others have expired
 }
 
-// Guards against callers that are sent away without a time, and against a place that is reserved beyond the
-// caller's patience.
+// Guards against callers that are sent away without a time, against a place that is reserved beyond the
+// caller's patience, and against an invented time where none is known.
 func TestCallerWithoutPlaceIsToldTheNextTime(t *testing.T) {
 	is := is.New(t)
 	s, a := newTest(1, 1), testAsk(1)
@@ -243,8 +243,13 @@
 	again, _ := s.Promise(start, a)
 	is.Equal(again.Due, p.Due) // the time isn't drawn anew
 	a.Organisation, a.Share = 8, 0
-	_, ok = s.Promise(start, a)
-	is.True(!ok)
+	p, ok = s.Promise(start, a)
+	is.True(!ok && p.Due.IsZero())
+	restarted := New(Config{Random: rand.New(rand.NewPCG(1, 1)), StartedAt: start})
+	p, ok = restarted.Promise(start, testAsk(1))
+	is.True(!ok && p.Due.IsZero())
+	p, ok = restarted.Promise(start.Add(MaxAhead-2*time.Second), testAsk(1))
+	is.True(ok && !p.Due.Before(start.Add(MaxAhead)))
 }
 
 // Any update is the same after encoding and decoding, in datagrams of limited size, but for the units of
