--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -32,6 +32,10 @@
 	// The rest is the memory and the slots that are kept free at engines
 	// for requests that other entries have not reported yet (usableMemoryFraction and spareSlots).
 	engineShortFraction = 0.9
+	// maxReturnsOverLimit is the ratio of the requests in progress to the limit up to which returns are placed.
+	// Their times are as far apart as the capacity allows, so that more of them come only where requests have
+	// equal contents, or capacity is less than when they got their times. Those beyond would all be late.
+	maxReturnsOverLimit = 1.25
 	// overShareRetryAfter is the RetryAfter at plain services, that of requests that full upstreams refuse.
 	overShareRetryAfter = 150 * time.Millisecond
 )
@@ -148,10 +152,26 @@
 		// progress. Without it in what is divided, an organisation was refused whose share just sufficed.
 		most, a.divided = maxOverUse*a.divided, max(a.divided, a.total)
 	}
-	a.isAdmitted = a.total < a.limit || a.total < most && (d.Returns || s.all.IsEntitled(a.divided, d.Organisation, d.Rank, a.cost))
+	if d.Returns {
+		a.isAdmitted = a.total < min(most, maxReturnsOverLimit*a.limit) || a.total < most && s.all.IsEntitled(a.divided, d.Organisation, d.Rank, a.cost)
+		return a
+	}
+	// What is reserved for returns of the organisation counts as its use, so that they find room.
+	reserved := b.reservedUse(now, d)
+	a.total += reserved
+	a.isAdmitted = a.total < a.limit || a.total < most && s.all.IsEntitled(a.divided, d.Organisation, d.Rank, a.cost+reserved)
 	return a
 }
 
+// reservedUse returns the use that is reserved now for returns of the organisation of a request which are as urgent
+// as the request or more.
+func (b *Dispatcher) reservedUse(now time.Time, d Demand) float64 {
+	if b.ReservedUse == nil {
+		return 0
+	}
+	return b.ReservedUse(now, d.Service, d.Organisation, d.Rank)
+}
+
 // refuseOverShare returns the refusal of a request that is over its organisation's share; nil if it may be
 // placed.
 func (b *Dispatcher) refuseOverShare(now time.Time, d Demand) *Refusal {
@@ -227,6 +247,14 @@
 	return share, serviceCost(d, engine, s.workTime.mean)
 }
 
+// RequestUse returns the use that a request would make of its service until its first event, in slots or engines.
+func (b *Dispatcher) RequestUse(now time.Time, d Demand) float64 {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	_, engine := b.capacity(now, d.Service)
+	return useCost(d, engine)
+}
+
 // serviceCost returns the time for which a request occupies a slot of a plain service, or a whole engine, in
 // seconds. A prompt occupies an engine for its prefill, and its part of one while its answer is decoded.
 func serviceCost(d Demand, e *matcher.EngineProfile, work time.Duration) float64 {
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -29,6 +29,9 @@
 	// services, both by service.
 	overShare func(service string) tally.Counter
 	shares    *shareGauges
+	// placesPromised counts the places that refused callers were given, placesKept and placesRefused the
+	// returns that were placed on an upstream and those that were not.
+	placesPromised, placesKept, placesRefused tally.Counter
 }
 
 // promptLengthClass returns the class of a prompt by its length in tokens: none, short, medium or
@@ -55,6 +58,9 @@
 		retries:         scope.Counter("retries"),
 		retriesDenied:   scope.Counter("retries_denied"),
 		reservations:    scope.Counter("reservations"),
+		placesPromised:  scope.Counter("places_promised"),
+		placesKept:      scope.Counter("places_kept"),
+		placesRefused:   scope.Counter("places_refused"),
 	}
 	// Exported as 0 from the start, so that rates include the first increment.
 	m.requestCounter(outcomeAnswered)
