--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -29,6 +29,9 @@
 	// recheckInterval is the interval at which the watchdog checks whether another upstream accepts
 	// the request, once its own upstream has sent nothing for too long.
 	recheckInterval = 100 * time.Millisecond
+	// reachTTL is the time for which a connection to an upstream shows that another can be connected to. It is longer
+	// than recheckInterval, so that one opened before an attempt may be cancelled counts when it is.
+	reachTTL = recheckInterval + 50*time.Millisecond
 	// plainSilenceFactor is the time for which an upstream of a plain service may send nothing, as a
 	// multiple of the first-byte target. A response usually takes a fifth of the target, and one in a
 	// hundred takes five times as long as usual.
@@ -51,6 +54,9 @@
 	// responseBegun is true once bytes of the response have arrived in this attempt, or an earlier
 	// attempt of the request began the response to the caller.
 	responseBegun bool
+	// confirmReach begins to find out whether another upstream can be connected to. It is called recheckInterval
+	// before the attempt may be cancelled.
+	confirmReach func()
 	// reserveElsewhere returns a reservation of the retry if another upstream would accept the request and the
 	// retry budget allows it, nil otherwise. It is passed responseBegun.
 	reserveElsewhere func(begun bool) *budgeter.Reservation
@@ -73,6 +79,7 @@
 		return nil
 	}
 	w := &watchdog{lastReadAt: time.Now(), responseBegun: x.responseBegun, cancelAttempt: cancelAttempt, expectedBusy: func() time.Duration { return 0 }}
+	w.confirmReach = func() { f.tunneler.ConfirmReach(p.First.Address, reachTTL-recheckInterval) }
 	w.reserveElsewhere = func(begun bool) *budgeter.Reservation { return f.reserveElsewhere(x, p, begun) }
 	w.silenceLimit = plainSilenceFactor * x.route.FirstByteTarget
 	w.busySilenceLimit = w.silenceLimit
@@ -84,7 +91,7 @@
 	}
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	w.timer = watcher.NewSilenceTimer(w.silenceLimit, w.checkSilence)
+	w.timer = watcher.NewSilenceTimer(w.silenceLimit-recheckInterval, w.checkSilence)
 	return w
 }
 
@@ -112,7 +119,13 @@
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	allowed := min(w.busySilenceLimit, max(w.silenceLimit, time.Duration(busyPrefillFactor*float64(w.expectedBusy()))))
-	if remaining := allowed - time.Since(w.lastReadAt); remaining > 0 {
+	remaining := allowed - time.Since(w.lastReadAt)
+	if remaining > recheckInterval {
+		w.timer.Reset(remaining - recheckInterval)
+		return
+	}
+	if remaining > 0 {
+		w.confirmReach()
 		w.timer.Reset(remaining)
 		return
 	}
@@ -154,7 +167,7 @@
 		// the stream of the silent engine anyway.
 		d = x.limitToStop(v, d)
 	}
-	if !f.dispatcher.Accepts(now, d) || !f.tunneler.ConfirmReach(p.First.Address) {
+	if !f.dispatcher.Accepts(now, d) || !f.tunneler.ConfirmReach(p.First.Address, reachTTL) {
 		return nil
 	}
 	r, _ := f.retryBudget.Reserve(now, x.service, v.RetryBudgetEntries)
--- a/tunneler/confirm.go
+++ b/tunneler/confirm.go
@@ -6,16 +6,12 @@
 	"time"
 )
 
-// reachedTTL is the time for which a connection to an upstream shows that others can be connected to. Requests that
-// are moved away from a silent upstream need a connection right after.
-const reachedTTL = 100 * time.Millisecond
-
-// ConfirmReach reports whether an upstream was connected to within reachedTTL, directly or through a relay. If none
+// ConfirmReach reports whether an upstream was connected to within maxAge, directly or through a relay. If none
 // was, it begins to connect to one other than silent, so that a later call can report the result. A caller asks
 // before it gives up an attempt at a silent upstream: where links are down, the upstream only seems to be silent,
 // and no other can be sent the request.
-func (t *Tunneler) ConfirmReach(silent netip.AddrPort) bool {
-	if time.Since(t.monitor.lastReachedAt()) <= reachedTTL {
+func (t *Tunneler) ConfirmReach(silent netip.AddrPort, maxAge time.Duration) bool {
+	if time.Since(t.monitor.lastReachedAt()) <= maxAge {
 		return true
 	}
 	if t.isConfirming.CompareAndSwap(false, true) {
