--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -139,24 +139,41 @@
 // one, offered as many as they could.
 func (u *Uses) IsEntitled(capacity float64, o Organisation, r Rank, cost float64) bool {
 	_, equal, _ := u.split(o, r)
-	return u.protected(o, r, equal+cost) <= capacity
+	return u.rivals(o, r).protected(equal+cost) <= capacity
 }
 
-// protected returns the capacity that a request of rank r needs to be within the share of its
-// organisation o, which then uses the amount own by requests of that rank: own, and the use of
-// others that goes before it.
-func (u *Uses) protected(o Organisation, r Rank, own float64) float64 {
-	urgent, _, lower := u.split(o, r)
-	level := own + min(urgent, urgencyRatio*own) + min(lower, own/urgencyRatio)
-	sum := level
+// rankSplit is the use of one organisation by requests that are more urgent than a rank, as urgent, and less urgent.
+type rankSplit struct{ urgent, equal, lower float64 }
+
+// rivals is what the share of one organisation at one rank depends on: its own use, and that of each other one.
+type rivals struct {
+	own    rankSplit
+	others []rankSplit
+}
+
+// rivals returns the uses of an organisation and of all others, split by a rank.
+func (u *Uses) rivals(o Organisation, r Rank) rivals {
+	v := rivals{others: make([]rankSplit, 0, len(u.byOrganisation))}
 	for other := range u.byOrganisation {
-		if other == o {
-			continue
+		if other != o {
+			v.others = append(v.others, newRankSplit(u.split(other, r)))
 		}
-		urgent, equal, lower := u.split(other, r)
-		part := min(urgent, urgencyRatio*level)
-		part += min(equal, max(0, level-part))
-		part += min(lower, max(0, level/urgencyRatio-part))
+	}
+	v.own = newRankSplit(u.split(o, r))
+	return v
+}
+
+func newRankSplit(urgent, equal, lower float64) rankSplit { return rankSplit{urgent, equal, lower} }
+
+// protected returns the capacity that a request needs to be within the share of its organisation, which then uses the
+// amount own by requests of its rank: own, and the use of others that goes before it.
+func (v rivals) protected(own float64) float64 {
+	level := own + min(v.own.urgent, urgencyRatio*own) + min(v.own.lower, own/urgencyRatio)
+	sum := level
+	for _, other := range v.others {
+		part := min(other.urgent, urgencyRatio*level)
+		part += min(other.equal, max(0, level-part))
+		part += min(other.lower, max(0, level/urgencyRatio-part))
 		sum += part
 	}
 	return sum
@@ -169,10 +186,11 @@
 // Share returns the use by requests of rank r up to which an organisation's requests are within its
 // share of a capacity, given the present use of all others.
 func (u *Uses) Share(capacity float64, o Organisation, r Rank) float64 {
+	v := u.rivals(o, r)
 	low, high := 0.0, capacity
 	for range shareSteps {
 		middle := (low + high) / 2
-		if u.protected(o, r, middle) <= capacity {
+		if v.protected(middle) <= capacity {
 			low = middle
 		} else {
 			high = middle
--- a/apportioner/apportioner_test.go
+++ b/apportioner/apportioner_test.go
@@ -154,3 +154,15 @@
 		}
 	})
 }
+
+// Guards against requests that are limited although no others than those of their organisation and rank are there.
+func TestIsOnly(t *testing.T) {
+	is := is.New(t)
+	var u apportioner.Uses
+	is.True(u.IsOnly(greedy, normal))
+	fill(&u, greedy, normal, 2)
+	is.True(u.IsOnly(greedy, normal))
+	is.True(!u.IsOnly(greedy, urgent) && !u.IsOnly(small, normal))
+	fill(&u, greedy, urgent, 1)
+	is.True(!u.IsOnly(greedy, normal))
+}
--- a/dispatcher/bench_test.go
+++ b/dispatcher/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/sapphireramp/sapphireramp/apportioner"
 	"github.com/sapphireramp/sapphireramp/matcher"
 )
 
@@ -60,6 +61,23 @@
 	}
 }
 
+// BenchmarkRefuseOverShare measures the refusal of a request for its share while 300 organisations have requests in
+// progress.
+func BenchmarkRefuseOverShare(b *testing.B) {
+	dispatcher := New("a", rand.New(rand.NewPCG(1, 2)))
+	dispatcher.UpdateUpstreams(&matcher.Table{}, []Instance{{ID: "i", Service: "app", Slots: 300}})
+	for i := range 660 {
+		if _, refusal := dispatcher.Place(startTime, withKind(plainDemand, apportioner.Organisation(1+i%300), 0)); refusal != nil {
+			break
+		}
+	}
+	for range b.N {
+		if _, refusal := dispatcher.Place(startTime, withKind(plainDemand, 1, 0)); refusal == nil {
+			b.Fatal("placed")
+		}
+	}
+}
+
 // BenchmarkApplyPeerLoads measures the decoding and application of the load of all requests of a
 // peer.
 func BenchmarkApplyPeerLoads(b *testing.B) {
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -123,8 +123,9 @@
 }
 
 // admit decides whether a request may be placed now as to its organisation's share of the service. The
-// lock must be held. While only requests of one organisation and rank are in progress, prompts are
-// limited by the state of the engines alone; so are all requests without organisation and rank.
+// lock must be held. While requests of one organisation and rank are alone, their prompts are limited by the state of
+// the engines only, as engines that are silent hold requests and would otherwise keep an organisation from the others;
+// requests without organisation and rank are not limited at all.
 func (b *Dispatcher) admit(now time.Time, d Demand) admission {
 	s, ok := b.uses[d.Service]
 	if !ok || d.MayHaveRun {
--- a/matcher/config.go
+++ b/matcher/config.go
@@ -55,8 +55,8 @@
 	// GapTarget is the longest gap between two events up to which a stream is on time; 0 if the
 	// route has no such target.
 	GapTarget time.Duration
-	// Priority ranks the requests of routes at model engines; 0 is the most urgent. It is replaced
-	// by the priority of the request's organisation, if there is one.
+	// Priority ranks the requests of routes; 0 is the most urgent. At model engines it is replaced by the priority of
+	// the request's organisation, if there is one; entries rank by the organisation's first, and then by this.
 	Priority int
 	// Services lists the services that the requests of the route are divided among by weight. There
 	// is at least one, and each is defined in the configuration.
@@ -144,7 +144,7 @@
 type Organisation struct {
 	Name string
 	Keys []string
-	// Priority ranks the requests of organisations at model engines; 0 is the most urgent. It
+	// Priority ranks the requests of organisations, before that of routes; 0 is the most urgent. At model engines it
 	// replaces the priority of the request's route.
 	Priority int
 }
