validator: organisations state a rank

The document could not say which organisation's requests go first while capacity is short. An organisation may state Rank, 0 to 9; 0 is the default. It is omitted from the text if it is 0, so a document without ranks that goes through the console keeps its text. The console's form and list of changes follow the document's fields and needed no change.

Tests of validator, console and sealer pass; the new cases fail without checkRange.

--- a/console/console_test.go
+++ b/console/console_test.go
@@ -141,6 +141,25 @@
 	})
 }
 
+// Guards against a form that can't set an organisation's rank, and against a document without ranks whose text, and so
+// whose digest and seal, changes because of them.
+func TestRankIsEdited(t *testing.T) {
+	withTestConsole(t, func(tc *testConsole) {
+		is := is.New(t)
+		form := tc.loadForm()
+		_, page := tc.post("/seal", form)
+		is.True(sealedDocument(page) != "" && !strings.Contains(sealedDocument(page), "Rank"))
+		form.Set("Organisations.1.Rank", "3")
+		is.True(strings.Contains(tc.postAction(form, "check"), "Organisations[condor-linemen].Rank"))
+		_, page = tc.post("/seal", form)
+		accepted, err := validator.Parse([]byte(sealedDocument(page)))
+		is.NoErr(err)
+		is.Equal(accepted.Document.Organisations[1].Rank, 3)
+		form.Set("Organisations.1.Rank", "10")
+		is.True(strings.Contains(tc.postAction(form, "check"), "must be 0 to 9"))
+	})
+}
+
 func TestAddAndRemove(t *testing.T) {
 	withTestConsole(t, func(tc *testConsole) {
 		is := is.New(t)
--- a/validator/check.go
+++ b/validator/check.go
@@ -20,6 +20,7 @@
 	minShortWeight  = 3
 	maxShortWeight  = 10
 	maxInFlight     = 1_000_000
+	maxRank         = 9
 	maxTimeoutLimit = 24 * time.Hour
 )
 
@@ -173,6 +174,7 @@
 			c.fieldErrors.Require(services[s], fmt.Sprintf("%s.Services[%d]", path, j), s, "the name of a service in Services")
 		}
 		c.checkRange(path+".MaxInFlight", o.MaxInFlight, 1, maxInFlight)
+		c.checkRange(path+".Rank", o.Rank, 0, maxRank)
 	}
 }
 
--- a/validator/document.go
+++ b/validator/document.go
@@ -60,6 +60,9 @@
 	// MaxInFlight is the maximum number of the organisation's requests in flight
 	// at one entry.
 	MaxInFlight int `yaml:"MaxInFlight"`
+	// Rank is the urgency of the organisation's requests while capacity is
+	// short: 0, the default, to 9. Requests of a lower rank are served first.
+	Rank int `yaml:"Rank,omitempty"`
 }
 
 // Engine states what one engine is to serve, and its capacity. The address of
