keeper: room that runs short is divided between organisations

The free memory and the prefill queue of an engine went to whoever asked next, so an organisation that asked ten times as often got ten times as much. A keeper now remembers the asks that it refused for lack of room. While one of another organisation waits that goes first and would find no room any more, it refuses an ask with the reason over_share. Uses are those of grants and holds: fraction of memory, and of the prefill rate until the prompt is prefilled. While there is room for all that wait, nothing changes.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/apportioner"
 	"github.com/sapphireramp/sapphireramp/router"
 )
 
@@ -47,6 +48,10 @@
 	MemoryTokens int
 	// Remaining is the time from the grant request until the deadline of the caller's request.
 	Remaining time.Duration
+	// Organisation is the name of the organisation that sent the prompt, empty if the asking entry does not state it.
+	// Rank is the organisation's urgency.
+	Organisation string
+	Rank         apportioner.Rank
 }
 
 // GrantReply is the reply to a GrantRequest.
@@ -69,6 +74,9 @@
 	MemoryFull Reason = "memory"
 	// TooLate means that the prefill would end after the deadline of the request.
 	TooLate Reason = "too_late"
+	// OverShare means that the room is left to a waiting prompt of another organisation, which is more urgent or uses
+	// less of the engine.
+	OverShare Reason = "over_share"
 	// NoReport means that the engine has not listed its holds yet, or that its last report is older
 	// than Config.Lease.
 	NoReport Reason = "not_heard"
@@ -105,6 +113,13 @@
 	usedTokens int
 	// grants are the grants by attempt ID. No ID is in both grants and holds.
 	grants map[string]grant
+	// prompts holds what is known of the attempts in grants and holds, by attempt ID. Holds that an earlier keeper
+	// granted, and those of groups, are not in it.
+	prompts map[string]prompt
+	// waiting holds the asks that were refused lately for lack of room, by attempt ID. None of them is in grants.
+	waiting map[string]waitingAsk
+	// lastShare describes the last decision with the reason OverShare; zero before the first.
+	lastShare Share
 	// backlog is the estimated number of prompt tokens, by length class, that the engine had not
 	// prefilled at the time backlogAt. No element is negative.
 	backlog   [router.ClassCount]float64
@@ -122,7 +137,7 @@
 // New returns a keeper that has no report of its engine. It grants nothing until the engine's first
 // listing of holds is recorded.
 func New(config Config) *Keeper {
-	return &Keeper{config: config, holds: map[string]api.EngineHold{}, grants: map[string]grant{}}
+	return &Keeper{config: config, holds: map[string]api.EngineHold{}, grants: map[string]grant{}, prompts: map[string]prompt{}, waiting: map[string]waitingAsk{}}
 }
 
 // Configure replaces the configuration, as a new configuration document may change the engine's
@@ -159,6 +174,7 @@
 			orphans = append(orphans, OrphanedHold{Hold: h, MinAge: k.config.Lease})
 		}
 	}
+	k.removeEndedPrompts()
 	k.listed = true
 	k.RecordLoad(now, load)
 	k.usedTokens = used // load.UsedTokens lags behind the listing of holds
@@ -188,6 +204,8 @@
 func (k *Keeper) reset() {
 	clear(k.grants)
 	clear(k.holds)
+	clear(k.prompts)
+	clear(k.waiting)
 	k.listed, k.lastReportAt = false, time.Time{}
 	k.backlog = [router.ClassCount]float64{}
 }
@@ -226,27 +244,38 @@
 	for id, g := range k.grants {
 		if now.After(g.expiresAt) {
 			delete(k.grants, id)
+			delete(k.prompts, id)
 		}
 	}
 }
 
 // RequestGrant decides whether an attempt may start on the engine, and records the grant if so. It
 // grants only if the engine can start attempts for the model now (see refusalReason), has enough free
-// memory, and would end the prefill before the deadline.
+// memory, and would end the prefill before the deadline. It refuses if the room must be left to a waiting prompt of
+// another organisation (see checkShare).
 func (k *Keeper) RequestGrant(now time.Time, r GrantRequest) GrantReply {
 	k.advanceBacklog(now)
 	k.removeExpiredGrants(now)
+	k.removeExpiredWaiting(now)
 	wait := k.QueueWait(now, r.Class)
 	if reason := k.refusalReason(now, r); reason != "" {
 		return GrantReply{QueueWait: wait, Reason: reason}
 	}
 	if r.MemoryTokens > k.FreeTokens() {
+		k.recordWaiting(now, r, MemoryFull)
 		return GrantReply{QueueWait: wait, Reason: MemoryFull}
 	}
 	prefill := prefillTime(float64(r.PrefillTokens), k.config.PrefillRate)
 	if wait+prefill > r.Remaining {
+		k.recordWaiting(now, r, TooLate)
 		return GrantReply{QueueWait: wait, Reason: TooLate}
 	}
+	if share, over := k.checkShare(now, r); over {
+		k.recordWaiting(now, r, OverShare)
+		k.lastShare = share
+		return GrantReply{QueueWait: wait, Reason: OverShare}
+	}
+	k.recordGranted(now, r)
 	k.grants[r.AttemptID] = grant{memoryTokens: r.MemoryTokens, prefillTokens: r.PrefillTokens, class: r.Class, expiresAt: now.Add(k.config.GrantTTL)}
 	k.backlog[r.Class] += float64(r.PrefillTokens)
 	k.lastGrantAt = now
@@ -301,24 +330,32 @@
 		k.usedTokens -= h.Tokens
 	}
 	delete(k.holds, attemptID)
+	delete(k.prompts, attemptID)
 }
 
 // FreeTokens returns the engine's memory, in tokens, that is neither in use nor granted.
 func (k *Keeper) FreeTokens() int {
-	free := k.config.MemoryTokens
-	if k.lastLoad.MemoryTokens > 0 {
-		free = min(free, k.lastLoad.MemoryTokens)
-	}
-	free -= k.usedTokens
+	free := k.memoryTokens() - k.usedTokens
 	for _, g := range k.grants {
 		free -= g.memoryTokens
 	}
 	return max(0, free)
 }
 
+// memoryTokens returns the engine's total memory in tokens.
+func (k *Keeper) memoryTokens() int {
+	if k.lastLoad.MemoryTokens > 0 {
+		return min(k.config.MemoryTokens, k.lastLoad.MemoryTokens)
+	}
+	return k.config.MemoryTokens
+}
+
 // LastLoad returns the engine's last load report, the zero value if there is none.
 func (k *Keeper) LastLoad() api.EngineLoad { return k.lastLoad }
 
+// LastShare returns the decision on the last ask that was refused as OverShare, zero if there was none.
+func (k *Keeper) LastShare() Share { return k.lastShare }
+
 // LastReportAt returns the time of the engine's last report, zero until the engine's current
 // incarnation has listed its holds.
 func (k *Keeper) LastReportAt() time.Time { return k.lastReportAt }
