server: keepers and the dispatcher are told organisation and rank

Decisions about room had no organisation. AskArgs has Organisation, Rank and SentBefore, which entries of earlier versions ignore and don't send. The keeper's refusals over_share are logged (keep layer: engine, organisation, rank, use, whose prompt goes first and its use, free memory, number waiting) and counted. The asking entry treats them like a lack of memory and names the cause if it gives up. Calls pass organisation and rank to the dispatcher; its refusals over_share become code overloaded, not run, with the dispatcher's Retry-After and a log line. Prompts that an engine may have begun to run, and such calls, say so and are not refused for their share.

--- a/api/entry.go
+++ b/api/entry.go
@@ -258,6 +258,14 @@
 	// Remaining is the time left until the deadline of the request. It is a duration because the
 	// clocks of two instances need not agree.
 	Remaining time.Duration
+	// Organisation is the name of the organisation that sent the prompt, Rank the rank that the configuration document
+	// gives it. Entries of versions before these fields neither send nor read them; their prompts count for an
+	// organisation of their own, of rank 0.
+	Organisation string
+	Rank         int
+	// SentBefore is true for a prompt that an engine may have begun to run. It is not refused for the share of its
+	// organisation.
+	SentBefore bool
 }
 
 // AskReply is the reply to the net/rpc call Ask.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -52,6 +52,8 @@
 	// Rank is the organisation's urgency.
 	Organisation string
 	Rank         apportioner.Rank
+	// SentBefore is true for a prompt that an engine may have begun to run. It is not refused as OverShare.
+	SentBefore bool
 }
 
 // GrantReply is the reply to a GrantRequest.
--- a/keeper/share.go
+++ b/keeper/share.go
@@ -47,9 +47,8 @@
 
 // Share describes the decision on an ask that was refused as OverShare.
 type Share struct {
-	// Ahead is the organisation whose waiting ask goes first, and AheadRank its rank.
-	Ahead     string
-	AheadRank apportioner.Rank
+	// Ahead is the organisation whose waiting ask goes first.
+	Ahead string
 	// Use and AheadUse are the uses of the engine by the organisation that asked and by Ahead, where 1 is the
 	// whole engine.
 	Use, AheadUse float64
@@ -174,6 +173,9 @@
 // which goes first and for which there would be no room any more. While there is room for all, or no other organisation
 // waits, it never does.
 func (k *Keeper) checkShare(now time.Time, r GrantRequest) (Share, bool) {
+	if r.SentBefore {
+		return Share{}, false
+	}
 	queues := k.queuesBeside(r)
 	if len(queues) == 0 {
 		return Share{}, false
@@ -195,7 +197,7 @@
 		return Share{}, false
 	}
 	return Share{
-		Ahead: ahead.key.organisation, AheadRank: ahead.key.rank, Use: sumOf(uses, r.Organisation),
+		Ahead: ahead.key.organisation, Use: sumOf(uses, r.Organisation),
 		AheadUse: sumOf(uses, ahead.key.organisation), Waiting: len(k.waiting),
 	}, true
 }
--- a/keeper/share_test.go
+++ b/keeper/share_test.go
@@ -191,6 +191,28 @@
 	is.True(memory >= 0.75)
 }
 
+// Guards against a prompt that an engine has begun to answer and that is refused as if it were new, and against an ask
+// that is refused though there is room for all.
+func TestPromptSentBeforeIsNotRefused(t *testing.T) {
+	withFastPrefill(t)
+	is := is.New(t)
+	now := time.Now()
+	k := keeper.New(config)
+	k.RecordLoadAndHolds(now, load, nil)
+	ask := func(id, organisation string, tokens int, sentBefore bool) keeper.Reason {
+		r := newRequest(id, tokens)
+		r.Organisation, r.SentBefore = organisation, sentBefore
+		return k.RequestGrant(now, r).Reason
+	}
+	is.Equal(ask("a", "greedy", 800, false), keeper.MemoryFree)
+	is.Equal(ask("b", "small", 250, false), keeper.MemoryFull)
+	is.Equal(ask("c", "greedy", 100, false), keeper.OverShare)
+	is.Equal(k.LastShare().Ahead, "small")
+	is.Equal(ask("c", "greedy", 100, true), keeper.MemoryFree)
+	k.EndAttempt("a")
+	is.Equal(ask("d", "greedy", 100, false), keeper.MemoryFree)
+}
+
 // Guards against ranks that count only for organisations that appear after a change.
 func TestRankChangesUnderLoad(t *testing.T) {
 	withFastPrefill(t)
--- a/server/call.go
+++ b/server/call.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/apportioner"
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/tunneler"
@@ -76,13 +77,33 @@
 // data centre that have few calls of this entry in progress and on which few calls of this entry failed. It
 // returns a failure if no instance can accept the call.
 func (s *Server) placeCall(x *exchange, tried []dispatcher.Instance) (*dispatcher.Placement, *failure) {
-	p, refusal := s.callDispatcher.Place(time.Now(), dispatcher.Demand{Service: x.service.Name, Avoid: tried})
+	p, refusal := s.callDispatcher.Place(time.Now(), dispatcher.Demand{
+		Service: x.service.Name, Avoid: tried, Organisation: apportioner.NewOrganisation(x.organisation.Name), Rank: rankOf(x.organisation.Rank), SentBefore: x.unresolvedAttempts > 0,
+	})
 	if refusal == nil {
 		return p, nil
 	}
-	f := newFailure(api.CodeNoUpstream, "no instance of service %s can accept the call now", x.service.Name)
-	f.retryAfter, f.err = s.retryAfter(), refusal
-	return nil, f
+	return nil, s.callRefusal(x, refusal)
+}
+
+// reasonOverShare is the reason of a dispatcher's refusal of a call whose organisation is over its share of a service
+// that is short of capacity.
+const reasonOverShare = "over_share"
+
+// callRefusal returns the failure for a call that the dispatcher refused. Where the reason is reasonOverShare, its
+// Retry-After is the dispatcher's, or the entry's own if that is 0.
+func (s *Server) callRefusal(x *exchange, refusal *dispatcher.Refusal) *failure {
+	if refusal.Reason != reasonOverShare {
+		f := newFailure(api.CodeNoUpstream, "no instance of service %s can accept the call now", x.service.Name)
+		f.retryAfter, f.err = s.retryAfter(), refusal
+		return f
+	}
+	s.metrics.overShare.Inc(1)
+	s.logs.route.Info("over_share", zap.String("request", x.id), zap.String("organisation", x.organisation.Name), zap.Int("rank", x.organisation.Rank),
+		zap.String("service", x.service.Name), zap.Duration("retry_after_ms", refusal.RetryAfter))
+	f := newFailure(api.CodeOverloaded, "service %s is short of capacity, which is left to other organisations now", x.service.Name)
+	f.retryAfter, f.err = cmp.Or(refusal.RetryAfter, s.retryAfter()), refusal
+	return f
 }
 
 // sendCall sends a service call to the selected instance and writes the answer to the caller. It returns how
--- a/server/complete.go
+++ b/server/complete.go
@@ -52,6 +52,8 @@
 	// attempts is the number of attempts made, fruitlessAttempts that of the last ones in a row that brought
 	// the answer no further.
 	attempts, fruitlessAttempts int
+	// overShare is true if the last keeper that was asked refused because the organisation is over its share.
+	overShare bool
 	// answerStartedAt is the time of the last attempt's first accepted chunk, zero before it. After an
 	// attempt without any, it is the time at which the attempt ended.
 	answerStartedAt time.Time
@@ -223,7 +225,9 @@
 	answer := x.server.askKeeper(x.ctx, candidate.Engine, api.AskArgs{
 		Engine: candidate.Engine.Name, Model: needs.Model, AttemptID: attemptID, Class: int(needs.Class),
 		PrefillTokens: needs.PrefillTokens, MemoryTokens: needs.MemoryTokens, Remaining: x.remaining(),
+		Organisation: x.organisation.Name, Rank: x.organisation.Rank, SentBefore: x.unresolvedAttempts > 0 || c.hasBegun(),
 	})
+	c.overShare = answer.Reason == keeper.OverShare
 	x.logRoute(candidate, answer, needs)
 	return answer
 }
@@ -233,6 +237,10 @@
 	f := newFailure(api.CodeNoUpstream, "no engine serves model %s now", needs.Model)
 	switch kind {
 	case placer.NoRoom:
+		if c.overShare {
+			f = newFailure(api.CodeOverloaded, "engines of model %s are short of room, which is left to other organisations now", needs.Model)
+			break
+		}
 		f = newFailure(api.CodeOverloaded, "no engine of model %s can accept the prompt now", needs.Model)
 	case placer.TooLate:
 		f = newFailure(api.CodeNoUpstream, "no engine of model %s can answer within the time limit now", needs.Model)
--- a/server/convert.go
+++ b/server/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/apportioner"
 	"github.com/sapphireramp/sapphireramp/keeper"
 	"github.com/sapphireramp/sapphireramp/router"
 )
@@ -22,6 +23,17 @@
 	return out
 }
 
+// grantRequestFromWire converts what another entry asks of a keeper from its wire form.
+func grantRequestFromWire(args api.AskArgs) keeper.GrantRequest {
+	return keeper.GrantRequest{
+		AttemptID: args.AttemptID, Model: args.Model, Class: classFromWire(args.Class), PrefillTokens: args.PrefillTokens,
+		MemoryTokens: args.MemoryTokens, Remaining: args.Remaining, Organisation: args.Organisation, Rank: rankOf(args.Rank), SentBefore: args.SentBefore,
+	}
+}
+
+// rankOf returns the rank of requests of an organisation for which the configuration document states the given rank.
+func rankOf(documentRank int) apportioner.Rank { return apportioner.NewRank(documentRank, 0) }
+
 // queuedTokensFromWire converts queued prompt tokens, by length class, from their wire form, in which
 // trailing zeros are omitted. Elements beyond router.ClassCount, of an entry with more classes, are ignored.
 func queuedTokensFromWire(tokens []int) router.TokensByClass {
--- a/server/peers.go
+++ b/server/peers.go
@@ -102,10 +102,15 @@
 		reply.Reason = string(keeper.Leaving)
 		return reply
 	}
-	answer := k.RequestGrant(now, keeper.GrantRequest{
-		AttemptID: args.AttemptID, Model: args.Model, Class: classFromWire(args.Class), PrefillTokens: args.PrefillTokens,
-		MemoryTokens: args.MemoryTokens, Remaining: args.Remaining,
-	})
+	answer := k.RequestGrant(now, grantRequestFromWire(args))
+	if answer.Reason == keeper.OverShare {
+		share := k.LastShare()
+		c.server.metrics.overShare.Inc(1)
+		c.server.logs.keep.Info("over_share", zap.String("engine", args.Engine), zap.String("attempt", args.AttemptID),
+			zap.String("organisation", args.Organisation), zap.Int("rank", args.Rank), zap.Float64("use", share.Use),
+			zap.String("ahead", share.Ahead), zap.Float64("ahead_use", share.AheadUse),
+			zap.Int("free_tokens", k.FreeTokens()), zap.Int("waiting", share.Waiting))
+	}
 	reply.Granted, reply.Wait, reply.Reason = answer.Granted, answer.QueueWait, string(answer.Reason)
 	reply.Load = loadEstimateToWire(k.EstimateLoad(now))
 	return reply
@@ -169,8 +174,5 @@
 	now := time.Now()
 	k.RecordLoadAndHolds(now, load, []api.EngineHold{{Tokens: load.UsedTokens}})
 	engine.Load.RecordReport(now, k.EstimateLoad(now).QueuedTokens, k.FreeTokens())
-	return k.RequestGrant(now, keeper.GrantRequest{
-		AttemptID: args.AttemptID, Model: args.Model, Class: classFromWire(args.Class), PrefillTokens: args.PrefillTokens,
-		MemoryTokens: args.MemoryTokens, Remaining: args.Remaining,
-	})
+	return k.RequestGrant(now, grantRequestFromWire(args))
 }
--- a/server/server.go
+++ b/server/server.go
@@ -120,6 +120,7 @@
 	violations      tally.Scope
 	platformReads   tally.Counter
 	askFailures     tally.Counter
+	overShare       tally.Counter
 }
 
 const (
@@ -207,6 +208,7 @@
 		violations:      scope.SubScope("violations"),
 		platformReads:   scope.Counter("platform_calls"),
 		askFailures:     scope.Counter("keeper_ask_failures"),
+		overShare:       scope.Counter("over_share_refusals"),
 	}
 }
 
