server: the soak draws organisations with ranks

Nothing drew organisations or ranks at random. The callers of the soak belong to two organisations whose ranks are drawn, after the faults, so that these stay those of the seed; the document that is published under load exchanges the ranks. The checks are the same.

--- a/server/fleet_test.go
+++ b/server/fleet_test.go
@@ -277,8 +277,11 @@
 }
 
 // client returns a client that uses all entries and makes at most the given number of tries.
-func (f *testFleet) client(tries int) *client.Client {
-	c := client.Config{APIKey: testKey, MaxTries: tries, HTTPClient: f.httpClient()}
+func (f *testFleet) client(tries int) *client.Client { return f.clientOf(testKey, tries) }
+
+// clientOf returns a client like client with the API key of another organisation.
+func (f *testFleet) clientOf(key string, tries int) *client.Client {
+	c := client.Config{APIKey: key, MaxTries: tries, HTTPClient: f.httpClient()}
 	for _, e := range f.entries {
 		c.Seeds = append(c.Seeds, e.settings.Address)
 	}
--- a/server/share_test.go
+++ b/server/share_test.go
@@ -22,10 +22,10 @@
 const smallKey = "small-key"
 
 // rankedDocument returns the test document with a second organisation, named small, and the given ranks.
-func rankedDocument(revision, engines, teamRank, smallRank int) string {
+func rankedDocument(revision, engines int, comment string, teamRank, smallRank int) string {
 	team := "MaxInFlight: 500}]"
 	small := fmt.Sprintf("{Name: small, KeyDigest: %s, Models: [model], Services: [dispatch], MaxInFlight: 500, Rank: %d}]", validator.Digest([]byte(smallKey)), smallRank)
-	return strings.Replace(testDocument(revision, engines, ""), team, fmt.Sprintf("MaxInFlight: 500, Rank: %d}, ", teamRank)+small, 1)
+	return strings.Replace(testDocument(revision, engines, comment), team, fmt.Sprintf("MaxInFlight: 500, Rank: %d}, ", teamRank)+small, 1)
 }
 
 // promptLoad sends prompts of 1,800 tokens whose answers take 4 s, of which an engine of a test fleet runs 10 at a time.
@@ -76,7 +76,7 @@
 // second, with two organisations.
 func withRankedFleet(t *testing.T, teamRank, smallRank int, run func(*testFleet)) {
 	withReadyFleet(t, func(f *testFleet) {
-		f.platform.Publish([]byte(rankedDocument(2, len(f.engines), teamRank, smallRank)), false)
+		f.platform.Publish([]byte(rankedDocument(2, len(f.engines), "", teamRank, smallRank)), false)
 		time.Sleep(3 * time.Second)
 		run(f)
 	})
@@ -162,7 +162,7 @@
 		team, small := phase()
 		is.True(team.answered > 2*small.answered)
 		is.True(small.answered > 0)
-		f.platform.Publish([]byte(rankedDocument(3, len(f.engines), 2, 0)), false)
+		f.platform.Publish([]byte(rankedDocument(3, len(f.engines), "", 2, 0)), false)
 		team, small = phase()
 		is.True(small.answered > 2*team.answered)
 		is.True(team.answered > 0)
--- a/server/soak_test.go
+++ b/server/soak_test.go
@@ -45,8 +45,10 @@
 	// processLock is held while processes are ended or started. It is a channel because virtual time does
 	// not advance while a goroutine waits for a mutex.
 	processLock chan struct{}
-	outcomes    map[api.Outcome]int
-	background  sync.WaitGroup
+	// ranks are the ranks of the two organisations, in the order of their keys.
+	ranks      [2]int
+	outcomes   map[api.Outcome]int
+	background sync.WaitGroup
 }
 
 // callerSlack is how long after its time limit a caller may receive the outcome.
@@ -60,7 +62,7 @@
 	}
 	limit := time.Duration(2+n%8) * time.Second
 	start := time.Now()
-	result, err := s.client(2).Complete(context.Background(), r, client.Options{Timeout: limit}, nil)
+	result, err := s.clientOf([]string{testKey, smallKey}[n%2], 2).Complete(context.Background(), r, client.Options{Timeout: limit}, nil)
 	if took := time.Since(start); took > limit+callerSlack {
 		s.t.Errorf("request %d took %s with a limit of %s", n, took, limit)
 	}
@@ -251,6 +253,8 @@
 		s.background.Add(1)
 		go s.inject(f)
 	}
+	s.platform.Publish([]byte(rankedDocument(2, len(s.engines), "", s.ranks[0], s.ranks[1])), false)
+	time.Sleep(3 * time.Second)
 	for n := range seconds * 5 {
 		s.background.Add(1)
 		go s.sendPrompt(n)
@@ -259,10 +263,10 @@
 			go s.callAtMostOnce(n)
 		}
 		if n == seconds {
-			s.platform.Publish([]byte(testDocument(2, len(s.engines), "one")), false)
+			s.platform.Publish([]byte(rankedDocument(3, len(s.engines), "one", s.ranks[1], s.ranks[0])), false)
 		}
 		if n == seconds+1 {
-			s.platform.Publish([]byte(testDocument(2, len(s.engines), "two")), false)
+			s.platform.Publish([]byte(rankedDocument(3, len(s.engines), "two", s.ranks[1], s.ranks[0])), false)
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
@@ -279,7 +283,9 @@
 	runs := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		faults := generateFaults(rt, *soakSeconds)
-		s := &soak{outcomes: map[api.Outcome]int{}}
+		rank := rapid.IntRange(0, 9)
+		ranks := [2]int{rank.Draw(rt, "rank of team"), rank.Draw(rt, "rank of small")}
+		s := &soak{ranks: ranks, outcomes: map[api.Outcome]int{}}
 		runs++
 		ok := t.Run(fmt.Sprintf("run%d", runs), func(t *testing.T) {
 			withTestFleet(t, 3, 3, func(f *testFleet) {
