keeper: an ask while many wait takes less time

An ask compared all uses of all organisations with each other while room was short. Uses are kept by organisation, and ranks are compared once.

--- a/keeper/share.go
+++ b/keeper/share.go
@@ -39,10 +39,32 @@
 	isLate bool
 }
 
-// useKey selects the use of one organisation by prompts of one rank.
-type useKey struct {
-	organisation string
-	rank         apportioner.Rank
+// rankUse is the use of one organisation by prompts of one rank.
+type rankUse struct {
+	rank   apportioner.Rank
+	amount float64
+}
+
+// useTable holds the uses of an engine by organisation, in any order of ranks.
+type useTable map[string][]rankUse
+
+func (u useTable) add(organisation string, rank apportioner.Rank, amount float64) {
+	for i, x := range u[organisation] {
+		if x.rank == rank {
+			u[organisation][i].amount += amount
+			return
+		}
+	}
+	u[organisation] = append(u[organisation], rankUse{rank, amount})
+}
+
+// sum returns the use of an organisation by prompts of all ranks.
+func (u useTable) sum(organisation string) float64 {
+	sum := 0.0
+	for _, x := range u[organisation] {
+		sum += x.amount
+	}
+	return sum
 }
 
 // Share describes the decision on an ask that was refused as OverShare.
@@ -73,8 +95,8 @@
 // uses returns the uses of the engine by its grants and holds, where 1 is the whole engine: the fraction of the
 // memory of each, and of the prefill rate until it is prefilled. Holds that this keeper did not grant count for the
 // organisation without a name: their owner asked an earlier keeper, or nobody.
-func (k *Keeper) uses(now time.Time) map[useKey]float64 {
-	uses := map[useKey]float64{}
+func (k *Keeper) uses(now time.Time) useTable {
+	uses := useTable{}
 	total := float64(max(1, k.memoryTokens()))
 	add := func(id string, tokens float64) {
 		p := k.prompts[id]
@@ -82,7 +104,7 @@
 		if now.Before(p.prefilledAt) {
 			use += p.prefillUse
 		}
-		uses[useKey{p.organisation, p.rank}] += use
+		uses.add(p.organisation, p.rank, use)
 	}
 	for id, g := range k.grants {
 		add(id, float64(g.memoryTokens))
@@ -157,9 +179,15 @@
 	}
 }
 
+// queueKey selects the asks of one organisation and rank.
+type queueKey struct {
+	organisation string
+	rank         apportioner.Rank
+}
+
 // queue is the asks of one organisation and rank that wait.
 type queue struct {
-	key useKey
+	key queueKey
 	// first is the ask that needs the most memory.
 	first GrantRequest
 	// memoryTokens is the memory that the asks need which were refused for lack of it, in tokens.
@@ -197,18 +225,18 @@
 		return Share{}, false
 	}
 	return Share{
-		Ahead: ahead.key.organisation, Use: sumOf(uses, r.Organisation),
-		AheadUse: sumOf(uses, ahead.key.organisation), Waiting: len(k.waiting),
+		Ahead: ahead.key.organisation, Use: uses.sum(r.Organisation),
+		AheadUse: uses.sum(ahead.key.organisation), Waiting: len(k.waiting),
 	}, true
 }
 
 // queuesBeside returns the waiting asks of other organisations; none if all of them wait for memory and there is enough
 // for all besides r.
-func (k *Keeper) queuesBeside(r GrantRequest) map[useKey]*queue {
-	queues := map[useKey]*queue{}
+func (k *Keeper) queuesBeside(r GrantRequest) map[queueKey]*queue {
+	queues := map[queueKey]*queue{}
 	tokens, late := r.MemoryTokens, false
 	for _, w := range k.waiting {
-		key := useKey{w.request.Organisation, w.request.Rank}
+		key := queueKey{w.request.Organisation, w.request.Rank}
 		if key.organisation == r.Organisation {
 			continue
 		}
@@ -238,21 +266,25 @@
 // liveQueues returns the queues of the ranks that may go before others. Of each rank, the organisation that uses least
 // is compared with those of the other ranks; where one of them goes first, the rank waits for that one. With three
 // ranks, each may go before the next and the last before the first; then none is returned, as all would be refused.
-func (k *Keeper) liveQueues(uses map[useKey]float64, queues map[useKey]*queue) []*queue {
+func (k *Keeper) liveQueues(uses useTable, queues map[queueKey]*queue) []*queue {
 	heads := map[apportioner.Rank]*queue{}
 	for _, q := range queues {
 		head := heads[q.key.rank]
-		if head == nil || sumOf(uses, q.key.organisation) < sumOf(uses, head.key.organisation) {
+		if head == nil || uses.sum(q.key.organisation) < uses.sum(head.key.organisation) {
 			heads[q.key.rank] = q
 		}
 	}
+	waits := map[apportioner.Rank]bool{}
+	for rank, head := range heads {
+		for _, other := range heads {
+			if other.key.organisation != head.key.organisation && k.goesFirst(uses, other.first, head.first) {
+				waits[rank] = true
+			}
+		}
+	}
 	var live []*queue
 	for _, q := range queues {
-		head, waits := heads[q.key.rank], false
-		for rank, other := range heads {
-			waits = waits || rank != q.key.rank && other.key.organisation != head.key.organisation && k.goesFirst(uses, other.first, head.first)
-		}
-		if !waits {
+		if !waits[q.key.rank] {
 			live = append(live, q)
 		}
 	}
@@ -284,20 +316,18 @@
 // organisations of equal rank, the one that uses less goes first, whatever the size of its prompt, as a long prompt
 // would otherwise never find room beside short ones. A less urgent one goes first only while it would not use more
 // than a quarter with its prompt.
-func (k *Keeper) goesFirst(uses map[useKey]float64, w, r GrantRequest) bool {
+func (k *Keeper) goesFirst(uses useTable, w, r GrantRequest) bool {
 	step := minUse
 	if w.Rank > r.Rank {
 		step = k.cost(w)
 	}
 	var pair apportioner.Uses
 	waiter, asker := apportioner.Organisation(1), apportioner.Organisation(2)
-	for key, amount := range uses {
-		switch key.organisation {
-		case w.Organisation:
-			pair.Add(waiter, key.rank, amount)
-		case r.Organisation:
-			pair.Add(asker, key.rank, amount)
-		}
+	for _, x := range uses[w.Organisation] {
+		pair.Add(waiter, x.rank, x.amount)
+	}
+	for _, x := range uses[r.Organisation] {
+		pair.Add(asker, x.rank, x.amount)
 	}
 	capacity := pair.Total() + step
 	pair.Add(asker, r.Rank, k.cost(r))
@@ -306,18 +336,7 @@
 
 // Use returns the use of the engine by an organisation, where 1 is the whole engine.
 func (k *Keeper) Use(now time.Time, organisation string) float64 {
-	return sumOf(k.uses(now), organisation)
-}
-
-// sumOf returns the use of an organisation by prompts of all ranks.
-func sumOf(uses map[useKey]float64, organisation string) float64 {
-	sum := 0.0
-	for key, amount := range uses {
-		if key.organisation == organisation {
-			sum += amount
-		}
-	}
-	return sum
+	return k.uses(now).sum(organisation)
 }
 
 // removeEndedPrompts forgets the attempts that have neither a grant nor a listed hold.
--- a/keeper/share_test.go
+++ b/keeper/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -232,3 +233,26 @@
 	is.True(uses[0][0] > 3*uses[0][1])
 	is.True(uses[1][1] > 3*uses[1][0])
 }
+
+// Guards against room that stays unused because all that wait leave it to each other: organisations of three ranks, of
+// which each may go before the next, and more organisations than prompts that fit.
+func TestRoomIsUsedByManyOrganisations(t *testing.T) {
+	withFastPrefill(t)
+	is := is.New(t)
+	var three, many []traffic
+	for rank := range 3 {
+		three = append(three, short(fmt.Sprint("rank-", rank), rank, 30))
+	}
+	for i := range 40 {
+		many = append(many, short(fmt.Sprint("equal-", i), 0, 2))
+	}
+	served, memory := run(three, nil)
+	t.Logf("served %.2f, memory %.2f", served, memory)
+	is.True(memory >= 0.82)
+	is.True(served[0] > served[2])
+	served, memory = run(many, nil)
+	t.Logf("served %.2f, memory %.2f", served, memory)
+	is.True(memory >= 0.82)
+	is.True(slices.Min(served) > 0.1)
+	is.True(slices.Max(served) < 0.45)
+}
