server, keeper: owners tell new keepers whose their holds are

A keeper that had just taken over an engine counted its holds without an organisation until they ended, and shards of groups always. An entry tells the keeper of an engine, by the new call Describe, whose those of its holds are that it did not grant: with the check for due renewals, until it succeeds.

Test: a group's shards are known to the keepers of three engines after 4 s, and to the entry that becomes their keeper when the other is killed; it fails without describeHolds.

--- a/api/entry.go
+++ b/api/entry.go
@@ -284,6 +284,24 @@
 	Load LoadDigest
 }
 
+// DescribeArgs holds the arguments of the net/rpc call Describe, by which an entry tells the keeper of an engine whose its
+// holds there are. It is made for holds that the keeper did not grant, as it has just become the keeper.
+type DescribeArgs struct {
+	Engine string
+	Holds  []DescribedHold
+}
+
+// DescribedHold is the organisation, and its rank, that a hold is for.
+type DescribedHold struct {
+	ID           string
+	Organisation string
+	Rank         int
+}
+
+// DescribeReply is the reply to the net/rpc call Describe. Keeper is false if the called entry is not the keeper of the
+// engine.
+type DescribeReply struct{ Keeper bool }
+
 // LoadDigest is a summary of the load of one engine, as estimated by its keeper.
 type LoadDigest struct {
 	Engine      string
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -116,7 +116,7 @@
 	// grants are the grants by attempt ID. No ID is in both grants and holds.
 	grants map[string]grant
 	// prompts holds what is known of the attempts in grants and holds, by attempt ID. Holds that an earlier keeper
-	// granted, and those of groups, are not in it.
+	// granted, and those of groups, are in it once their owner has described them.
 	prompts map[string]prompt
 	// waiting holds the asks that were refused lately for lack of room, by attempt ID. None of them is in grants.
 	waiting map[string]waitingAsk
@@ -206,7 +206,6 @@
 func (k *Keeper) reset() {
 	clear(k.grants)
 	clear(k.holds)
-	clear(k.prompts)
 	clear(k.waiting)
 	k.listed, k.lastReportAt = false, time.Time{}
 	k.backlog = [router.ClassCount]float64{}
--- a/keeper/share.go
+++ b/keeper/share.go
@@ -94,7 +94,7 @@
 
 // uses returns the uses of the engine by its grants and holds, where 1 is the whole engine: the fraction of the
 // memory of each, and of the prefill rate until it is prefilled. Holds that this keeper did not grant count for the
-// organisation without a name: their owner asked an earlier keeper, or nobody.
+// organisation without a name until RecordOwner.
 func (k *Keeper) uses(now time.Time) useTable {
 	uses := useTable{}
 	total := float64(max(1, k.memoryTokens()))
@@ -339,6 +339,14 @@
 	return k.uses(now).sum(organisation)
 }
 
+// RecordOwner records the organisation and rank of a hold that this keeper did not grant. The engine may not have listed
+// the hold yet.
+func (k *Keeper) RecordOwner(id, organisation string, rank apportioner.Rank) {
+	if _, ok := k.prompts[id]; !ok {
+		k.prompts[id] = prompt{organisation: organisation, rank: rank}
+	}
+}
+
 // removeEndedPrompts forgets the attempts that have neither a grant nor a listed hold.
 func (k *Keeper) removeEndedPrompts() {
 	for id := range k.prompts {
--- a/keeper/share_test.go
+++ b/keeper/share_test.go
@@ -214,6 +214,20 @@
 	is.Equal(ask("d", "greedy", 100, false), keeper.MemoryFree)
 }
 
+// Guards against a keeper that forgets what it was told of holds before the engine listed them.
+func TestOwnerToldBeforeListing(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	k := keeper.New(config)
+	k.RecordOwner("a", "team", 0)
+	k.RecordOwner("gone", "team", 0)
+	k.RecordLoadAndHolds(now, load, []api.EngineHold{{ID: "a", Tokens: 300}, {ID: "b", Tokens: 200}})
+	is.Equal(k.Use(now, "team"), 0.3)
+	is.Equal(k.Use(now, ""), 0.2)
+	k.RecordOwner("b", "other", 0)
+	is.Equal(k.Use(now, "other"), 0.2)
+}
+
 // Guards against ranks that count only for organisations that appear after a change.
 func TestRankChangesUnderLoad(t *testing.T) {
 	withFastPrefill(t)
--- a/server/complete.go
+++ b/server/complete.go
@@ -54,6 +54,8 @@
 	attempts, fruitlessAttempts int
 	// overShare is true if the last keeper that was asked refused because the organisation is over its share.
 	overShare bool
+	// grantedBy names the keeper that last answered; empty if the last one that was asked did not.
+	grantedBy string
 	// answerStartedAt is the time of the last attempt's first accepted chunk, zero before it. After an
 	// attempt without any, it is the time at which the attempt ended.
 	answerStartedAt time.Time
@@ -142,7 +144,7 @@
 	if f != nil {
 		return f
 	}
-	return c.runAttempt(c.x.ctx, engineAttempt{engine: engine, attemptID: attemptID})
+	return c.runAttempt(c.x.ctx, engineAttempt{engine: engine, attemptID: attemptID, keeper: c.grantedBy})
 }
 
 // hasBegun reports whether the answer has begun. Its caller can't do better elsewhere then: the answer would begin
@@ -222,11 +224,15 @@
 
 func (c *completion) askKeeper(candidate router.Candidate, needs router.Requirements, attemptID string) keeper.GrantReply {
 	x := c.x
-	answer := x.server.askKeeper(x.ctx, candidate.Engine, api.AskArgs{
+	answer, byKeeper := x.server.askKeeper(x.ctx, candidate.Engine, api.AskArgs{
 		Engine: candidate.Engine.Name, Model: needs.Model, AttemptID: attemptID, Class: int(needs.Class),
 		PrefillTokens: needs.PrefillTokens, MemoryTokens: needs.MemoryTokens, Remaining: x.remaining(),
 		Organisation: x.organisation.Name, Rank: x.organisation.Rank, SentBefore: x.unresolvedAttempts > 0 || c.hasBegun(),
 	})
+	c.grantedBy = ""
+	if byKeeper {
+		c.grantedBy = candidate.Engine.Keeper
+	}
 	c.overShare = answer.Reason == keeper.OverShare
 	x.logRoute(candidate, answer, needs)
 	return answer
--- a/server/group.go
+++ b/server/group.go
@@ -71,7 +71,7 @@
 		return nil, f
 	}
 	group := reserver.New(shards)
-	held, unreachable := s.runReservation(ctx, group, onLost)
+	held, unreachable := s.runReservation(ctx, group, ownHold{isShard: true, onLost: onLost, organisation: x.organisation.Name, rank: x.organisation.Rank})
 	if held {
 		s.logs.route.Info("group", zap.String("request", x.id), zap.Int("tokens", needs.MemoryTokens), zap.Strings("engines", engineNames(shards)))
 		return group, nil
@@ -143,8 +143,8 @@
 
 // runReservation reserves or releases shards, as group.Next requires, and reports the results to group. It
 // returns held as true once all shards are held, and as false once none is. Unreachable is the name of the
-// engine that did not reply, if that is why; otherwise empty. OnLost is as for reserveGroup.
-func (s *Server) runReservation(ctx context.Context, group *reserver.Reserver, onLost func(holdLostError)) (held bool, unreachable string) {
+// engine that did not reply, if that is why; otherwise empty. Hold is registered for each shard.
+func (s *Server) runReservation(ctx context.Context, group *reserver.Reserver, hold ownHold) (held bool, unreachable string) {
 	for {
 		action := group.Next()
 		switch {
@@ -156,7 +156,7 @@
 			s.releaseShard(*action.Release)
 			group.RecordReleased()
 		default:
-			held, maybeHeld := s.reserveShard(ctx, *action.Reserve, onLost)
+			held, maybeHeld := s.reserveShard(ctx, *action.Reserve, hold)
 			if held {
 				group.RecordReserved()
 				continue
@@ -172,12 +172,12 @@
 // reserveShard requests a hold on memory for a shard from its engine and starts to renew the hold. Held
 // reports whether the engine confirmed the hold; if not, maybeHeld reports whether the engine may have made
 // it all the same, because no response arrived.
-func (s *Server) reserveShard(ctx context.Context, shard reserver.Shard, onLost func(holdLostError)) (held, maybeHeld bool) {
+func (s *Server) reserveShard(ctx context.Context, shard reserver.Shard, hold ownHold) (held, maybeHeld bool) {
 	engine, ok := s.current.Load().engineIndex.Engine(shard.Engine)
 	if !ok {
 		return false, false
 	}
-	s.registerHold(shard.Engine, shard.HoldID, ownHold{isShard: true, onLost: onLost})
+	s.registerHold(shard.Engine, shard.HoldID, hold)
 	data, err := json.Marshal(api.EngineHold{
 		ID: shard.HoldID, Owner: s.settings.Name, Incarnation: s.config.Incarnation, Kind: api.HoldGroup, Tokens: shard.Tokens,
 	})
@@ -235,7 +235,7 @@
 	s := c.x.server
 	defer func() {
 		group.ReleaseAll()
-		s.runReservation(context.Background(), group, nil)
+		s.runReservation(context.Background(), group, ownHold{})
 	}()
 	shards := group.Shards()
 	engine, ok := s.current.Load().engineIndex.Engine(shards[0].Engine)
--- a/server/peers.go
+++ b/server/peers.go
@@ -118,8 +118,8 @@
 
 // askKeeper asks the keeper of an engine, which may be this entry, whether an attempt may start, and records
 // the load in the reply. If the keeper does not reply, is not the keeper any more or has no current report of
-// the engine, askEngineDirectly decides instead.
-func (s *Server) askKeeper(ctx context.Context, engine *router.Engine, args api.AskArgs) keeper.GrantReply {
+// the engine, askEngineDirectly decides instead, and byKeeper is false.
+func (s *Server) askKeeper(ctx context.Context, engine *router.Engine, args api.AskArgs) (answer keeper.GrantReply, byKeeper bool) {
 	now := time.Now()
 	reply := api.AskReply{}
 	if engine.Keeper == s.settings.Name {
@@ -133,7 +133,7 @@
 		}
 	}
 	if !reply.Keeper || reply.Reason == string(keeper.NoReport) {
-		return s.askEngineDirectly(ctx, engine, args)
+		return s.askEngineDirectly(ctx, engine, args), false
 	}
 	if reply.Load.Engine == engine.Name {
 		engine.Load.RecordReport(now, queuedTokensFromWire(reply.Load.QueuedTokens), reply.Load.FreeTokens)
@@ -141,7 +141,7 @@
 	if reply.Reason == string(keeper.Leaving) {
 		s.recordLeaving(engine.Name, 0)
 	}
-	return keeper.GrantReply{Granted: reply.Granted, QueueWait: reply.Wait, Reason: keeper.Reason(reply.Reason)}
+	return keeper.GrantReply{Granted: reply.Granted, QueueWait: reply.Wait, Reason: keeper.Reason(reply.Reason)}, true
 }
 
 // recordLeaving records that an engine's incarnation is leaving, as reported by its keeper or by the engine,
--- a/server/renew.go
+++ b/server/renew.go
@@ -35,6 +35,11 @@
 	// onLost is called, on the control goroutine, when the engine replies to two renewals that it does not
 	// have the hold, and for a shard when its lease has passed since confirmedAt and a renewal failed.
 	onLost func(holdLostError)
+	// organisation and rank are those of the request that the hold is for. keeper names the engine's keeper that was
+	// told of them, empty if none was.
+	organisation string
+	rank         int
+	keeper       string
 	// isLost is true once onLost was called.
 	isLost bool
 }
@@ -55,7 +60,7 @@
 }
 
 // registerHold starts the periodic renewal of a hold at an engine, until unregisterHold. The caller sets
-// isShard and onLost.
+// isShard, onLost, organisation, rank and keeper.
 func (s *Server) registerHold(engine, id string, hold ownHold) {
 	hold.lastRenewed = time.Now()
 	hold.confirmedAt = hold.lastRenewed
@@ -95,6 +100,7 @@
 		for engine, ids := range due {
 			go s.renewHolds(engine, ids)
 		}
+		s.describeHolds()
 	}
 }
 
--- a/server/share_test.go
+++ b/server/share_test.go
@@ -130,6 +130,40 @@
 	is.Equal(current, api.AskArgs{Engine: "e", PrefillTokens: 7})
 }
 
+// Guards against holds that count for no organisation: the shards of a group, which no keeper grants, and holds at engines
+// whose keeper has changed.
+func TestKeepersKnowWhoseHoldsAre(t *testing.T) {
+	withReadyFleet(t, func(f *testFleet) {
+		is := is.New(t)
+		answered := make(chan struct{})
+		go func() {
+			defer close(answered)
+			_, err := f.directClient(f.entries[0], 1).Complete(context.Background(), groupPrompt(), client.Options{Timeout: 100 * time.Second}, nil)
+			is.NoErr(err)
+		}()
+		checkUses := func(entries ...*testEntry) {
+			kept := 0
+			for _, e := range entries {
+				e.server.onControl(func(c *control) {
+					for _, k := range c.keepers {
+						kept++
+						is.True(k.Use(time.Now(), "team") > 0.5)
+						is.Equal(k.Use(time.Now(), ""), 0.0)
+					}
+				})
+			}
+			is.Equal(kept, len(f.engines))
+		}
+		time.Sleep(4 * time.Second)
+		is.True(len(f.entries[1].server.keptEngines()) > 0)
+		checkUses(f.entries...)
+		f.killEntry(f.entries[1])
+		time.Sleep(8 * time.Second)
+		checkUses(f.entries[0])
+		<-answered
+	})
+}
+
 // Guards against a call that is refused for the share of its organisation and is reported as having run, or without the
 // time after which it may be tried again.
 func TestCallOverShare(t *testing.T) {
--- a/server/stream.go
+++ b/server/stream.go
@@ -33,6 +33,8 @@
 type engineAttempt struct {
 	engine    *router.Engine
 	attemptID string
+	// keeper names the entry that granted the memory; empty if none was asked or answered.
+	keeper string
 	// holdIDs are the IDs of the holds on memory for a group's shards; empty for a single engine.
 	holdIDs []string
 	// groupSize is the number of engines that prefill the prompt together; 0 for a single engine.
@@ -53,7 +55,9 @@
 	c.triedEngines = append(c.triedEngines, attempt.engine.Name)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.registerHold(attempt.engine.Name, attempt.attemptID, ownHold{onLost: func(lost holdLostError) { cancel(lost) }})
+	s.registerHold(attempt.engine.Name, attempt.attemptID, ownHold{
+		organisation: x.organisation.Name, rank: x.organisation.Rank, keeper: attempt.keeper, onLost: func(lost holdLostError) { cancel(lost) },
+	})
 	defer s.unregisterHold(attempt.engine.Name, attempt.attemptID)
 	load := attempt.engine.Load
 	prefill := int64(api.EstimatePromptTokens(len(x.completion.Prompt)))
