keeper: no engine is kept idle for prompts with short deadlines

A place in the prefill queue was kept for late prompts of an organisation that uses less, whatever their deadlines, so an organisation whose prompts have hardly more time than their prefill takes could hold the others to one prompt at a time.

--- a/keeper/share.go
+++ b/keeper/share.go
@@ -19,6 +19,9 @@
 	// maxLate is the maximum number of asks of one organisation and rank that count as waiting after they were
 	// refused as too late. They keep at most half of the queue in any case.
 	maxLate = 8
+	// minQueueWait is the length of the prefill queue below which no ask is refused to keep a place for late ones. An
+	// engine must not run out of prompts before those that wait ask again, however short the deadlines of others are.
+	minQueueWait = waitTTL
 )
 
 // prompt is what a keeper knows about an attempt to which it granted memory.
@@ -295,6 +298,9 @@
 // r. As several may come back at once, all of them together are kept a place, but no more than half of the time for which
 // each may wait, so that the engine doesn't run out of prompts to prefill.
 func (k *Keeper) delaysLate(now time.Time, r GrantRequest, q *queue) bool {
+	if k.QueueWait(now, router.Longest) < minQueueWait {
+		return false
+	}
 	for _, w := range q.late {
 		half := int(w.Remaining.Seconds() / 2 * float64(k.config.PrefillRate))
 		tokens := max(w.PrefillTokens, min(q.lateTokens, half))
--- a/keeper/share_test.go
+++ b/keeper/share_test.go
@@ -177,6 +177,17 @@
 	is.True(served[0]*60+served[1]*2 >= 0.95*alone[0]*60)
 }
 
+// Guards against an engine that is kept idle for an organisation whose prompts have too little time.
+func TestShortDeadlinesKeepNoEngineIdle(t *testing.T) {
+	is := is.New(t)
+	greedy := traffic{organisation: "greedy", perSecond: 60, tokens: 20, length: 10 * time.Millisecond, remaining: 2 * time.Second}
+	hasty := traffic{organisation: "hasty", perSecond: 5, tokens: 20, length: 10 * time.Millisecond, remaining: 210 * time.Millisecond}
+	alone, _ := run([]traffic{greedy}, nil)
+	served, _ := run([]traffic{greedy, hasty}, nil)
+	t.Logf("served %.3f, alone %.3f", served, alone)
+	is.True(served[0]*60+served[1]*5 >= 0.96*alone[0]*60)
+}
+
 // Guards against a keeper that divides wrongly after it took over an engine whose holds it did not grant, and against
 // one that grants nothing until they end.
 func TestKeeperThatTakesOver(t *testing.T) {
