--- a/dispatcher/instance.go
+++ b/dispatcher/instance.go
@@ -21,6 +21,9 @@
 	DataCentre string
 	// Slots is the number of requests that the upstream runs at the same time.
 	Slots int
+	// AssumedSlots is true where Slots is an assumption, so that the capacity of the service is unknown and
+	// not divided between organisations.
+	AssumedSlots bool
 	// ColdFor is the time for which the upstream remains cold, from when it was registered: until it has
 	// warmed up after its start it tolerates few requests. ColdUntil is the same as a time by this
 	// entry's clock; it is set by package follower, and zero in messages between entries.
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -62,6 +62,9 @@
 func (b *Dispatcher) capacity(now time.Time, service string) (capacity float64, engine *matcher.EngineProfile) {
 	usable, blocked := 0, 0
 	for _, u := range b.services[service] {
+		if u.instance.AssumedSlots {
+			return 0, nil
+		}
 		slots := max(0, u.instance.Slots)
 		if u.engine != nil {
 			slots, engine = 1, u.engine
--- a/server/peers.go
+++ b/server/peers.go
@@ -102,10 +102,15 @@
 		reply.Reason = string(keeper.Leaving)
 		return reply
 	}
-	answer := k.RequestGrant(now, keeper.GrantRequest{
-		AttemptID: args.AttemptID, Model: args.Model, Class: classFromWire(args.Class), PrefillTokens: args.PrefillTokens,
-		MemoryTokens: args.MemoryTokens, Remaining: args.Remaining,
-	})
+	answer := k.RequestGrant(now, grantRequestFromWire(args))
+	if answer.Reason == keeper.OverShare {
+		share := k.LastShare()
+		c.server.metrics.overShare.Inc(1)
+		c.server.logs.keep.Info("over_share", zap.String("engine", args.Engine), zap.String("attempt", args.AttemptID),
+			zap.String("organisation", args.Organisation), zap.Int("rank", args.Rank), zap.Float64("use", share.Use),
+			zap.String("ahead", share.Ahead), zap.Float64("ahead_use", share.AheadUse),
+			zap.Int("free_tokens", k.FreeTokens()), zap.Int("waiting", share.Waiting))
+	}
 	reply.Granted, reply.Wait, reply.Reason = answer.Granted, answer.QueueWait, string(answer.Reason)
 	reply.Load = loadEstimateToWire(k.EstimateLoad(now))
 	return reply
@@ -113,8 +118,8 @@
 
 // askKeeper asks the keeper of an engine, which may be this entry, whether an attempt may start, and records
 // the load in the reply. If the keeper does not reply, is not the keeper any more or has no current report of
-// the engine, askEngineDirectly decides instead.
-func (s *Server) askKeeper(ctx context.Context, engine *router.Engine, args api.AskArgs) keeper.GrantReply {
+// the engine, askEngineDirectly decides instead, and byKeeper is false.
+func (s *Server) askKeeper(ctx context.Context, engine *router.Engine, args api.AskArgs) (answer keeper.GrantReply, byKeeper bool) {
 	now := time.Now()
 	reply := api.AskReply{}
 	if engine.Keeper == s.settings.Name {
@@ -128,7 +133,7 @@
 		}
 	}
 	if !reply.Keeper || reply.Reason == string(keeper.NoReport) {
-		return s.askEngineDirectly(ctx, engine, args)
+		return s.askEngineDirectly(ctx, engine, args), false
 	}
 	if reply.Load.Engine == engine.Name {
 		engine.Load.RecordReport(now, queuedTokensFromWire(reply.Load.QueuedTokens), reply.Load.FreeTokens)
@@ -136,7 +141,7 @@
 	if reply.Reason == string(keeper.Leaving) {
 		s.recordLeaving(engine.Name, 0)
 	}
-	return keeper.GrantReply{Granted: reply.Granted, QueueWait: reply.Wait, Reason: keeper.Reason(reply.Reason)}
+	return keeper.GrantReply{Granted: reply.Granted, QueueWait: reply.Wait, Reason: keeper.Reason(reply.Reason)}, true
 }
 
 // recordLeaving records that an engine's incarnation is leaving, as reported by its keeper or by the engine,
@@ -169,8 +174,5 @@
 	now := time.Now()
 	k.RecordLoadAndHolds(now, load, []api.EngineHold{{Tokens: load.UsedTokens}})
 	engine.Load.RecordReport(now, k.EstimateLoad(now).QueuedTokens, k.FreeTokens())
-	return k.RequestGrant(now, keeper.GrantRequest{
-		AttemptID: args.AttemptID, Model: args.Model, Class: classFromWire(args.Class), PrefillTokens: args.PrefillTokens,
-		MemoryTokens: args.MemoryTokens, Remaining: args.Remaining,
-	})
+	return k.RequestGrant(now, grantRequestFromWire(args))
 }
--- a/server/view.go
+++ b/server/view.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"strings"
@@ -181,7 +182,7 @@
 	for _, s := range a.Document.Services {
 		for _, name := range s.Instances {
 			if u, ok := c.findUpstream(name); ok && u.Usable {
-				out = append(out, dispatcher.Instance{ID: u.Name, Service: s.Name, Address: u.Address, DataCentre: u.DataCentre, Slots: slotsPerInstance})
+				out = append(out, dispatcher.Instance{ID: u.Name, Service: s.Name, Address: u.Address, DataCentre: u.DataCentre, Slots: cmp.Or(s.Slots, slotsPerInstance), AssumedSlots: s.Slots == 0})
 			}
 		}
 	}
--- a/validator/check.go
+++ b/validator/check.go
@@ -20,6 +20,8 @@
 	minShortWeight  = 3
 	maxShortWeight  = 10
 	maxInFlight     = 1_000_000
+	maxRank         = 9
+	maxSlots        = 100_000
 	maxTimeoutLimit = 24 * time.Hour
 )
 
@@ -121,6 +123,7 @@
 	seen, instances := map[string]bool{}, map[string]bool{}
 	for i, s := range services {
 		path := fmt.Sprintf("Services[%d]", i)
+		c.checkRange(path+".Slots", s.Slots, 0, maxSlots)
 		c.checkName(path+".Name", s.Name, seen)
 		c.fieldErrors.Require(len(s.Calls) > 0, path+".Calls", len(s.Calls), "at least one call")
 		c.fieldErrors.Require(len(s.Instances) > 0, path+".Instances", len(s.Instances), "at least one instance")
@@ -173,6 +176,7 @@
 			c.fieldErrors.Require(services[s], fmt.Sprintf("%s.Services[%d]", path, j), s, "the name of a service in Services")
 		}
 		c.checkRange(path+".MaxInFlight", o.MaxInFlight, 1, maxInFlight)
+		c.checkRange(path+".Rank", o.Rank, 0, maxRank)
 	}
 }
 
--- a/validator/document.go
+++ b/validator/document.go
@@ -60,6 +60,9 @@
 	// MaxInFlight is the maximum number of the organisation's requests in flight
 	// at one entry.
 	MaxInFlight int `yaml:"MaxInFlight"`
+	// Rank is the urgency of the organisation's requests while capacity is
+	// short: 0, the default, to 9. Requests of a lower rank are served first.
+	Rank int `yaml:"Rank,omitempty"`
 }
 
 // Engine states what one engine is to serve, and its capacity. The address of
@@ -108,6 +111,10 @@
 	// Instances are the names of the instances that run the service, as in the
 	// instance list.
 	Instances []string `yaml:"Instances"`
+	// Slots is the number of calls that one instance runs at the same time; 0 if
+	// unknown. Where it is stated, calls are divided between organisations while
+	// the service is short of capacity.
+	Slots int `yaml:"Slots,omitempty"`
 	// Calls are the operations that callers may request of the service.
 	Calls []Call `yaml:"Calls"`
 }
