dispatcher: entries lend each other parts of rate limits

One busy entry of six used a sixth of an upstream's stated limit. A dispatcher with a ledger adds what it has borrowed and subtracts what it has lent, and records what it needs where no usable upstream has a free slot. The bucket fills by the part that the entry had at each time, so that a loan that ends leaves no tokens behind. Without a ledger nothing changes. No messages are sent yet.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/sapphireramp/sapphireramp/lender"
 	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/predictor"
 )
@@ -53,6 +54,8 @@
 	placingVersion int
 	// sharers are the entries that share rate limits: placingEntries and those that were so lately.
 	sharers sharers
+	// ledger holds the parts of rate limits that entries lend each other; nil if they lend none.
+	ledger *lender.Ledger
 	// rankSalt determines the order of engines with equal costs. All entries share one salt, except
 	// isolated ones, which use a random salt each.
 	rankSalt string
@@ -206,11 +209,13 @@
 // those in d.Avoid. Upstreams that recently accepted no connections are returned only where there are no
 // others.
 func (b *Dispatcher) usableUpstreams(now time.Time, d Demand) []*upstream {
-	var usable, blocked []*upstream
+	var usable, blocked, limited []*upstream
 	for _, u := range b.services[d.Service] {
 		switch {
 		case u.backpressure.isRefusing(now):
-		case b.coldWait(now, u) > 0, b.rateLimitWait(now, u) > 0:
+		case b.coldWait(now, u) > 0:
+		case b.rateLimitWait(now, u) > 0:
+			limited = append(limited, u)
 		case slices.ContainsFunc(d.Avoid, u.instance.SameIncarnation):
 		case u.health.isBlocked(now):
 			blocked = append(blocked, u)
@@ -218,6 +223,9 @@
 			usable = append(usable, u)
 		}
 	}
+	if b.ledger != nil && len(limited) > 0 {
+		b.recordRateDemand(now, limited, usable)
+	}
 	if len(usable) == 0 {
 		return blocked
 	}
--- a/dispatcher/ratelimit.go
+++ b/dispatcher/ratelimit.go
@@ -150,6 +150,8 @@
 	// of the sharers in version.
 	drawnBefore int
 	version     int
+	// use counts this entry's recent requests.
+	use rateUse
 }
 
 // sharedRate returns the number of requests per second that all entries together send to an upstream
@@ -200,6 +202,9 @@
 		return 0
 	}
 	rate := b.ownRate(now, u)
+	if b.ledger != nil {
+		rate = b.settleRate(now, u)
+	}
 	if rate == 0 {
 		shared, _ := b.sharedRate(u)
 		return time.Duration(float64(time.Second) / shared)
@@ -225,7 +230,16 @@
 // takeRateToken records that a request was placed on an upstream, which delays this entry's next one if
 // the upstream has a rate limit.
 func (b *Dispatcher) takeRateToken(now time.Time, u *upstream) {
-	if u.backpressure.rateLimit.Limit.Limited {
+	if !u.backpressure.rateLimit.Limit.Limited {
+		return
+	}
+	if b.ledger == nil {
 		u.rateShare.tokens, u.rateShare.updatedAt = max(0, u.rateShare.available(now, b.ownRate(now, u))-1), now
+		return
 	}
+	b.settleRate(now, u)
+	u.rateShare.tokens = max(0, u.rateShare.tokens-1)
+	u.rateShare.use.advance(now)
+	u.rateShare.use.current++
+	b.ledger.KeepWhatIsUsed(now, b.rateResource(u), b.rateState(now, u))
 }
--- a/lender/borrow.go
+++ b/lender/borrow.go
@@ -107,9 +107,8 @@
 
 // Asks returns the requests to send now, at most maxAsks: first renewals, then to entries that have lent nothing yet,
 // in turn. Lenders are the names of the entries that may be asked. Each request lists all resources that are needed.
-// The requests must be sent at once, as their leases begin now. Owns reports whether this entry has a part of a
-// resource of its own.
-func (l *Ledger) Asks(now time.Time, lenders []string, owns func(resource string) bool) []AddressedAsk {
+// The requests must be sent at once, as their leases begin now.
+func (l *Ledger) Asks(now time.Time, lenders []string) []AddressedAsk {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	at := l.at(now)
@@ -119,7 +118,7 @@
 			delete(l.asking.pending, id)
 		}
 	}
-	missing := l.missing(at, owns)
+	missing := l.missing(at)
 	if len(missing) == 0 {
 		return nil
 	}
@@ -165,14 +164,14 @@
 
 // missing returns the number of parts of each resource with a current demand that this entry lacks after those of its
 // loans have ended that should be renewed now; 0 for those of which it lacks nothing.
-func (l *Ledger) missing(at time.Time, owns func(string) bool) map[string]float64 {
+func (l *Ledger) missing(at time.Time) map[string]float64 {
 	out := map[string]float64{}
 	for resource, a := range l.accounts {
 		if !a.demand.isCurrent(at) {
 			continue
 		}
 		parts := a.demand.parts - sumOfParts(a.borrowed, at.Add(Lease/2))
-		if owns(resource) {
+		if a.demand.ownsPart {
 			parts -= max(0, 1-sumOfParts(a.lent, at))
 		}
 		for _, p := range l.asking.pending {
--- a/lender/ledger.go
+++ b/lender/ledger.go
@@ -81,9 +81,10 @@
 	keep time.Duration
 }
 
-// demand is what this entry needs of a resource, in parts.
+// demand is what this entry needs of a resource, in parts. OwnsPart is State.Owns.
 type demand struct {
 	parts      float64
+	ownsPart   bool
 	recordedAt time.Time
 }
 
@@ -225,16 +226,43 @@
 	return !at.Before(x.from) && at.Before(x.until.Add(window))
 }
 
-// Want records that this entry needs a number of parts of a resource, including those that it has.
-func (l *Ledger) Want(now time.Time, resource string, parts float64) {
+// Want records that this entry needs a number of parts of a resource, including those that it has. Of the numbers that
+// are recorded within half of demandTTL, the largest counts.
+func (l *Ledger) Want(now time.Time, resource string, s State, parts float64) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
+	at := l.at(now)
 	a := l.account(resource)
-	if a != nil {
-		a.demand = demand{parts: parts, recordedAt: l.at(now)}
+	if a == nil || a.demand.parts > parts && at.Sub(a.demand.recordedAt) < demandTTL/2 {
+		return
+	}
+	a.demand = demand{parts: parts, ownsPart: s.Owns, recordedAt: at}
+}
+
+// WantMore records that this entry needs more of a resource than it has: its recent use and half of that again, and at
+// least one part more.
+func (l *Ledger) WantMore(now time.Time, resource string, s State) {
+	if s.Unit > 0 {
+		l.Want(now, resource, s, min(1/s.Unit, growth*s.Used+1))
 	}
 }
 
+// KeepWhatIsUsed records that this entry needs what it uses, if that is more than its own part and loans are therefore
+// to be renewed.
+func (l *Ledger) KeepWhatIsUsed(now time.Time, resource string, s State) {
+	if needed := usedReserve * s.Used; needed > 1 && s.Unit > 0 {
+		l.Want(now, resource, s, min(1/s.Unit, needed))
+	}
+}
+
+const (
+	// growth is the factor by which a demand that is not met grows with each round of requests. Within a second an entry
+	// asks for three times as much as it has.
+	growth = 1.5
+	// usedReserve times its recent use is what an entry borrows again, so that its use can vary between two rounds.
+	usedReserve = 1.25
+)
+
 // account returns the account of a resource, nil if there are too many. The lock must be held.
 func (l *Ledger) account(resource string) *account {
 	a, ok := l.accounts[resource]
--- a/lender/ledger_test.go
+++ b/lender/ledger_test.go
@@ -151,13 +151,14 @@
 					m.checkAll()
 				}
 			},
-			"deliver": func(t *rapid.T) {
-				repeats := rapid.Bool().Draw(t, "repeats")
+			"deliver a request": func(t *rapid.T) {
 				if len(m.asks) > 0 {
-					m.deliverAsk(rapid.IntRange(0, len(m.asks)-1).Draw(t, "ask"), repeats)
+					m.deliverAsk(rapid.IntRange(0, len(m.asks)-1).Draw(t, "request"), rapid.Bool().Draw(t, "repeats"))
 				}
+			},
+			"deliver a reply": func(t *rapid.T) {
 				if len(m.grants) > 0 {
-					m.deliverGrant(rapid.IntRange(0, len(m.grants)-1).Draw(t, "grant"), repeats)
+					m.deliverGrant(rapid.IntRange(0, len(m.grants)-1).Draw(t, "reply"), rapid.Bool().Draw(t, "repeats"))
 				}
 			},
 			"lose":    func(*rapid.T) { m.asks = nil },
@@ -189,8 +190,8 @@
 	for _, other := range m.entries {
 		names = append(names, other.name)
 	}
-	e.ledger.Want(m.clock(e), "r", 4)
-	m.asks = append(m.asks, e.ledger.Asks(m.clock(e), e.ledger.Lenders(names), func(string) bool { return true })...)
+	e.ledger.Want(m.clock(e), "r", m.state(e), 4)
+	m.asks = append(m.asks, e.ledger.Asks(m.clock(e), e.ledger.Lenders(names))...)
 }
 
 // deliverAll delivers all requests and replies that are under way.
@@ -300,7 +301,7 @@
 	} {
 		l := New(now, Config{Name: "e", IsFirstStart: true})
 		if c.wants {
-			l.Want(now, "r", 2)
+			l.Want(now, "r", c.state, 2)
 		}
 		grant := l.Lend(now, ask, func(string) (State, bool) { return c.state, true })
 		if len(grant.Items) != c.expected {
@@ -314,8 +315,8 @@
 func TestLoanIsAsLargeAsAtTheLender(t *testing.T) {
 	borrower := New(epoch, Config{Name: "b", IsFirstStart: true})
 	lender := New(epoch, Config{Name: "l", IsFirstStart: true})
-	borrower.Want(epoch, "r", 3)
-	for _, a := range borrower.Asks(epoch, []string{"l"}, func(string) bool { return true }) {
+	borrower.Want(epoch, "r", State{Owns: true}, 3)
+	for _, a := range borrower.Asks(epoch, []string{"l"}) {
 		borrower.Accept(epoch, lender.Lend(epoch, a.Ask, func(string) (State, bool) { return State{Unit: 1 / 50.0, Owns: true}, true }))
 	}
 	part := borrower.Part(epoch, "r", State{Unit: 1 / 10.0, Owns: true})
