budgeter: entries lend each other parts of the base retries

Where few of many entries serve all requests, the base retries of the others are not used. A budgeter with a ledger adds what it has borrowed and subtracts what it has lent, for the window of the budget. Reserve keeps its signature. Without a ledger nothing changes. No messages are sent yet.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -1,6 +1,6 @@
-// Package budgeter limits retries. All entries share a retry budget for each service, without
-// exchanging messages about it: each entry allows itself retries in proportion to its own requests,
-// and the base number of retries divided by the number of entries. What an entry has counted is gone when
+// Package budgeter limits retries. All entries share a retry budget for each service: each entry allows itself retries in
+// proportion to its own requests, and its part of the base number of retries, which is that number divided by the number of
+// entries, plus what others lend it and less what it has lent (see package lender). What an entry has counted is gone when
 // it restarts, so each has a part of the budget that it may use at once, and one that it may use at any
 // time but only as it is added: the budget holds for all entries together however often they restart.
 package budgeter
@@ -9,6 +9,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/sapphireramp/sapphireramp/lender"
 )
 
 const (
@@ -68,6 +70,8 @@
 	// before that time may exist.
 	countsFrom       time.Duration
 	isHistoryUnknown bool
+	// ledger holds the parts of the base retries that entries lend each other; nil if they lend none.
+	ledger *lender.Ledger
 }
 
 // New returns a Budgeter for an entry that starts at the time now, where no entry has made retries before.
@@ -193,7 +197,10 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	a, elapsed := b.accountOf(now, service)
-	d := b.decide(a, elapsed, entries)
+	d := b.decide(a, service, elapsed, entries)
+	if b.ledger != nil {
+		b.recordDemand(now, service, d, b.partState(a, elapsed, entries))
+	}
 	if !d.Allowed {
 		return nil, d
 	}
@@ -238,19 +245,16 @@
 }
 
 // decide decides whether this entry may make one more retry, and updates a.stored. The lock must be held.
-func (b *Budgeter) decide(a *account, elapsed time.Duration, entries int) Decision {
+func (b *Budgeter) decide(a *account, service string, elapsed time.Duration, entries int) Decision {
 	window := b.config.Window.Seconds()
 	requests, retries, bursts := a.window.sums(elapsed - b.config.Window)
 	spent, bursts := retries+a.reservedBursts+a.reservedSteady, bursts+a.reservedBursts
-	base := 0.0
-	if entries > 0 {
-		base = float64(b.config.BaseRetries) / float64(entries)
-	}
+	base, baseAdded := b.base(a, service, elapsed, entries)
 	d := Decision{Spent: spent, Entries: entries, CountingFor: elapsed - b.countsFrom}
 	counted := min(1, d.CountingFor.Seconds()/window)
 	// Requests are known since countsFrom, a part of the first window, so that base is taken for the same part.
 	hasSteady := steadyFraction*(b.config.Ratio*float64(requests)+counted*base) >= counted*minSteady
-	a.addSteady(steadyFraction*(b.config.Ratio*float64(a.newRequests)+base*(elapsed-a.updatedAt).Seconds()/window), hasSteady)
+	a.addSteady(steadyFraction*(b.config.Ratio*float64(a.newRequests)+baseAdded/window), hasSteady)
 	a.updatedAt, a.newRequests = elapsed, 0
 
 	budget := b.config.Ratio*float64(requests) + base
