--- a/controller/controller.go
+++ b/controller/controller.go
@@ -24,6 +24,7 @@
 	"github.com/sapphireramp/sapphireramp/follower"
 	"github.com/sapphireramp/sapphireramp/forwarder"
 	"github.com/sapphireramp/sapphireramp/isolator"
+	"github.com/sapphireramp/sapphireramp/lender"
 	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/prober"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
@@ -44,7 +45,7 @@
 	DecodeConfig func([]byte) (*matcher.Table, error)
 }
 
-// Config configures a Controller. All fields are required, except that Speed may be 0.
+// Config configures a Controller. All fields are required, except that Speed may be 0, and Ledger and PartStates nil.
 type Config struct {
 	// Name identifies the entry among all entries.
 	Name       string
@@ -77,6 +78,10 @@
 	// Tunneler opens the connections to upstreams. It receives their addresses, and serves other entries as a
 	// relay on the connections that they open to this one.
 	Tunneler *tunneler.Tunneler
+	// Ledger holds the parts of quantities that entries lend each other; nil if this entry neither lends nor borrows.
+	// PartStates returns this entry's state of its parts, by the kind of resource.
+	Ledger     *lender.Ledger
+	PartStates map[string]PartStateFunc
 	// Dial opens the connections to other entries.
 	Dial  connector.DialFunc
 	Log   *zap.Logger
@@ -96,6 +101,9 @@
 	// of the store's state from peers. They are separate because a heartbeat queued
 	// behind a large reply on the same connection would arrive late.
 	heartbeatPool, fetchPool *connector.Pool
+	// lendPool holds the connections for requests for loans, to entries other than those that heartbeats go to.
+	lendPool *connector.Pool
+	lending  lending
 	// configs caches the configuration in the form in which it is sent to peers.
 	configs deflateCache
 	// snapshots caches the complete list of upstreams in that form. fetchSlots limits the fetches of it
@@ -216,7 +224,7 @@
 // exchanges heartbeats only while Run is running.
 func New(c Config) *Controller {
 	ctl := &Controller{
-		config: c, sequencer: sequencer.New[*state](), heartbeatPool: connector.NewPool(c.Dial), fetchPool: connector.NewPool(c.Dial),
+		config: c, sequencer: sequencer.New[*state](), heartbeatPool: connector.NewPool(c.Dial), fetchPool: connector.NewPool(c.Dial), lendPool: connector.NewPool(c.Dial), lending: lending{metrics: newLendingMetrics(c.Scope)},
 		heartbeatRequests: make(chan struct{}, 1), newPeers: make(chan struct{}, 1), fetchSlots: make(chan struct{}, maxServedFetches), metrics: newMetrics(c.Scope),
 	}
 	ctl.loadCounts.registerMetrics(c.Scope)
@@ -238,6 +246,9 @@
 	c.goBackground(func() { c.followStore(ctx) })
 	c.goBackground(func() { c.sendHeartbeats(ctx) })
 	c.goBackground(func() { c.sendLoadUpdates(ctx, loadSocket) })
+	if c.config.Ledger != nil {
+		c.goBackground(func() { c.borrowParts(ctx) })
+	}
 	go c.receiveLoadUpdates(loadSocket)
 	go c.servePeers(peerListener)
 	context.AfterFunc(ctx, func() {
@@ -245,6 +256,7 @@
 		_ = loadSocket.Close()
 		c.heartbeatPool.Close()
 		c.fetchPool.Close()
+		c.lendPool.Close()
 	})
 	c.sequencer.Run(ctx, s, tickPeriod, s.tick, s.publishDirty)
 	c.background.Wait()
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -26,6 +26,7 @@
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/forwarder"
 	"github.com/sapphireramp/sapphireramp/isolator"
+	"github.com/sapphireramp/sapphireramp/lender"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/tunneler"
 )
@@ -155,8 +156,12 @@
 	if c.IsFirstStart {
 		newBudgeter = budgeter.New
 	}
+	incarnation := uint64(time.Now().UnixNano())
+	ledger := lender.New(time.Now(), lender.Config{Name: c.Name, Incarnation: incarnation, IsFirstStart: c.IsFirstStart, SinceBoot: c.SinceBoot})
 	l := &Launcher{config: c, retryBudget: newBudgeter(time.Now(), c.Settings.RetryBudget), activeConns: connector.NewActiveConns(), acceptDone: make(chan struct{})}
 	l.settings.Store(&c.Settings)
+	sharedDispatcher.SetLedger(ledger)
+	l.retryBudget.SetLedger(ledger)
 	l.tunneler = tunneler.New(tunneler.Config{
 		Name: c.Name, DataCentre: c.DataCentre, Dial: c.Dial, Relays: func() []tunneler.Relay { return l.controller.Relays() },
 		OnCutOff: func(lastContact time.Time) {
@@ -171,8 +176,14 @@
 	// on a closed connection can't be distinguished from one that the engine refused.
 	reservationHTTPClient := &http.Client{Transport: &http.Transport{DialContext: l.tunneler.Dial, DisableKeepAlives: true}}
 	l.controller = controller.New(controller.Config{
-		Name: c.Name, DataCentre: c.DataCentre, Incarnation: uint64(time.Now().UnixNano()), IsFirstStart: c.IsFirstStart,
+		Name: c.Name, DataCentre: c.DataCentre, Incarnation: incarnation, IsFirstStart: c.IsFirstStart,
 		CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, LoadAddress: c.LoadAddress, Store: c.Store, MaxPropagation: c.MaxPropagation, Speed: c.Speed, SinceBoot: c.SinceBoot, Dispatcher: sharedDispatcher, Quarantine: quarantine, Isolator: partIsolator, Tunneler: l.tunneler, Dial: c.Dial,
+		Ledger: ledger, PartStates: map[string]controller.PartStateFunc{
+			dispatcher.RateResource: sharedDispatcher.RatePart,
+			budgeter.RetryResource: func(now time.Time, resource string) (lender.State, bool) {
+				return l.retryBudget.PartState(now, resource, l.controller.View().RetryBudgetEntries)
+			},
+		},
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	l.forwarder = forwarder.New(forwarder.Config{
