--- a/lender/ledger.go
+++ b/lender/ledger.go
@@ -239,11 +239,10 @@
 	a.demand = demand{parts: parts, ownsPart: s.Owns, recordedAt: at}
 }
 
-// WantMore records that this entry needs more of a resource than it has: its recent use and half of that again, and at
-// least one part more.
+// WantMore records that this entry needs more of a resource than it has: half of that again, and at least one part more.
 func (l *Ledger) WantMore(now time.Time, resource string, s State) {
 	if s.Unit > 0 {
-		l.Want(now, resource, s, min(1/s.Unit, growth*s.Used+1))
+		l.Want(now, resource, s, min(1/s.Unit, growth*l.Part(now, resource, s)/s.Unit+1))
 	}
 }
 
