--- a/budgeter/lease_test.go
+++ b/budgeter/lease_test.go
@@ -141,7 +141,7 @@
 func TestRetryBudgetHoldsWhileEntriesLend(t *testing.T) {
 	most := 0.0
 	for seed := range uint64(20) {
-		f := newLendingFleet(6, budgeter.Config{Ratio: 0.01, Window: 10 * time.Second, BaseRetries: 100})
+		f := newLendingFleet(6, budgeter.Config{Ratio: 0.005, Window: 10 * time.Second, BaseRetries: 200})
 		f.random = rand.New(rand.NewPCG(seed, 2))
 		busy, cut := 0, 6
 		turn := 30 + int(seed)*10 // steps of 50 ms
@@ -154,7 +154,7 @@
 			}
 			for i := range f.entries {
 				if (i == busy) == (n/turn%2 == 0) {
-					f.request(i, 2)
+					f.request(i, 3)
 				}
 			}
 		})
