--- a/controller/lending.go
+++ b/controller/lending.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -21,8 +23,6 @@
 	// lendTimeout is the timeout of a request for loans and its reply. A reply that takes longer is lost for the
 	// borrower, while the lender counts its loans.
 	lendTimeout = 400 * time.Millisecond
-	// PlaceResource is the kind of the resources of promised return times in a lender.Ledger.
-	PlaceResource = "places"
 )
 
 // PartStateFunc returns this entry's state of its part of a resource; false if there is none.
@@ -48,13 +48,13 @@
 }
 
 // record sets the gauges of the parts lent and borrowed, by the kind of resource.
-func (m lendingMetrics) record(totals []lender.Totals) {
+func (m lendingMetrics) record(kinds []string, totals []lender.Totals) {
 	lent, borrowed := map[string]float64{}, map[string]float64{}
 	for _, t := range totals {
 		lent[kindOf(t.Resource)] += t.Lent
 		borrowed[kindOf(t.Resource)] += t.Borrowed
 	}
-	for _, kind := range []string{"rate", "retries", PlaceResource} {
+	for _, kind := range kinds {
 		scope := m.scope.Tagged(map[string]string{"resource": kind})
 		scope.Gauge("quota_lent").Update(lent[kind])
 		scope.Gauge("quota_borrowed").Update(borrowed[kind])
@@ -71,6 +71,7 @@
 func (c *Controller) borrowParts(ctx context.Context) {
 	tick := time.NewTicker(lendPeriod)
 	defer tick.Stop()
+	kinds := slices.Collect(maps.Keys(c.config.PartStates))
 	for {
 		select {
 		case <-ctx.Done():
@@ -78,7 +79,7 @@
 		case <-tick.C:
 		}
 		c.askForParts()
-		c.lending.metrics.record(c.config.Ledger.Totals(time.Now()))
+		c.lending.metrics.record(kinds, c.config.Ledger.Totals(time.Now()))
 	}
 }
 
--- a/dispatcher/ratelease.go
+++ b/dispatcher/ratelease.go
@@ -58,6 +58,19 @@
 	return name
 }
 
+// SharingEntries returns the number of entries that share what the placing entries divide equally, by the same rules as for
+// rate limits; 0 if this entry is not one of them or does not know how many there are. IsPlacing is true if this entry
+// places requests now, and not only did so lately; otherwise it must lend nothing.
+func (b *Dispatcher) SharingEntries(now time.Time) (entries int, isPlacing bool) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	if !b.isSharing(now) {
+		return 0, false
+	}
+	_, isPlacing = slices.BinarySearch(b.placingEntries, b.name)
+	return len(b.sharers.names), isPlacing
+}
+
 // rateState returns the state of this entry's part of an upstream's rate limit. The lock must be held.
 func (b *Dispatcher) rateState(now time.Time, u *upstream) lender.State {
 	perSecond, senders := b.sharedRate(u)
--- a/dispatcher/ratelimit.go
+++ b/dispatcher/ratelimit.go
@@ -162,13 +162,8 @@
 }
 
 // ownRate returns this entry's part of sharedRate, in requests per second; 0 if the entry is not drawn.
-// An entry that has just started or lost contact with all others does not know how many send requests,
-// and sends none.
 func (b *Dispatcher) ownRate(now time.Time, u *upstream) float64 {
-	if _, ok := b.sharers.placedAt[b.name]; !ok {
-		return 0
-	}
-	if b.isolated && now.Sub(b.isolatedAt) < sharerTTL {
+	if !b.isSharing(now) {
 		return 0
 	}
 	perSecond, senders := b.sharedRate(u)
@@ -178,6 +173,13 @@
 	return perSecond / float64(senders)
 }
 
+// isSharing reports whether this entry is one of the sharers and knows how many there are. An entry that has
+// just started or lost contact with all others does not know how many send requests, and sends none.
+func (b *Dispatcher) isSharing(now time.Time) bool {
+	_, ok := b.sharers.placedAt[b.name]
+	return ok && !(b.isolated && now.Sub(b.isolatedAt) < sharerTTL)
+}
+
 // drawnBefore returns the number of sharers that are drawn before this entry to send requests to an
 // upstream.
 func (b *Dispatcher) drawnBefore(u *upstream) int {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -183,6 +183,13 @@
 			budgeter.RetryResource: func(now time.Time, resource string) (lender.State, bool) {
 				return l.retryBudget.PartState(now, resource, l.controller.View().RetryBudgetEntries)
 			},
+			lender.PlaceResource: func(now time.Time, resource string) (lender.State, bool) {
+				entries, isPlacing := sharedDispatcher.SharingEntries(now)
+				if !isPlacing {
+					return lender.State{}, false
+				}
+				return ledger.PlaceState(now, resource, entries)
+			},
 		},
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
--- a/lender/ledger.go
+++ b/lender/ledger.go
@@ -104,11 +104,13 @@
 	bootAtStart time.Duration
 	accounts    map[string]*account
 	asking      asking
+	// places holds what Places was told last, by resource.
+	places map[string]placeReport
 }
 
 // New returns a Ledger without loans for an entry that starts at the time now.
 func New(now time.Time, c Config) *Ledger {
-	l := &Ledger{config: c, startedAt: now, accounts: map[string]*account{}, asking: newAsking()}
+	l := &Ledger{config: c, startedAt: now, accounts: map[string]*account{}, asking: newAsking(), places: map[string]placeReport{}}
 	if c.SinceBoot != nil {
 		l.bootAtStart = c.SinceBoot()
 	}
