--- a/budgeter/lease_test.go
+++ b/budgeter/lease_test.go
@@ -70,7 +70,7 @@
 // is lost.
 func (f *lendingFleet) lend(lost func(i int) bool) {
 	for _, e := range f.entries {
-		for _, a := range e.ledger.Asks(f.now, e.ledger.Lenders(f.names)) {
+		for _, a := range e.ledger.Asks(f.now, f.names) {
 			for i, other := range f.entries {
 				if f.names[i] != a.Lender || lost(i) {
 					continue
--- a/controller/lending.go
+++ b/controller/lending.go
@@ -84,20 +84,20 @@
 }
 
 // askForParts sends the requests for loans of one round. It does not wait for the replies, which are processed as they
-// arrive: at most four in a round, with a timeout.
+// arrive: at most six in a round, with a timeout.
 func (c *Controller) askForParts() {
 	if !c.config.Ledger.Needs(time.Now()) {
 		return
 	}
-	var lenders []string
+	var names []string
 	addresses := map[string]netip.AddrPort{}
 	for _, p := range c.current.Load().peers {
 		if !p.dead && !p.stopping {
-			lenders = append(lenders, p.name)
+			names = append(names, p.name)
 			addresses[p.name] = p.address
 		}
 	}
-	for _, a := range c.config.Ledger.Asks(time.Now(), c.config.Ledger.Lenders(lenders)) {
+	for _, a := range c.config.Ledger.Asks(time.Now(), names) {
 		c.lending.metrics.asks.Inc(1)
 		go c.ask(a, addresses[a.Lender])
 	}
--- a/dispatcher/ratelease.go
+++ b/dispatcher/ratelease.go
@@ -1,11 +1,13 @@
 package dispatcher
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/sapphireramp/sapphireramp/assigner"
 	"github.com/sapphireramp/sapphireramp/lender"
 )
 
@@ -71,6 +73,34 @@
 	return len(b.sharers.names), isPlacing
 }
 
+// drawnSharers holds the entries that share a rate limit, sorted, for a version of the sharers and a number of senders.
+type drawnSharers struct {
+	names            []string
+	version, senders int
+}
+
+// drawnSharers returns the names of the entries that share an upstream's rate limit, sorted; nil if all do. The lock must be
+// held.
+func (b *Dispatcher) drawnSharers(u *upstream, senders int) []string {
+	if senders == len(b.sharers.names) {
+		return nil
+	}
+	d := &u.rateShare.drawn
+	if d.names == nil || d.version != b.sharers.version || d.senders != senders {
+		key := strconv.FormatUint(uint64(u.compactID), 16)
+		weights := make(map[string]uint64, len(b.sharers.names))
+		for _, name := range b.sharers.names {
+			weights[name] = assigner.Weight(name, key)
+		}
+		names := slices.Clone(b.sharers.names)
+		slices.SortFunc(names, func(x, y string) int { return cmp.Compare(weights[y], weights[x]) })
+		names = names[:senders]
+		slices.Sort(names)
+		*d = drawnSharers{names: names, version: b.sharers.version, senders: senders}
+	}
+	return d.names
+}
+
 // rateState returns the state of this entry's part of an upstream's rate limit. The lock must be held.
 func (b *Dispatcher) rateState(now time.Time, u *upstream) lender.State {
 	perSecond, senders := b.sharedRate(u)
@@ -138,6 +168,14 @@
 		}
 	}
 	for _, u := range limited {
-		b.ledger.WantMore(now, b.rateResource(u), b.rateState(now, u))
+		b.ledger.WantMore(now, b.rateResource(u), b.rateDemand(now, u))
 	}
 }
+
+// rateDemand returns the state with which a demand is recorded: that of rateState, with the entries to ask.
+func (b *Dispatcher) rateDemand(now time.Time, u *upstream) lender.State {
+	s := b.rateState(now, u)
+	_, senders := b.sharedRate(u)
+	s.Sharers = b.drawnSharers(u, senders)
+	return s
+}
--- a/dispatcher/ratelimit.go
+++ b/dispatcher/ratelimit.go
@@ -150,6 +150,8 @@
 	// of the sharers in version.
 	drawnBefore int
 	version     int
+	// drawn caches the entries that share the limit.
+	drawn drawnSharers
 	// use counts this entry's recent requests.
 	use rateUse
 }
@@ -243,5 +245,5 @@
 	u.rateShare.tokens = max(0, u.rateShare.tokens-1)
 	u.rateShare.use.advance(now)
 	u.rateShare.use.current++
-	b.ledger.KeepWhatIsUsed(now, b.rateResource(u), b.rateState(now, u))
+	b.ledger.KeepWhatIsUsed(now, b.rateResource(u), b.rateDemand(now, u))
 }
--- a/lender/borrow.go
+++ b/lender/borrow.go
@@ -1,6 +1,7 @@
 package lender
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
 	"slices"
@@ -9,8 +10,9 @@
 
 const (
 	// maxAsks is the maximum number of requests for loans in a round; the caller starts a round each 250 ms. An entry
-	// then holds loans of up to 32 others, each renewed at half of its lease.
-	maxAsks = 4
+	// then holds loans of up to maxLenders others, each renewed at half of its lease. With 4, one busy entry of 58 had
+	// 0.50 of a limit, as it held loans of 32.
+	maxAsks = 6
 	// maxLenders is the maximum number of other entries that an entry asks, so that its connections do not grow with
 	// the fleet. Each entry asks others, so that all of them are asked by some.
 	maxLenders = 48
@@ -55,30 +57,57 @@
 	Ask    Ask
 }
 
-// Lenders returns those of the given entries that this entry may ask, at most maxLenders. They are drawn by a hash
-// over the names of both.
-func (l *Ledger) Lenders(names []string) []string {
+// lendersOf returns those of the entries with the given names that this entry may ask for what is missing, at most
+// maxLenders of all entries and as many of the sharers of each resource that not all share.
+func (l *Ledger) lendersOf(names []string, missing map[string]float64) []string {
+	var out []string
+	add := func(isSharer func(name string) bool) {
+		for _, name := range l.draw(names, isSharer) {
+			if !slices.Contains(out, name) {
+				out = append(out, name)
+			}
+		}
+	}
+	needsAll := false
+	for resource := range missing {
+		if sharers := l.accounts[resource].demand.sharers; sharers != nil {
+			add(func(name string) bool { return isSharer(sharers, name) })
+		} else {
+			needsAll = true
+		}
+	}
+	if needsAll {
+		add(func(string) bool { return true })
+	}
+	return out
+}
+
+// isSharer reports whether an entry shares a resource that has the given sharers.
+func isSharer(sharers []string, name string) bool {
+	_, found := slices.BinarySearch(sharers, name)
+	return sharers == nil || found
+}
+
+// draw returns at most maxLenders of the given names, without this entry's own, for which allowed returns true. They
+// are drawn by a hash over the names of both entries.
+func (l *Ledger) draw(names []string, allowed func(name string) bool) []string {
 	type drawn struct {
 		name   string
 		weight uint64
 	}
 	all := make([]drawn, 0, len(names))
 	for _, name := range names {
-		if name != l.config.Name {
+		if name != l.config.Name && allowed(name) {
 			h := fnv.New64a()
 			_, _ = h.Write([]byte(l.config.Name + " " + name))
 			all = append(all, drawn{name, scramble(h.Sum64())})
 		}
 	}
-	slices.SortFunc(all, func(a, b drawn) int {
-		if a.weight < b.weight {
-			return -1
-		}
-		return 1
-	})
-	out := make([]string, 0, min(maxLenders, len(all)))
-	for _, d := range all[:min(maxLenders, len(all))] {
-		out = append(out, d.name)
+	slices.SortFunc(all, func(a, b drawn) int { return cmp.Compare(a.weight, b.weight) })
+	all = all[:min(maxLenders, len(all))]
+	out := make([]string, len(all))
+	for i, d := range all {
+		out[i] = d.name
 	}
 	return out
 }
@@ -106,9 +135,9 @@
 }
 
 // Asks returns the requests to send now, at most maxAsks: first renewals, then to entries that have lent nothing yet,
-// in turn. Lenders are the names of the entries that may be asked. Each request lists all resources that are needed.
+// in turn. Names are those of all entries that run. Each request lists all resources that are needed.
 // The requests must be sent at once, as their leases begin now.
-func (l *Ledger) Asks(now time.Time, lenders []string) []AddressedAsk {
+func (l *Ledger) Asks(now time.Time, names []string) []AddressedAsk {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	at := l.at(now)
@@ -122,6 +151,7 @@
 	if len(missing) == 0 {
 		return nil
 	}
+	lenders := l.lendersOf(names, missing)
 	var out []AddressedAsk
 	ask := func(name string) {
 		if items := l.itemsFor(at, name, missing); len(items) > 0 {
@@ -201,6 +231,9 @@
 	}
 	var items []AskItem
 	for resource, parts := range missing {
+		if !isSharer(l.accounts[resource].demand.sharers, lender) {
+			continue
+		}
 		isFresh := func(x loan) bool { return x.other == lender && x.until.Sub(at) > Lease/2 }
 		if parts < minLoan || len(items) == maxItems || slices.ContainsFunc(l.accounts[resource].borrowed, isFresh) {
 			continue
--- a/lender/ledger.go
+++ b/lender/ledger.go
@@ -60,6 +60,8 @@
 	Unit float64
 	// Owns is true if this entry is one of those. Others have only what they borrow.
 	Owns bool
+	// Sharers are the names of the entries that share the resource, sorted; nil if all do.
+	Sharers []string
 	// IsFixed is true if the entry lends nothing, as when it may cease to be one of those that share the resource.
 	IsFixed bool
 	// Used is what the entry has used lately, in parts. For a resource with a window it includes all that it used
@@ -81,10 +83,11 @@
 	keep time.Duration
 }
 
-// demand is what this entry needs of a resource, in parts. OwnsPart is State.Owns.
+// demand is what this entry needs of a resource, in parts. OwnsPart is State.Owns, sharers State.Sharers.
 type demand struct {
 	parts      float64
 	ownsPart   bool
+	sharers    []string
 	recordedAt time.Time
 }
 
@@ -238,7 +241,7 @@
 	if a == nil || a.demand.parts > parts && at.Sub(a.demand.recordedAt) < demandTTL/2 {
 		return
 	}
-	a.demand = demand{parts: parts, ownsPart: s.Owns, recordedAt: at}
+	a.demand = demand{parts: parts, ownsPart: s.Owns, sharers: s.Sharers, recordedAt: at}
 }
 
 // WantMore records that this entry needs more of a resource than it has: half of that again, and at least one part more.
--- a/lender/ledger_test.go
+++ b/lender/ledger_test.go
@@ -191,7 +191,7 @@
 		names = append(names, other.name)
 	}
 	e.ledger.Want(m.clock(e), "r", m.state(e), 4)
-	m.asks = append(m.asks, e.ledger.Asks(m.clock(e), e.ledger.Lenders(names))...)
+	m.asks = append(m.asks, e.ledger.Asks(m.clock(e), names)...)
 }
 
 // deliverAll delivers all requests and replies that are under way.
