lender: borrow only after a shortage of 0.2 s

A single request that waited for its turn at the beginning of a rate limit made idle entries borrow from each other, so that the one busy entry of six used 0.76 of the limit in 15 s.

--- a/lender/ledger.go
+++ b/lender/ledger.go
@@ -95,6 +95,9 @@
 type account struct {
 	borrowed, lent []loan
 	demand         demand
+	// shortSince and shortAt are the times of the first and the last call of WantMore, of those without demandTTL between
+	// two of them.
+	shortSince, shortAt time.Time
 }
 
 // Ledger holds the loans of one entry. It is safe for concurrent use. All methods take the time now of the monotonic
@@ -245,12 +248,28 @@
 }
 
 // WantMore records that this entry needs more of a resource than it has: half of that again, and at least one part more.
+// It has no effect until the entry has been short for shortTime.
 func (l *Ledger) WantMore(now time.Time, resource string, s State) {
-	if s.Unit > 0 {
+	if s.Unit > 0 && l.isShort(now, resource) {
 		l.Want(now, resource, s, min(1/s.Unit, growth*l.Part(now, resource, s)/s.Unit+1))
 	}
 }
 
+// isShort records a call of WantMore and reports whether the entry has been short for shortTime.
+func (l *Ledger) isShort(now time.Time, resource string) bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	at, a := l.at(now), l.account(resource)
+	if a == nil {
+		return false
+	}
+	if at.Sub(a.shortAt) > demandTTL {
+		a.shortSince = at
+	}
+	a.shortAt = at
+	return at.Sub(a.shortSince) >= shortTime
+}
+
 // KeepWhatIsUsed records that this entry needs what it uses, if that is more than its own part and loans are therefore
 // to be renewed.
 func (l *Ledger) KeepWhatIsUsed(now time.Time, resource string, s State) {
@@ -263,6 +282,10 @@
 	// growth is the factor by which a demand that is not met grows with each round of requests. Within a second an entry
 	// asks for three times as much as it has.
 	growth = 1.5
+	// shortTime is the time for which an entry has to be short of a resource before it borrows. A single request that waits
+	// for its turn is no reason: at the beginning of a rate limit it made idle entries borrow from each other, and the one
+	// that needed more used 0.76 of the limit.
+	shortTime = 200 * time.Millisecond
 	// usedReserve times its recent use is what an entry borrows again, so that its use can vary between two rounds.
 	usedReserve = 1.25
 )
@@ -283,7 +306,7 @@
 	maps.DeleteFunc(l.accounts, func(_ string, a *account) bool {
 		a.borrowed = slices.DeleteFunc(a.borrowed, isOver)
 		a.lent = slices.DeleteFunc(a.lent, func(x loan) bool { return at.Sub(x.until) > x.keep })
-		return len(a.borrowed) == 0 && len(a.lent) == 0 && !a.demand.isCurrent(at)
+		return len(a.borrowed) == 0 && len(a.lent) == 0 && !a.demand.isCurrent(at) && at.Sub(a.shortAt) > demandTTL
 	})
 }
 
