--- a/lender/borrow.go
+++ b/lender/borrow.go
@@ -271,7 +271,7 @@
 	var accepted []GrantItem
 	for _, item := range g.Items {
 		asked := slices.IndexFunc(p.items, func(i AskItem) bool { return i.Resource == item.Resource })
-		a := l.account(item.Resource)
+		a := l.account(at, item.Resource)
 		isValid := asked >= 0 && a != nil && item.Parts > 0 && item.Unit > 0 && !math.IsInf(item.Unit, 0)
 		if !isValid || len(a.borrowed) >= 4*maxLoans {
 			continue
--- a/lender/ledger.go
+++ b/lender/ledger.go
@@ -93,6 +93,7 @@
 
 // account holds the loans of one resource.
 type account struct {
+	// borrowed and lent are sorted by the other entry.
 	borrowed, lent []loan
 	demand         demand
 	// shortSince and shortAt are the times of the first and the last call of WantMore, of those without demandTTL between
@@ -151,10 +152,13 @@
 	// passes, up to the part that the entry has at the end.
 	shift := l.at(to).Sub(to)
 	from, to = from.Add(shift), to.Add(shift)
+	a := l.accounts[resource]
+	if !from.Before(to) { // two goroutines read the clock and then took a lock in another order
+		return to.Sub(from).Seconds() * l.partAt(to, a, s)
+	}
 	if earliest := to.Add(-historyTime); from.Before(earliest) {
 		from = earliest
 	}
-	a := l.accounts[resource]
 	steps := []time.Time{from, to}
 	add := func(at time.Time) {
 		if at.After(from) && at.Before(to) {
@@ -211,19 +215,13 @@
 // unit, if that is lower than the given one, or else by the given one. Of several loans of one entry, which renew each
 // other, the largest counts.
 func total(loans []loan, at time.Time, window time.Duration, unit float64, without string) float64 {
-	sum := 0.0
+	sum, largest := 0.0, 0.0
 	for i, x := range loans {
-		if x.other == without || !x.counts(at, window) {
-			continue
+		if x.other != without && x.counts(at, window) {
+			largest = max(largest, x.parts*min(unit, x.unit))
 		}
-		isLargest := true
-		for j, y := range loans {
-			if y.other == x.other && y.counts(at, window) && (y.parts > x.parts || y.parts == x.parts && j < i) {
-				isLargest = false
-			}
-		}
-		if isLargest {
-			sum += x.parts * min(unit, x.unit)
+		if isLast := i == len(loans)-1 || loans[i+1].other != x.other; isLast {
+			sum, largest = sum+largest, 0
 		}
 	}
 	return sum
@@ -240,7 +238,7 @@
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	at := l.at(now)
-	a := l.account(resource)
+	a := l.account(at, resource)
 	if a == nil || a.demand.parts > parts && at.Sub(a.demand.recordedAt) < demandTTL/2 {
 		return
 	}
@@ -259,7 +257,8 @@
 func (l *Ledger) isShort(now time.Time, resource string) bool {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	at, a := l.at(now), l.account(resource)
+	at := l.at(now)
+	a := l.account(at, resource)
 	if a == nil {
 		return false
 	}
@@ -290,9 +289,12 @@
 	usedReserve = 1.25
 )
 
-// account returns the account of a resource, nil if there are too many. The lock must be held.
-func (l *Ledger) account(resource string) *account {
+// account returns the account of a resource at a time, nil if there are too many. The lock must be held.
+func (l *Ledger) account(at time.Time, resource string) *account {
 	a, ok := l.accounts[resource]
+	if !ok && len(l.accounts) == maxResources {
+		l.forget(at)
+	}
 	if !ok && len(l.accounts) < maxResources {
 		a = &account{}
 		l.accounts[resource] = a
--- a/lender/ledger_test.go
+++ b/lender/ledger_test.go
@@ -324,3 +324,20 @@
 		t.Errorf("a part of %.3f, want 1/10 of its own and up to 1/50 of the lender", part)
 	}
 }
+
+// Guards against a ledger that is full for good, once it has known as many resources as it holds.
+func TestEndedDemandsMakeRoom(t *testing.T) {
+	l := New(epoch, Config{Name: "e", IsFirstStart: true})
+	s := State{Unit: 0.5, Owns: true}
+	for i := range 2 * maxResources {
+		l.Want(epoch, fmt.Sprint("r", i), s, 2)
+	}
+	if n := len(l.Totals(epoch)); n != maxResources {
+		t.Errorf("%d resources, want %d", n, maxResources)
+	}
+	later := epoch.Add(2 * demandTTL)
+	l.Want(later, "new", s, 2)
+	if !l.Needs(later) {
+		t.Error("the ledger has no room for a new resource")
+	}
+}
--- a/lender/lend.go
+++ b/lender/lend.go
@@ -1,7 +1,9 @@
 package lender
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -64,7 +66,7 @@
 	if !s.Owns || s.IsFixed || s.Unit <= 0 || at.Before(l.reservedUntil(s)) {
 		return 0
 	}
-	a := l.account(item.Resource)
+	a := l.account(at, item.Resource)
 	if a == nil || len(a.lent) >= maxLoans || a.demand.isCurrent(at) || total(a.borrowed, at, 0, 1, "") > 0 {
 		return 0
 	}
@@ -81,7 +83,7 @@
 // the size of the loan that it renews.
 func inSteps(parts float64) float64 { return math.Floor(parts/minLoan+1e-9) * minLoan }
 
-// addLoan adds a loan to others. One that renews another of the same size, which has not ended, extends that.
+// addLoan adds a loan to others, which are sorted by the other entry. One that renews another of the same size, which has not ended, extends that.
 func addLoan(loans []loan, added loan) []loan {
 	for i, x := range loans {
 		if x.other == added.other && x.parts == added.parts && x.unit == added.unit && !x.until.Before(added.from) {
@@ -89,7 +91,8 @@
 			return loans
 		}
 	}
-	return append(loans, added)
+	i, _ := slices.BinarySearchFunc(loans, added.other, func(x loan, other string) int { return cmp.Compare(x.other, other) })
+	return slices.Insert(loans, i, added)
 }
 
 func later(a, b time.Time) time.Time {
