--- a/launcher/lending_test.go
+++ b/launcher/lending_test.go
@@ -104,6 +104,22 @@
 	})
 }
 
+// The lenders get requests again while the borrower goes on.
+func TestRateLimitHoldsWhileLendersBecomeBusy(t *testing.T) {
+	withFleet(t, 6, func(is *is.I, f *fleet) {
+		w := f.limitedService()
+		started := time.Now()
+		f.send(30*time.Second, func(n int) int {
+			if isAlone := int(time.Since(started)/(4*time.Second))%2 == 0; isAlone || n%2 == 0 {
+				return 2
+			}
+			return n / 2 % 6
+		})
+		t.Logf("%.2f of the limit is used", used(w, started))
+		f.checkLimit(w)
+	})
+}
+
 // Entries are killed one after the other, the busy one among them.
 func TestRateLimitHoldsWhileLendersAndBorrowersAreKilled(t *testing.T) {
 	withFleet(t, 6, func(is *is.I, f *fleet) {
