--- a/dispatcher/ratelease.go
+++ b/dispatcher/ratelease.go
@@ -135,9 +135,9 @@
 	return b.rateState(now, u), true
 }
 
-// settleRate updates the content of the bucket to the time now, and returns this entry's rate in requests per second.
-// The rate at each time since the last update counts, and none but the current content that it has now: what was not used of
-// a loan ends with it. The ledger must be set.
+// settleRate fills the bucket up to the time now by the rate that this entry had at each time since the last update, cuts
+// it to the present capacity, and returns the present rate in requests per second. Tokens of a loan that has ended are
+// dropped. The ledger must be set and the lock held.
 func (b *Dispatcher) settleRate(now time.Time, u *upstream) float64 {
 	s, share := b.rateState(now, u), &u.rateShare
 	perSecond, _ := b.sharedRate(u)
