--- a/controller/places_test.go
+++ b/controller/places_test.go
@@ -48,3 +48,12 @@
 		f.eventually(0, "place reserved", reserves(1))
 	})
 }
+
+// testPart returns an equal part of all promises for each entry that shares them; 0 while the others are unknown.
+func testPart(b *dispatcher.Dispatcher) float64 {
+	entries, _ := b.SharingEntries(time.Now())
+	if entries == 0 {
+		return 0
+	}
+	return 1 / float64(entries)
+}
--- a/dispatcher/ratelimit.go
+++ b/dispatcher/ratelimit.go
@@ -150,6 +150,10 @@
 	// of the sharers in version.
 	drawnBefore int
 	version     int
+	// drawn caches the entries that share the limit.
+	drawn drawnSharers
+	// use counts this entry's recent requests.
+	use rateUse
 }
 
 // sharedRate returns the number of requests per second that all entries together send to an upstream
@@ -160,13 +164,8 @@
 }
 
 // ownRate returns this entry's part of sharedRate, in requests per second; 0 if the entry is not drawn.
-// An entry that has just started or lost contact with all others does not know how many send requests,
-// and sends none.
 func (b *Dispatcher) ownRate(now time.Time, u *upstream) float64 {
-	if _, ok := b.sharers.placedAt[b.name]; !ok {
-		return 0
-	}
-	if b.isolated && now.Sub(b.isolatedAt) < sharerTTL {
+	if !b.isSharing(now) {
 		return 0
 	}
 	perSecond, senders := b.sharedRate(u)
@@ -176,6 +175,13 @@
 	return perSecond / float64(senders)
 }
 
+// isSharing reports whether this entry is one of the sharers and knows how many there are. An entry that has
+// just started or lost contact with all others does not know how many send requests, and sends none.
+func (b *Dispatcher) isSharing(now time.Time) bool {
+	_, ok := b.sharers.placedAt[b.name]
+	return ok && !(b.isolated && now.Sub(b.isolatedAt) < sharerTTL)
+}
+
 // drawnBefore returns the number of sharers that are drawn before this entry to send requests to an
 // upstream.
 func (b *Dispatcher) drawnBefore(u *upstream) int {
@@ -200,6 +206,9 @@
 		return 0
 	}
 	rate := b.ownRate(now, u)
+	if b.ledger != nil {
+		rate = b.settleRate(now, u)
+	}
 	if rate == 0 {
 		shared, _ := b.sharedRate(u)
 		return time.Duration(float64(time.Second) / shared)
@@ -225,7 +234,16 @@
 // takeRateToken records that a request was placed on an upstream, which delays this entry's next one if
 // the upstream has a rate limit.
 func (b *Dispatcher) takeRateToken(now time.Time, u *upstream) {
-	if u.backpressure.rateLimit.Limit.Limited {
+	if !u.backpressure.rateLimit.Limit.Limited {
+		return
+	}
+	if b.ledger == nil {
 		u.rateShare.tokens, u.rateShare.updatedAt = max(0, u.rateShare.available(now, b.ownRate(now, u))-1), now
+		return
 	}
+	b.settleRate(now, u)
+	u.rateShare.tokens = max(0, u.rateShare.tokens-1)
+	u.rateShare.use.advance(now)
+	u.rateShare.use.current++
+	b.ledger.KeepWhatIsUsed(now, b.rateResource(u), b.rateDemand(now, u))
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -26,6 +26,7 @@
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/forwarder"
 	"github.com/sapphireramp/sapphireramp/isolator"
+	"github.com/sapphireramp/sapphireramp/lender"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
 	"github.com/sapphireramp/sapphireramp/scheduler"
 	"github.com/sapphireramp/sapphireramp/tunneler"
@@ -153,17 +154,21 @@
 	unclaimed := c.Scope.Counter("places_unclaimed")
 	quarantine, partIsolator := quarantiner.New(), isolator.New(c.Name)
 	sharedDispatcher := dispatcher.New(c.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	returns := scheduler.New(scheduler.Config{
-		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Part: sharedDispatcher.PromisePart, StartedAt: time.Now(), IsFirstStart: c.IsFirstStart,
-		OnUnclaimed: func() { unclaimed.Inc(1) },
-	})
-	sharedDispatcher.ReservedUse = returns.ReservedUse
 	newBudgeter := budgeter.NewAfterRestart
 	if c.IsFirstStart {
 		newBudgeter = budgeter.New
 	}
+	incarnation := uint64(time.Now().UnixNano())
+	ledger := lender.New(time.Now(), lender.Config{Name: c.Name, Incarnation: incarnation, IsFirstStart: c.IsFirstStart, SinceBoot: c.SinceBoot})
 	l := &Launcher{config: c, retryBudget: newBudgeter(time.Now(), c.Settings.RetryBudget), activeConns: connector.NewActiveConns(), acceptDone: make(chan struct{})}
 	l.settings.Store(&c.Settings)
+	sharedDispatcher.SetLedger(ledger)
+	returns := scheduler.New(scheduler.Config{
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Part: promisePartFunc(sharedDispatcher, ledger), StartedAt: time.Now(), IsFirstStart: c.IsFirstStart,
+		OnUnclaimed: func() { unclaimed.Inc(1) },
+	})
+	sharedDispatcher.ReservedUse = returns.ReservedUse
+	l.retryBudget.SetLedger(ledger)
 	l.tunneler = tunneler.New(tunneler.Config{
 		Name: c.Name, DataCentre: c.DataCentre, Dial: c.Dial, Relays: func() []tunneler.Relay { return l.controller.Relays() },
 		OnCutOff: func(lastContact time.Time) {
@@ -178,8 +183,21 @@
 	// on a closed connection can't be distinguished from one that the engine refused.
 	reservationHTTPClient := &http.Client{Transport: &http.Transport{DialContext: l.tunneler.Dial, DisableKeepAlives: true}}
 	l.controller = controller.New(controller.Config{
-		Name: c.Name, DataCentre: c.DataCentre, Incarnation: uint64(time.Now().UnixNano()), IsFirstStart: c.IsFirstStart,
+		Name: c.Name, DataCentre: c.DataCentre, Incarnation: incarnation, IsFirstStart: c.IsFirstStart,
 		CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, LoadAddress: c.LoadAddress, Store: c.Store, MaxPropagation: c.MaxPropagation, Speed: c.Speed, SinceBoot: c.SinceBoot, Dispatcher: sharedDispatcher, Scheduler: returns, Quarantine: quarantine, Isolator: partIsolator, Tunneler: l.tunneler, Dial: c.Dial,
+		Ledger: ledger, PartStates: map[string]controller.PartStateFunc{
+			dispatcher.RateResource: sharedDispatcher.RatePart,
+			budgeter.RetryResource: func(now time.Time, resource string) (lender.State, bool) {
+				return l.retryBudget.PartState(now, resource, l.controller.View().RetryBudgetEntries)
+			},
+			lender.PlaceResource: func(now time.Time, resource string) (lender.State, bool) {
+				entries, isPlacing := sharedDispatcher.SharingEntries(now)
+				if !isPlacing {
+					return lender.State{}, false
+				}
+				return ledger.PlaceState(now, resource, entries)
+			},
+		},
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	l.forwarder = forwarder.New(forwarder.Config{
@@ -189,6 +207,18 @@
 	return l
 }
 
+// promisePartFunc returns the function by which the scheduler learns this entry's part of all promises: its own, and
+// what other entries lend it.
+func promisePartFunc(b *dispatcher.Dispatcher, ledger *lender.Ledger) func(time.Time, string, float64, bool) float64 {
+	return func(now time.Time, service string, used float64, isShort bool) float64 {
+		entries, _ := b.SharingEntries(now)
+		if entries == 0 {
+			return 0
+		}
+		return ledger.Places(now, service, entries, used*float64(entries), isShort)
+	}
+}
+
 // shareFunc returns the function by which the forwarder learns of the share of an organisation.
 func shareFunc(b *dispatcher.Dispatcher) func(time.Time, dispatcher.Demand) (forwarder.Share, bool) {
 	return func(now time.Time, d dispatcher.Demand) (forwarder.Share, bool) {
--- a/scheduler/clock.go
+++ b/scheduler/clock.go
@@ -70,16 +70,19 @@
 // states only the time of the next one; zero if that is unknown, because the share or this entry's part of
 // it is 0, or because this process may have had a predecessor whose promises have not ended yet.
 func (s *Scheduler) Promise(now time.Time, a Ask) (Place, bool) {
-	step := a.step(s.config.Part())
+	part := s.part(now, a.Service)
+	step := a.step(part)
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.expire(now)
+	used := s.usageOf(now, a.Service)
 	key := clockKey{NewService(a.Service), a.Organisation, a.Rank}
 	c := s.clock(now, key, step)
 	next := c.next(now.Add(max(minAhead, a.Earliest)), step, s.config.Random.Float64)
 	p := Place{Key: a.Key, Service: key.service, Organisation: a.Organisation, Rank: a.Rank, Due: next.due(step), Use: a.Use}
 	_, isKept := s.clocks[key]
-	if p.Due.Sub(now) > min(a.Patience, MaxAhead) || len(s.places) >= MaxPlaces || step == maxStep || !isKept {
+	used.isShort = p.Due.Sub(now) > min(a.Patience, MaxAhead)
+	if used.isShort || len(s.places) >= MaxPlaces || step == maxStep || !isKept {
 		if a.Earliest <= minAhead {
 			*c = next
 		}
@@ -89,6 +92,7 @@
 		return p, false
 	}
 	*c = clock{free: next.start.Add(step)}
+	used.promised += time.Duration(float64(step) * part)
 	p.ID = s.newID()
 	s.add(p, true)
 	s.counts.Promised++
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -75,9 +75,11 @@
 type Config struct {
 	// Random draws the times of places and their IDs. It need not be safe for concurrent use.
 	Random *rand.Rand
-	// Part returns the fraction of the promises of all entries that this entry may make: 1/N among N
-	// entries unless some are lent. It must be safe for concurrent use; nil stands for 1.
-	Part func() float64
+	// Part returns the fraction of the promises of all entries for a service that this entry may make: 1/N
+	// among N entries unless some are lent. Used is the fraction of these promises that this entry has
+	// made lately; isShort is true if the last refused caller could not be given a time within its
+	// patience. It must be safe for concurrent use; nil stands for 1.
+	Part func(now time.Time, service string, used float64, isShort bool) float64
 	// OnUnclaimed is called for each place of this entry that was not claimed in time. It must neither
 	// block nor call the Scheduler; nil does nothing.
 	OnUnclaimed func()
@@ -93,6 +95,8 @@
 
 	lock   sync.Mutex
 	clocks map[clockKey]*clock
+	// usage holds what this entry has promised lately, by service.
+	usage map[string]*usage
 	// places holds the places that are known and not claimed, by ID; at most MaxPlaces. queues holds
 	// the same places by organisation, in the order of their due times, and byKey by key.
 	places map[uint32]*knownPlace
@@ -125,13 +129,13 @@
 // New returns a Scheduler that knows no places.
 func New(c Config) *Scheduler {
 	if c.Part == nil {
-		c.Part = func() float64 { return 1 }
+		c.Part = func(time.Time, string, float64, bool) float64 { return 1 }
 	}
 	if c.OnUnclaimed == nil {
 		c.OnUnclaimed = func() {}
 	}
 	return &Scheduler{
-		config: c, clocks: map[clockKey]*clock{}, places: map[uint32]*knownPlace{}, queues: map[queueKey][]*knownPlace{}, byKey: map[Key][]*knownPlace{},
+		config: c, clocks: map[clockKey]*clock{}, usage: map[string]*usage{}, places: map[uint32]*knownPlace{}, queues: map[queueKey][]*knownPlace{}, byKey: map[Key][]*knownPlace{},
 		ended: map[uint32]time.Time{}, Changed: make(chan struct{}, 1),
 	}
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -15,8 +15,13 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// constantPart returns a function for Config.Part that always returns the same part.
+func constantPart(part float64) func(time.Time, string, float64, bool) float64 {
+	return func(time.Time, string, float64, bool) float64 { return part }
+}
+
 func newTest(seed uint64, part float64) *Scheduler {
-	return New(Config{Random: rand.New(rand.NewPCG(seed, 1)), Part: func() float64 { return part }, IsFirstStart: true})
+	return New(Config{Random: rand.New(rand.NewPCG(seed, 1)), Part: constantPart(part), IsFirstStart: true})
 }
 
 func testAsk(key Key) Ask {
@@ -36,7 +41,7 @@
 		return promised{}, false
 	}
 	until := s.clocks[clockKey{NewService(a.Service), a.Organisation, a.Rank}].free
-	step := a.step(s.config.Part())
+	step := a.step(s.part(now, a.Service))
 	if p.Due.Before(until.Add(-step)) || p.Due.After(until) || p.Due.Before(now.Add(minAhead)) || p.Due.Sub(now) > min(a.Patience, MaxAhead) {
 		t.Fatalf("place due %s after now, step until %s after now, patience %s", p.Due.Sub(now), until.Sub(now), a.Patience)
 	}
@@ -74,7 +79,7 @@
 		count, now := rapid.IntRange(1, 5).Draw(t, "entries"), start
 		entries, claimed := make([]*Scheduler, count), make([]map[uint32]bool, count)
 		restart := func(i int, isFirst bool) {
-			c := Config{Random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), Part: func() float64 { return 1 / float64(count) }, StartedAt: now, IsFirstStart: isFirst}
+			c := Config{Random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), Part: constantPart(1 / float64(count)), StartedAt: now, IsFirstStart: isFirst}
 			entries[i], claimed[i] = New(c), map[uint32]bool{}
 		}
 		for i := range entries {
