matcher, platform: priorities, duplicate organisations and home regions are checked

Cause: a negative priority or one above 1,000 and an organisation listed twice were accepted, a priority that is no number failed without the name of its owner, and home regions were ignored.

Change: allowed-regions of routes and organisations, region and zones.NAME in the settings are read. The fields above give an InvalidConfigError that names the field; a home region must be that of a data centre in the settings.

--- a/cmd/sapphireramp/gateway.go
+++ b/cmd/sapphireramp/gateway.go
@@ -72,7 +72,7 @@
 			s, err := platform.LoadSettings()
 			return reloadableSettings(s), err
 		},
-		Store:    controller.Store{Read: store.Read, Watch: store.Watch, DecodeConfig: platform.DecodeConfig},
+		Store:    controller.Store{Read: store.Read, Watch: store.Watch, DecodeConfig: settings.DecodeConfig},
 		Protocol: platform.Protocol(), NewReservationClient: platform.NewReservationClient,
 		MaxPropagation:   settings.MaxPropagation,
 		IsFirstStart:     settings.IsFirstStart,
--- a/matcher/config.go
+++ b/matcher/config.go
@@ -70,6 +70,9 @@
 	// Resumable is true if another engine may resume a stream of the route that broke off before
 	// its end.
 	Resumable bool
+	// AllowedRegions are the home regions of the route: only upstreams of these regions may process
+	// its requests. If it is empty, all may.
+	AllowedRegions []string
 }
 
 // IsRepeatable reports whether a request of the route may be executed more than once.
@@ -147,6 +150,8 @@
 	// Priority ranks the requests of organisations at model engines; 0 is the most urgent. It
 	// replaces the priority of the request's route.
 	Priority int
+	// AllowedRegions are the home regions of the organisation, as in Route.
+	AllowedRegions []string
 }
 
 // Config is one version of the configuration. It is immutable.
--- a/matcher/table.go
+++ b/matcher/table.go
@@ -35,8 +35,9 @@
 	services           map[string]*Service
 }
 
-// New validates the routes of a configuration and returns a table of it. It returns an
-// InvalidConfigError if a route is invalid.
+// New validates a configuration and returns a table of it. It returns an InvalidConfigError if a
+// service, route or organisation is invalid. It does not check the home regions; see
+// Table.CheckRegions.
 func New(c Config) (*Table, error) {
 	t := &Table{
 		Config: c, routesByHost: map[string][]*Route{}, organisationsByKey: map[string]*Organisation{},
@@ -59,6 +60,9 @@
 	for _, routes := range t.routesByHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+	if err := checkOrganisations(c.Organisations); err != nil {
+		return nil, err
+	}
 	for i := range c.Organisations {
 		o := &c.Organisations[i]
 		for _, k := range o.Keys {
@@ -68,13 +72,16 @@
 	return t, nil
 }
 
-// checkRoute returns an InvalidConfigError if the prefix, a service or a weight of a route is
-// invalid.
+// checkRoute returns an InvalidConfigError if the prefix, the priority, a service or a weight of a
+// route is invalid.
 func (t *Table) checkRoute(r *Route) error {
 	field := "route " + r.Name
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 		return InvalidConfigError{Field: field + " prefix " + r.Prefix, Requirement: "a path that begins and ends with a slash"}
 	}
+	if err := checkPriority(field, r.Priority); err != nil {
+		return err
+	}
 	if len(r.Services) == 0 {
 		return InvalidConfigError{Field: field + " services", Requirement: "at least one"}
 	}
