controller: an unreadable configuration is logged once per revision and entry

Cause: an entry remembered one unreadable configuration and checked and set it in two steps, so that two senders at the same moment, or entries whose settings allow an earlier one, could make it log again.

Change: the last eight are remembered and the check is made with the log line. An entry without a configuration goes on taking the one in force from other entries; why it does not use the valid part of an unreadable one is written beside decodeConfig.

Result: the new test passes, also on the code before: it guards what already held for one sender (one line at each of the reading entries, version 1 stays and reaches an entry that starts afterwards).

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -179,9 +179,9 @@
 	// dirty is true if the state has changed since the latest view was published, at publishedAt.
 	dirty       bool
 	publishedAt time.Time
-	// unreadableConfig is the stamp, without version, of the last configuration that this entry
-	// could not decode; zero if there was none.
-	unreadableConfig follower.ConfigStamp
+	// unreadableConfigs are the stamps, without versions, of the last configurations that this entry
+	// could not decode, at most maxUnreadableConfigs.
+	unreadableConfigs []follower.ConfigStamp
 }
 
 const (
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -53,6 +53,8 @@
 	started int
 	// speed returns the speed of an entry by its index; nil if speeds are unknown.
 	speed func(int) float64
+	// log is the logger of the entries that are started from now on.
+	log *zap.Logger
 }
 
 // withFleet runs a test on a fleet of the given size in which no speed is known.
@@ -92,7 +94,7 @@
 
 // newFleet returns a fleet without entries in front of a store that holds nothing.
 func newFleet(t *testing.T, speed func(int) float64) *fleet {
-	f := &fleet{t: t, is: is.New(t), net: network.New(), store: store.New(), speed: speed}
+	f := &fleet{t: t, is: is.New(t), net: network.New(), store: store.New(), speed: speed, log: zap.NewNop()}
 	listener, err := f.net.Listen(storeAddress)
 	f.is.NoErr(err)
 	f.server = &http.Server{Handler: f.store}
@@ -149,7 +151,7 @@
 		Name: fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3), Incarnation: uint64(f.started),
 		CallerAddress: netip.AddrPortFrom(host, 80), PeerAddress: netip.AddrPortFrom(host, 81), LoadAddress: netip.AddrPortFrom(host, 82),
 		Store: controller.Store{Read: reader.Read, Watch: reader.Watch, DecodeConfig: platform.DecodeConfig}, MaxPropagation: 2 * time.Second,
-		IsFirstStart: i == len(f.entries), SinceBoot: sinceEpoch, Dispatcher: entryDispatcher, Quarantine: e.quarantine, Isolator: isolator.New(fmt.Sprintf("entry-%d", i)), Tunneler: tunneler.New(tunneler.Config{Dial: f.net.Dialer(host), Relays: noRelays, OnCutOff: func(time.Time) {}, CloseIdle: func() {}, Log: zap.NewNop(), Scope: tally.NoopScope}), Dial: f.net.Dialer(host), Log: zap.NewNop(), Scope: tally.NoopScope,
+		IsFirstStart: i == len(f.entries), SinceBoot: sinceEpoch, Dispatcher: entryDispatcher, Quarantine: e.quarantine, Isolator: isolator.New(fmt.Sprintf("entry-%d", i)), Tunneler: tunneler.New(tunneler.Config{Dial: f.net.Dialer(host), Relays: noRelays, OnCutOff: func(time.Time) {}, CloseIdle: func() {}, Log: zap.NewNop(), Scope: tally.NoopScope}), Dial: f.net.Dialer(host), Log: f.log, Scope: tally.NoopScope,
 		Asserter: asserter.New(func(name, detail string) { f.t.Errorf("%s: %s", name, detail) }),
 	}
 	if f.speed != nil {
--- a/controller/follow.go
+++ b/controller/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -245,9 +246,27 @@
 	return changed
 }
 
+// maxUnreadableConfigs is the number of configurations that could not be decoded of which an entry knows that it has
+// logged them. The store holds one, and other entries may still have some that only their settings allow.
+const maxUnreadableConfigs = 8
+
+// recordUnreadableConfig logs that a configuration could not be decoded, once for each stamp. The store and several
+// other entries may send one at the same time.
+func (s *state) recordUnreadableConfig(stamp follower.ConfigStamp, source string, cause error) {
+	if slices.Contains(s.unreadableConfigs, stamp) {
+		return
+	}
+	s.unreadableConfigs = append(s.unreadableConfigs, stamp)
+	s.unreadableConfigs = s.unreadableConfigs[max(0, len(s.unreadableConfigs)-maxUnreadableConfigs):]
+	s.controller.config.Log.Error("configuration_unreadable", zap.Int64("revision", stamp.Revision), zap.String("source", source), zap.Error(cause))
+}
+
 // decodeConfig returns the decoded configuration of a state, whose ConfigVersion it sets, or nil if the
 // state has none. If the configuration is not newer than the current one, or is unreadable, decodeConfig
-// removes it from the state and returns nil, so that the current one stays in force.
+// removes it from the state and returns nil, so that the current one stays in force. An entry without a
+// configuration then fetches the one in force from another entry. Without one there either it refuses all
+// requests: with the valid part of an unreadable configuration, which it would pass on under the revision of the
+// whole, it would serve requests by rules that nobody wrote.
 func (c *Controller) decodeConfig(got *follower.State, source string) *matcher.Table {
 	if got.Config == nil {
 		return nil
@@ -256,7 +275,7 @@
 	isKnown := false
 	c.do(func(s *state) {
 		_, current := s.follower.Config()
-		isKnown = stamp == s.unreadableConfig || current.Epoch == stamp.Epoch && current.Revision >= stamp.Revision
+		isKnown = slices.Contains(s.unreadableConfigs, stamp) || current.Epoch == stamp.Epoch && current.Revision >= stamp.Revision
 	})
 	if isKnown {
 		got.Config = nil
@@ -264,8 +283,7 @@
 	}
 	table, err := c.config.Store.DecodeConfig(got.Config)
 	if err != nil {
-		c.do(func(s *state) { s.unreadableConfig = stamp })
-		c.config.Log.Error("configuration_unreadable", zap.Int64("revision", got.ConfigRevision), zap.String("source", source), zap.Error(err))
+		c.do(func(s *state) { s.recordUnreadableConfig(stamp, source, err) })
 		got.Config = nil
 		return nil
 	}
