matcher, dispatcher, tunneler, controller: home regions

Cause: routes and organisations with home regions had their requests processed, relayed and received anywhere.

Relays for such requests are in home regions. The directory gives callers entries of their own region where the configuration has homes, and entries are preferred within each region.

--- a/cmd/sapphireramp/gateway.go
+++ b/cmd/sapphireramp/gateway.go
@@ -65,7 +65,7 @@
 	})
 	store := platform.NewStore(&http.Client{}, settings.StoreAddress)
 	config := launcher.Config{
-		Name: settings.Name, DataCentre: settings.DataCentre, CallerAddress: settings.CallerAddress, ReadinessAddress: settings.ReadinessAddress,
+		Name: settings.Name, DataCentre: settings.DataCentre, Regions: settings.Regions, CallerAddress: settings.CallerAddress, ReadinessAddress: settings.ReadinessAddress,
 		PeerAddress: settings.PeerAddress, DirectoryAddress: settings.DirectoryAddress, LoadAddress: settings.LoadAddress,
 		AddressTTL: min(addressTTL, settings.MaxAddressTTL), Settings: reloadableSettings(settings),
 		ReadSettings: func() (launcher.Settings, error) {
--- a/controller/callerentries.go
+++ b/controller/callerentries.go
@@ -132,7 +132,7 @@
 	var out []tunneler.Relay
 	for _, e := range c.current.Load().callerEntries {
 		if !e.cutOff && e.name != c.config.Name {
-			out = append(out, tunneler.Relay{Name: e.name, Address: e.peerAddress, DataCentre: e.dataCentre})
+			out = append(out, tunneler.Relay{Name: e.name, Address: e.peerAddress, DataCentre: e.dataCentre, Region: c.config.Regions[e.dataCentre]})
 		}
 	}
 	return out
@@ -142,7 +142,7 @@
 // the given data centre may connect. Entries of that data centre come first.
 func (c *Controller) CallerAddresses(dataCentre string) []netip.AddrPort {
 	var local, remote []netip.AddrPort
-	for _, e := range c.current.Load().callerEntries {
+	for _, e := range c.entriesForCaller(dataCentre) {
 		if e.dataCentre == dataCentre {
 			local = append(local, e.address)
 		} else {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -56,6 +56,8 @@
 	// two have the same IP address, and LoadAddress the same port at all entries.
 	CallerAddress, PeerAddress, LoadAddress netip.AddrPort
 	Store                                   Store
+	// Regions holds the region of each data centre by its name; data centres that it lacks are of unknown region.
+	Regions map[string]string
 	// MaxPropagation is the maximum time from a change in the store until this entry
 	// uses the changed configuration or upstreams for new requests.
 	MaxPropagation time.Duration
--- a/controller/view.go
+++ b/controller/view.go
@@ -76,7 +76,7 @@
 	if v.ready {
 		v.OtherEntries--
 	}
-	v.callerEntries = preferredEntries(ready)
+	v.callerEntries = s.callerEntries(ready)
 	c.loadSenders.markPlacing(time.Now(), v.peers, withoutCallers(ready, v.callerEntries))
 	v.allPaths, v.placingPaths = buildLoadPaths(c.config.DataCentre, v.peers, anyPeer), buildLoadPaths(c.config.DataCentre, v.peers, isPlacing)
 	hasNewPeers := s.forgetRestarted(v.peers)
--- a/dispatcher/backpressure.go
+++ b/dispatcher/backpressure.go
@@ -90,14 +90,19 @@
 
 // refuseNoneUsable returns the refusal of a request whose service has no usable upstream.
 // RetryAfter is the time until the first upstream accepts a request again, and minRetryAfter where that is
-// unknown. It is maxRetryAfter where none is listed, as all have left or their data centres are evacuated:
+// unknown. It is maxRetryAfter where none is listed, or none in a home region of the request, as all have left or
+// their data centres are evacuated:
 // an upstream takes seconds to start.
 func (b *Dispatcher) refuseNoneUsable(now time.Time, d Demand) *Refusal {
 	if len(b.services[d.Service]) == 0 {
 		return &Refusal{Reason: "no_upstream", RetryAfter: maxRetryAfter}
 	}
+	atHome := b.upstreamsAtHome(d)
+	if len(atHome) == 0 {
+		return &Refusal{Reason: ReasonNoUpstreamAtHome, RetryAfter: maxRetryAfter}
+	}
 	var first *Refusal
-	for _, u := range b.services[d.Service] {
+	for _, u := range atHome {
 		if r := b.refuseUnready(now, u); r != nil && (first == nil || r.Wait < first.Wait) {
 			first = r
 		}
--- a/dispatcher/demand.go
+++ b/dispatcher/demand.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/apportioner"
+	"github.com/sapphireramp/sapphireramp/matcher"
 )
 
 // Demand describes a request to be placed: its size, its latency targets and how long its caller
@@ -16,6 +17,8 @@
 	// capacity, they determine the order in which requests are served.
 	Organisation apportioner.Organisation
 	Rank         apportioner.Rank
+	// Homes are the regions whose upstreams may process the request; the zero value allows all.
+	Homes matcher.Homes
 	// PromptTokens is the length of the prompt, AnswerTokens the expected length of the answer.
 	// PromptTokens is 0 for plain services.
 	PromptTokens, AnswerTokens int
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -30,6 +30,8 @@
 	// byCompactID holds the upstreams by the compact ID of their incarnation.
 	byCompactID map[CompactID]*upstream
 	services    map[string][]*upstream
+	// regions holds the region of each data centre, as set by SetRegions.
+	regions map[string]string
 	// ownRequests holds the requests placed by this entry, peerRequests those that peers report.
 	ownRequests  map[CompactID]*request
 	peerRequests map[peerRequestKey]*request
@@ -203,11 +205,11 @@
 }
 
 // usableUpstreams returns the upstreams of a service that accept requests of this entry now, without
-// those in d.Avoid. Upstreams that recently accepted no connections are returned only where there are no
+// those in d.Avoid and those outside of d.Homes. Upstreams that recently accepted no connections are returned only where there are no
 // others.
 func (b *Dispatcher) usableUpstreams(now time.Time, d Demand) []*upstream {
 	var usable, blocked []*upstream
-	for _, u := range b.services[d.Service] {
+	for _, u := range b.upstreamsAtHome(d) {
 		switch {
 		case u.backpressure.isRefusing(now):
 		case b.coldWait(now, u) > 0, b.rateLimitWait(now, u) > 0:
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -90,6 +90,9 @@
 // empty for a whole response. Each attempt must be ended with endAttempt, whatever its verdict.
 func (f *Forwarder) send(x *exchange, p *dispatcher.Placement, lastEventID string) *attempt {
 	ctx, cancel := context.WithCancelCause(tunneler.WithRequestID(x.ctx, x.metadata.ID))
+	if homes := x.lastDemand.Homes; homes.IsRestricted() {
+		ctx = tunneler.WithRelayRegions(ctx, homes.Allows)
+	}
 	a := &attempt{placement: p, cancel: cancel, startedAt: time.Now()}
 	a.watchdog = f.startWatchdog(x, p, func() { cancel(errUpstreamSilent) })
 	p.OnRestart(func() { a.onUpstreamRestart(x.route.GapTarget) })
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -124,6 +124,8 @@
 	route *matcher.Route
 	// organisation is the name of the organisation that sent the request; empty on public routes.
 	organisation string
+	// account is that organisation; nil on public routes.
+	account *matcher.Organisation
 	// priority is the priority of the organisation, or of the route if there is no organisation; 0
 	// is the most urgent.
 	priority int
@@ -287,7 +289,7 @@
 		}
 		x.route, x.priority = route, route.Priority
 		if organisation != nil {
-			x.organisation, x.priority = organisation.Name, organisation.Priority
+			x.account, x.organisation, x.priority = organisation, organisation.Name, organisation.Priority
 		}
 		x.deadline = x.arrivedAt.Add(requestTimeout(x))
 		x.service = route.PickService(rand.Float64())
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -124,6 +124,7 @@
 		return nil, refusal, 0
 	}
 	x.lastDemand.Isolated = x.trial != nil || x.lostCount > 0 && len(x.parts) > 0
+	x.lastDemand.Homes = f.homes(x)
 	began := time.Now()
 	p, refusal := f.dispatcher.Place(began, x.lastDemand)
 	if refusal != nil {
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -100,6 +100,9 @@
 	// started. They make instance and request IDs unique.
 	lastWorker   int
 	trafficCount int
+	// regions holds the region of each data centre, homes the home regions of routes by name; both may be nil.
+	regions map[string]string
+	homes   map[string][]string
 	// crashKind is what becomes of the address of a worker that crashes.
 	crashKind crashKind
 	// responsePlan sets how long responses take; if nil, all take the same short time.
@@ -300,6 +303,7 @@
 func (f *fleet) putConfig(version int, keys ...string) {
 	route := func(name, prefix, kind, service string, extra map[string]any) map[string]any {
 		r := map[string]any{"name": name, "host": "h", "prefix": prefix, "kind": kind, "service": service, "timeout-ms": f.routeTimeout(prefix, kind).Milliseconds(), "target-latency-ms": 300, "max-attempts": 1}
+		r["allowed-regions"] = f.homes[name]
 		for k, v := range extra {
 			r[k] = v
 		}
@@ -336,10 +340,10 @@
 	e := &entry{host: host, reload: make(chan struct{}, 1), exited: make(chan struct{})}
 	l := launcher.New(launcher.Config{
 		SinceBoot: func() time.Duration { return time.Duration(time.Now().UnixNano()) }, // virtual time
-		Name:      fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3), CallerAddress: onPort(entryPort), ReadinessAddress: onPort(readyPort),
+		Name:      fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3), Regions: f.regions, CallerAddress: onPort(entryPort), ReadinessAddress: onPort(readyPort),
 		PeerAddress: onPort(peerPort), DirectoryAddress: onPort(directoryPort), LoadAddress: onPort(loadPort), AddressTTL: time.Second, IsFirstStart: !f.hasStarted, Settings: settings,
 		ReadSettings: func() (launcher.Settings, error) { return settings, nil },
-		Store:        controller.Store{Read: storeClient.Read, Watch: storeClient.Watch, DecodeConfig: platform.DecodeConfig}, MaxPropagation: maxPropagation,
+		Store:        controller.Store{Read: storeClient.Read, Watch: storeClient.Watch, DecodeConfig: platform.Settings{Regions: f.regions}.DecodeConfig}, MaxPropagation: maxPropagation,
 		Protocol: platform.Protocol(), NewReservationClient: platform.NewReservationClient, ReservationTTL: 3 * time.Second, MaxIdle: 9 * time.Second,
 		DirectoryHandler: platform.DirectoryHandler, ReadinessHandler: platform.ReadinessHandler,
 		Log: f.log, Scope: tally.NoopScope, MetricsHandler: http.NotFoundHandler(),
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -42,13 +42,15 @@
 }
 
 // Config configures a Launcher. All fields are required, except that
-// MetricsAddress, IsFirstStart and Speed may be zero and SinceBoot, Dial, Listen and
+// Regions, MetricsAddress, IsFirstStart and Speed may be zero and SinceBoot, Dial, Listen and
 // ListenPacket may be nil.
 type Config struct {
 	// Name identifies the entry among all entries.
 	Name string
 	// DataCentre is the name of the data centre that the entry runs in.
 	DataCentre string
+	// Regions holds the region of each data centre by its name; nil if the deployment states none.
+	Regions map[string]string
 	// CallerAddress, ReadinessAddress, PeerAddress and DirectoryAddress are the TCP addresses on which the entry
 	// listens for callers' requests, readiness checks, connections of other entries, and queries of the
 	// directory, which lists the entries that callers may connect to. LoadAddress is the UDP address on which it
@@ -151,6 +153,7 @@
 	c = c.withSystemDefaults()
 	quarantine, partIsolator := quarantiner.New(), isolator.New(c.Name)
 	sharedDispatcher := dispatcher.New(c.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	sharedDispatcher.SetRegions(c.Regions)
 	newBudgeter := budgeter.NewAfterRestart
 	if c.IsFirstStart {
 		newBudgeter = budgeter.New
@@ -171,7 +174,7 @@
 	// on a closed connection can't be distinguished from one that the engine refused.
 	reservationHTTPClient := &http.Client{Transport: &http.Transport{DialContext: l.tunneler.Dial, DisableKeepAlives: true}}
 	l.controller = controller.New(controller.Config{
-		Name: c.Name, DataCentre: c.DataCentre, Incarnation: uint64(time.Now().UnixNano()), IsFirstStart: c.IsFirstStart,
+		Name: c.Name, DataCentre: c.DataCentre, Regions: c.Regions, Incarnation: uint64(time.Now().UnixNano()), IsFirstStart: c.IsFirstStart,
 		CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, LoadAddress: c.LoadAddress, Store: c.Store, MaxPropagation: c.MaxPropagation, Speed: c.Speed, SinceBoot: c.SinceBoot, Dispatcher: sharedDispatcher, Quarantine: quarantine, Isolator: partIsolator, Tunneler: l.tunneler, Dial: c.Dial,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
--- a/matcher/homes.go
+++ b/matcher/homes.go
@@ -53,9 +53,13 @@
 }
 
 // HasHomes reports whether any route or organisation has home regions.
-func (t *Table) HasHomes() bool {
-	return slices.ContainsFunc(t.Config.Routes, func(r Route) bool { return len(r.AllowedRegions) > 0 }) ||
-		slices.ContainsFunc(t.Config.Organisations, func(o Organisation) bool { return len(o.AllowedRegions) > 0 })
+func (t *Table) HasHomes() bool { return t.hasHomes }
+
+// IsHomeOfAll reports whether a region is a home region of every route and organisation that has any.
+func (t *Table) IsHomeOfAll(region string) bool {
+	isOutside := func(allowed []string) bool { return len(allowed) > 0 && !slices.Contains(allowed, region) }
+	return region != "" && !slices.ContainsFunc(t.Config.Routes, func(r Route) bool { return isOutside(r.AllowedRegions) }) &&
+		!slices.ContainsFunc(t.Config.Organisations, func(o Organisation) bool { return isOutside(o.AllowedRegions) })
 }
 
 // CheckRegions returns an InvalidConfigError if a route or organisation has a home region that is not among the given
--- a/matcher/table.go
+++ b/matcher/table.go
@@ -33,6 +33,8 @@
 	routesByHost       map[string][]*Route
 	organisationsByKey map[string]*Organisation
 	services           map[string]*Service
+	// hasHomes is true if a route or an organisation has home regions.
+	hasHomes bool
 }
 
 // New validates a configuration and returns a table of it. It returns an InvalidConfigError if a
@@ -69,6 +71,8 @@
 			t.organisationsByKey[k] = o
 		}
 	}
+	t.hasHomes = slices.ContainsFunc(c.Routes, func(r Route) bool { return len(r.AllowedRegions) > 0 }) ||
+		slices.ContainsFunc(c.Organisations, func(o Organisation) bool { return len(o.AllowedRegions) > 0 })
 	return t, nil
 }
 
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -57,6 +57,8 @@
 	// KeepsAddress makes the caller use one address until a request to it fails, even
 	// if newer responses of the directory no longer list it.
 	KeepsAddress bool
+	// DataCentre is the data centre that the caller states to the directory.
+	DataCentre string
 	// Body returns the body of a request; nil sends none. BodyOf, if not nil, replaces
 	// Body in POST requests; it returns the body for a request id.
 	Body   func() io.Reader
@@ -78,7 +80,7 @@
 func New(directories []netip.AddrPort, seed uint64, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Caller {
 	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConnections}
 	return &Caller{
-		Directories: directories, AddressTTL: addressTTL, TokenUsage: defaultTokenUsage,
+		Directories: directories, AddressTTL: addressTTL, TokenUsage: defaultTokenUsage, DataCentre: "dc-0",
 		random: rand.New(rand.NewPCG(seed, 1)), client: &http.Client{Transport: transport},
 	}
 }
@@ -170,7 +172,7 @@
 func (c *Caller) queryDirectory(address netip.AddrPort) ([]netip.AddrPort, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), directoryTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/resolve?name=h&region=r&zone=dc-0", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/resolve?name=h&region=r&zone="+c.DataCentre, nil)
 	if err != nil {
 		return nil, fmt.Errorf("build directory request: %w", err)
 	}
--- a/tunneler/dial.go
+++ b/tunneler/dial.go
@@ -168,7 +168,7 @@
 // relayWays returns the ways to connect through relays.
 func (r *race) relayWays(ctx context.Context) []func() raceResult {
 	var ways []func() raceResult
-	for _, relay := range r.relaysFor(r.began, r.upstream) {
+	for _, relay := range r.relaysFor(ctx, r.began, r.upstream) {
 		ways = append(ways, func() raceResult {
 			connection, err := r.openTunnel(ctx, relay, r.upstream)
 			if err != nil {
@@ -211,6 +211,8 @@
 func (r *race) failure(ctx context.Context) error {
 	err := context.Cause(ctx)
 	switch {
+	case err == nil && r.directErr == nil && r.relayErr == nil:
+		err = errNoRelay
 	case r.isAtFault:
 		return r.relayErr
 	case r.directErr != nil:
--- a/tunneler/relays.go
+++ b/tunneler/relays.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -27,6 +28,8 @@
 	// Address is where the entry accepts the calls of others.
 	Address    netip.AddrPort
 	DataCentre string
+	// Region is the region of DataCentre; empty if unknown.
+	Region string
 }
 
 // relayHealth holds the relays to avoid. It is safe for concurrent use.
@@ -59,8 +62,8 @@
 // them: at random from relaysPerDataCentre of those in the data centre of this entry or of the upstream, which
 // rendezvous hashing draws for this entry. Through these, bytes cross no more data centres than directly.
 // Relays of other data centres are used where these have too few. Those to avoid come last, and are replaced by
-// others of relayChoices.
-func (t *Tunneler) relaysFor(now time.Time, upstream netip.AddrPort) []Relay {
+// others of relayChoices. Relays that the context forbids are not used (see WithRelayRegions).
+func (t *Tunneler) relaysFor(ctx context.Context, now time.Time, upstream netip.AddrPort) []Relay {
 	upstreamDataCentre, _ := t.dataCentreOf(upstream)
 	type candidate struct {
 		Relay
@@ -69,6 +72,9 @@
 	}
 	var candidates []candidate
 	for _, relay := range t.config.Relays() {
+		if !mayUse(ctx, relay) {
+			continue
+		}
 		candidates = append(candidates, candidate{
 			Relay: relay, isRemote: relay.DataCentre != t.config.DataCentre && relay.DataCentre != upstreamDataCentre,
 			isAvoided: t.relayHealth.isAvoided(now, relay.Name), weight: assigner.Weight(relay.Name, t.config.Name),
@@ -103,3 +109,17 @@
 	}
 	return 1
 }
+
+type relayRegionsKey struct{}
+
+// WithRelayRegions returns a context for Dial whose connection goes only through relays in regions for which allows
+// returns true, as relays read the bytes that they forward. Without it, relays of all regions are used.
+func WithRelayRegions(ctx context.Context, allows func(region string) bool) context.Context {
+	return context.WithValue(ctx, relayRegionsKey{}, allows)
+}
+
+// mayUse reports whether the connection of a context may go through a relay.
+func mayUse(ctx context.Context, relay Relay) bool {
+	allows, ok := ctx.Value(relayRegionsKey{}).(func(string) bool)
+	return !ok || allows(relay.Region)
+}
