forwarder, launcher: what is held for callers that read slowly is bounded

Cause: an entry held up to 1 MiB of each plain response and its request's body until the caller had read it, kept the placement meanwhile, read nothing from an engine whose caller did not read, and kept unread connections for ever.

Change: above 32 KB a response, all responses together hold at most 32 MiB; beyond it the upstream is read as the caller reads. Streams are read ahead up to 256 KB by an outbox, silence does not count while the entry does not read, and the placement ends with the upstream's response. A connection without progress for a minute counts as stalled; of 128 the longest, and each after ten minutes, is closed.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -76,6 +76,8 @@
 	// helperAtFault is true if the attempt failed because of a helper, and not because of the first
 	// upstream of the placement.
 	helperAtFault bool
+	// isCallerAtFault is true if the attempt failed because an event could not be passed on to the caller.
+	isCallerAtFault bool
 	// reservations holds the memory reserved at helpers for the attempt; nil if the attempt needs none.
 	reservations *reservationGroup
 	// cancel cancels the context of the attempt with a cause, which ends the connection.
@@ -299,9 +301,10 @@
 func (a *attempt) isLostToRestart() bool { return errors.Is(a.err, errUpstreamRestarted) }
 
 // hasOtherCause reports whether an attempt failed for a reason that says nothing about the present
-// incarnation of its first upstream: a helper or a link failed, or an upstream of the attempt restarted.
+// incarnation of its first upstream: a helper or a link failed, the caller did not read, or an upstream of the attempt
+// restarted.
 func (a *attempt) hasOtherCause() bool {
-	return a.helperAtFault || a.isLinkAtFault || a.isLostToRestart()
+	return a.helperAtFault || a.isLinkAtFault || a.isCallerAtFault || a.isLostToRestart()
 }
 
 // avoidFailedUpstream excludes the first upstream of a failed attempt from further attempts of the
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -123,10 +123,9 @@
 		buffered := f.bufferResponse(x, a)
 		retry := a.verdict != verdictAnswered && f.allowRetry(x, a, unsentCount)
 		if !retry && buffered != nil {
-			fail := f.writeResponse(x, a, buffered)
-			f.endAttempt(x, a)
-			return fail
+			return f.writeLastResponse(x, a, buffered)
 		}
+		f.releaseBuffer(buffered)
 		f.endAttempt(x, a)
 		if !retry {
 			return f.lastAttemptFailure(x, a)
@@ -138,12 +137,15 @@
 	}
 }
 
-// bufferedResponse is the response of an upstream to a plain request, read up to maxBufferedBytes.
+// bufferedResponse is the response of an upstream to a plain request, read up to maxBufferedBytes, or less while the
+// entry holds much for callers that read slowly (see maxHeldBytes).
 type bufferedResponse struct {
 	// body is the part of the response body that was read; the whole body if rest is nil.
 	body []byte
 	// rest reads what follows body; nil if body is complete.
 	rest io.Reader
+	// taken is the number of bytes of body that count in Forwarder.held.
+	taken int
 }
 
 // bufferResponse reads the response body of an attempt with the verdict verdictAnswered or
@@ -153,23 +155,45 @@
 	if a.verdict != verdictAnswered && a.verdict != verdictFailed {
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedBytes+1))
+	body, taken, isComplete, err := f.held.read(a.response.Body, a.response.ContentLength, maxBufferedBytes+1)
 	if err != nil {
+		f.held.release(taken)
 		a.markBroken(a.response.Request.Context(), err)
 		return nil
 	}
 	a.watchdog.stop()
 	a.placement.RecordFirstByte(time.Now())
-	if len(body) > maxBufferedBytes {
-		return &bufferedResponse{body: body, rest: a.response.Body}
+	if !isComplete {
+		return &bufferedResponse{body: body, rest: a.response.Body, taken: taken}
+	}
+	return &bufferedResponse{body: body, taken: taken}
+}
+
+// releaseBuffer ends the use of a buffered response; nil is allowed.
+func (f *Forwarder) releaseBuffer(buffered *bufferedResponse) {
+	if buffered != nil {
+		f.held.release(buffered.taken)
+		buffered.taken = 0
 	}
-	return &bufferedResponse{body: body}
+}
+
+// writeLastResponse ends an attempt and writes its response to the caller. An attempt whose response is complete is
+// ended first, and the body of the request released: the upstream is free again, however slowly the caller reads.
+func (f *Forwarder) writeLastResponse(x *exchange, a *attempt, buffered *bufferedResponse) *failure {
+	if buffered.rest != nil {
+		defer f.endAttempt(x, a)
+		return f.writeResponse(x, a, buffered)
+	}
+	f.endAttempt(x, a)
+	x.body = nil
+	return f.writeResponse(x, a, buffered)
 }
 
 // writeResponse writes the response of an upstream to the caller: the header, the buffered part of the
 // body, then the rest of a larger body as it arrives. It returns a failure if the caller has
 // disconnected or the rest of the body breaks off.
 func (f *Forwarder) writeResponse(x *exchange, a *attempt, buffered *bufferedResponse) *failure {
+	defer f.releaseBuffer(buffered)
 	h := x.writer.Header()
 	copyHeaders(h, a.response.Header)
 	if _, ok := h["Content-Type"]; !ok {
@@ -190,6 +214,12 @@
 	if buffered.rest == nil {
 		return nil
 	}
+	f.releaseBuffer(buffered)
+	buffered.body = nil
+	// The rest is read from the upstream until the deadline. After it, a write to a caller that does not read would
+	// only keep the placement.
+	stop := context.AfterFunc(x.ctx, func() { _ = http.NewResponseController(x.writer).SetWriteDeadline(time.Now()) })
+	defer stop()
 	if _, err := io.Copy(x.writer, buffered.rest); err != nil {
 		return unknownOutcomeFailure(reasonBroken, err)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -90,6 +90,8 @@
 	asserter          *asserter.Asserter
 	handler           handler
 	inFlight          atomic.Int64
+	// held counts what is held of responses that their callers have not read yet.
+	held heldBytes
 }
 
 // New returns a Forwarder with the configuration c.
@@ -172,6 +174,8 @@
 	lastEventAt time.Time
 	// longestGap is the longest time between two consecutive events written to the caller.
 	longestGap time.Duration
+	// outbox passes the events of a stream on to the caller; nil before the first event.
+	outbox *outbox
 	// eventCount is the number of events written to the caller.
 	eventCount int
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -27,6 +27,7 @@
 // continues in the same response.
 func (f *Forwarder) serveStream(x *exchange) *failure {
 	events := splitter.New(x.metadata.LastEventID)
+	defer func() { x.outbox.abort() }()
 	unsentCount := 0
 	for {
 		p, fail := f.place(x, dispatcher.Demand{PromptTokens: x.metadata.PromptTokens, AnswerTokens: expectedAnswerTokens(x)})
@@ -38,22 +39,18 @@
 		}
 		a := f.send(x, p, events.LastID())
 		if a.verdict == verdictAnswered && a.response.StatusCode >= http.StatusMultipleChoices && !x.responseBegun {
-			fail := f.relayFailure(x, a)
-			f.endAttempt(x, a)
-			return fail
+			return f.relayFailure(x, a)
 		}
 		if a.verdict == verdictAnswered {
 			f.relayStream(x, a, events)
 		}
 		if a.verdict == verdictAnswered {
 			f.endAttempt(x, a)
-			return nil
+			return finishStream(x)
 		}
 		retry := f.allowRetry(x, a, unsentCount)
 		if !retry && a.verdict == verdictFailed && !x.responseBegun {
-			fail := f.relayFailure(x, a)
-			f.endAttempt(x, a)
-			return fail
+			return f.relayFailure(x, a)
 		}
 		f.endAttempt(x, a)
 		if !retry && x.responseBegun {
@@ -133,13 +130,10 @@
 				f.quarantine.RecordSuccess(time.Now(), x.fingerprint)
 			}
 			if fail := f.writeEvent(x, a, e); fail != nil {
-				a.verdict, a.err = verdictBroken, fail
+				a.verdict, a.err, a.isCallerAtFault = verdictBroken, fail, true
 				return
 			}
 		}
-		if len(complete) > 0 {
-			_ = http.NewResponseController(x.writer).Flush()
-		}
 		if err == nil {
 			err = splitErr
 		}
@@ -161,29 +155,46 @@
 	}
 }
 
-// writeEvent writes one event to the caller. Before the first event it writes the response header of
-// the upstream that sent the event.
+// finishStream waits until the caller has got the rest of a stream that its engine has ended.
+func finishStream(x *exchange) *failure {
+	x.body = nil
+	if x.outbox == nil {
+		return nil
+	}
+	if err := x.outbox.finish(); err != nil {
+		return &failure{reason: reasonCallerLeft, cause: fmt.Errorf("write to caller: %w", err)}
+	}
+	return nil
+}
+
+// writeEvent passes one event on to the caller. Before the first event it writes the response header of
+// the upstream that sent the event. While it waits for a caller that reads slowly, nothing is read from the
+// upstream, whose silence does not count then.
 func (f *Forwarder) writeEvent(x *exchange, a *attempt, e splitter.Event) error {
 	now := time.Now()
 	if !x.responseBegun {
 		copyHeaders(x.writer.Header(), a.response.Header)
 		x.writer.Header().Del("Content-Length")
 		x.writeHeader(a.response.StatusCode)
+		x.outbox = newOutbox(x.writer, &f.held)
 	}
 	x.longestGap = max(x.longestGap, now.Sub(x.lastEventAt))
 	x.lastEventAt = now
 	x.eventCount++
-	if _, err := x.writer.Write(e.Raw); err != nil {
+	a.watchdog.pause()
+	defer a.watchdog.recordRead()
+	if err := x.outbox.add(x.ctx, e.Raw); err != nil {
 		return fmt.Errorf("write to caller: %w", err)
 	}
 	return nil
 }
 
-// relayFailure writes an upstream's response with a status of 300 or above to the caller unchanged.
+// relayFailure writes an upstream's response with a status of 300 or above to the caller unchanged, and ends the attempt.
 func (f *Forwarder) relayFailure(x *exchange, a *attempt) *failure {
 	buffered := f.bufferResponse(x, a)
 	if buffered == nil {
+		f.endAttempt(x, a)
 		return f.lastAttemptFailure(x, a)
 	}
-	return f.writeResponse(x, a, buffered)
+	return f.writeLastResponse(x, a, buffered)
 }
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -54,6 +54,8 @@
 	// reserveElsewhere returns a reservation of the retry if another upstream would accept the request and the
 	// retry budget allows it, nil otherwise. It is passed responseBegun.
 	reserveElsewhere func(begun bool) *budgeter.Reservation
+	// isPaused is true while the entry reads nothing from the upstream, from pause until recordRead.
+	isPaused bool
 	// isStopped is true once stop was called; the attempt is not cancelled any more.
 	isStopped bool
 	// retry is the reservation with which cancelAttempt was called, until takeRetry; nil before.
@@ -119,6 +121,10 @@
 	if w.isStopped || w.retry != nil {
 		return // the attempt has ended, or is cancelled already
 	}
+	if w.isPaused {
+		w.timer.Reset(recheckInterval)
+		return
+	}
 	if w.retry = w.reserveElsewhere(w.responseBegun); w.retry == nil {
 		w.timer.Reset(recheckInterval)
 		return
@@ -168,7 +174,17 @@
 	}
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	w.lastReadAt, w.responseBegun = time.Now(), true
+	w.lastReadAt, w.responseBegun, w.isPaused = time.Now(), true, false
+}
+
+// pause makes silence not count until recordRead; a nil watchdog is allowed.
+func (w *watchdog) pause() {
+	if w == nil {
+		return
+	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.isPaused = true
 }
 
 // stop cancels the pending check; a nil watchdog is allowed.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -277,6 +277,7 @@
 		l.servers = append(l.servers, s.server)
 		onServeEnd := func() {}
 		if s.server == l.callerServer {
+			listener = newUnreadListener(listener)
 			l.callerListener, onServeEnd = listener, func() { close(l.acceptDone) }
 		}
 		go func() {
