forwarder: a large response that ends at its deadline does not keep the connection

Cause: the write deadline that interrupts a copy at the request's deadline would have stayed on a connection whose copy had just ended.

Change: the response fails then, which closes the connection.

Result: go vet; the race is too short for a test.

--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -223,6 +223,10 @@
 	if _, err := io.Copy(x.writer, buffered.rest); err != nil {
 		return unknownOutcomeFailure(reasonBroken, err)
 	}
+	if !stop() {
+		// The write deadline is set, and the connection can't be used any more.
+		return unknownOutcomeFailure(reasonDeadline, context.Cause(x.ctx))
+	}
 	return nil
 }
 
