forwarder: the outbox of a stream uses each buffer once at a time

Cause: after an empty batch the spare buffer was also the queue, so that events were added to the bytes that were being written. Found by the race detector before it was merged; the tests before compared lengths only where callers read slowly.

Change: the buffers are exchanged only where there is a batch.

--- a/forwarder/outbox.go
+++ b/forwarder/outbox.go
@@ -89,16 +89,19 @@
 	var spare []byte
 	for {
 		o.lock.Lock()
-		batch, isClosed := o.queue, o.isClosed
-		o.queue, o.writing = spare[:0], len(batch)
-		o.lock.Unlock()
-		if len(batch) == 0 {
+		if len(o.queue) == 0 {
+			isClosed := o.isClosed
+			o.lock.Unlock()
 			if isClosed {
 				return
 			}
 			<-o.hasChanged
 			continue
 		}
+		// The spare array becomes the queue only here, as it must not be that of the batch.
+		batch := o.queue
+		o.queue, o.writing = spare[:0], len(batch)
+		o.lock.Unlock()
 		_, err := o.writer.Write(batch)
 		if err == nil {
 			_ = flush()
--- a/launcher/unread_test.go
+++ b/launcher/unread_test.go
@@ -57,6 +57,15 @@
 	})
 }
 
+// bulkStream returns the stream of a bulkUpstream.
+func bulkStream() string {
+	stream := ""
+	for n := range bulkEvents {
+		stream += fmt.Sprintf("id: %d\ndata: %s\n\n", n+1, bulkBody[:bulkText])
+	}
+	return stream
+}
+
 // withBulkUpstreams runs a test with one entry in front of bulkUpstreams, three for each service.
 func withBulkUpstreams(t *testing.T, test func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -179,8 +188,8 @@
 				}
 				body, err := io.ReadAll(response.Body)
 				t.Logf("%s: %d bytes within %s", path, len(body), time.Since(began))
-				if err != nil || len(body) < size {
-					t.Errorf("%s: %d of %d bytes: %v", path, len(body), size, err)
+				if err != nil || len(body) < size || path == "/stream/bulk" && string(body) != bulkStream() {
+					t.Errorf("%s: %d of %d bytes, or others: %v", path, len(body), size, err)
 				}
 				_ = connection.Close()
 			}
