--- a/cmd/sapphireramp/gateway.go
+++ b/cmd/sapphireramp/gateway.go
@@ -65,14 +65,14 @@
 	})
 	store := platform.NewStore(&http.Client{}, settings.StoreAddress)
 	config := launcher.Config{
-		Name: settings.Name, DataCentre: settings.DataCentre, CallerAddress: settings.CallerAddress, ReadinessAddress: settings.ReadinessAddress,
+		Name: settings.Name, DataCentre: settings.DataCentre, Regions: settings.Regions, CallerAddress: settings.CallerAddress, ReadinessAddress: settings.ReadinessAddress,
 		PeerAddress: settings.PeerAddress, DirectoryAddress: settings.DirectoryAddress, LoadAddress: settings.LoadAddress,
 		AddressTTL: min(addressTTL, settings.MaxAddressTTL), Settings: reloadableSettings(settings),
 		ReadSettings: func() (launcher.Settings, error) {
 			s, err := platform.LoadSettings()
 			return reloadableSettings(s), err
 		},
-		Store:    controller.Store{Read: store.Read, Watch: store.Watch, DecodeConfig: platform.DecodeConfig},
+		Store:    controller.Store{Read: store.Read, Watch: store.Watch, DecodeConfig: settings.DecodeConfig},
 		Protocol: platform.Protocol(), NewReservationClient: platform.NewReservationClient,
 		MaxPropagation:   settings.MaxPropagation,
 		IsFirstStart:     settings.IsFirstStart,
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -59,6 +59,8 @@
 	// two have the same IP address, and LoadAddress the same port at all entries.
 	CallerAddress, PeerAddress, LoadAddress netip.AddrPort
 	Store                                   Store
+	// Regions holds the region of each data centre by its name; data centres that it lacks are of unknown region.
+	Regions map[string]string
 	// MaxPropagation is the maximum time from a change in the store until this entry
 	// uses the changed configuration or upstreams for new requests.
 	MaxPropagation time.Duration
@@ -192,9 +194,9 @@
 	// dirty is true if the state has changed since the latest view was published, at publishedAt.
 	dirty       bool
 	publishedAt time.Time
-	// unreadableConfig is the stamp, without version, of the last configuration that this entry
-	// could not decode; zero if there was none.
-	unreadableConfig follower.ConfigStamp
+	// unreadableConfigs are the stamps, without versions, of the last configurations that this entry
+	// could not decode, at most maxUnreadableConfigs.
+	unreadableConfigs []follower.ConfigStamp
 }
 
 const (
--- a/controller/places_test.go
+++ b/controller/places_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/scheduler"
 )
 
--- a/dispatcher/demand.go
+++ b/dispatcher/demand.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/apportioner"
+	"github.com/sapphireramp/sapphireramp/matcher"
 )
 
 // Demand describes a request to be placed: its size, its latency targets and how long its caller
@@ -22,6 +23,8 @@
 	// MayHaveRun is true for a request that an upstream may have run. It is never refused for its
 	// organisation's share.
 	MayHaveRun bool
+	// Homes are the regions whose upstreams may process the request; the zero value allows all.
+	Homes matcher.Homes
 	// PromptTokens is the length of the prompt, AnswerTokens the expected length of the answer.
 	// PromptTokens is 0 for plain services.
 	PromptTokens, AnswerTokens int
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -102,6 +102,8 @@
 	handler           handler
 	inFlight          atomic.Int64
 	queues            queues
+	// held counts what is held of responses that their callers have not read yet.
+	held heldBytes
 }
 
 // New returns a Forwarder with the configuration c.
@@ -136,6 +138,8 @@
 	route *matcher.Route
 	// organisation is the name of the organisation that sent the request; empty on public routes.
 	organisation string
+	// account is that organisation; nil on public routes.
+	account *matcher.Organisation
 	// priority is the priority of the organisation, or of the route if there is no organisation; 0
 	// is the most urgent.
 	priority int
@@ -189,6 +193,8 @@
 	lastEventAt time.Time
 	// longestGap is the longest time between two consecutive events written to the caller.
 	longestGap time.Duration
+	// outbox passes the events of a stream on to the caller; nil before the first event.
+	outbox *outbox
 	// eventCount is the number of events written to the caller.
 	eventCount int
 }
@@ -306,7 +312,7 @@
 		}
 		x.route, x.priority, x.rank = route, route.Priority, apportioner.NewRank(0, route.Priority)
 		if organisation != nil {
-			x.organisation, x.priority = organisation.Name, organisation.Priority
+			x.account, x.organisation, x.priority = organisation, organisation.Name, organisation.Priority
 			x.rank = apportioner.NewRank(organisation.Priority, route.Priority)
 		}
 		x.deadline = x.arrivedAt.Add(requestTimeout(x))
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -44,13 +44,15 @@
 }
 
 // Config configures a Launcher. All fields are required, except that
-// MetricsAddress, IsFirstStart and Speed may be zero and SinceBoot, Dial, Listen and
+// Regions, MetricsAddress, IsFirstStart and Speed may be zero and SinceBoot, Dial, Listen and
 // ListenPacket may be nil.
 type Config struct {
 	// Name identifies the entry among all entries.
 	Name string
 	// DataCentre is the name of the data centre that the entry runs in.
 	DataCentre string
+	// Regions holds the region of each data centre by its name; nil if the deployment states none.
+	Regions map[string]string
 	// CallerAddress, ReadinessAddress, PeerAddress and DirectoryAddress are the TCP addresses on which the entry
 	// listens for callers' requests, readiness checks, connections of other entries, and queries of the
 	// directory, which lists the entries that callers may connect to. LoadAddress is the UDP address on which it
@@ -154,6 +156,7 @@
 	unclaimed := c.Scope.Counter("places_unclaimed")
 	quarantine, partIsolator := quarantiner.New(), isolator.New(c.Name)
 	sharedDispatcher := dispatcher.New(c.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	sharedDispatcher.SetRegions(c.Regions)
 	newBudgeter := budgeter.NewAfterRestart
 	if c.IsFirstStart {
 		newBudgeter = budgeter.New
@@ -183,7 +186,7 @@
 	// on a closed connection can't be distinguished from one that the engine refused.
 	reservationHTTPClient := &http.Client{Transport: &http.Transport{DialContext: l.tunneler.Dial, DisableKeepAlives: true}}
 	l.controller = controller.New(controller.Config{
-		Name: c.Name, DataCentre: c.DataCentre, Incarnation: incarnation, IsFirstStart: c.IsFirstStart,
+		Name: c.Name, DataCentre: c.DataCentre, Regions: c.Regions, Incarnation: incarnation, IsFirstStart: c.IsFirstStart,
 		CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, LoadAddress: c.LoadAddress, Store: c.Store, MaxPropagation: c.MaxPropagation, Speed: c.Speed, SinceBoot: c.SinceBoot, Dispatcher: sharedDispatcher, Scheduler: returns, Quarantine: quarantine, Isolator: partIsolator, Tunneler: l.tunneler, Dial: c.Dial,
 		Ledger: ledger, PartStates: map[string]controller.PartStateFunc{
 			dispatcher.RateResource: sharedDispatcher.RatePart,
@@ -323,6 +326,7 @@
 		l.servers = append(l.servers, s.server)
 		onServeEnd := func() {}
 		if s.server == l.callerServer {
+			listener = newUnreadListener(listener)
 			l.callerListener, onServeEnd = listener, func() { close(l.acceptDone) }
 		}
 		go func() {
