forwarder: the test of too costly prompts fills engines with requests of one organisation

Requests without an organisation go before those of an organisation with priority 1 now, so that the prompt was refused as over_share instead of too_costly; the assertions stay.

--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/sapphireramp/sapphireramp/apportioner"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/forwarder"
 	"github.com/sapphireramp/sapphireramp/standin/worker"
@@ -254,7 +255,7 @@
 		withForwarder(t, func(f *fixture) {
 			for range 5 {
 				_, refusal := f.dispatcher.Place(time.Now(), dispatcher.Demand{
-					Service: "lm", PromptTokens: 100_000, AnswerTokens: 100, FirstByteTarget: 3 * time.Second, GapTarget: time.Second, SentBefore: true,
+					Service: "lm", Organisation: apportioner.NewOrganisation("crew"), Rank: apportioner.NewRank(1, 0), PromptTokens: 100_000, AnswerTokens: 100, FirstByteTarget: 3 * time.Second, GapTarget: time.Second, SentBefore: true,
 				})
 				f.is.True(refusal == nil)
 			}
