scheduler, lender, launcher: a burst at one entry borrows the other entries' promises

Each part that an entry has is a clock of its own now, an idle entry lends all of its promises, and a shortage asks for all of them at once.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -212,13 +212,13 @@
 
 // promisePartFunc returns the function by which the scheduler learns this entry's part of all promises: its own, and
 // what other entries lend it.
-func promisePartFunc(b *dispatcher.Dispatcher, ledger *lender.Ledger) func(time.Time, string, float64, bool) float64 {
-	return func(now time.Time, service string, used float64, isShort bool) float64 {
+func promisePartFunc(b *dispatcher.Dispatcher, ledger *lender.Ledger) func(time.Time, string, float64, bool) scheduler.Part {
+	return func(now time.Time, service string, used float64, isShort bool) scheduler.Part {
 		entries, _ := b.SharingEntries(now)
 		if entries == 0 {
-			return 0
+			return scheduler.Part{}
 		}
-		return ledger.Places(now, service, entries, used*float64(entries), isShort)
+		return scheduler.Part{Fraction: ledger.Places(now, service, entries, used*float64(entries), isShort), Unit: 1 / float64(entries)}
 	}
 }
 
--- a/lender/borrow.go
+++ b/lender/borrow.go
@@ -238,7 +238,7 @@
 		if parts < minLoan || len(items) == maxItems || slices.ContainsFunc(l.accounts[resource].borrowed, isFresh) {
 			continue
 		}
-		asked := min(MaxLent, inSteps(parts+minLoan))
+		asked := min(1, inSteps(parts+minLoan))
 		missing[resource] -= asked
 		items = append(items, AskItem{Resource: resource, Parts: asked})
 	}
--- a/lender/ledger.go
+++ b/lender/ledger.go
@@ -64,6 +64,9 @@
 	Sharers []string
 	// IsFixed is true if the entry lends nothing, as when it may cease to be one of those that share the resource.
 	IsFixed bool
+	// LendsAll is true if the entry needs no reserve: it lends all of its part while it uses none, and has none after a
+	// restart for as long as it may have lent it.
+	LendsAll bool
 	// Used is what the entry has used lately, in parts. For a resource with a window it includes all that it used
 	// within the window.
 	Used float64
@@ -71,6 +74,22 @@
 	Window time.Duration
 }
 
+// maxLent returns the largest fraction of its part that the entry lends.
+func (s State) maxLent() float64 {
+	if s.LendsAll {
+		return 1
+	}
+	return MaxLent
+}
+
+// free returns the fraction of its part that the entry does not use.
+func (s State) free() float64 {
+	if s.LendsAll && s.Used == 0 {
+		return 1
+	}
+	return min(s.maxLent(), 1-usedFactor*s.Used-usedMargin)
+}
+
 // loan is a part that was lent or borrowed.
 type loan struct {
 	// other is the borrower's process or the lender's name.
@@ -201,7 +220,7 @@
 	if s.Owns {
 		own = 1
 		if at.Before(l.reservedUntil(s)) {
-			own = 1 - MaxLent
+			own = 1 - s.maxLent()
 		}
 	}
 	if a == nil {
--- a/lender/lend.go
+++ b/lender/lend.go
@@ -70,7 +70,7 @@
 	if a == nil || len(a.lent) >= maxLoans || a.demand.isCurrent(at) || total(a.borrowed, at, 0, 1, "") > 0 {
 		return 0
 	}
-	free := min(MaxLent, 1-usedFactor*s.Used-usedMargin) - total(a.lent, at, s.Window, 1, borrower)
+	free := s.free() - total(a.lent, at, s.Window, 1, borrower)
 	parts := inSteps(min(item.Parts, free))
 	if parts <= 0 {
 		return 0
--- a/lender/places.go
+++ b/lender/places.go
@@ -33,12 +33,16 @@
 		l.places[resource] = placeReport{used: used, at: l.at(now)}
 	}
 	l.lock.Unlock()
-	if isShort {
-		l.WantMore(now, resource, s)
-	} else {
+	part := l.Part(now, resource, s)
+	switch {
+	case isShort && s.Unit > 0 && l.isShort(now, resource):
+		// Bursts last for seconds: growing with each round, loans would come when most callers have been refused.
+		l.Want(now, resource, s, 1/s.Unit)
+	case part > s.Unit:
+		// Only loans are kept: an entry that has just used its own part borrows once callers are refused for want of it.
 		l.KeepWhatIsUsed(now, resource, s)
 	}
-	return l.Part(now, resource, s)
+	return part
 }
 
 // PlaceState returns this entry's state of its part of promised return times, by its name in the ledger; false if there
@@ -57,7 +61,7 @@
 }
 
 func placeState(entries int, used float64) State {
-	s := State{Used: used, Window: PlaceWindow}
+	s := State{Used: used, Window: PlaceWindow, LendsAll: true}
 	if entries > 0 {
 		s.Unit, s.Owns = 1/float64(entries), true
 	}
--- a/scheduler/clock.go
+++ b/scheduler/clock.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/apportioner"
@@ -15,11 +16,24 @@
 	maxClocks = 4096
 )
 
-// clockKey identifies the requests whose places are given out by one clock.
+// clockKey identifies a clock and the requests whose places it gives out.
 type clockKey struct {
 	service      Service
 	organisation apportioner.Organisation
 	rank         apportioner.Rank
+	// lane distinguishes the clocks for the same requests, each of which gives out Part.Unit of all promises. An entry
+	// that borrows parts has more than one: a single clock could use them only after the last place that it has given
+	// out, which is as far ahead as callers wait.
+	lane int
+}
+
+// lane is one of the clocks for a request, with the length of its steps.
+type lane struct {
+	key   clockKey
+	clock *clock
+	step  time.Duration
+	// next is the clock with its next place.
+	next clock
 }
 
 // clock divides the time into steps, each of which takes one place. Steps do not overlap, and the cost of
@@ -55,44 +69,66 @@
 	Earliest time.Duration
 }
 
-// step returns the length of a step of the clock for a request, given this entry's part of all promises.
-func (a Ask) step(part float64) time.Duration {
+// step returns the length of a step of a clock for a request, given the fraction of all promises that the clock gives
+// out.
+func (a Ask) step(fraction float64) time.Duration {
 	cost := a.Use * a.WorkTime.Seconds()
-	seconds := cost / (a.Share * ReturnShare * part)
+	seconds := cost / (a.Share * ReturnShare * fraction)
 	if math.IsNaN(seconds) || seconds < 0 || seconds > maxStep.Seconds() {
 		return maxStep
 	}
 	return max(time.Nanosecond, time.Duration(seconds*float64(time.Second)))
 }
 
+// maxLanes is the maximum number of clocks for the same requests. An entry borrows from 48 others at most.
+const maxLanes = 64
+
+// lanes returns the clocks for a request with their next places, which are due at the earliest at a time. The lock must
+// be held.
+func (s *Scheduler) lanes(now, earliest time.Time, a Ask, p Part) []lane {
+	unit := p.Unit
+	if unit <= 0 {
+		unit = p.Fraction
+	}
+	var lanes []lane
+	for left := p.Fraction; len(lanes) == 0 || left > minLane*unit && len(lanes) < maxLanes; left -= unit {
+		l := lane{key: clockKey{NewService(a.Service), a.Organisation, a.Rank, len(lanes)}, step: a.step(min(unit, left))}
+		l.clock = s.clock(now, l.key, l.step)
+		l.next = l.clock.next(earliest, l.step, s.config.Random.Float64)
+		lanes = append(lanes, l)
+	}
+	return lanes
+}
+
+// minLane is the smallest part of a unit for which a clock is kept.
+const minLane = 0.05
+
 // Promise gives out a place for a refused request and returns true, if there is one within the caller's
 // patience and fewer than MaxPlaces are known. Otherwise it reserves nothing, and the place returned
 // states only the time of the next one; zero if that is unknown, because the share or this entry's part of
 // it is 0, or because this process may have had a predecessor whose promises have not ended yet.
 func (s *Scheduler) Promise(now time.Time, a Ask) (Place, bool) {
 	part := s.part(now, a.Service)
-	step := a.step(part)
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.expire(now)
+	lanes := s.lanes(now, now.Add(max(minAhead, a.Earliest)), a, part)
+	first := slices.MinFunc(lanes, func(a, b lane) int { return a.next.due(a.step).Compare(b.next.due(b.step)) })
+	p := Place{Key: a.Key, Service: first.key.service, Organisation: a.Organisation, Rank: a.Rank, Due: first.next.due(first.step), Use: a.Use}
+	_, isKept := s.clocks[first.key]
 	used := s.usageOf(now, a.Service)
-	key := clockKey{NewService(a.Service), a.Organisation, a.Rank}
-	c := s.clock(now, key, step)
-	next := c.next(now.Add(max(minAhead, a.Earliest)), step, s.config.Random.Float64)
-	p := Place{Key: a.Key, Service: key.service, Organisation: a.Organisation, Rank: a.Rank, Due: next.due(step), Use: a.Use}
-	_, isKept := s.clocks[key]
 	used.isShort = p.Due.Sub(now) > min(a.Patience, MaxAhead)
-	if used.isShort || len(s.places) >= MaxPlaces || step == maxStep || !isKept {
+	if used.isShort || len(s.places) >= MaxPlaces || first.step == maxStep || !isKept {
 		if a.Earliest <= minAhead {
-			*c = next
+			*first.clock = first.next
 		}
-		if step == maxStep || now.Before(s.firstStep(step)) {
+		if first.step == maxStep || now.Before(s.firstStep(first.step)) {
 			p.Due = time.Time{}
 		}
 		return p, false
 	}
-	*c = clock{free: next.start.Add(step)}
-	used.promised += time.Duration(float64(step) * part)
+	*first.clock = clock{free: first.next.start.Add(first.step)}
+	used.promised += time.Duration(float64(first.step) * min(part.Fraction, max(part.Unit, 0)))
 	p.ID = s.newID()
 	s.add(p, true)
 	s.counts.Promised++
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -71,15 +71,22 @@
 	return now.Add(-closesAfter), now.Add(opensBefore)
 }
 
+// Part is an entry's part of the promises of all entries.
+type Part struct {
+	// Fraction is the part now, from 0 to 1: Unit unless some is lent.
+	Fraction float64
+	// Unit is an equal part for each entry: 1/N among N entries.
+	Unit float64
+}
+
 // Config holds the settings of a Scheduler.
 type Config struct {
 	// Random draws the times of places and their IDs. It need not be safe for concurrent use.
 	Random *rand.Rand
-	// Part returns the fraction of the promises of all entries for a service that this entry may make: 1/N
-	// among N entries unless some are lent. Used is the fraction of these promises that this entry has
-	// made lately; isShort is true if the last refused caller could not be given a time within its
-	// patience. It must be safe for concurrent use; nil stands for 1.
-	Part func(now time.Time, service string, used float64, isShort bool) float64
+	// Part returns this entry's part of the promises for a service. Used is the fraction of the promises of
+	// all entries that this entry has made lately; isShort is true if the last refused caller could not be
+	// given a time within its patience. It must be safe for concurrent use; nil stands for a single entry.
+	Part func(now time.Time, service string, used float64, isShort bool) Part
 	// OnUnclaimed is called for each place of this entry that was not claimed in time. It must neither
 	// block nor call the Scheduler; nil does nothing.
 	OnUnclaimed func()
@@ -129,7 +136,7 @@
 // New returns a Scheduler that knows no places.
 func New(c Config) *Scheduler {
 	if c.Part == nil {
-		c.Part = func(time.Time, string, float64, bool) float64 { return 1 }
+		c.Part = func(time.Time, string, float64, bool) Part { return Part{Fraction: 1, Unit: 1} }
 	}
 	if c.OnUnclaimed == nil {
 		c.OnUnclaimed = func() {}
--- a/scheduler/usage.go
+++ b/scheduler/usage.go
@@ -39,8 +39,8 @@
 	return u
 }
 
-// part returns this entry's fraction of the promises for a service.
-func (s *Scheduler) part(now time.Time, service string) float64 {
+// part returns this entry's part of the promises for a service.
+func (s *Scheduler) part(now time.Time, service string) Part {
 	s.lock.Lock()
 	u := *s.usageOf(now, service)
 	s.lock.Unlock()
