dispatcher, forwarder: streams may leave silent engines whatever their share; limit of slow plain services

A stream that moves away from a silent engine was refused for its organisation's share, although it may have run. A plain service whose work takes as long as its target had a limit of hardly more than its slots, so that requests were refused that upstreams queue for callers who accept late responses; it has twice its slots now, as before the first measurement. Tests of the limit and of the work time.

--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -22,9 +22,11 @@
 	// long as the target: entries learn within 10 ms that a request has ended, and a waiting request is
 	// placed within another 25 ms.
 	minQueueTime = 40 * time.Millisecond
-	// unmeasuredQueue is the allowed queueing time, in multiples of the work time, before the first
-	// measurement: that of a request whose work takes a third of its target.
-	unmeasuredQueue = 1.0
+	// defaultQueue is the allowed queueing time, in multiples of the work time, before the first measurement: that of
+	// a request whose work takes a third of its target. It also applies where the work alone takes as long as the
+	// target, or there is none: callers then accept later responses, and requests that upstreams would have queued
+	// must not be refused.
+	defaultQueue = 1.0
 	// maxOverUse is the ratio of the requests in progress at a plain service to the divided use up to which requests
 	// are placed that are entitled. It bounds what is queued at upstreams when many organisations begin at once.
 	maxOverUse = 2
@@ -94,8 +96,8 @@
 // plainUse returns the number of requests in progress with which the slots of a plain service are in use and requests
 // are queued for the allowed time.
 func (s *serviceUse) plainUse(capacity float64, firstByteTarget time.Duration) float64 {
-	if s.workTime.mean <= 0 {
-		return capacity * (1 + unmeasuredQueue)
+	if s.workTime.mean <= 0 || s.workTime.mean >= firstByteTarget {
+		return capacity * (1 + defaultQueue)
 	}
 	queueTime := max(minQueueTime, time.Duration(queueTimePart*float64(firstByteTarget-s.workTime.mean)))
 	return capacity * (1 + float64(queueTime)/float64(s.workTime.mean))
--- a/dispatcher/share_test.go
+++ b/dispatcher/share_test.go
@@ -166,6 +166,34 @@
 	is.Equal(cost, 0.0)                 // nothing was measured
 }
 
+// Guards against a limit that leaves slots idle, or refuses what upstreams would queue for callers that accept it.
+func TestLimitOfPlainService(t *testing.T) {
+	is := is.New(t)
+	limit := func(work, target time.Duration) float64 {
+		s := serviceUse{workTime: workTime{mean: work}}
+		return s.plainUse(10, target)
+	}
+	is.Equal(limit(0, 300*time.Millisecond), 20.0)                     // not measured
+	is.Equal(limit(100*time.Millisecond, 300*time.Millisecond), 20.0)  // 100 ms of queueing
+	is.Equal(limit(20*time.Millisecond, 300*time.Millisecond), 80.0)   // 140 ms
+	is.Equal(limit(250*time.Millisecond, 300*time.Millisecond), 11.6)  // the least time, 40 ms
+	is.Equal(limit(2000*time.Millisecond, 300*time.Millisecond), 20.0) // never on time
+}
+
+// Guards against a work time that includes queueing, and against an entry that never measures it under load.
+func TestWorkTimeIsThatOfFreeSlots(t *testing.T) {
+	is := is.New(t)
+	var w workTime
+	w.record(300*time.Millisecond, 2)
+	is.Equal(w.mean, 100*time.Millisecond)
+	w.record(80*time.Millisecond, 0)
+	is.Equal(w.mean, 80*time.Millisecond)
+	w.record(time.Second, 1)
+	is.Equal(w.mean, 80*time.Millisecond)
+	w.record(100*time.Millisecond, 0)
+	is.Equal(w.mean, 81*time.Millisecond)
+}
+
 // Guards against entries that each use all of a service while they are cut off from each other.
 func TestIsolatedEntryUsesItsPart(t *testing.T) {
 	is := is.New(t)
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -146,7 +146,7 @@
 func (f *Forwarder) reserveElsewhere(x *exchange, p *dispatcher.Placement, begun bool) *budgeter.Reservation {
 	d := x.lastDemand
 	d.Avoid = append(slices.Clone(d.Avoid), p.First)
-	d.SentBefore = false
+	d.SentBefore, d.MayHaveRun = false, true
 	now, v := time.Now(), f.view()
 	if x.mayOutlastEntry(v) && x.isStream() && !begun {
 		// A stream without events stays at its engine if no other engine could complete it before this
