--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -126,7 +126,7 @@
 
 // admit decides whether a request may be placed now as to its organisation's share of the service. The
 // lock must be held. While requests of one organisation and rank are alone, their prompts are limited by the state of
-// the engines only, as engines that are silent hold requests and would otherwise keep an organisation from the others;
+// the engines only, as before there were shares (see docs/design/fair-shares.md for a trial with a limit);
 // requests without organisation and rank are not limited at all.
 func (b *Dispatcher) admit(now time.Time, d Demand) admission {
 	s, ok := b.uses[d.Service]
