--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -22,9 +22,11 @@
 	// long as the target: entries learn within 10 ms that a request has ended, and a waiting request is
 	// placed within another 25 ms.
 	minQueueTime = 40 * time.Millisecond
-	// unmeasuredQueue is the allowed queueing time, in multiples of the work time, before the first
-	// measurement: that of a request whose work takes a third of its target.
-	unmeasuredQueue = 1.0
+	// defaultQueue is the allowed queueing time, in multiples of the work time, before the first measurement: that of
+	// a request whose work takes a third of its target. It also applies where the work alone takes as long as the
+	// target, or there is none: callers then accept later responses, and requests that upstreams would have queued
+	// must not be refused.
+	defaultQueue = 1.0
 	// maxOverUse is the ratio of the requests in progress at a plain service to the divided use up to which requests
 	// are placed that are entitled. It bounds what is queued at upstreams when many organisations begin at once.
 	maxOverUse = 2
@@ -101,8 +103,8 @@
 // plainUse returns the number of requests in progress with which the slots of a plain service are in use and requests
 // are queued for the allowed time.
 func (s *serviceUse) plainUse(capacity float64, firstByteTarget time.Duration) float64 {
-	if s.workTime.mean <= 0 {
-		return capacity * (1 + unmeasuredQueue)
+	if s.workTime.mean <= 0 || s.workTime.mean >= firstByteTarget {
+		return capacity * (1 + defaultQueue)
 	}
 	queueTime := max(minQueueTime, time.Duration(queueTimePart*float64(firstByteTarget-s.workTime.mean)))
 	return capacity * (1 + float64(queueTime)/float64(s.workTime.mean))
@@ -131,7 +133,7 @@
 
 // admit decides whether a request may be placed now as to its organisation's share of the service. The
 // lock must be held. While requests of one organisation and rank are alone, their prompts are limited by the state of
-// the engines only, as engines that are silent hold requests and would otherwise keep an organisation from the others;
+// the engines only, as before there were shares (see docs/design/fair-shares.md for a trial with a limit);
 // requests without organisation and rank are not limited at all.
 func (b *Dispatcher) admit(now time.Time, d Demand) admission {
 	s, ok := b.uses[d.Service]
