--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -39,10 +39,10 @@
 		u.queue.RecordPassEnd(now)
 	}
 	r.recordFirstByte(now)
-	b.endPrefillUse(r)
 	if r.gapTarget == 0 {
 		b.recordWorkTime(now, r) // of a response that is read as a whole
 	}
+	b.reduceUse(r)
 	if isJoint || r.assignments[0].job.PrefillTime > minReportedPrefill {
 		b.queueUpdate(r)
 	}
--- a/dispatcher/requestload.go
+++ b/dispatcher/requestload.go
@@ -218,7 +218,7 @@
 		r.expiresAt = now.Add(requestLoadTTL)
 		if load.FirstByteSeen && !r.firstByteSeen {
 			r.recordFirstByte(now)
-			b.endPrefillUse(r)
+			b.reduceUse(r)
 		}
 		if !load.FirstByteSeen {
 			r.lastPendingAt = now
--- a/dispatcher/use.go
+++ b/dispatcher/use.go
@@ -35,10 +35,11 @@
 }
 
 // countUse adds a request to the use of its service, or replaces what was added by its present use. It does
-// nothing while no upstream of the request is known.
+// nothing while no upstream of the request is known, and for a plain service once the response has come: its caller may
+// take long to read it, and no slot works on it meanwhile.
 func (b *Dispatcher) countUse(r *request) {
 	b.uncountUse(r)
-	if len(r.assignments) == 0 {
+	if len(r.assignments) == 0 || r.firstByteSeen && r.assignments[0].upstream.engine == nil {
 		return
 	}
 	c := countedUse{service: r.assignments[0].upstream.instance.Service}
@@ -81,12 +82,19 @@
 	r.counted = nil
 }
 
-// endPrefillUse removes the prefill from the use of a request whose first event has arrived.
-func (b *Dispatcher) endPrefillUse(r *request) {
-	if r.counted == nil || r.counted.prefill == 0 {
+// reduceUse removes from the use of a request whose first event has arrived its prefill, or at a plain service all.
+func (b *Dispatcher) reduceUse(r *request) {
+	if r.counted == nil {
 		return
 	}
 	c := *r.counted
+	if r.assignments[0].upstream.engine == nil {
+		b.uncountUse(r)
+		return
+	}
+	if c.prefill == 0 {
+		return
+	}
 	b.uncountUse(r)
 	c.amount, c.prefill = c.amount-c.prefill, 0
 	r.counted = &c
--- a/forwarder/returns.go
+++ b/forwarder/returns.go
@@ -83,9 +83,13 @@
 		return fail
 	}
 	timeLeft := x.deadline.Sub(now)
+	patience := timeLeft / patienceDivisor
+	if isPromptOverShare(x, r) {
+		patience = min(patience, x.route.FirstByteTarget-now.Sub(x.arrivedAt))
+	}
 	ask := scheduler.Ask{
 		Service: x.service, Organisation: apportioner.NewOrganisation(x.organisation), Rank: x.lastDemand.Rank, Key: keyOf(x),
-		Share: share.Level, Use: share.Use, WorkTime: share.WorkTime, Patience: timeLeft / patienceDivisor,
+		Share: share.Level, Use: share.Use, WorkTime: share.WorkTime, Patience: patience,
 	}
 	if r.Reason != dispatcher.ReasonOverShare {
 		// Engines accept the prompt no earlier, whatever the share.
@@ -95,6 +99,9 @@
 	if p.Due.IsZero() {
 		return fail
 	}
+	if !promised && isPromptOverShare(x, r) {
+		return fail
+	}
 	fail.retryAfter = min(p.Due.Sub(now), timeLeft)
 	if !promised {
 		fail.reason = reasonNoPlaceInTime
@@ -106,6 +113,13 @@
 	return fail
 }
 
+// isPromptOverShare reports whether a prompt was refused for its organisation's share of engines. Such a prompt gets only
+// places at which its first event may still be on time: a late answer is worth a fraction of one that is on time, and
+// the organisation's new prompts would be late instead.
+func isPromptOverShare(x *exchange, r *dispatcher.Refusal) bool {
+	return r.Reason == dispatcher.ReasonOverShare && x.lastDemand.PromptTokens > 0
+}
+
 // isShortOfCapacity reports whether a request was refused because the service is short of capacity.
 func isShortOfCapacity(x *exchange, r *dispatcher.Refusal) bool {
 	switch r.Reason {
--- a/scheduler/clock.go
+++ b/scheduler/clock.go
@@ -112,11 +112,14 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.expire(now)
-	lanes := s.lanes(now, now.Add(max(minAhead, a.Earliest)), a, part)
+	used := s.usageOf(now, a.Service)
+	// A shortage that has lasted for some time is expected to last as long again. Until then new requests use all
+	// that an organisation may have, and can be on time, which a return can't be where targets are short.
+	earliest := max(minAhead, a.Earliest, used.recordRefused(now))
+	lanes := s.lanes(now, now.Add(earliest), a, part)
 	first := slices.MinFunc(lanes, func(a, b lane) int { return a.next.due(a.step).Compare(b.next.due(b.step)) })
 	p := Place{Key: a.Key, Service: first.key.service, Organisation: a.Organisation, Rank: a.Rank, Due: first.next.due(first.step), Use: a.Use}
 	_, isKept := s.clocks[first.key]
-	used := s.usageOf(now, a.Service)
 	used.isShort = p.Due.Sub(now) > min(a.Patience, MaxAhead)
 	if used.isShort || len(s.places) >= MaxPlaces || first.step == maxStep || !isKept {
 		if a.Earliest <= minAhead {
--- a/scheduler/usage.go
+++ b/scheduler/usage.go
@@ -21,6 +21,20 @@
 	updatedAt time.Time
 	// isShort is true if the last refused caller got no place within its patience.
 	isShort bool
+	// shortageBegan is when the current shortage of the service began, refusedAt when a caller was last refused.
+	shortageBegan, refusedAt time.Time
+}
+
+// shortageGap is the time without a refused caller after which a shortage is over.
+const shortageGap = time.Second
+
+// recordRefused records that a caller was refused, and returns how long the shortage has lasted.
+func (u *usage) recordRefused(now time.Time) time.Duration {
+	if now.Sub(u.refusedAt) > shortageGap {
+		u.shortageBegan = now
+	}
+	u.refusedAt = now
+	return now.Sub(u.shortageBegan)
 }
 
 // usageOf returns the usage of a service as of now; a new one that is not kept if there are too many. The lock must
