dispatcher: prompts are sent to engines whatever memory is free, as before

Cause: a prompt without room waits at its entry, and placements on engines that are half full wait 12 ms. The tests that the rule had changed are as they were. Tests of dispatcher and forwarder pass.

--- a/dispatcher/candidate.go
+++ b/dispatcher/candidate.go
@@ -72,8 +72,6 @@
 type candidate struct {
 	upstream *upstream
 	load     Load
-	// hasPeers is true if other entries place requests too.
-	hasPeers bool
 	// rank orders engines with equal costs, the lowest first.
 	rank uint64
 	// jitter is the random cost added for short prompts, in requests.
@@ -106,8 +104,8 @@
 	// unfinishedRisk is the probability that the answer does not end before its caller's deadline;
 	// 0 for helpers.
 	unfinishedRisk float64
-	// canDecode is false where the prompt is not split and the engine has too little room for it and its
-	// answer, so that the engine can only help.
+	// canDecode is false where the prompt is not split and the engine's whole memory is too small
+	// for it and its answer, so that the engine can only help.
 	canDecode bool
 }
 
@@ -142,7 +140,7 @@
 // call overwrites the projections that an earlier call left in simulator.
 func (c *candidate) estimate(now time.Time, d Demand, shards int, decodes bool, simulator *predictor.Simulator) estimate {
 	u, engine := c.upstream, c.upstream.engine
-	est := estimate{candidate: c, job: newJob(now, d, engine, shards, decodes), canDecode: shards > 1 || d.PromptTokens+d.AnswerTokens <= c.roomTokens()}
+	est := estimate{candidate: c, job: newJob(now, d, engine, shards, decodes), canDecode: shards > 1 || d.PromptTokens+d.AnswerTokens <= engine.MemoryTokens}
 	projections := simulator.Simulate(now, u.queue, &est.job)
 	own := projections[len(projections)-1]
 	est.prefillDelay, est.longestGap = own.PrefillDone.Sub(now)+c.load.FirstEventDelay+transitTime, own.MaxGap
@@ -162,6 +160,9 @@
 		est.prefillDelay += time.Duration(waiting) * slotWait(engine, pass)
 		est.cost += value * slotWaitCost * float64(waiting) / float64(max(1, engine.Slots))
 	}
+	if free := engine.MemoryTokens - c.load.MemoryTokens; shards == 1 && d.PromptTokens+d.AnswerTokens > free {
+		est.cost += value
+	}
 	return est
 }
 
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -167,7 +167,7 @@
 	}
 	candidates := make([]candidate, len(upstreams))
 	for i, u := range upstreams {
-		candidates[i] = candidate{upstream: u, load: u.load(now), hasPeers: b.peerCount > 0, rank: assigner.Weight(b.rankSalt, u.instance.ID), jitter: jitterRange(b.peerCount) * b.random.Float64()}
+		candidates[i] = candidate{upstream: u, load: u.load(now), rank: assigner.Weight(b.rankSalt, u.instance.ID), jitter: jitterRange(b.peerCount) * b.random.Float64()}
 		candidates[i].computeBaseline(d)
 	}
 	price := slotPrice(candidates)
@@ -204,14 +204,14 @@
 	candidates := b.newCandidates(now, d, upstreams)
 	best, found := b.cheapestGroup(now, d, candidates)
 	if !found {
-		return nil, refuseNoMemory(d, upstreams[0].engine, 0)
+		return nil, &Refusal{Reason: "no_memory", RetryAfter: minRetryAfter}
 	}
 	if !d.SentBefore && d.MaxWait > 0 && best.prefillDelay > d.MaxWait {
 		return nil, &Refusal{Reason: "overloaded", Temporary: true, ExpectedFirstByte: best.prefillDelay, RetryAfter: min(maxRetryAfter, max(minRetryAfter, best.prefillDelay-d.MaxWait/2))}
 	}
-	best, memoryTokens, fits := b.withMemory(now, d, candidates, best)
+	memoryTokens, fits := splitMemory(d, best.estimates)
 	if !fits {
-		return nil, refuseNoMemory(d, upstreams[0].engine, best.prefillDelay)
+		return nil, &Refusal{Reason: "no_memory", ExpectedFirstByte: best.prefillDelay, RetryAfter: minRetryAfter}
 	}
 	if d.EndWithin > 0 && (d.MaxAnswerTokens <= 0 || d.latestEnd(now, best) > d.EndWithin) {
 		return nil, refuseOutlivesEntry(best.prefillDelay)
--- a/dispatcher/settle_test.go
+++ b/dispatcher/settle_test.go
@@ -132,7 +132,7 @@
 	is.True(p.ShouldYield(late.Add(SettleDelay)))
 }
 
-// A prompt that is not long is sent at once and never yields, unless its engines have little free memory. A long prompt does not settle either
+// A prompt that is not long is sent at once and never yields. A long prompt does not settle either
 // where no other entry places requests.
 func TestOnlyLongPromptsSettle(t *testing.T) {
 	is := is.New(t)
