review: case 1, entries stay at an old configuration after a storm of large ones

An independent review. Ruled out: the size alone (the same growth without the storm is in force after 0.3 s), the store (it answers all along).

--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -67,9 +67,13 @@
 	rev     int64
 	items   map[string]storeItem
 	history []storeItem
-	changed chan struct{}
-	// Watching is called, if not nil, when a watch arrives.
-	Watching func()
+	// changedAt has the time of each element of history. Those older than historyTime are dropped; droppedRev is
+	// the revision of the last one.
+	changedAt  []time.Time
+	droppedRev int64
+	changed    chan struct{}
+	// WatchBytes limits the values in the response to a watch, of which it has one at least; 0 sets no limit.
+	WatchBytes int
 }
 
 // NewStore returns an empty store.
@@ -77,8 +81,18 @@
 	return &Store{items: map[string]storeItem{}, changed: make(chan struct{})}
 }
 
+// historyTime is the time for which the store keeps its history, platform.history-s.
+const historyTime = 20 * time.Second
+
+// dropHistory drops the changes that are older than historyTime. The lock must be held.
+func (s *Store) dropHistory() {
+	for len(s.history) > 0 && time.Since(s.changedAt[0]) > historyTime {
+		s.droppedRev, s.history, s.changedAt = s.history[0].Rev, s.history[1:], s.changedAt[1:]
+	}
+}
+
 func (s *Store) change(i storeItem) {
-	s.history = append(s.history, i)
+	s.history, s.changedAt = append(s.history, i), append(s.changedAt, time.Now())
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -149,20 +163,28 @@
 	q := r.URL.Query()
 	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("wait-ms"))
-	if s.Watching != nil {
-		s.Watching()
-	}
 	end := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer end.Stop()
 	for isOver := false; ; {
 		s.lock.Lock()
-		events := []storeItem{}
+		s.dropHistory()
+		if after < s.droppedRev {
+			s.lock.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		events, size := []storeItem{}, 0
+		asOf, changed := s.rev, s.changed
 		for _, i := range s.history {
-			if i.Rev > after && strings.HasPrefix(i.Key, q.Get("prefix")) {
-				events = append(events, i)
+			if i.Rev <= after || !strings.HasPrefix(i.Key, q.Get("prefix")) {
+				continue
+			}
+			if size += len(i.Value); s.WatchBytes > 0 && size > s.WatchBytes && len(events) > 0 {
+				asOf = events[len(events)-1].Rev
+				break
 			}
+			events = append(events, i)
 		}
-		asOf, changed := s.rev, s.changed
 		s.lock.Unlock()
 		if len(events) > 0 || isOver {
 			reply(map[string]any{"events": events, "as-of": asOf})
@@ -349,9 +371,11 @@
 type Entry struct {
 	Name, Host, Zone string
 	Dir, Program     string
-	settings         string
-	cmd              *exec.Cmd
-	exited           chan struct{}
+	// Settings replace those of the example in DEPLOY.md, by their names.
+	Settings map[string]string
+	settings string
+	cmd      *exec.Cmd
+	exited   chan struct{}
 }
 
 // Ports of an entry at its own address.
@@ -380,6 +404,12 @@
 	for _, z := range zones {
 		lines = append(lines, "zones."+z+"=sierra-norte")
 	}
+	for n, line := range lines {
+		name, _, _ := strings.Cut(line, "=")
+		if value, ok := e.Settings[name]; ok {
+			lines[n] = name + "=" + value
+		}
+	}
 	e.settings = filepath.Join(e.Dir, e.Name+".conf")
 	return os.WriteFile(e.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600)
 }
