accountant, forwarder, launcher: memory held for callers is bounded by the limit of the process

Cause: each body was read as a whole and kept until the answer ended, without a bound for all; limits.memory-mb was not read, and the heap had no limit.

Ruled out: garbage alone. 56 bodies of 4 MB in progress are 112 MB at each of two entries, which no collector frees.

All that is held for callers counts in one account of three eighths of the limit of the process: connections, headers, bodies, responses that are read ahead, incomplete events. What has no memory is refused before its body is read. A fifth is left to modest requests, organisations with large ones leave room to others, and senders that stall are given up while memory is short.

Tests, red without the limits (the account grants everything): burst 130 MiB in use where 76 are allowed, now 31; headers 287 MiB where 201 are allowed, now 49; stalled bodies (no check for progress) 503 after 3 s, now 200.

--- a/cmd/sapphireramp/gateway.go
+++ b/cmd/sapphireramp/gateway.go
@@ -7,11 +7,13 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/budgeter"
 	"github.com/sapphireramp/sapphireramp/controller"
@@ -63,6 +65,7 @@
 	invariants := asserter.New(func(name, detail string) {
 		log.Error("invariant_violated", zap.String("invariant", name), zap.String("detail", detail))
 	})
+	account := accountant.New(accountant.LimitFor(settings.MemoryLimit))
 	store := platform.NewStore(&http.Client{}, settings.StoreAddress)
 	config := launcher.Config{
 		Name: settings.Name, DataCentre: settings.DataCentre, Regions: settings.Regions, CallerAddress: settings.CallerAddress, ReadinessAddress: settings.ReadinessAddress,
@@ -80,6 +83,7 @@
 		MaxIdle:          settings.MaxIdle,
 		ReservationTTL:   min(settings.MaxReservationTTL, settings.MaxReservedAfterUse*leasePercent/100),
 		DirectoryHandler: platform.DirectoryHandler, ReadinessHandler: platform.ReadinessHandler,
+		Account: account, SetHeapLimit: func(bytes int64) { debug.SetMemoryLimit(bytes) },
 		Log: log, Scope: metrics.Scope, MetricsHandler: metrics.Handler, Asserter: invariants,
 	}
 	if metricsPort > 0 {
@@ -93,7 +97,7 @@
 // reloadableSettings returns the settings that may change while the entry runs, in the launcher's form.
 func reloadableSettings(settings platform.Settings) launcher.Settings {
 	return launcher.Settings{
-		Seeds: settings.Seeds, ShutdownGrace: settings.ShutdownGrace,
+		Seeds: settings.Seeds, ShutdownGrace: settings.ShutdownGrace, MemoryLimit: settings.MemoryLimit,
 		RetryBudget: budgeter.Config{Ratio: settings.RetryRatio, Window: settings.RetryWindow, BaseRetries: settings.RetrySlack},
 	}
 }
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -217,6 +217,7 @@
 	"no_place_in_time":           "refused, not run: the organisation was over its share of the service, and the next time at which it can be served, retry_after_ms, is later than a third of the time left; nothing is reserved",
 	"refused_by_upstream":        "refused, not run: every upstream that was sent the request stated that it did not run it",
 	"upstream_unreachable":       "refused, not run: no connection to an upstream could be established",
+	"memory_short":               "refused, not run: the entry had no memory for the request; see event=memory_short",
 	"upstreams_cut_off":          "refused, not run: neither this entry nor any other that the request may pass through reaches upstreams; see event=upstreams_lost",
 	"upstream_failed":            "failed: an upstream broke off its response or responded with an error, and no other upstream could be tried",
 	"deadline":                   "failed: the time limit of the route or the caller passed before an upstream had responded",
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -132,9 +131,17 @@
 		return a
 	}
 	f.classify(x, a)
+	if !x.mayNeedBody() {
+		x.body.release()
+	}
 	return a
 }
 
+// mayNeedBody reports whether the body may be sent to another upstream after an attempt that reached one.
+func (x *exchange) mayNeedBody() bool {
+	return x.sentCount < x.route.MaxAttempts && (x.pendingCount == 0 || x.route.IsRepeatable())
+}
+
 // cancellationCause returns the cause with which ctx was cancelled, or err if ctx was not cancelled.
 func cancellationCause(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
@@ -160,13 +167,6 @@
 	}
 	request.Header.Del("Content-Length")
 	request.Header.Del("Expect")
-	if len(x.body) > 0 || x.request.ContentLength != 0 {
-		request.Body = http.NoBody
-		request.ContentLength = int64(len(x.body))
-	}
-	if len(x.body) > 0 {
-		request.Body = oneShotBody{bytes.NewReader(x.body)}
-	}
 	remaining := time.Until(x.deadline)
 	if remaining <= 0 {
 		return nil, context.DeadlineExceeded
@@ -175,6 +175,13 @@
 		InstanceID: p.First.ID, Remaining: remaining, Organisation: x.organisation, LastEventID: lastEventID,
 		Helpers: a.reservations.withReservations(p.Helpers), Priority: enginePriority(x),
 	})
+	if x.body.size > 0 || x.request.ContentLength != 0 {
+		request.Body = http.NoBody
+		request.ContentLength = x.body.size
+	}
+	if x.body.size > 0 {
+		request.Body = x.body.open() // the transport closes it
+	}
 	return request, nil
 }
 
@@ -206,12 +213,6 @@
 	return min(max(x.priority, 0), priorityLevels-1)*targetClasses + class
 }
 
-// oneShotBody is a request body that http.Transport cannot rewind, so that the transport never sends
-// a request a second time by itself.
-type oneShotBody struct{ *bytes.Reader }
-
-func (oneShotBody) Close() error { return nil }
-
 // classify sets the verdict of an attempt from the status and header of the response. It passes what
 // the header states about accepting requests to applyBackpressure, and records the failure of a
 // helper that the header names.
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -21,7 +21,7 @@
 		owner = x.metadata.APIKey
 	}
 	r := x.request
-	return quarantiner.FingerprintOf([]byte(r.Method), []byte(r.Host), []byte(r.URL.RequestURI()), []byte(owner), x.body)
+	return quarantiner.FingerprintOfChunked(x.body.chunks, []byte(r.Method), []byte(r.Host), []byte(r.URL.RequestURI()), []byte(owner))
 }
 
 // markBroken sets the verdict of an attempt to verdictBroken with the error err. It sets connectionLost
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -37,6 +37,7 @@
 	reasonQuarantined     = "quarantined"
 	reasonSuspected       = "suspected"
 	reasonUpstreamsCutOff = "upstreams_cut_off"
+	reasonMemoryShort     = "memory_short"
 )
 
 // Values of Retry-After in responses to refused requests.
@@ -139,6 +140,9 @@
 		Error  string `json:"error"`
 		NotRun bool   `json:"not_run"`
 	}{Error: fail.reason, NotRun: x.pendingCount == 0})
+	if fail.reason == reasonMemoryShort {
+		x.discardBody()
+	}
 }
 
 // recordEnd counts and logs the end of a request; fail is nil if the caller got an upstream's response.
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 )
 
@@ -126,7 +127,7 @@
 		if !retry && buffered != nil {
 			return f.writeLastResponse(x, a, buffered)
 		}
-		f.releaseBuffer(buffered)
+		buffered.release()
 		f.endAttempt(x, a)
 		if !retry {
 			return f.lastAttemptFailure(x, a)
@@ -139,14 +140,14 @@
 }
 
 // bufferedResponse is the response of an upstream to a plain request, read up to maxBufferedBytes, or less while the
-// entry holds much for callers that read slowly (see maxHeldBytes).
+// entry holds much.
 type bufferedResponse struct {
 	// body is the part of the response body that was read; the whole body if rest is nil.
 	body []byte
 	// rest reads what follows body; nil if body is complete.
 	rest io.Reader
-	// taken is the number of bytes of body that count in Forwarder.held.
-	taken int
+	// holding holds the part of body above freeBytes.
+	holding *accountant.Holding
 }
 
 // bufferResponse reads the response body of an attempt with the verdict verdictAnswered or
@@ -156,25 +157,25 @@
 	if a.verdict != verdictAnswered && a.verdict != verdictFailed {
 		return nil
 	}
-	body, taken, isComplete, err := f.held.read(a.response.Body, a.response.ContentLength, maxBufferedBytes+1)
+	holding := f.account.Open(x.organisation, accountant.Buffer)
+	body, isComplete, err := readHeld(holding, a.response.Body, a.response.ContentLength, maxBufferedBytes+1)
 	if err != nil {
-		f.held.release(taken)
+		holding.Close()
 		a.markBroken(a.response.Request.Context(), err)
 		return nil
 	}
 	a.watchdog.stop()
 	a.placement.RecordFirstByte(time.Now())
 	if !isComplete {
-		return &bufferedResponse{body: body, rest: a.response.Body, taken: taken}
+		return &bufferedResponse{body: body, rest: a.response.Body, holding: holding}
 	}
-	return &bufferedResponse{body: body, taken: taken}
+	return &bufferedResponse{body: body, holding: holding}
 }
 
-// releaseBuffer ends the use of a buffered response; nil is allowed.
-func (f *Forwarder) releaseBuffer(buffered *bufferedResponse) {
+// release ends the use of a buffered response; nil is allowed.
+func (buffered *bufferedResponse) release() {
 	if buffered != nil {
-		f.held.release(buffered.taken)
-		buffered.taken = 0
+		buffered.holding.Close()
 	}
 }
 
@@ -186,7 +187,7 @@
 		return f.writeResponse(x, a, buffered)
 	}
 	f.endAttempt(x, a)
-	x.body = nil
+	x.body.release()
 	return f.writeResponse(x, a, buffered)
 }
 
@@ -194,7 +195,7 @@
 // body, then the rest of a larger body as it arrives. It returns a failure if the caller has
 // disconnected or the rest of the body breaks off.
 func (f *Forwarder) writeResponse(x *exchange, a *attempt, buffered *bufferedResponse) *failure {
-	defer f.releaseBuffer(buffered)
+	defer buffered.release()
 	h := x.writer.Header()
 	copyHeaders(h, a.response.Header)
 	if _, ok := h["Content-Type"]; !ok {
@@ -215,7 +216,7 @@
 	if buffered.rest == nil {
 		return nil
 	}
-	f.releaseBuffer(buffered)
+	buffered.release()
 	buffered.body = nil
 	// The rest is read from the upstream until the deadline. After it, a write to a caller that does not read would
 	// only keep the placement.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/apportioner"
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/budgeter"
@@ -71,6 +72,8 @@
 	Share     func(now time.Time, d dispatcher.Demand) (Share, bool)
 	// Tunneler opens connections to upstreams.
 	Tunneler *tunneler.Tunneler
+	// Account grants memory for requests and responses.
+	Account *accountant.Account
 	// Log receives the log lines about requests and attempts, whose events logger.Events describes.
 	Log *zap.Logger
 	// Scope receives the metrics of the forwarder.
@@ -102,17 +105,17 @@
 	handler           handler
 	inFlight          atomic.Int64
 	queues            queues
-	// held counts what is held of responses that their callers have not read yet.
-	held heldBytes
+	// account counts what is held of requests and responses.
+	account *accountant.Account
 }
 
 // New returns a Forwarder with the configuration c.
 func New(c Config) *Forwarder {
 	f := &Forwarder{
-		protocol: c.Protocol, reservationClient: c.Reservations, reservationTTL: c.ReservationTTL, maxIdle: c.MaxIdle, view: c.View, dispatcher: c.Dispatcher, retryBudget: c.RetryBudget, quarantine: c.Quarantine, isolator: c.Isolator, onCrash: c.OnCrash, scheduler: c.Scheduler, share: c.Share, log: c.Log,
+		protocol: c.Protocol, reservationClient: c.Reservations, reservationTTL: c.ReservationTTL, maxIdle: c.MaxIdle, view: c.View, dispatcher: c.Dispatcher, retryBudget: c.RetryBudget, quarantine: c.Quarantine, isolator: c.Isolator, onCrash: c.OnCrash, scheduler: c.Scheduler, share: c.Share, account: c.Account, log: c.Log,
 		metrics: newMetrics(c.Scope), asserter: c.Asserter, tunneler: c.Tunneler, transport: newTransport(c.Tunneler.Dial), exitDetector: connector.NewExitDetector(c.Tunneler.Dial),
 	}
-	f.handler = chain(f.forward, f.respond, f.recoverPanic, f.requireConfig, f.limitHeader, f.matchRoute, f.readBody)
+	f.handler = chain(f.forward, f.respond, f.recoverPanic, f.reserveMemory, f.requireConfig, f.limitHeader, f.matchRoute, f.readBody)
 	return f
 }
 
@@ -150,8 +153,9 @@
 	service string
 	// deadline is when the caller stops waiting for the complete response.
 	deadline time.Time
-	// body is the body of the caller's request, valid if bodyRead is true.
-	body []byte
+	// body is the body of the caller's request, valid if bodyRead is true until it is released, which it is once it
+	// can't be sent to another upstream.
+	body *requestBody
 	// bodyRead is true once the whole request body has been read.
 	bodyRead bool
 	// fingerprint identifies requests with equal content; zero until the body has been read.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/budgeter"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
@@ -44,6 +45,7 @@
 	dispatcher  *dispatcher.Dispatcher
 	table       *matcher.Table
 	quarantine  *quarantiner.Quarantiner
+	account     *accountant.Account
 	retryBudget *budgeter.Budgeter
 	// instances lists all upstreams, the plain ones first.
 	instances []dispatcher.Instance
@@ -79,7 +81,7 @@
 // withForwarder runs a test with a fixture in virtual time. The test fails if an invariant is violated.
 func withForwarder(t *testing.T, test func(f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fixture{is: is.New(t), net: network.New(), quarantine: quarantiner.New()}
+		f := &fixture{is: is.New(t), net: network.New(), quarantine: quarantiner.New(), account: accountant.New(accountant.LimitFor(0))}
 		f.retryBudget = budgeter.New(time.Now(), budgeter.Config{Ratio: 0.2, Window: 10 * time.Second, BaseRetries: 100})
 		table, err := matcher.New(testConfig())
 		f.is.NoErr(err)
@@ -112,7 +114,7 @@
 			Protocol: platform.Protocol(), Reservations: platform.NewReservationClient(&http.Client{Transport: &http.Transport{DialContext: links.Dial, DisableKeepAlives: true}}),
 			ReservationTTL: 3 * time.Second, MaxIdle: 9 * time.Second, View: f.view.Load, Dispatcher: f.dispatcher, Quarantine: f.quarantine, Isolator: isolator.New("entry"), OnCrash: func() {},
 			RetryBudget: f.retryBudget,
-			Tunneler:    links, Log: zap.NewNop(), Scope: tally.NoopScope, Asserter: invariants,
+			Tunneler:    links, Account: f.account, Log: zap.NewNop(), Scope: tally.NoopScope, Asserter: invariants,
 		})
 		servers = append(servers, f.serve(netip.AddrPortFrom(entryHost, 80), handler))
 		transport := &http.Transport{DialContext: f.net.Dialer(callerHost)}
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -25,6 +25,9 @@
 	// retries counts the retries that upstreams got, retriesDenied those that the retry budget did not allow.
 	retries, retriesDenied tally.Counter
 	reservations           tally.Counter
+	// refusedForMemory counts requests for which the entry had no memory, memoryHeld is what the account holds.
+	refusedForMemory tally.Counter
+	memoryHeld       tally.Gauge
 	// overShare counts requests that were refused for their organisation's share, and shares are gauges of the use of
 	// services, both by service.
 	overShare func(service string) tally.Counter
@@ -51,16 +54,18 @@
 func newMetrics(scope tally.Scope) metrics {
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 13)
 	m := metrics{
-		scope:           scope,
-		requestDuration: scope.Histogram("request_seconds", buckets),
-		firstByte:       map[string]tally.Histogram{},
-		longestGap:      scope.Histogram("longest_pause_seconds", buckets),
-		retries:         scope.Counter("retries"),
-		retriesDenied:   scope.Counter("retries_denied"),
-		reservations:    scope.Counter("reservations"),
-		placesPromised:  scope.Counter("places_promised"),
-		placesKept:      scope.Counter("places_kept"),
-		placesRefused:   scope.Counter("places_refused"),
+		scope:            scope,
+		requestDuration:  scope.Histogram("request_seconds", buckets),
+		firstByte:        map[string]tally.Histogram{},
+		longestGap:       scope.Histogram("longest_pause_seconds", buckets),
+		retries:          scope.Counter("retries"),
+		retriesDenied:    scope.Counter("retries_denied"),
+		reservations:     scope.Counter("reservations"),
+		refusedForMemory: scope.Counter("refused_for_memory"),
+		memoryHeld:       scope.Gauge("memory_held_bytes"),
+		placesPromised:   scope.Counter("places_promised"),
+		placesKept:       scope.Counter("places_kept"),
+		placesRefused:    scope.Counter("places_refused"),
 	}
 	// Exported as 0 from the start, so that rates include the first increment.
 	m.requestCounter(outcomeAnswered)
--- a/forwarder/outbox.go
+++ b/forwarder/outbox.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/sapphireramp/sapphireramp/accountant"
 )
 
 // outbox passes a stream on to its caller on a goroutine of its own, so that the stream of the engine is read while the
@@ -12,13 +14,14 @@
 // only be used by the outbox until finish or abort has returned.
 type outbox struct {
 	writer http.ResponseWriter
-	held   *heldBytes
+	// holding holds the part of what is not written above freeBytes.
+	holding *accountant.Holding
 
 	lock sync.Mutex
 	// queue holds the bytes that are not passed to the writer yet, writing is the number of those that are being
-	// written. taken is how many were taken from held.
-	queue          []byte
-	writing, taken int
+	// written.
+	queue   []byte
+	writing int
 	// isClosed is true once no more is added. err is the error of the writer; nil before.
 	isClosed bool
 	err      error
@@ -27,9 +30,10 @@
 	hasChanged, hasWritten, done chan struct{}
 }
 
-// newOutbox returns an outbox for a response whose header was written, and starts its goroutine.
-func newOutbox(w http.ResponseWriter, held *heldBytes) *outbox {
-	o := &outbox{writer: w, held: held, hasChanged: make(chan struct{}, 1), hasWritten: make(chan struct{}, 1), done: make(chan struct{})}
+// newOutbox returns an outbox for a response whose header was written, and starts its goroutine, which closes the
+// holding at its end.
+func newOutbox(w http.ResponseWriter, holding *accountant.Holding) *outbox {
+	o := &outbox{writer: w, holding: holding, hasChanged: make(chan struct{}, 1), hasWritten: make(chan struct{}, 1), done: make(chan struct{})}
 	go o.run()
 	return o
 }
@@ -70,14 +74,13 @@
 		return false, o.err
 	}
 	size := len(o.queue) + o.writing + len(p)
-	more := max(0, size-freeBytes-o.taken)
-	if size > len(p) && more > 0 && (size > maxStreamBytes || !o.held.take(more)) {
+	more := max(0, int64(size-freeBytes)-o.holding.Bytes())
+	if size > len(p) && more > 0 && (size > maxStreamBytes || !o.holding.Grow(more)) {
 		return false, nil
 	}
-	if size == len(p) && !o.held.take(more) {
-		more = 0 // a single event of this size is held without being counted
+	if size == len(p) {
+		_ = o.holding.Grow(more) // a single event is added in any case: the splitter has taken memory for it
 	}
-	o.taken += more
 	o.queue = append(o.queue, p...)
 	return true, nil
 }
@@ -85,6 +88,7 @@
 // run passes what is added on until the outbox is closed and empty, or the writer fails.
 func (o *outbox) run() {
 	defer close(o.done)
+	defer o.holding.Close()
 	flush := http.NewResponseController(o.writer).Flush
 	var spare []byte
 	for {
@@ -111,12 +115,7 @@
 		}
 		o.lock.Lock()
 		o.writing, o.err = 0, err
-		keep := 0
-		if err == nil {
-			keep = min(o.taken, max(0, len(o.queue)-freeBytes))
-		}
-		o.held.release(o.taken - keep)
-		o.taken = keep
+		o.holding.Shrink(o.holding.Bytes() - max(0, int64(len(o.queue)-freeBytes)))
 		o.lock.Unlock()
 		signal(o.hasWritten)
 		if err != nil {
--- a/forwarder/outbox_test.go
+++ b/forwarder/outbox_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/sapphireramp/sapphireramp/accountant"
 )
 
 // yieldingRecorder is a recorder that lets other goroutines run in the middle of a write.
@@ -32,8 +34,8 @@
 	for seed := range uint64(20) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		recorder := yieldingRecorder{httptest.NewRecorder()}
-		held := &heldBytes{}
-		o := newOutbox(recorder, held)
+		account := accountant.New(4 * maxStreamBytes)
+		o := newOutbox(recorder, account.Open("", accountant.Buffer))
 		want := ""
 		for n := range 400 {
 			event := fmt.Sprintf("%d:%s\n", n, strings.Repeat(string(rune('a'+n%26)), random.IntN(600)))
@@ -45,6 +47,6 @@
 		}
 		is.NoErr(o.finish())
 		is.True(recorder.Body.String() == want)
-		is.Equal(held.total.Load(), int64(0))
+		is.Equal(account.Usage().Held, int64(0))
 	}
 }
--- a/forwarder/returns_test.go
+++ b/forwarder/returns_test.go
@@ -46,7 +46,7 @@
 		Protocol: platform.Protocol(), Reservations: platform.NewReservationClient(&http.Client{Transport: &http.Transport{DialContext: links.Dial, DisableKeepAlives: true}}),
 		ReservationTTL: 3 * time.Second, MaxIdle: 9 * time.Second, View: f.view.Load, Dispatcher: f.dispatcher, Quarantine: f.quarantine, Isolator: isolator.New("other"), OnCrash: func() {}, RetryBudget: f.retryBudget,
 		Scheduler: e.scheduler, Share: func(time.Time, dispatcher.Demand) (forwarder.Share, bool) { return e.share, e.share.Level > 0 },
-		Tunneler: links, Log: zap.NewNop(), Scope: tally.NoopScope, Asserter: asserter.New(func(name, detail string) { t.Errorf("%s: %s", name, detail) }),
+		Tunneler: links, Account: f.account, Log: zap.NewNop(), Scope: tally.NoopScope, Asserter: asserter.New(func(name, detail string) { t.Errorf("%s: %s", name, detail) }),
 	})
 	return e
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/matcher"
 	"github.com/sapphireramp/sapphireramp/splitter"
@@ -111,6 +112,8 @@
 		return
 	}
 	buffer := make([]byte, readBufferBytes)
+	partial := f.account.Open(x.organisation, accountant.Buffer)
+	defer partial.Close()
 	begun := false
 	for {
 		n, err := a.response.Body.Read(buffer)
@@ -118,6 +121,11 @@
 			a.watchdog.recordRead()
 		}
 		complete, splitErr := events.Feed(buffer[:n])
+		if held := int64(max(0, events.PartialBytes()-freeBytes)); held < partial.Bytes() {
+			partial.Shrink(partial.Bytes() - held)
+		} else if splitErr == nil && !partial.Grow(held-partial.Bytes()) {
+			splitErr = errMemoryShort
+		}
 		for _, e := range complete {
 			if begun {
 				a.placement.RecordEvent(time.Now())
@@ -157,7 +165,7 @@
 
 // finishStream waits until the caller has got the rest of a stream that its engine has ended.
 func finishStream(x *exchange) *failure {
-	x.body = nil
+	x.body.release()
 	if x.outbox == nil {
 		return nil
 	}
@@ -176,7 +184,7 @@
 		copyHeaders(x.writer.Header(), a.response.Header)
 		x.writer.Header().Del("Content-Length")
 		x.writeHeader(a.response.StatusCode)
-		x.outbox = newOutbox(x.writer, &f.held)
+		x.outbox = newOutbox(x.writer, f.account.Open(x.organisation, accountant.Buffer))
 	}
 	x.longestGap = max(x.longestGap, now.Sub(x.lastEventAt))
 	x.lastEventAt = now
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -120,6 +120,10 @@
 	// that were killed or stopped and not started again.
 	bursts      []*traffic
 	downEntries map[int]bool
+	// memoryLimit is the memory in bytes that entries started from now on may use; 0 if it is not stated.
+	memoryLimit int64
+	// maxBody is the maximum size in bytes of request bodies in configurations from now on.
+	maxBody int
 }
 
 // entryHost returns the host of the entry with index i. Entries are spread over
@@ -132,7 +136,7 @@
 // newFleetWithPlan starts a fleet whose responses follow a plan, if it is not nil.
 func newFleetWithPlan(t *testing.T, entries int, plan *worker.AnswerPlan) *fleet {
 	t.Helper()
-	f := &fleet{t: t, log: zap.NewNop(), responsePlan: plan, downEntries: map[int]bool{}, net: network.New(), store: store.New(), workers: map[string]*worker.Worker{}, workerHosts: map[string]netip.Addr{}, startedAt: map[string]int64{}, coldUntil: map[string]time.Time{}}
+	f := &fleet{t: t, log: zap.NewNop(), responsePlan: plan, maxBody: 100_000, downEntries: map[int]bool{}, net: network.New(), store: store.New(), workers: map[string]*worker.Worker{}, workerHosts: map[string]netip.Addr{}, startedAt: map[string]int64{}, coldUntil: map[string]time.Time{}}
 	f.serve(netip.AddrPortFrom(storeHost, 80), f.store)
 	f.putConfig(1, "key-1", "key-2")
 	for range 3 {
@@ -322,7 +326,7 @@
 			map[string]any{"name": "app", "health-path": "/health", "cold-per-s": toleratedColdRate},
 			map[string]any{"name": "lm", "health-path": "/health", "cold-per-s": toleratedColdRate, "engine": json.RawMessage(`{"slots":16,"kv-capacity-tokens":315000,"stride":51,"step_ms":0.85,"per_seq_ms":0.004,"context_per_k":0.003,"read_per_s":177000,"pairs_per_m":0.18,"chunk":2048}`)},
 		},
-		"limits":  map[string]any{"max-body-bytes": 100000, "idle-timeout-ms": 15000},
+		"limits":  map[string]any{"max-body-bytes": f.maxBody, "idle-timeout-ms": 15000},
 		"tenants": []any{map[string]any{"name": "crew", "api-keys": keys}},
 	})
 }
@@ -335,7 +339,7 @@
 	storeClient := platform.NewStore(client, netip.AddrPortFrom(storeHost, 80))
 	settings := launcher.Settings{
 		Seeds:       []netip.AddrPort{netip.AddrPortFrom(entryHost(0), peerPort), netip.AddrPortFrom(entryHost(1), peerPort)},
-		RetryBudget: retryBudget, ShutdownGrace: shutdownGrace,
+		RetryBudget: retryBudget, ShutdownGrace: shutdownGrace, MemoryLimit: f.memoryLimit,
 	}
 	e := &entry{host: host, reload: make(chan struct{}, 1), exited: make(chan struct{})}
 	l := launcher.New(launcher.Config{
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/budgeter"
@@ -41,11 +42,14 @@
 	RetryBudget budgeter.Config
 	// ShutdownGrace is the time from SIGTERM until the platform kills the process.
 	ShutdownGrace time.Duration
+	// MemoryLimit is the memory in bytes that the process may use; 0 if it is not stated. The limits of the account
+	// and of the heap follow from it.
+	MemoryLimit int64
 }
 
 // Config configures a Launcher. All fields are required, except that
-// Regions, MetricsAddress, IsFirstStart and Speed may be zero and SinceBoot, Dial, Listen and
-// ListenPacket may be nil.
+// Regions, MetricsAddress, IsFirstStart and Speed may be zero and Account, SetHeapLimit, SinceBoot, Dial,
+// Listen and ListenPacket may be nil.
 type Config struct {
 	// Name identifies the entry among all entries.
 	Name string
@@ -95,6 +99,10 @@
 	// Scope receives the metrics of the entry, MetricsHandler serves them on MetricsAddress.
 	Scope          tally.Scope
 	MetricsHandler http.Handler
+	// Account grants memory for requests, responses and connections; nil for one by Settings.MemoryLimit.
+	// SetHeapLimit sets a soft limit in bytes for the heap of the process; nil sets none.
+	Account      *accountant.Account
+	SetHeapLimit func(bytes int64)
 	// Asserter counts and reports violated invariants.
 	Asserter *asserter.Asserter
 	// SinceBoot returns the time since the machine booted, Dial opens connections, Listen opens TCP listeners
@@ -165,6 +173,7 @@
 	ledger := lender.New(time.Now(), lender.Config{Name: c.Name, Incarnation: incarnation, IsFirstStart: c.IsFirstStart, SinceBoot: c.SinceBoot})
 	l := &Launcher{config: c, retryBudget: newBudgeter(time.Now(), c.Settings.RetryBudget), activeConns: connector.NewActiveConns(), acceptDone: make(chan struct{})}
 	l.settings.Store(&c.Settings)
+	l.limitMemory(c.Settings.MemoryLimit)
 	sharedDispatcher.SetLedger(ledger)
 	returns := scheduler.New(scheduler.Config{
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Part: promisePartFunc(sharedDispatcher, ledger), StartedAt: time.Now(), IsFirstStart: c.IsFirstStart,
@@ -204,12 +213,20 @@
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	l.forwarder = forwarder.New(forwarder.Config{
-		Protocol: c.Protocol, Reservations: c.NewReservationClient(reservationHTTPClient), ReservationTTL: c.ReservationTTL, MaxIdle: c.MaxIdle, View: l.controller.View, Dispatcher: sharedDispatcher, Scheduler: returns, Share: shareFunc(sharedDispatcher), RetryBudget: l.retryBudget, Quarantine: quarantine, Isolator: partIsolator, OnCrash: l.controller.SpreadCrash, Tunneler: l.tunneler,
+		Protocol: c.Protocol, Reservations: c.NewReservationClient(reservationHTTPClient), ReservationTTL: c.ReservationTTL, MaxIdle: c.MaxIdle, View: l.controller.View, Dispatcher: sharedDispatcher, Scheduler: returns, Share: shareFunc(sharedDispatcher), RetryBudget: l.retryBudget, Quarantine: quarantine, Isolator: partIsolator, OnCrash: l.controller.SpreadCrash, Tunneler: l.tunneler, Account: c.Account,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	return l
 }
 
+// limitMemory sets the limits of the account and of the heap in a process that may use memory bytes; 0 if that is unknown.
+func (l *Launcher) limitMemory(memory int64) {
+	l.config.Account.SetLimit(accountant.LimitFor(memory))
+	if memory > 0 && l.config.SetHeapLimit != nil {
+		l.config.SetHeapLimit(accountant.HeapLimit(memory))
+	}
+}
+
 // promisePartFunc returns the function by which the scheduler learns this entry's part of all promises: its own, and
 // what other entries lend it.
 func promisePartFunc(b *dispatcher.Dispatcher, ledger *lender.Ledger) func(time.Time, string, float64, bool) scheduler.Part {
@@ -235,8 +252,12 @@
 }
 
 // withSystemDefaults returns c with those clock and network functions that are
-// nil replaced by functions that use the machine's clock and network.
+// nil replaced by functions that use the machine's clock and network, and with an
+// account.
 func (c Config) withSystemDefaults() Config {
+	if c.Account == nil {
+		c.Account = accountant.New(accountant.LimitFor(c.Settings.MemoryLimit))
+	}
 	if c.SinceBoot == nil {
 		c.SinceBoot = controller.SinceBoot
 	}
@@ -304,7 +325,8 @@
 // sent to serveErrors.
 func (l *Launcher) startServers(serveErrors chan<- error) error {
 	c := l.config
-	l.callerServer = newCallerServer(l.forwarder, l.controller.View, l.activeConns.OnStateChange)
+	idle := newIdleCloser(l.controller.View)
+	l.callerServer = newCallerServer(l.forwarder, idle, l.activeConns.OnStateChange)
 	l.callerServer.BaseContext = l.baseContext()
 	servers := []struct {
 		address netip.AddrPort
@@ -326,7 +348,7 @@
 		l.servers = append(l.servers, s.server)
 		onServeEnd := func() {}
 		if s.server == l.callerServer {
-			listener = newUnreadListener(listener)
+			listener = newUnreadListener(newCountingListener(listener, c.Account, idle.closeOldest))
 			l.callerListener, onServeEnd = listener, func() { close(l.acceptDone) }
 		}
 		go func() {
@@ -431,6 +453,7 @@
 			l.settings.Store(&s)
 			l.retryBudget.Configure(time.Now(), s.RetryBudget)
 			l.controller.SetSeeds(s.Seeds)
+			l.limitMemory(s.MemoryLimit)
 		}
 		select {
 		case <-signals:
@@ -443,7 +466,7 @@
 }
 
 func (s Settings) equal(o Settings) bool {
-	if len(s.Seeds) != len(o.Seeds) || s.RetryBudget != o.RetryBudget || s.ShutdownGrace != o.ShutdownGrace {
+	if len(s.Seeds) != len(o.Seeds) || s.RetryBudget != o.RetryBudget || s.ShutdownGrace != o.ShutdownGrace || s.MemoryLimit != o.MemoryLimit {
 		return false
 	}
 	for i := range s.Seeds {
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -70,6 +70,9 @@
 		}
 		e := parseEvent(bytes.Clone(s.buffer[:end]))
 		s.buffer = s.buffer[end:]
+		if len(s.buffer) == 0 {
+			s.buffer = nil
+		}
 		isNew, err := s.checkOrder(e)
 		if err != nil {
 			return out, err
@@ -105,6 +108,9 @@
 	return strconv.FormatInt(s.lastID, 10)
 }
 
+// PartialBytes returns the size of the memory that is held for an incomplete event.
+func (s *Splitter) PartialBytes() int { return cap(s.buffer) }
+
 // HasPartial reports whether the bytes fed so far end with an incomplete event.
 func (s *Splitter) HasPartial() bool { return len(s.buffer) > 0 }
 
