forwarder, connector: responses that are none in HTTP are broken, and every way out gives back

After 42 such ends of streams an entry refused all requests for idle engines.

Cause: http.Transport accepts any three digits as a status. Headers were copied to the caller's response before WriteHeader panicked below 100; the panic's 502 kept them, and the attempt was never ended. Bytes that make no event also counted as a sign of life, so that streams stayed at their engine until the deadline.

CheckHead decides what is a response. Own failures begin with empty headers. Attempts and placements are ended by a deferred call. Only new events count as progress.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/tunneler"
@@ -41,6 +42,7 @@
 var (
 	errWrongRequest      = errors.New("the response belongs to another request")
 	errUpstreamSilent    = errors.New("the upstream sent nothing for too long")
+	errAbandoned         = errors.New("the attempt ended with an internal error")
 	errUpstreamRestarted = errors.New("an upstream of the request restarted")
 )
 
@@ -95,6 +97,7 @@
 		ctx = tunneler.WithRelayRegions(ctx, homes.Allows)
 	}
 	a := &attempt{placement: p, cancel: cancel, startedAt: time.Now()}
+	x.openAttempt = a
 	a.watchdog = f.startWatchdog(x, p, func() { cancel(errUpstreamSilent) })
 	p.OnRestart(func() { a.onUpstreamRestart(x.route.GapTarget) })
 	var err error
@@ -218,6 +221,10 @@
 // helper that the header names.
 func (f *Forwarder) classify(x *exchange, a *attempt) {
 	status := a.response.StatusCode
+	if err := connector.CheckHead(a.response); err != nil {
+		a.verdict, a.err = verdictBroken, err
+		return
+	}
 	metadata := f.protocol.ReadResponse(status, a.response.Header)
 	f.applyBackpressure(x, a, metadata)
 	switch {
@@ -302,10 +309,10 @@
 func (a *attempt) isLostToRestart() bool { return errors.Is(a.err, errUpstreamRestarted) }
 
 // hasOtherCause reports whether an attempt failed for a reason that says nothing about the present
-// incarnation of its first upstream: a helper or a link failed, the caller did not read, or an upstream of the attempt
-// restarted.
+// incarnation of its first upstream: a helper or a link failed, the caller did not read, an upstream of the attempt
+// restarted, or it ended by a panic.
 func (a *attempt) hasOtherCause() bool {
-	return a.helperAtFault || a.isLinkAtFault || a.isCallerAtFault || a.isLostToRestart()
+	return a.helperAtFault || a.isLinkAtFault || a.isCallerAtFault || a.isLostToRestart() || errors.Is(a.err, errAbandoned)
 }
 
 // avoidFailedUpstream excludes the first upstream of a failed attempt from further attempts of the
@@ -320,6 +327,7 @@
 // reports its result to the dispatcher and the quarantiner. It logs an attempt whose verdict is not
 // verdictAnswered.
 func (f *Forwarder) endAttempt(x *exchange, a *attempt) {
+	x.placement, x.openAttempt = nil, nil
 	a.watchdog.stop()
 	a.watchdog.takeRetry().Release()
 	if a.verdict == verdictBroken && !a.isTunnelled() && f.tunneler.IsCutOff() {
@@ -353,6 +361,22 @@
 		zap.Int("helpers", len(a.placement.Helpers)), zap.Bool("tunnelled", a.isTunnelled()), zap.Bool("link_at_fault", a.isLinkAtFault), zap.Duration("left_ms", time.Until(x.deadline)), zap.Stringer("content", x.fingerprint), zap.String("parts", isolator.JoinParts(x.parts)), zap.Duration("writing_ms", a.writingTime(time.Now())), zap.Error(a.err))
 }
 
+// abandon gives back what a request still holds when it ends by a panic: its attempt with the reserved memory, or its
+// placement if no attempt has begun.
+func (f *Forwarder) abandon(x *exchange) {
+	if a := x.openAttempt; a != nil {
+		if a.verdict == "" || a.verdict == verdictAnswered {
+			a.verdict, a.err = verdictBroken, errAbandoned
+		}
+		f.endAttempt(x, a)
+		return
+	}
+	if x.placement != nil {
+		x.placement.Withdraw(time.Now())
+		x.placement = nil
+	}
+}
+
 // dispatchResult returns the result of an ended attempt that the dispatcher records for its first
 // upstream: dispatcher.Abandoned if the caller left or hasOtherCause returns true, and otherwise the one
 // that corresponds to the verdict.
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -130,6 +130,10 @@
 func (f *Forwarder) writeRefusal(x *exchange, fail *failure) {
 	f.asserter.Check(!promisesNotRun(fail.status) || x.pendingCount == 0, asserter.NotRunAfterSend, "request %s: %s", x.metadata.ID, fail.reason)
 	h := x.writer.Header()
+	clear(h) // an upstream's header may have been copied before the request failed
+	if x.view != nil && x.view.Stopping {
+		h.Set("Connection", "close")
+	}
 	f.protocol.WriteRefusal(h, x.metadata.ID, fail.retryAfter)
 	h.Set("Content-Type", "application/json")
 	if !x.bodyRead {
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -28,6 +28,7 @@
 	f.recognizeReturn(x)
 	f.retryBudget.RecordRequest(time.Now(), x.service)
 	defer func() { x.retry.Release() }() // of a retry that reached no upstream
+	defer f.abandon(x)
 	var fail *failure
 	if x.isStream() {
 		fail = f.serveStream(x)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -175,6 +175,10 @@
 	// sentCount is the number of attempts for which a connection was established. pendingCount is the
 	// number of those whose upstream has not stated that it did not run the request.
 	sentCount, pendingCount int
+	// placement is that of the next attempt, or of openAttempt, the attempt that has not been ended; both are nil if
+	// there is none.
+	placement   *dispatcher.Placement
+	openAttempt *attempt
 	// retry is the reservation in the retry budget of an attempt that has reached no upstream yet; nil if there is
 	// none, also for a request that no upstream has received.
 	retry *budgeter.Reservation
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -39,13 +39,15 @@
 
 // fixture runs a Forwarder with two plain upstreams and three engines on a simulated network.
 type fixture struct {
-	is          *is.I
-	net         *network.Network
-	view        atomic.Pointer[forwarder.View]
-	dispatcher  *dispatcher.Dispatcher
-	table       *matcher.Table
-	quarantine  *quarantiner.Quarantiner
-	account     *accountant.Account
+	is         *is.I
+	net        *network.Network
+	view       atomic.Pointer[forwarder.View]
+	dispatcher *dispatcher.Dispatcher
+	table      *matcher.Table
+	quarantine *quarantiner.Quarantiner
+	account    *accountant.Account
+	// protocol is that of the Forwarder, with the function fields of the time of each call.
+	protocol    *forwarder.Protocol
 	retryBudget *budgeter.Budgeter
 	// instances lists all upstreams, the plain ones first.
 	instances []dispatcher.Instance
@@ -54,6 +56,8 @@
 	// plain and engines are the stand-ins behind instances, in the same order.
 	plain   []*worker.Worker
 	engines []*worker.Worker
+	// restored are servers started by the test, which are closed at its end.
+	restored []*http.Server
 }
 
 var engineProfile = &matcher.EngineProfile{
@@ -82,6 +86,8 @@
 func withForwarder(t *testing.T, test func(f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{is: is.New(t), net: network.New(), quarantine: quarantiner.New(), account: accountant.New(accountant.LimitFor(0))}
+		protocol := platform.Protocol()
+		f.protocol = &protocol
 		f.retryBudget = budgeter.New(time.Now(), budgeter.Config{Ratio: 0.2, Window: 10 * time.Second, BaseRetries: 100})
 		table, err := matcher.New(testConfig())
 		f.is.NoErr(err)
@@ -111,7 +117,7 @@
 		defer links.Close()
 		links.SetUpstreams(tunnelUpstreams(f.instances))
 		handler := forwarder.New(forwarder.Config{
-			Protocol: platform.Protocol(), Reservations: platform.NewReservationClient(&http.Client{Transport: &http.Transport{DialContext: links.Dial, DisableKeepAlives: true}}),
+			Protocol: f.currentProtocol(), Reservations: platform.NewReservationClient(&http.Client{Transport: &http.Transport{DialContext: links.Dial, DisableKeepAlives: true}}),
 			ReservationTTL: 3 * time.Second, MaxIdle: 9 * time.Second, View: f.view.Load, Dispatcher: f.dispatcher, Quarantine: f.quarantine, Isolator: isolator.New("entry"), OnCrash: func() {},
 			RetryBudget: f.retryBudget,
 			Tunneler:    links, Account: f.account, Log: zap.NewNop(), Scope: tally.NoopScope, Asserter: invariants,
@@ -121,7 +127,7 @@
 		f.client = &http.Client{Transport: transport}
 		defer func() {
 			transport.CloseIdleConnections()
-			for _, s := range servers {
+			for _, s := range append(servers, f.restored...) {
 				_ = s.Close()
 			}
 			for _, h := range []netip.Addr{entryHost, callerHost} {
@@ -143,6 +149,13 @@
 	return out
 }
 
+// currentProtocol returns a protocol whose ReadResponse is that of f.protocol at the time of the call.
+func (f *fixture) currentProtocol() forwarder.Protocol {
+	p := *f.protocol
+	p.ReadResponse = func(status int, h http.Header) forwarder.ResponseMetadata { return f.protocol.ReadResponse(status, h) }
+	return p
+}
+
 // serve starts an HTTP server on the simulated network.
 func (f *fixture) serve(address netip.AddrPort, h http.Handler) *http.Server {
 	listener, err := f.net.Listen(address)
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -113,6 +113,7 @@
 	f.log.Info("yield", zap.String("request", x.metadata.ID), zap.String("service", x.service), zap.String("upstream", p.First.ID),
 		zap.Int("helpers", len(p.Helpers)), zap.Duration("expected_ms", p.ExpectedFirstByte))
 	p.Withdraw(time.Now())
+	x.placement = nil
 	return true
 }
 
@@ -145,6 +146,7 @@
 	x.lastDemand.Homes = f.homes(x)
 	began := time.Now()
 	p, refusal := f.dispatcher.Place(began, x.lastDemand)
+	x.placement = p
 	if refusal != nil {
 		x.endTrial(false)
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -117,10 +117,10 @@
 	begun := false
 	for {
 		n, err := a.response.Body.Read(buffer)
-		if n > 0 {
-			a.watchdog.recordRead()
-		}
 		complete, splitErr := events.Feed(buffer[:n])
+		if len(complete) > 0 {
+			a.watchdog.recordRead() // bytes that make no new event may go on without end
+		}
 		if held := int64(max(0, events.PartialBytes()-freeBytes)); held < partial.Bytes() {
 			partial.Shrink(partial.Bytes() - held)
 		} else if splitErr == nil && !partial.Grow(held-partial.Bytes()) {
--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -7,11 +7,9 @@
 	"net/textproto"
 	"net/url"
 	"strings"
-)
 
-// maxResponseHeaderBytes is the maximum size of the header of an upstream's response. An attempt
-// whose response has a larger header fails.
-const maxResponseHeaderBytes = 64 << 10
+	"github.com/sapphireramp/sapphireramp/connector"
+)
 
 // newTransport returns the HTTP transport for requests to upstreams. Every attempt has a connection
 // of its own. On a reused connection, a late or second response could be mistaken for that of the
@@ -21,7 +19,7 @@
 		DialContext:            dial,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		MaxResponseHeaderBytes: connector.MaxHeadBytes,
 	}
 }
 
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -43,7 +43,7 @@
 type watchdog struct {
 	lock  sync.Mutex
 	timer *watcher.SilenceTimer
-	// lastReadAt is when bytes of the response last arrived; the start of the attempt until then.
+	// lastReadAt is when a new event of the response last arrived; the start of the attempt until then.
 	lastReadAt time.Time
 	// silenceLimit is the time for which any upstream may send nothing. busySilenceLimit is the longest
 	// time for which an upstream may send nothing while it is expected to prefill.
@@ -51,7 +51,7 @@
 	// expectedBusy returns the time for which the upstream is expected to send nothing because it
 	// prefills prompts; 0 for a plain service.
 	expectedBusy func() time.Duration
-	// responseBegun is true once bytes of the response have arrived in this attempt, or an earlier
+	// responseBegun is true once an event of the response has arrived in this attempt, or an earlier
 	// attempt of the request began the response to the caller.
 	responseBegun bool
 	// confirmReach begins to find out whether another upstream can be connected to. It is called recheckInterval
@@ -180,7 +180,7 @@
 	return r
 }
 
-// recordRead records that bytes of the response have just arrived, from which the silence is measured.
+// recordRead records that a new event of the response has just arrived, from which the silence is measured.
 func (w *watchdog) recordRead() {
 	if w == nil {
 		return
