--- a/server/call.go
+++ b/server/call.go
@@ -16,6 +16,7 @@
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/apportioner"
 	"github.com/sapphireramp/sapphireramp/asserter"
+	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/tunneler"
 )
@@ -39,8 +40,7 @@
 		s.logs.route.Info("route", zap.String("request", x.id), zap.String("organisation", x.organisation.Name),
 			zap.String("service", x.service.Name), zap.String("call", x.callName), zap.String("instance", p.First.ID), zap.Int("running", p.Load.Running),
 			zap.Bool("repeatable", x.repeatable), zap.Int("attempt", len(tried)))
-		result, f := s.sendCall(x, p)
-		p.End(time.Now(), result)
+		f = s.tryCall(x, p)
 		if f == nil {
 			s.quarantine.RecordSuccess(time.Now(), x.fingerprint)
 			return nil
@@ -63,6 +63,14 @@
 	return f
 }
 
+// tryCall sends a service call to an instance and ends its placement, also if it panics.
+func (s *Server) tryCall(x *exchange, p *dispatcher.Placement) (f *failure) {
+	result := dispatcher.Abandoned
+	defer func() { p.End(time.Now(), result) }()
+	result, f = s.sendCall(x, p)
+	return f
+}
+
 // slotsPerInstance is the number of calls that an instance of a service is assumed to run in parallel where
 // the configuration document does not state it. With 16, a call goes to another data centre once each local
 // instance runs about two calls more than the remote ones.
@@ -138,6 +146,11 @@
 		return x.unansweredResult(), f
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := connector.CheckHead(response); err != nil {
+		f := newFailure(api.CodeUpstreamFailed, "the answer of service %s could not be read", x.service.Name)
+		f.err = err
+		return x.unansweredResult(), f
+	}
 	attempt.answerStartedAt = time.Now()
 	body, err := readAnswer(response, s.settings.Callers.MaxBody)
 	if err != nil && !errors.Is(err, errAnswerTooLarge) {
--- a/server/server.go
+++ b/server/server.go
@@ -228,6 +228,8 @@
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+		// Bytes without end are no head.
+		MaxResponseHeaderBytes: connector.MaxHeadBytes,
 		// The upstream may close an idle connection while a request is being sent on it. A request that may
 		// run at most once therefore gets a new connection.
 		DisableKeepAlives: singleUse,
--- a/server/services_test.go
+++ b/server/services_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -23,6 +24,8 @@
 	crashedAt []time.Time
 	// frozen is the address of an instance that accepts calls and answers none; zero for none.
 	frozen netip.Addr
+	// spoiled writes what the instance at an address sends in place of its answers; nil for none.
+	spoiled map[netip.Addr]func(net.Conn)
 	// answers is the number of calls answered, by instance.
 	answers map[netip.Addr]int
 	// servers holds the servers of the running instances; nil once all are closed.
@@ -42,6 +45,14 @@
 		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
+		if spoil := c.spoiledBy(address); spoil != nil {
+			connection, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				spoil(connection)
+				_ = connection.Close()
+			}
+			return
+		}
 		if c.isFrozen(address) {
 			<-r.Context().Done()
 			return
@@ -72,6 +83,19 @@
 	return c.frozen == address
 }
 
+// spoil makes the instance at an address send what write writes in place of its answers.
+func (c *crashingServices) spoil(address netip.Addr, write func(net.Conn)) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.spoiled[address] = write
+}
+
+func (c *crashingServices) spoiledBy(address netip.Addr) func(net.Conn) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.spoiled[address]
+}
+
 func (c *crashingServices) crash(address netip.Addr) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
@@ -106,7 +130,7 @@
 // crash.
 func withCrashingServices(t *testing.T, instances int, f func(*testFleet, *crashingServices)) {
 	withTestFleet(t, 3, 6, func(fleet *testFleet) {
-		c := &crashingServices{fleet: fleet, answers: map[netip.Addr]int{}, servers: map[netip.Addr]*http.Server{}}
+		c := &crashingServices{fleet: fleet, answers: map[netip.Addr]int{}, spoiled: map[netip.Addr]func(net.Conn){}, servers: map[netip.Addr]*http.Server{}}
 		defer c.close()
 		var names []string
 		for i := range instances {
