platform, controller: changes that can't be read are followed by the complete state

Cause: of a watch's response over 8 MiB the rest was dropped without an error, so that it could not be decoded, and the same watch was sent again, whose response had grown meanwhile. Where the store ends its responses at a mebibyte, the pause after each watch let entries read three versions a second.

A response over 2 MiB, one that ends early and a malformed one make the entry read the complete state, which needs less. Large responses are followed at once, and after two in a row by the complete state.

--- a/cmd/sapphireramp/gateway.go
+++ b/cmd/sapphireramp/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -16,6 +17,7 @@
 	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/budgeter"
+	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/controller"
 	"github.com/sapphireramp/sapphireramp/launcher"
 	"github.com/sapphireramp/sapphireramp/logger"
@@ -34,6 +36,10 @@
 // end by itself within that time.
 const leasePercent = 80
 
+// storeDialTimeout bounds the time for connecting to the store; calls to it have shorter timeouts. storeIdleTimeout is the
+// time after which an idle connection to it is closed.
+const storeDialTimeout, storeIdleTimeout = 5 * time.Second, 90 * time.Second
+
 func gatewayCommand() command {
 	flags := newCommand("gateway", "run an entry on the users' platform; the environment variable "+platform.SettingsPathVariable+" gives its settings file")
 	metricsPort := uint16(0)
@@ -66,7 +72,7 @@
 		log.Error("invariant_violated", zap.String("invariant", name), zap.String("detail", detail))
 	})
 	account := accountant.New(accountant.LimitFor(settings.MemoryLimit))
-	store := platform.NewStore(&http.Client{}, settings.StoreAddress)
+	store := platform.NewStore(newStoreClient(), settings.StoreAddress, account)
 	config := launcher.Config{
 		Name: settings.Name, DataCentre: settings.DataCentre, Regions: settings.Regions, CallerAddress: settings.CallerAddress, ReadinessAddress: settings.ReadinessAddress,
 		PeerAddress: settings.PeerAddress, DirectoryAddress: settings.DirectoryAddress, LoadAddress: settings.LoadAddress,
@@ -94,6 +100,16 @@
 	return launcher.New(config).Run(ctx, reload)
 }
 
+// newStoreClient returns the HTTP client for the platform's store.
+func newStoreClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: storeDialTimeout}).DialContext,
+		IdleConnTimeout:        storeIdleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: connector.MaxHeadBytes,
+	}}
+}
+
 // reloadableSettings returns the settings that may change while the entry runs, in the launcher's form.
 func reloadableSettings(settings platform.Settings) launcher.Settings {
 	return launcher.Settings{
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -147,7 +147,7 @@
 	f.started++
 	entryDispatcher := dispatcher.New(fmt.Sprintf("dc-%d", i%3), rand.New(rand.NewPCG(1, uint64(i))))
 	client := &http.Client{Transport: &http.Transport{DialContext: f.net.Dialer(host), DisableKeepAlives: true}}
-	reader := platform.NewStore(client, storeAddress)
+	reader := platform.NewStore(client, storeAddress, nil)
 	e := &entry{dispatcher: entryDispatcher, quarantine: quarantiner.New(), host: host, ended: make(chan struct{})}
 	e.scheduler = scheduler.New(scheduler.Config{Random: rand.New(rand.NewPCG(2, uint64(f.started))), Part: func(time.Time, string, float64, bool) scheduler.Part { return testPart(entryDispatcher) }, StartedAt: time.Now(), IsFirstStart: i == len(f.entries)})
 	config := controller.Config{
--- a/controller/follow.go
+++ b/controller/follow.go
@@ -61,10 +61,11 @@
 )
 
 // followStore reads the store whenever shouldReadStore is true, until the context ends. It reads
-// the complete state if it has none and after ErrHistoryGone, and otherwise watches for changes.
+// the complete state if it has none, if the changes can't be read (see mustReadAll) or if there are many of them (see
+// maxLargeReplies), and otherwise watches for changes.
 func (c *Controller) followStore(ctx context.Context) {
 	readAll := false
-	failures := 0
+	failures, largeReplies := 0, 0
 	for ctx.Err() == nil {
 		read, position := false, follower.Position{}
 		c.do(func(s *state) { read, position = s.shouldReadStore(time.Now()), s.follower.Position() })
@@ -75,17 +76,24 @@
 			continue
 		}
 		readAll = readAll || position.Revision == 0
-		err := c.readStore(ctx, readAll, position)
-		readAll = errors.Is(err, follower.ErrHistoryGone)
+		size, err := c.readStore(ctx, readAll, position)
+		largeReplies = countLargeReplies(largeReplies, readAll, size)
+		readAll = mustReadAll(readAll, err)
 		delay := watchPause
 		failures++
 		if err == nil {
 			failures = 0
 		}
+		if largeReplies > 0 {
+			delay = 0
+		}
+		if largeReplies >= maxLargeReplies {
+			readAll, largeReplies = true, 0
+		}
 		if failures > 0 {
 			c.do(func(s *state) { delay = min(s.maxRetryDelay(), minRetryDelay<<min(failures-1, maxDoublings)) })
 		}
-		if readAll {
+		if readAll && failures <= 1 {
 			delay = 0
 		}
 		if !sleeper.Sleep(ctx, delay) {
@@ -94,6 +102,30 @@
 	}
 }
 
+const (
+	// largeReply is the size in bytes from which on a reply to a watch may have been ended by the store before the
+	// last change: half of the largest value.
+	largeReply = 512 << 10
+	// maxLargeReplies is the number of large replies to watches in a row after which the complete state is read. It
+	// holds only the newest configuration, a watch each one.
+	maxLargeReplies = 2
+)
+
+// mustReadAll reports whether the complete state must be read after a call to the store that ended with an error or nil:
+// the changes since the last one are gone or can't be read, or it had to be read before and could not be.
+func mustReadAll(before bool, err error) bool {
+	return errors.Is(err, follower.ErrHistoryGone) || errors.Is(err, follower.ErrTooManyChanges) || errors.Is(err, follower.ErrUnreadable) || before && err != nil
+}
+
+// countLargeReplies returns the number of large replies to watches in a row after a reply of a size, 0 after a failed
+// call; before is the number before it.
+func countLargeReplies(before int, wasReadAll bool, size int64) int {
+	if wasReadAll || size < largeReply {
+		return 0
+	}
+	return before + 1
+}
+
 // shouldReadStore reports whether this entry has to read the store: it is a store reader or a
 // seed that has just started, the store has never confirmed its state, or the last confirmation
 // is stale (see staleAge). Shortly after its start it may leave that to others (see awaitsPeers
@@ -159,10 +191,9 @@
 // changes after a position, and applies the reply. The position is that of this entry before the call.
 // If anything changed, it requests heartbeats, so that other entries fetch the change. It returns the
 // error of the store or of the context.
-func (c *Controller) readStore(ctx context.Context, readAll bool, before follower.Position) error {
+func (c *Controller) readStore(ctx context.Context, readAll bool, before follower.Position) (size int64, err error) {
 	c.metrics.storeCalls.Inc(1)
 	var got follower.State
-	var err error
 	if readAll {
 		bounded, cancel := context.WithTimeout(ctx, readTimeout)
 		got, err = c.config.Store.Read(bounded)
@@ -171,12 +202,12 @@
 		got, err = c.config.Store.Watch(ctx, before, watchTimeout)
 	}
 	if ctx.Err() != nil {
-		return ctx.Err()
+		return 0, ctx.Err()
 	}
 	if err != nil {
 		c.metrics.storeFailures.Inc(1)
 		c.do(func(s *state) { s.recordStoreError(time.Now(), err) })
-		return err
+		return 0, err
 	}
 	got = got.ResolveEpoch(before, readAll)
 	changed := c.applyState(got, "store", func(s *state, now time.Time, got follower.State) []follower.Change {
@@ -190,17 +221,21 @@
 	if changed {
 		c.requestHeartbeats()
 	}
-	return nil
+	return got.ResponseBytes, nil
 }
 
-// recordStoreError records a failed store call of this entry. It only logs ErrHistoryGone,
-// because the store did reply, so there is no outage. Of other failures in a row it logs the
-// first.
+// recordStoreError records a failed store call of this entry. It only logs ErrHistoryGone and
+// ErrTooManyChanges, because the store did reply, so there is no outage. Of other failures in a row
+// it logs the first.
 func (s *state) recordStoreError(now time.Time, err error) {
 	if errors.Is(err, follower.ErrHistoryGone) {
 		s.controller.config.Log.Info("store_history_gone", zap.Int64("revision", s.follower.Revision()))
 		return
 	}
+	if errors.Is(err, follower.ErrTooManyChanges) {
+		s.controller.config.Log.Info("store_changes_skipped", zap.Int64("revision", s.follower.Revision()), zap.Error(err))
+		return
+	}
 	s.follower.RecordOwnStoreFailure(now)
 	if s.storeLost {
 		return
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -38,6 +38,13 @@
 // given revision. The complete state has to be read instead.
 var ErrHistoryGone = errors.New("store dropped the history after the requested revision")
 
+// ErrUnreadable is returned by a read or watch of the store if the response began and could not be read: it ends early, is
+// malformed or does not end. That of a watch grows until it is read, so that the complete state must be read instead.
+var ErrUnreadable = errors.New("response of the store can't be read")
+
+// ErrTooManyChanges is returned by a watch if the response with the changes is so large that the complete state takes less.
+var ErrTooManyChanges = errors.New("changes take more than the complete state")
+
 // knownInstance is the latest registration of an instance that was applied, or its removal.
 type knownInstance struct {
 	listed Listed
--- a/follower/state.go
+++ b/follower/state.go
@@ -51,6 +51,9 @@
 	// Faults holds the errors of unreadable headers and items of the store that can't be
 	// attributed to an upstream; empty in a state from another entry.
 	Faults []error
+	// ResponseBytes is the size of the last response of the store that the state was read from; 0 in a state from
+	// another entry.
+	ResponseBytes int64
 }
 
 // Change is one change of a Follower's state. Its fields are logged.
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -143,7 +143,7 @@
 	_ = json.NewEncoder(x.writer).Encode(struct {
 		Error  string `json:"error"`
 		NotRun bool   `json:"not_run"`
-	}{Error: fail.reason, NotRun: x.pendingCount == 0})
+	}{Error: fail.reason, NotRun: x.pendingCount == 0 && fail.reason != reasonPanic})
 	if fail.reason == reasonMemoryShort {
 		x.discardBody()
 	}
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -305,6 +305,11 @@
 
 // putConfig writes a configuration with the given version and API keys to the store.
 func (f *fleet) putConfig(version int, keys ...string) {
+	f.store.Put("op/config", f.configWith(version, nil, keys...))
+}
+
+// configWith returns a configuration with the given version and API keys, and with routes besides the usual ones.
+func (f *fleet) configWith(version int, added []any, keys ...string) map[string]any {
 	route := func(name, prefix, kind, service string, extra map[string]any) map[string]any {
 		r := map[string]any{"name": name, "host": "h", "prefix": prefix, "kind": kind, "service": service, "timeout-ms": f.routeTimeout(prefix, kind).Milliseconds(), "target-latency-ms": 300, "max-attempts": 1}
 		r["allowed-regions"] = f.homes[name]
@@ -313,22 +318,22 @@
 		}
 		return r
 	}
-	f.store.Put("op/config", map[string]any{
+	return map[string]any{
 		"version": version,
-		"routes": []any{
+		"routes": append([]any{
 			route("once", "/once/", "non_idempotent", "app", nil),
 			route("safe", "/safe/", "idempotent", "app", map[string]any{"max-attempts": 2}),
 			route("stream", "/stream/", "streaming", "lm", map[string]any{"max-attempts": 2, "stream-resume": true, "sticky": true, "gap-aim-ms": 250}),
 			route("fixed", "/fixed/", "streaming", "lm", map[string]any{"sticky": true, "gap-aim-ms": 250}),
 			route("long", "/long/", "streaming", "lm", map[string]any{"sticky": true, "target-latency-ms": 3000, "gap-aim-ms": 1000}),
-		},
+		}, added...),
 		"services": []any{
 			map[string]any{"name": "app", "health-path": "/health", "cold-per-s": toleratedColdRate},
 			map[string]any{"name": "lm", "health-path": "/health", "cold-per-s": toleratedColdRate, "engine": json.RawMessage(`{"slots":16,"kv-capacity-tokens":315000,"stride":51,"step_ms":0.85,"per_seq_ms":0.004,"context_per_k":0.003,"read_per_s":177000,"pairs_per_m":0.18,"chunk":2048}`)},
 		},
 		"limits":  map[string]any{"max-body-bytes": f.maxBody, "idle-timeout-ms": 15000},
 		"tenants": []any{map[string]any{"name": "crew", "api-keys": keys}},
-	})
+	}
 }
 
 // startEntry starts an incarnation of the entry with index i.
@@ -336,7 +341,7 @@
 	host := entryHost(i)
 	onPort := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(host, port) }
 	client := &http.Client{Transport: &http.Transport{DialContext: f.net.Dialer(host), DisableKeepAlives: true}}
-	storeClient := platform.NewStore(client, netip.AddrPortFrom(storeHost, 80))
+	storeClient := platform.NewStore(client, netip.AddrPortFrom(storeHost, 80), nil)
 	settings := launcher.Settings{
 		Seeds:       []netip.AddrPort{netip.AddrPortFrom(entryHost(0), peerPort), netip.AddrPortFrom(entryHost(1), peerPort)},
 		RetryBudget: retryBudget, ShutdownGrace: shutdownGrace, MemoryLimit: f.memoryLimit,
--- a/logger/events.go
+++ b/logger/events.go
@@ -65,6 +65,7 @@
 	{"stopping", "The entry received SIGTERM and starts to shut down. The directory no longer gives its address to callers.", []string{"in_flight", "grace_ms"}},
 	{"store_behind", "A complete read of the store returned an older revision, read_revision, than the one that the entry has. Epoch is the number of times that the store has gone back to an older copy.", []string{"revision", "read_revision", "epoch"}},
 	{"store_epoch", "The store has returned from an older copy of its content, or was read for the first time. Epoch counts how often; revisions of the store are those of a new history from now on. Previous and previous_revision are the epoch and the revision before. Source is the store, or the entry that the state was fetched from.", []string{"epoch", "previous", "revision", "previous_revision", "source"}},
+	{"store_changes_skipped", "The store replied with more changes than the complete state takes. The entry reads the complete state instead.", []string{"revision", "error"}},
 	{"store_history_gone", "The store has discarded changes that the entry has not read. The entry reads the complete state instead.", []string{"revision"}},
 	{"store_lost", "The store does not answer. The last known state stays in force, and changes are taken from other entries.", []string{"error", "revision"}},
 	{"store_regained", "The store answers again.", []string{"revision"}},
--- a/server/filters.go
+++ b/server/filters.go
@@ -149,6 +149,7 @@
 			if r != nil {
 				s.logs.entry.Error("panic", zap.String("request", x.id), zap.Any("value", r), zap.ByteString("stack", debug.Stack()))
 				f = newFailure(api.CodeUpstreamFailed, "internal error")
+				f.outcome = api.OutcomeUnknown // whatever was counted before the panic
 			}
 		}()
 		return next(x)
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -68,6 +68,9 @@
 	garbledEpoch string
 	// changed is closed and replaced on each change of an item or of the mode.
 	changed chan struct{}
+	// watchBytes is the size of the values in a response to a watch from which on further changes are left to the
+	// next one; 0 if all changes are sent at once.
+	watchBytes int
 	// callCount is the number of HTTP calls received, in all modes.
 	callCount int
 }
@@ -148,6 +151,13 @@
 	s.history, s.compactedRevision = nil, s.revision
 }
 
+// LimitWatches makes responses to watches end with the first change with which the values take size bytes; 0 for no limit.
+func (s *Store) LimitWatches(size int) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.watchBytes = size
+}
+
 // CallCount returns the number of HTTP calls received so far, in all modes.
 func (s *Store) CallCount() int {
 	s.lock.Lock()
@@ -234,9 +244,15 @@
 		s.lock.Lock()
 		changed, asOf, gone := s.changed, s.revision, after < s.compactedRevision || after > s.revision
 		var events []item
+		size := 0
 		for _, i := range s.history {
 			if i.Revision > after && strings.HasPrefix(i.Key, query.Get("prefix")) {
 				events = append(events, i)
+				size += len(i.Value)
+			}
+			if s.watchBytes > 0 && size >= s.watchBytes {
+				asOf = i.Revision
+				break
 			}
 		}
 		up := (s.mode == Available || s.mode == Slow) && s.epoch == epoch
