connector, tunneler, server, client: messages, tunnels and own requests count as memory; no silent limits

A message is at most 8 MiB, a queue 16, and both count in the account, as tunnels do. On the own interface the setting Memory decides, 1 GiB by default. Reads above a limit are errors.

--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -1,6 +1,7 @@
 package accountant_test
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -104,3 +105,22 @@
 	is.True(a.Usage().Held <= 81*mebibyte)
 	is.True(takeAll(a, "a", 64<<10) >= 9*mebibyte/(64<<10))
 }
+
+func TestReadAllStaysWithinItsLimits(t *testing.T) {
+	is := is.New(t)
+	a := accountant.New(10 * mebibyte)
+	text := strings.Repeat("x", mebibyte)
+	for _, expected := range []int64{mebibyte, -1} {
+		h := a.Open("owner", accountant.Request)
+		data, err := accountant.ReadAll(h, strings.NewReader(text), expected, mebibyte, 2)
+		is.NoErr(err)
+		is.Equal(len(data), mebibyte)
+		is.Equal(h.Bytes(), int64(2*mebibyte))
+		_, err = accountant.ReadAll(h, strings.NewReader(text+"x"), expected, mebibyte, 1)
+		is.Equal(err, accountant.TooLargeError{Limit: mebibyte})
+		_, err = accountant.ReadAll(h, strings.NewReader(strings.Repeat(text, 20)), -1, 100*mebibyte, 1)
+		is.Equal(err, accountant.ErrNoMemory)
+		h.Close()
+	}
+	is.Equal(a.Usage().Held, int64(0))
+}
--- a/client/client.go
+++ b/client/client.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/decoder"
 	"github.com/sapphireramp/sapphireramp/sleeper"
 	"github.com/sapphireramp/sapphireramp/splitter"
 )
@@ -29,7 +30,7 @@
 	addressesTimeout = 2 * time.Second
 	// maxEventBytes is the maximum size of a server-sent event, and of the body of an error response.
 	maxEventBytes = 1 << 20
-	// maxResponseBytes is the maximum size of a response that is not streamed. The rest of a larger one is not
+	// maxResponseBytes is the maximum size of a response that is not streamed. A larger one is an error, and not
 	// read.
 	maxResponseBytes = 64 << 20
 )
@@ -147,7 +148,7 @@
 		return addresses, fmt.Errorf("request addresses: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := json.NewDecoder(response.Body).Decode(&addresses); err != nil {
+	if err := decodeBody(response.Body, maxEventBytes, &addresses); err != nil {
 		return addresses, fmt.Errorf("decode addresses: %w", err)
 	}
 	if len(addresses.Entries) == 0 {
@@ -230,12 +231,21 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	var ticket api.Ticket
-	if err := json.NewDecoder(response.Body).Decode(&ticket); err != nil {
+	if err := decodeBody(response.Body, maxEventBytes, &ticket); err != nil {
 		return "", fmt.Errorf("decode ticket: %w", err)
 	}
 	return ticket.Ticket, nil
 }
 
+// decodeBody decodes a response body of up to limit bytes.
+func decodeBody(body io.Reader, limit int, target any) error {
+	data, err := decoder.ReadAll(body, limit)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, target)
+}
+
 // post sends a POST request to an entry and returns a response with status 200, whose body must be closed. It
 // returns an EntryError if the entry reports an error, and an UnsentError if the entry can't have received the
 // whole request. It adds the entry to avoidedEntries if no response arrives,
@@ -269,7 +279,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	var apiError api.Error
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxEventBytes)).Decode(&apiError); err != nil || apiError.Error.Code == "" {
+	if err := decodeBody(response.Body, maxEventBytes, &apiError); err != nil || apiError.Error.Code == "" {
 		return nil, fmt.Errorf("send request to entry %s: HTTP status %d", entry, response.StatusCode)
 	}
 	if apiError.Error.Code == api.CodeStopping || apiError.Error.Code == api.CodeNotReady {
@@ -304,7 +314,7 @@
 			return Result{}, err
 		}
 		defer func() { _ = response.Body.Close() }()
-		text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+		text, err := decoder.ReadAll(response.Body, maxResponseBytes)
 		if err != nil {
 			return Result{}, fmt.Errorf("read response: %w", err)
 		}
@@ -395,7 +405,7 @@
 	var result Result
 	if !stream {
 		var completion api.CompletionChunk
-		if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&completion); err != nil {
+		if err := decodeBody(response.Body, maxResponseBytes, &completion); err != nil {
 			return result, fmt.Errorf("read response: %w", err)
 		}
 		if len(completion.Choices) != 1 || completion.Usage == nil {
--- a/cmd/sapphireramp/entry.go
+++ b/cmd/sapphireramp/entry.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"time"
 
+	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/loader"
 	"github.com/sapphireramp/sapphireramp/logger"
 	"github.com/sapphireramp/sapphireramp/meter"
@@ -47,6 +49,7 @@
 			os.Exit(exitInvariantViolated)
 		}
 	}
+	debug.SetMemoryLimit(accountant.HeapLimit(settings.Memory))
 	entry, err := server.New(server.Config{
 		Settings: settings, Incarnation: uint64(time.Now().UnixNano()), Logs: logs,
 		MetricScope: metrics.Scope, MetricsHandler: metrics.Handler, OnViolation: onViolation,
--- /dev/null
+++ b/connector/frame_test.go
@@ -0,0 +1,96 @@
+package connector
+
+import (
+	"bytes"
+	"encoding/gob"
+	"errors"
+	"net"
+	"net/rpc"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sapphireramp/sapphireramp/accountant"
+)
+
+// Guards against messages that are taken for too large because of where reads divide them.
+func TestFramesAreFollowedThroughAnyReads(t *testing.T) {
+	is := is.New(t)
+	var stream bytes.Buffer
+	encoder := gob.NewEncoder(&stream)
+	for _, size := range []int{0, 1, 100, 127, 128, 129, 300, 70_000, 1 << 20} {
+		is.NoErr(encoder.Encode(struct{ Text string }{strings.Repeat("x", size)}))
+	}
+	for _, step := range []int{1, 2, 3, 7, 1000, stream.Len()} {
+		var s frameScanner
+		data, largest := stream.Bytes(), uint64(0)
+		for len(data) > 0 {
+			n := min(step, len(data))
+			size, err := s.scan(data[:n])
+			is.NoErr(err)
+			data, largest = data[n:], max(largest, size)
+		}
+		is.Equal(s.left, uint64(0))
+		is.True(largest > 1<<20 && largest < 1<<20+100)
+	}
+}
+
+// Guards against peers that send, or announce, messages without an end, and against bytes that are none of this protocol:
+// memory without a bound, and connections that are kept.
+func TestPeerBytesWithoutEndCloseTheConnection(t *testing.T) {
+	for name, begin := range map[string]string{
+		"announced":  "\xfc\x7f\xff\xff\xff",
+		"no length":  "\x80",
+		"HTTP":       "HTTP/1.1 200 OK\r\n",
+		"many zeros": strings.Repeat("\x00", 1000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				account := accountant.New(16 << 20)
+				near, far := net.Pipe()
+				served := make(chan struct{})
+				go func() {
+					rpc.NewServer().ServeConn(NewQueuedConn(near, account))
+					close(served)
+				}()
+				written := 0
+				_, err := far.Write([]byte(begin))
+				for err == nil && written < 4*MaxFrameBytes {
+					var n int
+					n, err = far.Write(bytes.Repeat([]byte("\xf8"), 4000))
+					written += n
+				}
+				is.True(err != nil)
+				is.True(written <= 2*MaxFrameBytes)
+				<-served
+				time.Sleep(time.Second)
+				is.Equal(account.Usage().Held, int64(0))
+			})
+		})
+	}
+}
+
+// Guards against replies without an end, on the connection of a caller.
+func TestReplyWithoutEndFailsTheCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		near, far := net.Pipe()
+		client := rpc.NewClient(NewQueuedConn(near, nil))
+		go func() {
+			buffer := make([]byte, 1000)
+			_, _ = far.Read(buffer)
+			_, _ = far.Write([]byte("\xfc\x7f\xff\xff\xff"))
+			_, _ = far.Read(buffer)
+		}()
+		err := client.Call("Peer.Method", 1, new(int))
+		is.True(err != nil)
+		var tooLarge FrameTooLargeError
+		is.True(errors.As(err, &tooLarge))
+		_ = client.Close()
+		_ = far.Close()
+	})
+}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -12,6 +12,8 @@
 	"net/rpc"
 	"sync"
 	"time"
+
+	"github.com/sapphireramp/sapphireramp/accountant"
 )
 
 // ErrTimeout is returned by Pool.Call if the peer did not reply before the timeout.
@@ -27,8 +29,9 @@
 // Pool holds at most one net/rpc connection to each peer. When it opens one, it closes those
 // without a call for idleTimeout. It is safe for concurrent use.
 type Pool struct {
-	dial DialFunc
-	lock sync.Mutex
+	dial    DialFunc
+	account *accountant.Account
+	lock    sync.Mutex
 	// clients holds the open connections by the address of the peer.
 	clients map[netip.AddrPort]*client
 	// closed is true once Close was called.
@@ -44,9 +47,10 @@
 	lastUsed time.Time
 }
 
-// NewPool returns a pool without connections. It opens each with dial at the first call.
-func NewPool(dial DialFunc) *Pool {
-	return &Pool{dial: dial, clients: map[netip.AddrPort]*client{}}
+// NewPool returns a pool without connections. It opens each with dial at the first call. What it holds of messages counts
+// in the account; nil is allowed.
+func NewPool(dial DialFunc, account *accountant.Account) *Pool {
+	return &Pool{dial: dial, account: account, clients: map[netip.AddrPort]*client{}}
 }
 
 // Call calls a net/rpc method of the peer at an address and waits for the reply. It connects first
@@ -90,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	opened := &client{Client: rpc.NewClient(NewQueuedConn(connection)), inFlight: 1}
+	opened := &client{Client: rpc.NewClient(NewQueuedConn(connection, p.account)), inFlight: 1}
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	p.closeIdle(time.Now())
--- a/connector/pool_test.go
+++ b/connector/pool_test.go
@@ -57,7 +57,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var peers fakePeers
-		p := NewPool(peers.dial)
+		p := NewPool(peers.dial, nil)
 		defer p.Close()
 		const size, period = 1000, 100 * time.Millisecond
 		for i := range 2 * size {
@@ -74,7 +74,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var peers fakePeers
-		p := NewPool(peers.dial)
+		p := NewPool(peers.dial, nil)
 		defer p.Close()
 		ended := make(chan error)
 		go func() { ended <- call(p, 0, 3*idleTimeout, 4*idleTimeout) }()
--- a/connector/queue.go
+++ b/connector/queue.go
@@ -4,13 +4,19 @@
 	"errors"
 	"net"
 	"sync"
+
+	"github.com/sapphireramp/sapphireramp/accountant"
 )
 
-// maxPendingWrites is the maximum number of writes queued on one connection to a peer; one write is
-// one net/rpc message. A write beyond it closes the connection.
-const maxPendingWrites = 1024
+const (
+	// maxPendingWrites is the maximum number of writes queued on one connection to a peer; one write is
+	// one net/rpc message. A write beyond it closes the connection.
+	maxPendingWrites = 1024
+	// maxPendingBytes is the size of the queued writes with which no further one is queued.
+	maxPendingBytes = 2 * MaxFrameBytes
+)
 
-// errQueueFull is returned by queuedConn.Write if maxPendingWrites are queued already, because the
+// errQueueFull is returned by queuedConn.Write if maxPendingWrites or maxPendingBytes are queued already, because the
 // peer reads too slowly or not at all.
 var errQueueFull = errors.New("write queue of peer connection is full")
 
@@ -19,8 +25,14 @@
 type queuedConn struct {
 	net.Conn
 	lock sync.Mutex
-	// pending holds the queued writes in order, at most maxPendingWrites.
-	pending [][]byte
+	// pending holds the queued writes in order, at most maxPendingWrites, and pendingBytes is their size together with
+	// those that are being written. written holds as much in the account of the entry.
+	pending      [][]byte
+	pendingBytes int
+	written      *accountant.Holding
+	// frames follows the messages that are read. read holds the current one, if it is large, in the account.
+	frames frameScanner
+	read   *accountant.Holding
 	// wake holds an element if pending may not be empty.
 	wake chan struct{}
 	// closed is closed by the first call of Close, which once detects.
@@ -29,9 +41,10 @@
 }
 
 // NewQueuedConn wraps a connection so that its writes never block. A goroutine writes the queued
-// data until the connection is closed or a write fails. A failed read closes the connection too.
-func NewQueuedConn(c net.Conn) net.Conn {
-	q := &queuedConn{Conn: c, wake: make(chan struct{}, 1), closed: make(chan struct{})}
+// data until the connection is closed or a write fails. A failed read closes the connection too, and so does a message
+// above MaxFrameBytes. What is held of messages counts in the account; nil is allowed.
+func NewQueuedConn(c net.Conn, account *accountant.Account) net.Conn {
+	q := &queuedConn{Conn: c, written: account.Open("", accountant.Request), read: account.Open("", accountant.Request), wake: make(chan struct{}, 1), closed: make(chan struct{})}
 	go q.writePending()
 	return q
 }
@@ -60,10 +73,12 @@
 func (q *queuedConn) enqueue(message []byte) bool {
 	q.lock.Lock()
 	defer q.lock.Unlock()
-	if len(q.pending) >= maxPendingWrites {
+	if len(q.pending) >= maxPendingWrites || q.pendingBytes >= maxPendingBytes {
 		return false
 	}
 	q.pending = append(q.pending, message)
+	q.pendingBytes += len(message)
+	q.written.Force(int64(len(message)))
 	return true
 }
 
@@ -77,16 +92,43 @@
 	return pending
 }
 
+// recordWritten subtracts a write from the queued ones.
+func (q *queuedConn) recordWritten(size int) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	q.pendingBytes -= size
+	q.written.Shrink(int64(size))
+}
+
 // Read reads from the connection and closes it after any error, since a net/rpc client does not
-// close its connection when the peer has closed the other end.
+// close its connection when the peer has closed the other end. Its error is a FrameTooLargeError if a message is too large.
 func (q *queuedConn) Read(p []byte) (int, error) {
 	n, err := q.Conn.Read(p)
+	if n > 0 {
+		largest, frameErr := q.frames.scan(p[:n])
+		if frameErr != nil {
+			n, err = 0, frameErr
+		}
+		q.holdFrame(int64(largest))
+	}
 	if err != nil {
 		_ = q.Close()
 	}
 	return n, err
 }
 
+// holdFrame makes a message of a size count in the account while it is read, if it is large.
+func (q *queuedConn) holdFrame(size int64) {
+	if size < freeFrameBytes {
+		size = 0
+	}
+	if held := q.read.Bytes(); size > held {
+		q.read.Force(size - held)
+	} else {
+		q.read.Shrink(held - size)
+	}
+}
+
 // writePending writes queued messages to the connection until it is closed or a write fails.
 func (q *queuedConn) writePending() {
 	for {
@@ -96,7 +138,9 @@
 		case <-q.wake:
 		}
 		for _, p := range q.takePending() {
-			if _, err := q.Conn.Write(p); err != nil {
+			_, err := q.Conn.Write(p)
+			q.recordWritten(len(p))
+			if err != nil {
 				_ = q.Close()
 				return
 			}
@@ -110,6 +154,8 @@
 	var err error
 	q.once.Do(func() {
 		close(q.closed)
+		q.written.Close()
+		q.read.Close()
 		err = q.Conn.Close()
 	})
 	return err
--- a/connector/queue_test.go
+++ b/connector/queue_test.go
@@ -16,7 +16,7 @@
 		is := is.New(t)
 		near, far := net.Pipe()
 		defer func() { _ = far.Close() }()
-		q := NewQueuedConn(near)
+		q := NewQueuedConn(near, nil)
 		var err error
 		for range 2 * maxPendingWrites {
 			if _, err = q.Write([]byte("message")); err != nil {
@@ -39,7 +39,7 @@
 	runtime.ReadMemStats(&before)
 	for i := range conns {
 		near, far := net.Pipe()
-		conns[i] = NewQueuedConn(near)
+		conns[i] = NewQueuedConn(near, nil)
 		_ = far.Close()
 	}
 	runtime.ReadMemStats(&after)
--- a/console/console.go
+++ b/console/console.go
@@ -11,7 +11,6 @@
 	"errors"
 	"fmt"
 	"html/template"
-	"io"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -137,7 +136,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("fetch document in force: HTTP status %d", response.StatusCode)
 	}
-	text, err := io.ReadAll(io.LimitReader(response.Body, validator.MaxDocumentSize+1))
+	text, err := decoder.ReadAll(response.Body, validator.MaxDocumentSize)
 	if err != nil {
 		return nil, fmt.Errorf("read document in force: %w", err)
 	}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
@@ -46,8 +47,8 @@
 	DecodeConfig func([]byte) (*matcher.Table, error)
 }
 
-// Config configures a Controller. All fields are required, except that Speed may be 0, and Scheduler, Ledger and
-// PartStates nil.
+// Config configures a Controller. All fields are required, except that Speed may be 0, and Scheduler, Ledger,
+// PartStates and Account nil.
 type Config struct {
 	// Name identifies the entry among all entries.
 	Name       string
@@ -95,6 +96,8 @@
 	Scope tally.Scope
 	// Asserter counts and reports violated invariants.
 	Asserter *asserter.Asserter
+	// Account counts what is held of messages of other entries.
+	Account *accountant.Account
 }
 
 // Controller runs the control goroutine of an entry, the exchange with other
@@ -234,7 +237,7 @@
 		c.Scheduler = scheduler.New(scheduler.Config{})
 	}
 	ctl := &Controller{
-		config: c, sequencer: sequencer.New[*state](), heartbeatPool: connector.NewPool(c.Dial), fetchPool: connector.NewPool(c.Dial), lendPool: connector.NewPool(c.Dial), lending: lending{metrics: newLendingMetrics(c.Scope)},
+		config: c, sequencer: sequencer.New[*state](), heartbeatPool: connector.NewPool(c.Dial, c.Account), fetchPool: connector.NewPool(c.Dial, c.Account), lendPool: connector.NewPool(c.Dial, c.Account), lending: lending{metrics: newLendingMetrics(c.Scope)},
 		heartbeatRequests: make(chan struct{}, 1), newPeers: make(chan struct{}, 1), fetchSlots: make(chan struct{}, maxServedFetches), metrics: newMetrics(c.Scope),
 	}
 	ctl.loadCounts.registerMetrics(c.Scope)
--- a/controller/lending_test.go
+++ b/controller/lending_test.go
@@ -28,7 +28,7 @@
 	c.lendPool = connector.NewPool(func(context.Context, string, string) (net.Conn, error) {
 		*dials++
 		return nil, errors.New("out of reach")
-	})
+	}, nil)
 	c.current.Store(&view{peers: []peer{{name: "entry-0"}, {name: "entry-1", dead: true}, {name: "entry-2", stopping: true}}})
 	return c
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -189,7 +189,7 @@
 			partIsolator.ForgetInterruptions(lastContact)
 		},
 		CloseIdle: func() {}, // no connection to an upstream is kept open
-		Log:       c.Log, Scope: c.Scope,
+		Log:       c.Log, Scope: c.Scope, Account: c.Account,
 	})
 	// Each request uses a new connection: engines may close idle connections without notice, and a request sent
 	// on a closed connection can't be distinguished from one that the engine refused.
@@ -210,7 +210,7 @@
 				return ledger.PlaceState(now, resource, entries)
 			},
 		},
-		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
+		Account: c.Account, Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
 	l.forwarder = forwarder.New(forwarder.Config{
 		Protocol: c.Protocol, Reservations: c.NewReservationClient(reservationHTTPClient), ReservationTTL: c.ReservationTTL, MaxIdle: c.MaxIdle, View: l.controller.View, Dispatcher: sharedDispatcher, Scheduler: returns, Share: shareFunc(sharedDispatcher), RetryBudget: l.retryBudget, Quarantine: quarantine, Isolator: partIsolator, OnCrash: l.controller.SpreadCrash, Tunneler: l.tunneler, Account: c.Account,
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -44,6 +44,9 @@
 	Log      Log          `yaml:"Log"`
 	Timing   Timing       `yaml:"Timing"`
 	Callers  CallerLimits `yaml:"Callers"`
+	// Memory is the memory in bytes that the process may use. What the entry holds for callers and other entries, and
+	// its heap, are bounded by it.
+	Memory int64 `yaml:"Memory"`
 }
 
 // Log selects the lines that the entry logs.
@@ -124,6 +127,7 @@
 			TicketLife:  10 * time.Minute,
 			DrainSlack:  time.Second,
 		},
+		Memory: 1 << 30,
 	}
 }
 
@@ -182,6 +186,7 @@
 	fieldErrors.Require(knownLevel, "Log.Level", s.Log.Level, "one of "+strings.Join(logLevels, ", "))
 	s.Timing.check(&fieldErrors)
 	s.Callers.check(&fieldErrors)
+	fieldErrors.Require(s.Memory >= 64<<20, "Memory", s.Memory, "at least 67108864 bytes")
 	return fieldErrors.Err()
 }
 
--- a/server/bench_test.go
+++ b/server/bench_test.go
@@ -162,14 +162,14 @@
 	go func() {
 		connection, err := l.Accept()
 		if err == nil {
-			calls.ServeConn(connector.NewQueuedConn(countingConn{connection, &sent}))
+			calls.ServeConn(connector.NewQueuedConn(countingConn{connection, &sent}, nil))
 		}
 	}()
 	connection, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		b.Fatal(err)
 	}
-	client := rpc.NewClient(connector.NewQueuedConn(countingConn{connection, &sent}))
+	client := rpc.NewClient(connector.NewQueuedConn(countingConn{connection, &sent}, nil))
 	defer func() { _ = client.Close() }()
 	args := api.AskArgs{Engine: "engine-1", Model: "model", AttemptID: newID(), PrefillTokens: 1, MemoryTokens: 1, Remaining: time.Minute}
 	var reply api.AskReply
--- a/server/call.go
+++ b/server/call.go
@@ -6,13 +6,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/apportioner"
 	"github.com/sapphireramp/sapphireramp/asserter"
@@ -152,8 +152,10 @@
 		return x.unansweredResult(), f
 	}
 	attempt.answerStartedAt = time.Now()
-	body, err := readAnswer(response, s.settings.Callers.MaxBody)
-	if err != nil && !errors.Is(err, errAnswerTooLarge) {
+	// An answer above Callers.MaxBody, or without memory for it, is not sent to the caller.
+	body, err := accountant.ReadAll(x.memory, response.Body, response.ContentLength, s.settings.Callers.MaxBody, 1)
+	var tooLarge accountant.TooLargeError
+	if err != nil && !errors.As(err, &tooLarge) && !errors.Is(err, accountant.ErrNoMemory) {
 		x.detectCrash(x.ctx, attempt)
 	}
 	if err != nil {
@@ -206,20 +208,3 @@
 	request.Header.Set(api.HeaderRequestID, x.id)
 	return request, nil
 }
-
-// errAnswerTooLarge reports that the answer of a service is longer than the setting Callers.MaxBody and is
-// therefore not sent to the caller.
-var errAnswerTooLarge = errors.New("answer is too large")
-
-// readAnswer reads the response body of a service call. It returns errAnswerTooLarge if the body is longer
-// than limit bytes.
-func readAnswer(response *http.Response, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
-	if err != nil {
-		return nil, fmt.Errorf("read response: %w", err)
-	}
-	if int64(len(body)) > limit {
-		return nil, errAnswerTooLarge
-	}
-	return body, nil
-}
--- a/server/exchange.go
+++ b/server/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
@@ -27,6 +28,8 @@
 	view         *view
 	organisation *validator.Organisation
 	body         []byte
+	// memory holds the body and what is made of it, and the answer of a service.
+	memory *accountant.Holding
 	// bodyRead is true once the whole request body has been read from the connection.
 	bodyRead bool
 	// completion is the decoded request of a prompt and nil for service calls; service and callName are
--- a/server/filters.go
+++ b/server/filters.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -16,6 +17,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/admitter"
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/asserter"
@@ -244,17 +246,28 @@
 	return f
 }
 
-// readBody reads the request body. It fails if the body is longer than the setting Callers.MaxBody, or is not
-// complete at the request's deadline, so that a caller that stops sending does not stay in flight for longer.
+// bodyCopies is the number of times that a body is held: as it arrived, decoded, and encoded for an upstream.
+const bodyCopies = 3
+
+// readBody reads the request body. It fails if the body is longer than the setting Callers.MaxBody, if there is no memory
+// for it, or if it is not complete at the request's deadline, so that a caller that stops sending does not stay in flight
+// for longer. The caller must close x.memory.
 func (x *exchange) readBody() *failure {
 	limit := x.server.settings.Callers.MaxBody
 	connection := http.NewResponseController(x.writer)
 	_ = connection.SetReadDeadline(x.deadline)
 	defer func() { _ = connection.SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(io.LimitReader(x.request.Body, limit+1))
-	if int64(len(body)) > limit {
+	x.memory = x.server.account.Open(x.organisation.Name, accountant.Request)
+	body, err := accountant.ReadAll(x.memory, x.request.Body, x.request.ContentLength, limit, bodyCopies)
+	var tooLarge accountant.TooLargeError
+	if errors.As(err, &tooLarge) {
 		return newFailure(api.CodeBodyTooLarge, "body: must be at most %d bytes", limit)
 	}
+	if errors.Is(err, accountant.ErrNoMemory) {
+		f := newFailure(api.CodeOverloaded, "this entry is short of memory for the body")
+		f.retryAfter, f.err = x.server.account.RetryAfter(bodyCopies*max(0, x.request.ContentLength)), err
+		return f
+	}
 	if err != nil && x.remaining() <= 0 {
 		return newFailure(api.CodeDeadlineExceeded, "the time limit passed before the body was read")
 	}
@@ -286,6 +299,7 @@
 // adapter, prompt and token limit are valid by the configuration document.
 func (s *Server) decodePrompt(next handler) handler {
 	return func(x *exchange) *failure {
+		defer func() { x.memory.Close() }()
 		if f := x.readBody(); f != nil {
 			return f
 		}
@@ -355,6 +369,7 @@
 // readCall is a filter that reads the body of a service call.
 func (s *Server) readCall(next handler) handler {
 	return func(x *exchange) *failure {
+		defer func() { x.memory.Close() }()
 		if f := x.readBody(); f != nil {
 			return f
 		}
--- a/server/fleet_test.go
+++ b/server/fleet_test.go
@@ -32,6 +32,8 @@
 // testFleet is a whole system of entries, engines, a service and the platform, which runs in one process and
 // in virtual time.
 type testFleet struct {
+	// memory is the memory in bytes that entries may use that are started from now on; 0 for the default.
+	memory          int64
 	t               testing.TB
 	net             *network.Network
 	platform        *platform.Server
@@ -204,6 +206,9 @@
 	s.Platform = netip.AddrPortFrom(host(9, 1), 80)
 	s.Timing.Silence = 2 * time.Second
 	s.Callers.AddressLife, s.Callers.DrainSlack = time.Second, 0
+	if f.memory > 0 {
+		s.Memory = f.memory
+	}
 	for _, o := range f.entries {
 		if o != e {
 			s.Peers = append(s.Peers, netip.AddrPortFrom(o.host, 81))
--- a/server/peers.go
+++ b/server/peers.go
@@ -56,7 +56,7 @@
 			continue
 		}
 		context.AfterFunc(ctx, func() { _ = connection.Close() })
-		go calls.ServeConn(connector.NewQueuedConn(connection))
+		go calls.ServeConn(connector.NewQueuedConn(connection, s.account))
 	}
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -20,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
@@ -83,6 +84,8 @@
 	isolator     *isolator.Isolator
 	exitDetector *connector.ExitDetector
 
+	// account grants memory for requests, answers and messages of other entries.
+	account *accountant.Account
 	// peerPool holds the connections for RPCs to other entries.
 	peerPool *connector.Pool
 	// tunneler opens the connections to engines and services.
@@ -144,12 +147,14 @@
 	if listen == nil {
 		listen = listenTCP
 	}
+	account := accountant.New(accountant.LimitFor(c.Settings.Memory))
 	s := &Server{
 		config:         c,
+		account:        account,
 		settings:       c.Settings,
 		control:        sequencer.New[*control](),
 		parseLock:      make(chan struct{}, 1),
-		peerPool:       connector.NewPool(dial),
+		peerPool:       connector.NewPool(dial, account),
 		callDispatcher: newCallDispatcher(c.Settings.DataCentre),
 		quarantine:     quarantiner.New(),
 		isolator:       isolator.New(c.Settings.Name),
@@ -162,7 +167,7 @@
 	}
 	s.tunneler = tunneler.New(tunneler.Config{
 		Name: c.Settings.Name, DataCentre: c.Settings.DataCentre, Dial: dial, Relays: s.relays, OnCutOff: s.onCutOff, CloseIdle: s.closeIdleConnections,
-		Log: s.logs.route, Scope: c.MetricScope,
+		Log: s.logs.route, Scope: c.MetricScope, Account: account,
 	})
 	s.exitDetector = connector.NewExitDetector(s.tunneler.Dial)
 	s.engineClient = &http.Client{Transport: newTransport(s.tunneler.Dial, false), Timeout: engineCallTimeout}
--- a/server/watch.go
+++ b/server/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -11,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/decoder"
 	"github.com/sapphireramp/sapphireramp/sleeper"
 	"github.com/sapphireramp/sapphireramp/validator"
 )
@@ -96,7 +96,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, "", fmt.Errorf("read platform: status %d", response.StatusCode)
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, validator.MaxDocumentSize+1))
+	data, err := decoder.ReadAll(response.Body, validator.MaxDocumentSize)
 	if err != nil {
 		return nil, "", fmt.Errorf("read platform: %w", err)
 	}
--- a/tunneler/bench_test.go
+++ b/tunneler/bench_test.go
@@ -52,7 +52,7 @@
 	if err := newEntry("relay", dialer.DialContext).Register(calls); err != nil {
 		b.Fatal(err)
 	}
-	relays = []tunneler.Relay{{Name: "relay", Address: listen(func(c net.Conn) { calls.ServeConn(connector.NewQueuedConn(c)) }), DataCentre: "a"}}
+	relays = []tunneler.Relay{{Name: "relay", Address: listen(func(c net.Conn) { calls.ServeConn(connector.NewQueuedConn(c, nil)) }), DataCentre: "a"}}
 	cutOff := newEntry("cut-off", func(ctx context.Context, network, address string) (net.Conn, error) {
 		if address == upstream.String() {
 			return nil, context.DeadlineExceeded
--- a/tunneler/relay.go
+++ b/tunneler/relay.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/watcher"
 )
 
@@ -24,6 +25,9 @@
 	maxServedTunnels = 1024
 	// leaseTime is the time after which a tunnel ends without a call of the entry that opened it.
 	leaseTime = 3 * time.Second
+	// servedTunnelBytes is the memory that counts for a tunnel: the data of a call in each direction, as it is sent and
+	// encoded, and the buffers of the connection.
+	servedTunnelBytes = 4*tunnelBufferBytes + 16<<10
 )
 
 // errNoTunnel is the error of a call for a tunnel that does not exist.
@@ -44,6 +48,8 @@
 	began      time.Time
 	// lease ends the tunnel.
 	lease *watcher.SilenceTimer
+	// memory holds servedTunnelBytes.
+	memory *accountant.Holding
 }
 
 // service serves the net/rpc calls of entries that use this one as a relay.
@@ -90,9 +96,16 @@
 	if outcome := t.admit(args); outcome != Opened {
 		return outcome, 0
 	}
+	memory := t.config.Account.Open("", accountant.Request)
+	if !memory.Grow(servedTunnelBytes) {
+		return Busy, 0
+	}
 	ctx, cancel := context.WithTimeout(t.closed, args.Timeout)
 	defer cancel()
 	connection, err := t.dialAsRelay(ctx, args.Upstream)
+	if err != nil {
+		memory.Close()
+	}
 	var cutOff CutOffError
 	switch {
 	case errors.As(err, &cutOff), t.closed.Err() != nil:
@@ -102,7 +115,7 @@
 	case err != nil:
 		return Unreachable, 0
 	}
-	return Opened, t.served.add(t, connection, args)
+	return Opened, t.served.add(t, connection, args, memory)
 }
 
 // admit returns Opened if a tunnel may be opened, and the reason otherwise.
@@ -124,11 +137,11 @@
 }
 
 // add adds a connection, and returns the ID of its tunnel.
-func (s *servedTunnels) add(t *Tunneler, connection net.Conn, args OpenArgs) uint64 {
+func (s *servedTunnels) add(t *Tunneler, connection net.Conn, args OpenArgs, memory *accountant.Holding) uint64 {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	id := rand.Uint64()
-	s.open[id] = &servedTunnel{connection: connection, args: args, began: time.Now(), lease: watcher.NewSilenceTimer(leaseTime, func() { t.endServed(id, "lease_expired") })}
+	s.open[id] = &servedTunnel{connection: connection, args: args, began: time.Now(), memory: memory, lease: watcher.NewSilenceTimer(leaseTime, func() { t.endServed(id, "lease_expired") })}
 	t.metrics.served.Update(float64(len(s.open)))
 	return id
 }
@@ -153,6 +166,7 @@
 	for id, u := range s.open {
 		u.lease.Stop()
 		_ = u.connection.Close()
+		u.memory.Close()
 		delete(s.open, id)
 	}
 }
@@ -169,6 +183,7 @@
 	}
 	u.lease.Stop()
 	_ = u.connection.Close()
+	u.memory.Close()
 	t.config.Log.Info("tunnel_ended", zap.String("request", u.args.RequestID), zap.String("from", u.args.From), zap.Stringer("address", u.args.Upstream), zap.String("outcome", reason), zap.Duration("took_ms", time.Since(u.began)))
 }
 
--- a/tunneler/tunneler.go
+++ b/tunneler/tunneler.go
@@ -20,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/sleeper"
 )
@@ -30,7 +31,7 @@
 	DataCentre string
 }
 
-// Config configures a Tunneler. All fields are required.
+// Config configures a Tunneler. All fields but Account are required.
 type Config struct {
 	// Name and DataCentre are those of the entry.
 	Name, DataCentre string
@@ -48,6 +49,8 @@
 	Log       *zap.Logger
 	// Scope receives the metrics.
 	Scope tally.Scope
+	// Account grants memory for tunnels of other entries; nil for no limit.
+	Account *accountant.Account
 }
 
 // Tunneler opens connections to upstreams, and serves as a relay to other entries. It is safe for concurrent
@@ -84,7 +87,7 @@
 func New(c Config) *Tunneler {
 	scope := c.Scope.SubScope("upstream_connections")
 	t := &Tunneler{
-		config: c, monitor: newMonitor(), calls: connector.NewPool(c.Dial), relayHealth: relayHealth{avoidUntil: map[string]time.Time{}}, served: servedTunnels{open: map[uint64]*servedTunnel{}},
+		config: c, monitor: newMonitor(), calls: connector.NewPool(c.Dial, c.Account), relayHealth: relayHealth{avoidUntil: map[string]time.Time{}}, served: servedTunnels{open: map[uint64]*servedTunnel{}},
 		metrics: metrics{
 			direct: scope.Counter("direct"), failed: scope.Counter("failed"), tunnelled: scope.Counter("tunnelled"),
 			cutOff: c.Scope.Gauge("upstreams_cut_off"), served: c.Scope.Gauge("tunnels_served"),
--- a/tunneler/tunneler_test.go
+++ b/tunneler/tunneler_test.go
@@ -88,7 +88,7 @@
 	f.tunnelers = append(f.tunnelers, tunnels)
 	calls := rpc.NewServer()
 	f.is.NoErr(tunnels.Register(calls))
-	f.listen(entry.Address, func(c net.Conn) { calls.ServeConn(connector.NewQueuedConn(c)) })
+	f.listen(entry.Address, func(c net.Conn) { calls.ServeConn(connector.NewQueuedConn(c, nil)) })
 }
 
 // listen passes each connection to an address to a function, on a goroutine of its own.
