--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -216,6 +216,9 @@
 
 // receiveBody reads the body of a request into memory. Its error is errBodyStalled if the caller makes no progress.
 func (f *Forwarder) receiveBody(x *exchange, maxBytes int64) error {
+	if x.request.ContentLength == 0 {
+		return nil
+	}
 	controller := http.NewResponseController(x.writer)
 	_ = controller.SetReadDeadline(x.deadline)
 	// A cancelled request, also one cancelled by the exit of the entry, interrupts the read, so that
