platform, launcher: a changed address of the store is used without a restart

Cause: the client of the store was made once, with the address of the first file. The address is part of the settings that a reload applies.

--- a/cmd/sapphireramp/gateway.go
+++ b/cmd/sapphireramp/gateway.go
@@ -81,8 +81,9 @@
 			s, err := platform.LoadSettings()
 			return reloadableSettings(s), err
 		},
-		Store:    controller.Store{Read: store.Read, Watch: store.Watch, DecodeConfig: settings.DecodeConfig},
-		Protocol: platform.Protocol(), NewReservationClient: platform.NewReservationClient,
+		SetStoreAddress: store.SetAddress,
+		Store:           controller.Store{Read: store.Read, Watch: store.Watch, DecodeConfig: settings.DecodeConfig},
+		Protocol:        platform.Protocol(), NewReservationClient: platform.NewReservationClient,
 		MaxPropagation:   settings.MaxPropagation,
 		IsFirstStart:     settings.IsFirstStart,
 		Speed:            settings.Speed,
@@ -113,7 +114,7 @@
 // reloadableSettings returns the settings that may change while the entry runs, in the launcher's form.
 func reloadableSettings(settings platform.Settings) launcher.Settings {
 	return launcher.Settings{
-		Seeds: settings.Seeds, ShutdownGrace: settings.ShutdownGrace, MemoryLimit: settings.MemoryLimit,
+		Seeds: settings.Seeds, ShutdownGrace: settings.ShutdownGrace, StoreAddress: settings.StoreAddress, MemoryLimit: settings.MemoryLimit,
 		RetryBudget: budgeter.Config{Ratio: settings.RetryRatio, Window: settings.RetryWindow, BaseRetries: settings.RetrySlack},
 	}
 }
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -120,6 +120,9 @@
 	// that were killed or stopped and not started again.
 	bursts      []*traffic
 	downEntries map[int]bool
+	// settings are those of entries that read their settings from now on, by index; changed ones are applied by a
+	// reload. An entry without an element keeps those of its start.
+	settings map[int]launcher.Settings
 	// memoryLimit is the memory in bytes that entries started from now on may use; 0 if it is not stated.
 	memoryLimit int64
 	// maxBody is the maximum size in bytes of request bodies in configurations from now on.
@@ -344,15 +347,16 @@
 	storeClient := platform.NewStore(client, netip.AddrPortFrom(storeHost, 80), nil)
 	settings := launcher.Settings{
 		Seeds:       []netip.AddrPort{netip.AddrPortFrom(entryHost(0), peerPort), netip.AddrPortFrom(entryHost(1), peerPort)},
-		RetryBudget: retryBudget, ShutdownGrace: shutdownGrace, MemoryLimit: f.memoryLimit,
+		RetryBudget: retryBudget, ShutdownGrace: shutdownGrace, MemoryLimit: f.memoryLimit, StoreAddress: netip.AddrPortFrom(storeHost, 80),
 	}
 	e := &entry{host: host, reload: make(chan struct{}, 1), exited: make(chan struct{})}
 	l := launcher.New(launcher.Config{
 		SinceBoot: func() time.Duration { return time.Duration(time.Now().UnixNano()) }, // virtual time
 		Name:      fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%3), Regions: f.regions, CallerAddress: onPort(entryPort), ReadinessAddress: onPort(readyPort),
 		PeerAddress: onPort(peerPort), DirectoryAddress: onPort(directoryPort), LoadAddress: onPort(loadPort), AddressTTL: time.Second, IsFirstStart: !f.hasStarted, Settings: settings,
-		ReadSettings: func() (launcher.Settings, error) { return settings, nil },
-		Store:        controller.Store{Read: storeClient.Read, Watch: storeClient.Watch, DecodeConfig: platform.Settings{Regions: f.regions}.DecodeConfig}, MaxPropagation: maxPropagation,
+		ReadSettings:    func() (launcher.Settings, error) { return f.settingsOf(i, settings), nil },
+		SetStoreAddress: storeClient.SetAddress,
+		Store:           controller.Store{Read: storeClient.Read, Watch: storeClient.Watch, DecodeConfig: platform.Settings{Regions: f.regions}.DecodeConfig}, MaxPropagation: maxPropagation,
 		Protocol: platform.Protocol(), NewReservationClient: platform.NewReservationClient, ReservationTTL: 3 * time.Second, MaxIdle: 9 * time.Second,
 		DirectoryHandler: platform.DirectoryHandler, ReadinessHandler: platform.ReadinessHandler,
 		Log: f.log, Scope: tally.NoopScope, MetricsHandler: http.NotFoundHandler(),
@@ -370,6 +374,16 @@
 	return e
 }
 
+// settingsOf returns the settings that an entry reads, which has started with others.
+func (f *fleet) settingsOf(i int, atStart launcher.Settings) launcher.Settings {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if s, ok := f.settings[i]; ok {
+		return s
+	}
+	return atStart
+}
+
 // dialer returns dial, which fails once the entry was killed: its goroutines then still run beside those of
 // the entry that was started in its place.
 func (e *entry) dialer(dial connector.DialFunc) connector.DialFunc {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -42,14 +42,17 @@
 	RetryBudget budgeter.Config
 	// ShutdownGrace is the time from SIGTERM until the platform kills the process.
 	ShutdownGrace time.Duration
+	// StoreAddress is the address of the store, which SetStoreAddress gets when it changes; invalid (zero) if it can't
+	// change.
+	StoreAddress netip.AddrPort
 	// MemoryLimit is the memory in bytes that the process may use; 0 if it is not stated. The limits of the account
 	// and of the heap follow from it.
 	MemoryLimit int64
 }
 
 // Config configures a Launcher. All fields are required, except that
-// Regions, MetricsAddress, IsFirstStart and Speed may be zero and Account, SetHeapLimit, SinceBoot, Dial,
-// Listen and ListenPacket may be nil.
+// Regions, MetricsAddress, IsFirstStart and Speed may be zero and SetStoreAddress, Account, SetHeapLimit,
+// SinceBoot, Dial, Listen and ListenPacket may be nil.
 type Config struct {
 	// Name identifies the entry among all entries.
 	Name string
@@ -74,6 +77,8 @@
 	ReadSettings func() (Settings, error)
 	// Store reads and watches the configuration and the list of upstreams.
 	Store controller.Store
+	// SetStoreAddress sets the address to which Store connects; nil if it can't change.
+	SetStoreAddress func(netip.AddrPort)
 	// MaxPropagation is the longest allowed time from a change in the store until all entries apply the
 	// change.
 	MaxPropagation time.Duration
@@ -450,6 +455,7 @@
 			l.config.Log.Error("settings_unreadable", zap.Error(err))
 		case signalled || changed:
 			l.config.Log.Info("reload", zap.Bool("signalled", signalled), zap.Bool("changed", changed), zap.Int("seeds", len(s.Seeds)))
+			l.moveStore(l.settings.Load().StoreAddress, s.StoreAddress)
 			l.settings.Store(&s)
 			l.retryBudget.Configure(time.Now(), s.RetryBudget)
 			l.controller.SetSeeds(s.Seeds)
@@ -465,8 +471,17 @@
 	}
 }
 
+// moveStore makes calls to the store go to another address, if it has changed.
+func (l *Launcher) moveStore(from, to netip.AddrPort) {
+	if from == to || !to.IsValid() || l.config.SetStoreAddress == nil {
+		return
+	}
+	l.config.Log.Info("store_moved", zap.Stringer("from", from), zap.Stringer("to", to))
+	l.config.SetStoreAddress(to)
+}
+
 func (s Settings) equal(o Settings) bool {
-	if len(s.Seeds) != len(o.Seeds) || s.RetryBudget != o.RetryBudget || s.ShutdownGrace != o.ShutdownGrace || s.MemoryLimit != o.MemoryLimit {
+	if len(s.Seeds) != len(o.Seeds) || s.RetryBudget != o.RetryBudget || s.ShutdownGrace != o.ShutdownGrace || s.StoreAddress != o.StoreAddress || s.MemoryLimit != o.MemoryLimit {
 		return false
 	}
 	for i := range s.Seeds {
--- a/logger/events.go
+++ b/logger/events.go
@@ -68,6 +68,7 @@
 	{"store_epoch", "The store has returned from an older copy of its content, or was read for the first time. Epoch counts how often; revisions of the store are those of a new history from now on. Previous and previous_revision are the epoch and the revision before. Source is the store, or the entry that the state was fetched from.", []string{"epoch", "previous", "revision", "previous_revision", "source"}},
 	{"store_history_gone", "The store has discarded changes that the entry has not read. The entry reads the complete state instead.", []string{"revision"}},
 	{"store_lost", "The store does not answer. The last known state stays in force, and changes are taken from other entries.", []string{"error", "revision"}},
+	{"store_moved", "The settings name another address of the store. Calls go there from now on.", []string{"from", "to"}},
 	{"store_regained", "The store answers again.", []string{"revision"}},
 	{"strained", "This entry is overloaded, or no longer is. It is overloaded when its timers fire late; lag_ms is by how much. Meanwhile callers are directed to other entries.", []string{"strained", "lag_ms"}},
 	{"tunnel", "Another entry, named by from, requested a connection to an upstream through this one. Outcome is opened, refused or unreachable (the upstream, while this entry reaches others), cut_off (this entry reaches no upstream either), busy, stopping, or unlisted (this entry's list has no such upstream).", []string{"request", "from", "address", "outcome"}},
