forwarder: a body counts until its last reader is closed; small chunked bodies take little

Released twice, as at the end of each request, a body counted as free while its transport still sent it: TestBodyCountsUntilNobodyUsesIt, red before. Bodies of unknown length began with 64 KiB, whatever their size; 2 KiB now, doubled.

--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -20,8 +20,9 @@
 	// requestBytes is the memory that counts for a request besides its header and body: the buffers and goroutines
 	// of its two connections, and freeBytes of its response.
 	requestBytes = 64 << 10
-	// bodyChunkBytes is the maximum size of the parts in which a body is held.
-	bodyChunkBytes = 64 << 10
+	// bodyChunkBytes is the maximum size of the parts in which a body is held, minChunkBytes that of the first part of
+	// a body of unknown length.
+	bodyChunkBytes, minChunkBytes = 64 << 10, 2 << 10
 	// bodyCheckPeriod is the interval at which a body that is being read is checked for progress, and the time without
 	// a byte after which it is refused while memory is short.
 	bodyCheckPeriod = time.Second
@@ -42,9 +43,11 @@
 	chunks [][]byte
 	size   int64
 	lock   sync.Mutex
-	// users is the number of open readers, plus one until release was called. holding is closed when it gets 0.
-	users   int
-	holding *accountant.Holding
+	// users is the number of open readers, plus one until release was called, which isReleased tells. holding is closed
+	// when it gets 0.
+	users      int
+	isReleased bool
+	holding    *accountant.Holding
 }
 
 // newRequestBody returns an empty body that counts in a holding.
@@ -59,10 +62,10 @@
 	if limit > 0 {
 		source = io.LimitReader(source, limit+1)
 	}
-	for {
-		size := int64(bodyChunkBytes)
+	for next := int64(minChunkBytes); ; next = min(2*next, bodyChunkBytes) {
+		size := next
 		if expected >= 0 {
-			size = min(size, max(1, expected-b.size+1)) // one more, to read the end
+			size = min(bodyChunkBytes, max(1, expected-b.size+1)) // one more, to read the end
 		} else if !b.holding.Grow(size) {
 			return errMemoryShort
 		}
@@ -93,7 +96,8 @@
 	}
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	if b.holding != nil {
+	if !b.isReleased {
+		b.isReleased = true
 		b.leave()
 	}
 }
@@ -105,7 +109,6 @@
 	}
 	b.chunks = nil
 	b.holding.Close()
-	b.holding = nil
 }
 
 // open returns a reader of the whole body. It implements no io.Seeker and the request gets no GetBody, so that the
