--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -120,6 +120,9 @@
 	crashTraffics []*caller.Traffic
 	// traffics are the other traffics started before the end of the faults.
 	traffics []*caller.Traffic
+	// memoryMB is the setting limits.memory-mb of entries; 0 leaves it out. maxBody is the maximum size of request
+	// bodies in bytes in the configurations written from now on.
+	memoryMB, maxBody int
 }
 
 // address returns the loopback address of a component, given its kind and its number n
@@ -132,8 +135,14 @@
 // newFleet starts the store, six upstreams of two services and the entries. The
 // test's cleanup stops them.
 func newFleet(t *testing.T, seed, entryCount int) *fleet {
+	return newFleetWithMemory(t, seed, entryCount, 0, 100_000)
+}
+
+// newFleetWithMemory starts a fleet like newFleet, whose memoryMB and maxBody are set.
+func newFleetWithMemory(t *testing.T, seed, entryCount, memoryMB, maxBody int) *fleet {
 	t.Helper()
 	f := &fleet{
+		memoryMB: memoryMB, maxBody: maxBody,
 		t: t, seed: seed, directory: t.TempDir(), store: store.New(), upstreams: map[string]*worker.Worker{},
 		upstreamRelays: map[string]*relay.Relay{}, serviceOf: map[string]string{}, startedAt: map[string]int64{},
 	}
@@ -279,7 +288,7 @@
 			json.RawMessage(`{"name":"app"}`),
 			json.RawMessage(`{"name":"lm","engine":{"slots":16,"kv-capacity-tokens":315000,"stride":51,"step_ms":0.85,"per_seq_ms":0.004,"context_per_k":0.003,"read_per_s":177000,"pairs_per_m":0.18,"chunk":2048}}`),
 		},
-		"limits":  map[string]any{"max-body-bytes": 100000, "idle-timeout-ms": 15000},
+		"limits":  map[string]any{"max-body-bytes": f.maxBody, "idle-timeout-ms": 15000},
 		"tenants": []any{map[string]any{"name": "crew", "api-keys": apiKeys}},
 	})
 }
@@ -297,6 +306,9 @@
 		fmt.Sprintf("bounds.grace-s=%d", gracePeriod/time.Second), "bounds.config-deadline-ms=2000", "bounds.drain-ms=2000", "bounds.budget-ratio=0.2", "bounds.budget-window-s=10",
 		fmt.Sprintf("bounds.budget-slack=%d", 100+retrySlack), "bounds.ttl_max_s=5", "bounds.hold-max-ms=20000", "bounds.free-ms=4000", "bounds.idle-max-ms=9000", "bounds.stall_ms=1500",
 	}
+	if e.fleet.memoryMB > 0 {
+		lines = append(lines, fmt.Sprintf("limits.memory-mb=%d", e.fleet.memoryMB))
+	}
 	temporaryPath := e.settingsPath + ".new"
 	if err := os.WriteFile(temporaryPath, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
 		e.fleet.t.Error(err)
