controller: a watch that fails after a large reply is followed by the complete state

A store that takes long to begin with a large response was asked again for a larger one, as the watch timed out without a response: TestStormOfLargeConfigurationsIsFollowed with a store that makes 2 MB a second, red before (all entries serve the dropped key).

--- a/controller/follow.go
+++ b/controller/follow.go
@@ -65,7 +65,7 @@
 // maxLargeReplies), and otherwise watches for changes.
 func (c *Controller) followStore(ctx context.Context) {
 	readAll := false
-	failures, largeReplies := 0, 0
+	failures, largeReplies, lastSize := 0, 0, int64(0)
 	for ctx.Err() == nil {
 		read, position := false, follower.Position{}
 		c.do(func(s *state) { read, position = s.shouldReadStore(time.Now()), s.follower.Position() })
@@ -78,7 +78,11 @@
 		readAll = readAll || position.Revision == 0
 		size, err := c.readStore(ctx, readAll, position)
 		largeReplies = countLargeReplies(largeReplies, readAll, size)
-		readAll = mustReadAll(readAll, err)
+		// After a large reply a watch may fail because the next one is too large to be sent in time.
+		readAll = mustReadAll(readAll, err) || err != nil && lastSize >= largeReply
+		if err == nil {
+			lastSize = size
+		}
 		delay := watchPause
 		failures++
 		if err == nil {
--- a/follower/state.go
+++ b/follower/state.go
@@ -51,8 +51,8 @@
 	// Faults holds the errors of unreadable headers and items of the store that can't be
 	// attributed to an upstream; empty in a state from another entry.
 	Faults []error
-	// ResponseBytes is the size of the last response of the store that the state was read from; 0 in a state from
-	// another entry.
+	// ResponseBytes is the size of the responses of the store that the state was read from; 0 in a state from another
+	// entry.
 	ResponseBytes int64
 }
 
--- a/launcher/storm_test.go
+++ b/launcher/storm_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/sapphireramp/sapphireramp/standin/store"
 )
 
 // manyRoutes returns routes with which a configuration is nearly as large as a value of the store may be, a mebibyte.
@@ -41,15 +43,19 @@
 
 // Guards against entries that stay at an old configuration after large ones in quick succession, because the response of
 // the store to a watch grows beyond what they read (review case 1), or because they read one version after the other where
-// the store ends its responses at a mebibyte.
+// the store ends its responses at a mebibyte, or because the store takes too long to begin with a large one.
 func TestStormOfLargeConfigurationsIsFollowed(t *testing.T) {
-	for _, watchBytes := range []int{0, 1 << 20} {
-		t.Run(fmt.Sprintf("watch bytes %d", watchBytes), func(t *testing.T) {
+	for name, limit := range map[string]func(*store.Store){
+		"all changes at once": func(*store.Store) {},
+		"a mebibyte at once":  func(s *store.Store) { s.LimitWatches(1 << 20) },
+		"2 MB a second":       func(s *store.Store) { s.SlowWatches(2_000_000) },
+	} {
+		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				routes := manyRoutes()
 				f := newFleet(t, 3)
 				defer f.shutDown()
-				f.store.LimitWatches(watchBytes)
+				limit(f.store)
 				f.net.LimitSendRate(storeHost, 12_500_000) // 100 Mbit/s
 				f.store.Put("op/config", f.configWith(2, routes, "key-1", "key-2"))
 				time.Sleep(5 * time.Second)
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -71,6 +71,8 @@
 	// watchBytes is the size of the values in a response to a watch from which on further changes are left to the
 	// next one; 0 if all changes are sent at once.
 	watchBytes int
+	// watchRate is the size of the values per second at which responses to watches are made; 0 if that takes no time.
+	watchRate int
 	// callCount is the number of HTTP calls received, in all modes.
 	callCount int
 }
@@ -158,6 +160,13 @@
 	s.watchBytes = size
 }
 
+// SlowWatches makes responses to watches take time before they begin: a second for each bytes of their values; 0 for none.
+func (s *Store) SlowWatches(bytes int) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.watchRate = bytes
+}
+
 // CallCount returns the number of HTTP calls received so far, in all modes.
 func (s *Store) CallCount() int {
 	s.lock.Lock()
@@ -255,8 +264,11 @@
 				break
 			}
 		}
-		up := (s.mode == Available || s.mode == Slow) && s.epoch == epoch
+		up, rate := (s.mode == Available || s.mode == Slow) && s.epoch == epoch, s.watchRate
 		s.lock.Unlock()
+		if rate > 0 {
+			time.Sleep(time.Duration(size) * time.Second / time.Duration(rate))
+		}
 		waited := false
 		switch {
 		case !up:
