--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -316,8 +316,8 @@
 red precaution isolator/admit.go 's/IsPrecaution: true, //' ./isolator TestRetriesWaitForEachOtherAsAPrecaution
 red memory-account accountant/accountant.go 's/if h\.isClosed \|\| !a\.allows\(h, n\) \{/if false {/' ./launcher TestBurstOfLargeBodiesStaysWithinMemory
 red memory-heads launcher/memory.go 's/if !c\.holding\.Grow\(int64\(n\)\) \{/if false {/' ./launcher TestHeadsWithoutEndAreBounded
-red memory-stalled forwarder/body.go 's/if !isHopeless \|\| !f\.account\.IsShort\(\)/if isHopeless || true/' ./launcher TestStalledBodiesGiveMemoryBack
-red memory-body forwarder/body.go 's/if !b\.isReleased \{/if true {/' ./forwarder TestBodyCountsUntilNobodyUsesIt
+red memory-stalled forwarder/bodyprogress.go 's/if !isHopeless \|\| !f\.account\.IsShort\(\)/if isHopeless || true/' ./launcher TestStalledBodiesGiveMemoryBack
+red memory-body forwarder/requestbody.go 's/if !b\.isReleased \{/if true {/' ./forwarder TestBodyCountsUntilNobodyUsesIt
 red memory-own accountant/accountant.go 's/if h\.isClosed \|\| !a\.allows\(h, n\) \{/if false {/' ./server TestLargeCallsStayWithinMemory
 red no-response forwarder/attempt.go 's/connector\.CheckHead\(a\.response\); err/connector.CheckHead(a.response); false \&\& err/' ./forwarder TestSpoiledResponsesAreFailures
 red no-answer server/call.go 's/connector\.CheckHead\(response\); err/connector.CheckHead(response); false \&\& err/' ./server TestSpoiledAnswersOfServices
