--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -237,8 +237,8 @@
 	a.add(h.classFor(h.bytes), h.owner, -h.bytes)
 	a.add(h.classFor(bytes), h.owner, bytes)
 	if bytes < h.bytes {
-		a.turnWindow(time.Now())
 		a.released += h.bytes - bytes
+		a.turnWindow(time.Now())
 	}
 	h.bytes = bytes
 }
