--- a/quarantiner/fingerprint.go
+++ b/quarantiner/fingerprint.go
@@ -14,28 +14,35 @@
 // FingerprintOf returns the fingerprint of a request with the given parts, such as the caller's
 // organisation, the path and the body. It depends on the order of the parts and on the boundaries
 // between them.
-func FingerprintOf(parts ...[]byte) Fingerprint { return FingerprintOfChunked(nil, parts...) }
+func FingerprintOf(parts ...[]byte) Fingerprint {
+	h := xxhash.New()
+	for _, p := range parts {
+		writePart(h, p)
+	}
+	return Fingerprint(h.Sum64())
+}
 
-// FingerprintOfChunked returns the fingerprint of a request like FingerprintOf. Its last part, after the other parts, is
-// the concatenation of chunks; nil chunks stand for no further part.
+// FingerprintOfChunked returns what FingerprintOf returns for parts and, as the last one, the concatenation of chunks,
+// which is empty if there are none.
 func FingerprintOfChunked(chunks [][]byte, parts ...[]byte) Fingerprint {
 	h := xxhash.New()
 	for _, p := range parts {
-		_, _ = h.Write(binary.AppendUvarint(nil, uint64(len(p)))) // writing to a hash never fails
-		_, _ = h.Write(p)
-	}
-	if chunks == nil {
-		return Fingerprint(h.Sum64())
+		writePart(h, p)
 	}
+	writePart(h, chunks...)
+	return Fingerprint(h.Sum64())
+}
+
+// writePart adds a part, the concatenation of chunks, with its length to a hash.
+func writePart(h *xxhash.Digest, chunks ...[]byte) {
 	size := 0
 	for _, c := range chunks {
 		size += len(c)
 	}
-	_, _ = h.Write(binary.AppendUvarint(nil, uint64(size)))
+	_, _ = h.Write(binary.AppendUvarint(nil, uint64(size))) // writing to a hash never fails
 	for _, c := range chunks {
 		_, _ = h.Write(c)
 	}
-	return Fingerprint(h.Sum64())
 }
 
 // String returns the fingerprint as 16 hexadecimal digits, as it is logged.
