forwarder, accountant: the size of a header is counted once; Resize in place of grow or shrink

reserveMemory and limitHeader each went through all headers of each request. Two places worked out whether a holding grows or shrinks.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -200,6 +200,17 @@
 	return true
 }
 
+// Resize makes the holding take bytes, and reports whether they are granted. If they are not, its size stays. It is always
+// granted to shrink.
+func (h *Holding) Resize(bytes int64) bool {
+	more := bytes - h.Bytes()
+	if more < 0 {
+		h.Shrink(-more)
+		return true
+	}
+	return h.Grow(more)
+}
+
 // Force adds n bytes whatever the limit: it is for what the entry can't do without, whose size has a bound of its own.
 // Until they are released, less is granted to others.
 func (h *Holding) Force(n int64) {
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -29,7 +29,8 @@
 	return func(x *exchange) *failure {
 		holding := f.account.Open("", accountant.Request)
 		defer holding.Close()
-		needed := requestBytes + int64(headerSize(x.request))
+		x.headerBytes = headerSize(x.request)
+		needed := int64(requestBytes + x.headerBytes)
 		if !holding.Grow(needed) {
 			return f.refuseForMemory(x, needed)
 		}
--- a/forwarder/buffers.go
+++ b/forwarder/buffers.go
@@ -30,7 +30,7 @@
 			if expected > int64(size) {
 				size = int(min(expected+1, int64(limit)))
 			}
-			if size == cap(data) || !holding.Grow(int64(max(0, size-freeBytes))-holding.Bytes()) {
+			if size == cap(data) || !holding.Resize(int64(max(0, size-freeBytes))) {
 				return data, false, nil
 			}
 			data = append(make([]byte, 0, size), data...)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -134,6 +134,8 @@
 	request       *http.Request
 	arrivedAt     time.Time
 	metadata      RequestMetadata
+	// headerBytes is the size of the header; 0 until reserveMemory sets it.
+	headerBytes int
 	// view is the View with which the request was accepted. Newer Views are only used for the shutdown
 	// of the entry and for RetryBudgetEntries.
 	view *View
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -10,9 +10,9 @@
 func (f *Forwarder) limitHeader(next handler) handler {
 	return func(x *exchange) *failure {
 		maxBytes := x.view.Table.Config.Limits.HeaderBytes
-		if size := headerSize(x.request); maxBytes > 0 && size > maxBytes {
+		if maxBytes > 0 && x.headerBytes > maxBytes {
 			return &failure{
-				status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeaderTooLarge, cause: fmt.Errorf("request header: %d bytes: must be at most %d", size, maxBytes),
+				status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeaderTooLarge, cause: fmt.Errorf("request header: %d bytes: must be at most %d", x.headerBytes, maxBytes),
 			}
 		}
 		return next(x)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -121,9 +121,7 @@
 		if len(complete) > 0 {
 			a.watchdog.recordRead() // bytes that make no new event may go on without end
 		}
-		if held := int64(max(0, events.PartialBytes()-freeBytes)); held < partial.Bytes() {
-			partial.Shrink(partial.Bytes() - held)
-		} else if splitErr == nil && !partial.Grow(held-partial.Bytes()) {
+		if !partial.Resize(int64(max(0, events.PartialBytes()-freeBytes))) && splitErr == nil {
 			splitErr = errMemoryShort
 		}
 		for _, e := range complete {
