--- a/launcher/memory.go
+++ b/launcher/memory.go
@@ -67,8 +67,8 @@
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(refusalTime))
 	_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: %.3f\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", l.account.RetryAfter(connectionBytes).Seconds())
-	if half, ok := c.(interface{ CloseWrite() error }); ok && err == nil {
-		_ = half.CloseWrite()
+	if err == nil {
+		_ = closeWrite(c)
 	}
 	_, _ = io.Copy(io.Discard, c) // closing a connection with unread bytes resets it
 }
@@ -115,8 +115,11 @@
 }
 
 // CloseWrite closes the connection for writes where that is possible.
-func (c *countedConn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+func (c *countedConn) CloseWrite() error { return closeWrite(c.Conn) }
+
+// closeWrite closes a connection for writes where that is possible.
+func closeWrite(c net.Conn) error {
+	if half, ok := c.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
 	return nil
--- a/launcher/unread.go
+++ b/launcher/unread.go
@@ -149,9 +149,4 @@
 
 // CloseWrite closes the connection for writes where that is possible. http.Server does so after a response to a request
 // whose body it has not read; closing all of the connection at once could lose the response.
-func (c *unreadConn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
+func (c *unreadConn) CloseWrite() error { return closeWrite(c.Conn) }
--- a/tunneler/relay.go
+++ b/tunneler/relay.go
@@ -52,6 +52,13 @@
 	memory *accountant.Holding
 }
 
+// close ends the lease, closes the connection and releases the memory.
+func (u *servedTunnel) close() {
+	u.lease.Stop()
+	_ = u.connection.Close()
+	u.memory.Close()
+}
+
 // service serves the net/rpc calls of entries that use this one as a relay.
 type service struct{ tunneler *Tunneler }
 
@@ -164,9 +171,7 @@
 	defer s.lock.Unlock()
 	s.isStopping = true
 	for id, u := range s.open {
-		u.lease.Stop()
-		_ = u.connection.Close()
-		u.memory.Close()
+		u.close()
 		delete(s.open, id)
 	}
 }
@@ -181,9 +186,7 @@
 	if !ok {
 		return
 	}
-	u.lease.Stop()
-	_ = u.connection.Close()
-	u.memory.Close()
+	u.close()
 	t.config.Log.Info("tunnel_ended", zap.String("request", u.args.RequestID), zap.String("from", u.args.From), zap.Stringer("address", u.args.Upstream), zap.String("outcome", reason), zap.Duration("took_ms", time.Since(u.began)))
 }
 
