--- a/soak/memory_test.go
+++ b/soak/memory_test.go
@@ -167,16 +167,7 @@
 // It guards against the failure of review case 4, which no other soak could find: their bodies are small, and nothing
 // watched the memory of the processes.
 func TestSoakOfLargeBodies(t *testing.T) {
-	running := make(chan struct{}, 2)
-	for n := range *seedCount {
-		seed := *firstSeed + n
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			t.Parallel()
-			running <- struct{}{}
-			defer func() { <-running }()
-			runLargeBodies(t, seed)
-		})
-	}
+	runSeeds(t, 2, runLargeBodies)
 }
 
 func runLargeBodies(t *testing.T, seed int) {
@@ -210,14 +201,6 @@
 		_ = c.Close()
 	}
 	l.client.CloseIdleConnections()
-	f.awaitReady(5 * time.Second)
-	time.Sleep(recoveryTime)
-	calm := f.startTraffic("calm", 8)
-	time.Sleep(2 * time.Second)
-	calm.Stop()
-	if calmServed, calmSent := f.checkGuarantees(calm); calmServed < calmSent || calmSent == 0 {
-		t.Errorf("seed %d: afterwards %d of %d requests were served", seed, calmServed, calmSent)
-	}
-	f.checkNothingLeft()
+	f.checkRecovery(time.Now())
 	t.Logf("seed %d: %d of %d large requests served, %d refused, %d stalled senders; an entry used %d MiB at most", seed, served, sent, refused, len(l.stalled), stopWatch())
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -268,20 +268,25 @@
 // callers wait, some callers keep using one entry, each seed shuts down several entries in
 // series, and [caller.Traffic.Evaluate] decides which answers a shutdown may cut off.
 func TestSoak(t *testing.T) {
-	running := make(chan struct{}, 4)
+	runSeeds(t, 4, runSeed)
+	for seed, cause := range regressions {
+		t.Run(fmt.Sprintf("regression-%d", seed), func(t *testing.T) {
+			t.Log(cause)
+			runSeed(t, seed)
+		})
+	}
+}
+
+// runSeeds calls run in a subtest for each seed that the flags name, for at most so many at a time.
+func runSeeds(t *testing.T, atATime int, run func(t *testing.T, seed int)) {
+	running := make(chan struct{}, atATime)
 	for n := range *seedCount {
 		seed := *firstSeed + n
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
 			running <- struct{}{}
 			defer func() { <-running }()
-			runSeed(t, seed)
-		})
-	}
-	for seed, cause := range regressions {
-		t.Run(fmt.Sprintf("regression-%d", seed), func(t *testing.T) {
-			t.Log(cause)
-			runSeed(t, seed)
+			run(t, seed)
 		})
 	}
 }
@@ -345,6 +350,14 @@
 			t.Errorf("seed %d: %s", seed, violation)
 		}
 	}
+	f.checkRecovery(faultsEnded)
+	f.checkOperatorPages()
+}
+
+// checkRecovery waits until entries have recovered from faults that ended at a time. It fails the test unless all requests
+// of calm traffic are served then, and nothing is left at upstreams.
+func (f *fleet) checkRecovery(faultsEnded time.Time) {
+	f.t.Helper()
 	f.awaitReady(5 * time.Second)
 	time.Sleep(max(time.Second, time.Until(faultsEnded.Add(recoveryTime))))
 	calm := f.startTraffic("calm", 8)
@@ -352,10 +365,9 @@
 	calm.Stop()
 	served, sent := f.checkGuarantees(calm)
 	if served < sent || sent == 0 {
-		t.Errorf("seed %d: after the faults %d of %d requests were served, want all of at least 1", seed, served, sent)
+		f.t.Errorf("seed %d: after the faults %d of %d requests were served, want all of at least 1", f.seed, served, sent)
 	}
 	f.checkNothingLeft()
-	f.checkOperatorPages()
 }
 
 // checkOperatorPages fails the test for each entry whose status page does not
