connector: incomplete messages count whole, and accepted ones need memory

Causes, three: - frameScanner returned what is left of a message as its size, so that a message counted less the more of it had come, and nothing at its end. Found by a heap profile: 34 readers in saferio.ReadData, 65 MB, while the account had 9 of them. - Messages on accepted connections were forced into the account whatever its limit. They are granted or refused now, twice their size as they are decoded; replies to own calls are always granted, as an entry can't do without the state of others. - Package gob keeps type definitions as long as the connection is open.

TestIncompleteMessageCountsWhole, TestAcceptedMessageNeedsMemory and TestTypeDefinitionsAreBounded.

--- a/connector/frame_test.go
+++ b/connector/frame_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"encoding/gob"
 	"errors"
+	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -94,3 +96,57 @@
 		_ = far.Close()
 	})
 }
+
+// Guards against a message that is left incomplete and counts for less the more of it has come.
+func TestIncompleteMessageCountsWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		account := accountant.New(16 << 20)
+		near, far := net.Pipe()
+		go rpc.NewServer().ServeConn(NewServedConn(near, account))
+		const size = 1 << 20
+		_, err := far.Write(append([]byte("\xfc\x00\x10\x00\x00"), bytes.Repeat([]byte{2}, size-1)...))
+		is.NoErr(err)
+		synctest.Wait()
+		is.Equal(account.Usage().Held, int64(frameCopies*size))
+		is.NoErr(far.Close())
+		synctest.Wait()
+		is.Equal(account.Usage().Held, int64(0))
+	})
+}
+
+// Guards against accepted connections that are granted memory beyond the limit for messages that nobody asked for.
+func TestAcceptedMessageNeedsMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		account := accountant.New(1 << 20)
+		near, far := net.Pipe()
+		go rpc.NewServer().ServeConn(NewServedConn(near, account))
+		_, err := far.Write(append([]byte("\xfc\x00\x40\x00\x00"), bytes.Repeat([]byte{2}, 1<<20)...))
+		is.True(err != nil)
+		synctest.Wait()
+		is.Equal(account.Usage().Held, int64(0))
+	})
+}
+
+// Guards against type definitions without an end, which package encoding/gob keeps as long as the connection is open.
+func TestTypeDefinitionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var stream bytes.Buffer
+	encoder := gob.NewEncoder(&stream)
+	fields := []reflect.StructField{{Name: "Field", Type: reflect.TypeFor[int]()}}
+	for n := range 1000 {
+		fields[0].Name = fmt.Sprintf("Field%d", n)
+		is.NoErr(encoder.EncodeValue(reflect.New(reflect.StructOf(fields)).Elem()))
+	}
+	for _, step := range []int{1, 3, 1000} {
+		var s frameScanner
+		var err error
+		for data := stream.Bytes(); err == nil && len(data) > 0; data = data[min(step, len(data)):] {
+			_, err = s.scan(data[:min(step, len(data))])
+		}
+		var tooLarge TypesTooLargeError
+		is.True(errors.As(err, &tooLarge))
+		is.True(tooLarge.Size > MaxTypeBytes && tooLarge.Size < MaxTypeBytes+100)
+	}
+}
--- a/connector/queue.go
+++ b/connector/queue.go
@@ -33,6 +33,8 @@
 	// frames follows the messages that are read. read holds the current one, if it is large, in the account.
 	frames frameScanner
 	read   *accountant.Holding
+	// isServed is true for a connection that was accepted: on which nobody is known to be an entry.
+	isServed bool
 	// wake holds an element if pending may not be empty.
 	wake chan struct{}
 	// closed is closed by the first call of Close, which once detects.
@@ -44,7 +46,19 @@
 // data until the connection is closed or a write fails. A failed read closes the connection too, and so does a message
 // above MaxFrameBytes. What is held of messages counts in the account; nil is allowed.
 func NewQueuedConn(c net.Conn, account *accountant.Account) net.Conn {
-	q := &queuedConn{Conn: c, written: account.Open("", accountant.Request), read: account.Open("", accountant.Request), wake: make(chan struct{}, 1), closed: make(chan struct{})}
+	return newQueuedConn(c, account, false)
+}
+
+// NewServedConn is NewQueuedConn for a connection that was accepted. It fails if the account grants no memory for a message.
+func NewServedConn(c net.Conn, account *accountant.Account) net.Conn {
+	return newQueuedConn(c, account, true)
+}
+
+func newQueuedConn(c net.Conn, account *accountant.Account, isServed bool) net.Conn {
+	q := &queuedConn{
+		Conn: c, written: account.Open("", accountant.Request), read: account.Open("", accountant.Request), isServed: isServed,
+		wake: make(chan struct{}, 1), closed: make(chan struct{}),
+	}
 	go q.writePending()
 	return q
 }
@@ -106,10 +120,12 @@
 	n, err := q.Conn.Read(p)
 	if n > 0 {
 		largest, frameErr := q.frames.scan(p[:n])
+		if frameErr == nil && !q.holdFrame(int64(largest)) {
+			frameErr = accountant.ErrNoMemory
+		}
 		if frameErr != nil {
 			n, err = 0, frameErr
 		}
-		q.holdFrame(int64(largest))
 	}
 	if err != nil {
 		_ = q.Close()
@@ -117,16 +133,17 @@
 	return n, err
 }
 
-// holdFrame makes a message of a size count in the account while it is read, if it is large.
-func (q *queuedConn) holdFrame(size int64) {
+// holdFrame makes a message of a size count in the account while it is read, if it is large, and reports whether its memory
+// is granted. The replies to calls of this entry are always granted it.
+func (q *queuedConn) holdFrame(size int64) bool {
 	if size < freeFrameBytes {
 		size = 0
 	}
-	if held := q.read.Bytes(); size > held {
+	if held := q.read.Bytes(); size > held && !q.isServed {
 		q.read.Force(size - held)
-	} else {
-		q.read.Shrink(held - size)
+		return true
 	}
+	return q.read.Resize(frameCopies * size)
 }
 
 // writePending writes queued messages to the connection until it is closed or a write fails.
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -134,7 +134,7 @@
 			time.Sleep(tickPeriod)
 			continue
 		}
-		go calls.ServeConn(connector.NewQueuedConn(connection, c.config.Account))
+		go calls.ServeConn(connector.NewServedConn(connection, c.config.Account))
 	}
 }
 
