acceptor: one limit on connections and one on their memory, at all addresses of an entry

What was seen: clients that send nothing, or heads without an end, took all descriptors and all memory of an entry; above limits.memory-mb the platform kills it.

Class: a limit for one address and one resource, and bytes on the wire in place of what they take.

Causes: - Only callers' connections counted, and only the bytes of their heads; a parsed field of six bytes takes more than a hundred. - The directory, readiness and metrics had the bounds of the library: a mebibyte for a head, no time for an idle connection. - limits.max-fds and header-timeout-ms were read nowhere. - The kernel held 128 KB and more unread for each connection. - A request that was answered before its body had arrived kept its connection for half a second, and the library reads the rest of such a body without a time limit.

What changed: package acceptor. All listeners share places, which follow from limits.max-fds, and the memory of connections, which is half of the account at most. Heads count with 256 bytes a field. A new connection without a place takes that of the one that has completed nothing for longest; a connection on which a request is served is never closed for another. Each address has some places of its own. The limits on heads follow the configuration, with a quarter on top. The receive buffer of listeners is small, and grows once a body has arrived for which there is memory. Refusals are said in HTTP, and logged and counted by address and reason once a second. It replaces the counting listener and the idle timers of launcher.

Why it holds: what a connection may take, in memory, in its kernel and in descriptors, counts before it is served. TestCrowdLeavesPlaces: requests, the directory and readiness are answered while each crowd is there.

--- a/Makefile
+++ b/Makefile
@@ -12,8 +12,9 @@
 	go tool staticcheck ./...
 
 test:
-	go test -count=1 ./...
-	_scripts/race.sh ./controller ./server ./launcher ./forwarder ./client ./console ./dispatcher ./watcher ./tunneler
+	go test -count=1 -skip '^TestCrowd' ./...
+	go test -count=1 -p 1 -run '^TestCrowd' ./soak ./scenario
+	_scripts/race.sh ./acceptor ./controller ./server ./launcher ./forwarder ./client ./console ./dispatcher ./watcher ./tunneler
 	_scripts/known-red.sh
 
 # A longer random run: make soak RUNS=500 SEED=7. It prints the seed, and the
--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -17,7 +17,7 @@
 	Request Class = iota
 	// Buffer is for responses that are read ahead of their callers. Without it, only their upstreams are slower.
 	Buffer
-	// Connection is for connections of callers. If there is none, idle ones can be closed.
+	// Connection is for connections of clients and the heads that arrive on them. If there is none, others can be closed.
 	Connection
 	// largeRequest is the class of Request holdings above ModestBytes.
 	largeRequest
@@ -39,7 +39,7 @@
 var classBounds = [classCount]bounds{
 	Request:      {share: 1, ceiling: 1},
 	Buffer:       {share: 1. / 3, ceiling: 0.8, isByOwner: true},
-	Connection:   {share: 1, ceiling: 0.9},
+	Connection:   {share: 0.5, ceiling: 0.9},
 	largeRequest: {share: 0.8, ceiling: 0.8, isByOwner: true},
 }
 
--- a/cmd/sapphireramp/gateway.go
+++ b/cmd/sapphireramp/gateway.go
@@ -114,7 +114,7 @@
 // reloadableSettings returns the settings that may change while the entry runs, in the launcher's form.
 func reloadableSettings(settings platform.Settings) launcher.Settings {
 	return launcher.Settings{
-		Seeds: settings.Seeds, ShutdownGrace: settings.ShutdownGrace, StoreAddress: settings.StoreAddress, MemoryLimit: settings.MemoryLimit,
+		Seeds: settings.Seeds, ShutdownGrace: settings.ShutdownGrace, StoreAddress: settings.StoreAddress, MemoryLimit: settings.MemoryLimit, MaxDescriptors: settings.MaxDescriptors,
 		RetryBudget: budgeter.Config{Ratio: settings.RetryRatio, Window: settings.RetryWindow, BaseRetries: settings.RetrySlack},
 	}
 }
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -29,8 +29,9 @@
 	return func(x *exchange) *failure {
 		holding := f.account.Open("", accountant.Request)
 		defer holding.Close()
-		x.headerBytes = headerSize(x.request)
-		needed := int64(requestBytes + x.headerBytes)
+		fields := 0
+		x.headerBytes, fields = headerSize(x.request)
+		needed := requestBytes + accountant.HeadMemory(x.headerBytes, fields) // of the copy for upstreams
 		if !holding.Grow(needed) {
 			return f.refuseForMemory(x, needed)
 		}
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -23,14 +23,15 @@
 // and LF.
 const headerLineOverhead = 4
 
-// headerSize returns the approximate size in bytes of the header of a request as it was sent.
-func headerSize(r *http.Request) int {
-	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + headerLineOverhead
+// headerSize returns the approximate size in bytes of the header of a request as it was sent, and the number of its fields.
+func headerSize(r *http.Request) (size, fields int) {
+	size = len(r.Method) + len(r.RequestURI) + len(r.Proto) + headerLineOverhead
 	size += len("Host") + len(r.Host) + headerLineOverhead
 	for name, values := range r.Header {
 		for _, v := range values {
 			size += len(name) + len(v) + headerLineOverhead
+			fields++
 		}
 	}
-	return size
+	return size, fields
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/acceptor"
 	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/asserter"
@@ -48,6 +49,9 @@
 	// MemoryLimit is the memory in bytes that the process may use; 0 if it is not stated. The limits of the account
 	// and of the heap follow from it.
 	MemoryLimit int64
+	// MaxDescriptors is the number of descriptors that the process may open; 0 for the limit of the operating system. The
+	// number of connections and of tunnels for other entries follows from it.
+	MaxDescriptors int
 }
 
 // Config configures a Launcher. All fields are required, except that
@@ -133,12 +137,6 @@
 	finalResponseTime = 100 * time.Millisecond
 	// reloadPeriod is the interval at which the settings are read when no signal asks for it.
 	reloadPeriod = 2 * time.Second
-	// headerTimeout is the time in which the header of a request must arrive, at all servers. It is also the
-	// idle timeout of callers' connections while the configuration sets none. maxHeaderBytes is the maximum
-	// size of callers' request headers. The limits of the configuration, which the forwarder checks, apply in
-	// addition.
-	headerTimeout  = 10 * time.Second
-	maxHeaderBytes = 128 << 10
 )
 
 // Launcher runs one entry.
@@ -148,6 +146,7 @@
 	forwarder   *forwarder.Forwarder
 	retryBudget *budgeter.Budgeter
 	tunneler    *tunneler.Tunneler
+	acceptor    *acceptor.Acceptor
 	// settings points to the settings that were applied last, at first Config.Settings. A reload stores a
 	// new pointer.
 	settings atomic.Pointer[Settings]
@@ -178,7 +177,7 @@
 	ledger := lender.New(time.Now(), lender.Config{Name: c.Name, Incarnation: incarnation, IsFirstStart: c.IsFirstStart, SinceBoot: c.SinceBoot})
 	l := &Launcher{config: c, retryBudget: newBudgeter(time.Now(), c.Settings.RetryBudget), activeConns: connector.NewActiveConns(), acceptDone: make(chan struct{})}
 	l.settings.Store(&c.Settings)
-	l.limitMemory(c.Settings.MemoryLimit)
+	l.acceptor = acceptor.New(acceptor.Config{Account: c.Account, Limits: l.clientLimits, Log: c.Log, Scope: c.Scope})
 	sharedDispatcher.SetLedger(ledger)
 	returns := scheduler.New(scheduler.Config{
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Part: promisePartFunc(sharedDispatcher, ledger), StartedAt: time.Now(), IsFirstStart: c.IsFirstStart,
@@ -221,15 +220,32 @@
 		Protocol: c.Protocol, Reservations: c.NewReservationClient(reservationHTTPClient), ReservationTTL: c.ReservationTTL, MaxIdle: c.MaxIdle, View: l.controller.View, Dispatcher: sharedDispatcher, Scheduler: returns, Share: shareFunc(sharedDispatcher), RetryBudget: l.retryBudget, Quarantine: quarantine, Isolator: partIsolator, OnCrash: l.controller.SpreadCrash, Tunneler: l.tunneler, Account: c.Account,
 		Log: c.Log, Scope: c.Scope, Asserter: c.Asserter,
 	})
+	l.applyLimits(c.Settings)
 	return l
 }
 
-// limitMemory sets the limits of the account and of the heap in a process that may use memory bytes; 0 if that is unknown.
-func (l *Launcher) limitMemory(memory int64) {
-	l.config.Account.SetLimit(accountant.LimitFor(memory))
-	if memory > 0 && l.config.SetHeapLimit != nil {
-		l.config.SetHeapLimit(accountant.HeapLimit(memory))
+// applyLimits sets the limits of the account, the heap, connections and tunnels that follow from settings.
+func (l *Launcher) applyLimits(s Settings) {
+	l.config.Account.SetLimit(accountant.LimitFor(s.MemoryLimit))
+	if s.MemoryLimit > 0 && l.config.SetHeapLimit != nil {
+		l.config.SetHeapLimit(accountant.HeapLimit(s.MemoryLimit))
 	}
+	descriptors := s.MaxDescriptors
+	if descriptors <= 0 {
+		descriptors = acceptor.SystemDescriptors()
+	}
+	l.acceptor.SetMaxConnections(acceptor.MaxConnections(descriptors))
+	l.tunneler.SetMaxServed(acceptor.MaxTunnels(descriptors))
+}
+
+// clientLimits returns what the current configuration allows clients.
+func (l *Launcher) clientLimits() acceptor.Limits {
+	t := l.controller.View().Table
+	if t == nil {
+		return acceptor.Limits{}
+	}
+	limits := t.Config.Limits
+	return acceptor.Limits{HeadBytes: limits.HeaderBytes, HeadTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
 }
 
 // promisePartFunc returns the function by which the scheduler learns this entry's part of all promises: its own, and
@@ -296,6 +312,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for other entries: %w", err)
 	}
+	peerListener = l.acceptor.Listen(peerListener, acceptor.Peers)
 	loadSocket, err := l.config.ListenPacket(l.config.LoadAddress)
 	if err != nil {
 		return fmt.Errorf("listen for load updates: %w", err)
@@ -330,17 +347,16 @@
 // sent to serveErrors.
 func (l *Launcher) startServers(serveErrors chan<- error) error {
 	c := l.config
-	idle := newIdleCloser(l.controller.View)
-	l.callerServer = newCallerServer(l.forwarder, idle, l.activeConns.OnStateChange)
-	l.callerServer.BaseContext = l.baseContext()
+	l.callerServer = &http.Server{Handler: l.forwarder, DisableGeneralOptionsHandler: true, BaseContext: l.baseContext(), ConnState: l.activeConns.OnStateChange}
 	servers := []struct {
 		address netip.AddrPort
+		places  acceptor.ListenerConfig
 		server  *http.Server
 	}{
-		{c.CallerAddress, l.callerServer},
-		{c.ReadinessAddress, &http.Server{Handler: c.ReadinessHandler(l.controller.IsReady), ReadHeaderTimeout: headerTimeout}},
-		{c.DirectoryAddress, &http.Server{Handler: c.DirectoryHandler(c.AddressTTL, l.controller.CallerAddresses), ReadHeaderTimeout: headerTimeout}},
-		{c.MetricsAddress, &http.Server{Handler: l.operatorHandler(), ReadHeaderTimeout: headerTimeout}},
+		{c.CallerAddress, acceptor.Callers, l.callerServer},
+		{c.ReadinessAddress, acceptor.Readiness, &http.Server{Handler: c.ReadinessHandler(l.controller.IsReady)}},
+		{c.DirectoryAddress, acceptor.Directory, &http.Server{Handler: c.DirectoryHandler(c.AddressTTL, l.controller.CallerAddresses)}},
+		{c.MetricsAddress, acceptor.Metrics, &http.Server{Handler: l.operatorHandler()}},
 	}
 	for _, s := range servers {
 		if !s.address.IsValid() {
@@ -350,10 +366,12 @@
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", s.address, err)
 		}
+		l.acceptor.Attach(s.server)
+		listener = l.acceptor.Listen(listener, s.places)
 		l.servers = append(l.servers, s.server)
 		onServeEnd := func() {}
 		if s.server == l.callerServer {
-			listener = newUnreadListener(newCountingListener(listener, c.Account, idle.closeOldest))
+			listener = newUnreadListener(listener)
 			l.callerListener, onServeEnd = listener, func() { close(l.acceptDone) }
 		}
 		go func() {
@@ -459,7 +477,7 @@
 			l.settings.Store(&s)
 			l.retryBudget.Configure(time.Now(), s.RetryBudget)
 			l.controller.SetSeeds(s.Seeds)
-			l.limitMemory(s.MemoryLimit)
+			l.applyLimits(s)
 		}
 		select {
 		case <-signals:
@@ -481,7 +499,7 @@
 }
 
 func (s Settings) equal(o Settings) bool {
-	if len(s.Seeds) != len(o.Seeds) || s.RetryBudget != o.RetryBudget || s.ShutdownGrace != o.ShutdownGrace || s.StoreAddress != o.StoreAddress || s.MemoryLimit != o.MemoryLimit {
+	if len(s.Seeds) != len(o.Seeds) || s.RetryBudget != o.RetryBudget || s.ShutdownGrace != o.ShutdownGrace || s.StoreAddress != o.StoreAddress || s.MemoryLimit != o.MemoryLimit || s.MaxDescriptors != o.MaxDescriptors {
 		return false
 	}
 	for i := range s.Seeds {
--- a/launcher/unread.go
+++ b/launcher/unread.go
@@ -149,4 +149,12 @@
 
 // CloseWrite closes the connection for writes where that is possible. http.Server does so after a response to a request
 // whose body it has not read; closing all of the connection at once could lose the response.
-func (c *unreadConn) CloseWrite() error { return closeWrite(c.Conn) }
+func (c *unreadConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// NetConn returns the connection that is wrapped.
+func (c *unreadConn) NetConn() net.Conn { return c.Conn }
--- a/matcher/config.go
+++ b/matcher/config.go
@@ -139,6 +139,8 @@
 	// HeaderBytes and BodyBytes are the maximum sizes of the header and the body of a request.
 	HeaderBytes int
 	BodyBytes   int64
+	// HeaderTimeout is the time in which the header of a request must arrive.
+	HeaderTimeout time.Duration
 	// IdleTimeout is the time for which an idle connection of a caller is kept open.
 	IdleTimeout time.Duration
 }
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -120,9 +120,17 @@
 	crashTraffics []*caller.Traffic
 	// traffics are the other traffics started before the end of the faults.
 	traffics []*caller.Traffic
-	// memoryMB is the setting limits.memory-mb of entries; 0 leaves it out. maxBody is the maximum size of request
-	// bodies in bytes in the configurations written from now on.
-	memoryMB, maxBody int
+	limits   limits
+}
+
+// limits are the limits of a fleet's entries and of its configuration; 0 leaves one out.
+type limits struct {
+	// memoryMB and maxFDs are the settings limits.memory-mb and limits.max-fds of entries.
+	memoryMB, maxFDs int
+	// maxBody and maxHeader are the maximum sizes in bytes of request bodies and headers in the configurations that are
+	// written from now on, headerTimeout the time in which a header must arrive.
+	maxBody, maxHeader int
+	headerTimeout      time.Duration
 }
 
 // address returns the loopback address of a component, given its kind and its number n
@@ -135,15 +143,15 @@
 // newFleet starts the store, six upstreams of two services and the entries. The
 // test's cleanup stops them.
 func newFleet(t *testing.T, seed, entryCount int) *fleet {
-	return newFleetWithMemory(t, seed, entryCount, 0, 100_000)
+	return newFleetWithLimits(t, seed, entryCount, limits{maxBody: 100_000})
 }
 
-// newFleetWithMemory starts a fleet like newFleet, whose memoryMB and maxBody are set.
-func newFleetWithMemory(t *testing.T, seed, entryCount, memoryMB, maxBody int) *fleet {
+// newFleetWithLimits starts a fleet like newFleet that has limits.
+func newFleetWithLimits(t *testing.T, seed, entryCount int, l limits) *fleet {
 	t.Helper()
 	f := &fleet{
-		memoryMB: memoryMB, maxBody: maxBody,
-		t: t, seed: seed, directory: t.TempDir(), store: store.New(), upstreams: map[string]*worker.Worker{},
+		limits: l,
+		t:      t, seed: seed, directory: t.TempDir(), store: store.New(), upstreams: map[string]*worker.Worker{},
 		upstreamRelays: map[string]*relay.Relay{}, serviceOf: map[string]string{}, startedAt: map[string]int64{},
 	}
 	f.serve(netip.AddrPortFrom(f.address(0, 0), storePort), f.store)
@@ -288,11 +296,23 @@
 			json.RawMessage(`{"name":"app"}`),
 			json.RawMessage(`{"name":"lm","engine":{"slots":16,"kv-capacity-tokens":315000,"stride":51,"step_ms":0.85,"per_seq_ms":0.004,"context_per_k":0.003,"read_per_s":177000,"pairs_per_m":0.18,"chunk":2048}}`),
 		},
-		"limits":  map[string]any{"max-body-bytes": f.maxBody, "idle-timeout-ms": 15000},
+		"limits":  f.limits.configured(),
 		"tenants": []any{map[string]any{"name": "crew", "api-keys": apiKeys}},
 	})
 }
 
+// configured returns the limits of the configuration.
+func (l limits) configured() map[string]any {
+	out := map[string]any{"max-body-bytes": l.maxBody, "idle-timeout-ms": 15000}
+	if l.maxHeader > 0 {
+		out["max-header-bytes"] = l.maxHeader
+	}
+	if l.headerTimeout > 0 {
+		out["header-timeout-ms"] = l.headerTimeout.Milliseconds()
+	}
+	return out
+}
+
 // writeSettings replaces the entry's settings file atomically. The settings allow, at any
 // load, 100 plus retrySlack retries for each service in addition to a ratio of its requests.
 func (e *entry) writeSettings(retrySlack int) {
@@ -306,8 +326,11 @@
 		fmt.Sprintf("bounds.grace-s=%d", gracePeriod/time.Second), "bounds.config-deadline-ms=2000", "bounds.drain-ms=2000", "bounds.budget-ratio=0.2", "bounds.budget-window-s=10",
 		fmt.Sprintf("bounds.budget-slack=%d", 100+retrySlack), "bounds.ttl_max_s=5", "bounds.hold-max-ms=20000", "bounds.free-ms=4000", "bounds.idle-max-ms=9000", "bounds.stall_ms=1500",
 	}
-	if e.fleet.memoryMB > 0 {
-		lines = append(lines, fmt.Sprintf("limits.memory-mb=%d", e.fleet.memoryMB))
+	if l := e.fleet.limits; l.memoryMB > 0 {
+		lines = append(lines, fmt.Sprintf("limits.memory-mb=%d", l.memoryMB))
+	}
+	if l := e.fleet.limits; l.maxFDs > 0 {
+		lines = append(lines, fmt.Sprintf("limits.max-fds=%d", l.maxFDs))
 	}
 	temporaryPath := e.settingsPath + ".new"
 	if err := os.WriteFile(temporaryPath, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
--- a/soak/memory_test.go
+++ b/soak/memory_test.go
@@ -172,7 +172,7 @@
 
 func runLargeBodies(t *testing.T, seed int) {
 	r := rand.New(rand.NewPCG(uint64(seed), 11))
-	f := newFleetWithMemory(t, seed+125, 3, entryMemoryMB, largeBody+1000) // other addresses than those of TestSoak
+	f := newFleetWithLimits(t, seed+125, 3, limits{memoryMB: entryMemoryMB, maxBody: largeBody + 1000}) // other addresses than those of TestSoak
 	f.awaitReady(10 * time.Second)
 	stopWatch := f.watchMemory()
 	l := &largeLoad{f: f, body: bytes.Repeat([]byte("large body"), largeBody/10), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}}
--- a/tunneler/relay.go
+++ b/tunneler/relay.go
@@ -20,8 +20,7 @@
 )
 
 const (
-	// maxServedTunnels is the maximum number of tunnels that an entry serves: a quarter of the descriptors of
-	// the smallest instances in use.
+	// maxServedTunnels is the maximum number of tunnels that an entry serves unless SetMaxServed was called.
 	maxServedTunnels = 1024
 	// leaseTime is the time after which a tunnel ends without a call of the entry that opened it.
 	leaseTime = 3 * time.Second
@@ -37,6 +36,8 @@
 type servedTunnels struct {
 	lock sync.Mutex
 	open map[uint64]*servedTunnel
+	// most is the maximum number of them.
+	most int
 	// isStopping is true once no more tunnels are to be opened.
 	isStopping bool
 }
@@ -77,6 +78,13 @@
 	t.served.isStopping = true
 }
 
+// SetMaxServed sets the maximum number of tunnels that the entry serves. Open ones go on.
+func (t *Tunneler) SetMaxServed(n int) {
+	t.served.lock.Lock()
+	defer t.served.lock.Unlock()
+	t.served.most = n
+}
+
 // isStopping reports whether Stop was called.
 func (t *Tunneler) isStopping() bool {
 	t.served.lock.Lock()
@@ -135,7 +143,7 @@
 		return Stopping
 	case !isListed:
 		return Unlisted
-	case len(t.served.open) >= maxServedTunnels:
+	case len(t.served.open) >= t.served.most:
 		return Busy
 	case t.IsCutOff():
 		return CutOff
--- a/tunneler/tunneler.go
+++ b/tunneler/tunneler.go
@@ -87,7 +87,7 @@
 func New(c Config) *Tunneler {
 	scope := c.Scope.SubScope("upstream_connections")
 	t := &Tunneler{
-		config: c, monitor: newMonitor(), calls: connector.NewPool(c.Dial, c.Account), relayHealth: relayHealth{avoidUntil: map[string]time.Time{}}, served: servedTunnels{open: map[uint64]*servedTunnel{}},
+		config: c, monitor: newMonitor(), calls: connector.NewPool(c.Dial, c.Account), relayHealth: relayHealth{avoidUntil: map[string]time.Time{}}, served: servedTunnels{open: map[uint64]*servedTunnel{}, most: maxServedTunnels},
 		metrics: metrics{
 			direct: scope.Counter("direct"), failed: scope.Counter("failed"), tunnelled: scope.Counter("tunnelled"),
 			cutOff: c.Scope.Gauge("upstreams_cut_off"), served: c.Scope.Gauge("tunnels_served"),
