server, loader, console: connections of the own interface are limited too

What changed: both listeners are those of package acceptor. New settings MaxDescriptors (default: the limit of the operating system), Callers.MaxHeader (128 KiB), Callers.HeaderTimeout (10 s) and Callers.IdleTimeout (2 min, as before). The console's listener is limited alike.

Besides, each connection of another entry left a function in the context of the server when it ended: memory that grew with every connection. The function is taken back now.

--- a/cmd/sapphireramp/console.go
+++ b/cmd/sapphireramp/console.go
@@ -4,13 +4,17 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/acceptor"
+	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/console"
 	"github.com/sapphireramp/sapphireramp/decoder"
 	"github.com/sapphireramp/sapphireramp/logger"
@@ -95,9 +99,17 @@
 	if err != nil {
 		return fmt.Errorf("create console: %w", err)
 	}
-	httpServer := &http.Server{Addr: settings.Address.String(), Handler: c.Handler(), ReadTimeout: consoleTimeout, WriteTimeout: consoleTimeout}
+	listener, err := net.Listen("tcp", settings.Address.String())
+	if err != nil {
+		return fmt.Errorf("serve console: %w", err)
+	}
+	httpServer := &http.Server{Handler: c.Handler(), ReadTimeout: consoleTimeout, WriteTimeout: consoleTimeout}
+	connections := acceptor.New(acceptor.Config{
+		Account: accountant.New(accountant.LimitFor(0)), Limits: func() acceptor.Limits { return acceptor.Limits{} }, Log: log, Scope: tally.NoopScope,
+	})
+	connections.Attach(httpServer)
 	serveErrors := make(chan error, 1)
-	go func() { serveErrors <- httpServer.ListenAndServe() }()
+	go func() { serveErrors <- httpServer.Serve(connections.Listen(listener, acceptor.Callers)) }()
 	log.Info("console", zap.Stringer("address", settings.Address), zap.String("seal_key", sealer.PublicKeyHex(key)))
 	select {
 	case err := <-serveErrors:
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -47,6 +47,9 @@
 	// Memory is the memory in bytes that the process may use. What the entry holds for callers and other entries, and
 	// its heap, are bounded by it.
 	Memory int64 `yaml:"Memory"`
+	// MaxDescriptors is the number of descriptors that the process may open; 0 for the limit of the operating system. The
+	// number of connections and of tunnels for other entries follows from it.
+	MaxDescriptors int `yaml:"MaxDescriptors"`
 }
 
 // Log selects the lines that the entry logs.
@@ -95,6 +98,11 @@
 	// MaxBody is the maximum size in bytes of a request body, and of a
 	// service's response to a call.
 	MaxBody int64 `yaml:"MaxBody"`
+	// MaxHeader is the maximum size in bytes of a request header, HeaderTimeout the time in which it must arrive.
+	// IdleTimeout is the time for which a connection without a request is kept open.
+	MaxHeader     int           `yaml:"MaxHeader"`
+	HeaderTimeout time.Duration `yaml:"HeaderTimeout"`
+	IdleTimeout   time.Duration `yaml:"IdleTimeout"`
 	// AddressLife is how long a caller may use the addresses of entries that an
 	// entry has returned.
 	AddressLife time.Duration `yaml:"AddressLife"`
@@ -122,10 +130,13 @@
 			Silence:    5 * time.Second,
 		},
 		Callers: CallerLimits{
-			MaxBody:     8 << 20,
-			AddressLife: 10 * time.Second,
-			TicketLife:  10 * time.Minute,
-			DrainSlack:  time.Second,
+			MaxBody:       8 << 20,
+			MaxHeader:     128 << 10,
+			HeaderTimeout: 10 * time.Second,
+			IdleTimeout:   2 * time.Minute,
+			AddressLife:   10 * time.Second,
+			TicketLife:    10 * time.Minute,
+			DrainSlack:    time.Second,
 		},
 		Memory: 1 << 30,
 	}
@@ -187,6 +198,7 @@
 	s.Timing.check(&fieldErrors)
 	s.Callers.check(&fieldErrors)
 	fieldErrors.Require(s.Memory >= 64<<20, "Memory", s.Memory, "at least 67108864 bytes")
+	fieldErrors.Require(s.MaxDescriptors == 0 || s.MaxDescriptors >= 64, "MaxDescriptors", s.MaxDescriptors, "at least 64, or 0")
 	return fieldErrors.Err()
 }
 
@@ -211,6 +223,9 @@
 // check adds an error to fieldErrors for each invalid field of c.
 func (c CallerLimits) check(fieldErrors *decoder.FieldErrors) {
 	fieldErrors.Require(c.MaxBody >= 1<<10 && c.MaxBody <= 1<<30, "Callers.MaxBody", c.MaxBody, "1024 to 1073741824 bytes")
+	fieldErrors.Require(c.MaxHeader >= 1<<10 && c.MaxHeader <= 8<<20, "Callers.MaxHeader", c.MaxHeader, "1024 to 8388608 bytes")
+	checkDuration(fieldErrors, "Callers.HeaderTimeout", c.HeaderTimeout, 100*time.Millisecond, 10*time.Minute)
+	checkDuration(fieldErrors, "Callers.IdleTimeout", c.IdleTimeout, 100*time.Millisecond, time.Hour)
 	checkDuration(fieldErrors, "Callers.AddressLife", c.AddressLife, 100*time.Millisecond, time.Hour)
 	checkDuration(fieldErrors, "Callers.TicketLife", c.TicketLife, time.Second, 24*time.Hour)
 	checkDuration(fieldErrors, "Callers.DrainSlack", c.DrainSlack, 0, time.Minute)
--- a/server/peers.go
+++ b/server/peers.go
@@ -55,8 +55,11 @@
 			}
 			continue
 		}
-		context.AfterFunc(ctx, func() { _ = connection.Close() })
-		go calls.ServeConn(connector.NewQueuedConn(connection, s.account))
+		stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+		go func() {
+			defer stop()
+			calls.ServeConn(connector.NewServedConn(connection, s.account))
+		}()
 	}
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -20,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/acceptor"
 	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/asserter"
 	"github.com/sapphireramp/sapphireramp/connector"
@@ -84,8 +85,9 @@
 	isolator     *isolator.Isolator
 	exitDetector *connector.ExitDetector
 
-	// account grants memory for requests, answers and messages of other entries.
-	account *accountant.Account
+	// account grants memory for requests, answers and messages of other entries, acceptor for connections.
+	account  *accountant.Account
+	acceptor *acceptor.Acceptor
 	// peerPool holds the connections for RPCs to other entries.
 	peerPool *connector.Pool
 	// tunneler opens the connections to engines and services.
@@ -180,22 +182,32 @@
 		}
 		s.sealKeys = append(s.sealKeys, key)
 	}
+	s.acceptor = acceptor.New(acceptor.Config{Account: account, Limits: s.clientLimits, Log: s.logs.entry, Scope: c.MetricScope})
+	if descriptors := c.Settings.MaxDescriptors; descriptors > 0 {
+		s.acceptor.SetMaxConnections(acceptor.MaxConnections(descriptors))
+		s.tunneler.SetMaxServed(acceptor.MaxTunnels(descriptors))
+	}
 	s.metrics = newMetrics(c.MetricScope)
 	s.asserter = asserter.New(s.reportViolation)
 	s.current.Store(emptyView())
-	var err error
-	s.callerListener, err = listen(c.Settings.Listen)
+	callers, err := listen(c.Settings.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
-	s.peerListener, err = listen(c.Settings.PeerListen)
+	peers, err := listen(c.Settings.PeerListen)
 	if err != nil {
-		_ = s.callerListener.Close()
+		_ = callers.Close()
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
+	s.callerListener, s.peerListener = s.acceptor.Listen(callers, acceptor.Callers), s.acceptor.Listen(peers, acceptor.Peers)
 	return s, nil
 }
 
+// clientLimits returns what the settings allow callers.
+func (s *Server) clientLimits() acceptor.Limits {
+	return acceptor.Limits{HeadBytes: s.settings.Callers.MaxHeader, HeadTimeout: s.settings.Callers.HeaderTimeout, IdleTimeout: s.settings.Callers.IdleTimeout}
+}
+
 func listenTCP(address netip.AddrPort) (net.Listener, error) {
 	return net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 }
@@ -274,7 +286,8 @@
 	s.runInBackground(ctx, s.fetchFromPeers)
 
 	connections := connector.NewActiveConns()
-	httpServer := &http.Server{Handler: s.handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, ConnState: connections.OnStateChange}
+	httpServer := &http.Server{Handler: s.handler(), ConnState: connections.OnStateChange}
+	s.acceptor.Attach(httpServer)
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- httpServer.Serve(s.callerListener) }()
 	s.logs.entry.Info("started", zap.String("name", s.settings.Name), zap.Stringer("address", s.settings.Address),
