connector, forwarder, server: response heads have a limit on their lines, and count

What was seen: an engine that answers with a head of 4,000 short fields, 16 KB, was believed, and its fields passed on (TestSpoiledResponsesAreFailures/many fields: status 200 before). Heads of 64 KiB were allowed; parsed, they take some fifteen times that for each request in progress, and counted nowhere.

Cause: the same as for heads of clients: bytes on the wire in place of what they take.

What changed: connections that serve one request end with an error once the head of the response, interim ones included, has more than 512 lines. What it takes counts in the account until the connection is closed. Connections to the store and those of the own interface that are kept open keep their limit of 64 KiB a head: there are few of them.

Why it holds: the limit is checked as the bytes arrive, before they are parsed.

--- a/accountant/head.go
+++ b/accountant/head.go
@@ -13,8 +13,8 @@
 // HeadScanner follows the head of an HTTP request or response as it arrives, and counts the memory that it takes. The zero
 // value is ready for use.
 type HeadScanner struct {
-	// size and fields count the bytes and lines so far, lineBytes the bytes of the current line.
-	size, fields, lineBytes int
+	// size and lines count the bytes and lines so far, lineBytes the bytes of the current line.
+	size, lines, lineBytes int
 	// endsInReturn is true if the last byte was a carriage return.
 	endsInReturn bool
 	isComplete   bool
@@ -31,7 +31,7 @@
 		}
 		s.size += len(p) - len(rest)
 		if hasEnd {
-			s.fields++
+			s.lines++
 			s.isComplete = s.lineBytes == 0 || s.lineBytes == 1 && s.endsInReturn
 			s.lineBytes = 0
 		}
@@ -43,11 +43,14 @@
 // Size returns the number of bytes of the head so far.
 func (s *HeadScanner) Size() int { return s.size }
 
+// Lines returns the number of complete lines of the head so far.
+func (s *HeadScanner) Lines() int { return s.lines }
+
 // IsComplete reports whether the head has ended.
 func (s *HeadScanner) IsComplete() bool { return s.isComplete }
 
 // Memory returns the memory that the head takes, in bytes.
-func (s *HeadScanner) Memory() int64 { return HeadMemory(s.size, s.fields) }
+func (s *HeadScanner) Memory() int64 { return HeadMemory(s.size, s.lines) }
 
 // HeadMemory returns the memory, in bytes, that a head of size bytes takes once its fields are parsed.
 func HeadMemory(size, fields int) int64 { return headCopies*int64(size) + fieldBytes*int64(fields) }
--- a/connector/head.go
+++ b/connector/head.go
@@ -1,15 +1,95 @@
 package connector
 
 import (
+	"bytes"
+	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"sync"
 
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/sapphireramp/sapphireramp/accountant"
 )
 
-// MaxHeadBytes is the maximum size of the head of a response that an entry reads. http.Transport reads ten mebibytes unless
-// a limit is set.
-const MaxHeadBytes = 64 << 10
+// MaxHeadBytes is the maximum size of the head of a response that an entry reads, MaxHeadLines the maximum number of its
+// lines. http.Transport reads ten mebibytes unless a limit is set, and has none for lines.
+const MaxHeadBytes, MaxHeadLines = 64 << 10, 512
+
+// TooManyLinesError is the error of reading from a connection of LimitHead on which a head has more than MaxHeadLines lines.
+type TooManyLinesError struct{ Lines int }
+
+func (e TooManyLinesError) Error() string {
+	return fmt.Sprintf("response head of %d lines: must be at most %d", e.Lines, MaxHeadLines)
+}
+
+// LimitHead returns a function that opens connections with dial for one request each. Reading from them fails if the head
+// of the response, together with those of interim responses before it, has too many lines. What the head takes counts in
+// the account until the connection is closed; a nil account is allowed.
+func LimitHead(dial DialFunc, account *accountant.Account) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err // http.Transport adds what was dialled
+		}
+		return &limitedConn{Conn: c, holding: account.Open("", accountant.Request)}, nil
+	}
+}
+
+// interimStatus begins the head of an interim response, after which another head follows.
+var interimStatus = []byte("HTTP/1.1 1")
+
+// limitedConn is a connection of LimitHead.
+type limitedConn struct {
+	net.Conn
+	holding *accountant.Holding
+	// lock guards the other fields. head follows the current head, of which begin holds the first bytes. lines counts those
+	// of all heads before it.
+	lock  sync.Mutex
+	head  accountant.HeadScanner
+	begin []byte
+	lines int
+}
+
+// Read reads from the connection. Its error is a TooManyLinesError if a head has too many lines.
+func (c *limitedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	for data := p[:max(n, 0)]; len(data) > 0 && !c.head.IsComplete(); {
+		c.begin = append(c.begin, data[:min(len(data), len(interimStatus)-len(c.begin))]...)
+		data = data[c.head.Scan(data):]
+		lines := c.lines + c.head.Lines()
+		if more := c.head.Memory() - c.holding.Bytes(); more > 0 {
+			c.holding.Force(more)
+		}
+		if lines > MaxHeadLines {
+			return 0, TooManyLinesError{Lines: lines}
+		}
+		if c.head.IsComplete() && bytes.Equal(c.begin, interimStatus) {
+			c.head, c.begin, c.lines = accountant.HeadScanner{}, nil, lines
+		}
+	}
+	return n, err
+}
+
+// Close closes the connection, and gives back the memory of the head.
+func (c *limitedConn) Close() error {
+	c.holding.Close()
+	return c.Conn.Close()
+}
+
+// NetConn returns the connection that dial opened.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
+
+// Unwrap returns the connection that was opened, from one that an HTTP client uses.
+func Unwrap(c net.Conn) net.Conn {
+	if wrapped, ok := c.(*limitedConn); ok {
+		return wrapped.Conn
+	}
+	return c
+}
 
 // InvalidResponseError is the error of a response whose head http.Transport accepts although it is not one of HTTP, or
 // not that of a final response. Nothing in it is believed or passed on.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -110,7 +110,7 @@
 	// The trace covers the connection of the request itself, not the connections on which memory
 	// was reserved.
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		a.connection = info.Conn
+		a.connection = connector.Unwrap(info.Conn)
 		f.countRetry(x)
 		if !a.isTunnelled() {
 			a.watchdog.watchContact(f.tunneler.Contact(), x.route.GapTarget)
--- a/forwarder/spoiled_test.go
+++ b/forwarder/spoiled_test.go
@@ -83,6 +83,7 @@
 		"CR in a value":        "HTTP/1.1 200 OK\r\n" + soundHead + "X-Broken: a\rb\r\n" + length + "\r\n" + event,
 		"space in a name":      "HTTP/1.1 200 OK\r\n" + soundHead + "X Broken: a\r\n" + length + "\r\n" + event,
 		"line without a colon": "HTTP/1.1 200 OK\r\n" + soundHead + "X-Broken\r\n" + length + "\r\n" + event,
+		"many fields":          "HTTP/1.1 200 OK\r\n" + soundHead + strings.Repeat("x:\r\n", 4000) + length + "\r\n" + event,
 		"head cut off":         "HTTP/1.1 200 OK\r\n" + soundHead,
 		"negative length":      "HTTP/1.1 200 OK\r\n" + soundHead + "Content-Length: -5\r\n\r\n" + event,
 		"two lengths":          "HTTP/1.1 200 OK\r\n" + soundHead + length + "Content-Length: 3\r\n\r\n" + event,
--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -1,22 +1,21 @@
 package forwarder
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"net/textproto"
 	"net/url"
 	"strings"
 
+	"github.com/sapphireramp/sapphireramp/accountant"
 	"github.com/sapphireramp/sapphireramp/connector"
 )
 
 // newTransport returns the HTTP transport for requests to upstreams. Every attempt has a connection
 // of its own. On a reused connection, a late or second response could be mistaken for that of the
 // next request, and a request sent while the upstream closes the connection may or may not have run.
-func newTransport(dial func(context.Context, string, string) (net.Conn, error)) *http.Transport {
+func newTransport(dial connector.DialFunc, account *accountant.Account) *http.Transport {
 	return &http.Transport{
-		DialContext:            dial,
+		DialContext:            connector.LimitHead(dial, account),
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: connector.MaxHeadBytes,
--- a/server/cutoff.go
+++ b/server/cutoff.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/tunneler"
 )
 
@@ -43,7 +44,7 @@
 // is sent. It sets x.connection to nil first.
 func (x *exchange) traceConnection(ctx context.Context) context.Context {
 	x.connection = nil
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { x.connection = info.Conn }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { x.connection = connector.Unwrap(info.Conn) }}
 	return httptrace.WithClientTrace(tunneler.WithRequestID(ctx, x.id), trace)
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -160,8 +160,8 @@
 		callDispatcher: newCallDispatcher(c.Settings.DataCentre),
 		quarantine:     quarantiner.New(),
 		isolator:       isolator.New(c.Settings.Name),
-		entryClient:    &http.Client{Transport: newTransport(dial, true)},
-		platformClient: &http.Client{Transport: newTransport(dial, false)},
+		entryClient:    &http.Client{Transport: newTransport(dial, true, account)},
+		platformClient: &http.Client{Transport: newTransport(dial, false, account)},
 		logs: logs{
 			entry: c.Logs.Layer(logger.LayerEntry), route: c.Logs.Layer(logger.LayerRouter), keep: c.Logs.Layer(logger.LayerKeeper),
 			members: c.Logs.Layer(logger.LayerMembers), document: c.Logs.Layer(logger.LayerDocument),
@@ -172,9 +172,9 @@
 		Log: s.logs.route, Scope: c.MetricScope, Account: account,
 	})
 	s.exitDetector = connector.NewExitDetector(s.tunneler.Dial)
-	s.engineClient = &http.Client{Transport: newTransport(s.tunneler.Dial, false), Timeout: engineCallTimeout}
-	s.trafficClient = &http.Client{Transport: newTransport(s.tunneler.Dial, false)}
-	s.singleUseClient = &http.Client{Transport: newTransport(s.tunneler.Dial, true)}
+	s.engineClient = &http.Client{Transport: newTransport(s.tunneler.Dial, false, account), Timeout: engineCallTimeout}
+	s.trafficClient = &http.Client{Transport: newTransport(s.tunneler.Dial, false, account)}
+	s.singleUseClient = &http.Client{Transport: newTransport(s.tunneler.Dial, true, account)}
 	for _, text := range c.Settings.SealKeys {
 		key, err := sealer.ParsePublicKey(text)
 		if err != nil {
@@ -239,7 +239,11 @@
 	return d
 }
 
-func newTransport(dial connector.DialFunc, singleUse bool) *http.Transport {
+// newTransport returns an HTTP transport. Its connections serve one request each if singleUse is true.
+func newTransport(dial connector.DialFunc, singleUse bool, account *accountant.Account) *http.Transport {
+	if singleUse {
+		dial = connector.LimitHead(dial, account)
+	}
 	return &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
