spender: the records of tickets are bounded

Cause: only answers were bounded, by their bytes.

What changed: at most 131,072 records of ended requests are kept, and the first are removed first. Their tickets stay spent by their bit, so that nothing runs twice: a repeat is told that the ticket was spent and its answer is no longer kept. Kept answers have a list of their own.

--- a/spender/example_test.go
+++ b/spender/example_test.go
@@ -114,3 +114,27 @@
 		}
 	})
 }
+
+// ticket stays spent when its record is removed.
+func TestRecordsAreBounded(t *testing.T) {
+	is := is.New(t)
+	const most, count = 1 << 17, 1<<17 + 1000
+	s := newSpender(1)
+	var first spender.Ticket
+	for n := range count {
+		ticket := issue(t, s)
+		if n == 0 {
+			first = ticket
+		}
+		result, _, err := s.Spend(start, ticket, request)
+		is.NoErr(err)
+		is.Equal(result, spender.Spent)
+		s.Finish(start, ticket, &spender.Answer{Body: []byte("x")})
+	}
+	records, bytes := s.KeptRecords()
+	is.Equal(records, most)
+	is.True(bytes <= 100)
+	result, _, err := s.Spend(start, first, request)
+	is.NoErr(err)
+	is.Equal(result, spender.Ran)
+}
--- a/spender/spender.go
+++ b/spender/spender.go
@@ -22,6 +22,9 @@
 	// maxTickets is the maximum number of tickets that one incarnation issues. One bit is kept for
 	// each, 1 MiB in all.
 	maxTickets = 8 << 20
+	// maxRecords is the maximum number of records of requests that have ended; beyond it, those that ended first are
+	// removed before their time.
+	maxRecords = 1 << 17
 	// macSize is the length in bytes of a ticket's truncated HMAC-SHA256.
 	macSize = 16
 	// payloadSize is the length in bytes of the fields encoded in a ticket before its signature:
@@ -153,7 +156,9 @@
 	records map[uint64]*record
 	// finished lists the ticket numbers of the records whose request has ended, earliest end first.
 	finished []uint64
-	// answerBytes is the total size of the bodies of all kept answers.
+	// answered lists those whose answer is kept, in the same order. answerBytes is the total size of the bodies of these
+	// answers.
+	answered    []uint64
 	answerBytes int
 }
 
@@ -259,12 +264,18 @@
 	r.done = true
 	r.expires = now.Sub(s.start) + s.config.TicketTTL
 	s.finished = append(s.finished, t.number)
+	if len(s.finished) > maxRecords {
+		s.removeFirst()
+	}
 	if answer == nil || len(answer.Body) > s.config.MaxAnswerBytes {
 		return
 	}
 	r.answer = answer
+	s.answered = append(s.answered, t.number)
 	s.answerBytes += len(answer.Body)
-	s.evictAnswers()
+	for s.answerBytes > s.config.MaxAnswerBytes {
+		s.dropFirstAnswer()
+	}
 }
 
 // Unspend makes a spent ticket usable again. It must be called only if the ticket's request certainly
@@ -290,25 +301,11 @@
 	s.spentBits[number/64] |= 1 << (number % 64)
 }
 
-// evictAnswers drops the answers of the requests that ended first until the total size of the others
-// is within Config.MaxAnswerBytes.
-func (s *Spender) evictAnswers() {
-	for _, number := range s.finished {
-		if s.answerBytes <= s.config.MaxAnswerBytes {
-			return
-		}
-		s.dropAnswer(number)
-	}
-}
-
-// dropAnswer removes the answer from the record of a ticket number. The record stays.
-func (s *Spender) dropAnswer(number uint64) {
-	r := s.records[number]
-	if r.answer == nil {
-		return
-	}
+// dropFirstAnswer removes the answer that was kept first from its record, which stays.
+func (s *Spender) dropFirstAnswer() {
+	r := s.records[s.answered[0]]
 	s.answerBytes -= len(r.answer.Body)
-	r.answer = nil
+	r.answer, s.answered = nil, s.answered[1:]
 }
 
 // removeExpired removes the records of requests that ended more than Config.TicketTTL ago. Their bits
@@ -316,10 +313,18 @@
 func (s *Spender) removeExpired(now time.Time) {
 	age := now.Sub(s.start)
 	for len(s.finished) > 0 && s.records[s.finished[0]].expires < age {
-		s.dropAnswer(s.finished[0])
-		delete(s.records, s.finished[0])
-		s.finished = s.finished[1:]
+		s.removeFirst()
+	}
+}
+
+// removeFirst removes the record of the request that ended first.
+func (s *Spender) removeFirst() {
+	number := s.finished[0]
+	if s.records[number].answer != nil {
+		s.dropFirstAnswer()
 	}
+	delete(s.records, number)
+	s.finished = s.finished[1:]
 }
 
 // KeptRecords returns the number of records, including those of running requests, and the total size
