acceptor, accountant: connections that nobody has accepted yet are few, and room is left for unread bytes

What was seen: with 2,000 clients each at callers' address, the directory and the address for other entries and 5,000 silent ones at the others, before an entry of 284 MB on one processor, 218 MB were resident and 140 unread: 359 MB (TestCrowd/all with these figures, by hand).

Cause: clients that an entry can't accept at once wait in the kernel, up to 4,096 at each address, and may have sent as much as any other. And the heap could grow to four fifths of the memory, which left a fifth to what the kernel holds and to the program itself.

What changed: 512 connections wait at callers' address, 256 at the directory and for other entries, 64 at the others. The heap's soft limit is seven tenths of the memory.

--- a/acceptor/listener.go
+++ b/acceptor/listener.go
@@ -38,8 +38,9 @@
 	// IsHTTP is true if an HTTP server reads from the connections, to which Attach was applied. Otherwise connections
 	// are those of package connector, on which every write completes a request.
 	IsHTTP bool
-	// ReceiveBuffer is the size in bytes of the kernel's receive buffer of each connection.
-	ReceiveBuffer int
+	// ReceiveBuffer is the size in bytes of the kernel's receive buffer of each connection, Backlog the number of
+	// connections that wait to be accepted, each with such a buffer.
+	ReceiveBuffer, Backlog int
 	// ExtraBytes is memory that counts for each connection in addition.
 	ExtraBytes int64
 }
@@ -52,11 +53,11 @@
 // Configurations of the listeners of an entry. Directory has places for the callers that ask it, Operators is for readiness
 // checks and metrics, Peers for other entries, whose messages of up to 32 KiB count here.
 var (
-	Callers   = ListenerConfig{Name: "callers", Share: 0.1, IsHTTP: true, ReceiveBuffer: smallBuffer}
-	Directory = ListenerConfig{Name: "directory", Share: 0.1, IsHTTP: true, ReceiveBuffer: smallBuffer}
-	Readiness = ListenerConfig{Name: "readiness", Share: 0.1, MaxReserved: 32, IsPrivate: true, IsHTTP: true, ReceiveBuffer: smallBuffer}
-	Metrics   = ListenerConfig{Name: "metrics", Share: 0.1, MaxReserved: 32, IsPrivate: true, IsHTTP: true, ReceiveBuffer: smallBuffer}
-	Peers     = ListenerConfig{Name: "peers", Share: 0.25, ReceiveBuffer: 2 * smallBuffer, ExtraBytes: 32 << 10}
+	Callers   = ListenerConfig{Name: "callers", Share: 0.1, IsHTTP: true, ReceiveBuffer: smallBuffer, Backlog: 512}
+	Directory = ListenerConfig{Name: "directory", Share: 0.1, IsHTTP: true, ReceiveBuffer: smallBuffer, Backlog: 256}
+	Readiness = ListenerConfig{Name: "readiness", Share: 0.1, MaxReserved: 32, IsPrivate: true, IsHTTP: true, ReceiveBuffer: smallBuffer, Backlog: 64}
+	Metrics   = ListenerConfig{Name: "metrics", Share: 0.1, MaxReserved: 32, IsPrivate: true, IsHTTP: true, ReceiveBuffer: smallBuffer, Backlog: 64}
+	Peers     = ListenerConfig{Name: "peers", Share: 0.25, ReceiveBuffer: smallBuffer, Backlog: 256, ExtraBytes: 32 << 10}
 )
 
 // smallBuffer is the receive buffer of a connection on which no large body arrives.
@@ -80,6 +81,7 @@
 func (a *Acceptor) Listen(l net.Listener, c ListenerConfig) *Listener {
 	counted := &Listener{Listener: l, acceptor: a, config: c, freed: make(chan struct{}, 1)}
 	setReceiveBuffer(l, c.ReceiveBuffer) // inherited by connections, also by those not accepted yet
+	control(l, func(fd int) { _ = unix.Listen(fd, c.Backlog) })
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	a.listeners = append(a.listeners, counted)
@@ -121,32 +123,26 @@
 	setOption(socket, unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, 2*bytes)
 }
 
-// setOption sets an option of a socket, and does nothing for simulated ones.
+// setOption sets an option of a socket.
 func setOption(socket any, level, option, value int) {
+	control(socket, func(fd int) { _ = unix.SetsockoptInt(fd, level, option, value) })
+}
+
+// control calls f with the descriptor of a socket, and reports whether it did; there is none in simulated networks.
+func control(socket any, f func(fd int)) bool {
 	s, ok := socket.(syscall.Conn)
 	if !ok {
-		return
+		return false
 	}
 	raw, err := s.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), level, option, value) })
+	return err == nil && raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
 }
 
 // hasUnread reports whether the kernel holds bytes of a connection that have not been read, and true if that is unknown.
 func hasUnread(connection net.Conn) bool {
-	s, ok := connection.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return true
-	}
-	unread, ioctlErr := 0, error(nil)
-	err = raw.Control(func(fd uintptr) { unread, ioctlErr = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
-	return err != nil || ioctlErr != nil || unread > 0
+	unread, err := 0, error(nil)
+	hasSocket := control(connection, func(fd int) { unread, err = unix.IoctlGetInt(fd, unix.TIOCINQ) })
+	return !hasSocket || err != nil || unread > 0
 }
 
 // answer sends a refusal on a connection that the caller has given up, and closes it once its client has read that, or
--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -81,7 +81,7 @@
 const (
 	// heapFraction is the fraction of the memory of a process that its heap may grow to. The rest is for what the Go
 	// runtime does not count: the program itself, and bytes that have arrived and are not read yet.
-	heapFraction = 0.8
+	heapFraction = 0.7
 	// accountFraction is the fraction of the memory of a process that an Account may hold. The rest of the heap is for
 	// the state of the entry and for garbage.
 	accountFraction = 0.375
