--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -132,8 +132,8 @@
 	return &Acceptor{config: c, maxConnections: MaxConnections(SystemDescriptors()), refused: newRefusalCounter(c.Log, c.Scope), lingering: make(chan struct{}, maxLingering)}
 }
 
-// SetMaxConnections sets the maximum number of connections at all listeners; see MaxConnections. If more are open, none is accepted for which no other one
-// can be closed.
+// SetMaxConnections sets the maximum number of connections at all listeners; see MaxConnections. If more are open, none is
+// accepted for which no other one can be closed.
 func (a *Acceptor) SetMaxConnections(n int) {
 	a.lock.Lock()
 	defer a.lock.Unlock()
@@ -178,9 +178,6 @@
 			if c == nil {
 				continue
 			}
-			if c.isWriting() {
-				continue
-			}
 			if left := c.patience() - now.Sub(c.since); left > 0 {
 				if wait == 0 || left < wait {
 					wait = left
@@ -311,10 +308,8 @@
 	now := time.Now()
 	for _, l := range a.listeners {
 		closeOlder := func(waiting *connList, limit time.Duration, reason string, status int) {
-			for _, c := range waiting.olderThan(now.Add(-limit)) {
-				if !c.isWriting() {
-					a.end(c, reason, status)
-				}
+			for c := waiting.oldest(); c != nil && now.Sub(c.since) >= limit; c = waiting.oldest() {
+				a.end(c, reason, status)
 			}
 		}
 		closeOlder(&l.reading, limits.headTimeout(), reasonHeadTimeout, http.StatusRequestTimeout)
--- a/acceptor/listener.go
+++ b/acceptor/listener.go
@@ -191,23 +191,16 @@
 	c.since, c.list, c.element = now, l, l.conns.PushBack(c)
 }
 
-// oldest returns the connection that was added first; nil if there is none.
+// oldest returns the connection that was added first, of those to which nothing is being written; nil if there is none.
 func (l *connList) oldest() *Conn {
-	if front := l.conns.Front(); front != nil {
-		return front.Value.(*Conn)
+	for e := l.conns.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*Conn); !c.isWriting() {
+			return c
+		}
 	}
 	return nil
 }
 
-// olderThan returns the connections that were added before a time.
-func (l *connList) olderThan(limit time.Time) []*Conn {
-	var out []*Conn
-	for e := l.conns.Front(); e != nil && !e.Value.(*Conn).since.After(limit); e = e.Next() {
-		out = append(out, e.Value.(*Conn))
-	}
-	return out
-}
-
 type connKey struct{}
 
 // Attach makes an HTTP server tell the acceptor of its connections. It must be called before the server starts, and once
--- a/logger/events_test.go
+++ b/logger/events_test.go
@@ -19,7 +19,7 @@
 // explained nowhere.
 func TestEventsAreThoseOfTheCode(t *testing.T) {
 	used := map[string]bool{"log_lines_dropped": true, "configuration": true, "upstream": true, "evacuation": true}
-	for _, pattern := range []string{"../controller/*.go", "../isolator/*.go", "../forwarder/*.go", "../launcher/*.go", "../tunneler/*.go", "../cmd/sapphireramp/gateway.go"} {
+	for _, pattern := range []string{"../acceptor/*.go", "../controller/*.go", "../isolator/*.go", "../forwarder/*.go", "../launcher/*.go", "../tunneler/*.go", "../cmd/sapphireramp/gateway.go"} {
 		files, err := filepath.Glob(pattern)
 		if err != nil {
 			t.Fatal(err)
