connector, acceptor: a method without a caller is gone; a comment names what is there

limitedConn.NetConn had no caller: Unwrap reads the field. The comment on the listeners named a configuration that does not exist. Nothing else changes; lint, and the tests of acceptor, connector and forwarder passed.

--- a/acceptor/listener.go
+++ b/acceptor/listener.go
@@ -50,8 +50,8 @@
 	return connectionBytes + c.ExtraBytes + int64(unreadFactor*float64(c.ReceiveBuffer))
 }
 
-// Configurations of the listeners of an entry. Directory has places for the callers that ask it, Operators is for readiness
-// checks and metrics, Peers for other entries, whose messages of up to 32 KiB count here.
+// Configurations of the listeners of an entry. Readiness and Metrics are for the platform and operators, Peers for other
+// entries, whose messages of up to 32 KiB count with their connection.
 var (
 	Callers   = ListenerConfig{Name: "callers", Share: 0.1, IsHTTP: true, ReceiveBuffer: smallBuffer, Backlog: 512}
 	Directory = ListenerConfig{Name: "directory", Share: 0.1, IsHTTP: true, ReceiveBuffer: smallBuffer, Backlog: 256}
--- a/connector/head.go
+++ b/connector/head.go
@@ -80,9 +80,6 @@
 	return c.Conn.Close()
 }
 
-// NetConn returns the connection that dial opened.
-func (c *limitedConn) NetConn() net.Conn { return c.Conn }
-
 // Unwrap returns the connection that was opened, from one that an HTTP client uses.
 func Unwrap(c net.Conn) net.Conn {
 	if wrapped, ok := c.(*limitedConn); ok {
