connector: the timeout of a call does not count the time of a suspension

Cause: Pool.Call measured its timeout with a plain timer, which fires as soon as a suspended process runs again, before the reply is read that arrived meanwhile.

--- a/connector/pool.go
+++ b/connector/pool.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/accountant"
+	"github.com/sapphireramp/sapphireramp/watcher"
 )
 
 // ErrTimeout is returned by Pool.Call if the peer did not reply before the timeout.
@@ -54,8 +55,8 @@
 }
 
 // Call calls a net/rpc method of the peer at an address and waits for the reply. It connects first
-// if there is no connection; the timeout applies to the connecting and to the call separately. If
-// the method itself fails, the error wraps an rpc.ServerError. After any other error of the call,
+// if there is no connection; the timeout applies to the connecting and to the call separately, and does not count
+// the time in which this process was suspended. If the method itself fails, the error wraps an rpc.ServerError. After any other error of the call,
 // such as ErrTimeout, the connection is closed.
 func (p *Pool) Call(address netip.AddrPort, method string, args, reply any, timeout time.Duration) error {
 	c, err := p.client(address, timeout)
@@ -63,13 +64,14 @@
 		return fmt.Errorf("connect to peer: %w", err)
 	}
 	defer p.release(c)
-	timer := time.NewTimer(timeout)
+	late := make(chan struct{})
+	timer := watcher.NewSilenceTimer(timeout, func() { close(late) })
 	defer timer.Stop()
 	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		err = call.Error
-	case <-timer.C:
+	case <-late:
 		err = ErrTimeout
 	}
 	var serverError rpc.ServerError
@@ -88,9 +90,14 @@
 	if c := p.acquire(address); c != nil {
 		return c, nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	timer := watcher.NewSilenceTimer(timeout, func() { cancel(ErrTimeout) })
 	connection, err := p.dial(ctx, "tcp", address.String())
+	timer.Stop()
+	if err != nil && errors.Is(context.Cause(ctx), ErrTimeout) {
+		return nil, ErrTimeout
+	}
 	if err != nil {
 		return nil, err
 	}
