follower: a connection that fails silently explains no removal

Cause: any failed call of an entry made a removal that it read next one that may be a lapse, whose upstream is used for another 2.3 s. But a registration lasts three heartbeats without renewal, and a watch on a silent connection fails after 1.2 s.

The follower records when the store had last served for a whole heartbeat, in which each upstream renews its registration. An outage that began after that and is shorter than the lease less one renewal explains no removal. Without the setting nothing changes.

The old half of the simulation runs as it was, 12 ticks later.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -65,6 +65,9 @@
 	// MaxPropagation is the maximum time from a change in the store until this entry
 	// uses the changed configuration or upstreams for new requests.
 	MaxPropagation time.Duration
+	// RegistrationLease is how long the registration of an upstream lasts in the store after it was renewed,
+	// RenewalInterval how often, approximately, upstreams renew it. Both are 0 if unknown.
+	RegistrationLease, RenewalInterval time.Duration
 	// Speed is the processor capacity of this entry in cores; 0 if unknown.
 	Speed float64
 	// IsFirstStart is true if no entry of the fleet has run before those that start now.
@@ -256,6 +259,9 @@
 		prober: prober.New(prober.Config{Name: c.config.Name, Incarnation: c.config.Incarnation, DataCentre: c.config.DataCentre, Neighbours: heartbeatNeighbours, SuspectAfter: deadTimeout}),
 	}
 	s.follower.SetMaxUseAfterRemoval(c.config.MaxPropagation)
+	if c.config.RegistrationLease > 0 {
+		s.follower.SetRegistrationLease(c.config.RegistrationLease, c.config.RenewalInterval)
+	}
 	c.goBackground(func() { c.followStore(ctx) })
 	c.goBackground(func() { c.sendHeartbeats(ctx) })
 	c.goBackground(func() { c.sendLoadUpdates(ctx, loadSocket) })
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -110,6 +110,8 @@
 	// maxUseAfterRemoval is the longest time for which an upstream may still get work after
 	// its registration was removed intentionally.
 	maxUseAfterRemoval time.Duration
+	// service tells whether an outage of the store can have lasted long enough for a registration to lapse.
+	service serviceRecord
 	// confirmedAt is when a reply of the store last showed that this state is current, to
 	// this entry or to a peer with the same state; zero if none did.
 	confirmedAt time.Time
@@ -159,7 +161,7 @@
 // ApplyStoreRead merges what this entry itself has just read from the store, a complete state or
 // changes, and returns the changes. It treats a removal as a possible lapse of the registration
 // only if a store call of this entry failed since its last successful one, or if that was more
-// than maxReadGap ago. If the reads of this entry succeeded throughout, removals are intentional,
+// than maxReadGap ago, and the outage can have lasted long enough (see SetRegistrationLease). If the reads of this entry succeeded throughout, removals are intentional,
 // whatever failures other entries report, and are passed on to other entries as such. Otherwise, if
 // the store failed only some entries, a removed upstream would get work for 2.3 s, more than the 2 s
 // that the platform allows.
@@ -167,7 +169,7 @@
 	if !f.enterEpoch(now, s, complete) {
 		return nil
 	}
-	doubtful := f.ownFailureAt.After(f.ownReadAt) || now.Sub(f.ownReadAt) > maxReadGap
+	doubtful := (f.ownFailureAt.After(f.ownReadAt) || now.Sub(f.ownReadAt) > maxReadGap) && f.service.allowsLapse(now)
 	retention := time.Duration(0)
 	if doubtful {
 		retention = f.retentionTime(now)
@@ -294,12 +296,12 @@
 
 // retentionTime returns for how much longer an upstream is used whose registration lapsed in the
 // last outage of the store: until reregisterTime after the last failed store call. It returns 0 if
-// the store confirmed the state since. If no call of this entry has failed since its last successful
+// the store confirmed the state since, or so shortly before that no registration can have lapsed. If no call of this entry has failed since its last successful
 // one, the outage may affect only other entries and the removal be intentional, so the upstream is
 // used for at most maxUseAfterRemoval after the last confirmation. If it was a real outage, too short
 // for this entry to have called the store in it, the upstream is used again once it registers.
 func (f *Follower) retentionTime(now time.Time) time.Duration {
-	if f.lastFailureAt.IsZero() || f.confirmedAt.After(f.lastFailureAt) {
+	if f.lastFailureAt.IsZero() || f.confirmedAt.After(f.lastFailureAt) || !f.service.allowsLapse(now) {
 		return 0
 	}
 	remaining := reregisterTime - now.Sub(f.lastFailureAt)
@@ -334,13 +336,17 @@
 
 // ClearConfirmation discards the time of the last confirmation. It is called after a suspension
 // of this process, when the age of the state is unknown.
-func (f *Follower) ClearConfirmation() { f.confirmedAt = time.Time{} }
+func (f *Follower) ClearConfirmation() {
+	f.confirmedAt = time.Time{}
+	f.service.clear()
+}
 
 // Confirm records that a reply of the store at the given time, to this entry or to a peer with
 // the same state, showed that the present state was current.
 func (f *Follower) Confirm(at time.Time) {
 	if at.After(f.confirmedAt) {
 		f.confirmedAt = at
+		f.service.confirm(at)
 	}
 }
 
--- a/follower/outage_test.go
+++ b/follower/outage_test.go
@@ -52,14 +52,32 @@
 	// when the store last failed all entries. recoveredAt is when it served an entry again
 	// after a lapse; zero until then.
 	removedAt, allFailedAt, recoveredAt time.Time
+	// hasLease is true if registrations lapse only after renewalInterval and registrationLease of an outage.
+	hasLease bool
+	// servedAt is the last time at which the store served an entry, outages how often it has failed all entries.
+	servedAt time.Time
+	outages  int
+	// isShortOutage is true if the upstream was removed during or after the only outage, of at most shortOutage, and no call
+	// has failed since that outage.
+	isShortOutage bool
 }
 
-func newSimulation(t *testing.T, name string) *simulation {
-	o := &simulation{t: t, name: name, now: start, listed: true, changes: []follower.Listed{ready("a", 1)}}
+const (
+	registrationLease, renewalInterval = 3600 * time.Millisecond, 1200 * time.Millisecond
+	// shortOutage is the time without service that a connection to the store causes that fails silently.
+	shortOutage = 1600 * time.Millisecond
+)
+
+func newSimulation(t *testing.T, name string, hasLease bool) *simulation {
+	o := &simulation{t: t, name: name, now: start, listed: true, changes: []follower.Listed{ready("a", 1)}, hasLease: hasLease}
 	for i := range 3 {
-		o.entries = append(o.entries, &simEntry{Follower: follower.New(), isReader: i < 2})
+		e := &simEntry{Follower: follower.New(), isReader: i < 2}
+		if hasLease {
+			e.SetRegistrationLease(registrationLease, renewalInterval)
+		}
+		o.entries = append(o.entries, e)
 	}
-	o.run(8)
+	o.run(20)
 	return o
 }
 
@@ -75,18 +93,22 @@
 		for i, e := range o.entries {
 			e.failing = failing[i]
 		}
+		o.isShortOutage = false
 	case "recover":
 		for _, e := range o.entries {
 			e.failing = false
 		}
 	case "lapse":
-		if !o.listed || !o.failsAll() {
+		if !o.listed || !o.failsAll() || o.hasLease && o.now.Sub(o.servedAt) < registrationLease-renewalInterval {
 			return false
 		}
 		o.listed, o.lapsed, o.recoveredAt = false, true, time.Time{}
 		o.changes = append(o.changes, gone("a", int64(len(o.changes)+1)))
 	case "remove":
-		if !o.listed || o.failsAll() || o.now.Sub(o.allFailedAt) < failureFreeTime {
+		isCalm := !o.failsAll() && o.now.Sub(o.allFailedAt) >= failureFreeTime
+		isServed := !slices.ContainsFunc(o.entries, func(e *simEntry) bool { return e.failing })
+		o.isShortOutage = o.hasLease && (isServed || o.failsAll()) && o.outages <= 1 && o.now.Sub(o.servedAt) <= shortOutage
+		if !o.listed || !isCalm && !o.isShortOutage {
 			return false
 		}
 		o.listed, o.removedAt = false, o.now
@@ -107,6 +129,9 @@
 		o.now = o.now.Add(tickPeriod)
 		o.tick++
 		if o.failsAll() {
+			if o.allFailedAt.Before(o.servedAt) {
+				o.outages++
+			}
 			o.allFailedAt = o.now
 		} else if o.recoveredAt.IsZero() {
 			o.recoveredAt = o.now
@@ -121,6 +146,7 @@
 		if o.tick%heartbeatTicks == 0 {
 			o.exchange()
 		}
+		o.isShortOutage = o.isShortOutage && o.now.Sub(o.servedAt) <= shortOutage
 		o.check()
 	}
 }
@@ -135,10 +161,12 @@
 	s := follower.State{Revision: int64(len(o.changes)), Config: []byte("c"), ConfigRevision: 1}
 	if e.Revision() > 0 {
 		s.Instances = o.changes[e.Revision():]
+		o.servedAt = o.now
 		e.ApplyStoreRead(o.now, s, false)
 		return
 	}
 	s.Instances = o.changes[len(o.changes)-1:]
+	o.servedAt = o.now
 	e.ApplyStoreRead(o.now, s, true)
 }
 
@@ -177,7 +205,7 @@
 	for i, e := range o.entries {
 		isUsable := usableIDs(e.Follower) == "a"
 		hadNoFailure := o.now.Sub(e.failedAt) > failureFreeTime && o.now.Sub(o.allFailedAt) > failureFreeTime
-		if !o.removedAt.IsZero() && !o.listed && isUsable && hadNoFailure && o.now.Sub(o.removedAt) >= removalBound {
+		if !o.removedAt.IsZero() && !o.listed && isUsable && (hadNoFailure || o.isShortOutage) && o.now.Sub(o.removedAt) >= removalBound {
 			o.t.Fatalf("%s: entry %d still uses the upstream %s after its removal", o.name, i, o.now.Sub(o.removedAt))
 		}
 		sawOutage := o.now.Sub(e.failedAt) < minRetention
@@ -195,15 +223,22 @@
 // removed and returns, in every order of up to five events and at two paces. In no order does
 // a removed upstream get work after two seconds from an entry that the store did not fail, or
 // does an entry that saw the outage drop a lapsed upstream. After the store recovers, all
-// entries use a registered upstream within three seconds.
+// entries use a registered upstream within three seconds. With a known lease, no entry uses a removed upstream after two
+// seconds if the store was away for too short a time for its registration to lapse.
 func TestRemovalsAndLapsesInEveryOrder(t *testing.T) {
+	for _, hasLease := range []bool{false, true} {
+		t.Run(fmt.Sprintf("lease known %t", hasLease), func(t *testing.T) { testEveryOrder(t, hasLease) })
+	}
+}
+
+func testEveryOrder(t *testing.T, hasLease bool) {
 	alphabet := []string{"fail all", "fail first", "fail second", "fail both", "recover", "lapse", "remove", "return"}
 	cases := 0
 	var extend func(prefix []string)
 	extend = func(prefix []string) {
 		if len(prefix) > 0 {
 			for _, ticks := range []int{5, 13} {
-				if !simulate(t, prefix, ticks) {
+				if !simulate(t, prefix, ticks, hasLease) {
 					return
 				}
 				cases++
@@ -224,8 +259,8 @@
 }
 
 // simulate runs a sequence of events, and reports whether all of them were possible.
-func simulate(t *testing.T, events []string, ticks int) bool {
-	o := newSimulation(t, fmt.Sprintf("%v every %d ticks", events, ticks))
+func simulate(t *testing.T, events []string, ticks int, hasLease bool) bool {
+	o := newSimulation(t, fmt.Sprintf("%v every %d ticks", events, ticks), hasLease)
 	for _, what := range events {
 		if !o.apply(what) {
 			return ticks != 5 // only an event that is impossible at the faster pace ends this branch
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -86,6 +86,9 @@
 	// MaxPropagation is the longest allowed time from a change in the store until all entries apply the
 	// change.
 	MaxPropagation time.Duration
+	// RegistrationLease is how long the registration of an upstream lasts in the store after it was renewed,
+	// RenewalInterval how often, approximately, upstreams renew it. Both are 0 if unknown.
+	RegistrationLease, RenewalInterval time.Duration
 	// Speed is the speed of the entry's machine, as a number of processor cores; 0 if unknown.
 	Speed float64
 	// Protocol reads and writes the headers of requests and responses.
@@ -200,7 +203,7 @@
 	reservationHTTPClient := &http.Client{Transport: &http.Transport{DialContext: connector.LimitHead(l.tunneler.Dial, c.Account), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: connector.MaxHeadBytes}}
 	l.controller = controller.New(controller.Config{
 		Name: c.Name, DataCentre: c.DataCentre, Regions: c.Regions, Incarnation: incarnation, IsFirstStart: c.IsFirstStart,
-		CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, LoadAddress: c.LoadAddress, Store: c.Store, MaxPropagation: c.MaxPropagation, Speed: c.Speed, SinceBoot: c.SinceBoot, Dispatcher: sharedDispatcher, Scheduler: returns, Quarantine: quarantine, Isolator: partIsolator, Tunneler: l.tunneler, Dial: c.Dial,
+		CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, LoadAddress: c.LoadAddress, Store: c.Store, MaxPropagation: c.MaxPropagation, RegistrationLease: c.RegistrationLease, RenewalInterval: c.RenewalInterval, Speed: c.Speed, SinceBoot: c.SinceBoot, Dispatcher: sharedDispatcher, Scheduler: returns, Quarantine: quarantine, Isolator: partIsolator, Tunneler: l.tunneler, Dial: c.Dial,
 		Ledger: ledger, PartStates: map[string]controller.PartStateFunc{
 			dispatcher.RateResource: sharedDispatcher.RatePart,
 			budgeter.RetryResource: func(now time.Time, resource string) (lender.State, bool) {
