forwarder: a silent attempt is cancelled once its retry is connected

A connection that was opened a moment ago does not show that the next one can be.

Change: the watchdog connects to the upstream that would be chosen, and cancels the attempt once that connection is open, its upstream still silent and the retry reserved. The retry is placed at that upstream, if it still accepts it, and uses the connection. As many connections are opened as before.

TestSilentCallIsKeptUntilItsRetryIsConnected is red before; TestRetryUsesItsConnection is red where the retry connects anew.

--- a/dispatcher/demand.go
+++ b/dispatcher/demand.go
@@ -41,6 +41,9 @@
 	// Avoid lists the incarnations of upstreams that have failed the request; it is not placed on
 	// them.
 	Avoid []Instance
+	// Prefer is the incarnation of an upstream to which a connection is open for the request. The request is placed
+	// there, unless that refuses it or a group of engines serves it better. It is zero if there is none.
+	Prefer Instance
 	// SentBefore is true for a request that was sent to an upstream before. It is not refused as
 	// overloaded, for its cost, or to defer it.
 	SentBefore bool
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -27,22 +27,22 @@
 	return p, nil
 }
 
-// Accepts reports whether a request would be placed on an upstream that accepts connections, and
-// would start without waiting for a slot. It records nothing. A request that moved away from a
-// silent engine to wait for a slot would only wait elsewhere, and prompts that are prefilled a
+// FindAccepting returns the first upstream on which a request would be placed, if that accepts connections
+// and the request would start there without waiting for a slot. It records nothing. A request that moved away
+// from a silent engine to wait for a slot would only wait elsewhere, and prompts that are prefilled a
 // second time would keep all slots taken.
-func (b *Dispatcher) Accepts(now time.Time, d Demand) bool {
+func (b *Dispatcher) FindAccepting(now time.Time, d Demand) (upstream Instance, ok bool) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	p, refusal := b.choose(now, d)
 	if refusal != nil {
-		return false
+		return Instance{}, false
 	}
 	u := p.request.assignments[0].upstream
 	if u.health.isBlocked(now) {
-		return false // chosen only where there is no other
+		return Instance{}, false // chosen only where there is no other
 	}
-	return u.engine == nil || p.Load.Running+spareSlots < u.engine.Slots
+	return p.First, u.engine == nil || p.Load.Running+spareSlots < u.engine.Slots
 }
 
 // choose chooses upstreams for a request without recording the placement. The lock must be held.
@@ -55,15 +55,32 @@
 		return nil, b.refuseNoneUsable(now, d)
 	}
 	p, refusal := b.chooseAmong(now, d, upstreams)
-	if !d.Isolated || refusal != nil || len(p.Helpers) > 0 {
+	if refusal != nil || len(p.Helpers) > 0 {
 		return p, refusal
 	}
+	if !d.Isolated {
+		return b.choosePreferred(now, d, upstreams, p), nil
+	}
 	if isolated, refusal := b.chooseAmong(now, d, b.leastLoaded(now, upstreams)); refusal == nil {
 		return isolated, nil
 	}
 	return p, nil
 }
 
+// choosePreferred returns a placement on the upstream that the demand prefers, or p where it prefers none or that upstream
+// refuses the request. The lock must be held.
+func (b *Dispatcher) choosePreferred(now time.Time, d Demand, upstreams []*upstream, p *Placement) *Placement {
+	for _, u := range upstreams {
+		if !u.instance.SameIncarnation(d.Prefer) {
+			continue
+		}
+		if preferred, refusal := b.chooseAmong(now, d, []*upstream{u}); refusal == nil {
+			return preferred
+		}
+	}
+	return p
+}
+
 // leastLoaded returns one of the upstreams with the fewest requests, at random, of those that fail no more often than
 // the others. The lock must be held.
 func (b *Dispatcher) leastLoaded(now time.Time, upstreams []*upstream) []*upstream {
--- a/dispatcher/place_test.go
+++ b/dispatcher/place_test.go
@@ -83,6 +83,12 @@
 	return out
 }
 
+// accepts reports whether an upstream accepts a request.
+func accepts(b *Dispatcher, now time.Time, d Demand) bool {
+	_, ok := b.FindAccepting(now, d)
+	return ok
+}
+
 var startTime = time.Unix(1000, 0)
 
 // A long prompt on an idle fleet is on time by a wide margin. One engine alone would need 3.05 s of
@@ -216,10 +222,10 @@
 	is := is.New(t)
 	b := testDispatcher(t, 4)
 	placeStreaming(t, b, startTime, shortDemand, 40)
-	is.True(b.Accepts(startTime, shortDemand))
+	is.True(accepts(b, startTime, shortDemand))
 	placeStreaming(t, b, startTime, shortDemand, 24)
-	is.True(!b.Accepts(startTime, shortDemand))
-	is.True(b.Accepts(startTime, Demand{Service: "app"}))
+	is.True(!accepts(b, startTime, shortDemand))
+	is.True(accepts(b, startTime, Demand{Service: "app"}))
 }
 
 // A long prompt is deferred while engines have a long prefill backlog, and placed once the backlog
@@ -511,11 +517,11 @@
 	is := is.New(t)
 	b, now := testDispatcher(t, 1), time.Now()
 	call := Demand{Service: "app"}
-	is.True(b.Accepts(now, call))
+	is.True(accepts(b, now, call))
 	for _, id := range []string{"s0", "s1", "s2"} {
 		b.upstreams[id].health.recordUnreachable(now)
 	}
-	is.True(!b.Accepts(now, call))
+	is.True(!accepts(b, now, call))
 	place(t, b, now, call) // a request without another upstream is sent there all the same
-	is.True(b.Accepts(now.Add(minBlock), call))
+	is.True(accepts(b, now.Add(minBlock), call))
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -92,13 +92,17 @@
 // classifies the response header. A resumed stream continues after the event with id lastEventID,
 // empty for a whole response. Each attempt must be ended with endAttempt, whatever its verdict.
 func (f *Forwarder) send(x *exchange, p *dispatcher.Placement, lastEventID string) *attempt {
-	ctx, cancel := context.WithCancelCause(tunneler.WithRequestID(x.ctx, x.metadata.ID))
+	dialContext := tunneler.WithRequestID(x.ctx, x.metadata.ID)
 	if homes := x.lastDemand.Homes; homes.IsRestricted() {
-		ctx = tunneler.WithRelayRegions(ctx, homes.Allows)
+		dialContext = tunneler.WithRelayRegions(dialContext, homes.Allows)
 	}
+	ctx, cancel := context.WithCancelCause(dialContext)
 	a := &attempt{placement: p, cancel: cancel, startedAt: time.Now()}
 	x.openAttempt = a
-	a.watchdog = f.startWatchdog(x, p, func() { cancel(errUpstreamSilent) })
+	prepared := x.prepared
+	x.prepared = nil
+	defer prepared.close()
+	a.watchdog = f.startWatchdog(dialContext, x, p, func() { cancel(errUpstreamSilent) })
 	p.OnRestart(func() { a.onUpstreamRestart(x.route.GapTarget) })
 	var err error
 	a.reservations, err = f.reserve(ctx, x, p, cancel)
@@ -116,7 +120,7 @@
 			a.watchdog.watchContact(f.tunneler.Contact(), x.route.GapTarget)
 		}
 	}})
-	request, err := f.buildRequest(ctx, x, a, lastEventID)
+	request, err := f.buildRequest(withPreparedConnection(ctx, prepared), x, a, lastEventID)
 	if err != nil {
 		a.verdict, a.err = verdictUnsent, err
 		return a
@@ -329,7 +333,7 @@
 func (f *Forwarder) endAttempt(x *exchange, a *attempt) {
 	x.placement, x.openAttempt = nil, nil
 	a.watchdog.stop()
-	a.watchdog.takeRetry().Release()
+	a.watchdog.takeRetry().release()
 	if a.verdict == verdictBroken && !a.isTunnelled() && f.tunneler.IsCutOff() {
 		// The connection broke or stalled with the links of this entry.
 		a.isLinkAtFault, a.connectionLost = true, false
--- a/forwarder/forward.go
+++ b/forwarder/forward.go
@@ -27,7 +27,10 @@
 	x.ctx, x.hasCallerLeft = ctx, func() bool { return caller.Err() != nil }
 	f.recognizeReturn(x)
 	f.retryBudget.RecordRequest(time.Now(), x.service)
-	defer func() { x.retry.Release() }() // of a retry that reached no upstream
+	defer func() { // of a retry that reached no upstream
+		x.retry.Release()
+		x.prepared.close()
+	}()
 	defer f.abandon(x)
 	var fail *failure
 	if x.isStream() {
@@ -69,7 +72,8 @@
 	if x.sentCount >= x.route.MaxAttempts || f.isSuspect(x, a) {
 		return false
 	}
-	if x.retry = a.watchdog.takeRetry(); x.retry != nil {
+	if retry := a.watchdog.takeRetry(); retry != nil {
+		x.retry, x.prepared = retry.reservation, retry.connection
 		return true
 	}
 	reservation, d := f.retryBudget.Reserve(time.Now(), x.service, f.view().RetryBudgetEntries)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -113,7 +113,7 @@
 func New(c Config) *Forwarder {
 	f := &Forwarder{
 		protocol: c.Protocol, reservationClient: c.Reservations, reservationTTL: c.ReservationTTL, maxIdle: c.MaxIdle, view: c.View, dispatcher: c.Dispatcher, retryBudget: c.RetryBudget, quarantine: c.Quarantine, isolator: c.Isolator, onCrash: c.OnCrash, scheduler: c.Scheduler, share: c.Share, account: c.Account, log: c.Log,
-		metrics: newMetrics(c.Scope), asserter: c.Asserter, tunneler: c.Tunneler, transport: newTransport(c.Tunneler.Dial, c.Account), exitDetector: connector.NewExitDetector(c.Tunneler.Dial),
+		metrics: newMetrics(c.Scope), asserter: c.Asserter, tunneler: c.Tunneler, transport: newTransport(dialPrepared(c.Tunneler.Dial), c.Account), exitDetector: connector.NewExitDetector(c.Tunneler.Dial),
 	}
 	f.handler = chain(f.forward, f.respond, f.recoverPanic, f.reserveMemory, f.requireConfig, f.limitHeader, f.matchRoute, f.readBody)
 	return f
@@ -184,6 +184,8 @@
 	// retry is the reservation in the retry budget of an attempt that has reached no upstream yet; nil if there is
 	// none, also for a request that no upstream has received.
 	retry *budgeter.Reservation
+	// prepared is a connection for the next attempt; nil if there is none.
+	prepared *preparedConnection
 	// failedUpstreams are the upstreams that failed this request and get no further attempt of it.
 	failedUpstreams []dispatcher.Instance
 	// lastDemand is the demand of the latest search for a placement.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -58,6 +60,24 @@
 	engines []*worker.Worker
 	// restored are servers started by the test, which are closed at its end.
 	restored []*http.Server
+	lock     sync.Mutex
+	// dials counts the connections that the entry has begun to open to each upstream.
+	dials map[string]int
+}
+
+// dial opens a connection of the entry to an upstream.
+func (f *fixture) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	f.lock.Lock()
+	f.dials[address]++
+	f.lock.Unlock()
+	return f.net.Dialer(entryHost)(ctx, network, address)
+}
+
+// countDials returns the number of connections that the entry has begun to open to an upstream.
+func (f *fixture) countDials(upstream netip.AddrPort) int {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.dials[upstream.String()]
 }
 
 var engineProfile = &matcher.EngineProfile{
@@ -85,7 +105,7 @@
 // withForwarder runs a test with a fixture in virtual time. The test fails if an invariant is violated.
 func withForwarder(t *testing.T, test func(f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fixture{is: is.New(t), net: network.New(), quarantine: quarantiner.New(), account: accountant.New(accountant.LimitFor(0))}
+		f := &fixture{is: is.New(t), dials: map[string]int{}, net: network.New(), quarantine: quarantiner.New(), account: accountant.New(accountant.LimitFor(0))}
 		protocol := platform.Protocol()
 		f.protocol = &protocol
 		f.retryBudget = budgeter.New(time.Now(), budgeter.Config{Ratio: 0.2, Window: 10 * time.Second, BaseRetries: 100})
@@ -112,7 +132,7 @@
 		f.dispatcher.SetPlacingEntries("entry", []string{"entry"})
 		invariants := asserter.New(func(name, detail string) { t.Errorf("%s: %s", name, detail) })
 		links := tunneler.New(tunneler.Config{
-			Name: "entry", DataCentre: "a", Dial: f.net.Dialer(entryHost), Relays: func() []tunneler.Relay { return nil }, OnCutOff: func(time.Time) {}, CloseIdle: func() {}, Log: zap.NewNop(), Scope: tally.NoopScope,
+			Name: "entry", DataCentre: "a", Dial: f.dial, Relays: func() []tunneler.Relay { return nil }, OnCutOff: func(time.Time) {}, CloseIdle: func() {}, Log: zap.NewNop(), Scope: tally.NoopScope,
 		})
 		defer links.Close()
 		links.SetUpstreams(tunnelUpstreams(f.instances))
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -48,6 +48,9 @@
 	d.Service, d.Avoid, d.NoHelpers = x.service, x.failedUpstreams, x.avoidGroups
 	d.FirstByteTarget, d.GapTarget = x.route.FirstByteTarget, x.route.GapTarget
 	d.SentBefore, d.MayHaveRun, d.Returns = x.sentCount > 0, x.pendingCount > 0, x.isReturn
+	if x.prepared != nil {
+		d.Prefer = x.prepared.upstream
+	}
 	d.Organisation, d.Rank = apportioner.NewOrganisation(x.organisation), x.rank
 	if f.tunneler.IsUnavailable() {
 		return nil, notRunFailure(reasonUpstreamsCutOff, f.tunneler.RetryAfter(), nil)
--- a/forwarder/retrybudget_test.go
+++ b/forwarder/retrybudget_test.go
@@ -77,3 +77,41 @@
 		f.is.Equal(a.status, 200)
 	})
 }
+
+// The same where the links fail just after a connection to another upstream has been opened. In a randomised test run, the
+// relay of a cut off entry opened one connection, and no more.
+func TestSilentCallIsKeptUntilItsRetryIsConnected(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		for _, w := range f.plain {
+			w.SetFault(worker.FaultSlow)
+		}
+		answered := make(chan answer, 1)
+		go func() { answered <- f.ask(request{path: "/safe/x", id: "kept"}) }()
+		time.Sleep(150 * time.Millisecond) // reached at 100 ms, silent for too long at 200 ms
+		for _, i := range f.instances {
+			f.net.RefuseConnections(entryHost, i.Address.Addr())
+		}
+		a := <-answered
+		f.is.NoErr(a.err)
+		f.is.Equal(a.status, 200)
+		f.is.Equal(len(f.plain[0].Executions())+len(f.plain[1].Executions()), 1)
+	})
+}
+
+// Guards against a retry that opens another connection than the one that was opened for it before the silent attempt was
+// cancelled.
+func TestRetryUsesItsConnection(t *testing.T) {
+	withForwarder(t, func(f *fixture) {
+		const calls = 20
+		f.plain[0].SetFault(worker.FaultNoAnswer)
+		for n := range calls {
+			a := f.ask(request{path: "/safe/x", id: fmt.Sprintf("retried-%d", n)})
+			f.is.NoErr(a.err)
+			f.is.Equal(a.status, 200)
+		}
+		retried := len(f.plain[0].Executions())
+		f.is.True(retried > 0)
+		// Each retry has one connection, and one before it that shows that upstreams can be reached.
+		f.is.True(f.countDials(f.instances[1].Address) <= calls+retried)
+	})
+}
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -57,15 +58,23 @@
 	// confirmReach begins to find out whether another upstream can be connected to. It is called recheckInterval
 	// before the attempt may be cancelled.
 	confirmReach func()
-	// reserveElsewhere returns a reservation of the retry if another upstream would accept the request and the
-	// retry budget allows it, nil otherwise. It is passed responseBegun.
-	reserveElsewhere func(begun bool) *budgeter.Reservation
+	// findElsewhere returns another upstream that would accept the request, if there is one that can be connected to.
+	// It is passed responseBegun and the upstreams in unreachable.
+	findElsewhere func(begun bool, unreachable []dispatcher.Instance) (dispatcher.Instance, bool)
+	// connect opens a connection to an upstream for a retry of the request.
+	connect func(dispatcher.Instance) (net.Conn, error)
+	// reserveRetry returns a reservation of the retry, or nil if the retry budget does not allow it.
+	reserveRetry func() *budgeter.Reservation
+	// unreachable holds the upstreams that connect found to be at fault.
+	unreachable []dispatcher.Instance
+	// isConnecting is true while connect is called.
+	isConnecting bool
 	// isPaused is true while the entry reads nothing from the upstream, from pause until recordRead.
 	isPaused bool
 	// isStopped is true once stop was called; the attempt is not cancelled any more.
 	isStopped bool
-	// retry is the reservation with which cancelAttempt was called, until takeRetry; nil before.
-	retry *budgeter.Reservation
+	// retry is the retry for which cancelAttempt was called, until takeRetry; nil before.
+	retry *preparedRetry
 	// stopWatchingContact ends the effect of watchContact; nil unless that was called.
 	stopWatchingContact func() bool
 	// cancelAttempt cancels the attempt with the cause errUpstreamSilent.
@@ -73,16 +82,26 @@
 }
 
 // startWatchdog starts the watchdog of an attempt at placement p. The watchdog calls cancelAttempt when
-// the upstream has sent nothing for longer than the limits allow and another upstream would accept the
-// request. startWatchdog returns nil if the request may not be sent again after this attempt, because
-// of its route's kind or MaxAttempts: the attempt may then wait until the deadline.
-func (f *Forwarder) startWatchdog(x *exchange, p *dispatcher.Placement, cancelAttempt func()) *watchdog {
+// the upstream has sent nothing for longer than the limits allow, another upstream would accept the
+// request, and a connection to that is open; it opens the connection with dialContext. startWatchdog returns nil
+// if the request may not be sent again after this attempt, because of its route's kind or MaxAttempts: the attempt may
+// then wait until the deadline.
+func (f *Forwarder) startWatchdog(dialContext context.Context, x *exchange, p *dispatcher.Placement, cancelAttempt func()) *watchdog {
 	if !x.route.IsRepeatable() || x.sentCount+1 >= x.route.MaxAttempts {
 		return nil
 	}
 	w := &watchdog{lastReadAt: time.Now(), responseBegun: x.responseBegun, cancelAttempt: cancelAttempt, expectedBusy: func() time.Duration { return 0 }}
 	w.confirmReach = func() { f.tunneler.ConfirmReach(p.First.Address, reachTTL-recheckInterval) }
-	w.reserveElsewhere = func(begun bool) *budgeter.Reservation { return f.reserveElsewhere(x, p, begun) }
+	w.findElsewhere = func(begun bool, unreachable []dispatcher.Instance) (dispatcher.Instance, bool) {
+		return f.findElsewhere(x, p, begun, unreachable)
+	}
+	w.connect = func(upstream dispatcher.Instance) (net.Conn, error) {
+		return f.tunneler.Dial(dialContext, "tcp", upstream.Address.String())
+	}
+	w.reserveRetry = func() *budgeter.Reservation {
+		reservation, _ := f.retryBudget.Reserve(time.Now(), x.service, f.view().RetryBudgetEntries)
+		return reservation
+	}
 	w.silenceLimit = plainSilenceFactor * x.route.FirstByteTarget
 	w.busySilenceLimit = w.silenceLimit
 	if x.isStream() {
@@ -114,14 +133,12 @@
 	})
 }
 
-// checkSilence is called when the timer fires. It cancels the attempt if its upstream has sent nothing
-// for longer than allowed and another upstream accepts the request. Otherwise it schedules the next
-// check.
+// checkSilence is called when the timer fires. If the upstream has sent nothing for longer than allowed and another one
+// accepts the request, it connects to that. Otherwise it schedules the next check.
 func (w *watchdog) checkSilence() {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	allowed := min(w.busySilenceLimit, max(w.silenceLimit, time.Duration(busyPrefillFactor*float64(w.expectedBusy()))))
-	remaining := allowed - time.Since(w.lastReadAt)
+	remaining := w.remaining()
 	if remaining > recheckInterval {
 		w.timer.Reset(remaining - recheckInterval)
 		return
@@ -131,23 +148,59 @@
 		w.timer.Reset(remaining)
 		return
 	}
-	if w.isStopped || w.retry != nil {
-		return // the attempt has ended, or is cancelled already
+	if w.isStopped || w.retry != nil || w.isConnecting {
+		return // the attempt has ended, is cancelled already, or prepareRetry goes on
 	}
 	if w.isPaused {
 		w.timer.Reset(recheckInterval)
 		return
 	}
-	if w.retry = w.reserveElsewhere(w.responseBegun); w.retry == nil {
+	upstream, ok := w.findElsewhere(w.responseBegun, w.unreachable)
+	if !ok {
+		w.timer.Reset(recheckInterval)
+		return
+	}
+	w.isConnecting = true
+	go w.prepareRetry(upstream)
+}
+
+// remaining returns for how much longer the upstream may send nothing. The lock must be held.
+func (w *watchdog) remaining() time.Duration {
+	allowed := min(w.busySilenceLimit, max(w.silenceLimit, time.Duration(busyPrefillFactor*float64(w.expectedBusy()))))
+	return allowed - time.Since(w.lastReadAt)
+}
+
+// prepareRetry connects to an upstream, and cancels the attempt if that succeeds, the attempt's upstream is still silent
+// and the retry budget allows a retry. While links are down, a connection that was opened a moment before does not show
+// that another one can be, and the attempt that is given up may be the only one that ends.
+func (w *watchdog) prepareRetry(upstream dispatcher.Instance) {
+	connection, err := w.connect(upstream)
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.isConnecting = false
+	if err != nil && !isCutOff(err) {
+		w.unreachable = append(w.unreachable, upstream)
+	}
+	if err != nil {
+		w.timer.Reset(recheckInterval)
+		return
+	}
+	retry := &preparedRetry{connection: &preparedConnection{upstream: upstream, connection: connection}}
+	if !w.isStopped && !w.isPaused && w.remaining() <= 0 {
+		retry.reservation = w.reserveRetry()
+	}
+	if retry.reservation == nil {
+		retry.release()
 		w.timer.Reset(recheckInterval)
 		return
 	}
+	w.retry = retry
 	w.cancelAttempt()
 }
 
-// takeRetry returns the reservation of the retry for which the watchdog cancelled the attempt, and leaves it to the
+// takeRetry returns the retry for which the watchdog cancelled the attempt, and leaves it to the
 // caller; nil if there is none. A nil watchdog is allowed.
-func (w *watchdog) takeRetry() *budgeter.Reservation {
+func (w *watchdog) takeRetry() *preparedRetry {
 	if w == nil {
 		return nil
 	}
@@ -158,13 +211,11 @@
 	return r
 }
 
-// reserveElsewhere reserves a retry of the request if an upstream other than the first of placement p would accept
-// the request and can be connected to, and the retry budget allows it; it returns nil otherwise. begun is true if the response has begun. The
-// retry is reserved before the attempt is cancelled: of several attempts that are silent at the same moment, the budget
-// may allow to retry one.
-func (f *Forwarder) reserveElsewhere(x *exchange, p *dispatcher.Placement, begun bool) *budgeter.Reservation {
+// findElsewhere returns an upstream other than the first of placement p and the unreachable ones that would accept the
+// request, if any can be connected to. begun is true if the response has begun.
+func (f *Forwarder) findElsewhere(x *exchange, p *dispatcher.Placement, begun bool, unreachable []dispatcher.Instance) (dispatcher.Instance, bool) {
 	d := x.lastDemand
-	d.Avoid = append(slices.Clone(d.Avoid), p.First)
+	d.Avoid = append(append(slices.Clone(d.Avoid), p.First), unreachable...)
 	d.SentBefore, d.MayHaveRun = false, true
 	now, v := time.Now(), f.view()
 	if x.mayOutlastEntry(v) && x.isStream() && !begun {
@@ -173,11 +224,8 @@
 		// the stream of the silent engine anyway.
 		d = x.limitToStop(v, d)
 	}
-	if !f.dispatcher.Accepts(now, d) || !f.tunneler.ConfirmReach(p.First.Address, reachTTL) {
-		return nil
-	}
-	r, _ := f.retryBudget.Reserve(now, x.service, v.RetryBudgetEntries)
-	return r
+	upstream, ok := f.dispatcher.FindAccepting(now, d)
+	return upstream, ok && f.tunneler.ConfirmReach(p.First.Address, reachTTL)
 }
 
 // recordRead records that a new event of the response has just arrived, from which the silence is measured.
