prober, connector, dispatcher: what clients name at the addresses for entries is bounded

A client that sends heartbeats to an entry, naming entries that do not exist, ends its process.

Cause: messages and connections at these addresses were bounded, what they leave was not. Each name became a member for good; notices and requests of others had no bound; a decoded heartbeat waited for its turn without a limit and takes up to thirty times its bytes; replies that nobody reads were kept up to 16 MiB for each connection; a contact without an address for callers was given to them.

Change: an entry knows at most 4,096 members (the dead make room first, then those that were only named), 16,384 notices and 65,536 requests of others, with names of 255 bytes. Calls on accepted connections are 256 KiB at most on the platform and count 24 times above 4 KiB, 128 heartbeats are processed at a time, and unread replies need memory. Members without an address are not given to callers.

--- a/connector/frame.go
+++ b/connector/frame.go
@@ -17,11 +17,11 @@
 )
 
 // FrameTooLargeError is the error of reading from a connection to another entry on which a message begins that is larger
-// than MaxFrameBytes, or bytes that are none.
-type FrameTooLargeError struct{ Size uint64 }
+// than Max bytes, or bytes that are none.
+type FrameTooLargeError struct{ Size, Max uint64 }
 
 func (e FrameTooLargeError) Error() string {
-	return fmt.Sprintf("message of %d bytes: must be at most %d", e.Size, MaxFrameBytes)
+	return fmt.Sprintf("message of %d bytes: must be at most %d", e.Size, e.Max)
 }
 
 // TypesTooLargeError is the error of reading from a connection to another entry on which more than MaxTypeBytes of type
@@ -60,6 +60,8 @@
 // frameScanner follows the messages in a stream of package encoding/gob, each of which begins with its length and the ID of
 // its type, a signed integer; a message with a negative ID defines a type.
 type frameScanner struct {
+	// max is the maximum size of a message.
+	max uint64
 	// length is the length of the current message, id the ID, as far as they have come.
 	length, id gobUint
 	// left is the number of bytes of the current message that are still to come. needsID is true until its ID has come.
@@ -91,8 +93,8 @@
 			continue
 		}
 		isComplete := s.length.add(b)
-		if s.length.isTooLong() || s.length.value > MaxFrameBytes {
-			return largest, FrameTooLargeError{Size: s.length.value}
+		if s.length.isTooLong() || s.length.value > s.max {
+			return largest, FrameTooLargeError{Size: s.length.value, Max: s.max}
 		}
 		if isComplete {
 			s.left, s.needsID = s.length.value, s.length.value > 0
@@ -106,7 +108,7 @@
 func (s *frameScanner) scanID(b byte) error {
 	isComplete := s.id.add(b)
 	if s.id.isTooLong() {
-		return FrameTooLargeError{Size: s.length.value}
+		return FrameTooLargeError{Size: s.length.value, Max: s.max}
 	}
 	if !isComplete && s.left > 0 {
 		return nil
--- a/connector/frame_test.go
+++ b/connector/frame_test.go
@@ -27,7 +27,7 @@
 		is.NoErr(encoder.Encode(struct{ Text string }{strings.Repeat("x", size)}))
 	}
 	for _, step := range []int{1, 2, 3, 7, 1000, stream.Len()} {
-		var s frameScanner
+		s := frameScanner{max: MaxFrameBytes}
 		data, largest := stream.Bytes(), uint64(0)
 		for len(data) > 0 {
 			n := min(step, len(data))
@@ -103,7 +103,7 @@
 		is := is.New(t)
 		account := accountant.New(16 << 20)
 		near, far := net.Pipe()
-		go rpc.NewServer().ServeConn(NewServedConn(near, account))
+		go rpc.NewServer().ServeConn(NewServedConn(near, account, DefaultServedLimits()))
 		const size = 1 << 20
 		_, err := far.Write(append([]byte("\xfc\x00\x10\x00\x00"), bytes.Repeat([]byte{2}, size-1)...))
 		is.NoErr(err)
@@ -121,7 +121,7 @@
 		is := is.New(t)
 		account := accountant.New(1 << 20)
 		near, far := net.Pipe()
-		go rpc.NewServer().ServeConn(NewServedConn(near, account))
+		go rpc.NewServer().ServeConn(NewServedConn(near, account, DefaultServedLimits()))
 		_, err := far.Write(append([]byte("\xfc\x00\x40\x00\x00"), bytes.Repeat([]byte{2}, 1<<20)...))
 		is.True(err != nil)
 		synctest.Wait()
@@ -129,6 +129,49 @@
 	})
 }
 
+// Guards against a client that calls and reads no reply: up to 16 MiB of them were kept for each connection.
+func TestUnreadRepliesNeedMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		account := accountant.New(1 << 20)
+		near, far := net.Pipe()
+		served := NewServedConn(near, account, DefaultServedLimits())
+		written, err := 0, error(nil)
+		for err == nil && written < maxPendingWrites {
+			_, err = served.Write(make([]byte, 64<<10))
+			written++
+		}
+		is.True(errors.Is(err, errQueueFull))
+		is.True(written<<16 <= 1<<20)
+		synctest.Wait()
+		is.Equal(account.Usage().Held, int64(0))
+		_ = far.Close()
+	})
+}
+
+// Guards against requests that are larger than any of an entry, whose lists take many times their bytes.
+func TestServedLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		account := accountant.New(16 << 20)
+		send := func(frame []byte) (held int64, err error) {
+			near, far := net.Pipe()
+			go rpc.NewServer().ServeConn(NewServedConn(near, account, ServedLimits{FrameBytes: 64 << 10, FreeBytes: 4 << 10, Copies: 24}))
+			_, err = far.Write(frame)
+			synctest.Wait()
+			held = account.Usage().Held
+			_ = far.Close()
+			synctest.Wait()
+			return held, err
+		}
+		held, err := send(append([]byte("\xfe\x80\x00"), bytes.Repeat([]byte{2}, 0x7000)...)) // of 32 KiB
+		is.NoErr(err)
+		is.Equal(held, int64(24*0x8000))
+		held, _ = send(append([]byte("\xfd\x01\x00\x01"), bytes.Repeat([]byte{2}, 0x7000)...)) // of 64 KiB and one byte
+		is.Equal(held, int64(0))
+	})
+}
+
 // Guards against type definitions without an end, which package encoding/gob keeps as long as the connection is open.
 func TestTypeDefinitionsAreBounded(t *testing.T) {
 	is := is.New(t)
@@ -140,7 +183,7 @@
 		is.NoErr(encoder.EncodeValue(reflect.New(reflect.StructOf(fields)).Elem()))
 	}
 	for _, step := range []int{1, 3, 1000} {
-		var s frameScanner
+		s := frameScanner{max: MaxFrameBytes}
 		var err error
 		for data := stream.Bytes(); err == nil && len(data) > 0; data = data[min(step, len(data)):] {
 			_, err = s.scan(data[:min(step, len(data))])
--- a/connector/queue.go
+++ b/connector/queue.go
@@ -33,8 +33,9 @@
 	// frames follows the messages that are read. read holds the current one, if it is large, in the account.
 	frames frameScanner
 	read   *accountant.Holding
-	// isServed is true for a connection that was accepted: on which nobody is known to be an entry.
-	isServed bool
+	// served limits what is read from a connection that was accepted, on which nobody is known to be an entry; nil for one
+	// that this entry has opened.
+	served *ServedLimits
 	// wake holds an element if pending may not be empty.
 	wake chan struct{}
 	// closed is closed by the first call of Close, which once detects.
@@ -46,17 +47,32 @@
 // data until the connection is closed or a write fails. A failed read closes the connection too, and so does a message
 // above MaxFrameBytes. What is held of messages counts in the account; nil is allowed.
 func NewQueuedConn(c net.Conn, account *accountant.Account) net.Conn {
-	return newQueuedConn(c, account, false)
+	return newQueuedConn(c, account, nil, MaxFrameBytes)
 }
 
-// NewServedConn is NewQueuedConn for a connection that was accepted. It fails if the account grants no memory for a message.
-func NewServedConn(c net.Conn, account *accountant.Account) net.Conn {
-	return newQueuedConn(c, account, true)
+// ServedLimits limits what is read from an accepted connection.
+type ServedLimits struct {
+	// FrameBytes is the maximum size of a message, at most MaxFrameBytes.
+	FrameBytes uint64
+	// FreeBytes is the size up to which a message does not count in the account, and Copies the number of times that the
+	// bytes of a larger one count, as they came and decoded. Lists of small elements take many times their bytes.
+	FreeBytes, Copies int64
 }
 
-func newQueuedConn(c net.Conn, account *accountant.Account, isServed bool) net.Conn {
+// DefaultServedLimits are the limits of connections on which messages of all sizes come.
+func DefaultServedLimits() ServedLimits {
+	return ServedLimits{FrameBytes: MaxFrameBytes, FreeBytes: freeFrameBytes, Copies: frameCopies}
+}
+
+// NewServedConn is NewQueuedConn for a connection that was accepted. It fails if the account grants no memory for a message,
+// or for what is written and not read by the peer.
+func NewServedConn(c net.Conn, account *accountant.Account, limits ServedLimits) net.Conn {
+	return newQueuedConn(c, account, &limits, limits.FrameBytes)
+}
+
+func newQueuedConn(c net.Conn, account *accountant.Account, served *ServedLimits, maxFrame uint64) net.Conn {
 	q := &queuedConn{
-		Conn: c, written: account.Open("", accountant.Request), read: account.Open("", accountant.Request), isServed: isServed,
+		Conn: c, written: account.Open("", accountant.Request), read: account.Open("", accountant.Request), served: served, frames: frameScanner{max: maxFrame},
 		wake: make(chan struct{}, 1), closed: make(chan struct{}),
 	}
 	go q.writePending()
@@ -83,16 +99,24 @@
 	return len(p), nil
 }
 
-// enqueue appends a message to the queue and returns true, or returns false if the queue is full.
+// isServed reports whether the connection was accepted.
+func (q *queuedConn) isServed() bool { return q.served != nil }
+
+// enqueue appends a message to the queue and returns true, or returns false if the queue is full or, on an accepted
+// connection, the account grants no memory.
 func (q *queuedConn) enqueue(message []byte) bool {
 	q.lock.Lock()
 	defer q.lock.Unlock()
 	if len(q.pending) >= maxPendingWrites || q.pendingBytes >= maxPendingBytes {
 		return false
 	}
+	if !q.isServed() {
+		q.written.Force(int64(len(message)))
+	} else if !q.written.Grow(int64(len(message))) {
+		return false
+	}
 	q.pending = append(q.pending, message)
 	q.pendingBytes += len(message)
-	q.written.Force(int64(len(message)))
 	return true
 }
 
@@ -136,14 +160,20 @@
 // holdFrame makes a message of a size count in the account while it is read, if it is large, and reports whether its memory
 // is granted. The replies to calls of this entry are always granted it.
 func (q *queuedConn) holdFrame(size int64) bool {
+	if q.isServed() {
+		if size < q.served.FreeBytes {
+			size = 0
+		}
+		return q.read.Resize(q.served.Copies * size)
+	}
 	if size < freeFrameBytes {
 		size = 0
 	}
-	if held := q.read.Bytes(); size > held && !q.isServed {
+	if held := q.read.Bytes(); size > held {
 		q.read.Force(size - held)
 		return true
 	}
-	return q.read.Resize(frameCopies * size)
+	return q.read.Resize(size)
 }
 
 // writePending writes queued messages to the connection until it is closed or a write fails.
--- a/controller/changes.go
+++ b/controller/changes.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,6 +37,20 @@
 	}
 }
 
+// forgetFormerMembers drops what is recorded of entries that are no longer members.
+func (s *state) forgetFormerMembers() {
+	isFormer := func(name string) bool {
+		_, ok := s.prober.Find(name)
+		return !ok
+	}
+	if len(s.capacities) > s.prober.Count() {
+		maps.DeleteFunc(s.capacities, func(name string, _ reportedCapacity) bool { return isFormer(name) })
+	}
+	if len(s.diedAt) > s.prober.Count() {
+		maps.DeleteFunc(s.diedAt, func(name string, _ time.Time) bool { return isFormer(name) })
+	}
+}
+
 // maxLoggedFaults is the maximum number of unreadable items from one reply of the store that are
 // logged individually: enough to identify the process that writes them.
 const maxLoggedFaults = 20
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -121,10 +121,12 @@
 	configs deflateCache
 	// snapshots caches the complete list of upstreams in that form. fetchSlots limits the fetches of it
 	// that are served at the same time.
-	snapshots   deflateCache
-	fetchSlots  chan struct{}
-	loadSenders loadSenders
-	loadCounts  loadCounts
+	snapshots  deflateCache
+	fetchSlots chan struct{}
+	// heartbeatSlots has an element for each heartbeat that is being processed.
+	heartbeatSlots chan struct{}
+	loadSenders    loadSenders
+	loadCounts     loadCounts
 	// heartbeatRequests holds an element from a call of requestHeartbeats until
 	// sendHeartbeats handles it. newPeers holds one from a call of requestFullLoad
 	// until sendLoadUpdates handles it.
@@ -241,7 +243,7 @@
 	}
 	ctl := &Controller{
 		config: c, sequencer: sequencer.New[*state](), heartbeatPool: connector.NewPool(c.Dial, c.Account), fetchPool: connector.NewPool(c.Dial, c.Account), lendPool: connector.NewPool(c.Dial, c.Account), lending: lending{metrics: newLendingMetrics(c.Scope)},
-		heartbeatRequests: make(chan struct{}, 1), newPeers: make(chan struct{}, 1), fetchSlots: make(chan struct{}, maxServedFetches), metrics: newMetrics(c.Scope),
+		heartbeatRequests: make(chan struct{}, 1), newPeers: make(chan struct{}, 1), fetchSlots: make(chan struct{}, maxServedFetches), heartbeatSlots: make(chan struct{}, maxServedHeartbeats), metrics: newMetrics(c.Scope),
 	}
 	ctl.loadCounts.registerMetrics(c.Scope)
 	ctl.current.Store(&view{incarnation: c.Incarnation})
@@ -333,6 +335,7 @@
 		s.controller.requestHeartbeats()
 	}
 	s.applyMemberChanges(s.prober.Tick(now))
+	s.forgetFormerMembers()
 	s.logStoreChanges(s.follower.Tick(now), "hold_ended")
 	s.controller.config.Quarantine.SetOtherExplainedExits(s.controller.config.Isolator.ExplainedExits())
 	s.logQuarantined(now, s.controller.config.Quarantine.Evaluate(now), "own")
--- a/controller/loadsenders.go
+++ b/controller/loadsenders.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/dispatcher"
+	"github.com/sapphireramp/sapphireramp/prober"
 )
 
 // placingTime is how long after its last load update an entry is still assumed to place requests
@@ -17,7 +18,7 @@
 type loadSenders struct {
 	lock sync.Mutex
 	// lastReceived holds the time at which the last load update of each incarnation of an entry
-	// was received.
+	// was received; at most prober.MaxMembers, as any sender may name itself.
 	lastReceived map[dispatcher.CompactID]time.Time
 }
 
@@ -30,6 +31,9 @@
 		l.lastReceived = map[dispatcher.CompactID]time.Time{}
 	}
 	last, known := l.lastReceived[sender]
+	if !known && len(l.lastReceived) >= prober.MaxMembers {
+		return false
+	}
 	l.lastReceived[sender] = now
 	return !known || now.Sub(last) > placingTime
 }
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -34,8 +34,17 @@
 	// the period after the store's state changed or its own shutdown began. The remaining
 	// entries receive the change with the periodic heartbeats.
 	maxImmediateHeartbeats = 16
+	// maxServedHeartbeats is the maximum number of heartbeats that wait to be processed or are. Further ones fail.
+	maxServedHeartbeats = 128
 )
 
+// servedLimits limits the calls of other entries: the largest are those for tunnels, heartbeats with all notices and
+// requests for loans, with tens of kilobytes each. A contact of a heartbeat takes up to thirty times its bytes.
+var servedLimits = connector.ServedLimits{FrameBytes: 256 << 10, FreeBytes: 4 << 10, Copies: 24}
+
+// errBusy is the error that peers receive for a heartbeat while maxServedHeartbeats are being processed.
+var errBusy = errors.New("this entry processes too many heartbeats")
+
 // Contact is what the sender of a heartbeat knows of another entry that it believes to be
 // running, as encoded in heartbeats.
 type Contact struct {
@@ -91,8 +100,14 @@
 type PeerService struct{ controller *Controller }
 
 // Beat processes the heartbeat of another entry and replies with one of this entry. It
-// returns an error after Run has ended. It is called over net/rpc.
+// returns an error after Run has ended, and while maxServedHeartbeats are being processed. It is called over net/rpc.
 func (p *PeerService) Beat(beat Beat, reply *Beat) error {
+	select {
+	case p.controller.heartbeatSlots <- struct{}{}:
+		defer func() { <-p.controller.heartbeatSlots }()
+	default:
+		return errBusy
+	}
 	p.controller.receiveHeartbeat(beat)
 	p.controller.do(func(s *state) {
 		limit := minContacts
@@ -134,7 +149,7 @@
 			time.Sleep(tickPeriod)
 			continue
 		}
-		go calls.ServeConn(connector.NewServedConn(connection, c.config.Account))
+		go calls.ServeConn(connector.NewServedConn(connection, c.config.Account, servedLimits))
 	}
 }
 
@@ -325,7 +340,7 @@
 	if !wasKnown || before.Ready != after.Ready || before.Incarnation != after.Incarnation || before.Address != after.Address {
 		s.dirty = true
 	}
-	for _, k := range b.Contacts {
+	for _, k := range b.Contacts[:min(len(b.Contacts), maxContacts)] {
 		s.applyContact(now, k)
 	}
 }
@@ -353,8 +368,12 @@
 	reportedAt time.Time
 }
 
-// applyCapacity records the capacity of another entry unless it is older than the one recorded.
+// applyCapacity records the capacity of another entry unless that is no member or the capacity is older than the one
+// recorded.
 func (s *state) applyCapacity(name string, reported reportedCapacity) {
+	if _, ok := s.prober.Find(name); !ok {
+		return
+	}
 	known, ok := s.capacities[name]
 	if ok && known.reportedAt.After(reported.reportedAt) {
 		return
--- a/controller/view.go
+++ b/controller/view.go
@@ -138,7 +138,7 @@
 	for m := range s.prober.All() {
 		// Entries whose readiness other entries reported are included even if this entry has
 		// received no heartbeat from them.
-		if m.Ready && (m.State == prober.Live || m.State == prober.Listed) {
+		if m.Ready && m.Address.IsValid() && (m.State == prober.Live || m.State == prober.Listed) {
 			v.callerEntries = append(v.callerEntries, readyEntry{name: m.Name, address: m.Address, peerAddress: m.PeerAddress, dataCentre: m.DataCentre, capacity: s.capacities[m.Name].capacity})
 		}
 		if m.IsUp() || m.State == prober.Stopping {
--- a/dispatcher/requestload.go
+++ b/dispatcher/requestload.go
@@ -88,6 +88,10 @@
 // several times within it.
 const requestLoadTTL = 3 * time.Second
 
+// maxPeerRequests is the maximum number of requests of peers that are known at a time. Reports of further ones are
+// ignored: anybody may send reports, also of requests that do not exist.
+const maxPeerRequests = 65536
+
 // queueUpdate marks a request to be returned by the next call of TakeLoadChanges.
 func (b *Dispatcher) queueUpdate(r *request) {
 	if b.isUnreported {
@@ -196,6 +200,7 @@
 
 // ApplyPeerLoads applies a load update of a peer: it adds requests that are new, extends the
 // validity of those known, records first bytes and outcomes, and removes requests that have ended.
+// It ignores new requests while maxPeerRequests are known.
 func (b *Dispatcher) ApplyPeerLoads(now time.Time, peer CompactID, loads []RequestLoad) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
@@ -210,6 +215,9 @@
 			}
 			continue
 		}
+		if !known && len(b.peerRequests) >= maxPeerRequests {
+			continue
+		}
 		if !known {
 			r = newPeerRequest(now, load)
 			b.peerRequests[key] = r
--- a/dispatcher/requestload_test.go
+++ b/dispatcher/requestload_test.go
@@ -123,3 +123,16 @@
 	is.Equal(len(b.LoadChanged), 0)
 	is.Equal(len(b.TakeLoadChanges(time.Now(), true)), 0)
 }
+
+// Guards against reports of requests that do not exist, which take memory without a bound.
+func TestPeerRequestsAreBounded(t *testing.T) {
+	is := is.New(t)
+	b := testDispatcher(t, 2)
+	for n := range CompactID(maxPeerRequests + 1000) {
+		b.ApplyPeerLoads(startTime, 7, []RequestLoad{{ID: n}})
+	}
+	is.Equal(len(b.peerRequests), maxPeerRequests)
+	b.ApplyPeerLoads(startTime, 7, []RequestLoad{{ID: 0, Ended: true}, {ID: maxPeerRequests + 1}})
+	_, known := b.peerRequests[peerRequestKey{peer: 7, id: maxPeerRequests + 1}]
+	is.True(known)
+}
--- a/prober/notice.go
+++ b/prober/notice.go
@@ -30,6 +30,9 @@
 // heartbeats and applied to the member that it is about. If it is about this entry or an instance
 // that is no entry, it is only queued; if it is about an entry that is not a member, it is ignored.
 func (p *Prober) ReceiveNotice(now time.Time, n api.Notice) []Change {
+	if max(len(n.Name), len(n.Kind), len(n.State)) > maxNameBytes {
+		return nil
+	}
 	if k, known := p.notices[n]; known {
 		k.lastReceived = now
 		return nil
@@ -97,8 +100,12 @@
 	p.queueNotice(now, api.Notice{Kind: api.KindEntry, Name: m.Name, Incarnation: m.Incarnation, State: state, Sequence: m.noticeSequence, Ready: m.Ready})
 }
 
-// queueNotice records a notice as received now, and queues it for the next heartbeats.
+// queueNotice records a notice as received now, and queues it for the next heartbeats. It does nothing if there are
+// maxKnownNotices already.
 func (p *Prober) queueNotice(now time.Time, n api.Notice) {
+	if len(p.notices) >= maxKnownNotices {
+		return
+	}
 	p.notices[n] = &knownNotice{notice: n, sendsLeft: noticeRounds * p.config.Neighbours, lastReceived: now}
 }
 
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -54,6 +54,14 @@
 	// noticeTTL is the time for which a notice is kept after it was last received, so that
 	// repetitions of it are ignored.
 	noticeTTL = 5 * time.Minute
+	// MaxMembers is the maximum number of members that heartbeats and reports add. Any entry may name others, also such
+	// as do not exist.
+	MaxMembers = 4096
+	// maxKnownNotices is the maximum number of notices that are kept. Later ones are applied, but not passed on.
+	maxKnownNotices = 4 * MaxMembers
+	// maxNameBytes is the maximum length of the names of a member and of its data centre. Heartbeats, reports and
+	// notices with longer ones are ignored.
+	maxNameBytes = 255
 )
 
 // Member is this entry's view of another entry.
@@ -156,7 +164,7 @@
 		if i.Kind != api.KindEntry || i.Name == p.config.Name {
 			continue
 		}
-		m := p.ensureMember(i.Name)
+		m := p.addMember(i.Name)
 		m.isListed = true
 		m.DataCentre = i.DataCentre
 		if m.LastHeartbeat.IsZero() {
@@ -172,8 +180,40 @@
 }
 
 // ensureMember returns the member with the given name, after adding it in the state Listed if there
-// is none.
-func (p *Prober) ensureMember(name string) *Member {
+// is none. It returns false if there are MaxMembers already and none of them can be removed for it: a dead one or, if
+// isHeard, which is true for the sender of a heartbeat, one that has sent none itself.
+func (p *Prober) ensureMember(name string, isHeard bool) (*Member, bool) {
+	if m, ok := p.members[name]; ok {
+		return m, true
+	}
+	if len(p.members) >= MaxMembers && !p.evictMember(isHeard) {
+		return nil, false
+	}
+	return p.addMember(name), true
+}
+
+// evictMember removes the dead member that was heard longest ago or, if there is none and isHeard is true, a member that
+// has sent no heartbeat. It reports whether there was one.
+func (p *Prober) evictMember(isHeard bool) bool {
+	var evicted *Member
+	for _, m := range p.ring {
+		isDead := m.State == Dead
+		if !isDead && !(isHeard && m.LastHeartbeat.IsZero()) {
+			continue
+		}
+		if evicted == nil || isDead && (evicted.State != Dead || m.LastHeartbeat.Before(evicted.LastHeartbeat)) {
+			evicted = m
+		}
+	}
+	if evicted == nil {
+		return false
+	}
+	p.removeMember(evicted.Name)
+	return true
+}
+
+// addMember returns the member with the given name, after adding it in the state Listed if there is none.
+func (p *Prober) addMember(name string) *Member {
 	if m, ok := p.members[name]; ok {
 		return m
 	}
@@ -198,10 +238,13 @@
 // down. If a member begins to shut down, or one that is new or was dead begins to accept callers, a
 // notice is sent to all entries, since in a large fleet most rarely exchange heartbeats with it.
 func (p *Prober) ReceiveHeartbeat(now time.Time, heartbeat api.Heartbeat) []Change {
-	if heartbeat.From == p.config.Name {
+	if heartbeat.From == p.config.Name || max(len(heartbeat.From), len(heartbeat.DataCentre)) > maxNameBytes {
+		return nil
+	}
+	m, ok := p.ensureMember(heartbeat.From, true)
+	if !ok {
 		return nil
 	}
-	m := p.ensureMember(heartbeat.From)
 	if heartbeat.Incarnation < m.Incarnation {
 		return nil
 	}
@@ -230,7 +273,7 @@
 		m.announceWhenReady = false
 		p.announce(now, m, api.NoticeLive)
 	}
-	for _, n := range heartbeat.Notices {
+	for _, n := range heartbeat.Notices[:min(len(heartbeat.Notices), maxNotices)] {
 		changes = append(changes, p.ReceiveNotice(now, n)...)
 	}
 	return changes
--- a/prober/report.go
+++ b/prober/report.go
@@ -23,10 +23,13 @@
 // death is sent again, since whoever made the report joined the fleet too late to receive it. If this entry
 // declared the death while it heard from nobody, the report takes precedence.
 func (p *Prober) ReceiveReport(now time.Time, r Report) []Change {
-	if r.Name == p.config.Name {
+	if r.Name == p.config.Name || max(len(r.Name), len(r.DataCentre)) > maxNameBytes {
+		return nil
+	}
+	m, ok := p.ensureMember(r.Name, false)
+	if !ok {
 		return nil
 	}
-	m := p.ensureMember(r.Name)
 	m.isListed = true
 	switch {
 	case r.Incarnation < m.Incarnation, m.State == Stopping && r.Incarnation == m.Incarnation:
--- a/server/peers.go
+++ b/server/peers.go
@@ -58,7 +58,7 @@
 		stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 		go func() {
 			defer stop()
-			calls.ServeConn(connector.NewServedConn(connection, s.account))
+			calls.ServeConn(connector.NewServedConn(connection, s.account, connector.DefaultServedLimits()))
 		}()
 	}
 }
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -1,13 +1,19 @@
 package soak
 
 import (
+	"encoding/gob"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"net/rpc"
 	"testing"
 	"time"
 
+	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/controller"
 	"github.com/sapphireramp/sapphireramp/standin/crowd"
 )
 
@@ -62,15 +68,47 @@
 	},
 }
 
+const (
+	// inventedBeats is the number of heartbeats that a client of inventEntries sends, inventedContacts the number of
+	// entries that each names.
+	inventedBeats, inventedContacts = 20, 500
+	// inventedNameBytes is the length of the names.
+	inventedNameBytes = 200
+	// inventedTime is the time for which the clients are there.
+	inventedTime = 12 * time.Second
+)
+
+// inventEntries sends heartbeats of entries that do not exist, which name more of them.
+func inventEntries(w io.Writer) error {
+	encoder := gob.NewEncoder(w)
+	name := func() string { return fmt.Sprintf("%0*x", inventedNameBytes, rand.Uint64()) }
+	for n := range uint64(inventedBeats) {
+		beat := controller.Beat{Heartbeat: api.Heartbeat{From: name(), Incarnation: 1, Ready: true}, Knows: inventedContacts}
+		for range inventedContacts {
+			beat.Contacts = append(beat.Contacts, controller.Contact{Name: name(), Incarnation: 1, Ready: true, Peers: netip.MustParseAddrPort("127.0.0.1:9")})
+		}
+		if err := errors.Join(encoder.Encode(rpc.Request{ServiceMethod: "Peer.Beat", Seq: n}), encoder.Encode(beat)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Guards against clients that end a process with what they send, in whichever crowd and to whichever address: heads and
 // other bytes without an end, and connections without a byte took all memory and all descriptors.
 func TestCrowd(t *testing.T) {
 	for name, parts := range crowds {
-		t.Run(name, func(t *testing.T) { runCrowd(t, parts) })
+		t.Run(name, func(t *testing.T) { runCrowd(t, parts, crowdTime) })
 	}
 }
 
-func runCrowd(t *testing.T, parts []part) {
+// Guards against clients that name entries without an end to an entry that remembers all of them.
+func TestCrowdOfInventedEntries(t *testing.T) {
+	runCrowd(t, []part{{peerPort, crowdSize, inventEntries}}, inventedTime)
+}
+
+// runCrowd checks that an entry stays within its limits while a crowd is there for a time, and serves afterwards.
+func runCrowd(t *testing.T, parts []part, crowdTime time.Duration) {
 	f := newFleetWithLimits(t, 240, 1, limits{memoryMB: crowdMemoryMB, maxFDs: crowdMaxFDs, maxBody: 100_000, maxHeader: 16384, headerTimeout: 3 * time.Second})
 	f.awaitReady(servedWithin)
 	e := f.entries[0]
