forwarder: the retry is reserved before its connection is opened

Without a retry left in the budget, each silent attempt would open and close a connection every 100 ms, which upstreams in trouble pay for.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -161,10 +161,10 @@
 // ApplyStoreRead merges what this entry itself has just read from the store, a complete state or
 // changes, and returns the changes. It treats a removal as a possible lapse of the registration
 // only if a store call of this entry failed since its last successful one, or if that was more
-// than maxReadGap ago, and the outage can have lasted long enough (see SetRegistrationLease). If the reads of this entry succeeded throughout, removals are intentional,
-// whatever failures other entries report, and are passed on to other entries as such. Otherwise, if
-// the store failed only some entries, a removed upstream would get work for 2.3 s, more than the 2 s
-// that the platform allows.
+// than maxReadGap ago, and if the outage can have lasted long enough (see SetRegistrationLease). If
+// the reads of this entry succeeded throughout, removals are intentional, whatever failures other
+// entries report, and are passed on to other entries as such. Otherwise, if the store failed only some
+// entries, a removed upstream would get work for 2.3 s, more than the 2 s that the platform allows.
 func (f *Follower) ApplyStoreRead(now time.Time, s State, complete bool) []Change {
 	if !f.enterEpoch(now, s, complete) {
 		return nil
@@ -296,10 +296,11 @@
 
 // retentionTime returns for how much longer an upstream is used whose registration lapsed in the
 // last outage of the store: until reregisterTime after the last failed store call. It returns 0 if
-// the store confirmed the state since, or so shortly before that no registration can have lapsed. If no call of this entry has failed since its last successful
-// one, the outage may affect only other entries and the removal be intentional, so the upstream is
-// used for at most maxUseAfterRemoval after the last confirmation. If it was a real outage, too short
-// for this entry to have called the store in it, the upstream is used again once it registers.
+// the store confirmed the state since, or so shortly before that no registration can have lapsed. If
+// no call of this entry has failed since its last successful one, the outage may affect only other
+// entries and the removal be intentional, so the upstream is used for at most maxUseAfterRemoval after
+// the last confirmation. If it was a real outage, too short for this entry to have called the store in
+// it, the upstream is used again once it registers.
 func (f *Follower) retentionTime(now time.Time) time.Duration {
 	if f.lastFailureAt.IsZero() || f.confirmedAt.After(f.lastFailureAt) || !f.service.allowsLapse(now) {
 		return 0
--- a/forwarder/preparedretry.go
+++ b/forwarder/preparedretry.go
@@ -12,7 +12,7 @@
 
 // preparedRetry is a retry for which an attempt was cancelled.
 type preparedRetry struct {
-	// reservation reserves the retry in the retry budget; nil for none.
+	// reservation reserves the retry in the retry budget.
 	reservation *budgeter.Reservation
 	connection  *preparedConnection
 }
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -133,8 +133,8 @@
 	})
 }
 
-// checkSilence is called when the timer fires. If the upstream has sent nothing for longer than allowed and another one
-// accepts the request, it connects to that. Otherwise it schedules the next check.
+// checkSilence is called when the timer fires. If the upstream has sent nothing for longer than allowed, another one
+// accepts the request and the retry budget allows a retry, it connects to that. Otherwise it schedules the next check.
 func (w *watchdog) checkSilence() {
 	w.lock.Lock()
 	defer w.lock.Unlock()
@@ -160,8 +160,13 @@
 		w.timer.Reset(recheckInterval)
 		return
 	}
+	reservation := w.reserveRetry()
+	if reservation == nil {
+		w.timer.Reset(recheckInterval)
+		return
+	}
 	w.isConnecting = true
-	go w.prepareRetry(upstream)
+	go w.prepareRetry(upstream, reservation)
 }
 
 // remaining returns for how much longer the upstream may send nothing. The lock must be held.
@@ -170,10 +175,10 @@
 	return allowed - time.Since(w.lastReadAt)
 }
 
-// prepareRetry connects to an upstream, and cancels the attempt if that succeeds, the attempt's upstream is still silent
-// and the retry budget allows a retry. While links are down, a connection that was opened a moment before does not show
-// that another one can be, and the attempt that is given up may be the only one that ends.
-func (w *watchdog) prepareRetry(upstream dispatcher.Instance) {
+// prepareRetry connects to an upstream for a reserved retry, and cancels the attempt if that succeeds and the attempt's
+// upstream is still silent. While links are down, a connection that was opened a moment before does not show that another
+// one can be, and the attempt that is given up may be the only one that ends.
+func (w *watchdog) prepareRetry(upstream dispatcher.Instance, reservation *budgeter.Reservation) {
 	connection, err := w.connect(upstream)
 	w.lock.Lock()
 	defer w.lock.Unlock()
@@ -182,14 +187,12 @@
 		w.unreachable = append(w.unreachable, upstream)
 	}
 	if err != nil {
+		reservation.Release()
 		w.timer.Reset(recheckInterval)
 		return
 	}
-	retry := &preparedRetry{connection: &preparedConnection{upstream: upstream, connection: connection}}
-	if !w.isStopped && !w.isPaused && w.remaining() <= 0 {
-		retry.reservation = w.reserveRetry()
-	}
-	if retry.reservation == nil {
+	retry := &preparedRetry{reservation: reservation, connection: &preparedConnection{upstream: upstream, connection: connection}}
+	if w.isStopped || w.isPaused || w.remaining() > 0 {
 		retry.release()
 		w.timer.Reset(recheckInterval)
 		return
