--- a/connector/frame_test.go
+++ b/connector/frame_test.go
@@ -156,7 +156,7 @@
 		account := accountant.New(16 << 20)
 		send := func(frame []byte) (held int64, err error) {
 			near, far := net.Pipe()
-			go rpc.NewServer().ServeConn(NewServedConn(near, account, ServedLimits{FrameBytes: 64 << 10, FreeBytes: 4 << 10, Copies: 24}))
+			go rpc.NewServer().ServeConn(NewServedConn(near, account, FrameLimits{FrameBytes: 64 << 10, FreeBytes: 4 << 10, Copies: 24}))
 			_, err = far.Write(frame)
 			synctest.Wait()
 			held = account.Usage().Held
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -55,9 +55,10 @@
 }
 
 // Call calls a net/rpc method of the peer at an address and waits for the reply. It connects first
-// if there is no connection; the timeout applies to the connecting and to the call separately, and does not count
-// the time in which this process was suspended. If the method itself fails, the error wraps an rpc.ServerError. After any other error of the call,
-// such as ErrTimeout, the connection is closed.
+// if there is no connection; the timeout applies to the connecting and to the call separately, and
+// does not count the time in which this process was suspended. If the method itself fails, the error
+// wraps an rpc.ServerError. After any other error of the call, such as ErrTimeout, the connection is
+// closed.
 func (p *Pool) Call(address netip.AddrPort, method string, args, reply any, timeout time.Duration) error {
 	c, err := p.client(address, timeout)
 	if err != nil {
--- a/connector/queue.go
+++ b/connector/queue.go
@@ -33,9 +33,10 @@
 	// frames follows the messages that are read. read holds the current one, if it is large, in the account.
 	frames frameScanner
 	read   *accountant.Holding
-	// served limits what is read from a connection that was accepted, on which nobody is known to be an entry; nil for one
-	// that this entry has opened.
-	served *ServedLimits
+	// limits are those of the messages that are read.
+	limits FrameLimits
+	// isServed is true for a connection that was accepted: on which nobody is known to be an entry.
+	isServed bool
 	// wake holds an element if pending may not be empty.
 	wake chan struct{}
 	// closed is closed by the first call of Close, which once detects.
@@ -47,11 +48,11 @@
 // data until the connection is closed or a write fails. A failed read closes the connection too, and so does a message
 // above MaxFrameBytes. What is held of messages counts in the account; nil is allowed.
 func NewQueuedConn(c net.Conn, account *accountant.Account) net.Conn {
-	return newQueuedConn(c, account, nil, MaxFrameBytes)
+	return newQueuedConn(c, account, FrameLimits{FrameBytes: MaxFrameBytes, FreeBytes: freeFrameBytes, Copies: 1}, false)
 }
 
-// ServedLimits limits what is read from an accepted connection.
-type ServedLimits struct {
+// FrameLimits limits the messages that are read from a connection.
+type FrameLimits struct {
 	// FrameBytes is the maximum size of a message, at most MaxFrameBytes.
 	FrameBytes uint64
 	// FreeBytes is the size up to which a message does not count in the account, and Copies the number of times that the
@@ -59,20 +60,20 @@
 	FreeBytes, Copies int64
 }
 
-// DefaultServedLimits are the limits of connections on which messages of all sizes come.
-func DefaultServedLimits() ServedLimits {
-	return ServedLimits{FrameBytes: MaxFrameBytes, FreeBytes: freeFrameBytes, Copies: frameCopies}
+// DefaultServedLimits returns the limits of accepted connections on which messages of all sizes come.
+func DefaultServedLimits() FrameLimits {
+	return FrameLimits{FrameBytes: MaxFrameBytes, FreeBytes: freeFrameBytes, Copies: frameCopies}
 }
 
 // NewServedConn is NewQueuedConn for a connection that was accepted. It fails if the account grants no memory for a message,
 // or for what is written and not read by the peer.
-func NewServedConn(c net.Conn, account *accountant.Account, limits ServedLimits) net.Conn {
-	return newQueuedConn(c, account, &limits, limits.FrameBytes)
+func NewServedConn(c net.Conn, account *accountant.Account, limits FrameLimits) net.Conn {
+	return newQueuedConn(c, account, limits, true)
 }
 
-func newQueuedConn(c net.Conn, account *accountant.Account, served *ServedLimits, maxFrame uint64) net.Conn {
+func newQueuedConn(c net.Conn, account *accountant.Account, limits FrameLimits, isServed bool) net.Conn {
 	q := &queuedConn{
-		Conn: c, written: account.Open("", accountant.Request), read: account.Open("", accountant.Request), served: served, frames: frameScanner{max: maxFrame},
+		Conn: c, written: account.Open("", accountant.Request), read: account.Open("", accountant.Request), limits: limits, isServed: isServed, frames: frameScanner{max: limits.FrameBytes},
 		wake: make(chan struct{}, 1), closed: make(chan struct{}),
 	}
 	go q.writePending()
@@ -99,8 +100,15 @@
 	return len(p), nil
 }
 
-// isServed reports whether the connection was accepted.
-func (q *queuedConn) isServed() bool { return q.served != nil }
+// grow makes a holding grow by n bytes and reports whether that is granted. It always is on a connection that this entry
+// has opened.
+func (q *queuedConn) grow(h *accountant.Holding, n int64) bool {
+	if q.isServed {
+		return h.Grow(n)
+	}
+	h.Force(n)
+	return true
+}
 
 // enqueue appends a message to the queue and returns true, or returns false if the queue is full or, on an accepted
 // connection, the account grants no memory.
@@ -110,9 +118,7 @@
 	if len(q.pending) >= maxPendingWrites || q.pendingBytes >= maxPendingBytes {
 		return false
 	}
-	if !q.isServed() {
-		q.written.Force(int64(len(message)))
-	} else if !q.written.Grow(int64(len(message))) {
+	if !q.grow(q.written, int64(len(message))) {
 		return false
 	}
 	q.pending = append(q.pending, message)
@@ -160,18 +166,12 @@
 // holdFrame makes a message of a size count in the account while it is read, if it is large, and reports whether its memory
 // is granted. The replies to calls of this entry are always granted it.
 func (q *queuedConn) holdFrame(size int64) bool {
-	if q.isServed() {
-		if size < q.served.FreeBytes {
-			size = 0
-		}
-		return q.read.Resize(q.served.Copies * size)
-	}
-	if size < freeFrameBytes {
+	if size < q.limits.FreeBytes {
 		size = 0
 	}
+	size *= q.limits.Copies
 	if held := q.read.Bytes(); size > held {
-		q.read.Force(size - held)
-		return true
+		return q.grow(q.read, size-held)
 	}
 	return q.read.Resize(size)
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -261,9 +261,7 @@
 		prober: prober.New(prober.Config{Name: c.config.Name, Incarnation: c.config.Incarnation, DataCentre: c.config.DataCentre, Neighbours: heartbeatNeighbours, SuspectAfter: deadTimeout}),
 	}
 	s.follower.SetMaxUseAfterRemoval(c.config.MaxPropagation)
-	if c.config.RegistrationLease > 0 {
-		s.follower.SetRegistrationLease(c.config.RegistrationLease, c.config.RenewalInterval)
-	}
+	s.follower.SetRegistrationLease(c.config.RegistrationLease, c.config.RenewalInterval)
 	c.goBackground(func() { c.followStore(ctx) })
 	c.goBackground(func() { c.sendHeartbeats(ctx) })
 	c.goBackground(func() { c.sendLoadUpdates(ctx, loadSocket) })
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -40,7 +40,7 @@
 
 // servedLimits limits the calls of other entries: the largest are those for tunnels, heartbeats with all notices and
 // requests for loans, with tens of kilobytes each. A contact of a heartbeat takes up to thirty times its bytes.
-var servedLimits = connector.ServedLimits{FrameBytes: 256 << 10, FreeBytes: 4 << 10, Copies: 24}
+var servedLimits = connector.FrameLimits{FrameBytes: 256 << 10, FreeBytes: 4 << 10, Copies: 24}
 
 // errBusy is the error that peers receive for a heartbeat while maxServedHeartbeats are being processed.
 var errBusy = errors.New("this entry processes too many heartbeats")
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/assigner"
@@ -58,27 +59,29 @@
 	if refusal != nil || len(p.Helpers) > 0 {
 		return p, refusal
 	}
-	if !d.Isolated {
-		return b.choosePreferred(now, d, upstreams, p), nil
+	var narrowed []*upstream
+	switch {
+	case d.Isolated:
+		narrowed = b.leastLoaded(now, upstreams)
+	case d.Prefer.ID != "":
+		narrowed = preferred(upstreams, d.Prefer)
 	}
-	if isolated, refusal := b.chooseAmong(now, d, b.leastLoaded(now, upstreams)); refusal == nil {
-		return isolated, nil
+	if len(narrowed) == 0 {
+		return p, nil
+	}
+	if q, refusal := b.chooseAmong(now, d, narrowed); refusal == nil {
+		return q, nil
 	}
 	return p, nil
 }
 
-// choosePreferred returns a placement on the upstream that the demand prefers, or p where it prefers none or that upstream
-// refuses the request. The lock must be held.
-func (b *Dispatcher) choosePreferred(now time.Time, d Demand, upstreams []*upstream, p *Placement) *Placement {
-	for _, u := range upstreams {
-		if !u.instance.SameIncarnation(d.Prefer) {
-			continue
-		}
-		if preferred, refusal := b.chooseAmong(now, d, []*upstream{u}); refusal == nil {
-			return preferred
-		}
+// preferred returns the upstream of an incarnation, or none if it is not among the upstreams.
+func preferred(upstreams []*upstream, i Instance) []*upstream {
+	at := slices.IndexFunc(upstreams, func(u *upstream) bool { return u.instance.SameIncarnation(i) })
+	if at < 0 {
+		return nil
 	}
-	return p
+	return upstreams[at : at+1]
 }
 
 // leastLoaded returns one of the upstreams with the fewest requests, at random, of those that fail no more often than
--- a/follower/service.go
+++ b/follower/service.go
@@ -17,7 +17,7 @@
 
 // SetRegistrationLease sets how long a registration lasts after it was renewed and how often, approximately, upstreams
 // renew it. An outage of the store that is too short for a registration to lapse explains no removal. Until it is called,
-// a registration may lapse in any outage.
+// and if both are 0, a registration may lapse in any outage.
 func (f *Follower) SetRegistrationLease(lease, renewalInterval time.Duration) {
 	f.service.renewalTime = renewalInterval + renewalInterval/4
 	f.service.shortestLapse = max(0, lease-f.service.renewalTime)
--- a/forwarder/preparedretry.go
+++ b/forwarder/preparedretry.go
@@ -52,11 +52,8 @@
 	if c == nil {
 		return
 	}
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	if c.connection != nil {
-		_ = c.connection.Close()
-		c.connection = nil
+	if left := c.take(c.upstream.Address.String()); left != nil {
+		_ = left.Close()
 	}
 }
 
--- a/forwarder/watchdog.go
+++ b/forwarder/watchdog.go
@@ -58,15 +58,13 @@
 	// confirmReach begins to find out whether another upstream can be connected to. It is called recheckInterval
 	// before the attempt may be cancelled.
 	confirmReach func()
-	// findElsewhere returns another upstream that would accept the request, if there is one that can be connected to.
-	// It is passed responseBegun and the upstreams in unreachable.
-	findElsewhere func(begun bool, unreachable []dispatcher.Instance) (dispatcher.Instance, bool)
+	// reserveElsewhere returns an upstream that would accept the request and a reservation of the retry, nil if there is
+	// no upstream or the retry budget does not allow it. It is passed responseBegun and avoid.
+	reserveElsewhere func(begun bool, avoid []dispatcher.Instance) (dispatcher.Instance, *budgeter.Reservation)
 	// connect opens a connection to an upstream for a retry of the request.
 	connect func(dispatcher.Instance) (net.Conn, error)
-	// reserveRetry returns a reservation of the retry, or nil if the retry budget does not allow it.
-	reserveRetry func() *budgeter.Reservation
-	// unreachable holds the upstreams that connect found to be at fault.
-	unreachable []dispatcher.Instance
+	// avoid holds the upstream of the attempt and those that connect found to be at fault.
+	avoid []dispatcher.Instance
 	// isConnecting is true while connect is called.
 	isConnecting bool
 	// isPaused is true while the entry reads nothing from the upstream, from pause until recordRead.
@@ -90,18 +88,14 @@
 	if !x.route.IsRepeatable() || x.sentCount+1 >= x.route.MaxAttempts {
 		return nil
 	}
-	w := &watchdog{lastReadAt: time.Now(), responseBegun: x.responseBegun, cancelAttempt: cancelAttempt, expectedBusy: func() time.Duration { return 0 }}
+	w := &watchdog{lastReadAt: time.Now(), responseBegun: x.responseBegun, avoid: []dispatcher.Instance{p.First}, cancelAttempt: cancelAttempt, expectedBusy: func() time.Duration { return 0 }}
 	w.confirmReach = func() { f.tunneler.ConfirmReach(p.First.Address, reachTTL-recheckInterval) }
-	w.findElsewhere = func(begun bool, unreachable []dispatcher.Instance) (dispatcher.Instance, bool) {
-		return f.findElsewhere(x, p, begun, unreachable)
+	w.reserveElsewhere = func(begun bool, avoid []dispatcher.Instance) (dispatcher.Instance, *budgeter.Reservation) {
+		return f.reserveElsewhere(x, p, begun, avoid)
 	}
 	w.connect = func(upstream dispatcher.Instance) (net.Conn, error) {
 		return f.tunneler.Dial(dialContext, "tcp", upstream.Address.String())
 	}
-	w.reserveRetry = func() *budgeter.Reservation {
-		reservation, _ := f.retryBudget.Reserve(time.Now(), x.service, f.view().RetryBudgetEntries)
-		return reservation
-	}
 	w.silenceLimit = plainSilenceFactor * x.route.FirstByteTarget
 	w.busySilenceLimit = w.silenceLimit
 	if x.isStream() {
@@ -155,12 +149,7 @@
 		w.timer.Reset(recheckInterval)
 		return
 	}
-	upstream, ok := w.findElsewhere(w.responseBegun, w.unreachable)
-	if !ok {
-		w.timer.Reset(recheckInterval)
-		return
-	}
-	reservation := w.reserveRetry()
+	upstream, reservation := w.reserveElsewhere(w.responseBegun, w.avoid)
 	if reservation == nil {
 		w.timer.Reset(recheckInterval)
 		return
@@ -184,7 +173,7 @@
 	defer w.lock.Unlock()
 	w.isConnecting = false
 	if err != nil && !isCutOff(err) {
-		w.unreachable = append(w.unreachable, upstream)
+		w.avoid = append(w.avoid, upstream)
 	}
 	if err != nil {
 		reservation.Release()
@@ -214,11 +203,12 @@
 	return r
 }
 
-// findElsewhere returns an upstream other than the first of placement p and the unreachable ones that would accept the
-// request, if any can be connected to. begun is true if the response has begun.
-func (f *Forwarder) findElsewhere(x *exchange, p *dispatcher.Placement, begun bool, unreachable []dispatcher.Instance) (dispatcher.Instance, bool) {
+// reserveElsewhere returns an upstream that would accept the request instead of the silent first one of placement p, and a
+// reservation of the retry. The reservation is nil if there is no such upstream, none can be connected to or the retry
+// budget does not allow a retry. begun is true if the response has begun.
+func (f *Forwarder) reserveElsewhere(x *exchange, p *dispatcher.Placement, begun bool, avoid []dispatcher.Instance) (dispatcher.Instance, *budgeter.Reservation) {
 	d := x.lastDemand
-	d.Avoid = append(append(slices.Clone(d.Avoid), p.First), unreachable...)
+	d.Avoid = slices.Concat(d.Avoid, avoid)
 	d.SentBefore, d.MayHaveRun = false, true
 	now, v := time.Now(), f.view()
 	if x.mayOutlastEntry(v) && x.isStream() && !begun {
@@ -228,7 +218,11 @@
 		d = x.limitToStop(v, d)
 	}
 	upstream, ok := f.dispatcher.FindAccepting(now, d)
-	return upstream, ok && f.tunneler.ConfirmReach(p.First.Address, reachTTL)
+	if !ok || !f.tunneler.ConfirmReach(p.First.Address, reachTTL) {
+		return dispatcher.Instance{}, nil
+	}
+	reservation, _ := f.retryBudget.Reserve(now, x.service, v.RetryBudgetEntries)
+	return upstream, reservation
 }
 
 // recordRead records that a new event of the response has just arrived, from which the silence is measured.
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -183,10 +183,8 @@
 // is none. It returns false if there are MaxMembers already and none of them can be removed for it: a dead one or, if
 // isHeard, which is true for the sender of a heartbeat, one that has sent none itself.
 func (p *Prober) ensureMember(name string, isHeard bool) (*Member, bool) {
-	if m, ok := p.members[name]; ok {
-		return m, true
-	}
-	if len(p.members) >= MaxMembers && !p.evictMember(isHeard) {
+	_, known := p.members[name]
+	if !known && len(p.members) >= MaxMembers && !p.evictMember(isHeard) {
 		return nil, false
 	}
 	return p.addMember(name), true
