connector, tunneler: a reset that a write learns of ends no answer

What callers saw: an engine answered a long upload at once, with a 200 without a length, sent part of the body and reset the connection while the upload was being written. The part arrived as a complete answer, of a plain call and of a stream, also through a relay.

Cause: the kernel reports a reset once, to the call that comes first. If that is the write of the upload, the read after it returns an end, as after a connection that was closed in order, and without a length that is the end of the answer. The write may not even have returned by then. In a relay, calls for data and calls that write run side by side in the same way. A connection that times out does the same.

Change: connector.DetectReset gives a connection whose Read, at the end, interrupts a write in progress, waits for it and returns its error, unless that shows only that the other end has closed: an answer that ends in order is whole, also where its upload was not read. All that reads answers has transports of connector.NewTransport, which use it: both interfaces, relays' connections, other entries, the store, clients and the console. It takes the place of connector.LimitHead.

--- a/client/client.go
+++ b/client/client.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/api"
+	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/decoder"
 	"github.com/sapphireramp/sapphireramp/sleeper"
 	"github.com/sapphireramp/sapphireramp/splitter"
@@ -45,7 +46,8 @@
 	APIKey string
 	// DataCentre is the data centre whose entries the client prefers; empty means no preference.
 	DataCentre string
-	// HTTPClient sends the requests; nil means a client with default settings and no time limit of its own.
+	// HTTPClient sends the requests; nil means one with connector.DefaultTransport and no time limit of its
+	// own.
 	HTTPClient *http.Client
 	// MaxTries is the maximum number of times that a request is sent, including the first; 0 means 1.
 	MaxTries int
@@ -87,7 +89,7 @@
 // New returns a client. It sends no request.
 func New(c Config) *Client {
 	if c.HTTPClient == nil {
-		c.HTTPClient = &http.Client{}
+		c.HTTPClient = &http.Client{Transport: connector.DefaultTransport}
 	}
 	return &Client{config: c, avoidedEntries: map[netip.AddrPort]bool{}}
 }
--- a/cmd/sapphireramp/ask.go
+++ b/cmd/sapphireramp/ask.go
@@ -16,6 +16,7 @@
 
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/client"
+	"github.com/sapphireramp/sapphireramp/connector"
 )
 
 // clientOptions holds the flags that are common to all commands that send requests to entries.
@@ -77,7 +78,7 @@
 	if o.maxTries < 1 {
 		return nil, fmt.Errorf("--tries: %d: must be at least 1", o.maxTries)
 	}
-	return client.New(client.Config{Seeds: seeds, SeedsOnly: o.seedsOnly, APIKey: o.apiKey, DataCentre: o.dataCentre, MaxTries: o.maxTries, HTTPClient: &http.Client{}}), nil
+	return client.New(client.Config{Seeds: seeds, SeedsOnly: o.seedsOnly, APIKey: o.apiKey, DataCentre: o.dataCentre, MaxTries: o.maxTries}), nil
 }
 
 // fillerToken is repeated to make a prompt of a given length. It has 4 bytes, which entries count as one
@@ -208,7 +209,7 @@
 		}
 		for _, address := range addresses {
 			var status api.Status
-			httpClient := &http.Client{Timeout: options.timeout}
+			httpClient := &http.Client{Transport: connector.DefaultTransport, Timeout: options.timeout}
 			response, err := sling.New().Client(httpClient).Base("http://" + address.String()).Get(api.PathStatus).ReceiveSuccess(&status)
 			if err != nil {
 				return fmt.Errorf("get status of entry: %w", err)
--- a/cmd/sapphireramp/console.go
+++ b/cmd/sapphireramp/console.go
@@ -15,6 +15,7 @@
 
 	"github.com/sapphireramp/sapphireramp/acceptor"
 	"github.com/sapphireramp/sapphireramp/accountant"
+	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/console"
 	"github.com/sapphireramp/sapphireramp/decoder"
 	"github.com/sapphireramp/sapphireramp/logger"
@@ -95,7 +96,7 @@
 	if err != nil {
 		return fmt.Errorf("parse SealSeed: %w", err)
 	}
-	c, err := console.New(console.Config{Platform: settings.Platform, Entries: settings.Entries, SealingKey: key, HTTPClient: &http.Client{}, Log: log})
+	c, err := console.New(console.Config{Platform: settings.Platform, Entries: settings.Entries, SealingKey: key, HTTPClient: &http.Client{Transport: connector.DefaultTransport}, Log: log})
 	if err != nil {
 		return fmt.Errorf("create console: %w", err)
 	}
--- a/cmd/sapphireramp/gateway.go
+++ b/cmd/sapphireramp/gateway.go
@@ -104,12 +104,11 @@
 
 // newStoreClient returns the HTTP client for the platform's store.
 func newStoreClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: storeDialTimeout}).DialContext,
-		IdleConnTimeout:        storeIdleTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: connector.MaxHeadBytes,
-	}}
+	return &http.Client{Transport: connector.NewTransport(&http.Transport{
+		DialContext:        (&net.Dialer{Timeout: storeDialTimeout}).DialContext,
+		IdleConnTimeout:    storeIdleTimeout,
+		DisableCompression: true,
+	}, nil)}
 }
 
 // reloadableSettings returns the settings that may change while the entry runs, in the launcher's form.
--- a/connector/head.go
+++ b/connector/head.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -17,32 +16,21 @@
 // lines. http.Transport reads ten mebibytes unless a limit is set, and has none for lines.
 const MaxHeadBytes, MaxHeadLines = 64 << 10, 512
 
-// TooManyLinesError is the error of reading from a connection of LimitHead on which a head has more than MaxHeadLines lines.
+// TooManyLinesError is the error of a response whose head has more than MaxHeadLines lines.
 type TooManyLinesError struct{ Lines int }
 
 func (e TooManyLinesError) Error() string {
 	return fmt.Sprintf("response head of %d lines: must be at most %d", e.Lines, MaxHeadLines)
 }
 
-// LimitHead returns a function that opens connections with dial for one request each. Reading from them fails if the head
-// of the response, together with those of interim responses before it, has too many lines. What the head takes counts in
-// the account until the connection is closed; a nil account is allowed.
-func LimitHead(dial DialFunc, account *accountant.Account) DialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err // http.Transport adds what was dialled
-		}
-		return &limitedConn{Conn: c, holding: account.Open("", accountant.Request)}, nil
-	}
-}
-
 // interimStatus begins the head of an interim response, after which another head follows.
 var interimStatus = []byte("HTTP/1.1 1")
 
-// limitedConn is a connection of LimitHead.
-type limitedConn struct {
+// responseConn is a connection of a transport of NewTransport.
+type responseConn struct {
 	net.Conn
+	// dialled is the connection that was opened.
+	dialled net.Conn
 	holding *accountant.Holding
 	// lock guards the other fields. head follows the current head, of which begin holds the first bytes. lines counts those
 	// of all heads before it.
@@ -52,8 +40,9 @@
 	lines int
 }
 
-// Read reads from the connection. Its error is a TooManyLinesError if a head has too many lines.
-func (c *limitedConn) Read(p []byte) (int, error) {
+// Read reads from the connection. Its error is a TooManyLinesError if the head of the response, together with those of
+// interim responses before it, has too many lines.
+func (c *responseConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.lock.Lock()
 	defer c.lock.Unlock()
@@ -75,15 +64,15 @@
 }
 
 // Close closes the connection, and gives back the memory of the head.
-func (c *limitedConn) Close() error {
+func (c *responseConn) Close() error {
 	c.holding.Close()
 	return c.Conn.Close()
 }
 
 // Unwrap returns the connection that was opened, from one that an HTTP client uses.
 func Unwrap(c net.Conn) net.Conn {
-	if wrapped, ok := c.(*limitedConn); ok {
-		return wrapped.Conn
+	if wrapped, ok := c.(*responseConn); ok {
+		return wrapped.dialled
 	}
 	return c
 }
--- a/connector/head_test.go
+++ b/connector/head_test.go
@@ -34,8 +34,8 @@
 			is := is.New(t)
 			account := accountant.New(1 << 20)
 			near, far := net.Pipe()
-			dial := LimitHead(func(context.Context, string, string) (net.Conn, error) { return near, nil }, account)
-			transport := &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: MaxHeadBytes}
+			dial := func(context.Context, string, string) (net.Conn, error) { return near, nil }
+			transport := NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true}, account)
 			go func() {
 				defer func() { _ = far.Close() }()
 				_, _ = http.ReadRequest(bufio.NewReader(far))
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -63,13 +63,20 @@
 	lock     sync.Mutex
 	// dials counts the connections that the entry has begun to open to each upstream.
 	dials map[string]int
+	// nextConnection is what the next dial of the entry returns instead of a connection of net; nil for none.
+	nextConnection net.Conn
 }
 
 // dial opens a connection of the entry to an upstream.
 func (f *fixture) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	f.lock.Lock()
 	f.dials[address]++
+	next := f.nextConnection
+	f.nextConnection = nil
 	f.lock.Unlock()
+	if next != nil {
+		return next, nil
+	}
 	return f.net.Dialer(entryHost)(ctx, network, address)
 }
 
--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -14,12 +14,7 @@
 // of its own. On a reused connection, a late or second response could be mistaken for that of the
 // next request, and a request sent while the upstream closes the connection may or may not have run.
 func newTransport(dial connector.DialFunc, account *accountant.Account) *http.Transport {
-	return &http.Transport{
-		DialContext:            connector.LimitHead(dial, account),
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: connector.MaxHeadBytes,
-	}
+	return connector.NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}, account)
 }
 
 // hopHeaders are the HTTP headers that apply to a single connection (hop-by-hop headers). They are
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -200,7 +200,7 @@
 	})
 	// Each request uses a new connection: engines may close idle connections without notice, and a request sent
 	// on a closed connection can't be distinguished from one that the engine refused.
-	reservationHTTPClient := &http.Client{Transport: &http.Transport{DialContext: connector.LimitHead(l.tunneler.Dial, c.Account), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: connector.MaxHeadBytes}}
+	reservationHTTPClient := &http.Client{Transport: connector.NewTransport(&http.Transport{DialContext: l.tunneler.Dial, DisableKeepAlives: true, DisableCompression: true}, c.Account)}
 	l.controller = controller.New(controller.Config{
 		Name: c.Name, DataCentre: c.DataCentre, Regions: c.Regions, Incarnation: incarnation, IsFirstStart: c.IsFirstStart,
 		CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, LoadAddress: c.LoadAddress, Store: c.Store, MaxPropagation: c.MaxPropagation, RegistrationLease: c.RegistrationLease, RenewalInterval: c.RenewalInterval, Speed: c.Speed, SinceBoot: c.SinceBoot, Dispatcher: sharedDispatcher, Scheduler: returns, Quarantine: quarantine, Isolator: partIsolator, Tunneler: l.tunneler, Dial: c.Dial,
--- a/server/server.go
+++ b/server/server.go
@@ -241,20 +241,18 @@
 
 // newTransport returns an HTTP transport. Its connections serve one request each if singleUse is true.
 func newTransport(dial connector.DialFunc, singleUse bool, account *accountant.Account) *http.Transport {
-	if singleUse {
-		dial = connector.LimitHead(dial, account)
+	if !singleUse {
+		account = nil // the head of a response does not count for as long as its connection is kept
 	}
-	return &http.Transport{
+	return connector.NewTransport(&http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
-		// Bytes without end are no head.
-		MaxResponseHeaderBytes: connector.MaxHeadBytes,
 		// The upstream may close an idle connection while a request is being sent on it. A request that may
 		// run at most once therefore gets a new connection.
 		DisableKeepAlives: singleUse,
-	}
+	}, account)
 }
 
 func (s *Server) reportViolation(name, detail string) {
--- /dev/null
+++ b/soak/broken_test.go
@@ -0,0 +1,197 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sapphireramp/sapphireramp/standin/worker"
+)
+
+// brokenBody is the size of long uploads in bytes, wholeEvents the number of events of a whole stream.
+const brokenBody, wholeEvents = 4 << 20, 5
+
+// isBroken reports whether engines answer the first attempt of a request with a number wrongly: half of those of each route.
+func isBroken(number int) bool { return number%4 < 2 }
+
+// brokenEngines answers the first attempts of requests for which isBroken returns true as respond does, and all others
+// soundly. It stands for all upstreams of a fleet.
+type brokenEngines struct {
+	// respond writes a response to an attempt of the request with an ID, whose body has not been read. The connection is
+	// closed afterwards.
+	respond func(c *net.TCPConn, a brokenAttempt)
+	lock    sync.Mutex
+	// attempts counts those of each request.
+	attempts map[string]int
+}
+
+// brokenAttempt is an attempt of a request at one of brokenEngines.
+type brokenAttempt struct {
+	// head is that of a sound response with status 200, without the line that ends it; body is the whole body of one.
+	id, head, body string
+	reader         *bufio.Reader
+	request        *http.Request
+	// number is that of the request.
+	number int
+}
+
+// part returns the part of the body that a broken answer sends: the first event of a stream.
+func (a brokenAttempt) part() string { return a.body[:len(worker.StreamEvent(a.id, 1))] }
+
+// readBody reads the whole request body.
+func (a brokenAttempt) readBody() { _, _ = io.Copy(io.Discard, a.request.Body) }
+
+// length returns the header of a whole body.
+func (a brokenAttempt) length() string { return fmt.Sprintf("Content-Length: %d\r\n", len(a.body)) }
+
+// newBrokenEngines makes brokenEngines listen in place of all upstreams of a fleet.
+func newBrokenEngines(f *fleet) *brokenEngines {
+	b := &brokenEngines{attempts: map[string]int{}}
+	for id, r := range f.upstreamRelays {
+		r.Stop()
+		address := netip.AddrPortFrom(f.address(2, int(id[len(id)-1]-'0')), upstreamPort)
+		listener, err := net.Listen("tcp", address.String())
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.t.Cleanup(func() { _ = listener.Close() })
+		go func() {
+			for {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go b.serve(c.(*net.TCPConn), id)
+			}
+		}()
+	}
+	return b
+}
+
+// serve answers one request.
+func (b *brokenEngines) serve(c *net.TCPConn, engine string) {
+	defer func() { _ = c.Close() }()
+	a := brokenAttempt{reader: bufio.NewReader(c)}
+	var err error
+	if a.request, err = http.ReadRequest(a.reader); err != nil {
+		return
+	}
+	a.id = a.request.Header.Get("X-Attempt-Id")
+	a.head = fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Engine-Stamp: %s\r\nX-Attempt-Id: %s\r\nContent-Type: text/event-stream\r\n", engine, a.id)
+	last, _ := strconv.Atoi(a.request.Header.Get("Last-Event-Id")) // 0 if there is none
+	for n := last + 1; n <= wholeEvents; n++ {
+		a.body += worker.StreamEvent(a.id, n)
+	}
+	b.lock.Lock()
+	isFirst := b.attempts[a.id] == 0
+	b.attempts[a.id]++
+	b.lock.Unlock()
+	a.number, _ = strconv.Atoi(a.id[strings.LastIndex(a.id, "-")+1:]) // 0 if there is none
+	if isFirst && isBroken(a.number) {
+		b.respond(c, a)
+		return
+	}
+	a.readBody()
+	_, _ = io.WriteString(c, a.head+a.length()+"\r\n"+a.body)
+}
+
+// brokenResult is how a request ended for its caller.
+type brokenResult struct {
+	status int
+	header http.Header
+	body   string
+	// isComplete is true if the caller takes what arrived for a whole response.
+	isComplete bool
+}
+
+// askRaw sends one request to an entry with a version of HTTP, on a connection of its own.
+func (e *entry) askRaw(version, route, id string, bodySize int) brokenResult {
+	c, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", e.host, callerPort), time.Second)
+	if err != nil {
+		return brokenResult{}
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	go func() {
+		_, _ = fmt.Fprintf(c, "POST /%s/x %s\r\nHost: h\r\nAuthorization: Bearer key-1\r\nX-Attempt-Id: %s\r\nX-Token-Usage: 2000,200\r\nContent-Length: %d\r\n\r\n", route, version, id, bodySize)
+		_, _ = io.WriteString(c, id+strings.Repeat("x", bodySize-len(id))) // requests of the same content may be held back together
+	}()
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return brokenResult{}
+	}
+	body, err := io.ReadAll(response.Body)
+	return brokenResult{status: response.StatusCode, header: response.Header, body: string(body), isComplete: err == nil}
+}
+
+// Guards against answers that no engine has sent whole, or that are none in HTTP, and are complete for their callers: real
+// processes, engines that answer half of all requests so, calls that may be repeated and streams. What is not retried, as
+// the retry budget of an entry that has just started is small, is an honest failure.
+func TestBrokenAnswersReachNoCaller(t *testing.T) {
+	f := newFleetWithLimits(t, 40, 1, limits{maxBody: brokenBody})
+	engines := newBrokenEngines(f)
+	f.awaitReady(20 * time.Second)
+	for name, c := range brokenAnswers() {
+		t.Run(name, func(t *testing.T) {
+			engines.respond = c.respond
+			ended := map[string]int{}
+			for n := range c.requests {
+				route := []string{"safe", "stream"}[n%2]
+				id := fmt.Sprintf("%s-%d", strings.ReplaceAll(name, " ", "-"), n)
+				r := f.entries[0].askRaw("HTTP/1.1", route, id, c.bodySize)
+				whole := ""
+				for n := 1; n <= wholeEvents; n++ {
+					whole += worker.StreamEvent(id, n)
+				}
+				end := fmt.Sprintf("status %d, complete %t", r.status, r.isComplete)
+				switch {
+				case r.isComplete && r.status == http.StatusOK && r.body == whole:
+					end = "whole"
+				case r.isComplete && r.status == http.StatusOK:
+					end = "wrong"
+					t.Errorf("%s: complete, %d bytes of %d: %.60q", id, len(r.body), len(whole), r.body)
+				case r.isComplete && r.header.Get("X-Engine-Stamp") != "":
+					t.Errorf("%s: status %d with the stamp of the engine", id, r.status)
+				case !isBroken(n):
+					t.Errorf("%s: %s, although an engine answered soundly", id, end)
+				}
+				ended[end]++
+			}
+			t.Log(ended)
+		})
+	}
+}
+
+// brokenAnswer is a way in which engines answer wrongly, and the load that shows it.
+type brokenAnswer struct {
+	respond            func(c *net.TCPConn, a brokenAttempt)
+	requests, bodySize int
+}
+
+// brokenAnswers returns the ways in which engines answer wrongly.
+func brokenAnswers() map[string]brokenAnswer {
+	return map[string]brokenAnswer{
+		"reset during the upload": {requests: 42, bodySize: brokenBody, respond: func(c *net.TCPConn, a brokenAttempt) {
+			_, _ = io.WriteString(c, a.head+"\r\n"+a.part())
+			time.Sleep(time.Duration(a.number%21) * time.Millisecond)
+			_ = c.SetLinger(0) // makes Close reset the connection
+		}},
+		"closed with unread bytes during the upload": {requests: 42, bodySize: brokenBody, respond: func(c *net.TCPConn, a brokenAttempt) {
+			_, _ = io.WriteString(c, a.head+"\r\n"+a.part())
+			time.Sleep(time.Duration(a.number%21) * time.Millisecond)
+		}},
+		"reset after the upload": {requests: 10, bodySize: brokenBody, respond: func(c *net.TCPConn, a brokenAttempt) {
+			a.readBody()
+			_, _ = io.WriteString(c, a.head+"\r\n"+a.part())
+			_ = c.SetLinger(0)
+		}},
+	}
+}
--- a/tunneler/relay.go
+++ b/tunneler/relay.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/accountant"
+	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/watcher"
 )
 
@@ -130,7 +131,8 @@
 	case err != nil:
 		return Unreachable, 0
 	}
-	return Opened, t.served.add(t, connection, args, memory)
+	// Calls for data and calls that write run side by side, and only the first of them learns of a reset.
+	return Opened, t.served.add(t, connector.DetectReset(connection), args, memory)
 }
 
 // admit returns Opened if a tunnel may be opened, and the reason otherwise.
