connector: the heads of responses are read strictly

What callers saw: an engine sent a head in which the name of a field began with a line feed, or two of them stood behind a field. The head ended there for the entry, and its rest arrived as the body of a complete answer. Where a name began with a space or a tab, the line was passed on as part of the field before it, and a length so spoiled was lost.

Cause: http.Transport takes more for a head than HTTP does: lines that end in a line feed alone and lines that continue the one before, which a gateway is to reject or to mend. connector.CheckHead saw what was left after parsing, and was called by three of the readers.

Change: transports of connector.NewTransport check each line of a head as it arrives, at each response of a connection that is used again too: version, status, names, values and CRLF. From an invalid line on nothing more is read; an error alone would not do, as http.Transport reads on after one in the middle of a line. CheckHead and its calls are gone, and limits on lines hold on connections that are kept open too. As before, an invalid head does not count as a crash.

Evidence: TestSpoiledResponsesAreFailures, nine new forms red before, those with control bytes and blanks elsewhere in a name and status 000 green before and after; TestSpoiledAnswersOfServices, two forms red before, on connections that are open already; TestSpoiledResponseIsRetried.

A head that is cut off was handled before, on too, at each byte and however the connection ends: TestHeadsThatAreCutOff.

--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -319,8 +319,13 @@
 red memory-stalled forwarder/bodyprogress.go 's/if !isHopeless \|\| !f\.account\.IsShort\(\)/if isHopeless || true/' ./launcher TestStalledBodiesGiveMemoryBack
 red memory-body forwarder/requestbody.go 's/if !b\.isReleased \{/if true {/' ./forwarder TestBodyCountsUntilNobodyUsesIt
 red memory-own accountant/accountant.go 's/if h\.isClosed \|\| !a\.allows\(h, n\) \{/if false {/' ./server TestLargeCallsStayWithinMemory
-red no-response forwarder/attempt.go 's/connector\.CheckHead\(a\.response\); err/connector.CheckHead(a.response); false \&\& err/' ./forwarder TestSpoiledResponsesAreFailures
-red no-answer server/call.go 's/connector\.CheckHead\(response\); err/connector.CheckHead(response); false \&\& err/' ./server TestSpoiledAnswersOfServices
+red no-response connector/response.go 's/c\.headErr = c\.head\.add\(p\[:n\]\)/_ = c.head.add(p[:n])/' ./forwarder TestSpoiledResponsesAreFailures
+red no-answer connector/response.go 's/c\.headErr = c\.head\.add\(p\[:n\]\)/_ = c.head.add(p[:n])/' ./server TestSpoiledAnswersOfServices
+red reused-heads connector/transport.go 's/connection\.beginResponse\(\)//' ./connector TestHeadsOfReusedConnections
+red reset connector/reset.go 's/if c\.failure != nil \{/if false {/' ./forwarder TestResetThatTheWriterLearnsOfEndsNoResponse
+red late-reset connector/reset.go 's/c\.writing <- struct\{\}\{\}\n\tdefer func\(\) \{ <-c\.writing \}\(\)\n\tif c\.failure/if c.failure/' ./forwarder TestResetThatTheWriterLearnsOfEndsNoResponse
+red early-end connector/reset.go 's/c\.interruptWrites\(\)\n//' ./forwarder TestEarlyResponseThatEndsInOrderIsWhole
+red relay-reset tunneler/relay.go 's/connector\.DetectReset\(connection\)/[]net.Conn{connection, connector.DetectReset(nil)}[0]/' ./tunneler TestResetThatTheRelaysWriterLearnsOfIsNoEnd
 red panic-gives-back forwarder/forward.go 's/defer f\.abandon\(x\)//' ./forwarder TestPanicGivesPlacementsBack
 red events-are-progress forwarder/stream.go 's/if len\(complete\) > 0/if n > 0/' ./forwarder TestResponseWithoutEndIsRetried
 red changes-skipped controller/follow.go 's/ \|\| errors\.Is\(err, follower\.ErrTooManyChanges\)//' ./launcher TestStormOfLargeConfigurationsIsFollowed
--- /dev/null
+++ b/connector/cut_test.go
@@ -0,0 +1,101 @@
+package connector_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sapphireramp/sapphireramp/connector"
+	"github.com/sapphireramp/sapphireramp/standin/network"
+)
+
+// ask sends a request over a connection, and returns the response with its body once the transport is done with it.
+func ask(c net.Conn) (status int, body string, err error) {
+	defer time.Sleep(time.Second)
+	dial := func(context.Context, string, string) (net.Conn, error) { return c, nil }
+	transport := connector.NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true}, nil)
+	request, err := http.NewRequest(http.MethodPost, "http://upstream/", strings.NewReader("request"))
+	if err != nil {
+		return 0, "", err
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(data), err
+}
+
+// Guards against a response whose head is cut off, at any byte and however its connection ends, and that is taken for one
+// with an empty or short body.
+func TestHeadsThatAreCutOff(t *testing.T) {
+	for name, head := range map[string]string{
+		"length":   "HTTP/1.1 200 OK\r\nX-Engine-Stamp: a\r\nContent-Length: 4\r\nX: a\r\n\r\n",
+		"chunks":   "HTTP/1.1 200 OK\r\nX-Engine-Stamp: a\r\nTransfer-Encoding: chunked\r\nX: a\r\n\r\n",
+		"neither":  "HTTP/1.1 200 OK\r\nX-Engine-Stamp: a\r\nX: a\r\n\r\n",
+		"HTTP/1.0": "HTTP/1.0 200 OK\r\nX-Engine-Stamp: a\r\nX: a\r\n\r\n",
+		"interim":  "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+	} {
+		for end, errs := range map[string][2]error{
+			"closed":                   {syscall.EPIPE, io.EOF},
+			"reset, read returns it":   {syscall.EPIPE, syscall.ECONNRESET},
+			"reset, write returns it":  {syscall.ECONNRESET, io.EOF},
+			"closed before the answer": {syscall.EPIPE, io.EOF},
+		} {
+			t.Run(name+", "+end, func(t *testing.T) {
+				for size := range len(head) {
+					synctest.Test(t, func(t *testing.T) {
+						order := network.WriteBeforeEnd
+						if end == "closed before the answer" {
+							order = network.WriteBeforeResponse
+						}
+						status, body, err := ask(network.NewPlayedConn(order, head[:size], errs[0], errs[1]))
+						if err == nil {
+							t.Errorf("cut off after %d bytes: status %d, body %q", size, status, body)
+						}
+					})
+				}
+			})
+		}
+	}
+}
+
+// Guards against resets that are no error, or are another, where the write and the read learn of them in any order.
+func TestResets(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\n\r\nbody"
+	for _, c := range []struct {
+		order             network.Order
+		writeErr, readErr error
+		want              error
+	}{
+		{network.WriteBeforeEnd, syscall.ECONNRESET, io.EOF, syscall.ECONNRESET},
+		{network.WriteAfterEnd, syscall.ECONNRESET, io.EOF, syscall.ECONNRESET},
+		{network.WriteBeforeEnd, syscall.ETIMEDOUT, io.EOF, syscall.ETIMEDOUT},
+		{network.WriteAfterEnd, syscall.EHOSTUNREACH, io.EOF, syscall.EHOSTUNREACH},
+		{network.WriteAfterEnd, syscall.EPIPE, syscall.ECONNRESET, syscall.ECONNRESET},
+		{network.WriteBeforeEnd, syscall.EPIPE, io.EOF, nil},
+		{network.WriteAfterEnd, syscall.EPIPE, io.EOF, nil},
+		{network.WriteBlocks, nil, io.EOF, nil},
+	} {
+		t.Run(fmt.Sprintf("order %d, %v, %v", c.order, c.writeErr, c.readErr), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				status, body, err := ask(network.NewPlayedConn(c.order, response, c.writeErr, c.readErr))
+				is.Equal(status, http.StatusOK)
+				is.Equal(body, "body")
+				is.True(errors.Is(err, c.want))
+			})
+		})
+	}
+}
--- a/connector/head.go
+++ b/connector/head.go
@@ -3,9 +3,9 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/http"
-	"sync"
+	"strconv"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 
@@ -23,93 +23,110 @@
 	return fmt.Sprintf("response head of %d lines: must be at most %d", e.Lines, MaxHeadLines)
 }
 
-// interimStatus begins the head of an interim response, after which another head follows.
-var interimStatus = []byte("HTTP/1.1 1")
+// InvalidResponseError is the error of a response whose head is not one of HTTP/1.0 or HTTP/1.1, or not that of a final
+// response. Nothing in it is believed or passed on.
+type InvalidResponseError struct {
+	// Line is the number of the invalid line of the head, or of its last one if lines contradict each other, from 1 on.
+	Line int
+	// Problem says what is wrong with it.
+	Problem string
+}
 
-// responseConn is a connection of a transport of NewTransport.
-type responseConn struct {
-	net.Conn
-	// dialled is the connection that was opened.
-	dialled net.Conn
-	holding *accountant.Holding
-	// lock guards the other fields. head follows the current head, of which begin holds the first bytes. lines counts those
-	// of all heads before it.
-	lock  sync.Mutex
-	head  accountant.HeadScanner
-	begin []byte
-	lines int
+func (e InvalidResponseError) Error() string {
+	return fmt.Sprintf("invalid response: line %d of the head: %s", e.Line, e.Problem)
 }
 
-// Read reads from the connection. Its error is a TooManyLinesError if the head of the response, together with those of
-// interim responses before it, has too many lines.
-func (c *responseConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	for data := p[:max(n, 0)]; len(data) > 0 && !c.head.IsComplete(); {
-		c.begin = append(c.begin, data[:min(len(data), len(interimStatus)-len(c.begin))]...)
-		data = data[c.head.Scan(data):]
-		lines := c.lines + c.head.Lines()
-		if more := c.head.Memory() - c.holding.Bytes(); more > 0 {
-			c.holding.Force(more)
-		}
-		if lines > MaxHeadLines {
-			return 0, TooManyLinesError{Lines: lines}
-		}
-		if c.head.IsComplete() && bytes.Equal(c.begin, interimStatus) {
-			c.head, c.begin, c.lines = accountant.HeadScanner{}, nil, lines
-		}
-	}
-	return n, err
+// responseHead follows the head of a response, with those of interim responses before it, as it arrives, and checks it as
+// RFC 9112 has it. http.Transport takes more for a head: lines that end in a line feed alone, lines that continue the one
+// before, names that are none. What it takes for the end of a head may then be another place than the upstream meant. The
+// zero value is ready for use.
+type responseHead struct {
+	// line is what has come of the current line. size and lines count the bytes and the complete lines of the current head,
+	// linesBefore the lines of the heads before it.
+	line                     []byte
+	size, lines, linesBefore int
+	// status is that of the current head; 0 until its first line is complete.
+	status int
+	// isComplete is true once the head of the final response has ended.
+	isComplete bool
 }
 
-// Close closes the connection, and gives back the memory of the head.
-func (c *responseConn) Close() error {
-	c.holding.Close()
-	return c.Conn.Close()
+// minStatus and maxStatus bound the statuses of final responses.
+const minStatus, maxStatus = 200, 599
+
+// memory returns the memory, in bytes, that the current head takes.
+func (h *responseHead) memory() int64 {
+	return accountant.HeadMemory(h.size, h.lines) + int64(cap(h.line))
 }
 
-// Unwrap returns the connection that was opened, from one that an HTTP client uses.
-func Unwrap(c net.Conn) net.Conn {
-	if wrapped, ok := c.(*responseConn); ok {
-		return wrapped.dialled
+// add follows the next bytes of the connection. Its error is an InvalidResponseError or a TooManyLinesError.
+func (h *responseHead) add(data []byte) error {
+	for len(data) > 0 && !h.isComplete {
+		part, rest, hasEnd := bytes.Cut(data, []byte{'\n'})
+		h.size += len(data) - len(rest)
+		h.line, data = append(h.line, part...), rest
+		if !hasEnd {
+			return nil
+		}
+		h.lines++
+		if lines := h.linesBefore + h.lines; lines > MaxHeadLines {
+			return TooManyLinesError{Lines: lines}
+		}
+		if problem := h.addLine(string(h.line)); problem != "" {
+			return InvalidResponseError{Line: h.linesBefore + h.lines, Problem: problem}
+		}
+		h.line = h.line[:0]
 	}
-	return c
+	return nil
 }
 
-// InvalidResponseError is the error of a response whose head http.Transport accepts although it is not one of HTTP, or
-// not that of a final response. Nothing in it is believed or passed on.
-type InvalidResponseError struct {
-	Proto  string
-	Status int
-	// Header is the name of the invalid header; empty if Proto, the version of HTTP, or Status is invalid.
-	Header string
+// addLine follows a line without its line feed, and returns what is wrong with it; empty if nothing is.
+func (h *responseHead) addLine(line string) (problem string) {
+	line, endsInReturn := strings.CutSuffix(line, "\r")
+	switch {
+	case !endsInReturn:
+		return "it ends in a line feed alone"
+	case h.lines == 1:
+		return h.setStatus(line)
+	case line != "":
+		return checkField(line)
+	case h.status < minStatus:
+		*h = responseHead{line: h.line, linesBefore: h.linesBefore + h.lines}
+	default:
+		h.isComplete = true
+	}
+	return ""
 }
 
-func (e InvalidResponseError) Error() string {
-	if e.Header != "" {
-		return fmt.Sprintf("invalid response: header %.40q", e.Header)
+// setStatus sets the status from the first line of a head, and returns what is wrong with it.
+func (h *responseHead) setStatus(line string) (problem string) {
+	version, rest, _ := strings.Cut(line, " ")
+	code, reason, _ := strings.Cut(rest, " ")
+	status, err := strconv.ParseUint(code, 10, 16)
+	if major, _, ok := http.ParseHTTPVersion(version); !ok || major != 1 {
+		return fmt.Sprintf("version %.20q", version)
 	}
-	return fmt.Sprintf("invalid response: %.20s status %d", e.Proto, e.Status)
+	isInterim := status >= http.StatusContinue && status < minStatus && status != http.StatusSwitchingProtocols
+	if err != nil || len(code) != 3 || status > maxStatus || status < minStatus && !isInterim {
+		return fmt.Sprintf("status %.20q", code)
+	}
+	if !httpguts.ValidHeaderFieldValue(reason) {
+		return "invalid reason phrase"
+	}
+	h.status = int(status)
+	return ""
 }
 
-// minStatus and maxStatus bound the statuses of final responses.
-const minStatus, maxStatus = 200, 599
-
-// CheckHead returns an InvalidResponseError if the head of a response is invalid.
-func CheckHead(r *http.Response) error {
-	if r.ProtoMajor != 1 || r.StatusCode < minStatus || r.StatusCode > maxStatus {
-		return InvalidResponseError{Proto: r.Proto, Status: r.StatusCode}
-	}
-	for name, values := range r.Header {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return InvalidResponseError{Proto: r.Proto, Status: r.StatusCode, Header: name}
-		}
-		for _, v := range values {
-			if !httpguts.ValidHeaderFieldValue(v) {
-				return InvalidResponseError{Proto: r.Proto, Status: r.StatusCode, Header: name}
-			}
-		}
+// checkField returns what is wrong with the line of a field; empty if nothing is.
+func checkField(line string) (problem string) {
+	name, value, hasColon := strings.Cut(line, ":")
+	switch {
+	case !hasColon:
+		return "no colon"
+	case !httpguts.ValidHeaderFieldName(name):
+		return fmt.Sprintf("name %.40q", name)
+	case !httpguts.ValidHeaderFieldValue(value):
+		return fmt.Sprintf("value of %.40q", name)
 	}
-	return nil
+	return ""
 }
--- a/connector/transport.go
+++ b/connector/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/sapphireramp/sapphireramp/accountant"
@@ -16,11 +17,15 @@
 	MaxIdleConns: 100, IdleConnTimeout: 90 * time.Second,
 }, nil)
 
-// NewTransport returns a transport with the settings of t, which must not be used otherwise and has a DialContext. All
-// that reads answers reads them from such a transport: an answer whose end is that of its connection is whole only if the
-// connection was closed in order (see DetectReset). Heads are limited to MaxHeadBytes and MaxHeadLines, and what they take
-// counts in the account until the connection is closed; a nil account is allowed.
-func NewTransport(t *http.Transport, account *accountant.Account) *http.Transport {
+// Transport is an http.RoundTripper that returns no response that was not sent as HTTP has it: an invalid head is an
+// InvalidResponseError, and a body whose end is that of its connection is whole only if the connection was closed in order
+// (see DetectReset). All that reads responses reads them from a Transport.
+type Transport struct{ *http.Transport }
+
+// NewTransport returns a Transport with the settings of t, which must not be used otherwise and has a DialContext. Heads are
+// limited to MaxHeadBytes and MaxHeadLines, and what they take counts in the account until the connection is closed; a nil
+// account is allowed.
+func NewTransport(t *http.Transport, account *accountant.Account) *Transport {
 	dial := t.DialContext
 	t.MaxResponseHeaderBytes = MaxHeadBytes
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -28,7 +33,26 @@
 		if err != nil {
 			return nil, err // http.Transport adds what was dialled
 		}
-		return &responseConn{Conn: DetectReset(c), dialled: c, holding: account.Open("", accountant.Request)}, nil
+		return newResponseConn(c, account), nil
+	}
+	return &Transport{t}
+}
+
+// RoundTrip sends a request and returns the response; see [http.RoundTripper].
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var connection *responseConn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connection, _ = info.Conn.(*responseConn)
+		if connection != nil && info.Reused {
+			connection.beginResponse()
+		}
+	}}
+	response, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err == nil || connection == nil {
+		return response, err
+	}
+	if headErr := connection.invalidHead(); headErr != nil {
+		return nil, headErr // http.Transport may have failed to parse the line before the error
 	}
-	return t
+	return nil, err
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -225,10 +225,6 @@
 // helper that the header names.
 func (f *Forwarder) classify(x *exchange, a *attempt) {
 	status := a.response.StatusCode
-	if err := connector.CheckHead(a.response); err != nil {
-		a.verdict, a.err = verdictBroken, err
-		return
-	}
 	metadata := f.protocol.ReadResponse(status, a.response.Header)
 	f.applyBackpressure(x, a, metadata)
 	switch {
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/dispatcher"
 	"github.com/sapphireramp/sapphireramp/isolator"
 	"github.com/sapphireramp/sapphireramp/quarantiner"
@@ -25,12 +26,13 @@
 }
 
 // markBroken sets the verdict of an attempt to verdictBroken with the error err. It sets connectionLost
-// unless ctx, the context of the attempt, was cancelled or a tunnel was lost.
+// unless ctx, the context of the attempt, was cancelled, a tunnel was lost, or the upstream sent an invalid response.
 func (a *attempt) markBroken(ctx context.Context, err error) {
 	a.verdict, a.err = verdictBroken, err
 	var lost tunneler.TunnelLostError
+	var invalid connector.InvalidResponseError
 	a.isLinkAtFault = errors.As(err, &lost)
-	a.connectionLost = context.Cause(ctx) == nil && !a.isLinkAtFault
+	a.connectionLost = context.Cause(ctx) == nil && !a.isLinkAtFault && !errors.As(err, &invalid)
 }
 
 // markEndedEarly sets the verdict of an attempt whose stream ended too early, without an error of the connection, to
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -97,7 +97,7 @@
 	scheduler         *scheduler.Scheduler
 	share             func(now time.Time, d dispatcher.Demand) (Share, bool)
 	tunneler          *tunneler.Tunneler
-	transport         *http.Transport
+	transport         *connector.Transport
 	exitDetector      *connector.ExitDetector
 	log               *zap.Logger
 	metrics           metrics
--- a/forwarder/reset_test.go
+++ b/forwarder/reset_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/sapphireramp/sapphireramp/standin/network"
 	"github.com/sapphireramp/sapphireramp/standin/worker"
@@ -77,6 +78,7 @@
 					f.is.Equal(a.status, http.StatusOK)
 					f.is.Equal(a.body, worker.StreamEvent(id, 1))
 					f.is.Equal(a.header.Get("X-Engine-Stamp"), "stamp")
+					f.is.True(a.duration < 100*time.Millisecond)
 				}
 			})
 		})
--- a/forwarder/spoiled_test.go
+++ b/forwarder/spoiled_test.go
@@ -66,32 +66,49 @@
 	event := "id: 1\ndata: a\n\n"
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(event))
 	for name, response := range map[string]string{
-		"status 000":           "HTTP/1.1 000 OK\r\n" + soundHead + length + "\r\n" + event,
-		"status 099":           "HTTP/1.1 099 OK\r\n" + soundHead + length + "\r\n" + event,
-		"status 101":           "HTTP/1.1 101 OK\r\n" + soundHead + length + "\r\n" + event,
-		"status 101, upgrade":  "HTTP/1.1 101 OK\r\nConnection: upgrade\r\nUpgrade: x\r\n" + soundHead + length + "\r\n" + event,
-		"status 100 only":      "HTTP/1.1 100 Continue\r\n\r\n",
-		"status 600":           "HTTP/1.1 600 OK\r\n" + soundHead + length + "\r\n" + event,
-		"status 999":           "HTTP/1.1 999 OK\r\n" + soundHead + length + "\r\n" + event,
-		"status -20":           "HTTP/1.1 -20 OK\r\n" + soundHead + length + "\r\n" + event,
-		"status 20":            "HTTP/1.1 20 OK\r\n" + soundHead + length + "\r\n" + event,
-		"version":              "HTTP/3.7 200 OK\r\n" + soundHead + length + "\r\n" + event,
-		"no head":              event,
-		"nothing":              "",
-		"control in a value":   "HTTP/1.1 200 OK\r\n" + soundHead + "X-Broken: a\x01b\r\n" + length + "\r\n" + event,
-		"NUL in a value":       "HTTP/1.1 200 OK\r\n" + soundHead + "X-Broken: a\x00b\r\n" + length + "\r\n" + event,
-		"CR in a value":        "HTTP/1.1 200 OK\r\n" + soundHead + "X-Broken: a\rb\r\n" + length + "\r\n" + event,
-		"space in a name":      "HTTP/1.1 200 OK\r\n" + soundHead + "X Broken: a\r\n" + length + "\r\n" + event,
-		"line without a colon": "HTTP/1.1 200 OK\r\n" + soundHead + "X-Broken\r\n" + length + "\r\n" + event,
-		"many fields":          "HTTP/1.1 200 OK\r\n" + soundHead + strings.Repeat("x:\r\n", 4000) + length + "\r\n" + event,
-		"head cut off":         "HTTP/1.1 200 OK\r\n" + soundHead,
-		"negative length":      "HTTP/1.1 200 OK\r\n" + soundHead + "Content-Length: -5\r\n\r\n" + event,
-		"two lengths":          "HTTP/1.1 200 OK\r\n" + soundHead + length + "Content-Length: 3\r\n\r\n" + event,
-		"body too short":       "HTTP/1.1 200 OK\r\n" + soundHead + "Content-Length: 100\r\n\r\n" + event,
-		"chunk without a size": "HTTP/1.1 200 OK\r\n" + soundHead + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + event + "\r\n0\r\n\r\n",
-		"chunks cut off":       "HTTP/1.1 200 OK\r\n" + soundHead + "Transfer-Encoding: chunked\r\n\r\n5\r\nid: 1\r\n",
-		"unknown encoding":     "HTTP/1.1 200 OK\r\n" + soundHead + "Transfer-Encoding: zip\r\n\r\n" + event,
-		"no stamp":             "HTTP/1.1 200 OK\r\nX-Engine-Header: spoiled\r\n" + length + "\r\n" + event,
+		"status 000":            "HTTP/1.1 000 OK\r\n" + soundHead + length + "\r\n" + event,
+		"status 099":            "HTTP/1.1 099 OK\r\n" + soundHead + length + "\r\n" + event,
+		"status 101":            "HTTP/1.1 101 OK\r\n" + soundHead + length + "\r\n" + event,
+		"status 101, upgrade":   "HTTP/1.1 101 OK\r\nConnection: upgrade\r\nUpgrade: x\r\n" + soundHead + length + "\r\n" + event,
+		"status 100 only":       "HTTP/1.1 100 Continue\r\n\r\n",
+		"status 600":            "HTTP/1.1 600 OK\r\n" + soundHead + length + "\r\n" + event,
+		"status 999":            "HTTP/1.1 999 OK\r\n" + soundHead + length + "\r\n" + event,
+		"status -20":            "HTTP/1.1 -20 OK\r\n" + soundHead + length + "\r\n" + event,
+		"status 20":             "HTTP/1.1 20 OK\r\n" + soundHead + length + "\r\n" + event,
+		"version":               "HTTP/3.7 200 OK\r\n" + soundHead + length + "\r\n" + event,
+		"no head":               event,
+		"nothing":               "",
+		"control in a value":    "HTTP/1.1 200 OK\r\n" + soundHead + "X-Broken: a\x01b\r\n" + length + "\r\n" + event,
+		"NUL in a value":        "HTTP/1.1 200 OK\r\n" + soundHead + "X-Broken: a\x00b\r\n" + length + "\r\n" + event,
+		"CR in a value":         "HTTP/1.1 200 OK\r\n" + soundHead + "X-Broken: a\rb\r\n" + length + "\r\n" + event,
+		"space in a name":       "HTTP/1.1 200 OK\r\n" + soundHead + "X Broken: a\r\n" + length + "\r\n" + event,
+		"tab in a name":         "HTTP/1.1 200 OK\r\n" + soundHead + "X\tBroken: a\r\n" + length + "\r\n" + event,
+		"control in a name":     "HTTP/1.1 200 OK\r\n" + soundHead + "X\x01Broken: a\r\n" + length + "\r\n" + event,
+		"NUL in a name":         "HTTP/1.1 200 OK\r\n" + soundHead + "\x00X-Broken: a\r\n" + length + "\r\n" + event,
+		"CR in a name":          "HTTP/1.1 200 OK\r\n" + soundHead + "\rX-Broken: a\r\n" + length + "\r\n" + event,
+		"DEL in a name":         "HTTP/1.1 200 OK\r\n" + soundHead + "X-Broken\x7f: a\r\n" + length + "\r\n" + event,
+		"space behind a name":   "HTTP/1.1 200 OK\r\n" + soundHead + "X-Broken : a\r\n" + length + "\r\n" + event,
+		"no name":               "HTTP/1.1 200 OK\r\n" + soundHead + ": a\r\n" + length + "\r\n" + event,
+		"line without a colon":  "HTTP/1.1 200 OK\r\n" + soundHead + "X-Broken\r\n" + length + "\r\n" + event,
+		"LF before a name":      "HTTP/1.1 200 OK\r\n" + soundHead + "\nX-Broken: a\r\n" + length + "\r\n" + event,
+		"LF before the length":  "HTTP/1.1 200 OK\r\n" + soundHead + "\n" + length + "\r\n" + event,
+		"LF behind the length":  "HTTP/1.1 200 OK\r\n" + soundHead + length + "\nX-Broken: a\r\n\r\n" + event,
+		"two LF behind a field": "HTTP/1.1 200 OK\r\n" + soundHead + "X-Broken: a\n\n" + length + "\r\n" + event,
+		"LF in a name":          "HTTP/1.1 200 OK\r\n" + soundHead + "X-\nBroken: a\r\n" + length + "\r\n" + event,
+		"lines that end in LF":  strings.ReplaceAll("HTTP/1.1 200 OK\r\n"+soundHead+length+"\r\n", "\r\n", "\n") + event,
+		"space before a name":   "HTTP/1.1 200 OK\r\n" + soundHead + " X-Broken: a\r\n" + length + "\r\n" + event,
+		"tab before a name":     "HTTP/1.1 200 OK\r\n" + soundHead + "\tX-Broken: a\r\n" + length + "\r\n" + event,
+		"space before a length": "HTTP/1.1 200 OK\r\n" + soundHead + " " + length + "\r\n" + event,
+		"tab before a length":   "HTTP/1.1 200 OK\r\n" + soundHead + "\t" + length + "\r\n" + event,
+		"many fields":           "HTTP/1.1 200 OK\r\n" + soundHead + strings.Repeat("x:\r\n", 4000) + length + "\r\n" + event,
+		"head cut off":          "HTTP/1.1 200 OK\r\n" + soundHead,
+		"negative length":       "HTTP/1.1 200 OK\r\n" + soundHead + "Content-Length: -5\r\n\r\n" + event,
+		"two lengths":           "HTTP/1.1 200 OK\r\n" + soundHead + length + "Content-Length: 3\r\n\r\n" + event,
+		"body too short":        "HTTP/1.1 200 OK\r\n" + soundHead + "Content-Length: 100\r\n\r\n" + event,
+		"chunk without a size":  "HTTP/1.1 200 OK\r\n" + soundHead + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + event + "\r\n0\r\n\r\n",
+		"chunks cut off":        "HTTP/1.1 200 OK\r\n" + soundHead + "Transfer-Encoding: chunked\r\n\r\n5\r\nid: 1\r\n",
+		"unknown encoding":      "HTTP/1.1 200 OK\r\n" + soundHead + "Transfer-Encoding: zip\r\n\r\n" + event,
+		"no stamp":              "HTTP/1.1 200 OK\r\nX-Engine-Header: spoiled\r\n" + length + "\r\n" + event,
 	} {
 		t.Run(name, func(t *testing.T) {
 			withForwarder(t, func(f *fixture) {
@@ -127,6 +144,39 @@
 	}
 }
 
+// Guards against requests that fail because one upstream sends a response that is none, where another would have answered.
+func TestSpoiledResponseIsRetried(t *testing.T) {
+	event := "id: 1\ndata: a\n\n"
+	sound := "HTTP/1.1 200 OK\r\n" + soundHead + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(event)) + event
+	for name, spoiled := range map[string]string{
+		"status 000":           strings.Replace(sound, "200", "000", 1),
+		"LF before a name":     strings.Replace(sound, "Content-Length", "\nContent-Length", 1),
+		"space before a name":  strings.Replace(sound, "Content-Length", " Content-Length", 1),
+		"head that is cut off": sound[:len(sound)/2],
+	} {
+		for _, path := range []string{"/safe/x", "/stream/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				withForwarder(t, func(f *fixture) {
+					var attempts atomic.Int64
+					restore := f.respondWith(f.instances, func(c net.Conn) {
+						if attempts.Add(1) > 1 {
+							_, _ = io.WriteString(c, sound)
+							return
+						}
+						_, _ = io.WriteString(c, spoiled)
+					})
+					defer restore()
+					a := f.ask(request{path: path, id: "retried", usage: "1000,100"})
+					f.is.NoErr(a.err)
+					f.is.Equal(a.status, http.StatusOK)
+					f.is.Equal(a.body, event)
+					f.is.Equal(attempts.Load(), int64(2))
+				})
+			})
+		}
+	}
+}
+
 // Guards against a panic that leaves a placement and reserved memory behind, and that gives a failure of the entry the
 // headers of the engine.
 func TestPanicGivesPlacementsBack(t *testing.T) {
--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -13,7 +13,7 @@
 // newTransport returns the HTTP transport for requests to upstreams. Every attempt has a connection
 // of its own. On a reused connection, a late or second response could be mistaken for that of the
 // next request, and a request sent while the upstream closes the connection may or may not have run.
-func newTransport(dial connector.DialFunc, account *accountant.Account) *http.Transport {
+func newTransport(dial connector.DialFunc, account *accountant.Account) *connector.Transport {
 	return connector.NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}, account)
 }
 
--- a/server/call.go
+++ b/server/call.go
@@ -142,15 +142,13 @@
 		if x.connection == nil {
 			return dispatcher.Unreachable, f
 		}
-		x.detectCrash(x.ctx, attempt)
+		var invalid connector.InvalidResponseError
+		if !errors.As(err, &invalid) {
+			x.detectCrash(x.ctx, attempt)
+		}
 		return x.unansweredResult(), f
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := connector.CheckHead(response); err != nil {
-		f := newFailure(api.CodeUpstreamFailed, "the answer of service %s could not be read", x.service.Name)
-		f.err = err
-		return x.unansweredResult(), f
-	}
 	attempt.answerStartedAt = time.Now()
 	// An answer above Callers.MaxBody, or without memory for it, is not sent to the caller.
 	body, err := accountant.ReadAll(x.memory, response.Body, response.ContentLength, s.settings.Callers.MaxBody, 1)
--- a/server/call_test.go
+++ b/server/call_test.go
@@ -64,7 +64,13 @@
 		"status 000": func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}") },
 		"status 101": func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 101 OK\r\nContent-Length: 2\r\n\r\n{}") },
 		"status 700": func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 700 OK\r\nContent-Length: 2\r\n\r\n{}") },
-		"cut off":    func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{}") },
+		"LF before a name": func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\nX-Broken: a\r\nContent-Length: 2\r\n\r\n{}")
+		},
+		"space before a name": func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Broken: a\r\n Content-Length: 2\r\n\r\n{")
+		},
+		"cut off": func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{}") },
 		"endless head": func(c net.Conn) {
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
 			for _, err := fmt.Fprintf(c, "X-Filler: %s\r\n", filler); err == nil; _, err = fmt.Fprintf(c, "X-Filler: %s\r\n", filler) {
@@ -82,6 +88,10 @@
 			withCrashingServices(t, 2, func(f *testFleet, c *crashingServices) {
 				is := is.New(t)
 				caller := f.client(1)
+				for range 20 { // so that connections are open
+					_, err := caller.Call(context.Background(), "dispatch", "lookup", []byte("{}"), client.Options{Timeout: 5 * time.Second})
+					is.NoErr(err)
+				}
 				c.spoil(host(4, 1), write)
 				for range 20 { // repeated at the other instance
 					answer, err := caller.Call(context.Background(), "dispatch", "lookup", []byte("{}"), client.Options{Timeout: 20 * time.Second})
--- a/server/server.go
+++ b/server/server.go
@@ -240,7 +240,7 @@
 }
 
 // newTransport returns an HTTP transport. Its connections serve one request each if singleUse is true.
-func newTransport(dial connector.DialFunc, singleUse bool, account *accountant.Account) *http.Transport {
+func newTransport(dial connector.DialFunc, singleUse bool, account *accountant.Account) *connector.Transport {
 	if !singleUse {
 		account = nil // the head of a response does not count for as long as its connection is kept
 	}
--- a/server/ticket.go
+++ b/server/ticket.go
@@ -13,7 +13,6 @@
 	"go.uber.org/zap"
 
 	"github.com/sapphireramp/sapphireramp/api"
-	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/spender"
 )
 
@@ -241,12 +240,6 @@
 		return f
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := connector.CheckHead(response); err != nil {
-		f := ownerGoneFailure("the entry that issued the ticket sent no valid answer")
-		f.err, f.retryAfter = err, inProgressRetryAfter
-		x.unresolvedAttempts++
-		return f
-	}
 	return x.relayResponse(response)
 }
 
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -153,6 +153,9 @@
 				}
 				end := fmt.Sprintf("status %d, complete %t", r.status, r.isComplete)
 				switch {
+				case r.isComplete && r.status == http.StatusOK && strings.Contains(fmt.Sprint(r.header), "Broken"):
+					end = "wrong"
+					t.Errorf("%s: with a broken line: %v", id, r.header)
 				case r.isComplete && r.status == http.StatusOK && r.body == whole:
 					end = "whole"
 				case r.isComplete && r.status == http.StatusOK:
@@ -193,5 +196,19 @@
 			_, _ = io.WriteString(c, a.head+"\r\n"+a.part())
 			_ = c.SetLinger(0)
 		}},
+		"LF before a name":        brokenHead("\nX-Broken: a\r\n", ""),
+		"two LF behind a field":   brokenHead("X-Broken: a\n\n", ""),
+		"LF behind the length":    brokenHead("", "\nX-Broken: a\r\n"),
+		"space before a name":     brokenHead(" X-Broken: a\r\n", ""),
+		"space before the length": brokenHead("X-Broken: a\r\n ", ""),
+		"tab before a name":       brokenHead("", "\tX-Broken: a\r\n"),
 	}
 }
+
+// brokenHead returns an answer that is whole, but for lines of its head before the length or behind it.
+func brokenHead(before, behind string) brokenAnswer {
+	return brokenAnswer{requests: 20, bodySize: 100, respond: func(c *net.TCPConn, a brokenAttempt) {
+		a.readBody()
+		_, _ = io.WriteString(c, a.head+before+a.length()+behind+"\r\n"+a.body)
+	}}
+}
--- a/standin/network/played.go
+++ b/standin/network/played.go
@@ -31,12 +31,13 @@
 type PlayedConn struct {
 	order    Order
 	response []byte
-	// writeErr is the error of the Write, readErr that of Read after the response.
+	// writeErr is the error of the Write, readErr that of the first Read after the response; later ones return io.EOF.
 	writeErr, readErr error
 	once              sync.Once
-	// begun, failed, ended and interrupted are closed when the response may be read, when the Write has its error, when
-	// Read has returned the end or the connection was closed, and when the deadline of writes has passed.
-	begun, failed, ended, interrupted event
+	// begun, failed and ended happen when the response may be read, when the Write has its error, and when Read has
+	// returned the end; interrupted when the deadline of writes has passed; closed when Close is called, with which ended
+	// and interrupted happen.
+	begun, failed, ended, interrupted, closed event
 }
 
 // event is a channel that is closed once.
@@ -50,7 +51,7 @@
 // NewPlayedConn returns a connection that plays an order. A nil readErr stands for io.EOF.
 func NewPlayedConn(order Order, response string, writeErr, readErr error) *PlayedConn {
 	c := &PlayedConn{order: order, response: []byte(response), writeErr: writeErr, readErr: cmp.Or(readErr, io.EOF)}
-	for _, e := range []*event{&c.begun, &c.failed, &c.ended, &c.interrupted} {
+	for _, e := range []*event{&c.begun, &c.failed, &c.ended, &c.interrupted, &c.closed} {
 		e.happened = make(chan struct{})
 	}
 	return c
@@ -83,7 +84,11 @@
 }
 
 func (c *PlayedConn) Read(p []byte) (int, error) {
-	<-c.begun.happened
+	select {
+	case <-c.begun.happened:
+	case <-c.closed.happened:
+		return 0, net.ErrClosed
+	}
 	if len(c.response) > 0 {
 		n := copy(p, c.response)
 		c.response = c.response[n:]
@@ -91,7 +96,9 @@
 	}
 	<-c.failed.happened
 	c.ended.happen()
-	return 0, c.readErr
+	err := c.readErr
+	c.readErr = io.EOF
+	return 0, err
 }
 
 // SetWriteDeadline makes a Write return if t has passed.
@@ -108,8 +115,9 @@
 // SetDeadline is SetWriteDeadline.
 func (c *PlayedConn) SetDeadline(t time.Time) error { return c.SetWriteDeadline(t) }
 
-// Close makes a Write return.
+// Close makes a Write return, and a Read before the response.
 func (c *PlayedConn) Close() error {
+	c.closed.happen()
 	c.interrupted.happen()
 	c.ended.happen()
 	return nil
