connector: a transfer coding in HTTP/1.0, or beside a length, is invalid

What callers saw: an engine answered in HTTP/1.0 with Transfer-Encoding: chunked. The sizes of chunks were passed on as body of a complete answer.

Cause: HTTP/1.0 has no transfer codings, and http.Transport drops the field and reads until the end of the connection. RFC 9112, 6.1, has a client treat the framing of such a response as faulty. Beside a length, which no sender may add to a coding, it drops the length.

Change: the reader of heads notes version, coding and length, and rejects both kinds of heads at their end.

--- a/connector/head.go
+++ b/connector/head.go
@@ -45,8 +45,10 @@
 	// linesBefore the lines of the heads before it.
 	line                     []byte
 	size, lines, linesBefore int
-	// status is that of the current head; 0 until its first line is complete.
-	status int
+	// status is that of the current head, isHTTP10 true if its version is HTTP/1.0; 0 and false until its first line is
+	// complete. hasLength and hasCoding are true once a field has stated the length or a transfer coding of the body.
+	status                         int
+	isHTTP10, hasLength, hasCoding bool
 	// isComplete is true once the head of the final response has ended.
 	isComplete bool
 }
@@ -89,9 +91,13 @@
 	case h.lines == 1:
 		return h.setStatus(line)
 	case line != "":
-		return checkField(line)
+		return h.addField(line)
 	case h.status < minStatus:
 		*h = responseHead{line: h.line, linesBefore: h.linesBefore + h.lines}
+	case h.hasCoding && h.isHTTP10:
+		return "transfer coding in HTTP/1.0" // http.Transport ignores it, and takes the codes for the body
+	case h.hasCoding && h.hasLength:
+		return "transfer coding and length"
 	default:
 		h.isComplete = true
 	}
@@ -103,7 +109,8 @@
 	version, rest, _ := strings.Cut(line, " ")
 	code, reason, _ := strings.Cut(rest, " ")
 	status, err := strconv.ParseUint(code, 10, 16)
-	if major, _, ok := http.ParseHTTPVersion(version); !ok || major != 1 {
+	major, minor, ok := http.ParseHTTPVersion(version)
+	if !ok || major != 1 {
 		return fmt.Sprintf("version %.20q", version)
 	}
 	isInterim := status >= http.StatusContinue && status < minStatus && status != http.StatusSwitchingProtocols
@@ -113,12 +120,12 @@
 	if !httpguts.ValidHeaderFieldValue(reason) {
 		return "invalid reason phrase"
 	}
-	h.status = int(status)
+	h.status, h.isHTTP10 = int(status), minor == 0
 	return ""
 }
 
-// checkField returns what is wrong with the line of a field; empty if nothing is.
-func checkField(line string) (problem string) {
+// addField follows the line of a field, and returns what is wrong with it.
+func (h *responseHead) addField(line string) (problem string) {
 	name, value, hasColon := strings.Cut(line, ":")
 	switch {
 	case !hasColon:
@@ -128,5 +135,7 @@
 	case !httpguts.ValidHeaderFieldValue(value):
 		return fmt.Sprintf("value of %.40q", name)
 	}
+	h.hasLength = h.hasLength || strings.EqualFold(name, "Content-Length")
+	h.hasCoding = h.hasCoding || strings.EqualFold(name, "Transfer-Encoding")
 	return ""
 }
--- a/forwarder/spoiled_test.go
+++ b/forwarder/spoiled_test.go
@@ -107,6 +107,8 @@
 		"body too short":        "HTTP/1.1 200 OK\r\n" + soundHead + "Content-Length: 100\r\n\r\n" + event,
 		"chunk without a size":  "HTTP/1.1 200 OK\r\n" + soundHead + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + event + "\r\n0\r\n\r\n",
 		"chunks cut off":        "HTTP/1.1 200 OK\r\n" + soundHead + "Transfer-Encoding: chunked\r\n\r\n5\r\nid: 1\r\n",
+		"chunks in HTTP/1.0":    "HTTP/1.0 200 OK\r\n" + soundHead + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(event), event),
+		"chunks and a length":   "HTTP/1.1 200 OK\r\n" + soundHead + "Transfer-Encoding: chunked\r\n" + length + "\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(event), event),
 		"unknown encoding":      "HTTP/1.1 200 OK\r\n" + soundHead + "Transfer-Encoding: zip\r\n\r\n" + event,
 		"no stamp":              "HTTP/1.1 200 OK\r\nX-Engine-Header: spoiled\r\n" + length + "\r\n" + event,
 	} {
--- a/server/call_test.go
+++ b/server/call_test.go
@@ -70,6 +70,9 @@
 		"space before a name": func(c net.Conn) {
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Broken: a\r\n Content-Length: 2\r\n\r\n{")
 		},
+		"chunks in HTTP/1.0": func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n")
+		},
 		"cut off": func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{}") },
 		"endless head": func(c net.Conn) {
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -196,6 +196,10 @@
 			_, _ = io.WriteString(c, a.head+"\r\n"+a.part())
 			_ = c.SetLinger(0)
 		}},
+		"chunks in HTTP/1.0": {requests: 20, bodySize: 100, respond: func(c *net.TCPConn, a brokenAttempt) {
+			a.readBody()
+			_, _ = fmt.Fprintf(c, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", strings.Replace(a.head, "HTTP/1.1", "HTTP/1.0", 1), len(a.body), a.body)
+		}},
 		"LF before a name":        brokenHead("\nX-Broken: a\r\n", ""),
 		"two LF behind a field":   brokenHead("X-Broken: a\n\n", ""),
 		"LF behind the length":    brokenHead("", "\nX-Broken: a\r\n"),
