acceptor: a response of HTTP/1.0 that is cut off ends with a reset

What callers saw: an answer of 3 MB without a length was cut off half-way, and a caller that speaks HTTP/1.0 took it for whole. The same happened to streams, also of an engine that had stated a length, and to all of these when the entry was killed.

Cause: in HTTP/1.0 a response without a length ends with its connection, and what cut a response off, http.ErrAbortHandler or the end of the process, closed the connection as after a whole one.

Change: while a request of HTTP/1.0 is served, SO_LINGER of its connection is 0, so that the kernel resets it however it ends. The option is taken back when the server has written all of the response: when it closes the connection or waits for the next request after a handler that has returned, and no write has failed. Both interfaces and all other addresses of an entry have their connections from this package.

--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -34,7 +34,8 @@
 	isForgotten, hasCompleted bool
 
 	// writes is the number of writes in progress.
-	writes atomic.Int32
+	writes   atomic.Int32
+	response response
 	// headLock guards the fields below. isReadingHead is true from the beginning of a connection, or the end of a request,
 	// until the next head is complete. bodyBytes is the number of bytes that have arrived after it.
 	headLock      sync.Mutex
@@ -110,6 +111,7 @@
 	case http.StateActive:
 		c.moveTo(nil)
 	case http.StateIdle:
+		c.finishResponse()
 		c.headLock.Lock()
 		c.isReadingHead, c.head, c.bodyBytes = true, accountant.HeadScanner{}, 0
 		c.holding.Resize(c.listener.config.connectionBytes())
@@ -216,6 +218,7 @@
 	c.writes.Add(1)
 	defer c.writes.Add(-1)
 	n, err := c.Conn.Write(p)
+	c.response.hasFailed.Store(err != nil)
 	if err == nil && !c.listener.config.IsHTTP {
 		c.complete()
 	}
@@ -223,7 +226,12 @@
 }
 
 // CloseWrite closes the connection for writes where that is possible.
-func (c *Conn) CloseWrite() error { return closeWrite(c.Conn) }
+func (c *Conn) CloseWrite() error {
+	if !c.finishResponse() {
+		return errUnfinished
+	}
+	return closeWrite(c.Conn)
+}
 
 // Close gives back what the connection takes, and closes it. A connection that was refused is closed once its client has
 // read the refusal.
@@ -238,5 +246,6 @@
 	if !isOpen {
 		return nil
 	}
+	c.finishResponse()
 	return c.Conn.Close()
 }
--- a/acceptor/listener.go
+++ b/acceptor/listener.go
@@ -220,9 +220,16 @@
 		return context.WithValue(ctx, connKey{}, connOf(c))
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, _ := r.Context().Value(connKey{}).(*Conn); c != nil {
-			defer c.endRequest(r.ContentLength)
+		c, _ := r.Context().Value(connKey{}).(*Conn)
+		if c == nil {
+			handler.ServeHTTP(w, r)
+			return
 		}
-		handler.ServeHTTP(w, r)
+		defer c.endRequest(r.ContentLength)
+		if r.ProtoAtLeast(1, 1) {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		c.serveGuarded(handler, w, r)
 	})
 }
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -112,8 +113,9 @@
 	isComplete bool
 }
 
-// askRaw sends one request to an entry with a version of HTTP, on a connection of its own.
-func (e *entry) askRaw(version, route, id string, bodySize int) brokenResult {
+// askRaw sends one request to an entry with a version of HTTP, on a connection of its own. It calls onBegin when the body of
+// a response has begun.
+func (e *entry) askRaw(version, route, id string, bodySize int, onBegin func()) brokenResult {
 	c, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", e.host, callerPort), time.Second)
 	if err != nil {
 		return brokenResult{}
@@ -128,8 +130,12 @@
 	if err != nil {
 		return brokenResult{}
 	}
-	body, err := io.ReadAll(response.Body)
-	return brokenResult{status: response.StatusCode, header: response.Header, body: string(body), isComplete: err == nil}
+	body := bufio.NewReader(response.Body)
+	if _, err := body.Peek(1); err == nil {
+		onBegin()
+	}
+	text, err := io.ReadAll(body)
+	return brokenResult{status: response.StatusCode, header: response.Header, body: string(text), isComplete: err == nil}
 }
 
 // Guards against answers that no engine has sent whole, or that are none in HTTP, and are complete for their callers: real
@@ -146,7 +152,7 @@
 			for n := range c.requests {
 				route := []string{"safe", "stream"}[n%2]
 				id := fmt.Sprintf("%s-%d", strings.ReplaceAll(name, " ", "-"), n)
-				r := f.entries[0].askRaw("HTTP/1.1", route, id, c.bodySize)
+				r := f.entries[0].askRaw("HTTP/1.1", route, id, c.bodySize, func() {})
 				whole := ""
 				for n := 1; n <= wholeEvents; n++ {
 					whole += worker.StreamEvent(id, n)
@@ -216,3 +222,46 @@
 		_, _ = io.WriteString(c, a.head+before+a.length()+behind+"\r\n"+a.body)
 	}}
 }
+
+// Guards against answers that have begun at a caller and can't be finished, and that the caller takes for whole: it speaks
+// HTTP/1.0, in which an answer without a length ends with the connection. The engine resets the connection after 3 MB of a
+// plain answer, or an event of a stream that may not be resumed, or the entry is killed then.
+func TestCutAnswersLookCutToEveryCaller(t *testing.T) {
+	const part = 3 << 20
+	f := newFleetWithLimits(t, 41, 1, limits{maxBody: brokenBody})
+	engines := newBrokenEngines(f)
+	e := f.entries[0]
+	for _, killed := range []bool{false, true} {
+		for _, route := range []string{"safe", "fixed"} {
+			for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+				for _, length := range []string{"", fmt.Sprintf("Content-Length: %d\r\n", 2*part)} {
+					t.Run(fmt.Sprintf("killed %t, %s, %s, length %t", killed, route, version, length != ""), func(t *testing.T) {
+						f.awaitReady(20 * time.Second)
+						begun := make(chan struct{})
+						engines.respond = func(c *net.TCPConn, a brokenAttempt) {
+							a.readBody()
+							_, _ = io.WriteString(c, a.head+length+"\r\n"+a.part())
+							if route == "safe" {
+								_, _ = c.Write(make([]byte, part))
+							}
+							<-begun
+							if killed {
+								e.signal(syscall.SIGKILL)
+								_, _ = c.Read(make([]byte, 1)) // until the entry ends
+							}
+							_ = c.SetLinger(0)
+						}
+						r := e.askRaw(version, route, fmt.Sprintf("cut-%t-%s-%s-%d-0", killed, route, version[5:], len(length)), 100, func() { close(begun) })
+						if r.isComplete || r.status != http.StatusOK || len(r.body) == 0 {
+							t.Errorf("status %d, complete %t, %d bytes", r.status, r.isComplete, len(r.body))
+						}
+						if killed {
+							e.awaitExitWithin(5 * time.Second)
+							e.start()
+						}
+					})
+				}
+			}
+		}
+	}
+}
