connector: a whole answer is read although its upload breaks

What callers saw: an engine answered a long upload early, with a length and the whole body, and reset the connection while the upload was being written. Some of these sound answers were lost: 502, or a retry.

Cause: http.Transport closes the connection as soon as a write of the request fails. Whether the answer has been read by then is a matter of chance.

Change: a Write that fails on a connection of connector.NewTransport returns once Read has come to an end, or the connection is closed. Requests on connections that serve one each say so to http.Transport, which otherwise waits up to 50 ms for the rest of such an upload before it returns the end of the body; the header on the wire is the same.

--- a/connector/cut_test.go
+++ b/connector/cut_test.go
@@ -71,6 +71,44 @@
 	}
 }
 
+// Guards against a whole response that is lost because its upstream does not read all of the request: the write that fails
+// returns before the response was read.
+func TestEarlyResponsesAreRead(t *testing.T) {
+	for name, c := range map[string]struct {
+		response string
+		writeErr error
+		want     error
+	}{
+		"length, reset":        {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", syscall.ECONNRESET, nil},
+		"chunks, reset":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", syscall.ECONNRESET, nil},
+		"neither, reset":       {"HTTP/1.1 200 OK\r\n\r\nbody", syscall.ECONNRESET, syscall.ECONNRESET},
+		"length, closed":       {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", syscall.EPIPE, nil},
+		"neither, closed":      {"HTTP/1.1 200 OK\r\n\r\nbody", syscall.EPIPE, nil},
+		"part of it, reset":    {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody", syscall.ECONNRESET, syscall.ECONNRESET},
+		"part of it, closed":   {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody", syscall.EPIPE, io.ErrUnexpectedEOF},
+		"long body, and reset": {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 10000) + "\r\nContent-Length: 4\r\n\r\nbody", syscall.ECONNRESET, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, order := range []network.Order{network.WriteBeforeResponse, network.WriteBeforeEnd} {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					status, body, err := ask(network.NewPlayedConn(order, c.response, c.writeErr, nil))
+					is.Equal(status, http.StatusOK)
+					is.Equal(body, "body")
+					is.True(errors.Is(err, c.want))
+				})
+			}
+		})
+	}
+	for _, writeErr := range []error{syscall.ECONNRESET, syscall.EPIPE} { // no response at all
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			_, _, err := ask(network.NewPlayedConn(network.WriteBeforeResponse, "", writeErr, nil))
+			is.True(err != nil)
+		})
+	}
+}
+
 // Guards against resets that are no error, or are another, where the write and the read learn of them in any order.
 func TestResets(t *testing.T) {
 	const response = "HTTP/1.1 200 OK\r\n\r\nbody"
--- a/connector/response.go
+++ b/connector/response.go
@@ -18,11 +18,14 @@
 	lock    sync.Mutex
 	head    responseHead
 	headErr error
+	// ended is closed once Read has returned an error, or Close was called; endOnce closes it.
+	ended   chan struct{}
+	endOnce sync.Once
 }
 
 // newResponseConn returns a connection whose heads count in an account.
 func newResponseConn(dialled net.Conn, account *accountant.Account) *responseConn {
-	return &responseConn{Conn: DetectReset(dialled), dialled: dialled, holding: account.Open("", accountant.Request)}
+	return &responseConn{Conn: DetectReset(dialled), dialled: dialled, holding: account.Open("", accountant.Request), ended: make(chan struct{})}
 }
 
 // beginResponse makes the next bytes the head of another response.
@@ -35,6 +38,14 @@
 // Read reads from the connection. If the head of a response is invalid, it returns an InvalidResponseError or a
 // TooManyLinesError from then on, and no more bytes: http.Transport reads again after an error in the middle of a line.
 func (c *responseConn) Read(p []byte) (int, error) {
+	n, err := c.read(p)
+	if err != nil {
+		c.end()
+	}
+	return n, err
+}
+
+func (c *responseConn) read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.lock.Lock()
 	defer c.lock.Unlock()
@@ -50,6 +61,19 @@
 	return n, err
 }
 
+// Write writes to the connection. If that fails, it returns once all that has arrived was read: http.Transport closes the
+// connection then, and an upstream may have answered before it closed its end.
+func (c *responseConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		<-c.ended
+	}
+	return n, err
+}
+
+// end makes a Write that has failed return.
+func (c *responseConn) end() { c.endOnce.Do(func() { close(c.ended) }) }
+
 // invalidHead returns why the head of the current response is invalid; nil if it is not.
 func (c *responseConn) invalidHead() error {
 	c.lock.Lock()
@@ -59,6 +83,7 @@
 
 // Close closes the connection, and gives back the memory of the head.
 func (c *responseConn) Close() error {
+	c.end()
 	c.holding.Close()
 	return c.Conn.Close()
 }
--- a/connector/transport.go
+++ b/connector/transport.go
@@ -47,7 +47,10 @@
 			connection.beginResponse()
 		}
 	}}
-	response, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+	// A connection that may be used again waits for the end of the request before the end of the response is returned.
+	r.Close = r.Close || t.DisableKeepAlives
+	response, err := t.Transport.RoundTrip(r)
 	if err == nil || connection == nil {
 		return response, err
 	}
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -167,6 +167,8 @@
 				case r.isComplete && r.status == http.StatusOK:
 					end = "wrong"
 					t.Errorf("%s: complete, %d bytes of %d: %.60q", id, len(r.body), len(whole), r.body)
+				case c.isSound:
+					t.Errorf("%s: %s, although an engine answered soundly", id, end)
 				case r.isComplete && r.header.Get("X-Engine-Stamp") != "":
 					t.Errorf("%s: status %d with the stamp of the engine", id, r.status)
 				case !isBroken(n):
@@ -183,6 +185,8 @@
 type brokenAnswer struct {
 	respond            func(c *net.TCPConn, a brokenAttempt)
 	requests, bodySize int
+	// isSound is true if the answers are whole nevertheless.
+	isSound bool
 }
 
 // brokenAnswers returns the ways in which engines answer wrongly.
@@ -197,6 +201,11 @@
 			_, _ = io.WriteString(c, a.head+"\r\n"+a.part())
 			time.Sleep(time.Duration(a.number%21) * time.Millisecond)
 		}},
+		"reset during the upload, after a whole answer": {requests: 84, bodySize: brokenBody, isSound: true, respond: func(c *net.TCPConn, a brokenAttempt) {
+			_, _ = io.WriteString(c, a.head+a.length()+"\r\n"+a.body)
+			time.Sleep(time.Duration(a.number%5) * time.Millisecond)
+			_ = c.SetLinger(0)
+		}},
 		"reset after the upload": {requests: 10, bodySize: brokenBody, respond: func(c *net.TCPConn, a brokenAttempt) {
 			a.readBody()
 			_, _ = io.WriteString(c, a.head+"\r\n"+a.part())
