--- a/client/client_test.go
+++ b/client/client_test.go
@@ -1,9 +1,11 @@
 package client
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -98,3 +100,37 @@
 	is.True(err != nil)
 	is.Equal(sent, 6)
 }
+
+// Guards against answers that are none in HTTP, or were not sent whole, and are results for those who use the client as it is.
+func TestBrokenAnswersAreErrors(t *testing.T) {
+	for name, answer := range map[string]string{
+		"LF before a name":    "HTTP/1.1 200 OK\r\n\nX-Broken: a\r\nContent-Length: 2\r\n\r\n{}",
+		"space before a name": "HTTP/1.1 200 OK\r\nX-Broken: a\r\n Content-Length: 2\r\n\r\n{}",
+		"chunks in HTTP/1.0":  "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+		"head cut off":        "HTTP/1.1 200 OK\r\nX-Broken: a\r\n",
+		"body cut off":        "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{}",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = listener.Close() }()
+			go func() {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(c, answer)
+				}
+			}()
+			c := New(Config{Seeds: []netip.AddrPort{netip.MustParseAddrPort(listener.Addr().String())}, SeedsOnly: true})
+			result, err := c.Call(context.Background(), "dispatch", "lookup", []byte("{}"), Options{Timeout: 5 * time.Second})
+			if err == nil {
+				t.Errorf("result %q", result.Text)
+			}
+		})
+	}
+}
--- a/server/fleet_test.go
+++ b/server/fleet_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -18,6 +19,7 @@
 
 	"github.com/sapphireramp/sapphireramp/api"
 	"github.com/sapphireramp/sapphireramp/client"
+	"github.com/sapphireramp/sapphireramp/connector"
 	"github.com/sapphireramp/sapphireramp/loader"
 	"github.com/sapphireramp/sapphireramp/logger"
 	"github.com/sapphireramp/sapphireramp/standin/engine"
@@ -44,6 +46,18 @@
 	lastIncarnation uint64
 	// log receives the log of entries that start once it is set, at level info.
 	log *lockedBuffer
+	// played holds, by address, a connection that the next dial of an entry returns instead of one of net.
+	played sync.Map
+}
+
+// dialer returns the function by which an entry opens connections.
+func (f *testFleet) dialer(from netip.Addr) connector.DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if c, ok := f.played.LoadAndDelete(address); ok {
+			return c.(net.Conn), nil
+		}
+		return f.net.Dialer(from)(ctx, network, address)
+	}
 }
 
 type testEntry struct {
@@ -229,7 +243,7 @@
 	}
 	e.server, err = New(Config{
 		Settings: e.settings, Incarnation: f.lastIncarnation, Logs: logs, MetricScope: tally.NoopScope, MetricsHandler: http.NotFoundHandler(),
-		Dial: f.net.Dialer(e.host), Listen: f.net.Listen,
+		Dial: f.dialer(e.host), Listen: f.net.Listen,
 		OnViolation: func(name, detail string) { f.t.Errorf("invariant %s: %s", name, detail) },
 	})
 	if err != nil {
