--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -319,8 +319,8 @@
 red memory-stalled forwarder/bodyprogress.go 's/if !isHopeless \|\| !f\.account\.IsShort\(\)/if isHopeless || true/' ./launcher TestStalledBodiesGiveMemoryBack
 red memory-body forwarder/requestbody.go 's/if !b\.isReleased \{/if true {/' ./forwarder TestBodyCountsUntilNobodyUsesIt
 red memory-own accountant/accountant.go 's/if h\.isClosed \|\| !a\.allows\(h, n\) \{/if false {/' ./server TestLargeCallsStayWithinMemory
-red no-response connector/response.go 's/c\.headErr = c\.head\.add\(p\[:n\]\)/_ = c.head.add(p[:n])/' ./forwarder TestSpoiledResponsesAreFailures
-red no-answer connector/response.go 's/c\.headErr = c\.head\.add\(p\[:n\]\)/_ = c.head.add(p[:n])/' ./server TestSpoiledAnswersOfServices
+red no-response connector/response.go 's/if c\.headErr = c\.head\.add\(p\[:n\]\); c\.headErr != nil/if c.head.add(p[:n]); c.headErr != nil/' ./forwarder TestSpoiledResponsesAreFailures
+red no-answer connector/response.go 's/if c\.headErr = c\.head\.add\(p\[:n\]\); c\.headErr != nil/if c.head.add(p[:n]); c.headErr != nil/' ./server TestSpoiledAnswersOfServices
 red reused-heads connector/transport.go 's/connection\.beginResponse\(\)//' ./connector TestHeadsOfReusedConnections
 red reset connector/reset.go 's/if c\.failure != nil \{/if false {/' ./forwarder TestResetThatTheWriterLearnsOfEndsNoResponse
 red late-reset connector/reset.go 's/c\.writing <- struct\{\}\{\}\n\tdefer func\(\) \{ <-c\.writing \}\(\)\n\tif c\.failure/if c.failure/' ./forwarder TestResetThatTheWriterLearnsOfEndsNoResponse
--- a/acceptor/unfinished_test.go
+++ b/acceptor/unfinished_test.go
@@ -131,29 +131,27 @@
 		_, err = reader.ReadByte()
 		is.Equal(err, io.EOF)
 	})
-	t.Run("late reader", func(t *testing.T) {
-		is := is.New(t)
-		connection, err := net.Dial("tcp", address)
-		is.NoErr(err)
-		_ = connection.SetDeadline(time.Now().Add(10 * time.Second))
-		_, _ = fmt.Fprintf(connection, "GET /large HTTP/1.0\r\n\r\n")
-		time.Sleep(200 * time.Millisecond)
-		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
-		is.NoErr(err)
-		n, err := io.Copy(io.Discard, response.Body)
-		is.NoErr(err)
-		is.Equal(int(n), size)
-	})
-	t.Run("unread body", func(t *testing.T) {
-		is := is.New(t)
-		connection, err := net.Dial("tcp", address)
-		is.NoErr(err)
-		_ = connection.SetDeadline(time.Now().Add(10 * time.Second))
-		_, _ = fmt.Fprintf(connection, "POST / HTTP/1.0\r\nContent-Length: 5000000\r\n\r\nbegin")
-		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
-		is.NoErr(err)
-		body, err := io.ReadAll(response.Body)
-		is.NoErr(err)
-		is.Equal(string(body), "answer")
-	})
+	for name, c := range map[string]struct {
+		request string
+		// wait is the time after which the client reads, size the size of its response.
+		wait time.Duration
+		size int
+	}{
+		"late reader": {"GET /large HTTP/1.0\r\n\r\n", 200 * time.Millisecond, size},
+		"unread body": {"POST / HTTP/1.0\r\nContent-Length: 5000000\r\n\r\nbegin", 0, len("answer")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			connection, err := net.Dial("tcp", address)
+			is.NoErr(err)
+			_ = connection.SetDeadline(time.Now().Add(10 * time.Second))
+			_, _ = io.WriteString(connection, c.request)
+			time.Sleep(c.wait)
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			is.NoErr(err)
+			n, err := io.Copy(io.Discard, response.Body)
+			is.NoErr(err)
+			is.Equal(int(n), c.size)
+		})
+	}
 }
--- a/connector/cut_test.go
+++ b/connector/cut_test.go
@@ -19,9 +19,14 @@
 	"github.com/sapphireramp/sapphireramp/standin/network"
 )
 
-// ask sends a request over a connection, and returns the response with its body once the transport is done with it.
-func ask(c net.Conn) (status int, body string, err error) {
+// askInBubble is ask in virtual time. It returns once the transport is done with the connection.
+func askInBubble(c net.Conn) (status int, body string, err error) {
 	defer time.Sleep(time.Second)
+	return ask(c)
+}
+
+// ask sends a request over a connection, and returns the response with its body.
+func ask(c net.Conn) (status int, body string, err error) {
 	dial := func(context.Context, string, string) (net.Conn, error) { return c, nil }
 	transport := connector.NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true}, nil)
 	request, err := http.NewRequest(http.MethodPost, "http://upstream/", strings.NewReader("request"))
@@ -60,7 +65,7 @@
 						if end == "closed before the answer" {
 							order = network.WriteBeforeResponse
 						}
-						status, body, err := ask(network.NewPlayedConn(order, head[:size], errs[0], errs[1]))
+						status, body, err := askInBubble(network.NewPlayedConn(order, head[:size], errs[0], errs[1]))
 						if err == nil {
 							t.Errorf("cut off after %d bytes: status %d, body %q", size, status, body)
 						}
@@ -92,7 +97,7 @@
 			for _, order := range []network.Order{network.WriteBeforeResponse, network.WriteBeforeEnd} {
 				synctest.Test(t, func(t *testing.T) {
 					is := is.New(t)
-					status, body, err := ask(network.NewPlayedConn(order, c.response, c.writeErr, nil))
+					status, body, err := askInBubble(network.NewPlayedConn(order, c.response, c.writeErr, nil))
 					is.Equal(status, http.StatusOK)
 					is.Equal(body, "body")
 					is.True(errors.Is(err, c.want))
@@ -103,7 +108,7 @@
 	for _, writeErr := range []error{syscall.ECONNRESET, syscall.EPIPE} { // no response at all
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			_, _, err := ask(network.NewPlayedConn(network.WriteBeforeResponse, "", writeErr, nil))
+			_, _, err := askInBubble(network.NewPlayedConn(network.WriteBeforeResponse, "", writeErr, nil))
 			is.True(err != nil)
 		})
 	}
@@ -129,7 +134,7 @@
 		t.Run(fmt.Sprintf("order %d, %v, %v", c.order, c.writeErr, c.readErr), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				status, body, err := ask(network.NewPlayedConn(c.order, response, c.writeErr, c.readErr))
+				status, body, err := askInBubble(network.NewPlayedConn(c.order, response, c.writeErr, c.readErr))
 				is.Equal(status, http.StatusOK)
 				is.Equal(body, "body")
 				is.True(errors.Is(err, c.want))
--- a/connector/head_test.go
+++ b/connector/head_test.go
@@ -1,4 +1,4 @@
-package connector
+package connector_test
 
 import (
 	"bufio"
@@ -13,13 +13,14 @@
 	"github.com/matryer/is"
 
 	"github.com/sapphireramp/sapphireramp/accountant"
+	"github.com/sapphireramp/sapphireramp/connector"
 )
 
 // Guards against response heads of many short fields, which take many times their bytes, also in interim responses.
 func TestResponseHeadsOfManyLines(t *testing.T) {
 	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 600\r\n\r\n"
 	body := strings.Repeat("\n", 600) // lines of a body do not count
-	many := strings.Repeat("x:\r\n", MaxHeadLines)
+	many := strings.Repeat("x:\r\n", connector.MaxHeadLines)
 	for _, c := range []struct {
 		name, response string
 		isTooLong      bool
@@ -35,7 +36,7 @@
 			account := accountant.New(1 << 20)
 			near, far := net.Pipe()
 			dial := func(context.Context, string, string) (net.Conn, error) { return near, nil }
-			transport := NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true}, account)
+			transport := connector.NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true}, account)
 			go func() {
 				defer func() { _ = far.Close() }()
 				_, _ = http.ReadRequest(bufio.NewReader(far))
@@ -44,7 +45,7 @@
 			request, err := http.NewRequest(http.MethodGet, "http://upstream/", nil)
 			is.NoErr(err)
 			response, err := transport.RoundTrip(request)
-			var tooMany TooManyLinesError
+			var tooMany connector.TooManyLinesError
 			is.Equal(errors.As(err, &tooMany), c.isTooLong)
 			if !c.isTooLong {
 				is.NoErr(err)
@@ -58,11 +59,10 @@
 	}
 }
 
-// roundTrip sends a request over a transport to an upstream that answers with parts of a response, each written on its own,
-// and then closes the connection. It returns the response with its body.
-func roundTrip(parts []string) (status int, body string, err error) {
+// askInParts sends a request to an upstream that answers with parts of a response, each written on its own, and then closes
+// the connection. It returns the response with its body.
+func askInParts(parts []string) (status int, body string, err error) {
 	near, far := net.Pipe()
-	transport := NewTransport(&http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return near, nil }, DisableKeepAlives: true}, nil)
 	go func() {
 		defer func() { _ = far.Close() }()
 		_, _ = http.ReadRequest(bufio.NewReader(far))
@@ -70,17 +70,7 @@
 			_, _ = io.WriteString(far, p)
 		}
 	}()
-	request, err := http.NewRequest(http.MethodGet, "http://upstream/", nil)
-	if err != nil {
-		return 0, "", err
-	}
-	response, err := transport.RoundTrip(request)
-	if err != nil {
-		return 0, "", err
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
-	return response.StatusCode, string(data), err
+	return ask(near)
 }
 
 // split returns a text in parts of a size.
@@ -131,8 +121,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			for size := 1; size <= len(response+body); size++ {
-				status, got, err := roundTrip(split(response+body, size))
-				var invalid InvalidResponseError
+				status, got, err := askInParts(split(response+body, size))
+				var invalid connector.InvalidResponseError
 				if !errors.As(err, &invalid) {
 					t.Errorf("parts of %d bytes: status %d, body %q: %v", size, status, got, err)
 				}
@@ -159,7 +149,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			for size := 1; size <= len(response); size++ {
-				status, body, err := roundTrip(split(response, size))
+				status, body, err := askInParts(split(response, size))
 				is.NoErr(err)
 				is.Equal(status, http.StatusOK)
 				is.Equal(body, "body")
@@ -172,7 +162,7 @@
 func TestHeadsOfReusedConnections(t *testing.T) {
 	is := is.New(t)
 	near, far := net.Pipe()
-	transport := NewTransport(&http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return near, nil }}, nil)
+	transport := connector.NewTransport(&http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return near, nil }}, nil)
 	go func() {
 		requests := bufio.NewReader(far)
 		for _, response := range []string{
@@ -201,6 +191,6 @@
 		is.Equal(body, want)
 	}
 	_, err := ask()
-	var invalid InvalidResponseError
+	var invalid connector.InvalidResponseError
 	is.True(errors.As(err, &invalid))
 }
--- a/connector/response.go
+++ b/connector/response.go
@@ -45,16 +45,20 @@
 	return n, err
 }
 
+// read reads from the connection, and checks what belongs to a head.
 func (c *responseConn) read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	if c.headErr == nil {
-		c.headErr = c.head.add(p[:n])
-	}
 	if c.headErr != nil {
 		return 0, c.headErr
 	}
+	if c.head.isComplete {
+		return n, err
+	}
+	if c.headErr = c.head.add(p[:n]); c.headErr != nil {
+		return 0, c.headErr
+	}
 	if more := c.head.memory() - c.holding.Bytes(); more > 0 {
 		c.holding.Force(more)
 	}
--- a/connector/transport.go
+++ b/connector/transport.go
@@ -17,7 +17,7 @@
 	MaxIdleConns: 100, IdleConnTimeout: 90 * time.Second,
 }, nil)
 
-// Transport is an http.RoundTripper that returns no response that was not sent as HTTP has it: an invalid head is an
+// Transport is an http.RoundTripper for plain HTTP that returns no response that was not sent as HTTP has it: an invalid head is an
 // InvalidResponseError, and a body whose end is that of its connection is whole only if the connection was closed in order
 // (see DetectReset). All that reads responses reads them from a Transport.
 type Transport struct{ *http.Transport }
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/sapphireramp/sapphireramp/standin/worker"
 )
 
@@ -200,6 +202,9 @@
 		"closed with unread bytes during the upload": {requests: 42, bodySize: brokenBody, respond: func(c *net.TCPConn, a brokenAttempt) {
 			_, _ = io.WriteString(c, a.head+"\r\n"+a.part())
 			time.Sleep(time.Duration(a.number%21) * time.Millisecond)
+			for !hasUnread(c) { // without unread bytes the kernel closes the connection in order
+				time.Sleep(time.Millisecond)
+			}
 		}},
 		"reset during the upload, after a whole answer": {requests: 84, bodySize: brokenBody, isSound: true, respond: func(c *net.TCPConn, a brokenAttempt) {
 			_, _ = io.WriteString(c, a.head+a.length()+"\r\n"+a.body)
@@ -224,6 +229,16 @@
 	}
 }
 
+// hasUnread reports whether the kernel holds bytes of a connection that have not been read.
+func hasUnread(c *net.TCPConn) bool {
+	unread := 0
+	raw, err := c.SyscallConn()
+	if err == nil {
+		err = raw.Control(func(fd uintptr) { unread, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	}
+	return err != nil || unread > 0
+}
+
 // brokenHead returns an answer that is whole, but for lines of its head before the length or behind it.
 func brokenHead(before, behind string) brokenAnswer {
 	return brokenAnswer{requests: 20, bodySize: 100, respond: func(c *net.TCPConn, a brokenAttempt) {
