--- a/_scripts/red.sh
+++ b/_scripts/red.sh
@@ -327,7 +327,7 @@
 red early-end connector/reset.go 's/c\.interruptWrites\(\)\n//' ./forwarder TestEarlyResponseThatEndsInOrderIsWhole
 red relay-reset tunneler/relay.go 's/connector\.DetectReset\(connection\)/[]net.Conn{connection, connector.DetectReset(nil)}[0]/' ./tunneler TestResetThatTheRelaysWriterLearnsOfIsNoEnd
 red early-answer connector/response.go 's/\t\t<-c\.ended\n//' ./connector TestEarlyResponsesAreRead
-red unfinished acceptor/listener.go 's/c\.serveGuarded\(handler, w, r\)/handler.ServeHTTP(w, r)/' ./acceptor TestUnfinishedResponsesLookUnfinished
+red unfinished acceptor/listener.go 's/c\.serveHTTP10\(handler, w, r\)/handler.ServeHTTP(w, r)/' ./acceptor TestUnfinishedResponsesLookUnfinished
 red transfer-coding connector/head.go 's/case h\.hasCoding && h\.isHTTP10:/case false:/' ./forwarder TestSpoiledResponsesAreFailures
 red panic-gives-back forwarder/forward.go 's/defer f\.abandon\(x\)//' ./forwarder TestPanicGivesPlacementsBack
 red events-are-progress forwarder/stream.go 's/if len\(complete\) > 0/if n > 0/' ./forwarder TestResponseWithoutEndIsRetried
--- a/acceptor/listener.go
+++ b/acceptor/listener.go
@@ -230,6 +230,6 @@
 			handler.ServeHTTP(w, r)
 			return
 		}
-		c.serveGuarded(handler, w, r)
+		c.serveHTTP10(handler, w, r)
 	})
 }
--- a/acceptor/unfinished.go
+++ b/acceptor/unfinished.go
@@ -13,17 +13,17 @@
 // so that the end of the connection is that of the response. Until the whole response was written, the kernel therefore
 // resets the connection when it is closed, also where that is because the process is killed.
 type response struct {
-	// isGuarded is true while the connection is reset when it is closed.
-	isGuarded atomic.Bool
+	// resetsOnClose is true while SO_LINGER is 0, so that closing the connection resets it.
+	resetsOnClose atomic.Bool
 	// hasReturned is true once the handler has returned without a panic, hasFailed while the last write has failed.
 	hasReturned, hasFailed atomic.Bool
 }
 
-// serveGuarded serves a request of HTTP/1.0.
-func (c *Conn) serveGuarded(handler http.Handler, w http.ResponseWriter, r *http.Request) {
+// serveHTTP10 serves a request of HTTP/1.0 with a handler. It makes the connection end with a reset until finishResponse.
+func (c *Conn) serveHTTP10(handler http.Handler, w http.ResponseWriter, r *http.Request) {
 	c.response.hasReturned.Store(false)
 	c.setLinger(0)
-	c.response.isGuarded.Store(true)
+	c.response.resetsOnClose.Store(true)
 	handler.ServeHTTP(w, r)
 	c.response.hasReturned.Store(true) // not reached by a panic
 }
@@ -31,13 +31,13 @@
 // finishResponse makes the connection end in order when it is closed, unless its response is not complete; it reports
 // whether it does. It is called when the server has written all that it has.
 func (c *Conn) finishResponse() bool {
-	if !c.response.isGuarded.Load() {
+	if !c.response.resetsOnClose.Load() {
 		return true
 	}
 	if !c.response.hasReturned.Load() || c.response.hasFailed.Load() || c.isWriting() {
 		return false
 	}
-	c.response.isGuarded.Store(false)
+	c.response.resetsOnClose.Store(false)
 	c.setLinger(-1)
 	return true
 }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -80,6 +80,13 @@
 	return f.net.Dialer(entryHost)(ctx, network, address)
 }
 
+// setNextConnection makes the next dial of the entry return a connection.
+func (f *fixture) setNextConnection(c net.Conn) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.nextConnection = c
+}
+
 // countDials returns the number of connections that the entry has begun to open to an upstream.
 func (f *fixture) countDials(upstream netip.AddrPort) int {
 	f.lock.Lock()
--- a/forwarder/reset_test.go
+++ b/forwarder/reset_test.go
@@ -27,7 +27,7 @@
 				withForwarder(t, func(f *fixture) {
 					for _, path := range paths {
 						id := "reset-" + path[1:4]
-						f.nextConnection = network.NewPlayedConn(order, earlyResponse(id), failure, nil)
+						f.setNextConnection(network.NewPlayedConn(order, earlyResponse(id), failure, nil))
 						usage := ""
 						if path == "/stream/x" || path == "/fixed/x" {
 							usage = "1000,100"
@@ -72,7 +72,7 @@
 			withForwarder(t, func(f *fixture) {
 				for _, path := range paths {
 					id := "early-" + path[1:4]
-					f.nextConnection = connection(id)
+					f.setNextConnection(connection(id))
 					a := f.ask(request{path: path, id: id, usage: "1000,100", body: strings.Repeat("x", 900)})
 					f.is.NoErr(a.err)
 					f.is.Equal(a.status, http.StatusOK)
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -28,19 +28,17 @@
 // brokenEngines answers the first attempts of requests for which isBroken returns true as respond does, and all others
 // soundly. It stands for all upstreams of a fleet.
 type brokenEngines struct {
-	// respond writes a response to an attempt of the request with an ID, whose body has not been read. The connection is
-	// closed afterwards.
-	respond func(c *net.TCPConn, a brokenAttempt)
-	lock    sync.Mutex
-	// attempts counts those of each request.
+	// lock guards the other fields. attempts counts the attempts of each request.
+	lock     sync.Mutex
 	attempts map[string]int
+	// respond writes a response to an attempt whose body has not been read. The connection is closed afterwards.
+	respond func(c *net.TCPConn, a brokenAttempt)
 }
 
 // brokenAttempt is an attempt of a request at one of brokenEngines.
 type brokenAttempt struct {
 	// head is that of a sound response with status 200, without the line that ends it; body is the whole body of one.
 	id, head, body string
-	reader         *bufio.Reader
 	request        *http.Request
 	// number is that of the request.
 	number int
@@ -79,27 +77,34 @@
 	return b
 }
 
+// setResponse makes first attempts be answered by respond.
+func (b *brokenEngines) setResponse(respond func(c *net.TCPConn, a brokenAttempt)) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	b.respond = respond
+}
+
 // serve answers one request.
 func (b *brokenEngines) serve(c *net.TCPConn, engine string) {
 	defer func() { _ = c.Close() }()
-	a := brokenAttempt{reader: bufio.NewReader(c)}
-	var err error
-	if a.request, err = http.ReadRequest(a.reader); err != nil {
+	request, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
 		return
 	}
-	a.id = a.request.Header.Get("X-Attempt-Id")
+	a := brokenAttempt{id: request.Header.Get("X-Attempt-Id"), request: request}
 	a.head = fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Engine-Stamp: %s\r\nX-Attempt-Id: %s\r\nContent-Type: text/event-stream\r\n", engine, a.id)
-	last, _ := strconv.Atoi(a.request.Header.Get("Last-Event-Id")) // 0 if there is none
+	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id")) // 0 if there is none
 	for n := last + 1; n <= wholeEvents; n++ {
 		a.body += worker.StreamEvent(a.id, n)
 	}
 	b.lock.Lock()
 	isFirst := b.attempts[a.id] == 0
 	b.attempts[a.id]++
+	respond := b.respond
 	b.lock.Unlock()
 	a.number, _ = strconv.Atoi(a.id[strings.LastIndex(a.id, "-")+1:]) // 0 if there is none
 	if isFirst && isBroken(a.number) {
-		b.respond(c, a)
+		respond(c, a)
 		return
 	}
 	a.readBody()
@@ -149,7 +154,7 @@
 	f.awaitReady(20 * time.Second)
 	for name, c := range brokenAnswers() {
 		t.Run(name, func(t *testing.T) {
-			engines.respond = c.respond
+			engines.setResponse(c.respond)
 			ended := map[string]int{}
 			for n := range c.requests {
 				route := []string{"safe", "stream"}[n%2]
@@ -262,7 +267,7 @@
 					t.Run(fmt.Sprintf("killed %t, %s, %s, length %t", killed, route, version, length != ""), func(t *testing.T) {
 						f.awaitReady(20 * time.Second)
 						begun := make(chan struct{})
-						engines.respond = func(c *net.TCPConn, a brokenAttempt) {
+						engines.setResponse(func(c *net.TCPConn, a brokenAttempt) {
 							a.readBody()
 							_, _ = io.WriteString(c, a.head+length+"\r\n"+a.part())
 							if route == "safe" {
@@ -274,7 +279,7 @@
 								_, _ = c.Read(make([]byte, 1)) // until the entry ends
 							}
 							_ = c.SetLinger(0)
-						}
+						})
 						r := e.askRaw(version, route, fmt.Sprintf("cut-%t-%s-%s-%d-0", killed, route, version[5:], len(length)), 100, func() { close(begun) })
 						if r.isComplete || r.status != http.StatusOK || len(r.body) == 0 {
 							t.Errorf("status %d, complete %t, %d bytes", r.status, r.isComplete, len(r.body))
