connector: a test of control bytes and blanks anywhere in a head

TestBytesInsertedIntoHeads puts each of them at each place of four heads: a response is complete only with the body that the upstream sent.

--- a/connector/head_test.go
+++ b/connector/head_test.go
@@ -131,6 +131,40 @@
 	}
 }
 
+// controlsAndBlanks returns all control bytes of ASCII, and the space.
+func controlsAndBlanks() []byte {
+	out := []byte{0x7f}
+	for b := range byte(' ' + 1) {
+		out = append(out, b)
+	}
+	return out
+}
+
+// Guards against a body that is not the upstream's because a control byte or a blank stands anywhere in the head.
+func TestBytesInsertedIntoHeads(t *testing.T) {
+	for name, c := range map[string]struct{ head, coded string }{
+		"length":   {"HTTP/1.1 200 OK\r\nX: a\r\nContent-Length: 4\r\nY: a\r\n\r\n", "body"},
+		"chunks":   {"HTTP/1.1 200 OK\r\nX: a\r\nTransfer-Encoding: chunked\r\nY: a\r\n\r\n", "4\r\nbody\r\n0\r\n\r\n"},
+		"neither":  {"HTTP/1.1 200 OK\r\nX: a\r\nY: a\r\n\r\n", "body"},
+		"HTTP/1.0": {"HTTP/1.0 200 OK\r\nX: a\r\nContent-Length: 4\r\nY: a\r\n\r\n", "body"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for at := range len(c.head) {
+				for _, inserted := range controlsAndBlanks() {
+					response := c.head[:at] + string([]byte{inserted}) + c.head[at:] + c.coded
+					if strings.HasPrefix(response, c.head) {
+						continue // the byte has become the first one of the body
+					}
+					status, body, err := askInParts([]string{response})
+					if err == nil && (status != http.StatusOK || body != "body") {
+						t.Errorf("%q at %d: status %d, body %q", inserted, at, status, body)
+					}
+				}
+			}
+		})
+	}
+}
+
 // Guards against sound responses that are refused, wherever reads divide them.
 func TestSoundHeads(t *testing.T) {
 	for name, response := range map[string]string{
