--- a/forwarder/spoiled_test.go
+++ b/forwarder/spoiled_test.go
@@ -54,6 +54,19 @@
 	}
 }
 
+// respondFirstWith makes upstreams answer the first request as respond does, and further ones with a sound response. It
+// returns the number of requests so far, and a function that makes them answer as before.
+func (f *fixture) respondFirstWith(sound string, respond func(c net.Conn)) (attempts *atomic.Int64, restore func()) {
+	attempts = &atomic.Int64{}
+	return attempts, f.respondWith(f.instances, func(c net.Conn) {
+		if attempts.Add(1) > 1 {
+			_, _ = io.WriteString(c, sound)
+			return
+		}
+		respond(c)
+	})
+}
+
 // paths are those of a plain call that may run once, one that may be repeated, a stream that may be resumed and one that
 // may not.
 var paths = []string{"/once/x", "/safe/x", "/stream/x", "/fixed/x"}
@@ -159,14 +172,7 @@
 		for _, path := range []string{"/safe/x", "/stream/x"} {
 			t.Run(name+path, func(t *testing.T) {
 				withForwarder(t, func(f *fixture) {
-					var attempts atomic.Int64
-					restore := f.respondWith(f.instances, func(c net.Conn) {
-						if attempts.Add(1) > 1 {
-							_, _ = io.WriteString(c, sound)
-							return
-						}
-						_, _ = io.WriteString(c, spoiled)
-					})
+					attempts, restore := f.respondFirstWith(sound, func(c net.Conn) { _, _ = io.WriteString(c, spoiled) })
 					defer restore()
 					a := f.ask(request{path: path, id: "retried", usage: "1000,100"})
 					f.is.NoErr(a.err)
@@ -308,12 +314,7 @@
 		for _, path := range []string{"/safe/x", "/stream/x"} {
 			t.Run(name+path, func(t *testing.T) {
 				withForwarder(t, func(f *fixture) {
-					var attempts atomic.Int64
-					restore := f.respondWith(f.instances, func(c net.Conn) {
-						if attempts.Add(1) > 1 {
-							_, _ = io.WriteString(c, sound)
-							return
-						}
+					attempts, restore := f.respondFirstWith(sound, func(c net.Conn) {
 						for n := 0; write(c, n) == nil; n++ {
 							time.Sleep(100 * time.Millisecond)
 						}
